--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV = .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint format bench clean
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/wrenspoke demo
+
+test: $(VENV)/.ready
+	$(BIN)/ruff format --check wrenspoke tests features
+	$(BIN)/flake8 wrenspoke tests features
+	$(BIN)/python -m pytest -q
+	$(BIN)/behave -q features
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check wrenspoke tests features
+	$(BIN)/flake8 wrenspoke tests features
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format wrenspoke tests features
+
+clean:
+	rm -rf $(VENV) .run
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,318 @@
+"""Start real processes of a small deployment on loopback, for tests."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from wrenspoke import caller as callers
+from wrenspoke import keys
+from wrenspoke import settings
+from wrenspoke.transport import web
+
+PLACEHOLDER_KEY = '0' * 40
+MODEL = 'small-1'
+WAIT_S = 60.0
+TOKEN = 'an-operators-token'
+
+FAST = {
+    'entry': {
+        'beat_interval_ms': 100,
+        'suspect_after_ms': 700,
+        'pull_interval_ms': 100,
+        'load_poll_interval_ms': 200,
+        'connect_timeout_ms': 500,
+        'stall_timeout_ms': 1500,
+        'leave_delay_ms': 200,
+        'default_deadline_ms': 8000,
+    },
+    'ledger': {'clock_skew_ms': 150, 'call_timeout_ms': 400},
+    'control': {
+        'beat_interval_ms': 60,
+        'election_timeout_ms': 400,
+        'order_timeout_ms': 1000,
+        'drain_poll_interval_ms': 50,
+        'weight_loads_per_minute': 600,
+    },
+}
+RULES = [
+    {
+        'rule': 'release-once',
+        'service': 'records',
+        'path_prefix': '/release',
+        'once': True,
+    },
+    {
+        'rule': 'member-bound',
+        'service': 'records',
+        'path_prefix': '/member',
+        'bound': True,
+    },
+]
+
+
+def deployment(
+    regions=('north', 'south'),
+    entries=1,
+    engines=1,
+    plains=1,
+    controls=0,
+    **changes,
+):
+    """Return a deployment's settings as a map, on free ports."""
+    hosts = len(regions) * entries + controls
+    count = 3 * hosts + len(regions) * (engines + plains)
+    ports = iter(web.free_ports(count))
+    made = {
+        'cluster': 'test',
+        'hosts': [],
+        'links': [],
+        'endpoints': [],
+        'services': [
+            {'service': 'chat', 'kind': 'engine'},
+            {'service': 'records', 'kind': 'plain'},
+        ],
+        'rules': RULES,
+        'operators': [
+            {'operator': 'ada', 'token_sha256': keys.digest(TOKEN)},
+            {'operator': 'ben', 'token_sha256': keys.digest(TOKEN + '2')},
+        ],
+    }
+    for region in regions:
+        for number in range(1, entries + 1):
+            roles = ['entry', 'ledger']
+            made['hosts'].append(_host(region, number, roles, ports))
+        for number in range(1, engines + 1):
+            made['endpoints'].append(_endpoint(region, 'chat', number, ports))
+        for number in range(1, plains + 1):
+            made['endpoints'].append(
+                _endpoint(region, 'records', number, ports)
+            )
+    for number in range(controls):
+        region = regions[number % len(regions)]
+        host = _host(region, number, ['control'], ports)
+        host['host'] = f'control-{number + 1}'
+        host['operator_port'] = next(ports)
+        host['data_folder'] = f'data/control-{number + 1}'
+        made['hosts'].append(host)
+    for section, fields in FAST.items():
+        made[section] = {**fields, **changes.pop(section, {})}
+    return {**made, **changes}
+
+
+def _host(region, number, roles, ports):
+    return {
+        'host': f'{region}-{number}',
+        'region': region,
+        'data_centre': f'{region}-hall',
+        'ip': '127.0.0.1',
+        'http_port': next(ports),
+        'link_port': next(ports),
+        'public_key': PLACEHOLDER_KEY,
+        'roles': roles,
+    }
+
+
+def _endpoint(region, service, number, ports):
+    return {
+        'endpoint': f'{region}-{service}-{number}',
+        'service': service,
+        'region': region,
+        'data_centre': f'{region}-hall',
+        'url': f'http://127.0.0.1:{next(ports)}',
+        'models': [MODEL] if service == 'chat' else [],
+        'fenced': service == 'chat',
+    }
+
+
+class Fleet:
+    """Hold the processes of one deployment."""
+
+    def __init__(self, folder: pathlib.Path, made: dict, model=None):
+        self.folder = folder
+        self.path = folder / 'deployment.json'
+        self.path.write_text(json.dumps(made))
+        keys.make(self.path)
+        self.settings = settings.read(self.path)
+        self.model = json.dumps(model or {'token_ms': 1})
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._callers: list[callers.Caller] = []
+
+    def spawn(self, name: str, module: str, *arguments: str) -> None:
+        """Start a process; its output goes to a file."""
+        log = open(self.folder / f'{name}.log', 'ab')
+        command = [sys.executable, '-m', module, *arguments]
+        command += ['--settings', str(self.path)]
+        with log:
+            self.processes[name] = subprocess.Popen(
+                command, stdout=log, stderr=log, cwd=self.folder
+            )
+
+    def start_standins(self) -> None:
+        """Start one process of stand-ins for each region."""
+        for region in sorted({e.region for e in self.settings.endpoints}):
+            arguments = ['--model', self.model]
+            for endpoint in self.settings.endpoints:
+                if endpoint.region == region:
+                    arguments += ['--endpoint', endpoint.endpoint]
+            self.spawn(
+                f'standin-{region}', 'wrenspoke.standin.main', *arguments
+            )
+
+    def start_entry(self, host: str) -> None:
+        """Start one entry host."""
+        self.spawn(host, 'wrenspoke.entryd', '--host', host)
+
+    def start_control(self, host: str, *arguments: str) -> None:
+        """Start one control host."""
+        self.spawn(host, 'wrenspoke.controld', '--host', host, *arguments)
+
+    def log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.folder / f'{name}.log').read_text()
+
+    def kill(self, name: str) -> None:
+        """End a process with SIGKILL and reap it."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process."""
+        os.kill(self.processes[name].pid, number)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.signal(name, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.signal(name, signal.SIGCONT)
+
+    def stop(self, name: str) -> int:
+        """End a process with SIGTERM; return its exit status."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return process.wait(WAIT_S)
+
+    def url(self, host: str) -> str:
+        """Return where callers reach an entry host."""
+        return f'http://127.0.0.1:{self.settings.host(host).http_port}'
+
+    def endpoint_url(self, name: str) -> str:
+        """Return where an endpoint's stand-in listens."""
+        for endpoint in self.settings.endpoints:
+            if endpoint.endpoint == name:
+                return endpoint.url
+        raise KeyError(name)
+
+    def caller(self, *hosts: str) -> callers.Caller:
+        """Return a caller that asks these hosts in turn."""
+        caller = callers.Caller([self.url(host) for host in hosts])
+        self._callers.append(caller)
+        return caller
+
+    async def status(self, host: str) -> dict | None:
+        """Return an entry host's status, or None if it gives none."""
+        caller = callers.Caller([self.url(host)])
+        try:
+            async with asyncio.timeout(2):
+                return await caller.get('/status')
+        except (callers.CallerError, TimeoutError, msgspec.DecodeError):
+            return None
+        finally:
+            await caller.close()
+
+    async def wait_serving(self, *hosts: str) -> None:
+        """Wait until entry hosts serve and their ledger votes."""
+        names = hosts or [
+            host.host for host in self.settings.with_role('entry')
+        ]
+        for name in names:
+            await until(lambda name=name: self._serves(name), name)
+        margin_ms = 3 * self.settings.ledger.clock_skew_ms
+        await asyncio.sleep(margin_ms / 1000)
+
+    async def _serves(self, host: str) -> bool:
+        status = await self.status(host)
+        if status is None or not status['serving']:
+            return False
+        return all(status['peers'].values())
+
+    async def faults(self, endpoint: str, **fields) -> None:
+        """Make a stand-in misbehave."""
+        await self._standin(endpoint, 'POST', '/faults', fields)
+
+    async def runs(self, endpoint: str) -> dict:
+        """Return what a stand-in has run."""
+        return await self._standin(endpoint, 'GET', '/runs', None)
+
+    async def all_runs(self, service: str) -> dict[str, list[str]]:
+        """Return, by request, the endpoints of a service that ran it."""
+        found: dict[str, list[str]] = {}
+        for endpoint in self.settings.endpoints:
+            if endpoint.service != service:
+                continue
+            answer = await self.runs(endpoint.endpoint)
+            for request, count in answer['runs'].items():
+                found.setdefault(request, []).extend(
+                    [endpoint.endpoint] * count
+                )
+        return found
+
+    async def _standin(self, endpoint, method, path, body):
+        client = web.HttpClient(1000)
+        data = None if body is None else msgspec.json.encode(body)
+        url = self.endpoint_url(endpoint) + path
+        try:
+            async with client.send(method, url, {}, data) as found:
+                raw = await web.read_whole(found, 1 << 26)
+                return msgspec.json.decode(raw) if raw else {}
+        finally:
+            await client.close()
+
+    async def close(self) -> None:
+        """End every process."""
+        for caller in self._callers:
+            await caller.close()
+        for name in list(self.processes):
+            self.kill(name)
+
+
+@contextlib.asynccontextmanager
+async def running(folder, made, model=None, entries=None):
+    """Run stand-ins and entry hosts; yield the fleet."""
+    fleet = Fleet(folder, made, model)
+    try:
+        fleet.start_standins()
+        for number, host in enumerate(fleet.settings.with_role('control')):
+            found = ['--found'] if number == 0 else []
+            fleet.start_control(host.host, *found)
+        for host in fleet.settings.with_role('entry'):
+            if entries is None or host.host in entries:
+                fleet.start_entry(host.host)
+        await fleet.wait_serving(*(entries or []))
+        yield fleet
+    finally:
+        await fleet.close()
+
+
+async def until(condition, what: str = '', wait_s: float = WAIT_S):
+    """Wait until ``condition`` returns something true, and return it."""
+    end = time.monotonic() + wait_s
+    while True:
+        found = condition()
+        if asyncio.iscoroutine(found):
+            found = await found
+        if found:
+            return found
+        if time.monotonic() > end:
+            raise AssertionError(f'waited {wait_s} s in vain for {what}')
+        await asyncio.sleep(0.05)
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,51 @@
+"""Each layer imports only from those below it."""
+
+import ast
+import pathlib
+
+import pytest
+
+import wrenspoke
+
+ROOT = pathlib.Path(wrenspoke.__file__).parent
+BASE = {'clock', 'errors', 'ids', 'logs', 'runtime', 'settings'}
+ALLOWED = {
+    'state': {'state'},
+    'transport': {'transport'},
+    'protocol': {'protocol', 'transport', 'state'},
+    'coordination': {'coordination', 'protocol', 'transport', 'state'},
+}
+
+
+def imported(path):
+    """Yield the parts of wrenspoke that a module imports."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names = [alias.name for alias in node.names]
+        elif isinstance(node, ast.ImportFrom):
+            names = [f'{node.module}.{alias.name}' for alias in node.names]
+        else:
+            continue
+        for name in names:
+            parts = name.split('.')
+            if parts[0] == 'wrenspoke' and len(parts) > 1:
+                yield parts[1]
+
+
+@pytest.mark.parametrize('layer', sorted(ALLOWED))
+def test_layer_imports_downwards(layer):
+    paths = sorted((ROOT / layer).glob('*.py'))
+    assert paths
+    for path in paths:
+        above = set(imported(path)) - ALLOWED[layer] - BASE
+        assert not above, f'{path.name} imports {above}'
+
+
+def test_only_dispatch_reads_an_endpoints_address():
+    """Nothing else can send to an endpoint past the checks."""
+    readers = []
+    for path in sorted((ROOT / 'coordination').glob('*.py')):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Attribute) and node.attr == 'url':
+                readers.append(path.name)
+    assert set(readers) == {'dispatch.py'}
--- /dev/null
+++ b/wrenspoke/caller.py
@@ -0,0 +1,220 @@
+"""A caller's side: ask the directory, ask a host, go on at another."""
+
+import collections.abc
+import dataclasses
+
+import aiohttp
+import msgspec
+
+from wrenspoke import clock as clocks
+from wrenspoke import errors
+from wrenspoke import ids
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import replies
+from wrenspoke.protocol import requests
+from wrenspoke.protocol import sse
+from wrenspoke.protocol import surface
+from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import web
+
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+CONNECT_TIMEOUT_MS = 1_000
+OK = 200
+UNAVAILABLE = 503
+EVENT_STREAM = 'text/event-stream'
+
+
+class CallerError(errors.WrenspokeError):
+    """Say that no entry host gave an answer."""
+
+
+@dataclasses.dataclass
+class Result:
+    """Hold how one request ended for its caller.
+
+    ``outcome`` is ``lost`` when the caller was told nothing: the
+    connection broke before an answer or an end.
+    """
+
+    outcome: str
+    status: int = 0
+    reason: str = ''
+    text: str = ''
+    body: bytes = b''
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    first_ms: float | None = None
+    events: int = 0
+    hosts: list[str] = dataclasses.field(default_factory=list)
+
+
+class Caller:
+    """Ask entry hosts as a well-behaved client would."""
+
+    def __init__(self, urls: list[str], clock: clocks.Clock | None = None):
+        self._urls = list(urls)
+        self._clock = clock or clocks.Clock()
+        self._client = web.HttpClient(CONNECT_TIMEOUT_MS)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._client.close()
+
+    async def get(self, path: str) -> dict:
+        """Return the JSON of the first host that answers.
+
+        :raises CallerError: none did
+        """
+        problems = []
+        for url in self._urls:
+            try:
+                async with self._client.send('GET', url + path, {}) as found:
+                    body = await web.read_whole(found, ANSWER_LIMIT_BYTES)
+                    return msgspec.json.decode(body)
+            except transport_errors.TransportError as error:
+                problems.append(f'{url}: {error}')
+        raise CallerError('; '.join(problems))
+
+    async def refresh(self, region: str | None = None) -> list[str]:
+        """Ask the directory and keep to the hosts it names."""
+        query = f'?region={region}' if region else ''
+        found = await self.get(f'/directory{query}')
+        urls = [host['url'] for host in found['hosts']]
+        self._urls = urls or self._urls
+        return urls
+
+    async def chat(
+        self,
+        body: dict,
+        sent: collections.abc.Mapping[str, str] | None = None,
+        on_text: collections.abc.Callable[[str], None] | None = None,
+    ) -> Result:
+        """Ask for a chat; go on at other hosts when one fails."""
+        return await self._ask(
+            'POST', surface.CHAT_PATH, dict(sent or {}), body, on_text
+        )
+
+    async def call(
+        self,
+        method: str,
+        service: str,
+        path: str,
+        sent: collections.abc.Mapping[str, str] | None = None,
+        body: bytes = b'',
+    ) -> Result:
+        """Call a plain service; a resend carries the same request id."""
+        return await self._ask(
+            method,
+            f'/services/{service}{path}',
+            dict(sent or {}),
+            body,
+            None,
+        )
+
+    async def _ask(self, method, path, sent, body, on_text) -> Result:
+        sent.setdefault(headers.REQUEST, ids.new_unique())
+        total = Result('lost')
+        for number, url in enumerate(list(self._urls)):
+            sent[headers.ATTEMPT] = str(number + 1)
+            data = _continued(body, total.text)
+            if total.events:
+                sent[headers.REQUEST] = ids.new_unique()
+            total.hosts.append(url)
+            try:
+                await self._ask_one(
+                    method, url + path, sent, data, total, on_text
+                )
+            except transport_errors.TransportError as error:
+                total.outcome = 'lost'
+                total.reason = repr(error)
+                continue
+            except protocol_errors.ProtocolError as error:
+                total.outcome = 'lost'
+                total.reason = repr(error)
+                continue
+            if total.outcome == 'not_run' and total.status == UNAVAILABLE:
+                continue
+            break
+        return total
+
+    async def _ask_one(
+        self,
+        method: str,
+        url: str,
+        sent: dict[str, str],
+        body: bytes,
+        total: Result,
+        on_text: collections.abc.Callable[[str], None] | None,
+    ) -> None:
+        started_ms = self._clock.mono_ms()
+        async with self._client.send(
+            method, url, sent, body, fresh=True
+        ) as found:
+            total.status = found.status
+            total.headers = dict(found.headers)
+            kind = found.headers.get('Content-Type', '')
+            if found.status == OK and kind.startswith(EVENT_STREAM):
+                await self._read_stream(found, total, on_text, started_ms)
+                return
+            total.body = await web.read_whole(found, ANSWER_LIMIT_BYTES)
+            if total.first_ms is None:
+                total.first_ms = self._clock.mono_ms() - started_ms
+            total.outcome = found.headers.get(headers.OUTCOME, 'lost')
+            total.reason = found.headers.get(headers.REASON, '')
+            if not total.events:
+                total.text = _text(total.body)
+
+    async def _read_stream(
+        self,
+        found: aiohttp.ClientResponse,
+        total: Result,
+        on_text: collections.abc.Callable[[str], None] | None,
+        started_ms: int,
+    ) -> None:
+        async for event in sse.decode(web.read_chunks(found)):
+            if event.event == replies.OUTCOME_EVENT:
+                error = msgspec.json.decode(event.data)['error']
+                total.outcome = error['outcome']
+                total.reason = error['reason']
+                return
+            if event.data == sse.DONE:
+                total.outcome = 'whole'
+                return
+            if total.first_ms is None:
+                total.first_ms = self._clock.mono_ms() - started_ms
+            chunk = msgspec.json.decode(event.data)
+            text = chunk['choices'][0]['delta'].get('content') or ''
+            total.events += 1
+            total.text += text
+            if on_text is not None:
+                on_text(text)
+        raise transport_errors.MaybeSentError('stream ended early')
+
+
+def _continued(body: dict | bytes, text: str) -> bytes:
+    if isinstance(body, bytes):
+        return body
+    if not text:
+        return msgspec.json.encode(body)
+    said = {'role': 'assistant', 'content': text}
+    return msgspec.json.encode(
+        {
+            **body,
+            'messages': [*body['messages'], said],
+            'continue_final_message': True,
+            'add_generation_prompt': False,
+        }
+    )
+
+
+def _text(body: bytes) -> str:
+    try:
+        answer = msgspec.json.decode(body)
+        return answer['choices'][0]['message']['content']
+    except (msgspec.DecodeError, KeyError, IndexError, TypeError):
+        return ''
+
+
+def once_id(region: str, clock: clocks.Clock) -> str:
+    """Return a new id for a request that may run at most once."""
+    return str(requests.new_once_key(region, clock.wall_ms()))
--- /dev/null
+++ b/wrenspoke/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: routing, limits, retries, membership, agreement, plans."""
--- /dev/null
+++ b/wrenspoke/coordination/decisions.py
@@ -0,0 +1,41 @@
+"""Log every decision, and keep the newest for ``explain``."""
+
+import collections
+import typing
+
+import structlog
+
+from wrenspoke import clock as clocks
+
+logger = structlog.get_logger(__name__)
+
+KEPT_REQUESTS = 4096
+KEPT_PER_REQUEST = 32
+
+
+class Decisions:
+    """Write a line a decision and remember the latest requests'."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._kept: collections.OrderedDict[str, list] = (
+            collections.OrderedDict()
+        )
+
+    def note(self, event: str, request: str, **fields: typing.Any) -> None:
+        """Log one decision on one request."""
+        logger.info(event, request=request, **fields)
+        kept = self._kept.get(request)
+        if kept is None:
+            kept = self._kept[request] = []
+            if len(self._kept) > KEPT_REQUESTS:
+                self._kept.popitem(last=False)
+        if len(kept) < KEPT_PER_REQUEST:
+            kept.append(
+                {'at_ms': self._clock.wall_ms(), 'event': event}
+                | {name: str(value) for name, value in fields.items()}
+            )
+
+    def explain(self, request: str) -> list[dict[str, typing.Any]]:
+        """Return the decisions on a request, oldest first."""
+        return list(self._kept.get(request, []))
--- /dev/null
+++ b/wrenspoke/coordination/dispatch.py
@@ -0,0 +1,336 @@
+"""The one place from which anything is sent to an endpoint.
+
+First tries, retries, resumed streams, load polls and orders all go
+through ``Dispatcher.send``, which checks in a fixed order what must hold
+and is the only code that reads an endpoint's address.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import enum
+
+import aiohttp
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke.coordination import placement
+from wrenspoke.coordination import replica
+from wrenspoke import ids
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import requests
+from wrenspoke.state import configuration
+from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+MAX_HOPS = 1
+OVERLOAD_STATUSES = frozenset([429, 503])
+MS_PER_S = 1000
+DEFAULT_RETRY_AFTER_S = 1
+BODILESS_STATUSES = frozenset([204, 304])
+
+
+class Purpose(enum.Enum):
+    """Say why something is sent to an endpoint."""
+
+    FIRST = 'first'
+    RETRY = 'retry'
+    RESUME = 'resume'
+    CANCEL = 'cancel'
+    LOAD = 'load'
+
+
+NEW_WORK = frozenset([Purpose.FIRST, Purpose.RETRY])
+WORK = NEW_WORK | {Purpose.RESUME}
+
+
+class ClaimTicket:
+    """Show that the ledger let one once-only attempt through.
+
+    It is good for one send. ``unsent`` makes it good again, where it is
+    certain that nothing left this host.
+    """
+
+    def __init__(self, request: ids.RequestId, attempt_id: ids.AttemptId):
+        self.request = request
+        self.attempt_id = attempt_id
+        self.used = False
+
+    def unsent(self) -> None:
+        """Take back a use that sent nothing."""
+        self.used = False
+
+
+@dataclasses.dataclass
+class Send:
+    """Hold everything about one send."""
+
+    purpose: Purpose
+    endpoint: ids.EndpointId
+    method: str
+    path: str
+    body: bytes | None = None
+    head: requests.RequestHead | None = None
+    slot: placement.Slot | None = None
+    ticket: ClaimTicket | None = None
+    extra: dict[str, str] = dataclasses.field(default_factory=dict)
+    attempt_id: ids.AttemptId = dataclasses.field(
+        default_factory=lambda: ids.AttemptId(ids.new_unique())
+    )
+
+    @property
+    def name(self) -> str:
+        """Return the id that the endpoint is to echo."""
+        request = 'control' if self.head is None else self.head.request
+        return f'{request}/{self.attempt_id}'
+
+
+@dataclasses.dataclass
+class Context:
+    """Hold what the checks look at besides the send itself."""
+
+    host: ids.HostId
+    region: ids.RegionId
+    now_ms: int
+    endpoint: configuration.Endpoint
+    takes_work: bool
+
+
+Check = collections.abc.Callable[[Send, Context], str | None]
+CHECKS: dict[str, Check] = {}
+
+
+def check(name: str) -> collections.abc.Callable[[Check], Check]:
+    """Return a decorator that adds a check behind those before it."""
+
+    def register(function: Check) -> Check:
+        CHECKS[name] = function
+        return function
+
+    return register
+
+
+@check('residency')
+def check_residency(send: Send, context: Context) -> str | None:
+    """Keep work in this region, and bound work in its home."""
+    region = context.endpoint.region
+    if send.purpose in WORK and region != context.region:
+        return f'{region} is not the region of this host'
+    if send.head is not None and send.head.bound:
+        if region != send.head.home:
+            return f'{region} is not home {send.head.home}'
+    return None
+
+
+@check('hops')
+def check_hops(send: Send, context: Context) -> str | None:
+    """Refuse what was passed on too often or came back."""
+    if send.head is None:
+        return None
+    path = send.head.path_of_hosts
+    if len(path) > MAX_HOPS:
+        return f'{len(path)} hops'
+    if context.host in path:
+        return 'came back to this host'
+    return None
+
+
+@check('deadline')
+def check_deadline(send: Send, context: Context) -> str | None:
+    """Refuse what nobody waits for."""
+    if send.head is not None and send.head.deadline_ms <= context.now_ms:
+        return 'deadline has passed'
+    return None
+
+
+@check('endpoint_state')
+def check_endpoint_state(send: Send, context: Context) -> str | None:
+    """Give no new work to an endpoint that leaves."""
+    if send.purpose in NEW_WORK and not context.takes_work:
+        return f'{send.endpoint} takes no new work'
+    return None
+
+
+@check('limits')
+def check_limits(send: Send, _context: Context) -> str | None:
+    """Refuse work without a place at its endpoint."""
+    if send.purpose not in WORK:
+        return None
+    if send.slot is None or not send.slot.open:
+        return 'no place was taken'
+    if send.slot.endpoint.endpoint != send.endpoint:
+        return 'the place is at another endpoint'
+    return None
+
+
+@check('claim')
+def check_claim(send: Send, _context: Context) -> str | None:
+    """Let a once-only request through once, by its claim."""
+    if send.head is None or not send.head.once:
+        return None
+    ticket = send.ticket
+    if ticket is None or ticket.request != send.head.request:
+        return 'no claim was won'
+    if ticket.used:
+        return 'the claim was used'
+    ticket.used = True
+    return None
+
+
+class Answer:
+    """Hold the head of an endpoint's answer; the body is read from it."""
+
+    def __init__(self, response: aiohttp.ClientResponse, name: str):
+        self._response = response
+        self.name = name
+        self.status = response.status
+        self.headers = dict(response.headers)
+
+    async def whole(self, limit_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :raises MaybeSentError: it was cut short, too long or unending
+        """
+        try:
+            return await web.read_whole(self._response, limit_bytes)
+        except transport_errors.TransportError as error:
+            raise errors.MaybeSentError(str(error)) from error
+
+    async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        :raises MaybeSentError: it was cut short
+        """
+        try:
+            async for chunk in web.read_chunks(self._response):
+                yield chunk
+        except transport_errors.TransportError as error:
+            raise errors.MaybeSentError(str(error)) from error
+
+
+class Dispatcher:
+    """Send to endpoints, after every check."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        region: ids.RegionId,
+        held: replica.Replica,
+        client: web.HttpClient,
+        clock: clocks.Clock,
+    ):
+        self._host = host
+        self._region = region
+        self._replica = held
+        self._client = client
+        self._clock = clock
+        self.sent = 0
+
+    @contextlib.asynccontextmanager
+    async def send(self, send: Send) -> collections.abc.AsyncIterator[Answer]:
+        """Send once and yield the answer's head.
+
+        Leaving the block early cancels the work at the endpoint.
+
+        :raises SendRefusedError: a check failed; nothing was sent
+        :raises NotSentError: no connection; nothing was sent
+        :raises OverloadedError: the endpoint turned it away unrun
+        :raises MaybeSentError: it may have been run
+        """
+        endpoint = self._checked(send)
+        self.sent += send.purpose in WORK
+        once = send.head is not None and send.head.once
+        try:
+            async with self._client.send(
+                send.method,
+                endpoint.url + send.path,
+                self._headers(send),
+                send.body,
+                fresh=once,
+            ) as response:
+                self._refuse_overload(send, response)
+                self._refuse_crossed(send, endpoint, response)
+                _refuse_endless(send, response)
+                yield Answer(response, send.name)
+        except transport_errors.NotSentError as error:
+            if send.ticket is not None:
+                send.ticket.unsent()
+            raise errors.NotSentError(str(error)) from error
+        except transport_errors.MaybeSentError as error:
+            raise errors.MaybeSentError(str(error)) from error
+
+    def _checked(self, send: Send) -> configuration.Endpoint:
+        endpoint = self._replica.current.endpoints.get(send.endpoint)
+        if endpoint is None:
+            raise errors.SendRefusedError('endpoint_state', 'is gone')
+        context = Context(
+            host=self._host,
+            region=self._region,
+            now_ms=self._clock.mono_ms(),
+            endpoint=endpoint,
+            takes_work=self._replica.takes_work(endpoint),
+        )
+        for name, function in CHECKS.items():
+            detail = function(send, context)
+            if detail is None:
+                continue
+            raise errors.SendRefusedError(name, detail)
+        return endpoint
+
+    def _headers(self, send: Send) -> dict[str, str]:
+        sent = {headers.ECHO: send.name, **send.extra}
+        if send.head is None:
+            return sent
+        left_ms = send.head.deadline_ms - self._clock.mono_ms()
+        sent['Content-Type'] = send.head.content_type
+        sent[headers.REQUEST] = send.head.request
+        sent[headers.DEADLINE_MS] = str(left_ms)
+        sent[headers.PRIORITY] = send.head.priority.name.lower()
+        if send.head.session is not None:
+            sent[headers.SESSION] = send.head.session
+        return sent
+
+    def _refuse_overload(
+        self, send: Send, response: aiohttp.ClientResponse
+    ) -> None:
+        if response.status not in OVERLOAD_STATUSES:
+            return
+        if send.head is not None and send.head.once:
+            # An endpoint's word that it was busy does not prove that a
+            # once-only request was not run; the caller gets the answer.
+            return
+        text = response.headers.get(headers.RETRY_AFTER, '')
+        wait_s = int(text) if text.isdigit() else DEFAULT_RETRY_AFTER_S
+        raise errors.OverloadedError(response.status, wait_s * MS_PER_S)
+
+    def _refuse_crossed(
+        self,
+        send: Send,
+        endpoint: configuration.Endpoint,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        if not endpoint.echoes_request_id:
+            return
+        echoed = response.headers.get(headers.ECHO)
+        if echoed == send.name:
+            return
+        logger.warning(
+            'answer_crossed',
+            endpoint=send.endpoint,
+            expected=send.name,
+            found=echoed,
+        )
+        raise errors.MaybeSentError("answer is another request's")
+
+
+def _refuse_endless(send: Send, response: aiohttp.ClientResponse) -> None:
+    """Refuse a body whose end can't be told from a broken connection."""
+    if send.method == 'HEAD' or response.status in BODILESS_STATUSES:
+        return
+    chunked = 'chunked' in response.headers.get('Transfer-Encoding', '')
+    if chunked or response.content_length is not None:
+        return
+    raise errors.MaybeSentError('answer states no length')
--- /dev/null
+++ b/wrenspoke/coordination/errors.py
@@ -0,0 +1,50 @@
+"""The errors of the coordination layer."""
+
+from wrenspoke import errors
+from wrenspoke.protocol import outcomes
+
+
+class CoordinationError(errors.WrenspokeError):
+    """Be the base of what ends a decision."""
+
+
+class EndedError(CoordinationError):
+    """Carry how a request ends, from where that is known."""
+
+    def __init__(self, ending: outcomes.Ending):
+        super().__init__(f'{ending.outcome.value}: {ending.reason.value}')
+        self.ending = ending
+
+
+class SendRefusedError(CoordinationError):
+    """Say which check kept a request from being sent; none was."""
+
+    def __init__(self, check: str, detail: str):
+        super().__init__(f'{check}: {detail}')
+        self.check = check
+        self.detail = detail
+
+
+class NotSentError(CoordinationError):
+    """Say that nothing of the request left this host."""
+
+
+class MaybeSentError(CoordinationError):
+    """Say that the endpoint may have run the request."""
+
+
+class OverloadedError(CoordinationError):
+    """Say that an endpoint turned the request away unrun."""
+
+    def __init__(self, status: int, retry_after_ms: int):
+        super().__init__(f'endpoint answered {status}')
+        self.status = status
+        self.retry_after_ms = retry_after_ms
+
+
+class LedgerUnreachableError(CoordinationError):
+    """Say that too few ledger hosts answered."""
+
+
+class KeyForgottenError(CoordinationError):
+    """Say that the key is older than what the ledger remembers."""
--- /dev/null
+++ b/wrenspoke/coordination/gateway.py
@@ -0,0 +1,360 @@
+"""Decide for each request where it is served, and see it to its end."""
+
+import asyncio
+import typing
+
+import msgspec
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import decisions
+from wrenspoke.coordination import errors
+from wrenspoke.coordination import forwarding
+from wrenspoke.coordination import ledger
+from wrenspoke.coordination import local
+from wrenspoke.coordination import members
+from wrenspoke.coordination import once
+from wrenspoke.coordination import placement
+from wrenspoke.coordination import replica
+from wrenspoke.coordination import streams
+from wrenspoke import ids
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import outcomes
+from wrenspoke.protocol import replies
+from wrenspoke.protocol import requests
+from wrenspoke import settings
+from wrenspoke.state import configuration
+
+logger = structlog.get_logger(__name__)
+
+
+class Gateway:
+    """Serve callers on one entry host."""
+
+    def __init__(
+        self,
+        deployment: settings.Deployment,
+        host: settings.HostSettings,
+        held: replica.Replica,
+        watched: members.Members,
+        placer: placement.Placer,
+        server: local.LocalServer,
+        streamer: streams.StreamServer,
+        once_server: once.OnceServer,
+        forwarder: forwarding.Forwarder,
+        book: ledger.Ledger,
+        noted: decisions.Decisions,
+        clock: clocks.Clock,
+    ):
+        self._deployment = deployment
+        self._settings = deployment.entry
+        self._host = host
+        self._replica = held
+        self._members = watched
+        self._placer = placer
+        self._server = server
+        self._streams = streamer
+        self._once = once_server
+        self._forwarder = forwarder
+        self._ledger = book
+        self._decisions = noted
+        self._clock = clock
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._closing = False
+        self.ended: dict[str, int] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are being served."""
+        return self._in_flight
+
+    async def drain(self, timeout_ms: int) -> bool:
+        """Turn new work away and wait until nothing is in flight.
+
+        False means that time ran out.
+        """
+        self._closing = True
+        try:
+            async with clocks.timeout_ms(timeout_ms):
+                await self._idle.wait()
+                await self._once.close()
+            return True
+        except TimeoutError:
+            return False
+
+    async def serve(
+        self, head: requests.RequestHead, body: bytes, reply: replies.Reply
+    ) -> None:
+        """Answer one request, with its end if there is no answer."""
+        self._in_flight += 1
+        self._idle.clear()
+        started_ms = self._clock.mono_ms()
+        try:
+            await self._route(head, body, reply)
+            self._note_end(head, 'whole', started_ms)
+        except errors.EndedError as error:
+            self._note_end(head, error.ending, started_ms)
+            await reply.end(error.ending)
+        finally:
+            self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
+
+    def _note_end(
+        self,
+        head: requests.RequestHead,
+        ending: outcomes.Ending | str,
+        started_ms: int,
+    ) -> None:
+        whole = isinstance(ending, str)
+        outcome = ending if whole else ending.outcome.value
+        self.ended[outcome] = self.ended.get(outcome, 0) + 1
+        self._decisions.note(
+            'ended',
+            head.request,
+            outcome=outcome,
+            reason='' if whole else ending.reason,
+            taken_ms=self._clock.mono_ms() - started_ms,
+        )
+
+    async def _route(
+        self, head: requests.RequestHead, body: bytes, reply: replies.Reply
+    ) -> None:
+        if not self._replica.serving:
+            raise self._not_run(
+                outcomes.Reason.NO_CONFIGURATION,
+                'this host holds no configuration yet; ask another',
+            )
+        if self._closing:
+            raise self._not_run(
+                outcomes.Reason.DRAINING,
+                'this host is leaving; ask the directory for another',
+            )
+        if head.service not in self._replica.current.services:
+            raise self._bad_request(
+                'service', f'{head.service!r} is unknown here'
+            )
+        head, key = self._with_rules(head)
+        reply.request_id = head.request
+        region = self._region_for(head, key)
+        self._decisions.note(
+            'routed',
+            head.request,
+            service=head.service,
+            region=region,
+            home=head.home,
+            bound=head.bound,
+            once=head.once,
+            hops=len(head.path_of_hosts),
+        )
+        if region != self._host.region:
+            if head.forwarded:
+                raise self._not_run(
+                    outcomes.Reason.HOP_LIMIT,
+                    f'was passed on already and belongs in {region}',
+                )
+            await self._forwarder.forward(head, body, region, reply)
+            return
+        await self._serve_here(head, key, body, reply)
+
+    async def _serve_here(
+        self,
+        head: requests.RequestHead,
+        key: requests.OnceKey | None,
+        body: bytes,
+        reply: replies.Reply,
+    ) -> None:
+        if key is not None:
+            await self._once.serve(head, key, body, reply)
+            return
+        if head.stream:
+            await self._streams.serve(head, body, reply)
+            return
+        answer = await self._server.serve(head, body)
+        await reply.whole(
+            answer.status, answer.headers, answer.body, answer.outcome
+        )
+
+    def _with_rules(
+        self, head: requests.RequestHead
+    ) -> tuple[requests.RequestHead, requests.OnceKey | None]:
+        """Apply the operators' rules, which a caller can't loosen."""
+        bound, is_once = head.bound, head.once
+        for rule in self._replica.current.rules.values():
+            if not rule.matches(head.service, head.method, head.path):
+                continue
+            bound |= rule.bound
+            is_once |= rule.once
+        regions = {host.region for host in self._deployment.hosts}
+        if bound and head.home is None:
+            raise self._bad_request(
+                headers.HOME,
+                'required: this request must stay in its home region',
+            )
+        if head.home is not None and head.home not in regions:
+            raise self._bad_request(
+                headers.HOME,
+                f'found {head.home!r}; one of {sorted(regions)} is allowed',
+            )
+        key = self._key(head, bound) if is_once else None
+        changed = msgspec.structs.replace(
+            head,
+            bound=bound,
+            once=is_once,
+            request=head.request if key is None else str(key),
+            stream=head.stream and not is_once,
+        )
+        return changed, key
+
+    def _key(
+        self, head: requests.RequestHead, bound: bool
+    ) -> requests.OnceKey:
+        if head.minted:
+            region = head.home if bound else self._host.region
+            return requests.new_once_key(region, self._clock.wall_ms())
+        try:
+            key = requests.parse_once_key(head.request)
+        except protocol_errors.BadRequestError as error:
+            raise self._bad_request(error.field, error.problem) from error
+        regions = {host.region for host in self._deployment.hosts}
+        if key.region not in regions:
+            raise self._bad_request(
+                headers.REQUEST,
+                f'found region {key.region!r}; one of {sorted(regions)} '
+                'is allowed',
+            )
+        if bound and key.region != head.home:
+            raise self._bad_request(
+                headers.REQUEST,
+                f'found region {key.region!r}; a request bound to '
+                f'{head.home} needs a key of that region',
+            )
+        return key
+
+    def _region_for(
+        self, head: requests.RequestHead, key: requests.OnceKey | None
+    ) -> ids.RegionId:
+        if head.bound:
+            return head.home
+        if key is not None:
+            return key.region
+        own = ids.RegionId(self._host.region)
+        if head.forwarded:
+            return own
+        left_ms = head.deadline_ms - self._clock.mono_ms()
+        if self._placer.estimate_ms(head) <= left_ms:
+            return own
+        return self._nearest_with(head) or own
+
+    def _nearest_with(self, head: requests.RequestHead) -> ids.RegionId | None:
+        """Return the nearest other region that could serve a request."""
+        own = self._host.region
+        regions = {
+            endpoint.region
+            for endpoint in self._replica.current.endpoints.values()
+            if endpoint.service == head.service
+            and endpoint.region != own
+            and self._replica.takes_work(endpoint)
+            and (head.model is None or head.model in endpoint.models)
+        }
+        reachable = [
+            region
+            for region in regions
+            if any(
+                self._members.usable(host)
+                for host in self._members.entries_of(region)
+            )
+        ]
+        return min(
+            reachable,
+            key=lambda region: (
+                self._deployment.one_way_ms(own, region),
+                region,
+            ),
+            default=None,
+        )
+
+    def _not_run(
+        self, reason: outcomes.Reason, detail: str
+    ) -> errors.EndedError:
+        return errors.EndedError(
+            outcomes.Ending(
+                outcomes.Outcome.NOT_RUN,
+                reason,
+                detail,
+                self._settings.retry_after_ms,
+            )
+        )
+
+    def _bad_request(self, field: str, problem: str) -> errors.EndedError:
+        return errors.EndedError(
+            outcomes.Ending(
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.BAD_REQUEST,
+                f'{field}: {problem}',
+            )
+        )
+
+    def directory(self, address: str | None) -> dict[str, typing.Any]:
+        """Return which entry hosts to use, nearest first."""
+        return {
+            'region': address or self._host.region,
+            'ttl_ms': self._settings.directory_ttl_ms,
+            'hosts': [
+                {
+                    'host': entry.host,
+                    'region': entry.region,
+                    'data_centre': entry.data_centre,
+                    'url': f'http://{entry.ip}:{entry.http_port}',
+                }
+                for entry in self._members.directory(address)
+            ],
+        }
+
+    def models(self) -> list[str]:
+        """Return the model versions that can be asked for."""
+        found = set()
+        for endpoint in self._replica.current.endpoints.values():
+            if self._replica.takes_work(endpoint):
+                found.update(endpoint.models)
+        return sorted(found)
+
+    def explain(self, request: str) -> list[dict[str, typing.Any]]:
+        """Return the decisions on one request."""
+        return self._decisions.explain(request)
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return what this host knows of itself and its peers."""
+        return {
+            'host': self._host.host,
+            'region': self._host.region,
+            'data_centre': self._host.data_centre,
+            'index': self._replica.current.index,
+            'serving': self._replica.serving,
+            'draining': self._members.draining,
+            'in_flight': self._in_flight,
+            'ended': self.ended,
+            'ledger_keys': self._ledger.held,
+            'sent_to_endpoints': self._server.dispatcher.sent,
+            'retries_spent': self._server.budget.spent,
+            'retries_denied': self._server.budget.denied,
+            'peers': {
+                host: self._members.usable(host) for host in self._members.near
+            },
+        }
+
+    def service_of_model(self, model: str | None) -> str | None:
+        """Return the engine service that answers for a model."""
+        current = self._replica.current
+        if not self._replica.serving:
+            return ''
+        for endpoint in current.endpoints.values():
+            service = current.services[endpoint.service]
+            if service.kind is not configuration.ServiceKind.ENGINE:
+                continue
+            if model is None or model in endpoint.models:
+                return endpoint.service
+        return None
--- /dev/null
+++ b/wrenspoke/coordination/ledger.py
@@ -0,0 +1,291 @@
+"""Change the once-only ledger of this region, by majority."""
+
+import asyncio
+import collections.abc
+import random
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke import ids
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import messages
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke.protocol import requests
+from wrenspoke import runtime
+from wrenspoke import settings
+from wrenspoke.state import registers
+
+logger = structlog.get_logger(__name__)
+
+ROUNDS_LIMIT = 8
+BACKOFF_MS = 20
+RECALL_INTERVAL_MS = 500
+EXPIRE_INTERVAL_MS = 5_000
+SKEW_MARGIN = 2
+
+Change = collections.abc.Callable[[registers.Claim], registers.Claim]
+
+
+class Ledger:
+    """Read and change registers; hold this host's copies, if any."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        members: collections.abc.Sequence[ids.HostId],
+        limits: settings.LedgerSettings,
+        peers: peer_calls.Peers,
+        clock: clocks.Clock,
+    ):
+        self._host = host
+        self._members = list(members)
+        self._settings = limits
+        self._peers = peers
+        self._clock = clock
+        self._ballot = 0
+        self._tasks = runtime.Tasks()
+        now_ms = clock.wall_ms()
+        self._registers = None
+        if host in self._members:
+            since_ms = now_ms + SKEW_MARGIN * limits.clock_skew_ms
+            self._registers = registers.Registers(host, now_ms, since_ms)
+        self._register_answers()
+
+    @property
+    def quorum(self) -> int:
+        """Return how many ledger hosts are a majority."""
+        return len(self._members) // 2 + 1
+
+    @property
+    def held(self) -> int:
+        """Return how many keys this host holds a copy of."""
+        return 0 if self._registers is None else len(self._registers)
+
+    def _register_answers(self) -> None:
+        self._peers.answers(messages.Prepare)(self._answer_prepare)
+        self._peers.answers(messages.Accept)(self._answer_accept)
+        self._peers.answers(messages.Recall)(self._answer_recall)
+
+    def start(self) -> None:
+        """Read back what this host forgot, and forget what is old."""
+        if self._registers is None:
+            return
+        self._tasks.start(self._recover())
+        self._tasks.start(self._expire())
+
+    async def close(self) -> None:
+        """End the tasks."""
+        await self._tasks.close()
+
+    def check_age(self, key: requests.OnceKey) -> str | None:
+        """Say why a key's issue time is not acceptable, if it is not."""
+        age_ms = self._clock.wall_ms() - key.issued_ms
+        if age_ms > self._settings.claim_retention_ms:
+            return 'expired'
+        if age_ms < -self._settings.clock_skew_ms:
+            return 'future'
+        return None
+
+    async def change(
+        self, key: requests.OnceKey, function: Change
+    ) -> registers.Claim:
+        """Apply ``function`` to a key's claim and return the result.
+
+        :raises LedgerUnreachableError: no majority could be won in time
+        """
+        backoff_ms = BACKOFF_MS
+        for _round in range(ROUNDS_LIMIT):
+            self._ballot += 1
+            ballot = registers.Ballot(self._ballot, self._host)
+            claim = await self._round(key, ballot, function)
+            if claim is not None:
+                return claim
+            await self._clock.sleep_ms(random.uniform(0, backoff_ms))
+            backoff_ms *= 2
+        raise errors.LedgerUnreachableError(f'{key}: too many rounds lost')
+
+    async def read(self, key: requests.OnceKey) -> registers.Claim:
+        """Return a key's claim as the majority has it."""
+        return await self.change(key, lambda claim: claim)
+
+    async def _round(
+        self,
+        key: requests.OnceKey,
+        ballot: registers.Ballot,
+        function: Change,
+    ) -> registers.Claim | None:
+        prepare = messages.Prepare(str(key), key.issued_ms, ballot)
+        promises = await self._ask(key, prepare)
+        if promises is None:
+            return None
+        newest = max(promises.values(), key=lambda vote: vote.accepted)
+        old = newest.claim
+        new = function(old)
+        settled = all(
+            vote.accepted == newest.accepted for vote in promises.values()
+        )
+        if new is old and settled:
+            return old
+        accept = messages.Accept(
+            str(key),
+            key.issued_ms,
+            ballot,
+            new,
+            {host: vote.epochs[host] for host, vote in promises.items()},
+        )
+        accepted = await self._ask(key, accept)
+        return None if accepted is None else new
+
+    async def _ask(
+        self,
+        key: requests.OnceKey,
+        message: messages.Prepare | messages.Accept,
+    ) -> dict[str, registers.Vote] | None:
+        """Return a majority's grants, or None if a higher ballot stands."""
+        tasks = [
+            asyncio.get_running_loop().create_task(
+                self._ask_one(host, message)
+            )
+            for host in self._members
+        ]
+        granted: dict[str, registers.Vote] = {}
+        denied = False
+        try:
+            for earliest in asyncio.as_completed(tasks):
+                host, vote = await earliest
+                if vote is None or vote.forgotten:
+                    continue
+                if not vote.granted:
+                    self._ballot = max(self._ballot, vote.promised.number)
+                    denied = True
+                    continue
+                granted[host] = vote
+                quorum = self._consistent(granted)
+                if quorum is not None:
+                    return quorum
+        finally:
+            await runtime.cancel(tasks)
+        if denied:
+            return None
+        raise errors.LedgerUnreachableError(f'{key}: no majority')
+
+    def _consistent(
+        self, votes: dict[str, registers.Vote]
+    ) -> dict[str, registers.Vote] | None:
+        """Drop votes given before a restart that another voter knows."""
+        newest: dict[str, int] = {}
+        for vote in votes.values():
+            for host, epoch in vote.epochs.items():
+                newest[host] = max(newest.get(host, 0), epoch)
+        kept = {
+            host: vote
+            for host, vote in votes.items()
+            if vote.epochs[host] >= newest[host]
+        }
+        return kept if len(kept) >= self.quorum else None
+
+    async def _ask_one(
+        self, host: ids.HostId, message: messages.Prepare | messages.Accept
+    ) -> tuple[ids.HostId, registers.Vote | None]:
+        if host == self._host:
+            return host, self._vote(message)
+        try:
+            answer = await self._peers.call(
+                host, message, self._settings.call_timeout_ms
+            )
+        except protocol_errors.ProtocolError:
+            return host, None
+        if not isinstance(answer, messages.LedgerVote):
+            return host, None
+        return host, answer.vote
+
+    def _vote(
+        self, message: messages.Prepare | messages.Accept
+    ) -> registers.Vote:
+        if isinstance(message, messages.Prepare):
+            return self._registers.prepare(
+                message.key, message.issued_ms, message.ballot
+            )
+        return self._registers.accept(
+            message.key,
+            message.issued_ms,
+            message.ballot,
+            message.claim,
+            message.epochs,
+        )
+
+    async def _answer_prepare(self, _sender, message: messages.Prepare):
+        return self._answer_vote(message)
+
+    async def _answer_accept(self, _sender, message: messages.Accept):
+        return self._answer_vote(message)
+
+    def _answer_vote(
+        self, message: messages.Prepare | messages.Accept
+    ) -> messages.Message:
+        if self._registers is None:
+            return messages.Refusal('no ledger on this host')
+        return messages.LedgerVote(self._vote(message))
+
+    async def _answer_recall(
+        self, sender: ids.HostId, message: messages.Recall
+    ) -> messages.Message:
+        if self._registers is None:
+            return messages.Refusal('no ledger on this host')
+        memory = self._registers.remember(sender, message.epoch)
+        return messages.Recollection(memory)
+
+    async def _recover(self) -> None:
+        others = [host for host in self._members if host != self._host]
+        if not others:
+            return
+        while not await self._recall(others):
+            await self._clock.sleep_ms(RECALL_INTERVAL_MS)
+
+    async def _recall(self, others: list[ids.HostId]) -> bool:
+        epoch = self._registers.epoch
+        answers = await asyncio.gather(
+            *(self._recall_one(host, epoch) for host in others)
+        )
+        memories = [memory for memory in answers if memory is not None]
+        known = max((memory.epoch_known for memory in memories), default=0)
+        if known > epoch:
+            self._registers.learn_epochs({self._host: known + 1})
+            return False
+        if len(memories) < self.quorum:
+            return False
+        self._registers.restore(memories)
+        logger.info(
+            'ledger_recalled',
+            keys=len(self._registers),
+            trusted_since_ms=self._registers.trusted_since_ms,
+            epoch=epoch,
+        )
+        return True
+
+    async def _recall_one(
+        self, host: ids.HostId, epoch: int
+    ) -> registers.Memory | None:
+        try:
+            answer = await self._peers.call(
+                host,
+                messages.Recall(epoch),
+                self._settings.call_timeout_ms,
+            )
+        except protocol_errors.ProtocolError:
+            return None
+        if not isinstance(answer, messages.Recollection):
+            return None
+        return answer.memory
+
+    async def _expire(self) -> None:
+        while True:
+            await self._clock.sleep_ms(EXPIRE_INTERVAL_MS)
+            before_ms = (
+                self._clock.wall_ms() - self._settings.claim_retention_ms
+            )
+            count = self._registers.expire(before_ms)
+            if count:
+                logger.info('ledger_expired', keys=count)
--- /dev/null
+++ b/wrenspoke/coordination/limits.py
@@ -0,0 +1,82 @@
+"""Adaptive limits: how much work an endpoint is given at once."""
+
+import collections.abc
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+
+DECREASE = 0.7
+DECREASE_INTERVAL_MS = 200
+SMALLEST_LIMIT = 1.0
+HEADROOM = 4
+BUSY_SHARE = 0.8
+
+
+class AdaptiveLimit:
+    """Bound the requests in flight to one endpoint.
+
+    Additive increase while the limit is in use, multiplicative decrease
+    when the endpoint turns work away or times out.
+    """
+
+    def __init__(self, slots: int, clock: clocks.Clock):
+        self._clock = clock
+        self._most = float(slots * HEADROOM)
+        self._decreased_ms = -DECREASE_INTERVAL_MS
+        self.limit = float(slots)
+        self.in_flight = 0
+
+    @property
+    def free(self) -> bool:
+        """Tell whether one more request may be sent."""
+        return self.in_flight + 1 <= self.limit
+
+    def acquire(self) -> None:
+        """Count a request in."""
+        self.in_flight += 1
+
+    def release(self, succeeded: bool, overloaded: bool) -> None:
+        """Count a request out and learn from its end."""
+        busy = self.in_flight >= self.limit * BUSY_SHARE
+        self.in_flight -= 1
+        if overloaded:
+            self._decrease()
+        elif succeeded and busy:
+            grown = self.limit + 1 / self.limit
+            self.limit = min(self._most, grown)
+
+    def _decrease(self) -> None:
+        now_ms = self._clock.mono_ms()
+        if now_ms - self._decreased_ms < DECREASE_INTERVAL_MS:
+            return
+        self._decreased_ms = now_ms
+        self.limit = max(SMALLEST_LIMIT, self.limit * DECREASE)
+
+
+class Limits:
+    """Hold the limit of every endpoint that this host sends to."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._limits: dict[ids.EndpointId, AdaptiveLimit] = {}
+
+    def of(self, endpoint: ids.EndpointId, slots: int) -> AdaptiveLimit:
+        """Return an endpoint's limit, made on first use."""
+        limit = self._limits.get(endpoint)
+        if limit is None:
+            limit = AdaptiveLimit(slots, self._clock)
+            self._limits[endpoint] = limit
+        return limit
+
+    def in_flight(self, endpoint: ids.EndpointId) -> int:
+        """Return how many requests this host has at an endpoint."""
+        limit = self._limits.get(endpoint)
+        return 0 if limit is None else limit.in_flight
+
+    def keep_only(
+        self, endpoints: collections.abc.Container[ids.EndpointId]
+    ) -> None:
+        """Forget endpoints that are gone and idle."""
+        for endpoint, limit in list(self._limits.items()):
+            if endpoint not in endpoints and limit.in_flight == 0:
+                del self._limits[endpoint]
--- /dev/null
+++ b/wrenspoke/coordination/loads.py
@@ -0,0 +1,118 @@
+"""What is known of each endpoint's load and speed on this host."""
+
+import dataclasses
+
+import msgspec
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+from wrenspoke.protocol import messages
+
+SMOOTHING = 0.2
+STALE_MS = 10_000
+FORGET_MS = 15_000
+FIRST_GUESS_MS = 200.0
+HOLD_GUESS_MS = 1_000.0
+
+
+class EngineLoad(msgspec.Struct):
+    """Be what an engine says at ``GET /load``; it lags."""
+
+    running: int
+    waiting: int
+    age_ms: int = 0
+
+
+@dataclasses.dataclass
+class Speed:
+    """Hold smoothed times of one endpoint as seen from this host."""
+
+    first_ms: float = FIRST_GUESS_MS
+    hold_ms: float = HOLD_GUESS_MS
+    seen_ms: int | None = None
+
+
+@dataclasses.dataclass
+class Reported:
+    """Hold a load report and when it was true, on this host's clock."""
+
+    running: int
+    waiting: int
+    true_at_ms: int
+
+
+class Loads:
+    """Collect load reports and measured times by endpoint."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._speeds: dict[ids.EndpointId, Speed] = {}
+        self._reports: dict[ids.EndpointId, Reported] = {}
+
+    def observe_first(self, endpoint: ids.EndpointId, first_ms: float) -> None:
+        """Note the time to a first token or whole answer."""
+        speed = self._speeds.setdefault(endpoint, Speed())
+        if speed.seen_ms is None:
+            speed.first_ms = first_ms
+        speed.first_ms += SMOOTHING * (first_ms - speed.first_ms)
+        speed.seen_ms = self._clock.mono_ms()
+
+    def observe_hold(self, endpoint: ids.EndpointId, hold_ms: float) -> None:
+        """Note how long a request held its place at an endpoint."""
+        speed = self._speeds.setdefault(endpoint, Speed(hold_ms=hold_ms))
+        speed.hold_ms += SMOOTHING * (hold_ms - speed.hold_ms)
+
+    def speed(self, endpoint: ids.EndpointId) -> Speed:
+        """Return an endpoint's times; an old one is believed less.
+
+        What was measured long ago fades towards the first guess, so that
+        an endpoint that was slow is tried again.
+        """
+        speed = self._speeds.get(endpoint)
+        if speed is None or speed.seen_ms is None:
+            return Speed() if speed is None else speed
+        age_ms = self._clock.mono_ms() - speed.seen_ms
+        if age_ms <= FORGET_MS:
+            return speed
+        weight = FORGET_MS / age_ms
+        first_ms = weight * speed.first_ms + (1 - weight) * FIRST_GUESS_MS
+        return Speed(first_ms, speed.hold_ms, speed.seen_ms)
+
+    def report(self, report: messages.LoadReport) -> None:
+        """Keep a report unless a newer one is here."""
+        true_at_ms = self._clock.mono_ms() - report.age_ms
+        known = self._reports.get(report.endpoint)
+        if known is not None and known.true_at_ms >= true_at_ms:
+            return
+        self._reports[report.endpoint] = Reported(
+            report.running, report.waiting, true_at_ms
+        )
+
+    def reported(self, endpoint: ids.EndpointId) -> Reported | None:
+        """Return the newest report that is not stale."""
+        report = self._reports.get(endpoint)
+        if report is None:
+            return None
+        if self._clock.mono_ms() - report.true_at_ms > STALE_MS:
+            return None
+        return report
+
+    def digest(
+        self, endpoints: list[ids.EndpointId]
+    ) -> list[messages.LoadReport]:
+        """Return the reports on some endpoints for the peers."""
+        now_ms = self._clock.mono_ms()
+        reports = []
+        for endpoint in endpoints:
+            report = self.reported(endpoint)
+            if report is None:
+                continue
+            reports.append(
+                messages.LoadReport(
+                    endpoint,
+                    report.running,
+                    report.waiting,
+                    now_ms - report.true_at_ms,
+                )
+            )
+        return reports
--- /dev/null
+++ b/wrenspoke/coordination/local.py
@@ -0,0 +1,246 @@
+"""Serve requests at this region's endpoints, and own their retries."""
+
+import dataclasses
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import decisions
+from wrenspoke.coordination import dispatch
+from wrenspoke.coordination import errors
+from wrenspoke.coordination import loads
+from wrenspoke.coordination import placement
+from wrenspoke.coordination import retries
+from wrenspoke import ids
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import outcomes
+from wrenspoke.protocol import requests
+from wrenspoke import settings
+
+logger = structlog.get_logger(__name__)
+
+SERVER_ERROR = 500
+FIRST_TRY_SHARE = 0.5
+
+
+@dataclasses.dataclass
+class Whole:
+    """Hold an endpoint's whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    endpoint: ids.EndpointId
+
+    @property
+    def outcome(self) -> outcomes.Outcome:
+        """Return how the request ended, by the endpoint's status."""
+        if self.status >= SERVER_ERROR:
+            return outcomes.Outcome.FAILED
+        return outcomes.Outcome.WHOLE
+
+
+class Tries:
+    """Count the sends of one request and judge each failure."""
+
+    def __init__(
+        self,
+        head: requests.RequestHead,
+        limit: int,
+        budget: retries.RetryBudget,
+        noted: decisions.Decisions,
+        clock: clocks.Clock,
+    ):
+        self.excluded: set[ids.EndpointId] = set()
+        self.may_have_run = False
+        self.count = 0
+        self._head = head
+        self._limit = limit
+        self._budget = budget
+        self._decisions = noted
+        self._clock = clock
+        budget.first_attempt()
+
+    @property
+    def purpose(self) -> dispatch.Purpose:
+        """Return what the next send is."""
+        if self.count == 0:
+            return dispatch.Purpose.FIRST
+        return dispatch.Purpose.RETRY
+
+    def check_deadline(self) -> None:
+        """Give up, at once, when the deadline has passed.
+
+        :raises EndedError: it has
+        """
+        if self._clock.mono_ms() >= self._head.deadline_ms:
+            raise self.ended(outcomes.Reason.DEADLINE, 'deadline passed')
+
+    def try_ms(self, others: bool) -> float:
+        """Return the time for one try; the first leaves some for more."""
+        left_ms = self._head.deadline_ms - self._clock.mono_ms()
+        if others and self.count == 0:
+            return left_ms * FIRST_TRY_SHARE
+        return left_ms
+
+    def failed(
+        self, endpoint: ids.EndpointId, error: errors.CoordinationError
+    ) -> None:
+        """Note a failure; return if another try is allowed.
+
+        :raises EndedError: it is not
+        """
+        self.count += 1
+        self.excluded.add(endpoint)
+        sent = isinstance(error, errors.MaybeSentError)
+        self.may_have_run |= sent
+        free = isinstance(
+            error, (errors.NotSentError, errors.SendRefusedError)
+        )
+        allowed = self.count < self._limit and (free or self._budget.spend())
+        self._decisions.note(
+            'try_failed',
+            self._head.request,
+            endpoint=endpoint,
+            error=error,
+            tries=self.count,
+            retry=allowed,
+        )
+        if not allowed:
+            raise self.ended(outcomes.Reason.ENDPOINT_FAILED, str(error))
+
+    def ended(
+        self, reason: outcomes.Reason, detail: str, retry_after_ms: int = 1000
+    ) -> errors.EndedError:
+        """Return the end of a request that is given up on."""
+        outcome = outcomes.Outcome.NOT_RUN
+        if self.may_have_run:
+            outcome = outcomes.Outcome.UNKNOWN
+        return errors.EndedError(
+            outcomes.Ending(
+                outcome, reason, detail, retry_after_ms, retry_owned=True
+            )
+        )
+
+
+class LocalServer:
+    """Get whole answers from this region's endpoints."""
+
+    def __init__(
+        self,
+        limits: settings.EntrySettings,
+        dispatcher: dispatch.Dispatcher,
+        placer: placement.Placer,
+        load_table: loads.Loads,
+        noted: decisions.Decisions,
+        clock: clocks.Clock,
+    ):
+        self.settings = limits
+        self.dispatcher = dispatcher
+        self.placer = placer
+        self.loads = load_table
+        self.decisions = noted
+        self.clock = clock
+        self.budget = retries.RetryBudget(
+            limits.retry_ratio, limits.retry_burst
+        )
+
+    def tries(self, head: requests.RequestHead) -> Tries:
+        """Return a new count of one request's sends."""
+        return Tries(
+            head,
+            self.settings.attempts_limit,
+            self.budget,
+            self.decisions,
+            self.clock,
+        )
+
+    async def place(
+        self, head: requests.RequestHead, tries: Tries
+    ) -> placement.Slot:
+        """Return a place; after failures the reason given is theirs."""
+        try:
+            return await self.placer.place(head, tries.excluded)
+        except errors.EndedError as error:
+            if tries.count == 0:
+                raise
+            raise tries.ended(
+                error.ending.reason,
+                error.ending.detail,
+                error.ending.retry_after_ms,
+            ) from error
+
+    async def serve(self, head: requests.RequestHead, body: bytes) -> Whole:
+        """Return a whole answer to a request that may be repeated.
+
+        :raises EndedError: there is none, and how that ended
+        """
+        tries = self.tries(head)
+        while True:
+            tries.check_deadline()
+            slot = await self.place(head, tries)
+            send = dispatch.Send(
+                tries.purpose,
+                slot.endpoint.endpoint,
+                head.method,
+                head.path,
+                body,
+                head,
+                slot,
+            )
+            try:
+                answer = await self._try(send, tries)
+            except (
+                errors.SendRefusedError,
+                errors.NotSentError,
+                errors.OverloadedError,
+                errors.MaybeSentError,
+            ) as error:
+                tries.failed(send.endpoint, error)
+                continue
+            if answer.status < SERVER_ERROR:
+                return answer
+            if not self._may_repeat_answer(tries, answer, head):
+                return answer
+
+    async def _try(self, send: dispatch.Send, tries: Tries) -> Whole:
+        others = tries.count + 1 < self.settings.attempts_limit
+        try:
+            async with clocks.timeout_ms(tries.try_ms(others)):
+                return await self.exchange(send)
+        except TimeoutError as error:
+            raise errors.MaybeSentError('no answer in time') from error
+
+    def _may_repeat_answer(
+        self, tries: Tries, answer: Whole, head: requests.RequestHead
+    ) -> bool:
+        error = errors.MaybeSentError(f'endpoint answered {answer.status}')
+        try:
+            tries.failed(answer.endpoint, error)
+        except errors.EndedError:
+            return False
+        return bool(self.placer.endpoints(head) - tries.excluded)
+
+    async def exchange(self, send: dispatch.Send) -> Whole:
+        """Send once and read the whole answer, minding the place.
+
+        :raises CoordinationError: as ``Dispatcher.send`` does
+        """
+        started_ms = self.clock.mono_ms()
+        succeeded = overloaded = False
+        try:
+            async with self.dispatcher.send(send) as answer:
+                body = await answer.whole(self.settings.answer_limit_bytes)
+            succeeded = answer.status < SERVER_ERROR
+            taken_ms = self.clock.mono_ms() - started_ms
+            self.loads.observe_first(send.endpoint, taken_ms)
+            self.loads.observe_hold(send.endpoint, taken_ms)
+            self.placer.sessions.used(send.head.session, send.endpoint)
+            found = dict(answer.headers)
+            found[headers.ENDPOINT] = send.endpoint
+            return Whole(answer.status, found, body, send.endpoint)
+        except errors.OverloadedError:
+            overloaded = True
+            raise
+        finally:
+            send.slot.release(succeeded, overloaded)
--- /dev/null
+++ b/wrenspoke/coordination/members.py
@@ -0,0 +1,212 @@
+"""Which entry hosts live, drain or are suspected, as seen from here."""
+
+import dataclasses
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import loads
+from wrenspoke.coordination import replica
+from wrenspoke.coordination import routing
+from wrenspoke import ids
+from wrenspoke.protocol import messages
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke import settings
+
+logger = structlog.get_logger(__name__)
+
+RELAY_COUNT = 2
+
+
+@dataclasses.dataclass
+class Seen:
+    """Hold what was last heard of a host."""
+
+    heard_ms: int
+    draining: bool = False
+    index: int = 0
+    suspected: bool = False
+
+
+class Members:
+    """Beat to the peers of this data centre, and watch all hosts.
+
+    Peers of the data centre are suspected when their beats stay away.
+    Hosts elsewhere send no beats here; they are suspected for a while
+    when a request sent to them fails.
+    """
+
+    def __init__(
+        self,
+        deployment: settings.Deployment,
+        host: settings.HostSettings,
+        peers: peer_calls.Peers,
+        held: replica.Replica,
+        load_table: loads.Loads,
+        clock: clocks.Clock,
+    ):
+        self._settings = deployment.entry
+        self._deployment = deployment
+        self._host = host
+        self._peers = peers
+        self._replica = held
+        self._loads = load_table
+        self._clock = clock
+        self._entries = {
+            entry.host: entry for entry in deployment.with_role('entry')
+        }
+        self._near = [
+            entry.host
+            for entry in self._entries.values()
+            if entry.data_centre == host.data_centre
+            and entry.host != host.host
+        ]
+        self._seen: dict[ids.HostId, Seen] = {}
+        self._failed_ms: dict[ids.HostId, int] = {}
+        self._tasks = runtime.Tasks()
+        self._started_ms = clock.mono_ms()
+        self.draining = False
+        peers.answers(messages.Beat)(self._hear)
+
+    def start(self) -> None:
+        """Begin to beat and to watch."""
+        self._tasks.start(self._beat())
+        self._tasks.start(self._watch())
+
+    async def close(self) -> None:
+        """End the tasks."""
+        await self._tasks.close()
+
+    @property
+    def near(self) -> list[ids.HostId]:
+        """Return the other entry hosts of this data centre."""
+        return list(self._near)
+
+    def alive(self, host: ids.HostId) -> bool:
+        """Tell whether a peer of this data centre has been heard of."""
+        if host == self._host.host:
+            return True
+        seen = self._seen.get(host)
+        return seen is not None and not seen.suspected
+
+    def index_of(self, host: ids.HostId) -> int:
+        """Return the configuration index that a peer last told."""
+        seen = self._seen.get(host)
+        return 0 if seen is None else seen.index
+
+    def usable(self, host: ids.HostId) -> bool:
+        """Tell whether callers and other hosts should use a host."""
+        if host == self._host.host:
+            return not self.draining
+        if host in self._near:
+            seen = self._seen.get(host)
+            return (
+                seen is not None and not seen.suspected and not seen.draining
+            )
+        failed_ms = self._failed_ms.get(host)
+        if failed_ms is None:
+            return True
+        age_ms = self._clock.mono_ms() - failed_ms
+        return age_ms > self._settings.suspect_after_ms
+
+    def failed(self, host: ids.HostId) -> None:
+        """Note that a request sent to a host elsewhere failed."""
+        self._failed_ms[host] = self._clock.mono_ms()
+        logger.info('host_suspected', peer=host, cause='request_failed')
+
+    def relays(self) -> list[ids.HostId]:
+        """Return who fetches the configuration for this data centre."""
+        live = [host for host in self._near if self.alive(host)]
+        live.append(ids.HostId(self._host.host))
+        ranked = routing.rendezvous(self._host.data_centre, live)
+        return [ids.HostId(name) for name in ranked[:RELAY_COUNT]]
+
+    def polls(self, endpoint: ids.EndpointId) -> bool:
+        """Tell whether this host is the one that polls an endpoint."""
+        live = [host for host in self._near if self.alive(host)]
+        live.append(ids.HostId(self._host.host))
+        return routing.rendezvous(endpoint, live)[0] == self._host.host
+
+    def entries_of(self, region: ids.RegionId) -> list[ids.HostId]:
+        """Return a region's entry hosts, usable ones first."""
+        hosts = [
+            entry.host
+            for entry in self._entries.values()
+            if entry.region == region and entry.host != self._host.host
+        ]
+        start = routing.rendezvous(self._host.host, hosts)
+        return sorted(start, key=lambda host: not self.usable(host))
+
+    def directory(self, region: str | None) -> list[settings.HostSettings]:
+        """Return usable entry hosts, those nearest to a region first."""
+        wanted = region or self._host.region
+        usable = [
+            entry
+            for entry in self._entries.values()
+            if self.usable(entry.host)
+        ]
+        return sorted(
+            usable,
+            key=lambda entry: (
+                self._deployment.one_way_ms(wanted, entry.region),
+                entry.data_centre != self._host.data_centre,
+            ),
+        )
+
+    async def tell_now(self) -> None:
+        """Beat at once, so that the peers learn of a change."""
+        index = self._replica.current.index
+        own = [
+            endpoint
+            for endpoint in self._replica.current.endpoints
+            if self.polls(endpoint)
+        ]
+        beat = messages.Beat(
+            draining=self.draining,
+            index=index,
+            loads=self._loads.digest(own),
+            leaving=sorted(self._replica.leaving),
+        )
+        for host in self._near:
+            await self._peers.tell(host, beat)
+
+    async def _beat(self) -> None:
+        while True:
+            await self.tell_now()
+            await self._clock.sleep_ms(self._settings.beat_interval_ms)
+
+    async def _hear(self, sender: ids.HostId, beat: messages.Beat) -> None:
+        known = self._seen.get(sender)
+        if known is None or known.suspected:
+            logger.info('host_alive', peer=sender)
+        self._seen[sender] = Seen(
+            self._clock.mono_ms(), beat.draining, beat.index
+        )
+        for report in beat.loads:
+            self._loads.report(report)
+        self._replica.leaving.update(beat.leaving)
+
+    async def _watch(self) -> None:
+        while True:
+            await self._clock.sleep_ms(self._settings.beat_interval_ms / 2)
+            for host, seen in self._seen.items():
+                silence_ms = self._clock.mono_ms() - seen.heard_ms
+                if seen.suspected:
+                    continue
+                if silence_ms <= self._settings.suspect_after_ms:
+                    continue
+                seen.suspected = True
+                logger.warning(
+                    'host_suspected',
+                    peer=host,
+                    cause='no_beats',
+                    silence_ms=silence_ms,
+                )
+
+    def waited_for_peers(self) -> bool:
+        """Tell whether every near peer was heard of or given up on."""
+        waited_ms = self._clock.mono_ms() - self._started_ms
+        if waited_ms > self._settings.suspect_after_ms:
+            return True
+        return all(host in self._seen for host in self._near)
--- /dev/null
+++ b/wrenspoke/coordination/placement.py
@@ -0,0 +1,317 @@
+"""Choose an endpoint for a request, or let it wait, or turn it away."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import typing
+
+import sortedcontainers
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import decisions
+from wrenspoke.coordination import errors
+from wrenspoke.coordination import limits
+from wrenspoke.coordination import loads
+from wrenspoke.coordination import replica
+from wrenspoke.coordination import routing
+from wrenspoke import ids
+from wrenspoke.protocol import outcomes
+from wrenspoke.protocol import requests
+from wrenspoke import settings
+from wrenspoke.state import configuration
+
+RECHECK_MS = 250
+NEVER = float('inf')
+
+
+class Slot:
+    """Hold a place at one endpoint until it is released."""
+
+    def __init__(
+        self,
+        endpoint: configuration.Endpoint,
+        limit: limits.AdaptiveLimit,
+        wake: collections.abc.Callable[[], None],
+    ):
+        self.endpoint = endpoint
+        self.open = True
+        self._limit = limit
+        self._wake = wake
+        limit.acquire()
+
+    def release(
+        self, succeeded: bool = False, overloaded: bool = False
+    ) -> None:
+        """Give the place back, once."""
+        if not self.open:
+            return
+        self.open = False
+        self._limit.release(succeeded, overloaded)
+        self._wake()
+
+
+@dataclasses.dataclass(order=True)
+class _Waiter:
+    rank: int
+    deadline_ms: int
+    number: int
+    woken: asyncio.Future = dataclasses.field(compare=False)
+
+
+class Queue:
+    """Hold the requests of one service that wait, the urgent first."""
+
+    def __init__(self, limit: int):
+        self._limit = limit
+        self._waiters = sortedcontainers.SortedList()
+        self._number = 0
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def enter(self, head: requests.RequestHead) -> _Waiter | None:
+        """Add a request; None when those that wait go before it."""
+        self._number += 1
+        waiter = _Waiter(
+            -head.priority,
+            head.deadline_ms,
+            self._number,
+            asyncio.get_running_loop().create_future(),
+        )
+        if len(self._waiters) >= self._limit:
+            last = self._waiters[-1]
+            if last.rank <= waiter.rank:
+                return None
+            self.leave(last)
+            if not last.woken.done():
+                last.woken.set_result(False)
+        self._waiters.add(waiter)
+        return waiter
+
+    def leave(self, waiter: _Waiter) -> None:
+        """Take a request out."""
+        self._waiters.discard(waiter)
+
+    def wake(self) -> None:
+        """Let the first that sleeps look again."""
+        for waiter in self._waiters:
+            if waiter.woken.done():
+                continue
+            waiter.woken.set_result(True)
+            return
+
+
+class Placer:
+    """Give requests a place at an endpoint of this region."""
+
+    def __init__(
+        self,
+        region: ids.RegionId,
+        limits_settings: settings.EntrySettings,
+        held: replica.Replica,
+        load_table: loads.Loads,
+        limit_table: limits.Limits,
+        noted: decisions.Decisions,
+        clock: clocks.Clock,
+    ):
+        self._region = region
+        self._settings = limits_settings
+        self._replica = held
+        self._loads = load_table
+        self._limits = limit_table
+        self._decisions = noted
+        self._clock = clock
+        self._queues: dict[ids.ServiceId, Queue] = {}
+        self._random = random.Random()
+        self.sessions = routing.Sessions()
+
+    async def place(
+        self,
+        head: requests.RequestHead,
+        excluded: collections.abc.Set[ids.EndpointId] = frozenset(),
+    ) -> Slot:
+        """Return a place, after a wait if need be.
+
+        :raises EndedError: there is no endpoint, or none in time
+        """
+        queue = self._queue(head.service)
+        waiter = None
+        try:
+            while True:
+                ranked = self._rank(head, excluded)
+                slot = self._first_free(head, ranked, queue, waiter)
+                if slot is not None:
+                    return slot
+                if waiter is None:
+                    self._refuse_hopeless(head, ranked, queue)
+                else:
+                    queue.leave(waiter)
+                waiter = queue.enter(head)
+                if waiter is None:
+                    raise self._overload(ranked, queue, 'queue is full')
+                await self._sleep(head, waiter, ranked, queue)
+        finally:
+            if waiter is not None:
+                queue.leave(waiter)
+
+    def endpoints(self, head: requests.RequestHead) -> set[ids.EndpointId]:
+        """Return this region's endpoints that take such a request."""
+        return {item.endpoint for item in self._candidates(head)}
+
+    def _candidates(
+        self, head: requests.RequestHead
+    ) -> list[configuration.Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._replica.active(head.service, self._region)
+            if head.model is None or head.model in endpoint.models
+        ]
+
+    def take(self, endpoint: ids.EndpointId) -> Slot | None:
+        """Return a place at one endpoint for work it already has."""
+        found = self._replica.current.endpoints.get(endpoint)
+        if found is None:
+            return None
+        limit = self._limits.of(endpoint, found.slots)
+        return Slot(found, limit, self._queue(found.service).wake)
+
+    def estimate_ms(self, head: requests.RequestHead) -> float:
+        """Estimate the first token's time here; infinite without any."""
+        candidates = self._candidates(head)
+        if not candidates:
+            return NEVER
+        view = self._view(head)
+        best_ms = min(
+            routing.estimate_first_ms(endpoint, view, 0.0)
+            for endpoint in candidates
+        )
+        waiting = len(self._queue(head.service))
+        return best_ms + self._wait_ms(candidates, waiting)
+
+    def _view(self, head: requests.RequestHead) -> routing.View:
+        return routing.View(
+            loads=self._loads,
+            limits=self._limits,
+            sessions=self.sessions,
+            service=self._replica.current.services[head.service],
+            random=self._random,
+        )
+
+    def _rank(
+        self,
+        head: requests.RequestHead,
+        excluded: collections.abc.Set[ids.EndpointId],
+    ) -> list[routing.Ranked]:
+        candidates = [
+            endpoint
+            for endpoint in self._candidates(head)
+            if endpoint.endpoint not in excluded
+        ]
+        if not candidates:
+            raise errors.EndedError(
+                outcomes.Ending(
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.NO_ENDPOINT,
+                    f'no endpoint of {head.service} in {self._region} '
+                    'takes this request',
+                    self._settings.retry_after_ms,
+                )
+            )
+        rank = routing.POLICIES[self._settings.policy]
+        ranked = rank(head, candidates, self._view(head))
+        return sorted(ranked, key=lambda item: item.score)
+
+    def _first_free(
+        self,
+        head: requests.RequestHead,
+        ranked: typing.Sequence[routing.Ranked],
+        queue: Queue,
+        waiter: _Waiter | None,
+    ) -> Slot | None:
+        if waiter is None and len(queue):
+            return None
+        for place, item in enumerate(ranked):
+            endpoint = item.endpoint
+            limit = self._limits.of(endpoint.endpoint, endpoint.slots)
+            if not limit.free:
+                continue
+            self._decisions.note(
+                'placed',
+                head.request,
+                endpoint=endpoint.endpoint,
+                policy=self._settings.policy,
+                score=round(item.score, 1),
+                place=place,
+                candidates=len(ranked),
+                in_flight=limit.in_flight,
+                limit=round(limit.limit, 1),
+            )
+            return Slot(endpoint, limit, queue.wake)
+        return None
+
+    def _refuse_hopeless(
+        self,
+        head: requests.RequestHead,
+        ranked: typing.Sequence[routing.Ranked],
+        queue: Queue,
+    ) -> None:
+        left_ms = head.deadline_ms - self._clock.mono_ms()
+        endpoints = [item.endpoint for item in ranked]
+        wait_ms = self._wait_ms(endpoints, len(queue) + 1)
+        if wait_ms <= left_ms or head.priority is requests.Priority.HIGH:
+            return
+        raise self._overload(ranked, queue, 'would wait past its deadline')
+
+    def _wait_ms(
+        self,
+        endpoints: typing.Sequence[configuration.Endpoint],
+        waiting: int,
+    ) -> float:
+        per_ms = 0.0
+        for endpoint in endpoints:
+            limit = self._limits.of(endpoint.endpoint, endpoint.slots)
+            hold_ms = self._loads.speed(endpoint.endpoint).hold_ms
+            per_ms += limit.limit / max(hold_ms, 1.0)
+        return waiting / per_ms if per_ms else 0.0
+
+    def _overload(
+        self,
+        ranked: typing.Sequence[routing.Ranked],
+        queue: Queue,
+        detail: str,
+    ) -> errors.EndedError:
+        endpoints = [item.endpoint for item in ranked]
+        wait_ms = int(self._wait_ms(endpoints, len(queue)))
+        return errors.EndedError(
+            outcomes.Ending(
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.OVERLOAD,
+                detail,
+                max(wait_ms, self._settings.retry_after_ms),
+            )
+        )
+
+    async def _sleep(
+        self,
+        head: requests.RequestHead,
+        waiter: _Waiter,
+        ranked: typing.Sequence[routing.Ranked],
+        queue: Queue,
+    ) -> None:
+        left_ms = head.deadline_ms - self._clock.mono_ms()
+        if left_ms <= 0:
+            raise self._overload(ranked, queue, 'deadline passed waiting')
+        try:
+            async with clocks.timeout_ms(min(left_ms, RECHECK_MS)):
+                kept = await asyncio.shield(waiter.woken)
+        except TimeoutError:
+            return
+        if not kept:
+            raise self._overload(ranked, queue, 'gave way to others')
+
+    def _queue(self, service: ids.ServiceId) -> Queue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = Queue(self._settings.queue_limit)
+        return queue
--- /dev/null
+++ b/wrenspoke/coordination/pulls.py
@@ -0,0 +1,155 @@
+"""Bring an entry host's replica up to date, and keep it so.
+
+At most two hosts of a data centre, its relays, ask the control hosts; the
+others ask the relays, and only when a beat told of something newer. A
+host that starts knows nothing. It serves once a leader has confirmed that
+nothing newer was accepted, or, cut off from the control hosts, once every
+peer of its data centre has answered or is given up on; it then holds the
+highest index among them.
+"""
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import members
+from wrenspoke.coordination import replica
+from wrenspoke import ids
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import messages
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke import settings
+
+logger = structlog.get_logger(__name__)
+
+CALL_TIMEOUT_MS = 1_000
+START_INTERVAL_MS = 100
+
+
+class Puller:
+    """Pull the configuration from control hosts or relays."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        deployment: settings.Deployment,
+        peers: peer_calls.Peers,
+        watched: members.Members,
+        held: replica.Replica,
+        clock: clocks.Clock,
+    ):
+        self._host = host
+        self._interval_ms = deployment.entry.pull_interval_ms
+        self._control = [
+            control.host for control in deployment.with_role('control')
+        ]
+        self._deployment = deployment
+        self._peers = peers
+        self._members = watched
+        self._replica = held
+        self._clock = clock
+        self._leader: ids.HostId | None = None
+        self._tasks = runtime.Tasks()
+        peers.answers(messages.PullConfiguration)(self._answer)
+
+    def start(self) -> None:
+        """Begin; without control hosts the settings are all there is."""
+        if not self._control:
+            self._replica.advance(
+                messages.ConfigurationDelta(index=1, whole=self._founding())
+            )
+            self._replica.serving = True
+            return
+        self._tasks.start(self._run())
+
+    async def close(self) -> None:
+        """End the task."""
+        await self._tasks.close()
+
+    def _founding(self):
+        found = self._deployment.first_configuration()
+        return type(found)(
+            1, found.services, found.endpoints, found.rules, found.limits
+        )
+
+    async def _answer(
+        self, _sender: ids.HostId, message: messages.PullConfiguration
+    ) -> messages.ConfigurationDelta:
+        delta = self._replica.after(message.after)
+        delta.serving = self._replica.serving
+        return delta
+
+    async def _run(self) -> None:
+        while not self._replica.serving:
+            await self._catch_up()
+            if not self._replica.serving:
+                await self._clock.sleep_ms(START_INTERVAL_MS)
+        while True:
+            await self._clock.sleep_ms(self._interval_ms)
+            await self._follow()
+
+    async def _catch_up(self) -> None:
+        confirmed = await self._pull_control()
+        if confirmed:
+            self._serve('leader')
+            return
+        answers = [await self._pull(host) for host in self._members.near]
+        serving = any(
+            answer is not None and answer.serving for answer in answers
+        )
+        if serving and self._members.waited_for_peers():
+            self._serve('peers')
+
+    def _serve(self, source: str) -> None:
+        self._replica.serving = True
+        logger.info(
+            'serving', source=source, index=self._replica.current.index
+        )
+
+    async def _follow(self) -> None:
+        relays = self._members.relays()
+        if self._host in relays:
+            before = self._replica.current.index
+            await self._pull_control()
+            if self._replica.current.index > before:
+                await self._members.tell_now()
+            return
+        index = self._replica.current.index
+        for host in self._members.near:
+            if self._members.index_of(host) <= index:
+                continue
+            await self._pull(host)
+            return
+
+    async def _pull_control(self) -> bool:
+        """Pull from the leader, or any control host; tell if confirmed."""
+        asked = [self._leader] if self._leader else []
+        asked += [host for host in self._control if host != self._leader]
+        self._leader = None
+        for host in asked:
+            delta = await self._pull(host)
+            if delta is None:
+                continue
+            if delta.confirmed:
+                self._leader = host
+                return True
+            if delta.leader is None or delta.leader == host:
+                continue
+            confirmed = await self._pull(delta.leader)
+            if confirmed is not None and confirmed.confirmed:
+                self._leader = delta.leader
+                return True
+        return False
+
+    async def _pull(
+        self, host: ids.HostId
+    ) -> messages.ConfigurationDelta | None:
+        message = messages.PullConfiguration(self._replica.current.index)
+        try:
+            answer = await self._peers.call(host, message, CALL_TIMEOUT_MS)
+        except protocol_errors.ProtocolError:
+            return None
+        if not isinstance(answer, messages.ConfigurationDelta):
+            return None
+        self._replica.advance(answer)
+        return answer
--- /dev/null
+++ b/wrenspoke/coordination/replica.py
@@ -0,0 +1,94 @@
+"""An entry host's replica of the configuration, in memory."""
+
+import asyncio
+import collections
+
+import structlog
+
+from wrenspoke import ids
+from wrenspoke.protocol import messages
+from wrenspoke.state import configuration
+from wrenspoke.state import errors as state_errors
+
+logger = structlog.get_logger(__name__)
+
+KEPT_CHANGES = 1024
+
+
+class Replica:
+    """Hold the newest configuration that is known, and never go back."""
+
+    def __init__(self):
+        self.current = configuration.Configuration()
+        self.serving = False
+        self.leaving: set[ids.EndpointId] = set()
+        self.changed = asyncio.Event()
+        self._changes: collections.deque = collections.deque(
+            maxlen=KEPT_CHANGES
+        )
+        self._changes_after = 0
+
+    def advance(self, delta: messages.ConfigurationDelta) -> bool:
+        """Take over what is newer; return whether anything was."""
+        if delta.index <= self.current.index:
+            return False
+        if delta.whole is not None:
+            self._replace(delta.whole)
+            return True
+        for index, change in delta.changes:
+            if index <= self.current.index:
+                continue
+            try:
+                changed = configuration.apply(self.current, change, index)
+            except state_errors.StateError as error:
+                logger.error('change_refused', index=index, reason=error)
+                return False
+            self.current = changed
+            self._changes.append((index, change))
+        self._announce()
+        return True
+
+    def _replace(self, whole: configuration.Configuration) -> None:
+        self.current = whole
+        self._changes.clear()
+        self._changes_after = whole.index
+        self._announce()
+
+    def _announce(self) -> None:
+        logger.info('configuration_in_force', index=self.current.index)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def after(self, index: int) -> messages.ConfigurationDelta:
+        """Return what follows ``index``, by changes where they are kept."""
+        current = self.current
+        if index >= current.index:
+            return messages.ConfigurationDelta(index=current.index)
+        oldest = self._changes_after
+        if len(self._changes) == self._changes.maxlen:
+            oldest = self._changes[0][0]
+        if index < oldest:
+            return messages.ConfigurationDelta(
+                index=current.index, whole=current
+            )
+        newer = [item for item in self._changes if item[0] > index]
+        return messages.ConfigurationDelta(index=current.index, changes=newer)
+
+    def active(
+        self, service: str, region: str
+    ) -> list[configuration.Endpoint]:
+        """Return the endpoints of a region that may take new work."""
+        return [
+            endpoint
+            for endpoint in self.current.endpoints.values()
+            if endpoint.service == service
+            and endpoint.region == region
+            and self.takes_work(endpoint)
+        ]
+
+    def takes_work(self, endpoint: configuration.Endpoint) -> bool:
+        """Tell whether an endpoint may be given new work."""
+        return (
+            endpoint.state is configuration.EndpointState.ACTIVE
+            and endpoint.endpoint not in self.leaving
+        )
--- /dev/null
+++ b/wrenspoke/coordination/routing.py
@@ -0,0 +1,191 @@
+"""Policies that rank endpoints for a request, kept in a registry."""
+
+import collections
+import collections.abc
+import dataclasses
+import itertools
+import random
+import typing
+
+import xxhash
+
+from wrenspoke.coordination import limits
+from wrenspoke.coordination import loads
+from wrenspoke import ids
+from wrenspoke.protocol import requests
+from wrenspoke.state import configuration
+
+KEPT_SESSIONS = 65_536
+WARM_SAVES_SHARE = 0.6
+EXPECTED_WARM_SHARE = 0.3
+PRICE_TO_MS = 40.0
+LOCAL_LINK_MS = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    """Hold what a policy may look at."""
+
+    loads: loads.Loads
+    limits: limits.Limits
+    sessions: 'Sessions'
+    service: configuration.Service
+    random: random.Random
+
+
+@dataclasses.dataclass(frozen=True)
+class Ranked:
+    """Hold an endpoint with its score; the lowest goes first."""
+
+    endpoint: configuration.Endpoint
+    score: float
+
+
+Policy = collections.abc.Callable[
+    [
+        requests.RequestHead,
+        typing.Sequence[configuration.Endpoint],
+        View,
+    ],
+    list[Ranked],
+]
+POLICIES: dict[str, Policy] = {}
+
+
+def policy(name: str) -> collections.abc.Callable[[Policy], Policy]:
+    """Return a decorator that registers a policy under a name."""
+
+    def register(function: Policy) -> Policy:
+        POLICIES[name] = function
+        return function
+
+    return register
+
+
+class Sessions:
+    """Remember at which endpoint a session's prefix was last used."""
+
+    def __init__(self):
+        self._endpoints: collections.OrderedDict[
+            ids.SessionId, ids.EndpointId
+        ] = collections.OrderedDict()
+
+    def used(
+        self, session: ids.SessionId | None, endpoint: ids.EndpointId
+    ) -> None:
+        """Note that a session was served."""
+        if session is None:
+            return
+        self._endpoints[session] = endpoint
+        self._endpoints.move_to_end(session)
+        if len(self._endpoints) > KEPT_SESSIONS:
+            self._endpoints.popitem(last=False)
+
+    def endpoint(self, session: ids.SessionId | None) -> ids.EndpointId | None:
+        """Return where a session was served last, as far as known."""
+        return self._endpoints.get(session)
+
+    def forget(self, endpoint: ids.EndpointId) -> None:
+        """Forget the sessions of an endpoint whose cache is gone."""
+        gone = [
+            session
+            for session, used in self._endpoints.items()
+            if used == endpoint
+        ]
+        for session in gone:
+            del self._endpoints[session]
+
+
+def rendezvous(key: str, names: collections.abc.Iterable[str]) -> list[str]:
+    """Order names by highest random weight for a key."""
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh64_intdigest(f'{key}/{name}'.encode()),
+        reverse=True,
+    )
+
+
+@policy('random')
+def rank_random(_head, endpoints, view):
+    """Rank by chance: a baseline."""
+    return [Ranked(endpoint, view.random.random()) for endpoint in endpoints]
+
+
+_TURNS = itertools.count()
+
+
+@policy('round_robin')
+def rank_round_robin(_head, endpoints, _view):
+    """Rank in turn: a baseline."""
+    turn = next(_TURNS)
+    count = len(endpoints)
+    return [
+        Ranked(endpoint, (number - turn) % count)
+        for number, endpoint in enumerate(endpoints)
+    ]
+
+
+@policy('least_reported')
+def rank_least_reported(_head, endpoints, view):
+    """Rank by the engines' own lagging reports: a baseline."""
+    return [
+        Ranked(
+            endpoint,
+            _reported_total(view.loads.reported(endpoint.endpoint)),
+        )
+        for endpoint in endpoints
+    ]
+
+
+def _reported_total(report: loads.Reported | None) -> int:
+    return 0 if report is None else report.running + report.waiting
+
+
+@policy('estimate')
+def rank_estimate(head, endpoints, view):
+    """Rank by estimated first-token time and price, weighed by service."""
+    warm = _warm_share(head, endpoints, view.sessions)
+    service = view.service
+    ranked = []
+    for endpoint in endpoints:
+        first_ms = estimate_first_ms(
+            endpoint, view, warm.get(endpoint.endpoint, 0.0)
+        )
+        score = service.tail_weight * first_ms
+        score += service.cost_weight * endpoint.price_per_mtok * PRICE_TO_MS
+        ranked.append(Ranked(endpoint, score))
+    return ranked
+
+
+def estimate_first_ms(
+    endpoint: configuration.Endpoint, view: View, warm_share: float
+) -> float:
+    """Estimate when the first token would come from an endpoint."""
+    speed = view.loads.speed(endpoint.endpoint)
+    total = _expected_load(endpoint, view)
+    ahead = max(0, total + 1 - endpoint.slots)
+    wait_ms = ahead * speed.hold_ms / endpoint.slots
+    crowding = 1 + total / endpoint.slots
+    work_ms = speed.first_ms * crowding
+    work_ms *= 1 - WARM_SAVES_SHARE * warm_share
+    return LOCAL_LINK_MS + wait_ms + work_ms
+
+
+def _expected_load(endpoint: configuration.Endpoint, view: View) -> int:
+    own = view.limits.in_flight(endpoint.endpoint)
+    reported = _reported_total(view.loads.reported(endpoint.endpoint))
+    return max(own, reported)
+
+
+def _warm_share(
+    head: requests.RequestHead,
+    endpoints: typing.Sequence[configuration.Endpoint],
+    sessions: Sessions,
+) -> dict[ids.EndpointId, float]:
+    if head.session is None or not endpoints:
+        return {}
+    known = sessions.endpoint(head.session)
+    if known is not None:
+        return {known: 1.0}
+    names = [endpoint.endpoint for endpoint in endpoints]
+    return {rendezvous(head.session, names)[0]: EXPECTED_WARM_SHARE}
--- /dev/null
+++ b/wrenspoke/coordination/streams.py
@@ -0,0 +1,346 @@
+"""Serve streamed chats, whole, across the failure of engines.
+
+What the caller has been sent is kept until the stream ends. When an
+engine fails on the way, the same engine is asked to resume; failing that
+another one continues from the text so far, and the caller sees one stream
+with events numbered on.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+import msgspec
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import dispatch
+from wrenspoke.coordination import errors
+from wrenspoke.coordination import local
+from wrenspoke.coordination import placement
+from wrenspoke import ids
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import outcomes
+from wrenspoke.protocol import replies
+from wrenspoke.protocol import requests
+from wrenspoke.protocol import sse
+from wrenspoke import runtime
+
+logger = structlog.get_logger(__name__)
+
+OK = 200
+STREAM_PATH = '/v1/streams/'
+CANCEL_TIMEOUT_MS = 2_000
+
+
+class Transcript:
+    """Hold what a caller has been sent of one stream."""
+
+    def __init__(self, body: bytes, last_event: int):
+        self._body = body
+        self._parts: list[str] = []
+        self.last_event = last_event
+        self.finished = False
+
+    def add(self, event: sse.SseEvent) -> sse.SseEvent:
+        """Take an event in and return it as the caller is to see it."""
+        if event.data == sse.DONE:
+            self.finished = True
+            return sse.SseEvent(data=event.data)
+        self.last_event += 1
+        self._parts.append(_text_of(event.data))
+        return sse.SseEvent(data=event.data, number=self.last_event)
+
+    def continued_body(self) -> bytes:
+        """Return the request to be sent for the rest of the stream."""
+        text = ''.join(self._parts)
+        if not text:
+            return self._body
+        body = msgspec.json.decode(self._body)
+        messages = list(body['messages'])
+        if body.get('continue_final_message'):
+            last = dict(messages[-1])
+            last['content'] = f'{last["content"]}{text}'
+            messages[-1] = last
+        else:
+            messages.append({'role': 'assistant', 'content': text})
+        body['messages'] = messages
+        body['continue_final_message'] = True
+        body['add_generation_prompt'] = False
+        return msgspec.json.encode(body)
+
+
+def _text_of(data: str) -> str:
+    try:
+        chunk = msgspec.json.decode(data)
+        return chunk['choices'][0]['delta'].get('content') or ''
+    except (msgspec.DecodeError, KeyError, IndexError, TypeError):
+        return ''
+
+
+class EndingEventError(errors.CoordinationError):
+    """Carry the outcome event that another host ended its stream by."""
+
+    def __init__(self, data: str):
+        super().__init__(data)
+        self.data = data
+
+
+async def relay(
+    chunks: collections.abc.AsyncIterator[bytes],
+    transcript: Transcript,
+    reply: replies.Reply,
+    stall_ms: float,
+    first: collections.abc.Callable[[], None],
+) -> None:
+    """Pass events on until the stream is finished.
+
+    :raises MaybeSentError: it stopped before its end, or fell silent
+    :raises EndingEventError: its sender said how it ended
+    """
+    events = sse.decode(chunks)
+    async with contextlib.aclosing(events):
+        while not transcript.finished:
+            try:
+                async with clocks.timeout_ms(stall_ms):
+                    event = await anext(events, None)
+            except TimeoutError as error:
+                raise errors.MaybeSentError('stream is silent') from error
+            except protocol_errors.MalformedMessageError as error:
+                raise errors.MaybeSentError(str(error)) from error
+            if event is None:
+                raise errors.MaybeSentError('stream ended early')
+            if event.event == replies.OUTCOME_EVENT:
+                raise EndingEventError(event.data)
+            first()
+            await reply.event(transcript.add(event))
+
+
+class StreamServer:
+    """Stream chats from this region's engines."""
+
+    def __init__(self, server: local.LocalServer):
+        self._server = server
+        self._cancels = runtime.Tasks()
+
+    async def close(self) -> None:
+        """Wait for nothing; drop what is still being cancelled."""
+        await self._cancels.close()
+
+    async def serve(
+        self,
+        head: requests.RequestHead,
+        body: bytes,
+        reply: replies.Reply,
+    ) -> ids.EndpointId:
+        """Stream an answer and return the endpoint that finished it.
+
+        :raises EndedError: it could not be finished
+        """
+        tries = self._server.tries(head)
+        transcript = Transcript(body, head.last_event or 0)
+        if head.last_event is not None:
+            return await self._resume_asked(head, transcript, reply, tries)
+        while True:
+            tries.check_deadline()
+            slot = await self._server.place(head, tries)
+            try:
+                await self._stream(head, transcript, reply, slot, tries)
+                return slot.endpoint.endpoint
+            except (
+                errors.SendRefusedError,
+                errors.NotSentError,
+                errors.OverloadedError,
+                errors.MaybeSentError,
+            ) as error:
+                tries.failed(slot.endpoint.endpoint, error)
+            finally:
+                slot.release()
+
+    async def _stream(
+        self,
+        head: requests.RequestHead,
+        transcript: Transcript,
+        reply: replies.Reply,
+        slot: placement.Slot,
+        tries: local.Tries,
+    ) -> None:
+        send = dispatch.Send(
+            tries.purpose,
+            slot.endpoint.endpoint,
+            'POST',
+            head.path,
+            transcript.continued_body(),
+            head,
+            slot,
+        )
+        if transcript.last_event:
+            send.extra[headers.LAST_EVENT_ID] = str(transcript.last_event)
+        try:
+            await self._relay(send, transcript, reply, tries)
+        except errors.MaybeSentError as error:
+            if not transcript.last_event or reply.started is False:
+                raise
+            self._note_broken(head, slot, transcript, error)
+            await self._resume(head, slot, transcript, reply, tries)
+
+    def _note_broken(
+        self,
+        head: requests.RequestHead,
+        slot: placement.Slot,
+        transcript: Transcript,
+        error: errors.MaybeSentError,
+    ) -> None:
+        self._server.decisions.note(
+            'stream_broken',
+            head.request,
+            endpoint=slot.endpoint.endpoint,
+            last_event=transcript.last_event,
+            error=error,
+        )
+
+    async def _resume(
+        self,
+        head: requests.RequestHead,
+        slot: placement.Slot,
+        transcript: Transcript,
+        reply: replies.Reply,
+        tries: local.Tries,
+    ) -> None:
+        send = dispatch.Send(
+            dispatch.Purpose.RESUME,
+            slot.endpoint.endpoint,
+            'GET',
+            STREAM_PATH + head.request,
+            None,
+            head,
+            slot,
+            extra={headers.LAST_EVENT_ID: str(transcript.last_event)},
+        )
+        await self._relay(send, transcript, reply, tries)
+        self._server.decisions.note(
+            'stream_resumed',
+            head.request,
+            endpoint=slot.endpoint.endpoint,
+        )
+
+    async def _relay(
+        self,
+        send: dispatch.Send,
+        transcript: Transcript,
+        reply: replies.Reply,
+        tries: local.Tries,
+    ) -> None:
+        clock = self._server.clock
+        started_ms = clock.mono_ms()
+        seen: list[int] = []
+
+        def first() -> None:
+            if not seen:
+                seen.append(clock.mono_ms() - started_ms)
+                self._server.loads.observe_first(send.endpoint, seen[0])
+
+        stall_ms = self._server.settings.stall_timeout_ms
+        left_ms = send.head.deadline_ms - started_ms
+        try:
+            async with clocks.timeout_ms(left_ms):
+                async with self._open(send, reply, stall_ms) as answer:
+                    await relay(
+                        answer.chunks(), transcript, reply, stall_ms, first
+                    )
+        except TimeoutError as error:
+            tries.may_have_run = True
+            self._cancel(send)
+            raise tries.ended(
+                outcomes.Reason.DEADLINE, 'deadline passed'
+            ) from error
+        except errors.OverloadedError:
+            send.slot.release(overloaded=True)
+            raise
+        except (asyncio.CancelledError, protocol_errors.CallerGoneError):
+            self._cancel(send)
+            raise
+        taken_ms = clock.mono_ms() - started_ms
+        self._server.loads.observe_hold(send.endpoint, taken_ms)
+        self._server.placer.sessions.used(send.head.session, send.endpoint)
+        send.slot.release(succeeded=True)
+        await reply.close()
+
+    @contextlib.asynccontextmanager
+    async def _open(
+        self, send: dispatch.Send, reply: replies.Reply, stall_ms: float
+    ) -> collections.abc.AsyncIterator[dispatch.Answer]:
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                async with clocks.timeout_ms(stall_ms):
+                    answer = await stack.enter_async_context(
+                        self._server.dispatcher.send(send)
+                    )
+            except TimeoutError as error:
+                raise errors.MaybeSentError('engine is silent') from error
+            if answer.status != OK:
+                raise errors.MaybeSentError(
+                    f'endpoint answered {answer.status}'
+                )
+            if not reply.started:
+                found = {**answer.headers, headers.ENDPOINT: send.endpoint}
+                await reply.open(found)
+            yield answer
+
+    async def _resume_asked(
+        self,
+        head: requests.RequestHead,
+        transcript: Transcript,
+        reply: replies.Reply,
+        tries: local.Tries,
+    ) -> ids.EndpointId:
+        """Resume a stream that broke before the caller asked again."""
+        for endpoint in sorted(self._server.placer.endpoints(head)):
+            slot = self._server.placer.take(endpoint)
+            if slot is None:
+                continue
+            try:
+                await self._resume(head, slot, transcript, reply, tries)
+                return slot.endpoint.endpoint
+            except (errors.SendRefusedError, errors.NotSentError):
+                continue
+            except (errors.OverloadedError, errors.MaybeSentError):
+                if reply.started:
+                    break
+            finally:
+                slot.release()
+        tries.may_have_run = True
+        raise tries.ended(
+            outcomes.Reason.STREAM_BROKEN,
+            'no engine holds this stream any more; ask anew',
+        )
+
+    def _cancel(self, send: dispatch.Send) -> None:
+        """Tell the engine that nobody waits for this stream."""
+        self._cancels.start(self._send_cancel(send), fatal=False)
+
+    async def _send_cancel(self, send: dispatch.Send) -> None:
+        cancel = dispatch.Send(
+            dispatch.Purpose.CANCEL,
+            send.endpoint,
+            'DELETE',
+            STREAM_PATH + send.head.request,
+        )
+        try:
+            async with clocks.timeout_ms(CANCEL_TIMEOUT_MS):
+                async with self._server.dispatcher.send(cancel):
+                    pass
+        except (errors.CoordinationError, TimeoutError) as error:
+            logger.info(
+                'cancel_failed', endpoint=send.endpoint, error=repr(error)
+            )
+
+
+def caller_error(data: str) -> dict[str, typing.Any]:
+    """Return the error within an outcome event's JSON."""
+    try:
+        return msgspec.json.decode(data)['error']
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return {}
--- /dev/null
+++ b/wrenspoke/demo.py
@@ -0,0 +1,190 @@
+"""``wrenspoke demo``: every role in one process, with stand-ins.
+
+Two regions with an entry host each, four stand-in endpoints. It asks for
+a streamed answer at the wrong region, which is passed on to its home.
+"""
+
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+
+from wrenspoke import caller as callers
+from wrenspoke import entryd
+from wrenspoke import ids
+from wrenspoke import keys
+from wrenspoke.protocol import headers
+from wrenspoke import runtime
+from wrenspoke import settings
+from wrenspoke.standin import engine
+from wrenspoke.standin import main as standins
+from wrenspoke.transport import web
+
+REGIONS = ('north', 'south')
+MODEL = 'small-1'
+PLACEHOLDER_KEY = '0' * 40
+READY_ROUNDS = 300
+READY_INTERVAL_S = 0.1
+
+
+def deployment_json() -> dict:
+    """Return settings for the demo, on free ports of loopback."""
+    ports = iter(web.free_ports(12))
+    hosts, endpoints = [], []
+    for region in REGIONS:
+        hosts.append(
+            {
+                'host': f'{region}-1',
+                'region': region,
+                'data_centre': f'{region}-hall',
+                'ip': '127.0.0.1',
+                'http_port': next(ports),
+                'link_port': next(ports),
+                'public_key': PLACEHOLDER_KEY,
+                'roles': ['entry', 'ledger'],
+            }
+        )
+        for service, models in (('chat', [MODEL]), ('records', [])):
+            endpoints.append(
+                {
+                    'endpoint': f'{region}-{service}-1',
+                    'service': service,
+                    'region': region,
+                    'data_centre': f'{region}-hall',
+                    'url': f'http://127.0.0.1:{next(ports)}',
+                    'models': models,
+                    'fenced': service == 'chat',
+                }
+            )
+    return {
+        'cluster': 'demo',
+        'links': [{'regions': list(REGIONS), 'one_way_ms': 80}],
+        'hosts': hosts,
+        'entry': {'leave_delay_ms': 100},
+        'ledger': {'clock_skew_ms': 200},
+        'services': [
+            {'service': 'chat', 'kind': 'engine'},
+            {'service': 'records', 'kind': 'plain'},
+        ],
+        'endpoints': endpoints,
+        'rules': [
+            {
+                'rule': 'release-once',
+                'service': 'records',
+                'path_prefix': '/release',
+                'bound': True,
+                'once': True,
+            }
+        ],
+    }
+
+
+def say(text: str) -> None:
+    """Print one line for the person who runs the demo."""
+    print(text, flush=True)
+
+
+async def run() -> None:
+    """Start everything, show it, end."""
+    with tempfile.TemporaryDirectory() as name:
+        path = pathlib.Path(name) / 'deployment.json'
+        path.write_text(json.dumps(deployment_json()))
+        keys.make(path)
+        deployment = settings.read(path)
+        folder = path.parent / deployment.keys_folder
+        model = engine.EngineModel(token_ms=30)
+        servers = await standins.start(deployment, [], model)
+        daemons = [
+            entryd.EntryDaemon(deployment, host.host, folder)
+            for host in deployment.with_role('entry')
+        ]
+        for daemon in daemons:
+            await daemon.start()
+        try:
+            await show(deployment)
+        finally:
+            for daemon in daemons:
+                await daemon.drain()
+                await daemon.close()
+            for server in servers.values():
+                await server.close()
+
+
+async def show(deployment: settings.Deployment) -> None:
+    """Ask as a caller would and print what comes back."""
+    urls = [f'http://{host.ip}:{host.http_port}' for host in deployment.hosts]
+    caller = callers.Caller(urls[:1])
+    try:
+        await wait_until_serving(caller)
+        say('# A chat bound to south, asked for at north:')
+        await show_chat(caller)
+        say('# A release that may run once, sent twice with one id:')
+        await show_once(caller, deployment)
+    finally:
+        await caller.close()
+
+
+async def wait_until_serving(caller: callers.Caller) -> None:
+    """Wait until the host that is asked serves."""
+    for _round in range(READY_ROUNDS):
+        status = await caller.get('/status')
+        if status['serving']:
+            return
+        await asyncio.sleep(READY_INTERVAL_S)
+    raise callers.CallerError('the entry host does not serve')
+
+
+async def show_chat(caller: callers.Caller) -> None:
+    """Stream one answer."""
+    body = {
+        'model': MODEL,
+        'stream': True,
+        'messages': [{'role': 'user', 'content': 'Is bay 4 free?'}],
+    }
+    request = ids.new_unique()
+    sent = {
+        headers.HOME: 'south',
+        headers.BOUND: 'true',
+        headers.REQUEST: request,
+    }
+    result = await caller.chat(body, sent, _print_text)
+    say(
+        f'\n# ended: {result.outcome}, {result.events} events, first after '
+        f'{result.first_ms} ms'
+    )
+    explained = await caller.get(f'/explain/{request}')
+    for decision in explained['decisions']:
+        say(f'#   {decision}')
+
+
+def _print_text(text: str) -> None:
+    print(text, end='', flush=True)
+
+
+async def show_once(
+    caller: callers.Caller, deployment: settings.Deployment
+) -> None:
+    """Send one request twice; it runs once."""
+    # Ledger hosts vote on keys issued after their start and the margin
+    # for differing clocks.
+    await asyncio.sleep(3 * deployment.ledger.clock_skew_ms / 1000)
+    key = f'south:{_wall_ms()}:demo'
+    for _time in range(2):
+        result = await caller.call(
+            'POST',
+            'records',
+            '/release/pack-7',
+            {headers.HOME: 'south', headers.REQUEST: key},
+        )
+        say(f'# {result.status} {result.outcome} {result.body.decode()}')
+
+
+def _wall_ms() -> int:
+    return callers.clocks.Clock().wall_ms()
+
+
+def main() -> None:
+    """Run the demo on the daemons' event loop."""
+    runtime.run(run())
+    sys.stdout.flush()
--- /dev/null
+++ b/wrenspoke/entryd.py
@@ -0,0 +1,235 @@
+"""``wrenspoke-entryd``: the daemon of an entry host."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import decisions
+from wrenspoke.coordination import dispatch
+from wrenspoke.coordination import forwarding
+from wrenspoke.coordination import gateway
+from wrenspoke.coordination import ledger
+from wrenspoke.coordination import limits
+from wrenspoke.coordination import loads
+from wrenspoke.coordination import local
+from wrenspoke.coordination import members
+from wrenspoke.coordination import once
+from wrenspoke.coordination import placement
+from wrenspoke.coordination import polls
+from wrenspoke.coordination import pulls
+from wrenspoke.coordination import replica
+from wrenspoke.coordination import streams
+from wrenspoke import ids
+from wrenspoke import keys
+from wrenspoke import logs
+from wrenspoke.protocol import hops
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke.protocol import surface
+from wrenspoke import runtime
+from wrenspoke import settings
+from wrenspoke.transport import links
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+
+class EntryDaemon:
+    """Build the parts of an entry host, start and stop them."""
+
+    def __init__(
+        self,
+        deployment: settings.Deployment,
+        name: str,
+        keys_folder: pathlib.Path,
+    ):
+        self._settings = deployment.entry
+        self._own = deployment.host(name)
+        host = ids.HostId(name)
+        region = ids.RegionId(self._own.region)
+        clock = clocks.Clock()
+        self._clock = clock
+        skew_ms = deployment.ledger.clock_skew_ms
+        self.peers = peer_calls.Peers(
+            keys.read_identity(keys_folder, deployment, self._own),
+            link_peers(deployment),
+            clock,
+            skew_ms,
+        )
+        signer = hops.HopSigner(
+            deployment.cluster, keys.read_cluster_key(keys_folder)
+        )
+        self._client = web.HttpClient(self._settings.connect_timeout_ms)
+        self.replica = replica.Replica()
+        self.decisions = decisions.Decisions(clock)
+        self.loads = loads.Loads(clock)
+        limit_table = limits.Limits(clock)
+        self.members = members.Members(
+            deployment, self._own, self.peers, self.replica, self.loads, clock
+        )
+        self._puller = pulls.Puller(
+            host, deployment, self.peers, self.members, self.replica, clock
+        )
+        dispatcher = dispatch.Dispatcher(
+            host, region, self.replica, self._client, clock
+        )
+        placer = placement.Placer(
+            region,
+            self._settings,
+            self.replica,
+            self.loads,
+            limit_table,
+            self.decisions,
+            clock,
+        )
+        server = local.LocalServer(
+            self._settings,
+            dispatcher,
+            placer,
+            self.loads,
+            self.decisions,
+            clock,
+        )
+        self._streams = streams.StreamServer(server)
+        ledger_hosts = [
+            ids.HostId(entry.host)
+            for entry in deployment.with_role('ledger')
+            if entry.region == region
+        ]
+        self.ledger = ledger.Ledger(
+            host, ledger_hosts, deployment.ledger, self.peers, clock
+        )
+        once_server = once.OnceServer(
+            host,
+            deployment.ledger,
+            self.ledger,
+            server,
+            self.members,
+            self.decisions,
+            clock,
+        )
+        forwarder = forwarding.Forwarder(
+            host,
+            deployment,
+            self.members,
+            self._client,
+            signer,
+            self.decisions,
+            clock,
+        )
+        self.gateway = gateway.Gateway(
+            deployment,
+            self._own,
+            self.replica,
+            self.members,
+            placer,
+            server,
+            self._streams,
+            once_server,
+            forwarder,
+            self.ledger,
+            self.decisions,
+            clock,
+        )
+        self._poller = polls.LoadPoller(
+            self._settings,
+            region,
+            self._own.data_centre,
+            dispatcher,
+            self.members,
+            self.replica,
+            self.loads,
+            limit_table,
+            clock,
+        )
+        entry_surface = surface.EntrySurface(
+            self.gateway, host, self._settings, signer, clock, skew_ms
+        )
+        self._web = web.HttpServer(entry_surface.application())
+
+    async def start(self) -> None:
+        """Listen and begin every task."""
+        ip = str(self._own.ip)
+        await self.peers.links.start(ip, self._own.link_port)
+        self.members.start()
+        self.ledger.start()
+        self._puller.start()
+        self._poller.start()
+        await self._web.start(ip, self._own.http_port)
+        logger.info('started', ip=ip, http_port=self._own.http_port)
+
+    async def drain(self) -> bool:
+        """Let callers go elsewhere, then wait for what is in flight.
+
+        The directories leave this host out at once. It goes on serving
+        for a while, since callers keep a directory for its time to live;
+        after that it turns new work away, unrun.
+        """
+        self.members.draining = True
+        await self.members.tell_now()
+        logger.info('draining', in_flight=self.gateway.in_flight)
+        await self._clock.sleep_ms(self._settings.leave_delay_ms)
+        drained = await self.gateway.drain(self._settings.stop_timeout_ms)
+        logger.info('drained', whole=drained)
+        return drained
+
+    async def close(self) -> None:
+        """End every task and close every socket."""
+        await self._web.close()
+        await self._poller.close()
+        await self._puller.close()
+        await self.ledger.close()
+        await self.members.close()
+        await self._streams.close()
+        await self._client.close()
+        await self.peers.links.close()
+        logger.info('stopped')
+
+
+def link_peers(deployment: settings.Deployment) -> list[links.Peer]:
+    """Return where every host of a deployment listens for links."""
+    return [
+        links.Peer(
+            ids.HostId(entry.host),
+            str(entry.ip),
+            entry.link_port,
+            entry.public_key,
+        )
+        for entry in deployment.hosts
+    ]
+
+
+async def serve(path: pathlib.Path, name: str) -> None:
+    """Run one entry host until it is told to stop."""
+    deployment = settings.read(path)
+    folder = path.parent / deployment.keys_folder
+    daemon = EntryDaemon(deployment, name, folder)
+    await daemon.start()
+    await runtime.wait_for_stop()
+    await daemon.drain()
+    await daemon.close()
+
+
+def main() -> None:
+    """Parse arguments, configure logs and hand over."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--settings', required=True, type=pathlib.Path)
+    parser.add_argument('--host', required=True, help='name in the file')
+    parser.add_argument(
+        '--log-level', default='info', choices=sorted(logs.LEVELS)
+    )
+    arguments = parser.parse_args()
+    logs.configure(arguments.log_level, arguments.host)
+    try:
+        runtime.run(serve(arguments.settings, arguments.host))
+    except settings.SettingsError as error:
+        sys.exit('\n'.join(error.problems))
+    except asyncio.CancelledError:
+        pass
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/wrenspoke/errors.py
@@ -0,0 +1,5 @@
+"""The root of every error that the library raises on purpose."""
+
+
+class WrenspokeError(Exception):
+    """Be the base of each layer's own errors."""
--- /dev/null
+++ b/wrenspoke/ids.py
@@ -0,0 +1,23 @@
+"""Typed identifiers shared by all layers."""
+
+import secrets
+import typing
+
+AttemptId = typing.NewType('AttemptId', str)
+DataCentreId = typing.NewType('DataCentreId', str)
+EndpointId = typing.NewType('EndpointId', str)
+HostId = typing.NewType('HostId', str)
+Incarnation = typing.NewType('Incarnation', str)
+OperatorId = typing.NewType('OperatorId', str)
+PlanId = typing.NewType('PlanId', str)
+RegionId = typing.NewType('RegionId', str)
+RequestId = typing.NewType('RequestId', str)
+ServiceId = typing.NewType('ServiceId', str)
+SessionId = typing.NewType('SessionId', str)
+
+UNIQUE_BYTES = 8
+
+
+def new_unique() -> str:
+    """Return 16 random hexadecimal digits."""
+    return secrets.token_hex(UNIQUE_BYTES)
--- /dev/null
+++ b/wrenspoke/logs.py
@@ -0,0 +1,48 @@
+"""Structured logs: one key=value line an event, on standard error."""
+
+import logging
+import sys
+
+import structlog
+
+LEVELS = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
+LEADING_KEYS = ['timestamp', 'level', 'event', 'host']
+
+
+def configure(level: str, host: str = '', stream=None) -> None:
+    """Send every event at or above ``level`` to ``stream`` as one line."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            _add_host(host),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(
+                key_order=LEADING_KEYS, drop_missing=True, bool_as_flag=False
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+def _add_host(host: str):
+    def add(_logger, _method, event):
+        if host:
+            event.setdefault('host', host)
+        return {key: _plain(value) for key, value in event.items()}
+
+    return add
+
+
+def _plain(value):
+    if isinstance(value, (str, int, float, bool)) or value is None:
+        return value
+    return str(getattr(value, 'value', value))
--- /dev/null
+++ b/wrenspoke/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""What is said over the transports: callers, hosts, endpoints."""
--- /dev/null
+++ b/wrenspoke/protocol/errors.py
@@ -0,0 +1,38 @@
+"""The errors of the protocol layer."""
+
+from wrenspoke import errors
+
+
+class ProtocolError(errors.WrenspokeError):
+    """Be the base of what can be wrong with a message."""
+
+
+class BadRequestError(ProtocolError):
+    """Say which field of a request is wrong, and with which status."""
+
+    def __init__(self, field: str, problem: str, status: int = 400):
+        super().__init__(f'{field}: {problem}')
+        self.field = field
+        self.problem = problem
+        self.status = status
+
+
+class ForgedHopError(ProtocolError):
+    """Say that a hop header was not written by a host of the cluster."""
+
+
+class CallerGoneError(ProtocolError):
+    """Say that the caller left before the end of its answer."""
+
+
+class MalformedMessageError(ProtocolError):
+    """Say that a message between hosts can't be read."""
+
+
+class NoAnswerError(ProtocolError):
+    """Say that a host gave no answer; ``sent`` if it may have acted."""
+
+    def __init__(self, host: str, sent: bool):
+        super().__init__(f'{host} gave no answer')
+        self.host = host
+        self.sent = sent
--- /dev/null
+++ b/wrenspoke/protocol/hops.py
@@ -0,0 +1,90 @@
+"""The signed header that goes with a request from host to host.
+
+It carries what the first host decided, so that the next one need not
+trust a caller's headers: the path so far, the time left and the rules
+that applied. A caller can't write it, as it is signed by the cluster.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import msgspec
+
+from wrenspoke import ids
+from wrenspoke.protocol import errors
+from wrenspoke.protocol import requests
+
+SIGNATURE_BYTES = 32
+
+
+class Hop(msgspec.Struct, array_like=True, frozen=True):
+    """State what a forwarded request brings along."""
+
+    cluster: str
+    path_of_hosts: tuple[ids.HostId, ...]
+    expires_ms: int
+    left_ms: int
+    request: ids.RequestId
+    attempt: int
+    resend: bool
+    home: ids.RegionId | None
+    bound: bool
+    once: bool
+    priority: requests.Priority
+
+
+class HopSigner:
+    """Write and read hop headers with the cluster's key."""
+
+    def __init__(self, cluster: str, key: bytes):
+        self._cluster = cluster
+        self._key = key
+
+    def sign(
+        self,
+        head: requests.RequestHead,
+        host: ids.HostId,
+        wall_ms: int,
+        left_ms: int,
+    ) -> str:
+        """Return the header's text for a request that ``host`` sends."""
+        hop = Hop(
+            cluster=self._cluster,
+            path_of_hosts=(*head.path_of_hosts, host),
+            expires_ms=wall_ms + left_ms,
+            left_ms=left_ms,
+            request=head.request,
+            attempt=head.attempt,
+            resend=head.resend,
+            home=head.home,
+            bound=head.bound,
+            once=head.once,
+            priority=head.priority,
+        )
+        body = msgspec.msgpack.encode(hop)
+        return base64.urlsafe_b64encode(self._mac(body) + body).decode()
+
+    def read(self, text: str, wall_ms: int, skew_ms: int) -> Hop:
+        """Return what a header says.
+
+        :raises ForgedHopError: no host of this cluster wrote it, or it
+            is too old
+        """
+        try:
+            raw = base64.urlsafe_b64decode(text.encode())
+        except (binascii.Error, UnicodeEncodeError) as error:
+            raise errors.ForgedHopError('hop is not base64') from error
+        mac, body = raw[:SIGNATURE_BYTES], raw[SIGNATURE_BYTES:]
+        if not hmac.compare_digest(mac, self._mac(body)):
+            raise errors.ForgedHopError('hop has a wrong signature')
+        hop = msgspec.msgpack.decode(body, type=Hop)
+        if hop.cluster != self._cluster:
+            raise errors.ForgedHopError('hop is of another cluster')
+        if hop.expires_ms + skew_ms < wall_ms:
+            raise errors.ForgedHopError('hop has expired')
+        return hop
+
+    def _mac(self, body: bytes) -> bytes:
+        return hmac.new(self._key, body, hashlib.sha256).digest()
--- /dev/null
+++ b/wrenspoke/protocol/replies.py
@@ -0,0 +1,159 @@
+"""Write to one caller: a whole answer, a stream, or how it ended."""
+
+import collections.abc
+
+from aiohttp import web
+import msgspec
+
+from wrenspoke import ids
+from wrenspoke.protocol import errors
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import outcomes
+from wrenspoke.protocol import sse
+from wrenspoke.transport import web as transport_web
+
+OUTCOME_EVENT = 'outcome'
+MS_PER_S = 1000
+
+# Headers of an endpoint's answer that are about its connection only, or
+# that this side writes itself.
+HOP_BY_HOP = frozenset(
+    [
+        'connection',
+        'content-encoding',
+        'content-length',
+        'date',
+        'keep-alive',
+        'proxy-authenticate',
+        'server',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-request-id',
+    ]
+)
+
+
+class Reply:
+    """Answer one request, once."""
+
+    def __init__(self, request: web.Request, host: ids.HostId):
+        self._request = request
+        self._host = host
+        self._stream: web.StreamResponse | None = None
+        self.response: web.StreamResponse | None = None
+        self.request_id = ids.RequestId('')
+        self.sent_events = 0
+
+    @property
+    def started(self) -> bool:
+        """Tell whether a stream has been opened."""
+        return self._stream is not None
+
+    async def whole(
+        self,
+        status: int,
+        found: collections.abc.Mapping[str, str],
+        body: bytes,
+        outcome: outcomes.Outcome = outcomes.Outcome.WHOLE,
+    ) -> None:
+        """Send an answer of which every byte is here."""
+        self.response = web.Response(
+            status=status,
+            headers=self._headers(found, outcome),
+            body=body,
+        )
+        await self._finish()
+
+    async def end(self, ending: outcomes.Ending) -> None:
+        """Tell how the request ended, in place of an answer."""
+        if self.started:
+            await self._end_stream(ending)
+            return
+        extra = {headers.REASON: ending.reason.value}
+        if ending.retry_after_ms:
+            extra[headers.RETRY_AFTER] = retry_after(ending.retry_after_ms)
+        if ending.retry_owned:
+            extra[headers.RETRY_OWNED] = 'true'
+        self.response = web.Response(
+            status=outcomes.status(ending),
+            headers=self._headers(extra, ending.outcome),
+            body=ending_body(ending),
+            content_type='application/json',
+        )
+        await self._finish()
+
+    async def open(self, found: collections.abc.Mapping[str, str]) -> None:
+        """Begin a stream of events."""
+        kept = self._headers(found, None)
+        kept['Content-Type'] = 'text/event-stream'
+        kept['Cache-Control'] = 'no-store'
+        self._stream = web.StreamResponse(status=200, headers=kept)
+        await self._guard(self._stream.prepare(self._request))
+
+    async def event(self, event: sse.SseEvent) -> None:
+        """Send one event of the stream."""
+        self.sent_events += 1
+        await self._guard(self._stream.write(sse.encode(event)))
+
+    async def raw(self, chunk: bytes) -> None:
+        """Send bytes of a stream that another host has written."""
+        await self._guard(self._stream.write(chunk))
+
+    async def close(self) -> None:
+        """End a stream of which every event was sent."""
+        await self._guard(self._stream.write_eof())
+        self.response = self._stream
+
+    async def _end_stream(self, ending: outcomes.Ending) -> None:
+        last = sse.SseEvent(
+            event=OUTCOME_EVENT, data=ending_body(ending).decode()
+        )
+        await self._guard(self._stream.write(sse.encode(last)))
+        self.response = self._stream
+        transport_web.abort(self._request)
+
+    async def _finish(self) -> None:
+        await self._guard(self.response.prepare(self._request))
+        await self._guard(self.response.write_eof())
+
+    async def _guard(self, awaitable: collections.abc.Awaitable) -> None:
+        try:
+            await awaitable
+        except (ConnectionError, RuntimeError) as error:
+            raise errors.CallerGoneError(repr(error)) from error
+
+    def _headers(
+        self,
+        found: collections.abc.Mapping[str, str],
+        outcome: outcomes.Outcome | None,
+    ) -> dict[str, str]:
+        kept = {
+            name: value
+            for name, value in found.items()
+            if name.lower() not in HOP_BY_HOP
+        }
+        kept[headers.REQUEST] = self.request_id
+        kept.setdefault(headers.HOST, self._host)
+        if outcome is not None:
+            kept[headers.OUTCOME] = outcome.value
+        return kept
+
+
+def retry_after(delay_ms: int) -> str:
+    """Return whole seconds, rounded up, for Retry-After."""
+    return str(max(1, -(-delay_ms // MS_PER_S)))
+
+
+def ending_body(ending: outcomes.Ending) -> bytes:
+    """Return the JSON that tells an ending."""
+    return msgspec.json.encode(
+        {
+            'error': {
+                'outcome': ending.outcome.value,
+                'reason': ending.reason.value,
+                'message': ending.detail or ending.reason.value,
+                'retry_after_ms': ending.retry_after_ms,
+            }
+        }
+    )
--- /dev/null
+++ b/wrenspoke/protocol/sse.py
@@ -0,0 +1,70 @@
+"""Server-sent events: read from engines, write to callers."""
+
+import collections.abc
+
+import msgspec
+
+from wrenspoke.protocol import errors
+
+DONE = '[DONE]'
+EVENT_LIMIT_BYTES = 1024 * 1024
+
+
+class SseEvent(msgspec.Struct, frozen=True):
+    """Hold one event of a stream."""
+
+    data: str
+    event: str = ''
+    number: int | None = None
+
+
+def encode(event: SseEvent) -> bytes:
+    """Return an event as it goes over the wire."""
+    lines = []
+    if event.event:
+        lines.append(f'event: {event.event}')
+    if event.number is not None:
+        lines.append(f'id: {event.number}')
+    lines.extend(f'data: {line}' for line in event.data.split('\n'))
+    return ('\n'.join(lines) + '\n\n').encode()
+
+
+async def decode(
+    chunks: collections.abc.AsyncIterable[bytes],
+) -> collections.abc.AsyncIterator[SseEvent]:
+    """Yield the events of a stream; a cut last event is left out.
+
+    :raises MalformedMessageError: an event is too long or not UTF-8
+    """
+    buffer = b''
+    async for chunk in chunks:
+        buffer = (buffer + chunk).replace(b'\r\n', b'\n')
+        while b'\n\n' in buffer:
+            block, buffer = buffer.split(b'\n\n', 1)
+            event = _parse(block)
+            if event is not None:
+                yield event
+        if len(buffer) > EVENT_LIMIT_BYTES:
+            raise errors.MalformedMessageError('event is too long')
+
+
+def _parse(block: bytes) -> SseEvent | None:
+    try:
+        text = block.decode()
+    except UnicodeDecodeError as error:
+        raise errors.MalformedMessageError('event is not UTF-8') from error
+    data = []
+    name = ''
+    number = None
+    for line in text.split('\n'):
+        field, _, value = line.partition(':')
+        value = value.removeprefix(' ')
+        if field == 'data':
+            data.append(value)
+        elif field == 'event':
+            name = value
+        elif field == 'id' and value.isdigit():
+            number = int(value)
+    if not data and not name:
+        return None
+    return SseEvent(data='\n'.join(data), event=name, number=number)
--- /dev/null
+++ b/wrenspoke/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that wrenspoke meets, for tests and benches."""
--- /dev/null
+++ b/wrenspoke/standin/faults.py
@@ -0,0 +1,24 @@
+"""Faults that a stand-in shows when a test asks for them."""
+
+import msgspec
+
+
+class Faults(msgspec.Struct):
+    """Say how a stand-in misbehaves; the default is not at all.
+
+    ``break_after_events`` closes a stream after so many events,
+    ``truncate`` states a longer body than it sends, ``crossed`` answers
+    with another request's id, ``close_after_read`` counts a request and
+    closes, ``status`` answers with that status, ``slow_factor``
+    stretches all times, ``delay_ms`` holds every answer back.
+    """
+
+    break_after_events: int = 0
+    break_times: int = 0
+    truncate: bool = False
+    crossed: bool = False
+    close_after_read: bool = False
+    status: int = 0
+    slow_factor: float = 1.0
+    delay_ms: int = 0
+    redirect_to: str = ''
--- /dev/null
+++ b/wrenspoke/standin/main.py
@@ -0,0 +1,85 @@
+"""``wrenspoke-standin``: run stand-ins for a deployment's endpoints."""
+
+import argparse
+import urllib.parse
+
+import msgspec
+import structlog
+
+from wrenspoke import logs
+from wrenspoke import runtime
+from wrenspoke import settings
+from wrenspoke.standin import engine
+from wrenspoke.standin import plain
+from wrenspoke.state import configuration
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+
+def build(
+    deployment: settings.Deployment,
+    endpoint: settings.EndpointSettings,
+    model: engine.EngineModel,
+) -> engine.Engine | plain.Plain:
+    """Return the stand-in that fits an endpoint's service."""
+    for service in deployment.services:
+        if service.service != endpoint.service:
+            continue
+        if service.kind is configuration.ServiceKind.PLAIN:
+            return plain.Plain(endpoint.endpoint)
+    own = msgspec.structs.replace(
+        model, slots=endpoint.slots, fenced=endpoint.fenced
+    )
+    return engine.Engine(endpoint.endpoint, own, list(endpoint.models))
+
+
+async def start(
+    deployment: settings.Deployment,
+    names: list[str],
+    model: engine.EngineModel,
+) -> dict[str, web.HttpServer]:
+    """Start stand-ins; without names, for all endpoints."""
+    servers = {}
+    for endpoint in deployment.endpoints:
+        if names and endpoint.endpoint not in names:
+            continue
+        address = urllib.parse.urlsplit(endpoint.url)
+        standin = build(deployment, endpoint, model)
+        server = web.HttpServer(standin.application())
+        await server.start(address.hostname, address.port)
+        servers[endpoint.endpoint] = server
+    return servers
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Run until told to stop."""
+    deployment = settings.read(arguments.settings)
+    model = msgspec.json.decode(arguments.model, type=engine.EngineModel)
+    servers = await start(deployment, arguments.endpoint, model)
+    logger.info('standins_started', count=len(servers))
+    await runtime.wait_for_stop()
+    for server in servers.values():
+        await server.close()
+
+
+def main() -> None:
+    """Parse arguments, configure logs and hand over."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--settings', required=True, metavar='FILE')
+    parser.add_argument(
+        '--endpoint', action='append', default=[], metavar='NAME'
+    )
+    parser.add_argument(
+        '--model', default='{}', metavar='JSON', help='engine model'
+    )
+    parser.add_argument(
+        '--log-level', default='info', choices=sorted(logs.LEVELS)
+    )
+    arguments = parser.parse_args()
+    logs.configure(arguments.log_level, 'standin')
+    runtime.run(serve(arguments))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/wrenspoke/state/__init__.py
@@ -0,0 +1,1 @@
+"""What the system remembers: configuration, log, plans and ledger."""
--- /dev/null
+++ b/wrenspoke/state/configuration.py
@@ -0,0 +1,309 @@
+"""The configuration that operators decide on, and changes to it.
+
+A configuration is a value: applying a change returns a new one with a
+higher index and leaves the old one as it was, so that a request works
+on one configuration from its first step to its last.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from wrenspoke import ids
+from wrenspoke.state import errors
+
+
+class ServiceKind(enum.Enum):
+    """Tell model engines from other HTTP services."""
+
+    ENGINE = 'engine'
+    PLAIN = 'plain'
+
+
+class EndpointState(enum.Enum):
+    """Say whether an endpoint may be given new work."""
+
+    ACTIVE = 'active'
+    DRAINING = 'draining'
+    DRAINED = 'drained'
+
+
+class EngineRole(enum.Enum):
+    """Say which part of the work an engine does."""
+
+    MIXED = 'mixed'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+class Service(msgspec.Struct, frozen=True):
+    """Name a service that callers ask for."""
+
+    service: ids.ServiceId
+    kind: ServiceKind
+    cost_weight: float = 1.0
+    tail_weight: float = 1.0
+
+
+class Endpoint(msgspec.Struct, frozen=True):
+    """Describe one running copy of a service."""
+
+    endpoint: ids.EndpointId
+    service: ids.ServiceId
+    region: ids.RegionId
+    data_centre: ids.DataCentreId
+    url: str
+    fenced: bool = False
+    echoes_request_id: bool = True
+    price_per_mtok: float = 1.0
+    slots: int = 8
+    state: EndpointState = EndpointState.ACTIVE
+    role: EngineRole = EngineRole.MIXED
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+
+
+class Rule(msgspec.Struct, frozen=True):
+    """Say how requests to a path of a service have to be treated."""
+
+    rule: str
+    service: ids.ServiceId
+    path_prefix: str = '/'
+    methods: tuple[str, ...] = ()
+    bound: bool = False
+    once: bool = False
+
+    def matches(self, service: str, method: str, path: str) -> bool:
+        """Tell whether a request falls under this rule."""
+        if service != self.service or not path.startswith(self.path_prefix):
+            return False
+        return not self.methods or method in self.methods
+
+
+class TeamLimit(msgspec.Struct, frozen=True):
+    """Bound what one team may ask for, over the whole system."""
+
+    team: str
+    requests_per_s: float
+    burst: int
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """Hold everything that operators decide; ``index`` grows only."""
+
+    index: int = 0
+    services: dict[ids.ServiceId, Service] = {}
+    endpoints: dict[ids.EndpointId, Endpoint] = {}
+    rules: dict[str, Rule] = {}
+    limits: dict[str, TeamLimit] = {}
+
+    def endpoint(self, endpoint: ids.EndpointId) -> Endpoint:
+        """Return one endpoint.
+
+        :raises UnknownItemError: there is none of that name
+        """
+        found = self.endpoints.get(endpoint)
+        if found is None:
+            raise errors.UnknownItemError(f'endpoint {endpoint} is unknown')
+        return found
+
+
+class SetEndpointState(msgspec.Struct, frozen=True, tag='endpoint_state'):
+    """Let an endpoint take new work, or not."""
+
+    endpoint: ids.EndpointId
+    state: EndpointState
+
+
+class AddEndpoint(msgspec.Struct, frozen=True, tag='add_endpoint'):
+    """Add an endpoint or replace the one of the same name."""
+
+    endpoint: Endpoint
+
+
+class RemoveEndpoint(msgspec.Struct, frozen=True, tag='remove_endpoint'):
+    """Forget an endpoint that is drained."""
+
+    endpoint: ids.EndpointId
+
+
+class SetModel(msgspec.Struct, frozen=True, tag='model'):
+    """Add a model version to an engine's models, or take it away."""
+
+    endpoint: ids.EndpointId
+    model: str
+    loaded: bool
+
+
+class SetAdapter(msgspec.Struct, frozen=True, tag='adapter'):
+    """Add an adapter to an engine's adapters, or take it away."""
+
+    endpoint: ids.EndpointId
+    adapter: str
+    loaded: bool
+
+
+class SetRole(msgspec.Struct, frozen=True, tag='role'):
+    """Give an engine another role."""
+
+    endpoint: ids.EndpointId
+    role: EngineRole
+
+
+class SetRule(msgspec.Struct, frozen=True, tag='rule'):
+    """Add a rule or replace the one of the same name."""
+
+    rule: Rule
+
+
+class RemoveRule(msgspec.Struct, frozen=True, tag='remove_rule'):
+    """Take a rule away."""
+
+    rule: str
+
+
+class SetLimit(msgspec.Struct, frozen=True, tag='limit'):
+    """Add a team's limit or replace it."""
+
+    limit: TeamLimit
+
+
+class SetAll(msgspec.Struct, frozen=True, tag='all'):
+    """Replace everything; the first change of every log."""
+
+    configuration: Configuration
+
+
+Change = typing.Union[
+    SetEndpointState,
+    AddEndpoint,
+    RemoveEndpoint,
+    SetModel,
+    SetAdapter,
+    SetRole,
+    SetRule,
+    RemoveRule,
+    SetLimit,
+    SetAll,
+]
+
+_APPLIERS = {}
+
+
+def _applies(kind: type):
+    def register(function):
+        _APPLIERS[kind] = function
+        return function
+
+    return register
+
+
+def apply(old: Configuration, change: Change, index: int) -> Configuration:
+    """Return ``old`` with one change applied at ``index``.
+
+    :raises StateError: the change does not fit ``old``
+    """
+    if index < old.index:
+        raise errors.InvalidChangeError(f'index {index} is below {old.index}')
+    fields = _APPLIERS[type(change)](old, change)
+    return msgspec.structs.replace(old, index=index, **fields)
+
+
+def _with_endpoint(old: Configuration, endpoint: Endpoint) -> dict:
+    return {'endpoints': {**old.endpoints, endpoint.endpoint: endpoint}}
+
+
+@_applies(SetEndpointState)
+def _set_endpoint_state(old: Configuration, change: SetEndpointState):
+    found = old.endpoint(change.endpoint)
+    changed = msgspec.structs.replace(found, state=change.state)
+    return _with_endpoint(old, changed)
+
+
+@_applies(AddEndpoint)
+def _add_endpoint(old: Configuration, change: AddEndpoint):
+    if change.endpoint.service not in old.services:
+        raise errors.InvalidChangeError(
+            f'endpoint.service {change.endpoint.service} is unknown'
+        )
+    return _with_endpoint(old, change.endpoint)
+
+
+@_applies(RemoveEndpoint)
+def _remove_endpoint(old: Configuration, change: RemoveEndpoint):
+    found = old.endpoint(change.endpoint)
+    if found.state is EndpointState.ACTIVE:
+        raise errors.InvalidChangeError(
+            f'endpoint {change.endpoint} is active; drain it first'
+        )
+    endpoints = dict(old.endpoints)
+    del endpoints[change.endpoint]
+    return {'endpoints': endpoints}
+
+
+def _toggled(
+    names: tuple[str, ...], name: str, present: bool
+) -> tuple[str, ...]:
+    rest = tuple(other for other in names if other != name)
+    return (*rest, name) if present else rest
+
+
+@_applies(SetModel)
+def _set_model(old: Configuration, change: SetModel):
+    found = old.endpoint(change.endpoint)
+    models = _toggled(found.models, change.model, change.loaded)
+    return _with_endpoint(old, msgspec.structs.replace(found, models=models))
+
+
+@_applies(SetAdapter)
+def _set_adapter(old: Configuration, change: SetAdapter):
+    found = old.endpoint(change.endpoint)
+    adapters = _toggled(found.adapters, change.adapter, change.loaded)
+    changed = msgspec.structs.replace(found, adapters=adapters)
+    return _with_endpoint(old, changed)
+
+
+@_applies(SetRole)
+def _set_role(old: Configuration, change: SetRole):
+    found = old.endpoint(change.endpoint)
+    changed = msgspec.structs.replace(found, role=change.role)
+    return _with_endpoint(old, changed)
+
+
+@_applies(SetRule)
+def _set_rule(old: Configuration, change: SetRule):
+    if change.rule.service not in old.services:
+        raise errors.InvalidChangeError(
+            f'rule.service {change.rule.service} is unknown'
+        )
+    return {'rules': {**old.rules, change.rule.rule: change.rule}}
+
+
+@_applies(RemoveRule)
+def _remove_rule(old: Configuration, change: RemoveRule):
+    if change.rule not in old.rules:
+        raise errors.UnknownItemError(f'rule {change.rule} is unknown')
+    rules = dict(old.rules)
+    del rules[change.rule]
+    return {'rules': rules}
+
+
+@_applies(SetLimit)
+def _set_limit(old: Configuration, change: SetLimit):
+    if change.limit.requests_per_s <= 0:
+        raise errors.InvalidChangeError(
+            'limit.requests_per_s must be more than 0'
+        )
+    return {'limits': {**old.limits, change.limit.team: change.limit}}
+
+
+@_applies(SetAll)
+def _set_all(_old: Configuration, change: SetAll):
+    new = change.configuration
+    return {
+        'services': new.services,
+        'endpoints': new.endpoints,
+        'rules': new.rules,
+        'limits': new.limits,
+    }
--- /dev/null
+++ b/wrenspoke/state/registers.py
@@ -0,0 +1,267 @@
+"""The ledger of once-only requests: one write-once register per key.
+
+Each ledger host holds a copy in memory. A register is changed by two
+rounds in the manner of CASPaxos (Rystsov, 2018): a majority promises a
+ballot and tells what it had accepted, then a majority accepts the next
+value under that ballot.
+
+A host that restarts has forgotten its promises. Two rules keep that from
+mattering. It votes only on keys that were issued after its memory begins
+(``trusted_since_ms``), which reading back a majority moves to the past.
+And each start has a higher epoch; every reply tells the epochs that its
+sender knows, so that a quorum never counts a vote given before a restart
+(crash vectors, after Michael et al., DISC 2017).
+"""
+
+import enum
+import typing
+
+import msgspec
+import sortedcontainers
+
+from wrenspoke import ids
+
+
+class ClaimState(enum.Enum):
+    """Say what is known of a once-only request."""
+
+    FREE = 'free'
+    REFUSED = 'refused'
+    DISPATCHED = 'dispatched'
+    ANSWERED = 'answered'
+
+
+class KeptAnswer(msgspec.Struct, frozen=True):
+    """Hold an answer for a caller that asks again."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """Hold a register's value.
+
+    ``attempt`` is the caller's number of the attempt that was dispatched,
+    or the highest that was refused.
+    """
+
+    state: ClaimState = ClaimState.FREE
+    attempt: int = 0
+    host: ids.HostId = ids.HostId('')
+    attempt_id: ids.AttemptId = ids.AttemptId('')
+    answer: KeptAnswer | None = None
+
+
+FREE = Claim()
+
+
+class Ballot(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Order proposals; the host's name makes them unique."""
+
+    number: int = 0
+    host: str = ''
+
+
+NO_BALLOT = Ballot()
+
+
+class Register(msgspec.Struct):
+    """Hold one host's copy of one key."""
+
+    promised: Ballot = NO_BALLOT
+    accepted: Ballot = NO_BALLOT
+    claim: Claim = FREE
+
+
+class Vote(msgspec.Struct, frozen=True):
+    """Answer one round on one key.
+
+    ``granted`` is False under a higher promise, and for a key that this
+    host may have forgotten (``forgotten``).
+    """
+
+    granted: bool
+    promised: Ballot
+    accepted: Ballot
+    claim: Claim
+    epochs: dict[str, int]
+    forgotten: bool = False
+
+
+class Memory(msgspec.Struct):
+    """Hold all that a ledger host tells one that has restarted."""
+
+    epoch_known: int
+    trusted_since_ms: int
+    epochs: dict[str, int]
+    registers: list[tuple[int, str, Register]]
+
+
+class Registers:
+    """Hold one ledger host's copies of all keys."""
+
+    def __init__(self, host: ids.HostId, epoch: int, trusted_since_ms: int):
+        self.host = host
+        self.epochs: dict[str, int] = {host: epoch}
+        self.trusted_since_ms = trusted_since_ms
+        self._registers: dict[str, Register] = {}
+        self._by_age = sortedcontainers.SortedSet()
+
+    def __len__(self) -> int:
+        return len(self._registers)
+
+    @property
+    def epoch(self) -> int:
+        """Return the number of this start."""
+        return self.epochs[self.host]
+
+    def prepare(self, key: str, issued_ms: int, ballot: Ballot) -> Vote:
+        """Promise ``ballot`` on a key unless a higher one was promised."""
+        if issued_ms < self.trusted_since_ms:
+            return self._forgotten()
+        register = self._register(key, issued_ms)
+        granted = ballot > register.promised
+        if granted:
+            register.promised = ballot
+        return self._vote(granted, register)
+
+    def accept(
+        self,
+        key: str,
+        issued_ms: int,
+        ballot: Ballot,
+        claim: Claim,
+        epochs: typing.Mapping[str, int],
+    ) -> Vote:
+        """Accept a value under ``ballot``, promised by a majority.
+
+        ``epochs`` are those under which the majority promised; one that
+        is older than what this host knows makes the promise void.
+        """
+        if issued_ms < self.trusted_since_ms:
+            return self._forgotten()
+        register = self._register(key, issued_ms)
+        current = all(
+            epoch >= self.epochs.get(host, 0) for host, epoch in epochs.items()
+        )
+        granted = current and ballot >= register.promised
+        if granted:
+            self.learn_epochs(epochs)
+            register.promised = ballot
+            register.accepted = ballot
+            register.claim = claim
+        return self._vote(granted, register)
+
+    def remember(self, host: ids.HostId, epoch: int) -> Memory:
+        """Note that ``host`` restarted and tell it all that is here."""
+        known = self.epochs.get(host, 0)
+        if epoch > known:
+            self.epochs[host] = epoch
+        return Memory(
+            epoch_known=known,
+            trusted_since_ms=self.trusted_since_ms,
+            epochs=dict(self.epochs),
+            registers=[
+                (issued_ms, key, self._registers[key])
+                for issued_ms, key in self._by_age
+            ],
+        )
+
+    def restore(self, memories: typing.Sequence[Memory]) -> None:
+        """Take over what a majority of the other hosts remember."""
+        for memory in memories:
+            self.learn_epochs(memory.epochs)
+            for issued_ms, key, theirs in memory.registers:
+                self._merge(key, issued_ms, theirs)
+        since_ms = max(memory.trusted_since_ms for memory in memories)
+        self.trusted_since_ms = min(self.trusted_since_ms, since_ms)
+
+    def learn_epochs(self, epochs: typing.Mapping[str, int]) -> None:
+        """Keep the highest epoch that is known of each host."""
+        for host, epoch in epochs.items():
+            if epoch > self.epochs.get(host, 0):
+                self.epochs[host] = epoch
+
+    def expire(self, before_ms: int) -> int:
+        """Forget keys issued before ``before_ms``; return how many."""
+        count = 0
+        while self._by_age and self._by_age[0][0] < before_ms:
+            _issued_ms, key = self._by_age.pop(0)
+            del self._registers[key]
+            count += 1
+        self.trusted_since_ms = max(self.trusted_since_ms, before_ms)
+        return count
+
+    def _register(self, key: str, issued_ms: int) -> Register:
+        register = self._registers.get(key)
+        if register is None:
+            register = self._registers[key] = Register()
+            self._by_age.add((issued_ms, key))
+        return register
+
+    def _merge(self, key: str, issued_ms: int, theirs: Register) -> None:
+        ours = self._register(key, issued_ms)
+        ours.promised = max(ours.promised, theirs.promised)
+        if theirs.accepted > ours.accepted:
+            ours.accepted = theirs.accepted
+            ours.claim = theirs.claim
+
+    def _vote(self, granted: bool, register: Register) -> Vote:
+        return Vote(
+            granted=granted,
+            promised=register.promised,
+            accepted=register.accepted,
+            claim=register.claim,
+            epochs=dict(self.epochs),
+        )
+
+    def _forgotten(self) -> Vote:
+        return Vote(
+            granted=False,
+            promised=NO_BALLOT,
+            accepted=NO_BALLOT,
+            claim=FREE,
+            epochs=dict(self.epochs),
+            forgotten=True,
+        )
+
+
+def claimed(
+    old: Claim, attempt: int, host: ids.HostId, attempt_id: ids.AttemptId
+) -> Claim:
+    """Return ``old`` after a claim; it is ours if the attempt id is."""
+    free = old.state is ClaimState.FREE
+    refused_before = old.state is ClaimState.REFUSED and old.attempt < attempt
+    if not free and not refused_before:
+        return old
+    return Claim(ClaimState.DISPATCHED, attempt, host, attempt_id)
+
+
+def refused(old: Claim, attempt: int) -> Claim:
+    """Return ``old`` after a refusal of all attempts up to one."""
+    if old.state is ClaimState.FREE:
+        return Claim(ClaimState.REFUSED, attempt)
+    if old.state is ClaimState.REFUSED and old.attempt < attempt:
+        return Claim(ClaimState.REFUSED, attempt)
+    return old
+
+
+def released(old: Claim, attempt_id: ids.AttemptId) -> Claim:
+    """Return ``old`` with a claim given back that was never sent."""
+    ours = old.attempt_id == attempt_id
+    if old.state is ClaimState.DISPATCHED and ours:
+        return Claim(ClaimState.REFUSED, old.attempt)
+    return old
+
+
+def answered(
+    old: Claim, attempt_id: ids.AttemptId, answer: KeptAnswer | None
+) -> Claim:
+    """Return ``old`` with the answer to the attempt that ran."""
+    ours = old.attempt_id == attempt_id
+    if old.state is ClaimState.DISPATCHED and ours:
+        return msgspec.structs.replace(
+            old, state=ClaimState.ANSWERED, answer=answer
+        )
+    return old
--- /dev/null
+++ b/wrenspoke/transport/errors.py
@@ -0,0 +1,19 @@
+"""The errors of the transport layer."""
+
+from wrenspoke import errors
+
+
+class TransportError(errors.WrenspokeError):
+    """Be the base of what can go wrong below the protocol."""
+
+
+class NotSentError(TransportError):
+    """Say that no byte of the message left this process."""
+
+
+class MaybeSentError(TransportError):
+    """Say that the message may have arrived, though no answer came."""
+
+
+class LinkClosedError(TransportError):
+    """Say that the link was closed on this side."""
