Keep a failed send from being repeated by the HTTP client

Cause: a once-only GET ran twice when the endpoint read it and closed. aiohttp 3.14.5 sends an idempotent request again after a dropped connection whether or not that connection was new, so a fresh connection alone did not help.

Ruled out: force_close connectors (tried, the endpoint still counted 2); switching the client's private flag off (not public).

Change: a client middleware turns the failure into this project's own error, which the client does not repeat.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,11 +15,12 @@
 from wrenspoke import caller as callers
 from wrenspoke import keys
 from wrenspoke import settings
+from wrenspoke.standin import relay
 from wrenspoke.transport import web
 
 PLACEHOLDER_KEY = '0' * 40
 MODEL = 'small-1'
-WAIT_S = 60.0
+WAIT_S = float(os.environ.get('WRENSPOKE_TEST_WAIT_S', 60))
 TOKEN = 'an-operators-token'
 
 FAST = {
@@ -143,13 +144,61 @@
         self.settings = settings.read(self.path)
         self.model = json.dumps(model or {'token_ms': 1})
         self.processes: dict[str, subprocess.Popen] = {}
+        self.relays: dict[tuple, tuple[int, relay.Relay]] = {}
+        self.paths: dict[str, pathlib.Path] = {}
         self._callers: list[callers.Caller] = []
 
+    async def lay_relays(self) -> None:
+        """Put a relay between each two hosts, for links and HTTP."""
+        hosts = self.settings.hosts
+        pairs = [(a, b) for a in hosts for b in hosts if a is not b]
+        ports = iter(web.free_ports(2 * len(pairs)))
+        for one, other in pairs:
+            for field in ('http_port', 'link_port'):
+                port = next(ports)
+                made = relay.Relay('127.0.0.1', getattr(other, field))
+                await made.start(port)
+                self.relays[(one.host, other.host, field)] = (port, made)
+        for one in hosts:
+            self._write_view(one.host)
+
+    def _write_view(self, name: str) -> None:
+        """Write a settings file in which others stand behind relays."""
+        view = json.loads(self.path.read_text())
+        for host in view['hosts']:
+            for field in ('http_port', 'link_port'):
+                found = self.relays.get((name, host['host'], field))
+                if found is not None:
+                    host[field] = found[0]
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(view))
+        self.paths[name] = path
+
+    def cut(self, one: str, other: str, ways: int = 2) -> None:
+        """Cut what one host sends to another, or both ways."""
+        for (a, b, _field), (_port, made) in self.relays.items():
+            if (a, b) == (one, other):
+                made.cut()
+            if ways == 2 and (b, a) == (one, other):
+                made.cut()
+
+    def heal(self) -> None:
+        """Heal every cut."""
+        for _port, made in self.relays.values():
+            made.heal()
+
+    def isolate(self, *names: str) -> None:
+        """Cut some hosts off from all the others."""
+        for host in self.settings.hosts:
+            for name in names:
+                if host.host not in names:
+                    self.cut(name, host.host)
+
     def spawn(self, name: str, module: str, *arguments: str) -> None:
         """Start a process; its output goes to a file."""
         log = open(self.folder / f'{name}.log', 'ab')
         command = [sys.executable, '-m', module, *arguments]
-        command += ['--settings', str(self.path)]
+        command += ['--settings', str(self.paths.get(name, self.path))]
         with log:
             self.processes[name] = subprocess.Popen(
                 command, stdout=log, stderr=log, cwd=self.folder
@@ -284,13 +333,17 @@
             await caller.close()
         for name in list(self.processes):
             self.kill(name)
+        for _port, made in self.relays.values():
+            await made.close()
 
 
 @contextlib.asynccontextmanager
-async def running(folder, made, model=None, entries=None):
+async def running(folder, made, model=None, entries=None, relays=False):
     """Run stand-ins and entry hosts; yield the fleet."""
     fleet = Fleet(folder, made, model)
     try:
+        if relays:
+            await fleet.lay_relays()
         fleet.start_standins()
         for number, host in enumerate(fleet.settings.with_role('control')):
             found = ['--found'] if number == 0 else []
--- a/wrenspoke/caller.py
+++ b/wrenspoke/caller.py
@@ -113,9 +113,10 @@
 
     async def _ask(self, method, path, sent, body, on_text) -> Result:
         sent.setdefault(headers.REQUEST, ids.new_unique())
+        attempt = int(sent.get(headers.ATTEMPT, '1'))
         total = Result('lost')
         for number, url in enumerate(list(self._urls)):
-            sent[headers.ATTEMPT] = str(number + 1)
+            sent[headers.ATTEMPT] = str(attempt + number)
             data = _continued(body, total.text)
             if total.events:
                 sent[headers.REQUEST] = ids.new_unique()
--- a/wrenspoke/coordination/forwarding.py
+++ b/wrenspoke/coordination/forwarding.py
@@ -1,5 +1,6 @@
 """Pass a request on to another region, once."""
 
+import asyncio
 import collections.abc
 import contextlib
 import dataclasses
@@ -41,6 +42,12 @@
     reply: replies.Reply
     transcript: streams.Transcript
     sent: bool = False
+    bound: asyncio.Timeout | None = None
+
+    def flowing(self, left_ms: float) -> None:
+        """Let a stream that has begun take all the time there is."""
+        loop = asyncio.get_running_loop()
+        self.bound.reschedule(loop.time() + left_ms / 1000)
 
 
 class Forwarder:
@@ -108,7 +115,8 @@
         left_ms = self._left_ms(passing.head)
         try_ms = left_ms if last else left_ms * FIRST_TRY_SHARE
         try:
-            async with clocks.timeout_ms(try_ms):
+            async with clocks.timeout_ms(try_ms) as bound:
+                passing.bound = bound
                 await self._pass_on(passing, host)
             return True
         except transport_errors.NotSentError as error:
@@ -162,7 +170,8 @@
                 passing.transcript,
                 reply,
                 self._settings.stall_timeout_ms,
-                _nothing,
+                self._left_ms(passing.head),
+                lambda: passing.flowing(self._left_ms(passing.head)),
             )
         await reply.close()
 
@@ -225,10 +234,6 @@
         )
 
 
-def _nothing() -> None:
-    """Ignore a first event; its time is known where it came from."""
-
-
 def _path(head: requests.RequestHead) -> str:
     if head.kind is requests.RequestKind.CHAT:
         return surface.CHAT_PATH
--- a/wrenspoke/coordination/limits.py
+++ b/wrenspoke/coordination/limits.py
@@ -16,11 +16,14 @@
     """Bound the requests in flight to one endpoint.
 
     Additive increase while the limit is in use, multiplicative decrease
-    when the endpoint turns work away or times out.
+    when the endpoint turns work away. Where the endpoint reports that
+    work waits there, more would only wait longer: the limit then goes
+    back towards the endpoint's slots.
     """
 
     def __init__(self, slots: int, clock: clocks.Clock):
         self._clock = clock
+        self._slots = float(slots)
         self._most = float(slots * HEADROOM)
         self._decreased_ms = -DECREASE_INTERVAL_MS
         self.limit = float(slots)
@@ -35,22 +38,29 @@
         """Count a request in."""
         self.in_flight += 1
 
-    def release(self, succeeded: bool, overloaded: bool) -> None:
-        """Count a request out and learn from its end."""
+    def release(
+        self, succeeded: bool, overloaded: bool, crowded: bool
+    ) -> None:
+        """Count a request out and learn from its end.
+
+        ``crowded`` says that the endpoint has work waiting.
+        """
         busy = self.in_flight >= self.limit * BUSY_SHARE
         self.in_flight -= 1
         if overloaded:
-            self._decrease()
+            self._decrease(SMALLEST_LIMIT)
+        elif crowded:
+            self._decrease(min(self.limit, self._slots))
         elif succeeded and busy:
             grown = self.limit + 1 / self.limit
             self.limit = min(self._most, grown)
 
-    def _decrease(self) -> None:
+    def _decrease(self, least: float) -> None:
         now_ms = self._clock.mono_ms()
         if now_ms - self._decreased_ms < DECREASE_INTERVAL_MS:
             return
         self._decreased_ms = now_ms
-        self.limit = max(SMALLEST_LIMIT, self.limit * DECREASE)
+        self.limit = max(least, self.limit * DECREASE)
 
 
 class Limits:
--- a/wrenspoke/coordination/loads.py
+++ b/wrenspoke/coordination/loads.py
@@ -97,6 +97,22 @@
             return None
         return report
 
+    def crowded(self, endpoint: ids.EndpointId) -> bool:
+        """Tell whether an endpoint last reported work that waits."""
+        report = self.reported(endpoint)
+        return report is not None and report.waiting > 0
+
+    def first_patience_ms(
+        self, endpoint: ids.EndpointId, stall_ms: float
+    ) -> float:
+        """Return how long a first event may take before it is late.
+
+        An engine that has work waiting is slow to begin, not broken.
+        """
+        report = self.reported(endpoint)
+        waiting = 0 if report is None else report.waiting
+        return stall_ms + (waiting + 1) * self.speed(endpoint).hold_ms
+
     def digest(
         self, endpoints: list[ids.EndpointId]
     ) -> list[messages.LoadReport]:
--- a/wrenspoke/coordination/placement.py
+++ b/wrenspoke/coordination/placement.py
@@ -32,11 +32,13 @@
         self,
         endpoint: configuration.Endpoint,
         limit: limits.AdaptiveLimit,
+        crowded: collections.abc.Callable[[ids.EndpointId], bool],
         wake: collections.abc.Callable[[], None],
     ):
         self.endpoint = endpoint
         self.open = True
         self._limit = limit
+        self._crowded = crowded
         self._wake = wake
         limit.acquire()
 
@@ -47,7 +49,8 @@
         if not self.open:
             return
         self.open = False
-        self._limit.release(succeeded, overloaded)
+        crowded = self._crowded(self.endpoint.endpoint)
+        self._limit.release(succeeded, overloaded, crowded)
         self._wake()
 
 
@@ -174,7 +177,12 @@
         if found is None:
             return None
         limit = self._limits.of(endpoint, found.slots)
-        return Slot(found, limit, self._queue(found.service).wake)
+        return Slot(
+            found,
+            limit,
+            self._loads.crowded,
+            self._queue(found.service).wake,
+        )
 
     def estimate_ms(self, head: requests.RequestHead) -> float:
         """Estimate the first token's time here; infinite without any."""
@@ -247,7 +255,7 @@
                 in_flight=limit.in_flight,
                 limit=round(limit.limit, 1),
             )
-            return Slot(endpoint, limit, queue.wake)
+            return Slot(endpoint, limit, self._loads.crowded, queue.wake)
         return None
 
     def _refuse_hopeless(
--- a/wrenspoke/coordination/streams.py
+++ b/wrenspoke/coordination/streams.py
@@ -93,18 +93,23 @@
     transcript: Transcript,
     reply: replies.Reply,
     stall_ms: float,
+    first_ms: float,
     first: collections.abc.Callable[[], None],
 ) -> None:
     """Pass events on until the stream is finished.
 
+    ``first_ms`` bounds the silence before the first event, ``stall_ms``
+    that before each later one.
+
     :raises MaybeSentError: it stopped before its end, or fell silent
     :raises EndingEventError: its sender said how it ended
     """
     events = sse.decode(chunks)
+    patience_ms = first_ms
     async with contextlib.aclosing(events):
         while not transcript.finished:
             try:
-                async with clocks.timeout_ms(stall_ms):
+                async with clocks.timeout_ms(patience_ms):
                     event = await anext(events, None)
             except TimeoutError as error:
                 raise errors.MaybeSentError('stream is silent') from error
@@ -115,6 +120,7 @@
             if event.event == replies.OUTCOME_EVENT:
                 raise EndingEventError(event.data)
             first()
+            patience_ms = stall_ms
             await reply.event(transcript.add(event))
 
 
@@ -243,12 +249,20 @@
                 self._server.loads.observe_first(send.endpoint, seen[0])
 
         stall_ms = self._server.settings.stall_timeout_ms
+        first_ms = self._server.loads.first_patience_ms(
+            send.endpoint, stall_ms
+        )
         left_ms = send.head.deadline_ms - started_ms
         try:
             async with clocks.timeout_ms(left_ms):
-                async with self._open(send, reply, stall_ms) as answer:
+                async with self._open(send, reply, first_ms) as answer:
                     await relay(
-                        answer.chunks(), transcript, reply, stall_ms, first
+                        answer.chunks(),
+                        transcript,
+                        reply,
+                        stall_ms,
+                        first_ms,
+                        first,
                     )
         except TimeoutError as error:
             tries.may_have_run = True
--- /dev/null
+++ b/wrenspoke/standin/relay.py
@@ -0,0 +1,78 @@
+"""A loopback relay that stands in for a wide-area link.
+
+It passes TCP bytes on with a delay, and can be cut: then bytes are held
+back without a word, as a partition does, until it heals or the end of
+the connection.
+"""
+
+import asyncio
+import contextlib
+
+from wrenspoke import runtime
+
+CHUNK_BYTES = 65_536
+LOCALHOST = '127.0.0.1'
+
+
+class Relay:
+    """Pass connections on from one port to another."""
+
+    def __init__(self, target_ip: str, target_port: int):
+        self._target = (target_ip, target_port)
+        self._open = asyncio.Event()
+        self._open.set()
+        self._server: asyncio.Server | None = None
+        self._tasks = runtime.Tasks()
+        self.delay_ms = 0
+        self.passed_bytes = 0
+
+    async def start(self, port: int) -> None:
+        """Listen on a port of loopback."""
+        self._server = await asyncio.start_server(
+            self._accept, LOCALHOST, port
+        )
+
+    def cut(self) -> None:
+        """Hold back everything from now on."""
+        self._open.clear()
+
+    def heal(self) -> None:
+        """Let everything through again."""
+        self._open.set()
+
+    async def close(self) -> None:
+        """End every connection."""
+        if self._server is not None:
+            self._server.close()
+        await self._tasks.close()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._open.wait()
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                *self._target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        there = self._tasks.start(self._pass(reader, target_writer), False)
+        back = self._tasks.start(self._pass(target_reader, writer), False)
+        await asyncio.wait([there, back])
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while True:
+                chunk = await reader.read(CHUNK_BYTES)
+                if self.delay_ms:
+                    await asyncio.sleep(self.delay_ms / 1000)
+                await self._open.wait()
+                if not chunk:
+                    break
+                writer.write(chunk)
+                self.passed_bytes += len(chunk)
+                await writer.drain()
+        writer.close()
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -118,7 +118,7 @@
 
     def callback(self, _domain: str, key: bytes) -> bool:
         """Tell pyzmq whether a key belongs to a known host."""
-        known = zmq.utils.z85.encode(key).decode() in self._hosts_by_key
+        known = key.decode() in self._hosts_by_key
         if not known:
             logger.warning('link_refused', reason='unknown_key')
         return known
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -18,9 +18,11 @@
 class HttpClient:
     """Send HTTP requests without redirects or silent repeats.
 
-    aiohttp sends an idempotent request again by itself when a reused
-    connection drops. ``fresh`` requests therefore go over a connection
-    of their own, on which there is nothing to repeat.
+    aiohttp sends an idempotent request again by itself when a connection
+    drops, a new connection too (seen with 3.14.5). ``_once_only`` stands
+    between and keeps the failure from its sight. ``fresh`` requests go
+    over a connection of their own besides, as a reused one may have been
+    closed by the other side a moment ago.
     """
 
     def __init__(self, connect_timeout_ms: int):
@@ -39,6 +41,7 @@
         return aiohttp.ClientSession(
             connector=connector,
             timeout=self._timeout,
+            middlewares=(_once_only,),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
@@ -69,11 +72,7 @@
                 data=body,
                 allow_redirects=False,
             )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-            aiohttp.InvalidURL,
-        ) as error:
+        except aiohttp.InvalidURL as error:
             raise errors.NotSentError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise errors.MaybeSentError(repr(error)) from error
@@ -88,6 +87,21 @@
         await self._fresh.close()
 
 
+async def _once_only(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Turn a failed send into an error that aiohttp does not repeat."""
+    try:
+        return await handler(request)
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise errors.NotSentError(str(error)) from error
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise errors.MaybeSentError(repr(error)) from error
+
+
 async def read_whole(
     response: aiohttp.ClientResponse, limit_bytes: int
 ) -> bytes:
