--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -13,7 +14,9 @@
 import msgspec
 
 from wrenspoke import caller as callers
+from wrenspoke import controld
 from wrenspoke import keys
+from wrenspoke import operator as operators
 from wrenspoke import settings
 from wrenspoke.standin import relay
 from wrenspoke.transport import web
@@ -219,9 +222,66 @@
         """Start one entry host."""
         self.spawn(host, 'wrenspoke.entryd', '--host', host)
 
-    def start_control(self, host: str, *arguments: str) -> None:
+    def start_control(self, host: str) -> None:
         """Start one control host."""
-        self.spawn(host, 'wrenspoke.controld', '--host', host, *arguments)
+        self.spawn(host, 'wrenspoke.controld', '--host', host)
+
+    def wipe(self, host: str) -> None:
+        """Lose a control host's disk."""
+        shutil.rmtree(self.folder / self.settings.host(host).data_folder)
+
+    def control_url(self, host: str) -> str:
+        """Return where operators reach a control host."""
+        port = self.settings.host(host).operator_port
+        return f'http://127.0.0.1:{port}'
+
+    def operator(self, token=TOKEN, hosts=()) -> operators.Operator:
+        """Return an operator who asks the control hosts."""
+        names = hosts or [
+            host.host for host in self.settings.with_role('control')
+        ]
+        urls = [self.control_url(name) for name in names]
+        made = operators.Operator(urls, token, int(WAIT_S * 1000))
+        self._callers.append(made)
+        return made
+
+    async def control_status(self, host: str) -> dict | None:
+        """Return a control host's status, or None if it gives none."""
+        client = operators.Operator([self.control_url(host)], TOKEN, 2000)
+        try:
+            return (await client.show('/status')).body
+        except operators.OperatorError:
+            return None
+        finally:
+            await client.close()
+
+    async def leader(self, *among: str) -> str:
+        """Return the control host that leads, once one does."""
+        names = among or [
+            host.host for host in self.settings.with_role('control')
+        ]
+
+        async def found():
+            for name in names:
+                if name not in self.processes:
+                    continue
+                status = await self.control_status(name)
+                if status and status['has_lease']:
+                    return name
+            return None
+
+        return await until(found, 'a leader')
+
+    async def wait_voters(self, count: int) -> dict:
+        """Wait until the leader counts so many voters; return its status."""
+
+        async def found():
+            status = await self.control_status(await self.leader())
+            if status and len(status['voters']) == count:
+                return status
+            return None
+
+        return await until(found, f'{count} voters')
 
     def log(self, name: str) -> str:
         """Return what a process has logged."""
@@ -345,9 +405,11 @@
         if relays:
             await fleet.lay_relays()
         fleet.start_standins()
-        for number, host in enumerate(fleet.settings.with_role('control')):
-            found = ['--found'] if number == 0 else []
-            fleet.start_control(host.host, *found)
+        controls = fleet.settings.with_role('control')
+        if controls:
+            controld.found(fleet.path, controls[0].host)
+        for host in controls:
+            fleet.start_control(host.host)
         for host in fleet.settings.with_role('entry'):
             if entries is None or host.host in entries:
                 fleet.start_entry(host.host)
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,311 @@
+"""Operators' decisions: accepted once, remembered, in force everywhere."""
+
+import asyncio
+import random
+
+import pytest
+
+from tests import fleet
+
+CONTROLS = ('control-1', 'control-2', 'control-3')
+
+
+def limit(team, rate):
+    """Return the intent to set a team's limit."""
+    return {
+        'type': 'change_limit',
+        'limit': {'team': team, 'requests_per_s': rate, 'burst': 5},
+    }
+
+
+@pytest.fixture
+async def running(tmp_path):
+    """Run three control hosts and two entry hosts, behind relays."""
+    made = fleet.deployment(controls=3)
+    async with fleet.running(tmp_path, made, relays=True) as started:
+        await started.wait_voters(3)
+        yield started
+
+
+async def change(operator, number, intent):
+    """Plan and confirm; return the confirm's answer."""
+    planned = await operator.plan(number, intent)
+    assert planned.status == 200, planned
+    plan = planned.body['answer']['plan']
+    return await operator.confirm(number + 1, plan)
+
+
+async def in_force(running, index, hosts=('north-1', 'south-1')):
+    """Wait until entry hosts have reached an index."""
+
+    async def reached():
+        found = [await running.status(host) for host in hosts]
+        return all(one and one['index'] >= index for one in found)
+
+    await fleet.until(reached, f'index {index}')
+
+
+async def teams(running, host):
+    """Return the limits that a control host knows."""
+    client = running.operator(hosts=[host])
+    found = await client.show('/configuration')
+    return found.body['limits']
+
+
+async def test_drain_by_plan_and_confirm(running):
+    operator = running.operator()
+    planned = await operator.plan(
+        1, {'type': 'drain', 'endpoint': 'north-chat-1'}
+    )
+    costs = planned.body['plan']['costs']
+    assert (costs['capacity_lost'], costs['caches_cold']) == (1.0, 1)
+    plan = planned.body['answer']['plan']
+    assert (await operator.show(f'/plans/{plan}')).body['plan'][
+        'state'
+    ] == 'proposed'
+    confirmed = await operator.confirm(2, plan)
+    assert confirmed.status == 200
+
+    async def done():
+        shown = await operator.show(f'/plans/{plan}')
+        return shown.body['plan']['state'] == 'done'
+
+    await fleet.until(done, 'the drain')
+    caller = running.caller('north-1')
+    body = {'messages': [{'role': 'user', 'content': 'x'}], 'stream': True}
+    result = await caller.chat(body)
+    assert result.outcome == 'whole'
+    runs = await running.runs('north-chat-1')
+    assert not runs['runs']
+
+
+async def test_same_number_gets_the_same_answer(running):
+    operator = running.operator()
+    intent = limit('blue', 5)
+    first = await operator.plan(1, intent)
+    assert (await operator.plan(1, intent)).body == first.body
+    other = await operator.plan(1, limit('blue', 6))
+    assert other.status == 409
+    plan = first.body['answer']['plan']
+    confirmed = await operator.confirm(2, plan)
+    again = await operator.confirm(2, plan)
+    assert again.body['answer'] == confirmed.body['answer']
+    # Another operator's numbers are their own.
+    second = running.operator(fleet.TOKEN + '2')
+    assert (await second.plan(1, limit('red', 1))).status == 200
+
+
+async def test_race_of_operators_has_one_winner(running):
+    one, two = running.operator(), running.operator(fleet.TOKEN + '2')
+    made = await asyncio.gather(
+        one.plan(1, limit('blue', 1)), two.plan(1, limit('blue', 2))
+    )
+    plans = [answer.body['answer']['plan'] for answer in made]
+    ended = await asyncio.gather(
+        one.confirm(2, plans[0]), two.confirm(2, plans[1])
+    )
+    assert sorted(answer.status for answer in ended) == [200, 409]
+    moved = [a for a in ended if a.status == 409][0]
+    assert moved.body['answer']['verdict'] == 'moved_on'
+
+
+@pytest.mark.parametrize(
+    'intent, field',
+    [
+        ({'type': 'drain', 'endpoint': 'nowhere'}, 'nowhere'),
+        ({'type': 'drain'}, 'endpoint'),
+        ({'type': 'fly'}, 'type'),
+        ({'type': 'undrain', 'endpoint': 'north-chat-1'}, 'active'),
+        (limit('blue', 0), 'requests_per_s'),
+        ({'type': 'load_model', 'endpoint': 'north-records-1',
+          'model': 'm'}, 'engine'),
+    ],
+)  # fmt: skip
+async def test_senseless_intents_are_refused(running, intent, field):
+    answer = await running.operator().plan(1, intent)
+    assert answer.status == 400
+    assert field in answer.body['error']['message']
+
+
+async def test_unknown_token_is_refused(running):
+    answer = await running.operator('wrong').plan(1, limit('a', 1))
+    assert answer.status == 401
+
+
+async def test_model_is_loaded_by_order_and_read_back(running):
+    operator = running.operator()
+    answer = await change(
+        operator,
+        1,
+        {
+            'type': 'load_model',
+            'endpoint': 'north-chat-1',
+            'model': 'small-2',
+        },
+    )
+    plan = answer.body['answer']['plan']
+
+    async def done():
+        shown = await operator.show(f'/plans/{plan}')
+        return shown.body['plan']['state'] == 'done'
+
+    await fleet.until(done, 'the load')
+    orders = (await running.runs('north-chat-1'))['orders']
+    assert [order['model'] for order in orders] == ['small-2']
+    assert orders[0]['number'] > 0
+
+
+async def test_restarts_forget_no_accepted_change(tmp_path):
+    """Kill random voters while changes are accepted; keep them all."""
+    made = fleet.deployment(controls=3, control={'snapshot_entries': 40})
+    chance = random.Random(7)
+    async with fleet.running(tmp_path, made) as running:
+        await running.wait_voters(3)
+        operator = running.operator()
+        accepted = {}
+        for number in range(60):
+            if number % 12 == 11:
+                victim = chance.choice(CONTROLS)
+                running.kill(victim)
+                running.start_control(victim)
+            team, rate = f'team-{number}', number + 1
+            answer = await change(operator, 2 * number, limit(team, rate))
+            assert answer.status == 200, answer
+            accepted[team] = rate
+        index = answer.body['answer']['index']
+        await in_force(running, index)
+        for host in CONTROLS:
+            running.kill(host)
+        for host in CONTROLS:
+            running.start_control(host)
+        await running.leader()
+        for host in CONTROLS:
+
+            async def has_all(host=host):
+                found = await teams(running, host)
+                rates = {
+                    team: one['requests_per_s'] for team, one in found.items()
+                }
+                return rates == accepted
+
+            await fleet.until(has_all, f'all changes at {host}')
+        again = await operator.confirm(2 * 59 + 1, 'ada-118')
+        assert again.body['answer'] == answer.body['answer']
+
+
+async def test_lost_disk_is_readmitted_and_a_second_loss_loses_nothing(
+    running,
+):
+    operator = running.operator()
+    for number in range(5):
+        await change(operator, 10 * number, limit(f't{number}', 1))
+    old = await running.control_status('control-2')
+    running.kill('control-2')
+    running.wipe('control-2')
+    running.start_control('control-2')
+
+    async def admitted():
+        status = await running.control_status(await running.leader())
+        found = status['voters'].get('control-2')
+        return found and found != old['incarnation']
+
+    await fleet.until(admitted, 'the new disk to be admitted')
+    leader = await running.leader()
+    second = leader if leader != 'control-2' else 'control-1'
+    running.kill(second)
+    running.wipe(second)
+    answer = await change(operator, 1000, limit('after', 1))
+    assert answer.status == 200
+    survivors = [host for host in CONTROLS if host != second]
+    for host in survivors:
+
+        async def has_all(host=host):
+            found = set(await teams(running, host))
+            return found == {'after', *(f't{number}' for number in range(5))}
+
+        await fleet.until(has_all, f'every change at {host}')
+
+
+async def test_old_copy_of_a_disk_gets_no_vote(running, tmp_path):
+    """A disk put back from a copy must not vote under its old name."""
+    import shutil
+
+    operator = running.operator()
+    await change(operator, 1, limit('before', 1))
+    running.kill('control-3')
+    folder = tmp_path / 'data' / 'control-3'
+    copy = tmp_path / 'copy'
+    shutil.copytree(folder, copy)
+    running.start_control('control-3')
+    await running.wait_voters(3)
+
+    async def cleared():
+        return running.log('control-3').count('event=cleared') >= 2
+
+    await fleet.until(cleared, 'the second start')
+    await change(operator, 10, limit('after', 1))
+    running.kill('control-3')
+    shutil.rmtree(folder)
+    shutil.copytree(copy, folder)
+    running.start_control('control-3')
+    await fleet.until(
+        lambda: 'event=old_disk' in running.log('control-3'), 'the notice'
+    )
+    await running.wait_voters(3)
+    found = await fleet.until(lambda: teams(running, 'control-3'), 'its state')
+    assert set(found) >= {'before'}
+
+
+async def test_cut_off_leader_accepts_nothing(running):
+    leader = await running.leader()
+    others = [host for host in CONTROLS if host != leader]
+    running.isolate(leader)
+    new = await running.leader(*others)
+    operator = running.operator(hosts=others)
+    answer = await change(operator, 1, limit('new', 1))
+    assert answer.status == 200
+
+    async def no_lease():
+        status = await running.control_status(leader)
+        return status and not status['has_lease']
+
+    await fleet.until(no_lease, 'the old leader to lose its lease')
+    running.heal()
+
+    async def follows():
+        status = await running.control_status(leader)
+        return (
+            status
+            and status['leader'] == new
+            and (
+                status['configuration_index'] >= answer.body['answer']['index']
+            )
+        )
+
+    await fleet.until(follows, 'the old leader to follow')
+
+
+async def test_configuration_never_goes_back(running):
+    """Through restarts without a disk, cut off from control or not."""
+    operator = running.operator()
+    answer = await change(operator, 1, limit('one', 1))
+    index = answer.body['answer']['index']
+    await in_force(running, index)
+    running.kill('north-1')
+    running.start_entry('north-1')
+    await running.wait_serving('north-1')
+    assert (await running.status('north-1'))['index'] >= index
+    # With nobody to ask, it serves nothing rather than something old.
+    running.kill('north-1')
+    running.isolate('north-1')
+    running.start_entry('north-1')
+    status = await fleet.until(lambda: running.status('north-1'), 'north-1')
+    await asyncio.sleep(2)
+    status = await running.status('north-1')
+    assert not status['serving']
+    caller = running.caller('north-1')
+    result = await caller.call('GET', 'records', '/map')
+    assert (result.outcome, result.reason) == (
+        'not_run',
+        'no_configuration',
+    )
--- a/wrenspoke/cli.py
+++ b/wrenspoke/cli.py
@@ -7,9 +7,13 @@
 import sys
 
 from wrenspoke import caller as callers
+from wrenspoke import clock as clocks
+from wrenspoke import controld
 from wrenspoke import demo
+from wrenspoke import errors
 from wrenspoke import keys
 from wrenspoke import logs
+from wrenspoke import operator as operators
 from wrenspoke.protocol import headers
 from wrenspoke import runtime
 from wrenspoke import settings
@@ -17,6 +21,7 @@
 OK = 0
 FAILED = 1
 USAGE = 2
+HTTP_OK = 200
 
 COMMANDS = {}
 
@@ -180,6 +185,136 @@
     return OK
 
 
+def add_control(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments that say where control hosts are."""
+    parser.add_argument(
+        '--control',
+        action='append',
+        required=True,
+        metavar='URL',
+        help='a control host; may be repeated, the leader is found',
+    )
+    parser.add_argument('--token-file', required=True, type=pathlib.Path)
+
+
+def add_number(parser: argparse.ArgumentParser) -> None:
+    """Add the operator's number of a request."""
+    parser.add_argument(
+        '--number',
+        type=int,
+        help='number of this request; give the same one to ask again after '
+        'a lost answer (default: the time in ms)',
+    )
+
+
+def parser_plan(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``plan``."""
+    add_control(parser)
+    add_number(parser)
+    kinds = parser.add_subparsers(dest='intent', required=True)
+    for name, fields in INTENTS.items():
+        kind = kinds.add_parser(name.replace('_', '-'))
+        for field in fields:
+            reader = json.loads if field in JSON_FIELDS else str
+            kind.add_argument(field, type=reader)
+
+
+INTENTS = {
+    'drain': ['endpoint'],
+    'undrain': ['endpoint'],
+    'load_model': ['endpoint', 'model'],
+    'retire_model': ['endpoint', 'model'],
+    'load_adapter': ['endpoint', 'adapter'],
+    'retire_adapter': ['endpoint', 'adapter'],
+    'change_role': ['endpoint', 'role'],
+    'change_rule': ['rule'],
+    'drop_rule': ['name'],
+    'change_limit': ['limit'],
+    'add_endpoint': ['item'],
+    'remove_endpoint': ['endpoint'],
+}
+JSON_FIELDS = {'rule', 'limit', 'item'}
+SENT_AS = {'name': 'rule', 'item': 'endpoint'}
+
+
+@command('plan', 'make a plan from an intent; nothing changes', parser_plan)
+async def run_plan(arguments: argparse.Namespace) -> int:
+    """Make a plan and print what it would do."""
+    name = arguments.intent.replace('-', '_')
+    intent = {'type': name}
+    for field in INTENTS[name]:
+        intent[SENT_AS.get(field, field)] = getattr(arguments, field)
+    number = _number(arguments)
+    return await _operate(arguments, lambda it: it.plan(number, intent))
+
+
+def parser_confirm(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``confirm``."""
+    add_control(parser)
+    add_number(parser)
+    parser.add_argument('plan')
+
+
+@command('confirm', 'put a plan in force', parser_confirm)
+async def run_confirm(arguments: argparse.Namespace) -> int:
+    """Confirm a plan."""
+    number = _number(arguments)
+    return await _operate(
+        arguments, lambda it: it.confirm(number, arguments.plan)
+    )
+
+
+def parser_show(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``show``."""
+    add_control(parser)
+    parser.add_argument(
+        'what', help='status, configuration, plans or the name of a plan'
+    )
+
+
+@command('show', 'show a plan, the plans or the control group', parser_show)
+async def run_show(arguments: argparse.Namespace) -> int:
+    """Look at what control hosts know."""
+    what = arguments.what
+    known = ('status', 'configuration', 'plans')
+    path = f'/{what}' if what in known else f'/plans/{what}'
+    return await _operate(arguments, lambda it: it.show(path))
+
+
+def _number(arguments: argparse.Namespace) -> int:
+    """Return the request's number, told for the case of a lost answer."""
+    number = arguments.number
+    if number is None:
+        number = clocks.Clock().wall_ms()
+    print(f'number {number}', file=sys.stderr)
+    return number
+
+
+async def _operate(arguments: argparse.Namespace, ask) -> int:
+    token = operators.read_token(arguments.token_file)
+    client = operators.Operator(arguments.control, token)
+    try:
+        answer = await ask(client)
+    finally:
+        await client.close()
+    print(json.dumps(answer.body, indent=2))
+    return OK if answer.status == HTTP_OK else FAILED
+
+
+def parser_found(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``found``."""
+    parser.add_argument('file', type=pathlib.Path)
+    parser.add_argument('--host', required=True)
+
+
+@command('found', 'begin a control group, once, on one host', parser_found)
+async def run_found(arguments: argparse.Namespace) -> int:
+    """Write the first log entries on an empty disk."""
+    controld.found(arguments.file, arguments.host)
+    print(f'{arguments.host}: founded; start its controld now')
+    return OK
+
+
 @command('demo', 'run every role in one process and show it')
 async def run_demo(_arguments: argparse.Namespace) -> int:
     """Run the demo."""
@@ -216,7 +351,7 @@
     except settings.SettingsError as error:
         print('\n'.join(error.problems), file=sys.stderr)
         sys.exit(USAGE)
-    except callers.CallerError as error:
+    except errors.WrenspokeError as error:
         sys.exit(str(error))
     except (KeyboardInterrupt, asyncio.CancelledError):
         sys.exit(FAILED)
--- /dev/null
+++ b/wrenspoke/controld.py
@@ -0,0 +1,150 @@
+"""``wrenspoke-controld``: the daemon of a control host."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import control
+from wrenspoke.coordination import dispatch
+from wrenspoke.coordination import execution
+from wrenspoke.coordination import replica
+from wrenspoke.coordination import voter
+from wrenspoke import entryd
+from wrenspoke import errors
+from wrenspoke import ids
+from wrenspoke import keys
+from wrenspoke import logs
+from wrenspoke.protocol import operators
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke import settings
+from wrenspoke.state import disk
+from wrenspoke.state import entries
+from wrenspoke.state import storage
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+
+class ControlDaemon:
+    """Build the parts of a control host, start and stop them."""
+
+    def __init__(
+        self,
+        deployment: settings.Deployment,
+        name: str,
+        folder: pathlib.Path,
+    ):
+        self._deployment = deployment
+        self._own = deployment.host(name)
+        host = ids.HostId(name)
+        clock = clocks.Clock()
+        self.peers = peer_calls.Peers(
+            keys.read_identity(
+                folder / deployment.keys_folder, deployment, self._own
+            ),
+            entryd.link_peers(deployment),
+            clock,
+            deployment.ledger.clock_skew_ms,
+        )
+        self.replica = replica.Replica()
+        self._client = web.HttpClient(deployment.entry.connect_timeout_ms)
+        kept = storage.Storage(disk.Disk(folder / self._own.data_folder))
+        hosts = [
+            ids.HostId(other.host) for other in deployment.with_role('control')
+        ]
+        self.voter = voter.Voter(
+            host,
+            hosts,
+            deployment.control,
+            kept,
+            self.peers,
+            self.replica,
+            clock,
+        )
+        dispatcher = dispatch.Dispatcher(
+            host,
+            ids.RegionId(self._own.region),
+            self.replica,
+            self._client,
+            clock,
+        )
+        self._executor = execution.Executor(
+            host, deployment, self.voter, dispatcher, clock
+        )
+        self.control = control.Control(
+            deployment,
+            self.voter,
+            self._executor,
+            self.replica,
+            self.peers,
+            clock,
+        )
+        surface = operators.OperatorSurface(self.control, deployment.operators)
+        self._web = web.HttpServer(surface.application())
+
+    async def start(self) -> None:
+        """Listen and begin every task."""
+        ip = str(self._own.ip)
+        await self.peers.links.start(ip, self._own.link_port)
+        self.voter.start()
+        self._executor.start()
+        await self._web.start(ip, self._own.operator_port)
+        logger.info('started', ip=ip, operator_port=self._own.operator_port)
+
+    async def close(self) -> None:
+        """End every task and close every socket."""
+        await self._web.close()
+        await self._executor.close()
+        await self.voter.close()
+        await self._client.close()
+        await self.peers.links.close()
+        logger.info('stopped')
+
+
+def found(path: pathlib.Path, name: str) -> None:
+    """Begin a new group on one control host's empty disk.
+
+    :raises InvalidChangeError: the disk holds a log already
+    """
+    deployment = settings.read(path)
+    folder = path.parent / deployment.host(name).data_folder
+    kept = storage.Storage(disk.Disk(folder))
+    first = entries.Found(deployment.first_configuration())
+    voter.found(kept, ids.HostId(name), first)
+
+
+async def serve(path: pathlib.Path, name: str) -> None:
+    """Run one control host until it is told to stop."""
+    deployment = settings.read(path)
+    daemon = ControlDaemon(deployment, name, path.parent)
+    await daemon.start()
+    await runtime.wait_for_stop()
+    await daemon.close()
+
+
+def main() -> None:
+    """Parse arguments, configure logs and hand over."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--settings', required=True, type=pathlib.Path)
+    parser.add_argument('--host', required=True, help='name in the file')
+    parser.add_argument(
+        '--log-level', default='info', choices=sorted(logs.LEVELS)
+    )
+    arguments = parser.parse_args()
+    logs.configure(arguments.log_level, arguments.host)
+    try:
+        runtime.run(serve(arguments.settings, arguments.host))
+    except errors.WrenspokeError as error:
+        logger.error('not_started', reason=str(error))
+        sys.exit(str(error))
+    except asyncio.CancelledError:
+        pass
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/wrenspoke/coordination/control.py
@@ -0,0 +1,209 @@
+"""What a control host does for operators and for entry hosts."""
+
+import hashlib
+
+import msgspec
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke.coordination import execution
+from wrenspoke.coordination import replica
+from wrenspoke.coordination import voter
+from wrenspoke import ids
+from wrenspoke.protocol import messages
+from wrenspoke.protocol import operators
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import settings
+from wrenspoke.state import entries
+from wrenspoke.state import errors as state_errors
+from wrenspoke.state import plans
+from wrenspoke.state import replicated
+
+logger = structlog.get_logger(__name__)
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONFLICT = 409
+UNAVAILABLE = 503
+STATUSES = {
+    replicated.Verdict.ACCEPTED: OK,
+    replicated.Verdict.CONFLICT: CONFLICT,
+    replicated.Verdict.MOVED_ON: CONFLICT,
+    replicated.Verdict.UNKNOWN: NOT_FOUND,
+    replicated.Verdict.TOO_OLD: CONFLICT,
+}
+
+
+class Control:
+    """Plan, confirm and explain; hand the configuration to entry hosts."""
+
+    def __init__(
+        self,
+        deployment: settings.Deployment,
+        elected: voter.Voter,
+        executor: execution.Executor,
+        held: replica.Replica,
+        peers: peer_calls.Peers,
+        clock: clocks.Clock,
+    ):
+        self._operator_urls = {
+            host.host: f'http://{host.ip}:{host.operator_port}'
+            for host in deployment.with_role('control')
+        }
+        self._voter = elected
+        self._executor = executor
+        self._replica = held
+        self._clock = clock
+        peers.answers(messages.PullConfiguration)(self._answer_pull)
+
+    async def _answer_pull(
+        self, _sender: ids.HostId, message: messages.PullConfiguration
+    ) -> messages.ConfigurationDelta:
+        if message.standing is not None:
+            self._executor.hear(message.standing)
+        delta = self._replica.after(message.after)
+        delta.confirmed = self._voter.has_lease
+        delta.leader = self._voter.leader
+        return delta
+
+    async def plan(
+        self, operator: ids.OperatorId, request: operators.PlanRequest
+    ) -> operators.OperatorAnswer:
+        """Make a plan; the same request again gets the same answer."""
+        digest = _digest('plan', request)
+        known = self._known(operator, request.number, digest)
+        if known is not None:
+            return known
+        try:
+            plan = plans.make(
+                ids.PlanId(f'{operator}-{request.number}'),
+                operator,
+                request.intent,
+                self._voter.state.configuration,
+                self._clock.wall_ms(),
+                self._executor.load_wait_ms(),
+            )
+        except state_errors.StateError as error:
+            return _error(BAD_REQUEST, f'intent: {error}')
+        entry = entries.MakePlan(operator, request.number, digest, plan)
+        return await self._propose(entry)
+
+    async def confirm(
+        self,
+        operator: ids.OperatorId,
+        plan: ids.PlanId,
+        request: operators.ConfirmRequest,
+    ) -> operators.OperatorAnswer:
+        """Put a plan in force; the same again gets the same answer."""
+        digest = _digest(f'confirm {plan}', request)
+        known = self._known(operator, request.number, digest)
+        if known is not None:
+            return known
+        return await self._propose(
+            entries.ConfirmPlan(
+                operator,
+                request.number,
+                digest,
+                plan,
+                self._clock.wall_ms(),
+            )
+        )
+
+    def _known(
+        self, operator: ids.OperatorId, number: int, digest: str
+    ) -> operators.OperatorAnswer | None:
+        if not self._voter.has_lease:
+            return self._not_leader(may_be_accepted=False)
+        answer = self._voter.state.known_answer(operator, number, digest)
+        return None if answer is None else self._answered(answer)
+
+    async def _propose(
+        self, entry: entries.MakePlan | entries.ConfirmPlan
+    ) -> operators.OperatorAnswer:
+        try:
+            applied = await self._voter.propose(entry)
+        except errors.NotLeaderError as error:
+            return self._not_leader(error.may_be_accepted)
+        logger.info(
+            'operator_decision',
+            operator=entry.operator,
+            number=entry.number,
+            verdict=applied.answer.verdict,
+            plan=applied.answer.plan,
+            detail=applied.answer.detail,
+        )
+        return self._answered(applied.answer)
+
+    def _answered(self, answer: replicated.Answer) -> operators.OperatorAnswer:
+        body = {'answer': answer}
+        plan = self._voter.state.plans.get(answer.plan)
+        if plan is not None:
+            body['plan'] = plan
+        return operators.OperatorAnswer(STATUSES[answer.verdict], body)
+
+    def _not_leader(self, may_be_accepted: bool) -> operators.OperatorAnswer:
+        leader = self._voter.leader
+        body = {
+            'error': {
+                'message': 'this control host does not lead',
+                'leader': self._operator_urls.get(leader),
+                'may_be_accepted': may_be_accepted,
+            }
+        }
+        known = leader is not None and leader in self._operator_urls
+        status = operators.MISDIRECTED if known else UNAVAILABLE
+        return operators.OperatorAnswer(status, body)
+
+    def show_plan(self, plan: ids.PlanId) -> operators.OperatorAnswer:
+        """Tell what a plan is, how far it has come and why."""
+        found = self._voter.state.plans.get(plan)
+        if found is None:
+            return _error(NOT_FOUND, f'no plan {plan}')
+        body = {
+            'plan': found,
+            'waits_for': self._executor.waiting_for.get(plan, ''),
+        }
+        return operators.OperatorAnswer(OK, body)
+
+    def list_plans(self) -> operators.OperatorAnswer:
+        """List the plans that are kept, oldest first."""
+        listed = [
+            {
+                'plan': plan.plan,
+                'operator': plan.operator,
+                'state': plan.state,
+                'summary': plan.summary,
+            }
+            for plan in self._voter.state.plans.values()
+        ]
+        return operators.OperatorAnswer(OK, {'plans': listed})
+
+    def show_configuration(self) -> operators.OperatorAnswer:
+        """Return the configuration as this host has it."""
+        return operators.OperatorAnswer(OK, self._voter.state.configuration)
+
+    def show_status(self) -> operators.OperatorAnswer:
+        """Tell what this control host knows of the group."""
+        elected = self._voter
+        body = {
+            'role': elected.role,
+            'term': elected.term,
+            'leader': elected.leader,
+            'has_lease': elected.has_lease,
+            'incarnation': elected.incarnation,
+            'voters': elected.voters,
+            'commit_index': elected.commit_index,
+            'configuration_index': elected.state.configuration.index,
+        }
+        return operators.OperatorAnswer(OK, body)
+
+
+def _digest(what: str, request: msgspec.Struct) -> str:
+    body = what.encode() + msgspec.json.encode(request)
+    return hashlib.sha256(body).hexdigest()
+
+
+def _error(status: int, message: str) -> operators.OperatorAnswer:
+    return operators.OperatorAnswer(status, {'error': {'message': message}})
--- a/wrenspoke/coordination/dispatch.py
+++ b/wrenspoke/coordination/dispatch.py
@@ -41,6 +41,7 @@
     RESUME = 'resume'
     CANCEL = 'cancel'
     LOAD = 'load'
+    ORDER = 'order'
 
 
 NEW_WORK = frozenset([Purpose.FIRST, Purpose.RETRY])
--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -48,3 +48,15 @@
 
 class KeyForgottenError(CoordinationError):
     """Say that the key is older than what the ledger remembers."""
+
+
+class NotLeaderError(CoordinationError):
+    """Say that this control host does not lead, and who may.
+
+    ``may_be_accepted`` says that what was asked may come into force.
+    """
+
+    def __init__(self, leader: str | None, may_be_accepted: bool):
+        super().__init__(f'leader is {leader}')
+        self.leader = leader
+        self.may_be_accepted = may_be_accepted
--- /dev/null
+++ b/wrenspoke/coordination/execution.py
@@ -0,0 +1,351 @@
+"""Carry out confirmed plans: orders to engines, and waits.
+
+Only the leader acts, and only under its lease. Each order is allowed by
+a committed entry whose index is the order's fencing number, so an engine
+that checks it refuses a leader that was replaced. For engines that do not
+check, a new leader first waits until the old one's lease and longest
+order must be over.
+"""
+
+import asyncio
+import dataclasses
+
+import msgspec
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import dispatch
+from wrenspoke.coordination import errors
+from wrenspoke.coordination import voter
+from wrenspoke import ids
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import messages
+from wrenspoke import runtime
+from wrenspoke import settings
+from wrenspoke.state import configuration
+from wrenspoke.state import entries
+from wrenspoke.state import plans
+
+logger = structlog.get_logger(__name__)
+
+ORDERS_PATH = '/orders'
+STATE_PATH = '/state'
+ANSWER_LIMIT_BYTES = 64 * 1024
+OK = 200
+OLD_NUMBER = 409
+ORDER_TRIES = 5
+TRY_INTERVAL_MS = 500
+MS_PER_MINUTE = 60_000
+STANDING_AGE_LIMIT_MS = 5_000
+
+
+class EngineState(msgspec.Struct):
+    """Be what an engine says at ``GET /state``."""
+
+    models: list[str] = []
+    adapters: list[str] = []
+    role: str = ''
+    fence: int = 0
+    running: int = 0
+    waiting: int = 0
+
+
+@dataclasses.dataclass
+class HeardStanding:
+    """Hold what a data centre last told, and when."""
+
+    standing: messages.Standing
+    heard_ms: int
+
+
+class OrderFailedError(errors.CoordinationError):
+    """Say why an order did not take effect."""
+
+
+class Executor:
+    """Carry out the steps of confirmed plans while this host leads."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        deployment: settings.Deployment,
+        elected: voter.Voter,
+        dispatcher: dispatch.Dispatcher,
+        clock: clocks.Clock,
+    ):
+        self._host = host
+        self._settings = deployment.control
+        self._data_centres: dict[str, set[str]] = {}
+        for entry in deployment.with_role('entry'):
+            known = self._data_centres.setdefault(entry.region, set())
+            known.add(entry.data_centre)
+        self._voter = elected
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._standings: dict[ids.DataCentreId, HeardStanding] = {}
+        self._steps: dict[ids.PlanId, asyncio.Task] = {}
+        self._tasks = runtime.Tasks()
+        self.waiting_for: dict[ids.PlanId, str] = {}
+
+    def start(self) -> None:
+        """Begin to look for steps to carry out."""
+        self._tasks.start(self._run())
+
+    async def close(self) -> None:
+        """End every task."""
+        await self._tasks.close()
+
+    def hear(self, standing: messages.Standing) -> None:
+        """Note how far a data centre has come."""
+        self._standings[standing.data_centre] = HeardStanding(
+            standing, self._clock.mono_ms()
+        )
+
+    def load_wait_ms(self) -> int:
+        """Return how long a load planned now waits for the weight store."""
+        ahead = sum(
+            1
+            for plan in self._voter.state.running()
+            if isinstance(plan.current, plans.Order) and plan.current.loads
+        )
+        free_ms = self._next_load_ms() - self._clock.wall_ms()
+        return max(0, free_ms) + ahead * self._load_interval_ms()
+
+    def _load_interval_ms(self) -> int:
+        return MS_PER_MINUTE // self._settings.weight_loads_per_minute
+
+    def _next_load_ms(self) -> int:
+        return self._voter.state.last_load_ms + self._load_interval_ms()
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep_ms(self._settings.drain_poll_interval_ms)
+            if not self._voter.has_lease:
+                continue
+            for plan in self._voter.state.running():
+                if plan.plan in self._steps:
+                    continue
+                task = self._tasks.start(self._step(plan), fatal=False)
+                self._steps[plan.plan] = task
+                task.add_done_callback(
+                    lambda _task, name=plan.plan: self._steps.pop(name)
+                )
+
+    async def _step(self, plan: plans.Plan) -> None:
+        step = plan.current
+        try:
+            if isinstance(step, plans.WaitIdle):
+                detail = await self._wait_idle(plan, step)
+            else:
+                detail = await self._order(plan, step)
+            succeeded = True
+        except OrderFailedError as error:
+            succeeded, detail = False, str(error)
+        except errors.NotLeaderError:
+            return
+        finally:
+            self.waiting_for.pop(plan.plan, None)
+        logger.info(
+            'step_ended',
+            plan=plan.plan,
+            step=plan.reached,
+            succeeded=succeeded,
+            detail=detail,
+        )
+        end = entries.EndStep(
+            plan.plan,
+            plan.reached,
+            succeeded,
+            detail,
+            self._clock.wall_ms(),
+        )
+        try:
+            await self._voter.propose(end)
+        except errors.NotLeaderError:
+            return
+
+    def _check_lead(self) -> None:
+        if not self._voter.has_lease:
+            raise errors.NotLeaderError(None, may_be_accepted=False)
+
+    async def _pause(self) -> None:
+        await self._clock.sleep_ms(self._settings.drain_poll_interval_ms)
+        self._check_lead()
+
+    # Waiting for an endpoint to finish.
+
+    async def _wait_idle(self, plan: plans.Plan, step: plans.WaitIdle) -> str:
+        """Return once no host can send to the endpoint and none waits.
+
+        Only entry hosts of the endpoint's region send to it, so only
+        their data centres have to be heard.
+        """
+        while True:
+            self._check_lead()
+            found = self._voter.state.configuration.endpoints.get(
+                step.endpoint
+            )
+            if found is None:
+                return 'endpoint is gone'
+            waits = self._unsettled(plan, found)
+            if not waits:
+                waits = await self._engine_waits(found)
+            if not waits:
+                return 'idle'
+            self.waiting_for[plan.plan] = waits
+            await self._pause()
+
+    def _unsettled(
+        self, plan: plans.Plan, endpoint: configuration.Endpoint
+    ) -> str:
+        now_ms = self._clock.mono_ms()
+        for data_centre in self._data_centres.get(endpoint.region, ()):
+            heard = self._standings.get(data_centre)
+            if (
+                heard is None
+                or now_ms - heard.heard_ms > STANDING_AGE_LIMIT_MS
+            ):
+                return f'{data_centre} is not heard from'
+            if heard.standing.low_index < plan.reached_index:
+                return f'{data_centre} has not got the change'
+            for busy in heard.standing.busy:
+                if busy.endpoint == endpoint.endpoint:
+                    return f'{busy.in_flight} requests in flight'
+        return ''
+
+    async def _engine_waits(self, endpoint: configuration.Endpoint) -> str:
+        services = self._voter.state.configuration.services
+        kind = services[endpoint.service].kind
+        if kind is not configuration.ServiceKind.ENGINE:
+            return ''
+        try:
+            state = await self._read_state(endpoint.endpoint)
+        except OrderFailedError:
+            # An engine that does not answer has no work to finish.
+            return ''
+        if state.running or state.waiting:
+            return f'engine has {state.running + state.waiting} requests'
+        return ''
+
+    # Orders.
+
+    async def _order(self, plan: plans.Plan, step: plans.Order) -> str:
+        await self._wait_for_predecessor(plan, step)
+        await self._wait_for_weights(plan, step)
+        problem = ''
+        for _try in range(ORDER_TRIES):
+            self._check_lead()
+            number = await self._issue(plan)
+            try:
+                await self._send(step, number)
+                await self._read_back(step)
+                return f'order {number} took effect'
+            except OrderFailedError as error:
+                problem = str(error)
+                logger.warning(
+                    'order_failed',
+                    endpoint=step.endpoint,
+                    number=number,
+                    error=problem,
+                )
+            await self._clock.sleep_ms(TRY_INTERVAL_MS)
+        raise OrderFailedError(problem)
+
+    async def _wait_for_predecessor(
+        self, plan: plans.Plan, step: plans.Order
+    ) -> None:
+        """Wait out the old leader where the engine would obey it."""
+        found = self._voter.state.configuration.endpoint(step.endpoint)
+        if found.fenced:
+            return
+        due_ms = (
+            self._voter.led_since_ms
+            + self._settings.election_timeout_ms
+            + self._settings.order_timeout_ms
+        )
+        while self._clock.mono_ms() < due_ms:
+            self.waiting_for[plan.plan] = "the old leader's orders"
+            await self._pause()
+
+    async def _wait_for_weights(
+        self, plan: plans.Plan, step: plans.Order
+    ) -> None:
+        while step.loads and self._clock.wall_ms() < self._next_load_ms():
+            self.waiting_for[plan.plan] = 'the weight store'
+            await self._pause()
+
+    async def _issue(self, plan: plans.Plan) -> int:
+        """Commit the right to send, and return the fencing number."""
+        await self._voter.propose(
+            entries.IssueOrder(
+                plan.plan, plan.reached, self._host, self._clock.wall_ms()
+            )
+        )
+        found = self._voter.state.plans[plan.plan]
+        if found.reached != plan.reached or not found.issued_index:
+            raise errors.NotLeaderError(None, may_be_accepted=False)
+        return found.issued_index
+
+    async def _send(self, step: plans.Order, number: int) -> None:
+        body = {'kind': step.kind}
+        for field in ('model', 'adapter', 'role'):
+            value = getattr(step, field)
+            if value:
+                body[field] = value
+        send = dispatch.Send(
+            dispatch.Purpose.ORDER,
+            step.endpoint,
+            'POST',
+            ORDERS_PATH,
+            msgspec.json.encode(body),
+            extra={headers.FENCE: str(number)},
+        )
+        # The last look before the order goes out. What is left of the
+        # lease bounds how late it can arrive from here.
+        self._check_lead()
+        logger.info(
+            'order_sent', endpoint=step.endpoint, number=number, **body
+        )
+        status = await self._exchange(send, None)
+        if status == OLD_NUMBER:
+            raise OrderFailedError(f'number {number} was refused as old')
+        if status != OK:
+            raise OrderFailedError(f'engine answered {status}')
+
+    async def _exchange(
+        self, send: dispatch.Send, into: list[bytes] | None
+    ) -> int:
+        try:
+            async with clocks.timeout_ms(self._settings.order_timeout_ms):
+                async with self._dispatcher.send(send) as answer:
+                    body = await answer.whole(ANSWER_LIMIT_BYTES)
+        except (errors.CoordinationError, TimeoutError) as error:
+            raise OrderFailedError(repr(error)) from error
+        if into is not None:
+            into.append(body)
+        return answer.status
+
+    async def _read_state(self, endpoint: ids.EndpointId) -> EngineState:
+        send = dispatch.Send(
+            dispatch.Purpose.ORDER, endpoint, 'GET', STATE_PATH
+        )
+        bodies: list[bytes] = []
+        status = await self._exchange(send, bodies)
+        if status != OK:
+            raise OrderFailedError(f'engine answered {status}')
+        try:
+            return msgspec.json.decode(bodies[0], type=EngineState)
+        except msgspec.DecodeError as error:
+            raise OrderFailedError(str(error)) from error
+
+    async def _read_back(self, step: plans.Order) -> None:
+        """Look whether the engine is now as the order says."""
+        state = await self._read_state(step.endpoint)
+        if step.kind == 'role':
+            held = state.role == step.role
+        elif step.adapter:
+            held = (step.adapter in state.adapters) == (step.kind == 'load')
+        else:
+            held = (step.model in state.models) == (step.kind == 'load')
+        if not held:
+            raise OrderFailedError('engine does not show what was ordered')
--- a/wrenspoke/coordination/members.py
+++ b/wrenspoke/coordination/members.py
@@ -1,10 +1,12 @@
 """Which entry hosts live, drain or are suspected, as seen from here."""
 
 import dataclasses
+import itertools
 
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination import limits
 from wrenspoke.coordination import loads
 from wrenspoke.coordination import replica
 from wrenspoke.coordination import routing
@@ -26,6 +28,7 @@
     heard_ms: int
     draining: bool = False
     index: int = 0
+    busy: list[messages.Busy] = dataclasses.field(default_factory=list)
     suspected: bool = False
 
 
@@ -44,6 +47,7 @@
         peers: peer_calls.Peers,
         held: replica.Replica,
         load_table: loads.Loads,
+        limit_table: limits.Limits,
         clock: clocks.Clock,
     ):
         self._settings = deployment.entry
@@ -52,6 +56,7 @@
         self._peers = peers
         self._replica = held
         self._loads = load_table
+        self._limits = limit_table
         self._clock = clock
         self._entries = {
             entry.host: entry for entry in deployment.with_role('entry')
@@ -167,6 +172,7 @@
             index=index,
             loads=self._loads.digest(own),
             leaving=sorted(self._replica.leaving),
+            busy=self._busy_here(),
         )
         for host in self._near:
             await self._peers.tell(host, beat)
@@ -181,7 +187,7 @@
         if known is None or known.suspected:
             logger.info('host_alive', peer=sender)
         self._seen[sender] = Seen(
-            self._clock.mono_ms(), beat.draining, beat.index
+            self._clock.mono_ms(), beat.draining, beat.index, beat.busy
         )
         for report in beat.loads:
             self._loads.report(report)
@@ -204,6 +210,33 @@
                     silence_ms=silence_ms,
                 )
 
+    def _busy_here(self) -> list[messages.Busy]:
+        """Return what is in flight to endpoints that are to finish."""
+        return [
+            messages.Busy(endpoint.endpoint, in_flight)
+            for endpoint in self._replica.current.endpoints.values()
+            if not self._replica.takes_work(endpoint)
+            and (in_flight := self._limits.in_flight(endpoint.endpoint))
+        ]
+
+    def standing(self) -> messages.Standing:
+        """Return how far this data centre's hosts have come."""
+        low_index = self._replica.current.index
+        counts: dict[ids.EndpointId, int] = {}
+        seen = [self._seen[host] for host in self._near if self.alive(host)]
+        for peer in seen:
+            low_index = min(low_index, peer.index)
+        busy_lists = [self._busy_here(), *(peer.busy for peer in seen)]
+        for busy in itertools.chain.from_iterable(busy_lists):
+            count = counts.get(busy.endpoint, 0) + busy.in_flight
+            counts[busy.endpoint] = count
+        return messages.Standing(
+            ids.DataCentreId(self._host.data_centre),
+            ids.RegionId(self._host.region),
+            low_index,
+            [messages.Busy(name, count) for name, count in counts.items()],
+        )
+
     def waited_for_peers(self) -> bool:
         """Tell whether every near peer was heard of or given up on."""
         waited_ms = self._clock.mono_ms() - self._started_ms
--- a/wrenspoke/coordination/pulls.py
+++ b/wrenspoke/coordination/pulls.py
@@ -144,7 +144,12 @@
     async def _pull(
         self, host: ids.HostId
     ) -> messages.ConfigurationDelta | None:
-        message = messages.PullConfiguration(self._replica.current.index)
+        standing = None
+        if host in self._control:
+            standing = self._members.standing()
+        message = messages.PullConfiguration(
+            self._replica.current.index, standing
+        )
         try:
             answer = await self._peers.call(host, message, CALL_TIMEOUT_MS)
         except protocol_errors.ProtocolError:
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -68,7 +68,13 @@
         self.loads = loads.Loads(clock)
         limit_table = limits.Limits(clock)
         self.members = members.Members(
-            deployment, self._own, self.peers, self.replica, self.loads, clock
+            deployment,
+            self._own,
+            self.peers,
+            self.replica,
+            self.loads,
+            limit_table,
+            clock,
         )
         self._puller = pulls.Puller(
             host, deployment, self.peers, self.members, self.replica, clock
--- /dev/null
+++ b/wrenspoke/operator.py
@@ -0,0 +1,106 @@
+"""An operator's side: plan, confirm and look, at whichever host leads."""
+
+import pathlib
+import typing
+
+import msgspec
+
+from wrenspoke import clock as clocks
+from wrenspoke import errors
+from wrenspoke.protocol import operators
+from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import web
+
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+CONNECT_TIMEOUT_MS = 1_000
+ROUND_INTERVAL_MS = 200
+UNAVAILABLE = 503
+
+
+class OperatorError(errors.WrenspokeError):
+    """Say that no control host that leads could be reached."""
+
+
+class Operator:
+    """Ask control hosts until the leader answers.
+
+    A request carries the operator's number, so that asking again after a
+    lost answer changes nothing and gets the same answer.
+    """
+
+    def __init__(
+        self,
+        urls: list[str],
+        token: str,
+        timeout_ms: int = 20_000,
+        clock: clocks.Clock | None = None,
+    ):
+        self._urls = list(urls)
+        self._headers = {'Authorization': f'Bearer {token}'}
+        self._timeout_ms = timeout_ms
+        self._clock = clock or clocks.Clock()
+        self._client = web.HttpClient(CONNECT_TIMEOUT_MS)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._client.close()
+
+    async def plan(
+        self, number: int, intent: dict[str, typing.Any]
+    ) -> operators.OperatorAnswer:
+        """Ask for a plan."""
+        body = {'number': number, 'intent': intent}
+        return await self._ask('POST', '/plans', body)
+
+    async def confirm(
+        self, number: int, plan: str
+    ) -> operators.OperatorAnswer:
+        """Confirm a plan."""
+        path = f'/plans/{plan}/confirm'
+        return await self._ask('POST', path, {'number': number})
+
+    async def show(self, path: str) -> operators.OperatorAnswer:
+        """Look at something: a plan, the configuration, the status."""
+        return await self._ask('GET', path, None)
+
+    async def _ask(
+        self, method: str, path: str, body: dict | None
+    ) -> operators.OperatorAnswer:
+        data = None if body is None else msgspec.json.encode(body)
+        until_ms = self._clock.mono_ms() + self._timeout_ms
+        problem = ''
+        while self._clock.mono_ms() < until_ms:
+            for url in self._urls:
+                try:
+                    answer = await self._ask_one(method, url + path, data)
+                except (
+                    transport_errors.TransportError,
+                    TimeoutError,
+                ) as error:
+                    problem = f'{url}: {error!r}'
+                    continue
+                if answer.status in (operators.MISDIRECTED, UNAVAILABLE):
+                    problem = f'{url}: {answer.body}'
+                    continue
+                return answer
+            await self._clock.sleep_ms(ROUND_INTERVAL_MS)
+        raise OperatorError(f'no control host that leads: {problem}')
+
+    async def _ask_one(
+        self, method: str, url: str, data: bytes | None
+    ) -> operators.OperatorAnswer:
+        async with clocks.timeout_ms(self._timeout_ms / 4):
+            async with self._client.send(
+                method, url, self._headers, data, fresh=True
+            ) as found:
+                raw = await web.read_whole(found, ANSWER_LIMIT_BYTES)
+        body = msgspec.json.decode(raw) if raw else {}
+        return operators.OperatorAnswer(found.status, body)
+
+
+def read_token(path: pathlib.Path) -> str:
+    """Return the token in a file."""
+    try:
+        return path.read_text().strip()
+    except OSError as error:
+        raise OperatorError(f'{path}: {error.strerror}') from error
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -6,7 +6,9 @@
 
 from wrenspoke import ids
 from wrenspoke.state import configuration
+from wrenspoke.state import entries
 from wrenspoke.state import registers
+from wrenspoke.state import storage
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -18,6 +20,13 @@
     age_ms: int
 
 
+class Busy(msgspec.Struct, array_like=True, frozen=True):
+    """State how many requests are at an endpoint that is to finish."""
+
+    endpoint: ids.EndpointId
+    in_flight: int
+
+
 class Beat(msgspec.Struct, tag='beat'):
     """Tell the peers of a data centre that this host lives."""
 
@@ -25,12 +34,26 @@
     index: int
     loads: list[LoadReport] = []
     leaving: list[ids.EndpointId] = []
+    busy: list[Busy] = []
+
+
+class Standing(msgspec.Struct, array_like=True, frozen=True):
+    """State how far a data centre's entry hosts have come.
+
+    ``low_index`` is the lowest configuration in force at any of them.
+    """
+
+    data_centre: ids.DataCentreId
+    region: ids.RegionId
+    low_index: int
+    busy: list[Busy]
 
 
 class PullConfiguration(msgspec.Struct, tag='pull'):
-    """Ask for the changes after an index."""
+    """Ask for the changes after an index; relays tell their standing."""
 
     after: int
+    standing: Standing | None = None
 
 
 class ConfigurationDelta(msgspec.Struct, tag='delta'):
@@ -86,6 +109,72 @@
     memory: registers.Memory
 
 
+class Hello(msgspec.Struct, tag='hello'):
+    """Tell which disk a control host starts on.
+
+    ``boot`` counts the starts, ``start`` tells this one from another of
+    the same number.
+    """
+
+    incarnation: ids.Incarnation
+    boot: int
+    start: str
+
+
+class HelloReply(msgspec.Struct, tag='hello_reply'):
+    """Answer a hello with the highest start known before of that disk."""
+
+    known_boot: int
+
+
+class AskVote(msgspec.Struct, tag='ask_vote'):
+    """Ask for a vote; ``pre`` only asks whether it would be given."""
+
+    term: int
+    incarnation: ids.Incarnation
+    last_index: int
+    last_term: int
+    pre: bool
+
+
+class VoteReply(msgspec.Struct, tag='vote_reply'):
+    """Answer a call for votes."""
+
+    term: int
+    granted: bool
+    incarnation: ids.Incarnation
+
+
+class Append(msgspec.Struct, tag='append'):
+    """Send log entries, or just a heartbeat, from the leader."""
+
+    term: int
+    previous_index: int
+    previous_term: int
+    commit: int
+    added: list[entries.LogEntry] = []
+
+
+class AppendReply(msgspec.Struct, tag='append_reply'):
+    """Answer an append.
+
+    ``last_index`` is the highest index that is synced and equal to the
+    leader's if ``matched``; otherwise the next one to try from.
+    """
+
+    term: int
+    matched: bool
+    last_index: int
+    incarnation: ids.Incarnation
+
+
+class Install(msgspec.Struct, tag='install'):
+    """Send a whole snapshot in place of entries that are gone."""
+
+    term: int
+    snapshot: storage.Snapshot
+
+
 class Refusal(msgspec.Struct, tag='refusal'):
     """Say why a message was not acted on."""
 
@@ -101,5 +190,12 @@
     LedgerVote,
     Recall,
     Recollection,
+    Hello,
+    HelloReply,
+    AskVote,
+    VoteReply,
+    Append,
+    AppendReply,
+    Install,
     Refusal,
 ]
--- /dev/null
+++ b/wrenspoke/protocol/operators.py
@@ -0,0 +1,167 @@
+"""The HTTP surface of a control host, for operators."""
+
+import hashlib
+import hmac
+import typing
+
+from aiohttp import web
+import msgspec
+import structlog
+
+from wrenspoke import ids
+from wrenspoke.protocol import errors
+from wrenspoke import settings
+from wrenspoke.state import plans
+
+logger = structlog.get_logger(__name__)
+
+BODY_LIMIT_BYTES = 1024 * 1024
+BEARER = 'Bearer '
+MISDIRECTED = 421
+
+
+class PlanRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Ask for a plan; ``number`` tells a resend from a new request."""
+
+    number: int
+    intent: plans.Intent
+
+
+class ConfirmRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Confirm a plan."""
+
+    number: int
+
+
+class OperatorAnswer(msgspec.Struct, frozen=True):
+    """Hold the status and body of an answer to an operator."""
+
+    status: int
+    body: typing.Any
+
+
+class Control(typing.Protocol):
+    """Do what operators ask, once the surface has read it."""
+
+    async def plan(
+        self, operator: ids.OperatorId, request: PlanRequest
+    ) -> OperatorAnswer:
+        """Make a plan."""
+
+    async def confirm(
+        self,
+        operator: ids.OperatorId,
+        plan: ids.PlanId,
+        request: ConfirmRequest,
+    ) -> OperatorAnswer:
+        """Put a plan in force."""
+
+    def show_plan(self, plan: ids.PlanId) -> OperatorAnswer:
+        """Tell what a plan is and how far it has come."""
+
+    def list_plans(self) -> OperatorAnswer:
+        """List the plans that are kept."""
+
+    def show_configuration(self) -> OperatorAnswer:
+        """Return the configuration."""
+
+    def show_status(self) -> OperatorAnswer:
+        """Tell what this control host knows."""
+
+
+class OperatorSurface:
+    """Turn operators' HTTP requests into typed ones."""
+
+    def __init__(
+        self,
+        control: Control,
+        operators: typing.Iterable[settings.OperatorSettings],
+    ):
+        self._control = control
+        self._operators = list(operators)
+
+    def application(self) -> web.Application:
+        """Return the application to be served."""
+        application = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        router = application.router
+        router.add_post('/plans', self._plan)
+        router.add_get('/plans', self._list)
+        router.add_get('/plans/{plan}', self._show)
+        router.add_post('/plans/{plan}/confirm', self._confirm)
+        router.add_get('/configuration', self._configuration)
+        router.add_get('/status', self._status)
+        return application
+
+    def _operator(self, request: web.Request) -> ids.OperatorId:
+        text = request.headers.get('Authorization', '')
+        token = text.removeprefix(BEARER) if text.startswith(BEARER) else ''
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        for operator in self._operators:
+            if hmac.compare_digest(digest, operator.token_sha256):
+                return ids.OperatorId(operator.operator)
+        logger.warning('operator_refused', peer=request.remote)
+        raise errors.BadRequestError(
+            'Authorization', 'no operator has this token', 401
+        )
+
+    async def _plan(self, request: web.Request) -> web.Response:
+        try:
+            operator = self._operator(request)
+            read = await _read(request, PlanRequest)
+        except errors.BadRequestError as error:
+            return _refused(error)
+        return _response(await self._control.plan(operator, read))
+
+    async def _confirm(self, request: web.Request) -> web.Response:
+        try:
+            operator = self._operator(request)
+            read = await _read(request, ConfirmRequest)
+        except errors.BadRequestError as error:
+            return _refused(error)
+        plan = ids.PlanId(request.match_info['plan'])
+        return _response(await self._control.confirm(operator, plan, read))
+
+    async def _show(self, request: web.Request) -> web.Response:
+        plan = ids.PlanId(request.match_info['plan'])
+        return self._told(request, lambda: self._control.show_plan(plan))
+
+    async def _list(self, request: web.Request) -> web.Response:
+        return self._told(request, self._control.list_plans)
+
+    async def _configuration(self, request: web.Request) -> web.Response:
+        return self._told(request, self._control.show_configuration)
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return self._told(request, self._control.show_status)
+
+    def _told(
+        self,
+        request: web.Request,
+        tell: typing.Callable[[], OperatorAnswer],
+    ) -> web.Response:
+        try:
+            self._operator(request)
+        except errors.BadRequestError as error:
+            return _refused(error)
+        return _response(tell())
+
+
+async def _read(request: web.Request, kind: type) -> typing.Any:
+    try:
+        return msgspec.json.decode(await request.read(), type=kind)
+    except (msgspec.DecodeError, web.HTTPRequestEntityTooLarge) as error:
+        raise errors.BadRequestError('body', str(error)) from error
+
+
+def _refused(error: errors.BadRequestError) -> web.Response:
+    return _response(
+        OperatorAnswer(error.status, {'error': {'message': str(error)}})
+    )
+
+
+def _response(answer: OperatorAnswer) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(answer.body),
+        status=answer.status,
+        content_type='application/json',
+    )
--- a/wrenspoke/state/configuration.py
+++ b/wrenspoke/state/configuration.py
@@ -175,7 +175,7 @@
     configuration: Configuration
 
 
-Change = typing.Union[
+Simple = typing.Union[
     SetEndpointState,
     AddEndpoint,
     RemoveEndpoint,
@@ -188,6 +188,15 @@
     SetAll,
 ]
 
+
+class Several(msgspec.Struct, frozen=True, tag='several'):
+    """Make several changes in force together, at one index."""
+
+    changes: tuple[Simple, ...]
+
+
+Change = typing.Union[Simple, Several]
+
 _APPLIERS = {}
 
 
@@ -307,3 +316,16 @@
         'rules': new.rules,
         'limits': new.limits,
     }
+
+
+@_applies(Several)
+def _several(old: Configuration, change: Several):
+    new = old
+    for one in change.changes:
+        new = apply(new, one, old.index)
+    return {
+        'services': new.services,
+        'endpoints': new.endpoints,
+        'rules': new.rules,
+        'limits': new.limits,
+    }
--- /dev/null
+++ b/wrenspoke/state/entries.py
@@ -0,0 +1,88 @@
+"""What control hosts write into their replicated log."""
+
+import typing
+
+import msgspec
+
+from wrenspoke import ids
+from wrenspoke.state import configuration
+from wrenspoke.state import plans
+
+
+class LeaderStart(msgspec.Struct, frozen=True, tag='leader_start'):
+    """Begin a leader's term; nothing of it commits before this."""
+
+    host: ids.HostId
+
+
+class SetVoters(msgspec.Struct, frozen=True, tag='voters'):
+    """Replace the set of voters; one host at a time differs."""
+
+    voters: dict[ids.HostId, ids.Incarnation]
+    reason: str = ''
+
+
+class Found(msgspec.Struct, frozen=True, tag='found'):
+    """Be the first entry: the settings' configuration."""
+
+    configuration: configuration.Configuration
+
+
+class MakePlan(msgspec.Struct, frozen=True, tag='make_plan'):
+    """Keep a plan, and the answer for when it is asked again."""
+
+    operator: ids.OperatorId
+    number: int
+    digest: str
+    plan: plans.Plan
+
+
+class ConfirmPlan(msgspec.Struct, frozen=True, tag='confirm_plan'):
+    """Put a plan in force if the configuration is still its base."""
+
+    operator: ids.OperatorId
+    number: int
+    digest: str
+    plan: ids.PlanId
+    at_ms: int
+
+
+class IssueOrder(msgspec.Struct, frozen=True, tag='issue_order'):
+    """Allow the current step's order to be sent, by this leader.
+
+    The entry's index is the order's fencing number.
+    """
+
+    plan: ids.PlanId
+    step: int
+    leader: ids.HostId
+    at_ms: int
+
+
+class EndStep(msgspec.Struct, frozen=True, tag='end_step'):
+    """Say how the current step of a plan ended."""
+
+    plan: ids.PlanId
+    step: int
+    succeeded: bool
+    detail: str
+    at_ms: int
+
+
+Entry = typing.Union[
+    LeaderStart,
+    SetVoters,
+    Found,
+    MakePlan,
+    ConfirmPlan,
+    IssueOrder,
+    EndStep,
+]
+
+
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Hold an entry with its place in the log."""
+
+    index: int
+    term: int
+    entry: Entry
--- /dev/null
+++ b/wrenspoke/state/plans.py
@@ -0,0 +1,472 @@
+"""Operators' intents, and the plans that carry them out.
+
+A plan is a row of steps. Changes of the configuration come into force
+with the log entry that reaches them; orders and waits are carried out by
+the leader, which then ends the step.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from wrenspoke import ids
+from wrenspoke.state import configuration
+from wrenspoke.state import errors
+
+LOAD_TAKES_MS = 5_000
+ORDER_TAKES_MS = 1_000
+MS_PER_MINUTE = 60_000
+
+
+class Drain(msgspec.Struct, frozen=True, tag='drain'):
+    """Give an endpoint no new work and wait for what it has."""
+
+    endpoint: ids.EndpointId
+
+
+class Undrain(msgspec.Struct, frozen=True, tag='undrain'):
+    """Give an endpoint work again."""
+
+    endpoint: ids.EndpointId
+
+
+class LoadModel(msgspec.Struct, frozen=True, tag='load_model'):
+    """Load a model version into an engine."""
+
+    endpoint: ids.EndpointId
+    model: str
+
+
+class RetireModel(msgspec.Struct, frozen=True, tag='retire_model'):
+    """Take a model version out of an engine."""
+
+    endpoint: ids.EndpointId
+    model: str
+
+
+class LoadAdapter(msgspec.Struct, frozen=True, tag='load_adapter'):
+    """Load an adapter into an engine."""
+
+    endpoint: ids.EndpointId
+    adapter: str
+
+
+class RetireAdapter(msgspec.Struct, frozen=True, tag='retire_adapter'):
+    """Take an adapter out of an engine."""
+
+    endpoint: ids.EndpointId
+    adapter: str
+
+
+class ChangeRole(msgspec.Struct, frozen=True, tag='change_role'):
+    """Give an engine another role, without work in flight."""
+
+    endpoint: ids.EndpointId
+    role: configuration.EngineRole
+
+
+class ChangeRule(msgspec.Struct, frozen=True, tag='change_rule'):
+    """Add or replace a rule."""
+
+    rule: configuration.Rule
+
+
+class DropRule(msgspec.Struct, frozen=True, tag='drop_rule'):
+    """Take a rule away."""
+
+    rule: str
+
+
+class ChangeLimit(msgspec.Struct, frozen=True, tag='change_limit'):
+    """Add or replace a team's limit."""
+
+    limit: configuration.TeamLimit
+
+
+class AddEndpoint(msgspec.Struct, frozen=True, tag='add_endpoint'):
+    """Add an endpoint."""
+
+    endpoint: configuration.Endpoint
+
+
+class RemoveEndpoint(msgspec.Struct, frozen=True, tag='remove_endpoint'):
+    """Forget a drained endpoint."""
+
+    endpoint: ids.EndpointId
+
+
+Intent = typing.Union[
+    Drain,
+    Undrain,
+    LoadModel,
+    RetireModel,
+    LoadAdapter,
+    RetireAdapter,
+    ChangeRole,
+    ChangeRule,
+    DropRule,
+    ChangeLimit,
+    AddEndpoint,
+    RemoveEndpoint,
+]
+
+
+class Change(msgspec.Struct, frozen=True, tag='change'):
+    """Change the configuration."""
+
+    change: configuration.Change
+
+
+class Order(msgspec.Struct, frozen=True, tag='order'):
+    """Send an order to an engine; ``loads`` takes from the weight store."""
+
+    endpoint: ids.EndpointId
+    kind: str
+    model: str = ''
+    adapter: str = ''
+    role: str = ''
+    loads: bool = False
+
+
+class WaitIdle(msgspec.Struct, frozen=True, tag='wait_idle'):
+    """Wait until an endpoint has no work and can be given none."""
+
+    endpoint: ids.EndpointId
+
+
+Step = typing.Union[Change, Order, WaitIdle]
+
+
+class PlanState(enum.Enum):
+    """Say how far a plan has come."""
+
+    PROPOSED = 'proposed'
+    RUNNING = 'running'
+    DONE = 'done'
+    FAILED = 'failed'
+
+
+class Costs(msgspec.Struct, frozen=True):
+    """Tell what a plan costs while it runs and after."""
+
+    capacity_lost: float = 0.0
+    caches_cold: int = 0
+    takes_ms: int = 0
+    waits_for: tuple[str, ...] = ()
+
+
+class StepEnd(msgspec.Struct, frozen=True):
+    """Tell how one step ended."""
+
+    step: int
+    succeeded: bool
+    detail: str
+    at_ms: int
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Hold an intent, how it is carried out and how far it has come."""
+
+    plan: ids.PlanId
+    operator: ids.OperatorId
+    intent: Intent
+    base_index: int
+    steps: tuple[Step, ...]
+    summary: str
+    costs: Costs
+    made_ms: int
+    state: PlanState = PlanState.PROPOSED
+    confirmed_index: int = 0
+    reached: int = 0
+    reached_index: int = 0
+    issued_index: int = 0
+    ends: tuple[StepEnd, ...] = ()
+
+    @property
+    def current(self) -> Step | None:
+        """Return the step that waits to be carried out."""
+        if self.state is not PlanState.RUNNING:
+            return None
+        return self.steps[self.reached]
+
+
+_PLANNERS = {}
+
+
+def _plans(kind: type):
+    def register(function):
+        _PLANNERS[kind] = function
+        return function
+
+    return register
+
+
+class _Draft(msgspec.Struct):
+    """Hold what a planner says of an intent."""
+
+    steps: list[Step]
+    summary: str
+    capacity_lost: float = 0.0
+    caches_cold: int = 0
+    takes_ms: int = 0
+    waits_for: list[str] = []
+
+
+def make(
+    plan: ids.PlanId,
+    operator: ids.OperatorId,
+    intent: Intent,
+    current: configuration.Configuration,
+    made_ms: int,
+    load_wait_ms: int,
+) -> Plan:
+    """Return the plan for an intent on the current configuration.
+
+    ``load_wait_ms`` is how long the weight store makes a load wait.
+
+    :raises StateError: the intent makes no sense as things are
+    """
+    draft = _PLANNERS[type(intent)](intent, current)
+    loads = any(isinstance(step, Order) and step.loads for step in draft.steps)
+    _check(draft, current)
+    return Plan(
+        plan=plan,
+        operator=operator,
+        intent=intent,
+        base_index=current.index,
+        steps=tuple(draft.steps),
+        summary=draft.summary,
+        costs=Costs(
+            round(draft.capacity_lost, 3),
+            draft.caches_cold,
+            draft.takes_ms + (load_wait_ms if loads else 0),
+            tuple(draft.waits_for),
+        ),
+        made_ms=made_ms,
+    )
+
+
+def _check(draft: _Draft, current: configuration.Configuration) -> None:
+    """Apply the changes to a copy, so that a bad one is refused now."""
+    for step in draft.steps:
+        if isinstance(step, Change):
+            current = configuration.apply(current, step.change, current.index)
+
+
+def _state(
+    endpoint: ids.EndpointId, state: configuration.EndpointState
+) -> Change:
+    return Change(configuration.SetEndpointState(endpoint, state))
+
+
+def _lost(
+    endpoint: configuration.Endpoint, current: configuration.Configuration
+) -> float:
+    """Return an endpoint's share of its service's slots in its region."""
+    slots = sum(
+        other.slots
+        for other in current.endpoints.values()
+        if other.service == endpoint.service
+        and other.region == endpoint.region
+        and other.state is configuration.EndpointState.ACTIVE
+    )
+    return endpoint.slots / slots if slots else 0.0
+
+
+@_plans(Drain)
+def _plan_drain(intent: Drain, current: configuration.Configuration):
+    endpoint = current.endpoint(intent.endpoint)
+    if endpoint.state is not configuration.EndpointState.ACTIVE:
+        raise errors.InvalidChangeError(
+            f'endpoint {intent.endpoint} is {endpoint.state.value} already'
+        )
+    states = configuration.EndpointState
+    return _Draft(
+        steps=[
+            _state(intent.endpoint, states.DRAINING),
+            WaitIdle(intent.endpoint),
+            _state(intent.endpoint, states.DRAINED),
+        ],
+        summary=f'give {intent.endpoint} no new work and let it finish',
+        capacity_lost=_lost(endpoint, current),
+        caches_cold=1,
+        waits_for=[f'requests in flight at {intent.endpoint}'],
+    )
+
+
+@_plans(Undrain)
+def _plan_undrain(intent: Undrain, current: configuration.Configuration):
+    endpoint = current.endpoint(intent.endpoint)
+    if endpoint.state is configuration.EndpointState.ACTIVE:
+        raise errors.InvalidChangeError(
+            f'endpoint {intent.endpoint} is active already'
+        )
+    active = configuration.EndpointState.ACTIVE
+    return _Draft(
+        steps=[_state(intent.endpoint, active)],
+        summary=f'give {intent.endpoint} work again; its cache is cold',
+        caches_cold=1,
+    )
+
+
+def _engine(
+    name: ids.EndpointId, current: configuration.Configuration
+) -> configuration.Endpoint:
+    endpoint = current.endpoint(name)
+    service = current.services[endpoint.service]
+    if service.kind is not configuration.ServiceKind.ENGINE:
+        raise errors.InvalidChangeError(f'endpoint {name} is no engine')
+    return endpoint
+
+
+@_plans(LoadModel)
+def _plan_load(intent: LoadModel, current: configuration.Configuration):
+    endpoint = _engine(intent.endpoint, current)
+    if intent.model in endpoint.models:
+        raise errors.InvalidChangeError(
+            f'{intent.endpoint} has {intent.model} already'
+        )
+    return _Draft(
+        steps=[
+            Order(intent.endpoint, 'load', model=intent.model, loads=True),
+            Change(
+                configuration.SetModel(intent.endpoint, intent.model, True)
+            ),
+        ],
+        summary=f'load {intent.model} into {intent.endpoint}',
+        takes_ms=LOAD_TAKES_MS,
+        waits_for=['the weight store', intent.endpoint],
+    )
+
+
+@_plans(RetireModel)
+def _plan_retire(intent: RetireModel, current: configuration.Configuration):
+    endpoint = _engine(intent.endpoint, current)
+    if intent.model not in endpoint.models:
+        raise errors.InvalidChangeError(
+            f'{intent.endpoint} has no {intent.model}'
+        )
+    return _Draft(
+        steps=[
+            Change(
+                configuration.SetModel(intent.endpoint, intent.model, False)
+            ),
+            WaitIdle(intent.endpoint),
+            Order(intent.endpoint, 'retire', model=intent.model),
+        ],
+        summary=f'take {intent.model} out of {intent.endpoint}',
+        capacity_lost=_lost(endpoint, current),
+        caches_cold=1,
+        takes_ms=ORDER_TAKES_MS,
+        waits_for=[f'requests in flight at {intent.endpoint}'],
+    )
+
+
+@_plans(LoadAdapter)
+def _plan_load_adapter(
+    intent: LoadAdapter, current: configuration.Configuration
+):
+    endpoint = _engine(intent.endpoint, current)
+    if intent.adapter in endpoint.adapters:
+        raise errors.InvalidChangeError(
+            f'{intent.endpoint} has {intent.adapter} already'
+        )
+    name = intent.adapter
+    return _Draft(
+        steps=[
+            Order(intent.endpoint, 'load', adapter=name, loads=True),
+            Change(configuration.SetAdapter(intent.endpoint, name, True)),
+        ],
+        summary=f'load adapter {name} into {intent.endpoint}',
+        takes_ms=LOAD_TAKES_MS,
+        waits_for=['the weight store', intent.endpoint],
+    )
+
+
+@_plans(RetireAdapter)
+def _plan_retire_adapter(
+    intent: RetireAdapter, current: configuration.Configuration
+):
+    endpoint = _engine(intent.endpoint, current)
+    if intent.adapter not in endpoint.adapters:
+        raise errors.InvalidChangeError(
+            f'{intent.endpoint} has no {intent.adapter}'
+        )
+    name = intent.adapter
+    return _Draft(
+        steps=[
+            Change(configuration.SetAdapter(intent.endpoint, name, False)),
+            Order(intent.endpoint, 'retire', adapter=name),
+        ],
+        summary=f'take adapter {name} out of {intent.endpoint}',
+        takes_ms=ORDER_TAKES_MS,
+    )
+
+
+@_plans(ChangeRole)
+def _plan_role(intent: ChangeRole, current: configuration.Configuration):
+    endpoint = _engine(intent.endpoint, current)
+    states = configuration.EndpointState
+    name = intent.endpoint
+    return _Draft(
+        steps=[
+            _state(name, states.DRAINING),
+            WaitIdle(name),
+            Order(name, 'role', role=intent.role.value),
+            Change(configuration.SetRole(name, intent.role)),
+            _state(name, states.ACTIVE),
+        ],
+        summary=f'make {name} a {intent.role.value} engine',
+        capacity_lost=_lost(endpoint, current),
+        caches_cold=1,
+        takes_ms=ORDER_TAKES_MS,
+        waits_for=[f'requests in flight at {name}'],
+    )
+
+
+@_plans(ChangeRule)
+def _plan_rule(intent: ChangeRule, current: configuration.Configuration):
+    verb = 'replace' if intent.rule.rule in current.rules else 'add'
+    return _Draft(
+        steps=[Change(configuration.SetRule(intent.rule))],
+        summary=f'{verb} rule {intent.rule.rule}',
+    )
+
+
+@_plans(DropRule)
+def _plan_drop(intent: DropRule, _current: configuration.Configuration):
+    return _Draft(
+        steps=[Change(configuration.RemoveRule(intent.rule))],
+        summary=f'take rule {intent.rule} away',
+    )
+
+
+@_plans(ChangeLimit)
+def _plan_limit(intent: ChangeLimit, _current: configuration.Configuration):
+    return _Draft(
+        steps=[Change(configuration.SetLimit(intent.limit))],
+        summary=f'set the limit of team {intent.limit.team}',
+    )
+
+
+@_plans(AddEndpoint)
+def _plan_add(intent: AddEndpoint, current: configuration.Configuration):
+    name = intent.endpoint.endpoint
+    if name in current.endpoints:
+        raise errors.InvalidChangeError(f'endpoint {name} is there already')
+    return _Draft(
+        steps=[Change(configuration.AddEndpoint(intent.endpoint))],
+        summary=f'add endpoint {name}',
+        caches_cold=1,
+    )
+
+
+@_plans(RemoveEndpoint)
+def _plan_remove(
+    intent: RemoveEndpoint, _current: configuration.Configuration
+):
+    return _Draft(
+        steps=[Change(configuration.RemoveEndpoint(intent.endpoint))],
+        summary=f'forget endpoint {intent.endpoint}',
+    )
--- /dev/null
+++ b/wrenspoke/state/replicated.py
@@ -0,0 +1,256 @@
+"""The state that the log's entries make, the same on every voter."""
+
+import enum
+
+import msgspec
+
+from wrenspoke import ids
+from wrenspoke.state import configuration
+from wrenspoke.state import entries
+from wrenspoke.state import errors
+from wrenspoke.state import plans
+
+# The fields of the state below hide these modules in its own body.
+Change = configuration.Change
+Configuration = configuration.Configuration
+Plan = plans.Plan
+StepEnd = plans.StepEnd
+Plans = dict[ids.PlanId, plans.Plan]
+
+KEPT_ANSWERS = 1_000
+KEPT_PLANS = 5_000
+
+
+class Verdict(enum.Enum):
+    """Say what became of an operator's request."""
+
+    ACCEPTED = 'accepted'
+    CONFLICT = 'conflict'
+    MOVED_ON = 'moved_on'
+    UNKNOWN = 'unknown'
+    TOO_OLD = 'too_old'
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Answer an operator's request; the same again gets the same."""
+
+    verdict: Verdict
+    plan: ids.PlanId
+    index: int
+    detail: str = ''
+
+
+class KeptAnswer(msgspec.Struct, frozen=True):
+    """Hold an answer with the digest of what was asked."""
+
+    digest: str
+    answer: Answer
+
+
+class Applied(msgspec.Struct, frozen=True):
+    """Tell what applying an entry did."""
+
+    answer: Answer | None = None
+    change: configuration.Change | None = None
+
+
+class ReplicatedState(msgspec.Struct):
+    """Hold what operators decided and what became of it."""
+
+    index: int = 0
+    configuration: Configuration = Configuration()
+    plans: Plans = {}
+    answers: dict[ids.OperatorId, dict[int, KeptAnswer]] = {}
+    last_load_ms: int = 0
+
+    def apply(self, index: int, entry: entries.Entry) -> Applied:
+        """Apply the entry at ``index``; the same on every voter."""
+        self.index = index
+        applier = _APPLIERS.get(type(entry))
+        return Applied() if applier is None else applier(self, index, entry)
+
+    def known_answer(
+        self, operator: ids.OperatorId, number: int, digest: str
+    ) -> Answer | None:
+        """Return the answer to a request that was made before."""
+        kept = self.answers.get(operator, {})
+        found = kept.get(number)
+        if found is None:
+            if len(kept) >= KEPT_ANSWERS and number < min(kept):
+                return self._reject(
+                    Verdict.TOO_OLD, f'number {number} is not kept any more'
+                )
+            return None
+        if found.digest != digest:
+            return self._reject(
+                Verdict.CONFLICT,
+                f'number {number} was used for something else',
+            )
+        return found.answer
+
+    def _reject(self, verdict: Verdict, detail: str) -> Answer:
+        return Answer(verdict, ids.PlanId(''), self.index, detail)
+
+    def keep_answer(
+        self,
+        operator: ids.OperatorId,
+        number: int,
+        digest: str,
+        answer: Answer,
+    ) -> Applied:
+        """Keep an answer for a resend and return it."""
+        kept = self.answers.setdefault(operator, {})
+        kept[number] = KeptAnswer(digest, answer)
+        while len(kept) > KEPT_ANSWERS:
+            del kept[min(kept)]
+        return Applied(answer=answer)
+
+    def advance(
+        self,
+        plan: Plan,
+        index: int,
+        reached: int,
+        ends: tuple[StepEnd, ...],
+    ) -> Change | None:
+        """Move a plan on, putting the changes that it reaches in force."""
+        changes = []
+        current = self.configuration
+        while reached < len(plan.steps):
+            step = plan.steps[reached]
+            if not isinstance(step, plans.Change):
+                break
+            current = configuration.apply(current, step.change, index)
+            changes.append(step.change)
+            reached += 1
+        self.configuration = current
+        done = reached == len(plan.steps)
+        self.plans[plan.plan] = msgspec.structs.replace(
+            plan,
+            state=plans.PlanState.DONE if done else plans.PlanState.RUNNING,
+            reached=reached,
+            reached_index=index,
+            issued_index=0,
+            ends=ends,
+        )
+        if not changes:
+            return None
+        if len(changes) == 1:
+            return changes[0]
+        return configuration.Several(tuple(changes))
+
+    def running(self) -> list[Plan]:
+        """Return the plans that wait for a step."""
+        return [
+            plan for plan in self.plans.values() if plan.current is not None
+        ]
+
+
+_APPLIERS = {}
+
+
+def _applies(kind: type):
+    def register(function):
+        _APPLIERS[kind] = function
+        return function
+
+    return register
+
+
+@_applies(entries.Found)
+def _found(state: ReplicatedState, index: int, entry: entries.Found):
+    change = configuration.SetAll(entry.configuration)
+    state.configuration = configuration.apply(
+        state.configuration, change, index
+    )
+    return Applied(change=change)
+
+
+@_applies(entries.MakePlan)
+def _make_plan(state: ReplicatedState, index: int, entry: entries.MakePlan):
+    known = state.known_answer(entry.operator, entry.number, entry.digest)
+    if known is not None:
+        return Applied(answer=known)
+    plan = entry.plan
+    state.plans[plan.plan] = plan
+    _forget_old_plans(state)
+    answer = Answer(Verdict.ACCEPTED, plan.plan, index, plan.summary)
+    return state.keep_answer(
+        entry.operator, entry.number, entry.digest, answer
+    )
+
+
+def _forget_old_plans(state: ReplicatedState) -> None:
+    if len(state.plans) <= KEPT_PLANS:
+        return
+    for name, plan in list(state.plans.items()):
+        if plan.state is plans.PlanState.RUNNING:
+            continue
+        del state.plans[name]
+        if len(state.plans) <= KEPT_PLANS:
+            return
+
+
+@_applies(entries.ConfirmPlan)
+def _confirm_plan(
+    state: ReplicatedState, index: int, entry: entries.ConfirmPlan
+):
+    known = state.known_answer(entry.operator, entry.number, entry.digest)
+    if known is not None:
+        return Applied(answer=known)
+    change = None
+    plan = state.plans.get(entry.plan)
+    if plan is None:
+        verdict, detail = Verdict.UNKNOWN, f'no plan {entry.plan}'
+    elif plan.state is not plans.PlanState.PROPOSED:
+        verdict = Verdict.CONFLICT
+        detail = f'plan {entry.plan} was confirmed before'
+    elif plan.base_index != state.configuration.index:
+        verdict = Verdict.MOVED_ON
+        detail = (
+            f'made on index {plan.base_index}, the configuration is at '
+            f'{state.configuration.index}; plan again'
+        )
+    else:
+        verdict, detail = Verdict.ACCEPTED, plan.summary
+        confirmed = msgspec.structs.replace(plan, confirmed_index=index)
+        change = state.advance(confirmed, index, 0, ())
+    answer = Answer(verdict, entry.plan, index, detail)
+    state.keep_answer(entry.operator, entry.number, entry.digest, answer)
+    return Applied(answer=answer, change=change)
+
+
+@_applies(entries.IssueOrder)
+def _issue_order(
+    state: ReplicatedState, index: int, entry: entries.IssueOrder
+):
+    plan = state.plans.get(entry.plan)
+    if plan is None or plan.current is None or plan.reached != entry.step:
+        return Applied()
+    state.plans[entry.plan] = msgspec.structs.replace(plan, issued_index=index)
+    if plan.current.loads:
+        state.last_load_ms = max(state.last_load_ms, entry.at_ms)
+    return Applied()
+
+
+@_applies(entries.EndStep)
+def _end_step(state: ReplicatedState, index: int, entry: entries.EndStep):
+    plan = state.plans.get(entry.plan)
+    if plan is None or plan.current is None or plan.reached != entry.step:
+        return Applied()
+    end = plans.StepEnd(entry.step, entry.succeeded, entry.detail, entry.at_ms)
+    ends = (*plan.ends, end)
+    if not entry.succeeded:
+        state.plans[entry.plan] = msgspec.structs.replace(
+            plan, state=plans.PlanState.FAILED, ends=ends
+        )
+        return Applied()
+    try:
+        change = state.advance(plan, index, plan.reached + 1, ends)
+    except errors.StateError as error:
+        # What the plan was made on has been changed by another since.
+        failed = msgspec.structs.replace(end, detail=str(error))
+        state.plans[entry.plan] = msgspec.structs.replace(
+            plan, state=plans.PlanState.FAILED, ends=(*plan.ends, failed)
+        )
+        return Applied()
+    return Applied(change=change)
--- /dev/null
+++ b/wrenspoke/state/storage.py
@@ -0,0 +1,231 @@
+"""A voter's durable state: who it is, its snapshot and its log.
+
+Everything is synced before the call returns, so that what was
+acknowledged survives. The folder holds three files: ``meta``, replaced
+whole; ``snapshot``, replaced whole; ``log``, appended to.
+"""
+
+import typing
+
+import msgspec
+import structlog
+
+from wrenspoke import ids
+from wrenspoke.state import disk
+from wrenspoke.state import entries
+from wrenspoke.state import errors
+from wrenspoke.state import records
+
+logger = structlog.get_logger(__name__)
+
+META = 'meta'
+SNAPSHOT = 'snapshot'
+LOG = 'log'
+
+
+class Meta(msgspec.Struct):
+    """Say which disk this is, and hold its vote.
+
+    ``boot`` counts the starts of this incarnation; ``boots`` holds the
+    highest that was heard of others, by which a disk put back from an
+    old copy gives itself away.
+    """
+
+    incarnation: ids.Incarnation
+    boot: int = 0
+    term: int = 0
+    voted_for: ids.HostId | None = None
+    boots: dict[ids.Incarnation, tuple[int, str]] = {}
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Hold the state up to an index, and who voted then."""
+
+    index: int = 0
+    term: int = 0
+    voters: dict[ids.HostId, ids.Incarnation] = {}
+    state: bytes = b''
+
+
+class Storage:
+    """Keep a voter's state on its disk."""
+
+    def __init__(self, opened: disk.Disk):
+        self._disk = opened
+        self._entries: list[entries.LogEntry] = []
+        self._ends: list[int] = []
+        self.meta = self._read_meta()
+        self.snapshot = self._read_snapshot()
+        self._read_log()
+
+    def check(self) -> None:
+        """Stop the voter if its disk has failed.
+
+        :raises DiskError: a write or sync failed before
+        """
+        self._disk.check()
+
+    def _read_meta(self) -> Meta:
+        body = self._read_single(META)
+        if body is not None:
+            return msgspec.msgpack.decode(body, type=Meta)
+        if self._disk.read(LOG) or self._disk.read(SNAPSHOT):
+            raise errors.CorruptLogError(
+                META, 0, 'missing beside a log or snapshot'
+            )
+        meta = Meta(ids.Incarnation(ids.new_unique()))
+        logger.info('new_disk', incarnation=meta.incarnation)
+        return meta
+
+    def _read_snapshot(self) -> Snapshot:
+        body = self._read_single(SNAPSHOT)
+        if body is None:
+            return Snapshot()
+        return msgspec.msgpack.decode(body, type=Snapshot)
+
+    def _read_single(self, name: str) -> bytes | None:
+        data = self._disk.read(name)
+        if data is None:
+            return None
+        found, _size = records.decode(name, data)
+        if len(found) != 1 or found[0].end != len(data):
+            raise errors.CorruptLogError(name, 0, 'not one good record')
+        return found[0].body
+
+    def _read_log(self) -> None:
+        data = self._disk.read(LOG) or b''
+        found, size_bytes = records.decode(LOG, data)
+        if size_bytes < len(data):
+            logger.warning(
+                'torn_tail', file=LOG, offset_bytes=size_bytes,
+                dropped_bytes=len(data) - size_bytes,
+            )  # fmt: skip
+            self._disk.truncate(LOG, size_bytes)
+        for record in found:
+            entry = msgspec.msgpack.decode(record.body, type=entries.LogEntry)
+            self._load(entry, record)
+
+    def _load(self, entry: entries.LogEntry, record: records.Record) -> None:
+        if not self._entries and entry.index <= self.snapshot.index:
+            # Written before the snapshot that covers it.
+            self._ends = [record.end]
+            return
+        if entry.index != self.last_index + 1:
+            raise errors.CorruptLogError(
+                LOG,
+                record.start,
+                f'entry {entry.index} follows {self.last_index}',
+            )
+        self._entries.append(entry)
+        self._ends.append(record.end)
+
+    @property
+    def first_index(self) -> int:
+        """Return the lowest index that the log still holds."""
+        return self.snapshot.index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Return the highest index that is synced here."""
+        if self._entries:
+            return self._entries[-1].index
+        return self.snapshot.index
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        if self._entries:
+            return self._entries[-1].term
+        return self.snapshot.term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term at an index, or None if it is not held."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        entry = self.entry(index)
+        return None if entry is None else entry.term
+
+    def entry(self, index: int) -> entries.LogEntry | None:
+        """Return the entry at an index, or None if it is not held."""
+        place = index - self.first_index
+        if 0 <= place < len(self._entries):
+            return self._entries[place]
+        return None
+
+    def entries_from(self, index: int, limit: int) -> list:
+        """Return up to ``limit`` entries from an index on."""
+        place = index - self.first_index
+        return self._entries[place : place + limit]
+
+    def voters(self) -> dict[ids.HostId, ids.Incarnation]:
+        """Return the newest set of voters, committed or not."""
+        for entry in reversed(self._entries):
+            if isinstance(entry.entry, entries.SetVoters):
+                return entry.entry.voters
+        return self.snapshot.voters
+
+    def append(self, added: typing.Sequence[entries.LogEntry]) -> None:
+        """Add entries behind the last one and sync them."""
+        data = []
+        end = self._ends[-1] if self._ends else 0
+        ends = []
+        for entry in added:
+            record = records.encode(msgspec.msgpack.encode(entry))
+            end += len(record)
+            data.append(record)
+            ends.append(end)
+        self._disk.append(LOG, b''.join(data))
+        self._entries.extend(added)
+        self._ends.extend(ends)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entries from an index on, which never committed."""
+        place = index - self.first_index
+        if place >= len(self._entries):
+            return
+        skipped = len(self._ends) - len(self._entries)
+        keep = place + skipped
+        size_bytes = self._ends[keep - 1] if keep else 0
+        self._disk.truncate(LOG, size_bytes)
+        del self._entries[place:]
+        del self._ends[keep:]
+
+    def save_meta(self) -> None:
+        """Sync who this voter is and whom it voted for."""
+        body = msgspec.msgpack.encode(self.meta)
+        self._disk.replace(META, records.encode(body))
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Sync a snapshot, then drop the entries that it covers."""
+        body = msgspec.msgpack.encode(snapshot)
+        self._disk.replace(SNAPSHOT, records.encode(body))
+        rest = []
+        if self.term_at(snapshot.index) == snapshot.term:
+            rest = [
+                entry
+                for entry in self._entries
+                if entry.index > snapshot.index
+            ]
+        self.snapshot = snapshot
+        encoded = [
+            records.encode(msgspec.msgpack.encode(entry)) for entry in rest
+        ]
+        self._disk.replace(LOG, b''.join(encoded))
+        self._entries = rest
+        self._ends = []
+        end = 0
+        for record in encoded:
+            end += len(record)
+            self._ends.append(end)
+
+    def forget_all(self) -> None:
+        """Become a new disk: another incarnation that holds nothing."""
+        # The new name goes first: a log under a name that never voted
+        # claims nothing, while an old name without its log would.
+        self.meta = Meta(ids.Incarnation(ids.new_unique()))
+        self.save_meta()
+        self._disk.remove(LOG)
+        self._disk.remove(SNAPSHOT)
+        self.snapshot = Snapshot()
+        self._entries = []
+        self._ends = []
