Tell at once what a cut-off region can't serve

Separately, a host's beats stopped for 700 ms whenever a call to an absent host was waiting: pyzmq holds every later send on a socket back behind one that waits, NOBLOCK or not.

Change: hosts elsewhere are pinged while requests are passed to them; one that does not answer is not sent to, so nothing was run and that is said. Links wait for a connection without a pending send. A host that was stopped for long looks for changes before it sends. A resend is told "not run" by the ledger only. The platform's list, metrics, a load tool and the check of histories are in.

Ruled out: a time-out of each forward alone (a slow answer is no cut).

Conclusion: cuts are told from slowness by the pings.

--- /dev/null
+++ b/tests/test_regions.py
@@ -0,0 +1,161 @@
+"""Regions: home, loops, cuts, and hosts that die on the way."""
+
+import asyncio
+
+import pytest
+
+from tests import fleet
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+from wrenspoke import keys
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import hops
+from wrenspoke.protocol import requests
+from wrenspoke.standin import engine
+
+MESSAGES = [{'role': 'user', 'content': 'Which lift is open?'}]
+COUNT = 60
+WHOLE = ''.join(engine.answer_words(MESSAGES, COUNT))
+CHAT = {'messages': MESSAGES, 'stream': True, 'max_tokens': COUNT}
+SLOW = {'token_ms': 30}
+
+
+def signed(running, host, path_of_hosts, **fields):
+    """Return a hop header as a host of the cluster would write it."""
+    key = keys.read_cluster_key(running.folder / 'keys')
+    signer = hops.HopSigner('test', key)
+    head = requests.RequestHead(
+        request=ids.RequestId(ids.new_unique()),
+        kind=requests.RequestKind.PLAIN,
+        method='GET',
+        path='/map',
+        service=ids.ServiceId('records'),
+        deadline_ms=0,
+        path_of_hosts=tuple(path_of_hosts),
+        **fields,
+    )
+    return signer.sign(head, host, clocks.Clock().wall_ms(), 5000)
+
+
+async def test_forwarded_request_is_never_forwarded_again(tmp_path):
+    """A region without endpoints must not pass it on, nor back."""
+    made = fleet.deployment()
+    made['endpoints'] = [
+        item for item in made['endpoints'] if item['region'] == 'north'
+    ]
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('south-1')
+        sent = {headers.HOP: signed(running, 'north-1', [])}
+        result = await caller.call('GET', 'records', '/map', sent)
+        assert (result.outcome, result.reason) == ('not_run', 'no_endpoint')
+        assert not await running.all_runs('records')
+        # Unforwarded, the same request is served in the other region.
+        result = await caller.call('GET', 'records', '/map')
+        assert result.outcome == 'whole'
+
+
+@pytest.mark.parametrize(
+    'path, reason',
+    [(['north-1'], 'no_endpoint'), (['south-1', 'north-1'], 'no_endpoint')],
+    ids=['too many hops', 'came back'],
+)
+async def test_loops_are_refused(tmp_path, path, reason):
+    async with fleet.running(tmp_path, fleet.deployment()) as running:
+        caller = running.caller('south-1')
+        hop = signed(running, 'north-1', path)
+        result = await caller.call(
+            'GET', 'records', '/map', {headers.HOP: hop}
+        )
+        assert result.outcome == 'not_run', result
+        assert result.reason == reason
+        assert not await running.all_runs('records')
+
+
+async def test_cut_region_serves_on_and_says_at_once_what_it_cannot(
+    tmp_path,
+):
+    made = fleet.deployment(entries=2, controls=3)
+    async with fleet.running(tmp_path, made, relays=True) as running:
+        await running.wait_voters(3)
+        running.isolate('south-1', 'south-2', 'control-2')
+        caller = running.caller('south-1')
+        for _number in range(3):
+            result = await caller.chat(CHAT)
+            assert (result.outcome, result.text) == ('whole', WHOLE)
+        once = f'south:{clocks.Clock().wall_ms()}:cut'
+        result = await caller.call(
+            'POST', 'records', '/release/1', {headers.REQUEST: once}
+        )
+        assert result.outcome == 'whole'
+        sent = {headers.HOME: 'north', headers.BOUND: 'true'}
+        result = await caller.call('GET', 'records', '/member/1', sent)
+        assert result.reason == 'home_unreachable'
+        # Nothing was sent, and it did not wait for its deadline.
+        assert result.outcome == 'not_run'
+        assert result.first_ms < 4000
+        # A host that restarts in the cut region takes its peer's word.
+        running.kill('south-2')
+        running.start_entry('south-2')
+        await running.wait_serving('south-2')
+        result = await running.caller('south-2').chat(CHAT)
+        assert result.outcome == 'whole'
+
+
+@pytest.mark.parametrize('loss', ['kill', 'freeze'])
+async def test_stream_survives_the_host_it_was_passed_to(tmp_path, loss):
+    made = fleet.deployment(entries=2)
+    async with fleet.running(tmp_path, made, SLOW) as running:
+        caller = running.caller('north-1')
+        sent = {headers.HOME: 'south', headers.BOUND: 'true'}
+        lose = {'kill': running.kill, 'freeze': running.freeze}[loss]
+        seen = []
+        task = asyncio.create_task(caller.chat(CHAT, sent, seen.append))
+        await fleet.until(lambda: len(seen) > 3, 'the stream to flow')
+        log = running.log('north-1')
+        used = 'south-1' if 'peer=south-1' in log else 'south-2'
+        lose(used)
+        result = await task
+        assert result.outcome == 'whole', result
+        assert result.text == WHOLE
+
+
+@pytest.mark.parametrize('loss', ['kill', 'freeze'])
+async def test_stream_survives_its_engine(tmp_path, loss):
+    made = fleet.deployment(regions=('north',), engines=2, plains=0)
+    fleet_made = fleet.Fleet(tmp_path, made, SLOW)
+    try:
+        for number in (1, 2):
+            name = f'north-chat-{number}'
+            fleet_made.spawn(
+                name, 'wrenspoke.standin.main', '--endpoint', name,
+                '--model', '{"token_ms": 30}',
+            )  # fmt: skip
+        fleet_made.start_entry('north-1')
+        await fleet_made.wait_serving()
+        caller = fleet_made.caller('north-1')
+        seen = []
+        task = asyncio.create_task(caller.chat(CHAT, {}, seen.append))
+        await fleet.until(lambda: len(seen) > 3, 'the stream to flow')
+        log = fleet_made.log('north-1')
+        used = 'north-chat-1'
+        if 'endpoint=north-chat-2' in log.split('event=placed')[-1]:
+            used = 'north-chat-2'
+        getattr(fleet_made, loss)(used)
+        result = await task
+        assert result.outcome == 'whole', result
+        assert result.text == WHOLE
+    finally:
+        await fleet_made.close()
+
+
+async def test_stream_of_a_killed_entry_host_goes_on_at_another(tmp_path):
+    made = fleet.deployment(regions=('north',), entries=2)
+    async with fleet.running(tmp_path, made, SLOW) as running:
+        caller = running.caller('north-1', 'north-2')
+        seen = []
+        task = asyncio.create_task(caller.chat(CHAT, {}, seen.append))
+        await fleet.until(lambda: len(seen) > 3, 'the stream to flow')
+        running.kill('north-1')
+        result = await task
+        assert result.outcome == 'whole', result
+        assert result.text == WHOLE
--- a/wrenspoke/caller.py
+++ b/wrenspoke/caller.py
@@ -22,6 +22,7 @@
 CONNECT_TIMEOUT_MS = 1_000
 OK = 200
 UNAVAILABLE = 503
+ONCE_MARK = ':'
 EVENT_STREAM = 'text/event-stream'
 
 
@@ -51,14 +52,19 @@
 class Caller:
     """Ask entry hosts as a well-behaved client would."""
 
-    def __init__(self, urls: list[str], clock: clocks.Clock | None = None):
+    def __init__(
+        self,
+        urls: list[str],
+        clock: clocks.Clock | None = None,
+        client: web.HttpClient | None = None,
+    ):
         self._urls = list(urls)
         self._clock = clock or clocks.Clock()
-        self._client = web.HttpClient(CONNECT_TIMEOUT_MS)
+        self.client = client or web.HttpClient(CONNECT_TIMEOUT_MS)
 
     async def close(self) -> None:
         """Close every connection."""
-        await self._client.close()
+        await self.client.close()
 
     async def get(self, path: str) -> dict:
         """Return the JSON of the first host that answers.
@@ -68,7 +74,7 @@
         problems = []
         for url in self._urls:
             try:
-                async with self._client.send('GET', url + path, {}) as found:
+                async with self.client.send('GET', url + path, {}) as found:
                     body = await web.read_whole(found, ANSWER_LIMIT_BYTES)
                     return msgspec.json.decode(body)
             except transport_errors.TransportError as error:
@@ -115,8 +121,9 @@
         sent.setdefault(headers.REQUEST, ids.new_unique())
         attempt = int(sent.get(headers.ATTEMPT, '1'))
         total = Result('lost')
-        for number, url in enumerate(list(self._urls)):
-            sent[headers.ATTEMPT] = str(attempt + number)
+        for url in list(self._urls):
+            sent[headers.ATTEMPT] = str(attempt)
+            attempt += 1
             data = _continued(body, total.text)
             if total.events:
                 sent[headers.REQUEST] = ids.new_unique()
@@ -133,9 +140,12 @@
                 total.outcome = 'lost'
                 total.reason = repr(error)
                 continue
-            if total.outcome == 'not_run' and total.status == UNAVAILABLE:
-                continue
-            break
+            if total.outcome != 'not_run' or total.status != UNAVAILABLE:
+                break
+            # Told that nothing was run, so the next one is no resend; a
+            # refused once-only attempt needs a higher number all the same.
+            if ONCE_MARK not in sent[headers.REQUEST]:
+                attempt -= 1
         return total
 
     async def _ask_one(
@@ -148,7 +158,7 @@
         on_text: collections.abc.Callable[[str], None] | None,
     ) -> None:
         started_ms = self._clock.mono_ms()
-        async with self._client.send(
+        async with self.client.send(
             method, url, sent, body, fresh=True
         ) as found:
             total.status = found.status
--- a/wrenspoke/coordination/dispatch.py
+++ b/wrenspoke/coordination/dispatch.py
@@ -98,6 +98,7 @@
     now_ms: int
     endpoint: configuration.Endpoint
     takes_work: bool
+    current: bool
 
 
 Check = collections.abc.Callable[[Send, Context], str | None]
@@ -114,6 +115,14 @@
     return register
 
 
+@check('configuration')
+def check_configuration(send: Send, context: Context) -> str | None:
+    """Send nothing by a configuration that may have been left behind."""
+    if send.purpose in WORK and not context.current:
+        return 'this host was stopped and has to look for changes first'
+    return None
+
+
 @check('residency')
 def check_residency(send: Send, context: Context) -> str | None:
     """Keep work in this region, and bound work in its home."""
@@ -222,12 +231,14 @@
         held: replica.Replica,
         client: web.HttpClient,
         clock: clocks.Clock,
+        awake: collections.abc.Callable[[], bool] = lambda: True,
     ):
         self._host = host
         self._region = region
         self._replica = held
         self._client = client
         self._clock = clock
+        self._awake = awake
         self.sent = 0
 
     @contextlib.asynccontextmanager
@@ -273,6 +284,7 @@
             now_ms=self._clock.mono_ms(),
             endpoint=endpoint,
             takes_work=self._replica.takes_work(endpoint),
+            current=self._replica.serving and self._awake(),
         )
         for name, function in CHECKS.items():
             detail = function(send, context)
--- a/wrenspoke/coordination/forwarding.py
+++ b/wrenspoke/coordination/forwarding.py
@@ -13,6 +13,7 @@
 from wrenspoke.coordination import decisions
 from wrenspoke.coordination import errors
 from wrenspoke.coordination import members
+from wrenspoke.coordination import reach
 from wrenspoke.coordination import streams
 from wrenspoke import ids
 from wrenspoke.protocol import headers
@@ -44,6 +45,10 @@
     sent: bool = False
     bound: asyncio.Timeout | None = None
 
+    def lost(self) -> None:
+        """Give up at once on a host that can't be reached any more."""
+        self.bound.reschedule(asyncio.get_running_loop().time())
+
     def flowing(self, left_ms: float) -> None:
         """Let a stream that has begun take all the time there is."""
         loop = asyncio.get_running_loop()
@@ -63,6 +68,7 @@
         host: ids.HostId,
         deployment: settings.Deployment,
         watched: members.Members,
+        reached: reach.Reach,
         client: web.HttpClient,
         signer: hops.HopSigner,
         noted: decisions.Decisions,
@@ -74,6 +80,7 @@
             entry.host: entry for entry in deployment.with_role('entry')
         }
         self._members = watched
+        self._reach = reached
         self._client = client
         self._signer = signer
         self._decisions = noted
@@ -92,7 +99,9 @@
         """
         transcript = streams.Transcript(body, head.last_event or 0)
         passing = _Pass(head, body, region, reply, transcript)
-        hosts = self._members.entries_of(region)[:HOSTS_TRIED]
+        hosts = await self._reach.reachable(
+            self._members.entries_of(region)[:HOSTS_TRIED]
+        )
         for number, host in enumerate(hosts):
             last = number + 1 == len(hosts)
             if self._left_ms(head) <= 0:
@@ -117,7 +126,8 @@
         try:
             async with clocks.timeout_ms(try_ms) as bound:
                 passing.bound = bound
-                await self._pass_on(passing, host)
+                with self._reach.watching(host, passing.lost):
+                    await self._pass_on(passing, host)
             return True
         except transport_errors.NotSentError as error:
             cause = str(error)
@@ -196,9 +206,10 @@
 
     def _headers(self, passing: _Pass) -> dict[str, str]:
         head = passing.head
-        if passing.sent and head.once:
-            # The host that failed may have claimed it: as a resend, it
-            # is not run again and gets the kept answer.
+        if passing.sent:
+            # The host that failed may have run it. As a resend, a
+            # once-only request is not run again and gets the kept
+            # answer, and none is told as not run.
             head = msgspec.structs.replace(head, resend=True)
         sent = {
             headers.HOP: self._signer.sign(
--- a/wrenspoke/coordination/gateway.py
+++ b/wrenspoke/coordination/gateway.py
@@ -28,6 +28,15 @@
 
 logger = structlog.get_logger(__name__)
 
+# Reasons given by the ledger, or before any attempt could have run.
+BY_LEDGER = frozenset(
+    [
+        outcomes.Reason.CLAIM_REFUSED,
+        outcomes.Reason.LEDGER_UNREACHABLE,
+        outcomes.Reason.BAD_REQUEST,
+    ]
+)
+
 
 class Gateway:
     """Serve callers on one entry host."""
@@ -96,8 +105,9 @@
             await self._route(head, body, reply)
             self._note_end(head, 'whole', started_ms)
         except errors.EndedError as error:
-            self._note_end(head, error.ending, started_ms)
-            await reply.end(error.ending)
+            ending = _truthful(head, error.ending)
+            self._note_end(head, ending, started_ms)
+            await reply.end(ending)
         finally:
             self._in_flight -= 1
             if self._in_flight == 0:
@@ -358,3 +368,18 @@
             if model is None or model in endpoint.models:
                 return endpoint.service
         return None
+
+
+def _truthful(
+    head: requests.RequestHead, ending: outcomes.Ending
+) -> outcomes.Ending:
+    """Say of a resend only what is known of the attempts before it.
+
+    This attempt was not run; an earlier one may have been. Only the
+    ledger knows better, for once-only requests.
+    """
+    if ending.outcome is not outcomes.Outcome.NOT_RUN or not head.resend:
+        return ending
+    if ending.reason in BY_LEDGER:
+        return ending
+    return msgspec.structs.replace(ending, outcome=outcomes.Outcome.UNKNOWN)
--- a/wrenspoke/coordination/loads.py
+++ b/wrenspoke/coordination/loads.py
@@ -1,5 +1,6 @@
 """What is known of each endpoint's load and speed on this host."""
 
+import collections.abc
 import dataclasses
 
 import msgspec
@@ -41,12 +42,17 @@
     true_at_ms: int
 
 
+def _ignore(_endpoint: str, _first_ms: float) -> None:
+    """Be where times go until somebody collects them."""
+
+
 class Loads:
     """Collect load reports and measured times by endpoint."""
 
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
         self._speeds: dict[ids.EndpointId, Speed] = {}
+        self.on_first: collections.abc.Callable[[str, float], None] = _ignore
         self._reports: dict[ids.EndpointId, Reported] = {}
 
     def observe_first(self, endpoint: ids.EndpointId, first_ms: float) -> None:
@@ -54,6 +60,7 @@
         speed = self._speeds.setdefault(endpoint, Speed())
         if speed.seen_ms is None:
             speed.first_ms = first_ms
+        self.on_first(endpoint, first_ms)
         speed.first_ms += SMOOTHING * (first_ms - speed.first_ms)
         speed.seen_ms = self._clock.mono_ms()
 
--- a/wrenspoke/coordination/members.py
+++ b/wrenspoke/coordination/members.py
@@ -71,6 +71,7 @@
         self._failed_ms: dict[ids.HostId, int] = {}
         self._tasks = runtime.Tasks()
         self._started_ms = clock.mono_ms()
+        self._ticked_ms = clock.mono_ms()
         self.draining = False
         peers.answers(messages.Beat)(self._hear)
 
@@ -179,9 +180,28 @@
 
     async def _beat(self) -> None:
         while True:
+            self._note_awake()
             await self.tell_now()
             await self._clock.sleep_ms(self._settings.beat_interval_ms)
 
+    @property
+    def awake(self) -> bool:
+        """Tell whether this process has been running of late.
+
+        One that was stopped for long may hold what the others have left
+        behind since, and must look before it sends anything.
+        """
+        age_ms = self._clock.mono_ms() - self._ticked_ms
+        return age_ms <= self._settings.suspect_after_ms
+
+    def _note_awake(self) -> None:
+        if not self.awake:
+            logger.warning('was_stopped', cause='no_processor_time')
+            self._replica.doubt()
+            self._seen.clear()
+            self._started_ms = self._clock.mono_ms()
+        self._ticked_ms = self._clock.mono_ms()
+
     async def _hear(self, sender: ids.HostId, beat: messages.Beat) -> None:
         known = self._seen.get(sender)
         if known is None or known.suspected:
--- /dev/null
+++ b/wrenspoke/coordination/platform.py
@@ -0,0 +1,104 @@
+"""Read the platform's list of hosts, which lags.
+
+It may only add that an endpoint is leaving. What it says later never
+gives an endpoint work again: that takes an operator's plan, which puts
+the endpoint back under a configuration that is newer.
+"""
+
+import msgspec
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import members
+from wrenspoke.coordination import replica
+from wrenspoke import runtime
+from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+LIST_LIMIT_BYTES = 16 * 1024 * 1024
+INTERVAL_MS = 1_000
+LEAVING = 'leaving'
+
+
+class ListedHost(msgspec.Struct):
+    """Be one host of the platform's list."""
+
+    address: str
+    state: str
+
+
+class HostList(msgspec.Struct):
+    """Be what the platform answers."""
+
+    hosts: list[ListedHost]
+
+
+class PlatformWatcher:
+    """Take endpoints that the platform lists as leaving out of use."""
+
+    def __init__(
+        self,
+        url: str | None,
+        host: str,
+        client: web.HttpClient,
+        watched: members.Members,
+        held: replica.Replica,
+        clock: clocks.Clock,
+    ):
+        self._url = url
+        self._host = host
+        self._client = client
+        self._members = watched
+        self._replica = held
+        self._clock = clock
+        self._tasks = runtime.Tasks()
+
+    def start(self) -> None:
+        """Begin to look, if the settings name a list."""
+        if self._url is not None:
+            self._tasks.start(self._run())
+
+    async def close(self) -> None:
+        """End the task."""
+        await self._tasks.close()
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep_ms(INTERVAL_MS)
+            if self._host not in self._members.relays():
+                continue
+            listed = await self._read()
+            if self._mark(listed):
+                await self._members.tell_now()
+
+    async def _read(self) -> list[ListedHost]:
+        try:
+            async with clocks.timeout_ms(INTERVAL_MS):
+                async with self._client.send('GET', self._url, {}) as found:
+                    body = await web.read_whole(found, LIST_LIMIT_BYTES)
+            return msgspec.json.decode(body, type=HostList).hosts
+        except (
+            transport_errors.TransportError,
+            TimeoutError,
+            msgspec.DecodeError,
+        ) as error:
+            logger.info('platform_unknown', error=repr(error))
+            return []
+
+    def _mark(self, listed: list[ListedHost]) -> bool:
+        current = self._replica.current
+        news = False
+        for host in listed:
+            if host.state != LEAVING:
+                continue
+            for endpoint in current.endpoints_at(host.address):
+                if endpoint in self._replica.leaving:
+                    continue
+                self._replica.leaving.add(endpoint)
+                news = True
+                logger.warning(
+                    'endpoint_leaving', endpoint=endpoint, source='platform'
+                )
+        return news
--- a/wrenspoke/coordination/pulls.py
+++ b/wrenspoke/coordination/pulls.py
@@ -5,7 +5,8 @@
 host that starts knows nothing. It serves once a leader has confirmed that
 nothing newer was accepted, or, cut off from the control hosts, once every
 peer of its data centre has answered or is given up on; it then holds the
-highest index among them.
+highest index among them. A host that was stopped for long looks in the
+same way before it goes on, but has what it held before to fall back on.
 """
 
 import structlog
@@ -60,6 +61,7 @@
             )
             self._replica.serving = True
             return
+        self._replica.refreshable = True
         self._tasks.start(self._run())
 
     async def close(self) -> None:
@@ -80,13 +82,14 @@
         return delta
 
     async def _run(self) -> None:
-        while not self._replica.serving:
+        while True:
+            if self._replica.serving:
+                await self._clock.sleep_ms(self._interval_ms)
+                await self._follow()
+                continue
             await self._catch_up()
             if not self._replica.serving:
                 await self._clock.sleep_ms(START_INTERVAL_MS)
-        while True:
-            await self._clock.sleep_ms(self._interval_ms)
-            await self._follow()
 
     async def _catch_up(self) -> None:
         confirmed = await self._pull_control()
@@ -97,7 +100,8 @@
         serving = any(
             answer is not None and answer.serving for answer in answers
         )
-        if serving and self._members.waited_for_peers():
+        held = serving or self._replica.held_before
+        if held and self._members.waited_for_peers():
             self._serve('peers')
 
     def _serve(self, source: str) -> None:
--- /dev/null
+++ b/wrenspoke/coordination/reach.py
@@ -0,0 +1,156 @@
+"""Whether entry hosts of other regions can be reached.
+
+Hosts of other data centres send no beats here. Those that requests are
+passed to are pinged while they are used, so that a cut is noticed within
+the stated bound and work that cannot be passed on is told so at once.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import messages
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke import settings
+
+logger = structlog.get_logger(__name__)
+
+USED_FOR_MS = 10_000
+PINGS_TO_SUSPICION = 3
+
+
+@dataclasses.dataclass
+class Remote:
+    """Hold what is known of a host elsewhere, on this host's clock."""
+
+    used_ms: int
+    answered_ms: int | None = None
+    failed_ms: int | None = None
+    pinger: asyncio.Task | None = None
+    watchers: set[collections.abc.Callable[[], None]] = dataclasses.field(
+        default_factory=set
+    )
+
+
+class Reach:
+    """Ping the hosts that requests are passed to."""
+
+    def __init__(
+        self,
+        limits: settings.EntrySettings,
+        peers: peer_calls.Peers,
+        clock: clocks.Clock,
+        draining: collections.abc.Callable[[], bool],
+    ):
+        self._suspect_ms = limits.suspect_after_ms
+        self._interval_ms = limits.suspect_after_ms / PINGS_TO_SUSPICION
+        self._peers = peers
+        self._clock = clock
+        self._draining = draining
+        self._remotes: dict[ids.HostId, Remote] = {}
+        self._tasks = runtime.Tasks()
+        peers.answers(messages.Ping)(self._answer)
+
+    async def close(self) -> None:
+        """End every task."""
+        await self._tasks.close()
+
+    async def _answer(
+        self, _sender: ids.HostId, _message: messages.Ping
+    ) -> messages.Pong:
+        return messages.Pong(self._draining())
+
+    async def reachable(
+        self, hosts: collections.abc.Sequence[ids.HostId]
+    ) -> list[ids.HostId]:
+        """Return the hosts that answer, in their order."""
+        answers = await asyncio.gather(*(self._check(h) for h in hosts))
+        return [host for host, found in zip(hosts, answers) if found]
+
+    def known_away(self, host: ids.HostId) -> bool:
+        """Tell whether a host lately gave no answer, without asking."""
+        remote = self._remotes.get(host)
+        return remote is not None and self._failed_lately(remote)
+
+    async def _check(self, host: ids.HostId) -> bool:
+        now_ms = self._clock.mono_ms()
+        remote = self._remotes.get(host)
+        if remote is None:
+            remote = self._remotes[host] = Remote(now_ms)
+        remote.used_ms = now_ms
+        if remote.pinger is None:
+            remote.pinger = self._tasks.start(self._keep(host, remote))
+        if self._answered_lately(remote):
+            return True
+        if self._failed_lately(remote):
+            return False
+        return await self._ping(host, remote)
+
+    def _answered_lately(self, remote: Remote) -> bool:
+        if remote.answered_ms is None:
+            return False
+        failed_ms = remote.failed_ms or 0
+        age_ms = self._clock.mono_ms() - remote.answered_ms
+        return remote.answered_ms > failed_ms and age_ms < self._suspect_ms
+
+    def _failed_lately(self, remote: Remote) -> bool:
+        if remote.failed_ms is None:
+            return False
+        answered_ms = remote.answered_ms or 0
+        age_ms = self._clock.mono_ms() - remote.failed_ms
+        return remote.failed_ms > answered_ms and age_ms < self._suspect_ms
+
+    async def _ping(self, host: ids.HostId, remote: Remote) -> bool:
+        try:
+            answer = await self._peers.call(
+                host, messages.Ping(), self._interval_ms
+            )
+        except protocol_errors.ProtocolError:
+            answer = None
+        usable = isinstance(answer, messages.Pong) and not answer.draining
+        if usable:
+            remote.answered_ms = self._clock.mono_ms()
+            return True
+        remote.failed_ms = self._clock.mono_ms()
+        return False
+
+    async def _keep(self, host: ids.HostId, remote: Remote) -> None:
+        """Ping a host for as long as it is used."""
+        while self._is_used(remote):
+            await self._clock.sleep_ms(self._interval_ms)
+            if await self._ping(host, remote):
+                continue
+            answered_ms = remote.answered_ms or 0
+            silence_ms = self._clock.mono_ms() - answered_ms
+            if silence_ms < self._suspect_ms or not remote.watchers:
+                continue
+            logger.warning(
+                'host_unreachable', peer=host, silence_ms=silence_ms
+            )
+            for lost in list(remote.watchers):
+                lost()
+        remote.pinger = None
+
+    def _is_used(self, remote: Remote) -> bool:
+        age_ms = self._clock.mono_ms() - remote.used_ms
+        return bool(remote.watchers) or age_ms < USED_FOR_MS
+
+    @contextlib.contextmanager
+    def watching(
+        self, host: ids.HostId, lost: collections.abc.Callable[[], None]
+    ) -> collections.abc.Iterator[None]:
+        """Call ``lost`` if a host falls silent within the block."""
+        remote = self._remotes[host]
+        remote.watchers.add(lost)
+        try:
+            yield
+        finally:
+            remote.watchers.discard(lost)
+            remote.used_ms = self._clock.mono_ms()
--- a/wrenspoke/coordination/replica.py
+++ b/wrenspoke/coordination/replica.py
@@ -21,6 +21,8 @@
     def __init__(self):
         self.current = configuration.Configuration()
         self.serving = False
+        self.refreshable = False
+        self.held_before = False
         self.leaving: set[ids.EndpointId] = set()
         self.changed = asyncio.Event()
         self._changes: collections.deque = collections.deque(
@@ -59,6 +61,12 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def doubt(self) -> None:
+        """Stop serving until it is known again that nothing is newer."""
+        if self.refreshable:
+            self.held_before = self.held_before or self.serving
+            self.serving = False
+
     def after(self, index: int) -> messages.ConfigurationDelta:
         """Return what follows ``index``, by changes where they are kept."""
         current = self.current
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 
+import aiohttp.web
 import structlog
 
 from wrenspoke import clock as clocks
@@ -19,13 +20,16 @@
 from wrenspoke.coordination import members
 from wrenspoke.coordination import once
 from wrenspoke.coordination import placement
+from wrenspoke.coordination import platform
 from wrenspoke.coordination import polls
 from wrenspoke.coordination import pulls
+from wrenspoke.coordination import reach
 from wrenspoke.coordination import replica
 from wrenspoke.coordination import streams
 from wrenspoke import ids
 from wrenspoke import keys
 from wrenspoke import logs
+from wrenspoke import metrics
 from wrenspoke.protocol import hops
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke.protocol import surface
@@ -80,7 +84,20 @@
             host, deployment, self.peers, self.members, self.replica, clock
         )
         dispatcher = dispatch.Dispatcher(
-            host, region, self.replica, self._client, clock
+            host,
+            region,
+            self.replica,
+            self._client,
+            clock,
+            lambda: self.members.awake,
+        )
+        self._platform = platform.PlatformWatcher(
+            self._settings.platform_url,
+            name,
+            self._client,
+            self.members,
+            self.replica,
+            clock,
         )
         placer = placement.Placer(
             region,
@@ -117,10 +134,14 @@
             self.decisions,
             clock,
         )
+        self._reach = reach.Reach(
+            self._settings, self.peers, clock, lambda: self.members.draining
+        )
         forwarder = forwarding.Forwarder(
             host,
             deployment,
             self.members,
+            self._reach,
             self._client,
             signer,
             self.decisions,
@@ -154,7 +175,11 @@
         entry_surface = surface.EntrySurface(
             self.gateway, host, self._settings, signer, clock, skew_ms
         )
-        self._web = web.HttpServer(entry_surface.application())
+        self._metrics = metrics.Metrics(name)
+        application = entry_surface.application()
+        application.router.add_get('/metrics', self._show_metrics)
+        self._web = web.HttpServer(application)
+        self.loads.on_first = self._metrics.observe_first_ms
 
     async def start(self) -> None:
         """Listen and begin every task."""
@@ -164,9 +189,36 @@
         self.ledger.start()
         self._puller.start()
         self._poller.start()
+        self._platform.start()
         await self._web.start(ip, self._own.http_port)
         logger.info('started', ip=ip, http_port=self._own.http_port)
 
+    async def _show_metrics(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.Response:
+        self._collect()
+        body, sent = self._metrics.render(request.headers.getall('Accept', []))
+        return aiohttp.web.Response(body=body, headers=sent)
+
+    def _collect(self) -> None:
+        """Copy what the parts count into the metrics."""
+        status = self.gateway.status()
+        put = self._metrics.set
+        for outcome, count in status['ended'].items():
+            put('wrenspoke_requests_ended_total', count, outcome=outcome)
+        put('wrenspoke_requests_in_flight', status['in_flight'])
+        put('wrenspoke_endpoint_sends_total', status['sent_to_endpoints'])
+        put('wrenspoke_retries_spent_total', status['retries_spent'])
+        put('wrenspoke_retries_denied_total', status['retries_denied'])
+        put('wrenspoke_configuration_index', status['index'])
+        put('wrenspoke_serving', status['serving'])
+        put('wrenspoke_draining', status['draining'])
+        put('wrenspoke_ledger_keys', status['ledger_keys'])
+        put('wrenspoke_peers_usable', sum(status['peers'].values()))
+        links_used = self.peers.links
+        put('wrenspoke_link_sent_bytes_total', links_used.sent_bytes)
+        put('wrenspoke_link_received_bytes_total', links_used.received_bytes)
+
     async def drain(self) -> bool:
         """Let callers go elsewhere, then wait for what is in flight.
 
@@ -185,6 +237,8 @@
     async def close(self) -> None:
         """End every task and close every socket."""
         await self._web.close()
+        await self._reach.close()
+        await self._platform.close()
         await self._poller.close()
         await self._puller.close()
         await self.ledger.close()
--- /dev/null
+++ b/wrenspoke/history.py
@@ -0,0 +1,125 @@
+"""Histories of concurrent runs: one JSON line a request, and their check.
+
+A line says what one caller asked and what it was told. Together with
+what the endpoints ran, it shows whether a promise was broken.
+"""
+
+import collections.abc
+import dataclasses
+import pathlib
+
+import msgspec
+
+
+class Asked(msgspec.Struct):
+    """Be one line of a history.
+
+    ``outcome`` is ``lost`` where the caller was told nothing, ``whole``
+    is told by the caller's own comparison with the expected answer.
+    """
+
+    request: str
+    kind: str
+    entry: str
+    home: str
+    bound: bool
+    once: bool
+    sent_ms: int
+    ended_ms: int
+    outcome: str
+    reason: str = ''
+    whole: bool = False
+    first_ms: float | None = None
+    hosts: list[str] = []
+
+
+@dataclasses.dataclass
+class Ran:
+    """Hold where requests ran: by request, the endpoints in turn."""
+
+    endpoints: dict[str, list[str]]
+    regions: dict[str, str]
+
+    def regions_of(self, request: str) -> set[str]:
+        """Return the regions that ran a request."""
+        return {
+            self.regions[endpoint]
+            for endpoint in self.endpoints.get(request, [])
+        }
+
+
+Check = collections.abc.Callable[[Asked, Ran], bool]
+CHECKS: dict[str, Check] = {}
+
+
+def check(name: str) -> collections.abc.Callable[[Check], Check]:
+    """Return a decorator that registers what may never be so."""
+
+    def register(function: Check) -> Check:
+        CHECKS[name] = function
+        return function
+
+    return register
+
+
+@check('doubled')
+def is_doubled(asked: Asked, ran: Ran) -> bool:
+    """Tell whether a once-only request ran more than once."""
+    return asked.once and len(ran.endpoints.get(asked.request, [])) > 1
+
+
+@check('outside_home')
+def is_outside_home(asked: Asked, ran: Ran) -> bool:
+    """Tell whether a bound request ran outside its home."""
+    return asked.bound and bool(ran.regions_of(asked.request) - {asked.home})
+
+
+@check('not_run_but_ran')
+def is_not_run_but_ran(asked: Asked, ran: Ran) -> bool:
+    """Tell whether a request told as not run was run."""
+    return asked.outcome == 'not_run' and asked.request in ran.endpoints
+
+
+@check('cut_short_as_whole')
+def is_cut_short(asked: Asked, _ran: Ran) -> bool:
+    """Tell whether a wrong answer was passed off as whole."""
+    return asked.outcome == 'whole' and not asked.whole
+
+
+def violations(
+    history: collections.abc.Iterable[Asked], ran: Ran
+) -> dict[str, list[str]]:
+    """Return, by check, the requests that broke it."""
+    found: dict[str, list[str]] = {name: [] for name in CHECKS}
+    for asked in history:
+        for name, broken in CHECKS.items():
+            if broken(asked, ran):
+                found[name].append(asked.request)
+    return found
+
+
+def indexes_went_back(
+    seen: collections.abc.Iterable[tuple[str, int]],
+) -> list[tuple[str, int, int]]:
+    """Return where a host showed a lower index than it had before."""
+    highest: dict[str, int] = {}
+    found = []
+    for host, index in seen:
+        if index < highest.get(host, 0):
+            found.append((host, highest[host], index))
+        highest[host] = max(highest.get(host, 0), index)
+    return found
+
+
+def write(
+    path: pathlib.Path, history: collections.abc.Iterable[Asked]
+) -> None:
+    """Write a history, a line a request."""
+    lines = [msgspec.json.encode(asked) for asked in history]
+    path.write_bytes(b'\n'.join(lines) + b'\n')
+
+
+def read(path: pathlib.Path) -> list[Asked]:
+    """Read a history."""
+    lines = path.read_bytes().splitlines()
+    return [msgspec.json.decode(line, type=Asked) for line in lines]
--- /dev/null
+++ b/wrenspoke/load.py
@@ -0,0 +1,355 @@
+"""``wrenspoke-load``: open-loop load on a deployment, with a history.
+
+Requests leave at their own times whether or not earlier ones have ended,
+as callers do. The mix is of chats in sessions, bound chats, lookups,
+and once-only calls that are sometimes sent twice.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import json
+import pathlib
+import random
+import sys
+
+from hdrh import histogram
+import msgspec
+
+from wrenspoke import caller as callers
+from wrenspoke import clock as clocks
+from wrenspoke import history
+from wrenspoke import ids
+from wrenspoke import logs
+from wrenspoke.protocol import headers
+from wrenspoke import runtime
+from wrenspoke import settings
+from wrenspoke.standin import engine
+from wrenspoke.state import configuration
+from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import web
+
+LOWEST_MS = 1
+HIGHEST_MS = 3_600_000
+DIGITS = 3
+PERCENTILES = (50, 99, 99.9)
+RESEND_SHARE = 0.2
+END_WAIT_MS = 30_000
+MS_PER_S = 1000
+TOKENS_PER_PRICE = 1_000_000
+
+DEFAULT_MIX = {'chat': 6, 'bound': 2, 'lookup': 1, 'once': 1}
+
+
+@dataclasses.dataclass
+class Plan:
+    """Say how much of what is to be asked."""
+
+    rate_per_s: float
+    duration_ms: int
+    seed: int = 1
+    sessions: int = 200
+    deadline_ms: int = 10_000
+    tokens: int = 16
+    mix: dict[str, int] = dataclasses.field(
+        default_factory=lambda: dict(DEFAULT_MIX)
+    )
+    homes: tuple[str, ...] = ()
+
+
+class Load:
+    """Ask a deployment's entry hosts by a plan."""
+
+    def __init__(self, deployment: settings.Deployment, plan: Plan):
+        self._deployment = deployment
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self._clock = clocks.Clock()
+        self._callers: dict[str, callers.Caller] = {}
+        self._entries: dict[str, list[str]] = {}
+        for host in deployment.with_role('entry'):
+            url = f'http://{host.ip}:{host.http_port}'
+            self._entries.setdefault(host.region, []).append(url)
+        kinds = {item.kind: item.service for item in deployment.services}
+        self._plain = kinds.get(configuration.ServiceKind.PLAIN)
+        once = [rule for rule in deployment.rules if rule.once]
+        self._once_path = once[0].path_prefix if once else None
+        self.history: list[history.Asked] = []
+
+    async def run(self) -> list[history.Asked]:
+        """Send everything and wait for every end."""
+        tasks = set()
+        started_ms = self._clock.mono_ms()
+        due_ms = float(started_ms)
+        end_ms = started_ms + self._plan.duration_ms
+        while due_ms < end_ms:
+            await self._clock.sleep_ms(due_ms - self._clock.mono_ms())
+            task = asyncio.create_task(self._ask_one())
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            gap_s = self._random.expovariate(self._plan.rate_per_s)
+            due_ms += gap_s * MS_PER_S
+        if tasks:
+            await asyncio.wait(tasks, timeout=END_WAIT_MS / MS_PER_S)
+        await runtime.cancel(tasks)
+        for caller in self._callers.values():
+            await caller.close()
+        return self.history
+
+    async def _ask_one(self) -> None:
+        mix = self._plan.mix
+        kind = self._random.choices(list(mix), list(mix.values()))[0]
+        homes = self._plan.homes or tuple(self._entries)
+        home = self._random.choice(homes)
+        # Some callers ask a region that is not their home.
+        region = home
+        if self._random.random() < 0.1:
+            region = self._random.choice(list(self._entries))
+        urls = list(self._entries[region])
+        self._random.shuffle(urls)
+        asked = history.Asked(
+            request=ids.new_unique(),
+            kind=kind,
+            entry=urls[0],
+            home=home,
+            bound=kind == 'bound',
+            once=kind == 'once',
+            sent_ms=self._clock.wall_ms(),
+            ended_ms=0,
+            outcome='lost',
+        )
+        caller = callers.Caller(urls, client=self._client())
+        try:
+            await KINDS[kind](self, caller, asked)
+        finally:
+            asked.ended_ms = self._clock.wall_ms()
+            self.history.append(asked)
+
+    def _client(self) -> web.HttpClient:
+        if 'shared' not in self._callers:
+            self._callers['shared'] = callers.Caller([])
+        return self._callers['shared'].client
+
+    def _sent(self, asked: history.Asked) -> dict[str, str]:
+        sent = {
+            headers.REQUEST: asked.request,
+            headers.HOME: asked.home,
+            headers.DEADLINE_MS: str(self._plan.deadline_ms),
+        }
+        if asked.bound:
+            sent[headers.BOUND] = 'true'
+        return sent
+
+    async def ask_chat(
+        self, caller: callers.Caller, asked: history.Asked
+    ) -> None:
+        """Ask for a streamed chat of a session."""
+        number = self._random.randrange(self._plan.sessions)
+        session = f'{asked.home}-{number}'
+        messages = [{'role': 'user', 'content': f'hello from {session}'}]
+        body = {
+            'messages': messages,
+            'stream': True,
+            'max_tokens': self._plan.tokens,
+        }
+        sent = {**self._sent(asked), headers.SESSION: session}
+        result = await caller.chat(body, sent)
+        words = engine.answer_words(messages, self._plan.tokens)
+        _note(asked, result, result.text == ''.join(words))
+
+    async def ask_lookup(
+        self, caller: callers.Caller, asked: history.Asked
+    ) -> None:
+        """Look something up that may be repeated."""
+        result = await caller.call(
+            'GET', self._plain, '/map', self._sent(asked)
+        )
+        _note(asked, result, _is_own(result, asked))
+
+    async def ask_once(
+        self, caller: callers.Caller, asked: history.Asked
+    ) -> None:
+        """Ask for what may run once; some callers ask twice at once."""
+        asked.request = callers.once_id(asked.home, self._clock)
+        method = self._random.choice(['GET', 'POST'])
+        sent = self._sent(asked)
+        first = caller.call(method, self._plain, self._once_path, sent)
+        if self._random.random() >= RESEND_SHARE:
+            result = await first
+            _note(asked, result, _is_own(result, asked))
+            return
+        again = {**sent, headers.ATTEMPT: '2'}
+        result, second = await asyncio.gather(
+            first,
+            caller.call(method, self._plain, self._once_path, again),
+        )
+        _note(asked, result, _is_own(result, asked))
+        other = msgspec.structs.replace(asked, hosts=[])
+        _note(other, second, _is_own(second, asked))
+        # The two were on their way together: one may truthfully be told
+        # that it was not run while the other was.
+        if 'not_run' not in (asked.outcome, other.outcome):
+            self.history.append(other)
+        elif asked.outcome == 'not_run':
+            asked.outcome = other.outcome
+            asked.whole = other.whole
+
+
+KINDS = {
+    'chat': Load.ask_chat,
+    'bound': Load.ask_chat,
+    'lookup': Load.ask_lookup,
+    'once': Load.ask_once,
+}
+
+
+def _note(asked: history.Asked, result: callers.Result, whole: bool) -> None:
+    asked.outcome = result.outcome
+    asked.reason = result.reason
+    asked.whole = whole
+    asked.first_ms = result.first_ms
+    asked.hosts = result.hosts
+
+
+def _is_own(result: callers.Result, asked: history.Asked) -> bool:
+    try:
+        return msgspec.json.decode(result.body)['request'] == asked.request
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return False
+
+
+@dataclasses.dataclass
+class EndpointRuns:
+    """Hold what one stand-in says that it ran."""
+
+    runs: dict[str, int]
+    tokens: int = 0
+
+
+async def collect_runs(
+    deployment: settings.Deployment,
+) -> dict[str, EndpointRuns]:
+    """Ask every stand-in that answers what it ran."""
+    found = {}
+    client = web.HttpClient(callers.CONNECT_TIMEOUT_MS)
+    try:
+        for endpoint in deployment.endpoints:
+            try:
+                async with client.send(
+                    'GET', f'{endpoint.url}/runs', {}
+                ) as answer:
+                    body = await web.read_whole(
+                        answer, callers.ANSWER_LIMIT_BYTES
+                    )
+            except transport_errors.TransportError:
+                continue
+            told = msgspec.json.decode(body)
+            found[endpoint.endpoint] = EndpointRuns(
+                told['runs'], told.get('tokens', 0)
+            )
+    finally:
+        await client.close()
+    return found
+
+
+def where_ran(
+    deployment: settings.Deployment, runs: dict[str, EndpointRuns]
+) -> history.Ran:
+    """Return the stand-ins' counts in the form that checks use."""
+    endpoints: dict[str, list[str]] = {}
+    for endpoint, told in runs.items():
+        for request, count in told.runs.items():
+            endpoints.setdefault(request, []).extend([endpoint] * count)
+    regions = {item.endpoint: item.region for item in deployment.endpoints}
+    return history.Ran(endpoints, regions)
+
+
+def report(
+    deployment: settings.Deployment,
+    asked: list[history.Asked],
+    runs: dict[str, EndpointRuns],
+) -> dict:
+    """Return the figures of a run: ends, times, cost, places, attempts."""
+    ran = where_ran(deployment, runs)
+    ends = collections.Counter(one.outcome for one in asked)
+    reasons = collections.Counter(
+        one.reason for one in asked if one.outcome != 'whole'
+    )
+    served = [one for one in asked if ran.endpoints.get(one.request)]
+    away = sum(ran.regions_of(one.request) != {one.home} for one in served)
+    sends = sum(len(ran.endpoints[one.request]) for one in served)
+    prices = {
+        item.endpoint: item.price_per_mtok for item in deployment.endpoints
+    }
+    cost = sum(
+        prices[endpoint] * told.tokens / TOKENS_PER_PRICE
+        for endpoint, told in runs.items()
+    )
+    broken = history.violations(asked, ran)
+    return {
+        'requests': len(asked),
+        'ends': dict(ends),
+        'reasons': dict(reasons),
+        'first_ms': {
+            kind: _percentiles([one for one in asked if one.kind == kind])
+            for kind in sorted({one.kind for one in asked})
+        },
+        'away_share': round(away / len(served), 4) if served else 0.0,
+        'attempts_per_request': (
+            round(sends / len(served), 4) if served else 0.0
+        ),
+        'cost': round(cost, 6),
+        'violations': {name: len(ids) for name, ids in broken.items()},
+    }
+
+
+def _percentiles(asked: list[history.Asked]) -> dict[str, float]:
+    recorded = histogram.HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+    for one in asked:
+        if one.first_ms is not None and one.outcome == 'whole':
+            recorded.record_value(max(LOWEST_MS, int(one.first_ms)))
+    return {
+        f'p{percentile}': recorded.get_value_at_percentile(percentile)
+        for percentile in PERCENTILES
+    }
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Run the load and print its report as JSON."""
+    deployment = settings.read(arguments.settings)
+    plan = Plan(
+        rate_per_s=arguments.rate,
+        duration_ms=int(arguments.seconds * MS_PER_S),
+        seed=arguments.seed,
+        sessions=arguments.sessions,
+        deadline_ms=arguments.deadline_ms,
+    )
+    load = Load(deployment, plan)
+    asked = await load.run()
+    if arguments.history:
+        history.write(arguments.history, asked)
+    runs = await collect_runs(deployment)
+    print(json.dumps(report(deployment, asked, runs), indent=2))
+
+
+def main() -> None:
+    """Parse arguments, configure logs and hand over."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--settings', required=True, type=pathlib.Path)
+    parser.add_argument('--rate', type=float, default=50.0)
+    parser.add_argument('--seconds', type=float, default=10.0)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--sessions', type=int, default=200)
+    parser.add_argument('--deadline-ms', type=int, default=10_000)
+    parser.add_argument('--history', type=pathlib.Path)
+    arguments = parser.parse_args()
+    logs.configure('warning', 'load')
+    try:
+        runtime.run(serve(arguments))
+    except settings.SettingsError as error:
+        sys.exit('\n'.join(error.problems))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/wrenspoke/metrics.py
@@ -0,0 +1,63 @@
+"""Metrics of a daemon, rendered for ``GET /metrics``."""
+
+import collections.abc
+
+import aioprometheus
+from aioprometheus import renderer
+
+NAMES = {
+    'wrenspoke_requests_ended_total': 'requests by how they ended',
+    'wrenspoke_requests_in_flight': 'requests being served now',
+    'wrenspoke_endpoint_sends_total': 'sends of work to endpoints',
+    'wrenspoke_retries_spent_total': 'retries taken from the budget',
+    'wrenspoke_retries_denied_total': 'retries the budget did not allow',
+    'wrenspoke_configuration_index': 'index of the configuration in force',
+    'wrenspoke_serving': '1 while this host serves callers',
+    'wrenspoke_draining': '1 while this host is leaving',
+    'wrenspoke_ledger_keys': 'once-only keys this host holds a copy of',
+    'wrenspoke_peers_usable': 'usable peers of the data centre',
+    'wrenspoke_link_sent_bytes_total': 'bytes sent on links',
+    'wrenspoke_link_received_bytes_total': 'bytes received on links',
+    'wrenspoke_first_ms': 'ms to the first token or whole answer',
+    'wrenspoke_term': 'term of the control group',
+    'wrenspoke_leading': '1 while this control host leads',
+    'wrenspoke_commit_index': 'index up to which the log is committed',
+    'wrenspoke_voters': 'voters of the control group',
+}
+
+
+class Metrics:
+    """Hold the metrics of one daemon."""
+
+    def __init__(self, host: str):
+        self._registry = aioprometheus.Registry()
+        self._labels = {'host': host}
+        self._gauges: dict[str, aioprometheus.Gauge] = {}
+        self._first = aioprometheus.Summary(
+            'wrenspoke_first_ms',
+            NAMES['wrenspoke_first_ms'],
+            const_labels=self._labels,
+            registry=self._registry,
+        )
+
+    def observe_first_ms(self, endpoint: str, first_ms: float) -> None:
+        """Note the time to a first token or whole answer."""
+        self._first.observe({'endpoint': endpoint}, first_ms)
+
+    def set(self, name: str, value: float, **labels: str) -> None:
+        """Set a metric of the table above."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = self._gauges[name] = aioprometheus.Gauge(
+                name,
+                NAMES[name],
+                const_labels=self._labels,
+                registry=self._registry,
+            )
+        gauge.set(labels, value)
+
+    def render(
+        self, accepts: collections.abc.Sequence[str]
+    ) -> tuple[bytes, dict[str, str]]:
+        """Return the body and headers for a scraper."""
+        return renderer.render(self._registry, list(accepts))
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -49,6 +49,16 @@
     busy: list[Busy]
 
 
+class Ping(msgspec.Struct, tag='ping'):
+    """Ask a host elsewhere whether it can be reached."""
+
+
+class Pong(msgspec.Struct, tag='pong'):
+    """Answer a ping."""
+
+    draining: bool
+
+
 class PullConfiguration(msgspec.Struct, tag='pull'):
     """Ask for the changes after an index; relays tell their standing."""
 
@@ -183,6 +193,8 @@
 
 Message = typing.Union[
     Beat,
+    Ping,
+    Pong,
     PullConfiguration,
     ConfigurationDelta,
     Prepare,
--- a/wrenspoke/standin/relay.py
+++ b/wrenspoke/standin/relay.py
@@ -23,6 +23,8 @@
         self._open.set()
         self._server: asyncio.Server | None = None
         self._tasks = runtime.Tasks()
+        self._accepting: set[asyncio.Task] = set()
+        self._closing = False
         self.delay_ms = 0
         self.passed_bytes = 0
 
@@ -44,12 +46,22 @@
         """End every connection."""
         if self._server is not None:
             self._server.close()
+        self._closing = True
+        self._open.set()
         await self._tasks.close()
+        if self._accepting:
+            await asyncio.wait(self._accepting)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        accepting = asyncio.current_task()
+        self._accepting.add(accepting)
+        accepting.add_done_callback(self._accepting.discard)
         await self._open.wait()
+        if self._closing:
+            writer.transport.abort()
+            return
         try:
             target_reader, target_writer = await asyncio.open_connection(
                 *self._target
--- a/wrenspoke/state/configuration.py
+++ b/wrenspoke/state/configuration.py
@@ -108,6 +108,14 @@
             raise errors.UnknownItemError(f'endpoint {endpoint} is unknown')
         return found
 
+    def endpoints_at(self, address: str) -> list[ids.EndpointId]:
+        """Return the endpoints at an IP number and port."""
+        return [
+            endpoint.endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.url == f'http://{address}'
+        ]
+
 
 class SetEndpointState(msgspec.Struct, frozen=True, tag='endpoint_state'):
     """Let an endpoint take new work, or not."""
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -139,9 +139,7 @@
         self._pending[number] = future
         try:
             async with clocks.timeout_ms(timeout_ms):
-                # A new socket needs a moment to connect; IMMEDIATE makes
-                # the send wait for that instead of queueing.
-                await dealer.send(frame)
+                await _send_when_connected(dealer, frame)
                 self.sent_bytes += len(frame)
                 return await future
         except TimeoutError as error:
@@ -270,6 +268,22 @@
         self._context.destroy(linger=0)
 
 
+async def _send_when_connected(
+    dealer: zmq.asyncio.Socket, frame: bytes
+) -> None:
+    """Send as soon as there is a connection; queue nothing until then.
+
+    A send that waits inside pyzmq would hold up every later one on the
+    socket, those with NOBLOCK too, so the wait is for the socket instead.
+    """
+    while True:
+        try:
+            await dealer.send(frame, zmq.NOBLOCK)
+            return
+        except zmq.Again:
+            await dealer.poll(flags=zmq.POLLOUT)
+
+
 def _set_options(opened: zmq.asyncio.Socket) -> None:
     opened.setsockopt(zmq.LINGER, 0)
     opened.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -147,6 +147,7 @@
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=75,
+            shutdown_timeout=0.5,
             max_line_size=LINE_LIMIT_BYTES,
             max_field_size=LINE_LIMIT_BYTES,
         )
@@ -154,9 +155,7 @@
     async def start(self, ip: str, port: int) -> None:
         """Listen; the port must be free."""
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner, ip, port, backlog=BACKLOG, shutdown_timeout=0.5
-        )
+        site = web.TCPSite(self._runner, ip, port, backlog=BACKLOG)
         await site.start()
 
     async def close(self) -> None:
