Send work away from a home that can't begin it

Ruled out: a forward for every failure (what may have run must not move; bound, once-only and low-priority work stays).

Change: an endpoint that refused a connection is left out for a second; a request that nothing here could begin goes to the nearest region that may serve it, once.

--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints JSON and says what it ran."""
--- /dev/null
+++ b/benches/processes.py
@@ -0,0 +1,20 @@
+"""Processor time and memory of running processes, from /proc."""
+
+import os
+import pathlib
+
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')')[1]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / TICKS_PER_S
+
+
+def memory_mb(pid: int) -> float:
+    """Return a process's resident memory."""
+    pages = pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1]
+    return int(pages) * PAGE_BYTES / 1e6
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -208,9 +208,10 @@
                 command, stdout=log, stderr=log, cwd=self.folder
             )
 
-    def start_standins(self) -> None:
+    def start_standins(self, *regions: str) -> None:
         """Start one process of stand-ins for each region."""
-        for region in sorted({e.region for e in self.settings.endpoints}):
+        every = {e.region for e in self.settings.endpoints}
+        for region in regions or sorted(every):
             arguments = ['--model', self.model]
             for endpoint in self.settings.endpoints:
                 if endpoint.region == region:
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -159,3 +159,25 @@
         result = await task
         assert result.outcome == 'whole', result
         assert result.text == WHOLE
+
+
+async def test_work_goes_away_from_a_home_without_engines(tmp_path):
+    """Only what may leave, and only while home can't serve it."""
+    async with fleet.running(tmp_path, fleet.deployment()) as running:
+        running.kill('standin-south')
+        caller = running.caller('south-1')
+        for _number in range(3):
+            result = await caller.chat(CHAT)
+            assert (result.outcome, result.text) == ('whole', WHOLE)
+        sent = {headers.HOME: 'south', headers.BOUND: 'true'}
+        result = await caller.chat(CHAT, sent)
+        assert result.outcome == 'not_run'
+        running.start_standins('south')
+
+        async def at_home_again():
+            request = ids.new_unique()
+            await caller.chat(CHAT, {headers.REQUEST: request})
+            explained = await caller.get(f'/explain/{request}')
+            return 'forwarded' not in str(explained)
+
+        await fleet.until(at_home_again, 'work to come home')
--- a/wrenspoke/coordination/gateway.py
+++ b/wrenspoke/coordination/gateway.py
@@ -37,6 +37,15 @@
     ]
 )
 
+# Reasons for which another region may do better.
+NO_CAPACITY = frozenset(
+    [
+        outcomes.Reason.NO_ENDPOINT,
+        outcomes.Reason.OVERLOAD,
+        outcomes.Reason.ENDPOINT_FAILED,
+    ]
+)
+
 
 class Gateway:
     """Serve callers on one entry host."""
@@ -168,7 +177,36 @@
                 )
             await self._forwarder.forward(head, body, region, reply)
             return
-        await self._serve_here(head, key, body, reply)
+        try:
+            await self._serve_here(head, key, body, reply)
+        except errors.EndedError as error:
+            other = self._way_out(head, error.ending, reply)
+            if other is None:
+                raise
+            self._decisions.note(
+                'sent_away',
+                head.request,
+                region=other,
+                reason=error.ending.reason,
+            )
+            await self._forwarder.forward(head, body, other, reply)
+
+    def _way_out(
+        self,
+        head: requests.RequestHead,
+        ending: outcomes.Ending,
+        reply: replies.Reply,
+    ) -> ids.RegionId | None:
+        """Return a region for what this one could not even begin."""
+        if ending.outcome is not outcomes.Outcome.NOT_RUN or reply.started:
+            return None
+        if ending.reason not in NO_CAPACITY:
+            return None
+        if head.bound or head.once or head.forwarded:
+            return None
+        if head.priority is requests.Priority.LOW:
+            return None
+        return self._nearest_with(head)
 
     async def _serve_here(
         self,
--- a/wrenspoke/coordination/loads.py
+++ b/wrenspoke/coordination/loads.py
@@ -11,6 +11,7 @@
 
 SMOOTHING = 0.2
 STALE_MS = 10_000
+DOWN_FOR_MS = 1_000
 FORGET_MS = 15_000
 FIRST_GUESS_MS = 200.0
 HOLD_GUESS_MS = 1_000.0
@@ -54,6 +55,7 @@
         self._speeds: dict[ids.EndpointId, Speed] = {}
         self.on_first: collections.abc.Callable[[str, float], None] = _ignore
         self._reports: dict[ids.EndpointId, Reported] = {}
+        self._down_ms: dict[ids.EndpointId, int] = {}
 
     def observe_first(self, endpoint: ids.EndpointId, first_ms: float) -> None:
         """Note the time to a first token or whole answer."""
@@ -69,6 +71,24 @@
         speed = self._speeds.setdefault(endpoint, Speed(hold_ms=hold_ms))
         speed.hold_ms += SMOOTHING * (hold_ms - speed.hold_ms)
 
+    def failed(self, endpoint: ids.EndpointId) -> None:
+        """Note that no connection to an endpoint could be made."""
+        self._down_ms[endpoint] = self._clock.mono_ms()
+
+    def answered(self, endpoint: ids.EndpointId) -> None:
+        """Note that an endpoint gave an answer."""
+        self._down_ms.pop(endpoint, None)
+
+    def is_down(self, endpoint: ids.EndpointId) -> bool:
+        """Tell whether an endpoint was away a moment ago.
+
+        After that moment the next request tries it again.
+        """
+        down_ms = self._down_ms.get(endpoint)
+        if down_ms is None:
+            return False
+        return self._clock.mono_ms() - down_ms < DOWN_FOR_MS
+
     def speed(self, endpoint: ids.EndpointId) -> Speed:
         """Return an endpoint's times; an old one is believed less.
 
@@ -88,6 +108,7 @@
     def report(self, report: messages.LoadReport) -> None:
         """Keep a report unless a newer one is here."""
         true_at_ms = self._clock.mono_ms() - report.age_ms
+        self.answered(report.endpoint)
         known = self._reports.get(report.endpoint)
         if known is not None and known.true_at_ms >= true_at_ms:
             return
--- a/wrenspoke/coordination/local.py
+++ b/wrenspoke/coordination/local.py
@@ -20,6 +20,12 @@
 logger = structlog.get_logger(__name__)
 
 SERVER_ERROR = 500
+FAILURES = (
+    errors.SendRefusedError,
+    errors.NotSentError,
+    errors.OverloadedError,
+    errors.MaybeSentError,
+)
 FIRST_TRY_SHARE = 0.5
 
 
@@ -190,12 +196,7 @@
             )
             try:
                 answer = await self._try(send, tries)
-            except (
-                errors.SendRefusedError,
-                errors.NotSentError,
-                errors.OverloadedError,
-                errors.MaybeSentError,
-            ) as error:
+            except FAILURES as error:
                 tries.failed(send.endpoint, error)
                 continue
             if answer.status < SERVER_ERROR:
@@ -233,6 +234,7 @@
                 body = await answer.whole(self.settings.answer_limit_bytes)
             succeeded = answer.status < SERVER_ERROR
             taken_ms = self.clock.mono_ms() - started_ms
+            self.loads.answered(send.endpoint)
             self.loads.observe_first(send.endpoint, taken_ms)
             self.loads.observe_hold(send.endpoint, taken_ms)
             self.placer.sessions.used(send.head.session, send.endpoint)
@@ -242,5 +244,8 @@
         except errors.OverloadedError:
             overloaded = True
             raise
+        except errors.NotSentError:
+            self.loads.failed(send.endpoint)
+            raise
         finally:
             send.slot.release(succeeded, overloaded)
--- a/wrenspoke/coordination/placement.py
+++ b/wrenspoke/coordination/placement.py
@@ -168,7 +168,8 @@
         return [
             endpoint
             for endpoint in self._replica.active(head.service, self._region)
-            if head.model is None or head.model in endpoint.models
+            if (head.model is None or head.model in endpoint.models)
+            and not self._loads.is_down(endpoint.endpoint)
         ]
 
     def take(self, endpoint: ids.EndpointId) -> Slot | None:
--- a/wrenspoke/coordination/streams.py
+++ b/wrenspoke/coordination/streams.py
@@ -155,12 +155,7 @@
             try:
                 await self._stream(head, transcript, reply, slot, tries)
                 return slot.endpoint.endpoint
-            except (
-                errors.SendRefusedError,
-                errors.NotSentError,
-                errors.OverloadedError,
-                errors.MaybeSentError,
-            ) as error:
+            except local.FAILURES as error:
                 tries.failed(slot.endpoint.endpoint, error)
             finally:
                 slot.release()
@@ -273,6 +268,9 @@
         except errors.OverloadedError:
             send.slot.release(overloaded=True)
             raise
+        except errors.NotSentError:
+            self._server.loads.failed(send.endpoint)
+            raise
         except (asyncio.CancelledError, protocol_errors.CallerGoneError):
             self._cancel(send)
             raise
