--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,9 +3,14 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from tests import fleet
+from wrenspoke import clock as clocks
+from wrenspoke import keys
+from wrenspoke.transport import errors
+from wrenspoke.transport import links
 
 CONTROLS = ('control-1', 'control-2', 'control-3')
 
@@ -309,3 +314,111 @@
         'not_run',
         'no_configuration',
     )
+
+
+@pytest.mark.parametrize('fenced', [True, False])
+async def test_frozen_leader_that_wakes_sends_no_order(tmp_path, fenced):
+    """It was replaced meanwhile and still believes that it leads."""
+    made = fleet.deployment(regions=('north',), engines=4, controls=3)
+    for endpoint in made['endpoints']:
+        endpoint['fenced'] = fenced
+    async with fleet.running(tmp_path, made) as running:
+        await running.wait_voters(3)
+        operator = running.operator()
+        plans = []
+        for number in range(1, 5):
+            intent = {
+                'type': 'load_model',
+                'endpoint': f'north-chat-{number}',
+                'model': 'small-2',
+            }
+            answer = await change(operator, 10 * number, intent)
+            plans.append(answer.body['answer']['plan'])
+        old = await running.leader()
+        running.freeze(old)
+        others = [host for host in CONTROLS if host != old]
+        await running.leader(*others)
+        new = running.operator(hosts=others)
+
+        async def all_done():
+            states = [
+                (await new.show(f'/plans/{plan}')).body['plan']['state']
+                for plan in plans
+            ]
+            return states == ['done'] * 4
+
+        await fleet.until(all_done, 'the loads under the new leader')
+        before = [await orders(running, number) for number in range(1, 5)]
+        running.thaw(old)
+
+        async def follows():
+            status = await running.control_status(old)
+            return status and status['role'] == 'follower'
+
+        await fleet.until(follows, 'the old leader to follow')
+        await asyncio.sleep(1)
+        after = [await orders(running, number) for number in range(1, 5)]
+        assert after == before
+        for numbers in after:
+            assert numbers == sorted(numbers)
+
+
+async def orders(running, number):
+    """Return the fencing numbers that an engine has obeyed."""
+    told = await running.runs(f'north-chat-{number}')
+    return [order['number'] for order in told['orders']]
+
+
+async def test_unknown_key_gets_nothing(running):
+    """A host whose key is not in the settings is refused and logged."""
+    identity = links.Identity('test', 'north-1', *links.new_keys())
+    peers = [
+        links.Peer(host.host, '127.0.0.1', host.link_port, host.public_key)
+        for host in running.settings.hosts
+    ]
+    stranger = links.Links(identity, peers, clocks.Clock(), None, 150)
+    try:
+        with pytest.raises(errors.TransportError):
+            await stranger.call('control-1', b'x', 1500)
+    finally:
+        await stranger.close()
+    assert 'reason=unknown_key' in running.log('control-1')
+
+
+@pytest.mark.parametrize(
+    'change_envelope, reason',
+    [
+        ({'cluster': 'other'}, 'other_cluster'),
+        ({'expires_ms': 1}, 'expired'),
+        ({'sender': 'south-1'}, 'key_of_another_host'),
+    ],
+    ids=['other cluster', 'stale', 'posing as another'],
+)
+async def test_unfit_messages_are_refused(running, change_envelope, reason):
+    running.kill('north-1')
+    identity = keys.read_identity(
+        running.folder / 'keys',
+        running.settings,
+        running.settings.host('north-1'),
+    )
+    peers = [
+        links.Peer(host.host, '127.0.0.1', host.link_port, host.public_key)
+        for host in running.settings.hosts
+    ]
+    posing = links.Links(identity, peers, clocks.Clock(), None, 150)
+    wrap = posing._wrap
+
+    def wrapped(*arguments):
+        envelope = msgspec.msgpack.decode(
+            wrap(*arguments), type=links.Envelope
+        )
+        changed = msgspec.structs.replace(envelope, **change_envelope)
+        return msgspec.msgpack.encode(changed)
+
+    posing._wrap = wrapped
+    try:
+        with pytest.raises(errors.TransportError):
+            await posing.call('control-1', b'x', 800)
+    finally:
+        await posing.close()
+    assert f'reason={reason}' in running.log('control-1')
