Keep a call to an absent host from holding beats back

Cause: a test of the ledger failed in a full run: two hosts suspected each other because a third was down. pyzmq queues every send on a socket behind a poll that waits as well as behind a send, so beats stopped while a ledger call waited for the absent host. The third was down because the tests had been given one port twice.

Change: links try again every 5 ms outside of pyzmq. Ports are given once.

Before: test_waiting_call_holds_nothing_else_back hung behind the call. After: it passes, as do the other tests of links.

Conclusion: nothing waits inside pyzmq any more.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -29,6 +29,7 @@
 
 FAST = {
     'entry': {
+        'beat_budget_bytes_per_s': 1_000_000,
         'beat_interval_ms': 100,
         'suspect_after_ms': 700,
         'pull_interval_ms': 100,
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,92 @@
+"""Links between hosts, on their own."""
+
+import asyncio
+
+import pytest
+
+from wrenspoke import clock as clocks
+from wrenspoke.transport import errors
+from wrenspoke.transport import links
+from wrenspoke.transport import web
+
+NAMES = ('a', 'b', 'absent')
+
+
+@pytest.fixture
+async def ends():
+    """Run two hosts that answer; a third is known but absent."""
+    keys = {name: links.new_keys() for name in NAMES}
+    ports = dict(zip(NAMES, web.free_ports(len(NAMES))))
+    peers = [
+        links.Peer(name, '127.0.0.1', ports[name], keys[name][0])
+        for name in NAMES
+    ]
+
+    async def answer(sender, body):
+        return f'{sender} said '.encode() + body
+
+    made = {}
+    for name in NAMES[:2]:
+        identity = links.Identity('test', name, *keys[name])
+        made[name] = links.Links(identity, peers, clocks.Clock(), answer, 1000)
+        await made[name].start('127.0.0.1', ports[name])
+    absent = links.Identity('test', 'absent', *keys['absent'])
+    made['a'].identity_of_absent = absent
+    made['a'].port_of_absent = ports['absent']
+    made['a'].peers = peers
+    yield made
+    for one in made.values():
+        await one.close()
+
+
+async def test_calls_are_answered_each_with_its_own(ends):
+    bodies = [b'%d' % number for number in range(50)]
+    answers = await asyncio.gather(
+        *(ends['a'].call('b', body, 10_000) for body in bodies)
+    )
+    assert answers == [b'a said ' + body for body in bodies]
+
+
+async def test_waiting_call_holds_nothing_else_back(ends):
+    """pyzmq queues a send behind one that waits, NOBLOCK or not."""
+    waiting = asyncio.create_task(ends['a'].call('absent', b'x', 20_000))
+    await asyncio.sleep(0.1)
+    await ends['a'].tell('absent', b'y')
+    assert not waiting.done()
+    assert await ends['a'].call('b', b'z', 10_000) == b'a said z'
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+
+
+@pytest.mark.parametrize(
+    'host, error',
+    [
+        ('absent', errors.TransportError),
+        ('nobody', errors.NotSentError),
+    ],
+)
+async def test_host_that_is_not_there_is_told(ends, host, error):
+    with pytest.raises(error):
+        await ends['a'].call(host, b'x', 300)
+
+
+async def test_nothing_is_queued_for_an_absent_host(ends):
+    """What was sent while it was away must not arrive when it is back."""
+    one = ends['a']
+    for _number in range(5):
+        await one.tell('absent', b'old')
+    with pytest.raises(errors.TransportError):
+        await one.call('absent', b'old', 300)
+    heard = []
+
+    async def hear(_sender, body):
+        heard.append(body)
+        return b'here'
+
+    back = links.Links(
+        one.identity_of_absent, one.peers, clocks.Clock(), hear, 1000
+    )
+    await back.start('127.0.0.1', one.port_of_absent)
+    assert await one.call('absent', b'new', 10_000) == b'here'
+    assert heard == [b'new']
+    await back.close()
--- a/wrenspoke/coordination/local.py
+++ b/wrenspoke/coordination/local.py
@@ -59,6 +59,7 @@
     ):
         self.excluded: set[ids.EndpointId] = set()
         self.may_have_run = False
+        self.last_error = ''
         self.count = 0
         self._head = head
         self._limit = limit
@@ -97,6 +98,7 @@
         :raises EndedError: it is not
         """
         self.count += 1
+        self.last_error = str(error)
         self.excluded.add(endpoint)
         sent = isinstance(error, errors.MaybeSentError)
         self.may_have_run |= sent
@@ -171,8 +173,8 @@
             if tries.count == 0:
                 raise
             raise tries.ended(
-                error.ending.reason,
-                error.ending.detail,
+                outcomes.Reason.ENDPOINT_FAILED,
+                f'{tries.last_error}; {error.ending.detail}',
                 error.ending.retry_after_ms,
             ) from error
 
--- a/wrenspoke/coordination/members.py
+++ b/wrenspoke/coordination/members.py
@@ -19,6 +19,7 @@
 logger = structlog.get_logger(__name__)
 
 RELAY_COUNT = 2
+MS_PER_S = 1000
 
 
 @dataclasses.dataclass
@@ -29,6 +30,7 @@
     draining: bool = False
     index: int = 0
     busy: list[messages.Busy] = dataclasses.field(default_factory=list)
+    patience_ms: int = 0
     suspected: bool = False
 
 
@@ -72,6 +74,7 @@
         self._tasks = runtime.Tasks()
         self._started_ms = clock.mono_ms()
         self._ticked_ms = clock.mono_ms()
+        self._interval_ms = self._settings.beat_interval_ms
         self.draining = False
         peers.answers(messages.Beat)(self._hear)
 
@@ -171,18 +174,26 @@
         beat = messages.Beat(
             draining=self.draining,
             index=index,
+            interval_ms=self._interval_ms,
             loads=self._loads.digest(own),
             leaving=sorted(self._replica.leaving),
             busy=self._busy_here(),
         )
+        sent_bytes = 0
         for host in self._near:
-            await self._peers.tell(host, beat)
+            sent_bytes += await self._peers.tell(host, beat)
+        # What is sent is about what is received.
+        budget = self._settings.beat_budget_bytes_per_s
+        self._interval_ms = max(
+            self._settings.beat_interval_ms,
+            2 * sent_bytes * MS_PER_S // budget,
+        )
 
     async def _beat(self) -> None:
         while True:
             self._note_awake()
             await self.tell_now()
-            await self._clock.sleep_ms(self._settings.beat_interval_ms)
+            await self._clock.sleep_ms(self._interval_ms)
 
     @property
     def awake(self) -> bool:
@@ -192,7 +203,7 @@
         behind since, and must look before it sends anything.
         """
         age_ms = self._clock.mono_ms() - self._ticked_ms
-        return age_ms <= self._settings.suspect_after_ms
+        return age_ms <= self._patience_ms(self._interval_ms)
 
     def _note_awake(self) -> None:
         if not self.awake:
@@ -207,12 +218,24 @@
         if known is None or known.suspected:
             logger.info('host_alive', peer=sender)
         self._seen[sender] = Seen(
-            self._clock.mono_ms(), beat.draining, beat.index, beat.busy
+            self._clock.mono_ms(),
+            beat.draining,
+            beat.index,
+            beat.busy,
+            self._patience_ms(beat.interval_ms),
         )
         for report in beat.loads:
             self._loads.report(report)
         self._replica.leaving.update(beat.leaving)
 
+    def _patience_ms(self, interval_ms: int) -> int:
+        """Return the silence after which a peer is suspected."""
+        least_ms = self._settings.suspect_after_ms
+        return max(
+            least_ms,
+            least_ms * interval_ms // self._settings.beat_interval_ms,
+        )
+
     async def _watch(self) -> None:
         while True:
             await self._clock.sleep_ms(self._settings.beat_interval_ms / 2)
@@ -220,7 +243,7 @@
                 silence_ms = self._clock.mono_ms() - seen.heard_ms
                 if seen.suspected:
                     continue
-                if silence_ms <= self._settings.suspect_after_ms:
+                if silence_ms <= seen.patience_ms:
                     continue
                 seen.suspected = True
                 logger.warning(
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -28,10 +28,14 @@
 
 
 class Beat(msgspec.Struct, tag='beat'):
-    """Tell the peers of a data centre that this host lives."""
+    """Tell the peers of a data centre that this host lives.
+
+    ``interval_ms`` is when the next one is due at the latest.
+    """
 
     draining: bool
     index: int
+    interval_ms: int
     loads: list[LoadReport] = []
     leaving: list[ids.EndpointId] = []
     busy: list[Busy] = []
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -66,9 +66,12 @@
             raise errors.NoAnswerError(host, sent=True) from error
         return self._decode(body)
 
-    async def tell(self, host: ids.HostId, message: messages.Message) -> None:
-        """Send a message that has no answer; it may be lost."""
-        await self.links.tell(host, self._encoder.encode(message))
+    async def tell(self, host: ids.HostId, message: messages.Message) -> int:
+        """Send a message that has no answer; return the bytes sent.
+
+        It may be lost.
+        """
+        return await self.links.tell(host, self._encoder.encode(message))
 
     def _decode(self, body: bytes) -> messages.Message:
         try:
--- a/wrenspoke/settings.py
+++ b/wrenspoke/settings.py
@@ -101,6 +101,11 @@
     beat_interval_ms: Positive = pydantic.Field(
         default=1_000, description='time between heartbeats'
     )
+    beat_budget_bytes_per_s: Positive = pydantic.Field(
+        default=1_200,
+        description='bytes a second for heartbeats, both ways; in a large '
+        'data centre they become rarer to keep to it',
+    )
     suspect_after_ms: Positive = pydantic.Field(
         default=3_500, description='silence after which a host is suspected'
     )
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -25,6 +25,7 @@
 
 HIGH_WATER_MARK = 64
 NO_ANSWER = 0
+CONNECT_POLL_S = 0.005
 TELL_EXPIRY_MS = 2000
 HEARTBEAT_IVL_MS = 2000
 HEARTBEAT_TIMEOUT_MS = 6000
@@ -149,15 +150,20 @@
         finally:
             self._pending.pop(number, None)
 
-    async def tell(self, host: ids.HostId, body: bytes) -> None:
-        """Send ``body`` without an answer; drop it if nobody listens."""
+    async def tell(self, host: ids.HostId, body: bytes) -> int:
+        """Send ``body`` without an answer; return the bytes sent.
+
+        It is dropped, as 0 bytes, if nobody listens.
+        """
         try:
             dealer = self._dealer(host)
             frame = self._wrap(NO_ANSWER, body, TELL_EXPIRY_MS)
             await dealer.send(frame, zmq.NOBLOCK)
-            self.sent_bytes += len(frame)
         except (zmq.ZMQError, errors.NotSentError):
             logger.debug('tell_dropped', peer=host)
+            return 0
+        self.sent_bytes += len(frame)
+        return len(frame)
 
     def _dealer(self, host: ids.HostId) -> zmq.asyncio.Socket:
         dealer = self._dealers.get(host)
@@ -273,15 +279,15 @@
 ) -> None:
     """Send as soon as there is a connection; queue nothing until then.
 
-    A send that waits inside pyzmq would hold up every later one on the
-    socket, those with NOBLOCK too, so the wait is for the socket instead.
+    A send or poll that waits inside pyzmq holds up every later send on
+    the socket, those with NOBLOCK too, so the wait is outside of it.
     """
     while True:
         try:
             await dealer.send(frame, zmq.NOBLOCK)
             return
         except zmq.Again:
-            await dealer.poll(flags=zmq.POLLOUT)
+            await asyncio.sleep(CONNECT_POLL_S)
 
 
 def _set_options(opened: zmq.asyncio.Socket) -> None:
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -15,6 +15,7 @@
 LINE_LIMIT_BYTES = 8190
 BACKLOG = 4096
 PORT_RANGE = range(10_000, 32_000)
+_GIVEN_PORTS: set[int] = set()
 
 
 class HttpClient:
@@ -175,16 +176,20 @@
     """Return ports of loopback that were free a moment ago.
 
     They lie below those that the system gives to outgoing connections,
-    so that none of these takes one before its server starts.
+    so that none of these takes one before its server starts, and none
+    is returned twice.
     """
     found: list[int] = []
     for port in random.sample(PORT_RANGE, len(PORT_RANGE)):
+        if port in _GIVEN_PORTS:
+            continue
         with socket.socket() as tried:
             try:
                 tried.bind(('127.0.0.1', port))
             except OSError:
                 continue
         found.append(port)
+        _GIVEN_PORTS.add(port)
         if len(found) == count:
             break
     return found
