Show a drain in the demo and make the settings page from the settings

Cause: the demo had no operator's part, and SETTINGS.md did not exist.

Ruled out: a page written by hand (it would drift; a test compares).

Before: no page, no drain in the demo.

Conclusion: fields, defaults and bounds have one source.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests import fleet
+from wrenspoke import reference
 from wrenspoke import settings
 
 EXAMPLES = sorted(
@@ -86,3 +87,8 @@
     for endpoint in deployment.endpoints:
         counts[endpoint.service] = counts.get(endpoint.service, 0) + 1
     assert sorted(counts.values()) == [3, 6]
+
+
+def test_reference_is_what_the_settings_say():
+    path = pathlib.Path(__file__).parent.parent / 'docs' / 'SETTINGS.md'
+    assert path.read_text() == reference.text()
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 
+import aiohttp.web
 import structlog
 
 from wrenspoke import clock as clocks
@@ -18,6 +19,7 @@
 from wrenspoke import ids
 from wrenspoke import keys
 from wrenspoke import logs
+from wrenspoke import metrics
 from wrenspoke.protocol import operators
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
@@ -85,7 +87,26 @@
             clock,
         )
         surface = operators.OperatorSurface(self.control, deployment.operators)
-        self._web = web.HttpServer(surface.application())
+        self._metrics = metrics.Metrics(name)
+        application = surface.application()
+        application.router.add_get('/metrics', self._show_metrics)
+        self._web = web.HttpServer(application)
+
+    async def _show_metrics(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.Response:
+        elected = self.voter
+        put = self._metrics.set
+        put('wrenspoke_term', elected.term)
+        put('wrenspoke_leading', elected.has_lease)
+        put('wrenspoke_commit_index', elected.commit_index)
+        put('wrenspoke_voters', len(elected.voters))
+        put(
+            'wrenspoke_configuration_index',
+            elected.state.configuration.index,
+        )
+        self._metrics.put_links(self.peers.links)
+        return self._metrics.response(request)
 
     async def start(self) -> None:
         """Listen and begin every task."""
--- a/wrenspoke/coordination/forwarding.py
+++ b/wrenspoke/coordination/forwarding.py
@@ -197,13 +197,21 @@
         text = response.headers.get(headers.OUTCOME)
         if text is None:
             raise errors.MaybeSentError('answer has no outcome')
+        outcome = outcomes.Outcome(text)
+        if self._retries_again(passing, outcome):
+            raise errors.MaybeSentError(f'the other host told {text}')
         await passing.reply.whole(
-            response.status,
-            response.headers,
-            body,
-            outcomes.Outcome(text),
+            response.status, response.headers, body, outcome
         )
 
+    def _retries_again(
+        self, passing: _Pass, outcome: outcomes.Outcome
+    ) -> bool:
+        """Tell whether a failure that has an owner is retried here too."""
+        if self._settings.retry_owner == 'nearest' or passing.head.once:
+            return False
+        return outcome in (outcomes.Outcome.FAILED, outcomes.Outcome.UNKNOWN)
+
     def _headers(self, passing: _Pass) -> dict[str, str]:
         head = passing.head
         if passing.sent:
--- a/wrenspoke/demo.py
+++ b/wrenspoke/demo.py
@@ -1,7 +1,9 @@
 """``wrenspoke demo``: every role in one process, with stand-ins.
 
-Two regions with an entry host each, four stand-in endpoints. It asks for
-a streamed answer at the wrong region, which is passed on to its home.
+Two regions with an entry host each, one control host, four stand-in
+endpoints. It asks for a streamed answer at the wrong region, which is
+passed on to its home, sends a once-only request twice, and drains an
+engine by plan and confirm.
 """
 
 import asyncio
@@ -11,9 +13,11 @@
 import tempfile
 
 from wrenspoke import caller as callers
+from wrenspoke import controld
 from wrenspoke import entryd
 from wrenspoke import ids
 from wrenspoke import keys
+from wrenspoke import operator as operators
 from wrenspoke.protocol import headers
 from wrenspoke import runtime
 from wrenspoke import settings
@@ -23,6 +27,8 @@
 
 REGIONS = ('north', 'south')
 MODEL = 'small-1'
+CONTROL = 'control-1'
+TOKEN = 'the-demo-token'
 PLACEHOLDER_KEY = '0' * 40
 READY_ROUNDS = 300
 READY_INTERVAL_S = 0.1
@@ -30,8 +36,22 @@
 
 def deployment_json() -> dict:
     """Return settings for the demo, on free ports of loopback."""
-    ports = iter(web.free_ports(12))
+    ports = iter(web.free_ports(15))
     hosts, endpoints = [], []
+    hosts.append(
+        {
+            'host': CONTROL,
+            'region': REGIONS[0],
+            'data_centre': f'{REGIONS[0]}-hall',
+            'ip': '127.0.0.1',
+            'http_port': next(ports),
+            'link_port': next(ports),
+            'operator_port': next(ports),
+            'public_key': PLACEHOLDER_KEY,
+            'roles': ['control'],
+            'data_folder': 'data',
+        }
+    )
     for region in REGIONS:
         hosts.append(
             {
@@ -68,6 +88,12 @@
             {'service': 'records', 'kind': 'plain'},
         ],
         'endpoints': endpoints,
+        'operators': [{'operator': 'you', 'token_sha256': keys.digest(TOKEN)}],
+        'control': {
+            'beat_interval_ms': 100,
+            'election_timeout_ms': 400,
+            'drain_poll_interval_ms': 100,
+        },
         'rules': [
             {
                 'rule': 'release-once',
@@ -95,6 +121,9 @@
         folder = path.parent / deployment.keys_folder
         model = engine.EngineModel(token_ms=30)
         servers = await standins.start(deployment, [], model)
+        controld.found(path, CONTROL)
+        control = controld.ControlDaemon(deployment, CONTROL, path.parent)
+        await control.start()
         daemons = [
             entryd.EntryDaemon(deployment, host.host, folder)
             for host in deployment.with_role('entry')
@@ -107,20 +136,25 @@
             for daemon in daemons:
                 await daemon.drain()
                 await daemon.close()
+            await control.close()
             for server in servers.values():
                 await server.close()
 
 
 async def show(deployment: settings.Deployment) -> None:
     """Ask as a caller would and print what comes back."""
-    urls = [f'http://{host.ip}:{host.http_port}' for host in deployment.hosts]
-    caller = callers.Caller(urls[:1])
+    entry = deployment.with_role('entry')[0]
+    caller = callers.Caller([f'http://{entry.ip}:{entry.http_port}'])
     try:
         await wait_until_serving(caller)
         say('# A chat bound to south, asked for at north:')
         await show_chat(caller)
         say('# A release that may run once, sent twice with one id:')
         await show_once(caller, deployment)
+        say('# A drain of the engine in north, by plan and confirm:')
+        await show_drain(deployment)
+        say('# The same chat, unbound, asked for at north:')
+        await show_chat(caller, bound=False)
     finally:
         await caller.close()
 
@@ -135,7 +169,7 @@
     raise callers.CallerError('the entry host does not serve')
 
 
-async def show_chat(caller: callers.Caller) -> None:
+async def show_chat(caller: callers.Caller, bound: bool = True) -> None:
     """Stream one answer."""
     body = {
         'model': MODEL,
@@ -143,11 +177,9 @@
         'messages': [{'role': 'user', 'content': 'Is bay 4 free?'}],
     }
     request = ids.new_unique()
-    sent = {
-        headers.HOME: 'south',
-        headers.BOUND: 'true',
-        headers.REQUEST: request,
-    }
+    sent = {headers.REQUEST: request}
+    if bound:
+        sent |= {headers.HOME: 'south', headers.BOUND: 'true'}
     result = await caller.chat(body, sent, _print_text)
     say(
         f'\n# ended: {result.outcome}, {result.events} events, first after '
@@ -180,6 +212,28 @@
         say(f'# {result.status} {result.outcome} {result.body.decode()}')
 
 
+async def show_drain(deployment: settings.Deployment) -> None:
+    """Plan a drain, confirm it and wait until it is done."""
+    control = deployment.host(CONTROL)
+    url = f'http://{control.ip}:{control.operator_port}'
+    operator = operators.Operator([url], TOKEN)
+    try:
+        planned = await operator.plan(
+            1, {'type': 'drain', 'endpoint': 'north-chat-1'}
+        )
+        plan = planned.body['plan']
+        say(f'# plan {plan["plan"]}: {plan["summary"]}; {plan["costs"]}')
+        await operator.confirm(2, plan['plan'])
+        for _round in range(READY_ROUNDS):
+            shown = await operator.show(f'/plans/{plan["plan"]}')
+            if shown.body['plan']['state'] == 'done':
+                break
+            await asyncio.sleep(READY_INTERVAL_S)
+        say(f'# {shown.body["plan"]["state"]}: {shown.body["plan"]["ends"]}')
+    finally:
+        await operator.close()
+
+
 def _wall_ms() -> int:
     return callers.clocks.Clock().wall_ms()
 
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -197,8 +197,7 @@
         self, request: aiohttp.web.Request
     ) -> aiohttp.web.Response:
         self._collect()
-        body, sent = self._metrics.render(request.headers.getall('Accept', []))
-        return aiohttp.web.Response(body=body, headers=sent)
+        return self._metrics.response(request)
 
     def _collect(self) -> None:
         """Copy what the parts count into the metrics."""
@@ -215,9 +214,7 @@
         put('wrenspoke_draining', status['draining'])
         put('wrenspoke_ledger_keys', status['ledger_keys'])
         put('wrenspoke_peers_usable', sum(status['peers'].values()))
-        links_used = self.peers.links
-        put('wrenspoke_link_sent_bytes_total', links_used.sent_bytes)
-        put('wrenspoke_link_received_bytes_total', links_used.received_bytes)
+        self._metrics.put_links(self.peers.links)
 
     async def drain(self) -> bool:
         """Let callers go elsewhere, then wait for what is in flight.
--- a/wrenspoke/metrics.py
+++ b/wrenspoke/metrics.py
@@ -1,10 +1,11 @@
 """Metrics of a daemon, rendered for ``GET /metrics``."""
 
-import collections.abc
-
+from aiohttp import web
 import aioprometheus
 from aioprometheus import renderer
 
+from wrenspoke.transport import links
+
 NAMES = {
     'wrenspoke_requests_ended_total': 'requests by how they ended',
     'wrenspoke_requests_in_flight': 'requests being served now',
@@ -56,8 +57,13 @@
             )
         gauge.set(labels, value)
 
-    def render(
-        self, accepts: collections.abc.Sequence[str]
-    ) -> tuple[bytes, dict[str, str]]:
-        """Return the body and headers for a scraper."""
-        return renderer.render(self._registry, list(accepts))
+    def put_links(self, used: links.Links) -> None:
+        """Copy what links have sent and received."""
+        self.set('wrenspoke_link_sent_bytes_total', used.sent_bytes)
+        self.set('wrenspoke_link_received_bytes_total', used.received_bytes)
+
+    def response(self, request: web.Request) -> web.Response:
+        """Return the answer to a scraper."""
+        accepts = request.headers.getall('Accept', [])
+        body, sent = renderer.render(self._registry, list(accepts))
+        return web.Response(body=body, headers=sent)
--- a/wrenspoke/settings.py
+++ b/wrenspoke/settings.py
@@ -127,6 +127,11 @@
     retry_burst: Positive = pydantic.Field(
         default=10, description='retries allowed at once'
     )
+    retry_owner: typing.Literal['nearest', 'each'] = pydantic.Field(
+        default='nearest',
+        description='who retries: the host nearest to the endpoint, or, '
+        'as a baseline for measurements, each host on the way',
+    )
     retry_after_ms: Positive = pydantic.Field(
         default=1_000,
         description='when to come back, where nothing better is known',
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -123,7 +123,7 @@
                 )
             chunks.append(chunk)
     except (aiohttp.ClientError, OSError) as error:
-        raise errors.MaybeSentError(repr(error)) from error
+        raise errors.MaybeSentError('answer was cut short') from error
     return b''.join(chunks)
 
 
@@ -138,7 +138,7 @@
         async for chunk in response.content.iter_any():
             yield chunk
     except (aiohttp.ClientError, OSError) as error:
-        raise errors.MaybeSentError(repr(error)) from error
+        raise errors.MaybeSentError('answer was cut short') from error
 
 
 class HttpServer:
