Keep teams' limits by leased shares

Cause: limits could be set by operators but nothing kept them.

Ruled out: counters shared over regions (all-to-all); an equal split between hosts (a caller that stays at one host would get a ninth).

Change: a limit is split over regions by weight and data centres by hosts; within a data centre a lender, by rendezvous, leases each team's rate by what is wanted. A send that no endpoint would get ends at once with its own reason (hop_limit).

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 test: $(VENV)/.ready
 	$(BIN)/ruff format --check wrenspoke tests features
 	$(BIN)/flake8 wrenspoke tests features
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n 4
 	$(BIN)/behave -q features
 
 lint: $(VENV)/.ready
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -56,7 +56,7 @@
 
 @pytest.mark.parametrize(
     'path, reason',
-    [(['north-1'], 'no_endpoint'), (['south-1', 'north-1'], 'no_endpoint')],
+    [(['north-1'], 'hop_limit'), (['south-1', 'north-1'], 'hop_limit')],
     ids=['too many hops', 'came back'],
 )
 async def test_loops_are_refused(tmp_path, path, reason):
--- a/wrenspoke/coordination/gateway.py
+++ b/wrenspoke/coordination/gateway.py
@@ -16,6 +16,7 @@
 from wrenspoke.coordination import once
 from wrenspoke.coordination import placement
 from wrenspoke.coordination import replica
+from wrenspoke.coordination import shares
 from wrenspoke.coordination import streams
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
@@ -61,6 +62,7 @@
         streamer: streams.StreamServer,
         once_server: once.OnceServer,
         forwarder: forwarding.Forwarder,
+        team_shares: shares.TeamShares,
         book: ledger.Ledger,
         noted: decisions.Decisions,
         clock: clocks.Clock,
@@ -75,6 +77,7 @@
         self._streams = streamer
         self._once = once_server
         self._forwarder = forwarder
+        self._shares = team_shares
         self._ledger = book
         self._decisions = noted
         self._clock = clock
@@ -156,6 +159,7 @@
             raise self._bad_request(
                 'service', f'{head.service!r} is unknown here'
             )
+        self._check_team(head)
         head, key = self._with_rules(head)
         reply.request_id = head.request
         region = self._region_for(head, key)
@@ -208,6 +212,25 @@
             return None
         return self._nearest_with(head)
 
+    def _check_team(self, head: requests.RequestHead) -> None:
+        """Turn a request away that is over its team's limit.
+
+        The host that a caller asked counts it; a forwarded one has been
+        counted.
+        """
+        if head.forwarded:
+            return
+        wait_ms = self._shares.admit(head.team)
+        if wait_ms:
+            raise errors.EndedError(
+                outcomes.Ending(
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.TEAM_LIMIT,
+                    f'team {head.team} is over its limit',
+                    wait_ms,
+                )
+            )
+
     async def _serve_here(
         self,
         head: requests.RequestHead,
--- a/wrenspoke/coordination/local.py
+++ b/wrenspoke/coordination/local.py
@@ -27,6 +27,12 @@
     errors.MaybeSentError,
 )
 FIRST_TRY_SHARE = 0.5
+# Checks of a send that fail for every endpoint alike.
+HOPELESS = {
+    'configuration': outcomes.Reason.NO_CONFIGURATION,
+    'deadline': outcomes.Reason.DEADLINE,
+    'hops': outcomes.Reason.HOP_LIMIT,
+}
 
 
 @dataclasses.dataclass
@@ -100,6 +106,8 @@
         self.count += 1
         self.last_error = str(error)
         self.excluded.add(endpoint)
+        if isinstance(error, errors.SendRefusedError):
+            self._end_if_hopeless(error)
         sent = isinstance(error, errors.MaybeSentError)
         self.may_have_run |= sent
         free = isinstance(
@@ -117,6 +125,12 @@
         if not allowed:
             raise self.ended(outcomes.Reason.ENDPOINT_FAILED, str(error))
 
+    def _end_if_hopeless(self, error: errors.SendRefusedError) -> None:
+        """Give up on what no other endpoint would be sent either."""
+        reason = HOPELESS.get(error.check)
+        if reason is not None:
+            raise self.ended(reason, str(error))
+
     def ended(
         self, reason: outcomes.Reason, detail: str, retry_after_ms: int = 1000
     ) -> errors.EndedError:
--- /dev/null
+++ b/wrenspoke/coordination/shares.py
@@ -0,0 +1,244 @@
+"""Teams' limits, kept by leased shares in place of shared counters.
+
+A limit is split over regions by its weights and over data centres by
+their entry hosts. Within a data centre one host, the team's lender,
+leases the rate to those that ask, by what they need. No message leaves
+the data centre, and what is granted never adds up to more than its part.
+"""
+
+import dataclasses
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import members
+from wrenspoke.coordination import replica
+from wrenspoke.coordination import routing
+from wrenspoke import ids
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import messages
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke import settings
+from wrenspoke.state import configuration
+
+logger = structlog.get_logger(__name__)
+
+LEASE_MS = 4_000
+RENEW_MS = 1_500
+CALL_TIMEOUT_MS = 500
+MS_PER_S = 1000
+LEAST_WANTED_PER_S = 0.1
+
+
+@dataclasses.dataclass
+class Bucket:
+    """Hold one team's tokens on this host."""
+
+    rate_per_s: float
+    burst: float
+    tokens: float
+    filled_ms: int
+    asked: int = 0
+    leased_until_ms: int = 0
+
+    def take(self, now_ms: int) -> int:
+        """Take a token; return 0, or the time until there is one."""
+        grown = (now_ms - self.filled_ms) * self.rate_per_s / MS_PER_S
+        self.tokens = min(self.burst, self.tokens + grown)
+        self.filled_ms = now_ms
+        if self.tokens >= 1:
+            self.tokens -= 1
+            return 0
+        lacking = 1 - self.tokens
+        return int(lacking * MS_PER_S / max(self.rate_per_s, 0.001)) + 1
+
+
+@dataclasses.dataclass
+class Lease:
+    """Hold what a lender has granted one host of one team."""
+
+    wanted_per_s: float
+    rate_per_s: float
+    until_ms: int
+
+
+class Lender:
+    """Split teams' rates among the hosts that ask for them."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._leases: dict[str, dict[ids.HostId, Lease]] = {}
+
+    def grant(
+        self,
+        team: str,
+        host: ids.HostId,
+        wanted_per_s: float,
+        whole_per_s: float,
+    ) -> float:
+        """Lease a host its part of ``whole_per_s``, by what is wanted.
+
+        Leases of others stand until they end, so a part that grows does
+        so as the others' shrink.
+        """
+        now_ms = self._clock.mono_ms()
+        leases = {
+            name: lease
+            for name, lease in self._leases.get(team, {}).items()
+            if lease.until_ms > now_ms
+        }
+        others = [lease for name, lease in leases.items() if name != host]
+        wanted = max(wanted_per_s, LEAST_WANTED_PER_S)
+        all_wanted = wanted + sum(one.wanted_per_s for one in others)
+        taken = sum(one.rate_per_s for one in others)
+        fair = whole_per_s * wanted / all_wanted
+        rate = max(0.0, min(fair, whole_per_s - taken))
+        leases[host] = Lease(wanted, rate, now_ms + LEASE_MS)
+        self._leases[team] = leases
+        return rate
+
+
+class TeamShares:
+    """Admit requests of teams within this host's share of their limits."""
+
+    def __init__(
+        self,
+        deployment: settings.Deployment,
+        host: settings.HostSettings,
+        peers: peer_calls.Peers,
+        watched: members.Members,
+        held: replica.Replica,
+        clock: clocks.Clock,
+    ):
+        self._host = ids.HostId(host.host)
+        self._region = host.region
+        entries = deployment.with_role('entry')
+        in_region = [one for one in entries if one.region == host.region]
+        self._in_data_centre = sum(
+            one.data_centre == host.data_centre for one in in_region
+        )
+        self._data_centre_share = self._in_data_centre / len(in_region)
+        self._regions = {one.region for one in entries}
+        self._peers = peers
+        self._members = watched
+        self._replica = held
+        self._clock = clock
+        self._buckets: dict[str, Bucket] = {}
+        self._lender = Lender(clock)
+        self._tasks = runtime.Tasks()
+        peers.answers(messages.AskLeases)(self._answer)
+
+    def start(self) -> None:
+        """Begin to renew leases."""
+        self._tasks.start(self._renew())
+
+    async def close(self) -> None:
+        """End the task."""
+        await self._tasks.close()
+
+    def admit(self, team: str) -> int:
+        """Return 0 to admit a request, or when to come back, in ms."""
+        limit = self._replica.current.limits.get(team)
+        if limit is None:
+            return 0
+        now_ms = self._clock.mono_ms()
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            bucket = self._buckets[team] = self._first_bucket(limit, now_ms)
+        bucket.asked += 1
+        if bucket.leased_until_ms < now_ms:
+            bucket.rate_per_s = self._equal_part(limit)
+        return bucket.take(now_ms)
+
+    def _whole_per_s(self, limit: configuration.TeamLimit) -> float:
+        """Return the part of a limit that this data centre has."""
+        weights = limit.regions or dict.fromkeys(self._regions, 1.0)
+        whole = sum(weights.values())
+        if not whole:
+            return 0.0
+        region_share = weights.get(self._region, 0.0) / whole
+        share = region_share * self._data_centre_share
+        return limit.requests_per_s * share
+
+    def _equal_part(self, limit: configuration.TeamLimit) -> float:
+        return self._whole_per_s(limit) / self._in_data_centre
+
+    def _first_bucket(
+        self, limit: configuration.TeamLimit, now_ms: int
+    ) -> Bucket:
+        part = self._equal_part(limit) / limit.requests_per_s
+        burst = max(1.0, limit.burst * part)
+        return Bucket(self._equal_part(limit), burst, burst, now_ms)
+
+    def _lender_of(self, team: str) -> ids.HostId:
+        live = [
+            host for host in self._members.near if self._members.alive(host)
+        ]
+        return ids.HostId(routing.rendezvous(team, [*live, self._host])[0])
+
+    async def _renew(self) -> None:
+        while True:
+            await self._clock.sleep_ms(RENEW_MS)
+            wanted: dict[ids.HostId, list[messages.TeamRate]] = {}
+            for team, bucket in list(self._buckets.items()):
+                if team not in self._replica.current.limits:
+                    del self._buckets[team]
+                    continue
+                rate = bucket.asked * MS_PER_S / RENEW_MS
+                bucket.asked = 0
+                if rate == 0 and bucket.leased_until_ms == 0:
+                    continue
+                lender = self._lender_of(team)
+                wanted.setdefault(lender, []).append(
+                    messages.TeamRate(team, rate)
+                )
+            for lender, rates in wanted.items():
+                await self._ask(lender, rates)
+
+    async def _ask(
+        self, lender: ids.HostId, rates: list[messages.TeamRate]
+    ) -> None:
+        if lender == self._host:
+            granted = self._lend(self._host, rates)
+        else:
+            granted = await self._ask_peer(lender, rates)
+        until_ms = self._clock.mono_ms() + LEASE_MS
+        for grant in granted:
+            bucket = self._buckets.get(grant.team)
+            if bucket is None:
+                continue
+            bucket.rate_per_s = grant.rate_per_s
+            bucket.leased_until_ms = until_ms
+
+    async def _ask_peer(
+        self, lender: ids.HostId, rates: list[messages.TeamRate]
+    ) -> list[messages.TeamRate]:
+        try:
+            answer = await self._peers.call(
+                lender, messages.AskLeases(rates), CALL_TIMEOUT_MS
+            )
+        except protocol_errors.ProtocolError:
+            return []
+        if not isinstance(answer, messages.Leases):
+            return []
+        return answer.granted
+
+    def _lend(
+        self, host: ids.HostId, rates: list[messages.TeamRate]
+    ) -> list[messages.TeamRate]:
+        granted = []
+        for asked in rates:
+            limit = self._replica.current.limits.get(asked.team)
+            if limit is None:
+                continue
+            rate = self._lender.grant(
+                asked.team, host, asked.rate_per_s, self._whole_per_s(limit)
+            )
+            granted.append(messages.TeamRate(asked.team, rate))
+        return granted
+
+    async def _answer(
+        self, sender: ids.HostId, message: messages.AskLeases
+    ) -> messages.Leases:
+        return messages.Leases(self._lend(sender, message.wanted))
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -25,6 +25,7 @@
 from wrenspoke.coordination import pulls
 from wrenspoke.coordination import reach
 from wrenspoke.coordination import replica
+from wrenspoke.coordination import shares
 from wrenspoke.coordination import streams
 from wrenspoke import ids
 from wrenspoke import keys
@@ -137,6 +138,14 @@
         self._reach = reach.Reach(
             self._settings, self.peers, clock, lambda: self.members.draining
         )
+        self._shares = shares.TeamShares(
+            deployment,
+            self._own,
+            self.peers,
+            self.members,
+            self.replica,
+            clock,
+        )
         forwarder = forwarding.Forwarder(
             host,
             deployment,
@@ -157,6 +166,7 @@
             self._streams,
             once_server,
             forwarder,
+            self._shares,
             self.ledger,
             self.decisions,
             clock,
@@ -190,6 +200,7 @@
         self._puller.start()
         self._poller.start()
         self._platform.start()
+        self._shares.start()
         await self._web.start(ip, self._own.http_port)
         logger.info('started', ip=ip, http_port=self._own.http_port)
 
@@ -234,6 +245,7 @@
     async def close(self) -> None:
         """End every task and close every socket."""
         await self._web.close()
+        await self._shares.close()
         await self._reach.close()
         await self._platform.close()
         await self._poller.close()
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -53,6 +53,25 @@
     busy: list[Busy]
 
 
+class TeamRate(msgspec.Struct, array_like=True, frozen=True):
+    """State a rate of one team, wanted or granted."""
+
+    team: str
+    rate_per_s: float
+
+
+class AskLeases(msgspec.Struct, tag='ask_leases'):
+    """Ask a lender for parts of teams' limits, by what is wanted."""
+
+    wanted: list[TeamRate]
+
+
+class Leases(msgspec.Struct, tag='leases'):
+    """Answer with what is granted for a while."""
+
+    granted: list[TeamRate]
+
+
 class Ping(msgspec.Struct, tag='ping'):
     """Ask a host elsewhere whether it can be reached."""
 
@@ -198,6 +217,8 @@
     Beat,
     Ping,
     Pong,
+    AskLeases,
+    Leases,
     PullConfiguration,
     ConfigurationDelta,
     Prepare,
--- a/wrenspoke/settings.py
+++ b/wrenspoke/settings.py
@@ -272,6 +272,10 @@
     burst: Positive = pydantic.Field(
         default=10, description='requests at once over the whole system'
     )
+    regions: dict[Name, Weight] = pydantic.Field(
+        default_factory=dict,
+        description='weights of the regions; none means equal parts',
+    )
 
 
 class Deployment(_Section):
--- a/wrenspoke/state/configuration.py
+++ b/wrenspoke/state/configuration.py
@@ -82,11 +82,15 @@
 
 
 class TeamLimit(msgspec.Struct, frozen=True):
-    """Bound what one team may ask for, over the whole system."""
+    """Bound what one team may ask for, over the whole system.
+
+    ``regions`` weighs the regions' parts; without it they are equal.
+    """
 
     team: str
     requests_per_s: float
     burst: int
+    regions: dict[ids.RegionId, float] = {}
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -312,6 +316,10 @@
         raise errors.InvalidChangeError(
             'limit.requests_per_s must be more than 0'
         )
+    if any(weight < 0 for weight in change.limit.regions.values()):
+        raise errors.InvalidChangeError(
+            'limit.regions: a weight must not be below 0'
+        )
     return {'limits': {**old.limits, change.limit.team: change.limit}}
 
 
