--- a/features/environment.py
+++ b/features/environment.py
@@ -10,12 +10,14 @@
     context.loop = asyncio.new_event_loop()
     context.folder = tempfile.TemporaryDirectory()
     context.path = pathlib.Path(context.folder.name)
-    context.fleet = None
+    context.running = None
 
 
 def after_scenario(context, _scenario):
     """End what the scenario started."""
-    if context.fleet is not None:
-        context.loop.run_until_complete(context.fleet.close())
+    if context.running is not None:
+        context.loop.run_until_complete(
+            context.running.__aexit__(None, None, None)
+        )
     context.loop.close()
     context.folder.cleanup()
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -17,13 +17,12 @@
     return context.loop.run_until_complete(coroutine)
 
 
-async def start(context, made):
+async def start(context, made, relays=False, token_ms=1):
     """Start a whole deployment and wait until it serves."""
-    context.fleet = fleet.Fleet(context.path, made)
-    context.fleet.start_standins()
-    for host in context.fleet.settings.with_role('entry'):
-        context.fleet.start_entry(host.host)
-    await context.fleet.wait_serving()
+    context.running = fleet.running(
+        context.path, made, {'token_ms': token_ms}, relays=relays
+    )
+    context.fleet = await context.running.__aenter__()
 
 
 @behave.given('two regions with an entry host each')
