Never tell a stream that began as not run

After the freeze the broken stream was to be resumed, the send was refused because the host had to look for changes first, and that refusal took the place of the break, which alone said that it may have run.

Ruled out: dropping the check of the configuration (a drained endpoint would get work, seen by its own test).

Change: a break is noted before the resume is tried; a host that was stopped gets up to two seconds to look and then goes on with the stream.

Before: test_stream_of_a_host_that_was_frozen_is_not_told_as_not_run got not_run/no_configuration. After: whole.

--- /dev/null
+++ b/benches/switched_off.py
@@ -0,0 +1,486 @@
+"""Switch each mechanism off and show that its test fails.
+
+    python -m benches.switched_off [NAME ...]
+
+For each row the tree is copied to a temporary folder, one piece of text
+replaced, and the row's test run there. A row that `survives` has a test
+that proves nothing. Prints a line a row.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).parent.parent
+LEFT_OUT = shutil.ignore_patterns(
+    '.venv', '.git', '__pycache__', '.hypothesis', '.pytest_cache'
+)
+WAIT_S = '10'
+TIMEOUT_S = 300
+WORKERS = 3
+STATE = 'wrenspoke/state/'
+DECISIONS = 'wrenspoke/coordination/'
+
+
+@dataclasses.dataclass(frozen=True)
+class Switch:
+    """Say what to replace in which file, and which test must fail."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+SWITCHES = [
+    Switch(
+        'crash-vectors',
+        STATE + 'registers.py',
+        ('if vote.epochs[host] >= newest[host]'),
+        ('if True'),
+        ('tests/test_registers.py'),
+    ),
+    Switch(
+        'restart votes without memory',
+        STATE + 'registers.py',
+        ('if issued_ms < self.trusted_since_ms:'),
+        ('if False:'),
+        ('tests/test_registers.py'),
+    ),
+    Switch(
+        'no merge',
+        STATE + 'registers.py',
+        ('self._merge(key, issued_ms, theirs)'),
+        ('pass'),
+        ('tests/test_registers.py'),
+    ),
+    Switch(
+        'restart votes without memory (processes)',
+        STATE + 'registers.py',
+        ('if issued_ms < self.trusted_since_ms:'),
+        ('if False:'),
+        (
+            'tests/test_once.py::test_hosts_that_forgot_together_do_'
+            'not_run_it_again'
+        ),
+    ),
+    Switch(
+        'no recall',
+        STATE + 'registers.py',
+        ('self._merge(key, issued_ms, theirs)'),
+        ('pass'),
+        ('tests/test_once.py::test_restarted_hosts_forget_no_claim'),
+    ),
+    Switch(
+        'claim always won',
+        STATE + 'registers.py',
+        ('    if not free and not refused_before:\n        return old\n'),
+        (''),
+        ('tests/test_once.py::test_racing_sends_run_once'),
+    ),
+    Switch(
+        'residency check off',
+        DECISIONS + 'gateway.py',
+        ('        if head.bound:\n            return head.home\n'),
+        (
+            '        if head.bound:\n'
+            '            return ids.RegionId(self._host.region)\n'
+        ),
+        ('tests/test_path.py::test_chat_is_answered_whole'),
+    ),
+    Switch(
+        'forwards again',
+        DECISIONS + 'gateway.py',
+        ('        if head.forwarded:\n            return own\n'),
+        (''),
+        (
+            'tests/test_regions.py::test_forwarded_request_is_never_'
+            'forwarded_again'
+        ),
+    ),
+    Switch(
+        'hop check off',
+        DECISIONS + 'dispatch.py',
+        ('    if len(path) > MAX_HOPS:'),
+        ('    return None\n    if len(path) > MAX_HOPS:'),
+        ('tests/test_regions.py::test_loops_are_refused'),
+    ),
+    Switch(
+        'client repeats',
+        'wrenspoke/transport/web.py',
+        ('middlewares=(_once_only,),'),
+        (''),
+        (
+            'tests/test_endpoints.py::test_reused_connection_is_not_'
+            'sent_on_twice'
+        ),
+    ),
+    Switch(
+        'follows redirects',
+        'wrenspoke/transport/web.py',
+        ('allow_redirects=False'),
+        ('allow_redirects=True'),
+        ('tests/test_endpoints.py -k redirects'),
+    ),
+    Switch(
+        'crossed answers taken',
+        DECISIONS + 'dispatch.py',
+        ('        if echoed == send.name:\n            return\n'),
+        ('        return\n'),
+        ('tests/test_endpoints.py -k crossed'),
+    ),
+    Switch(
+        'stop cuts off',
+        'wrenspoke/entryd.py',
+        ('    await daemon.drain()\n'),
+        (''),
+        (
+            'tests/test_leaving.py::test_planned_stop_of_a_host_cuts'
+            '_nothing_off'
+        ),
+    ),
+    Switch(
+        'no resume',
+        DECISIONS + 'local.py',
+        ('allowed = self.count < self._limit and'),
+        ('allowed = False and'),
+        ('tests/test_regions.py::test_stream_survives_its_engine'),
+    ),
+    Switch(
+        'endpoint state check off',
+        DECISIONS + 'replica.py',
+        (
+            '            endpoint.state is'
+            ' configuration.EndpointState.ACTIVE\n'
+            '            and'
+        ),
+        ('            True and'),
+        (
+            'tests/test_leaving.py::test_drain_cuts_nothing_off_and_'
+            'waits_for_it'
+        ),
+    ),
+    Switch(
+        'frozen host goes on',
+        DECISIONS + 'dispatch.py',
+        ('if send.purpose in WORK and not context.current:'),
+        ('if False:'),
+        (
+            'tests/test_leaving.py::test_host_that_was_frozen_sends_'
+            'nothing_to_a_drained_endpoint'
+        ),
+    ),
+    Switch(
+        'list takes leaving back',
+        DECISIONS + 'platform.py',
+        ('        news = False\n'),
+        ('        news = False\n        self._replica.leaving.clear()\n'),
+        ('tests/test_leaving.py::test_platform_list_only_ever_adds_leaving'),
+    ),
+    Switch(
+        'old disk votes',
+        DECISIONS + 'voter.py',
+        ('if answer.known_boot >= meta.boot:'),
+        ('if False:'),
+        ('tests/test_control.py::test_old_copy_of_a_disk_gets_no_vote'),
+    ),
+    Switch(
+        'answers not kept',
+        STATE + 'replicated.py',
+        ('        found = kept.get(number)\n'),
+        ('        found = None\n'),
+        ('tests/test_control.py::test_same_number_gets_the_same_answer'),
+    ),
+    Switch(
+        'confirm without compare',
+        STATE + 'replicated.py',
+        ('elif plan.base_index != state.configuration.index:'),
+        ('elif False:'),
+        ('tests/test_control.py::test_race_of_operators_has_one_winner'),
+    ),
+    Switch(
+        'serves before it knows',
+        DECISIONS + 'pulls.py',
+        ('        held = serving or self._replica.held_before\n'),
+        ('        held = True\n'),
+        ('tests/test_control.py::test_configuration_never_goes_back'),
+    ),
+    Switch(
+        'not run told after a loss',
+        DECISIONS + 'once.py',
+        (
+            '        if head.resend:\n'
+            '            outcome = outcomes.Outcome.UNKNOWN\n'
+        ),
+        (''),
+        ('tests/test_once.py::test_minority_side_of_a_cut_runs_nothing'),
+    ),
+    Switch(
+        'no admission',
+        DECISIONS + 'voter.py',
+        (
+            '        voters = self.voters\n'
+            '        for host, follower in self._followers.items():\n'
+            '            found'
+        ),
+        (
+            '        return None\n'
+            '        voters = self.voters\n'
+            '        for host, follower in self._followers.items():\n'
+            '            found'
+        ),
+        (
+            'tests/test_control.py::test_lost_disk_is_readmitted_and'
+            '_a_second_loss_loses_nothing'
+        ),
+    ),
+    Switch(
+        'log not read back',
+        STATE + 'storage.py',
+        ('        self._read_log()\n'),
+        (''),
+        ('tests/test_control.py::test_restarts_forget_no_accepted_change'),
+    ),
+    Switch(
+        'truncate keeps the file',
+        STATE + 'storage.py',
+        ('        self._disk.truncate(LOG, size_bytes)\n        del'),
+        ('        del'),
+        ('tests/test_storage.py::TestStorage'),
+    ),
+    Switch(
+        'folder not synced',
+        STATE + 'disk.py',
+        (
+            '            if fresh:\n'
+            '                self._sync_folder(self._folder)\n'
+        ),
+        (''),
+        ('tests/test_storage.py::test_folder_is_synced_after_a_name_is_made'),
+    ),
+    Switch(
+        'goes on after a failed sync',
+        STATE + 'disk.py',
+        (
+            "            self._broken = f'{name}: {error}'\n"
+            '            raise errors.DiskError(self._broken) from'
+            ' error'
+        ),
+        ('            raise errors.DiskError(str(error)) from error'),
+        ('tests/test_storage.py::test_failed_sync_stops_the_voter'),
+    ),
+    Switch(
+        'cut home waits',
+        DECISIONS + 'forwarding.py',
+        ('await self._reach.reachable('),
+        ('list('),
+        (
+            'tests/test_regions.py::test_cut_region_serves_on_and_sa'
+            'ys_at_once_what_it_cannot'
+        ),
+    ),
+    Switch(
+        'budget off',
+        DECISIONS + 'retries.py',
+        ('        if self._tokens < 1:'),
+        ('        if False:'),
+        ('tests/test_endpoints.py::test_retries_stay_within_their_budget'),
+    ),
+    Switch(
+        'lease not looked at',
+        DECISIONS + 'execution.py',
+        (
+            '        if not self._voter.has_lease:\n'
+            '            raise errors.NotLeaderError(None,'
+            ' may_be_accepted=False)\n'
+            '\n'
+            '    async def _pause'
+        ),
+        ('        return\n\n    async def _pause'),
+        (
+            'tests/test_control.py::test_frozen_leader_that_wakes_se'
+            'nds_no_order'
+        ),
+    ),
+    Switch(
+        'unknown keys let in',
+        'wrenspoke/transport/links.py',
+        ('        return known\n'),
+        ('        return True\n'),
+        ('tests/test_control.py::test_unknown_key_gets_nothing'),
+    ),
+    Switch(
+        'stale messages taken',
+        'wrenspoke/transport/links.py',
+        ('        if envelope.expires_ms < age_limit_ms:'),
+        ('        if False:'),
+        ('tests/test_control.py::test_unfit_messages_are_refused'),
+    ),
+    Switch(
+        'send waits inside pyzmq',
+        'wrenspoke/transport/links.py',
+        (
+            '            await dealer.send(frame, zmq.NOBLOCK)\n'
+            '            return\n'
+            '        except zmq.Again:'
+        ),
+        (
+            '            await dealer.send(frame)\n'
+            '            return\n'
+            '        except zmq.Again:'
+        ),
+        ('tests/test_links.py::test_waiting_call_holds_nothing_else_back'),
+    ),
+    Switch(
+        'leases not counted',
+        DECISIONS + 'shares.py',
+        ('min(fair, whole_per_s - taken)'),
+        ('fair'),
+        (
+            'tests/test_shares.py::test_leases_never_add_up_to_more_'
+            'than_the_whole'
+        ),
+    ),
+    Switch(
+        'cut short passed as whole',
+        DECISIONS + 'streams.py',
+        (
+            '            if event is None:\n'
+            "                raise errors.MaybeSentError('stream"
+            " ended early')"
+        ),
+        (
+            '            if event is None:\n'
+            '                transcript.finished = True\n'
+            '                return'
+        ),
+        ('tests/test_endpoints.py::test_broken_stream_is_resumed'),
+    ),
+    Switch(
+        'endless answers taken',
+        'wrenspoke/transport/web.py',
+        (
+            '    except (aiohttp.ClientError, OSError) as error:\n'
+            "        raise errors.MaybeSentError('answer was cut"
+            " short') from error\n"
+            "    return b''.join(chunks)"
+        ),
+        (
+            '    except (aiohttp.ClientError, OSError):\n'
+            '        pass\n'
+            "    return b''.join(chunks)"
+        ),
+        ('tests/test_endpoints.py -k cuts'),
+    ),
+    Switch(
+        'away only when allowed',
+        DECISIONS + 'gateway.py',
+        (
+            '        if head.bound or head.once or head.forwarded:\n'
+            '            return None\n'
+        ),
+        (''),
+        (
+            'tests/test_regions.py::test_work_goes_away_from_a_home_'
+            'without_engines'
+        ),
+    ),
+    Switch(
+        'not leaving home',
+        DECISIONS + 'gateway.py',
+        ('        if ending.reason not in NO_CAPACITY:'),
+        ('        if True:'),
+        (
+            'tests/test_regions.py::test_work_goes_away_from_a_home_'
+            'without_engines'
+        ),
+    ),
+    Switch(
+        'index may go back',
+        DECISIONS + 'replica.py',
+        (
+            '        if delta.index <= self.current.index:\n'
+            '            return False'
+        ),
+        ('        if False:\n            return False'),
+        ('tests/test_replica.py'),
+    ),
+    Switch(
+        'torn end kept',
+        STATE + 'records.py',
+        ('        if _any_behind(data, offset):'),
+        ('        if False:'),
+        (
+            'tests/test_storage.py::test_damage_in_the_middle_is_tol'
+            'd_with_its_place'
+        ),
+    ),
+    Switch(
+        'io_uring',
+        'wrenspoke/runtime.py',
+        ("os.environ[URING_VARIABLE] = '0'"),
+        ("os.environ[URING_VARIABLE] = '1'"),
+        ('tests/test_path.py::test_no_daemon_uses_io_uring'),
+    ),
+]
+
+
+def run(number: int, switch: Switch) -> str:
+    """Run one row and return its line."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name) / 'tree'
+        shutil.copytree(ROOT, folder, ignore=LEFT_OUT)
+        path = folder / switch.file
+        text = path.read_text()
+        if switch.old not in text:
+            return f'missing   {switch.name}: the text is not there'
+        path.write_text(text.replace(switch.old, switch.new, 1))
+        done = subprocess.run(
+            [
+                *(sys.executable, '-m', 'pytest', '-q', '-x'),
+                *('-p', 'no:cacheprovider', '-p', 'no:xdist'),
+                *switch.test.split(),
+            ],
+            cwd=folder,
+            env={
+                **os.environ,
+                'PYTHONPATH': str(folder),
+                'WRENSPOKE_TEST_WAIT_S': WAIT_S,
+                'PYTEST_XDIST_WORKER': f'gw{number % WORKERS}',
+            },
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+    errors = [
+        line for line in done.stdout.splitlines() if line.startswith('E ')
+    ]
+    first = errors[0][1:].strip() if errors else ''
+    verdict = 'fails' if done.returncode == 1 else 'survives'
+    return f'{verdict:9} {switch.name}: {first[:90]}'
+
+
+def main() -> None:
+    """Run the rows that were named, or all."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('name', nargs='*')
+    names = parser.parse_args().name
+    chosen = [
+        switch
+        for switch in SWITCHES
+        if not names or any(name in switch.name for name in names)
+    ]
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        for line in pool.map(run, range(len(chosen)), chosen):
+            print(line, flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -153,3 +153,19 @@
         sent = {headers.SESSION: f'{host}-{number}'}
         await caller.chat({'messages': MESSAGES, 'stream': True}, sent)
     return (await running.runs('north-chat-1'))['tokens'] == before
+
+
+async def test_stream_of_a_host_that_was_frozen_is_not_told_as_not_run(
+    tmp_path,
+):
+    """It had begun; after the freeze the host has to look for changes."""
+    made = fleet.deployment(
+        regions=('north',), entries=2, engines=2, controls=1
+    )
+    async with fleet.running(tmp_path, made, SLOW) as running:
+        tasks = await begun(running, 4)
+        running.freeze('north-1')
+        await asyncio.sleep(2.5)
+        running.thaw('north-1')
+        for result in await asyncio.gather(*tasks):
+            assert (result.outcome, result.text) == ('whole', WHOLE), result
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,70 @@
+"""An entry host's replica of the configuration goes forward only."""
+
+import pytest
+
+from wrenspoke.coordination import replica
+from wrenspoke.protocol import messages
+from wrenspoke.state import configuration
+
+
+def limit(team, rate):
+    """Return a change of a team's limit."""
+    return configuration.SetLimit(configuration.TeamLimit(team, rate, 1))
+
+
+def delta(*changes, whole=None):
+    """Return what a pull brings, with (index, change) pairs."""
+    index = whole.index if whole else changes[-1][0]
+    return messages.ConfigurationDelta(
+        index=index, changes=list(changes), whole=whole
+    )
+
+
+OLD = configuration.Configuration(index=1)
+
+
+@pytest.mark.parametrize(
+    'brought, index',
+    [
+        (delta((4, limit('a', 1))), 4),
+        (delta((3, limit('a', 9))), 3),
+        (delta((2, limit('a', 9))), 3),
+        (delta((2, limit('a', 9)), (5, limit('a', 2))), 5),
+        (delta(whole=OLD), 3),
+    ],
+    ids=['newer', 'the same', 'older', 'overlapping', 'an older whole'],
+)
+def test_lower_index_is_refused(brought, index):
+    held = replica.Replica()
+    held.advance(delta((2, limit('a', 5)), (3, limit('b', 7))))
+    held.advance(brought)
+    assert held.current.index == index
+    if index == 3:
+        rates = {
+            team: one.requests_per_s
+            for team, one in held.current.limits.items()
+        }
+        assert rates == {'a': 5, 'b': 7}
+
+
+@pytest.mark.parametrize('after', [0, 1, 2, 1500, 2999, 3000])
+def test_what_follows_an_index_brings_another_replica_level(after):
+    held = replica.Replica()
+    other = replica.Replica()
+    for index in range(1, 3001):
+        change = delta((index, limit(f't{index % 7}', index)))
+        held.advance(change)
+        if index <= after:
+            other.advance(change)
+    other.advance(held.after(after))
+    assert other.current == held.current
+
+
+def test_change_that_does_not_fit_is_refused_whole():
+    held = replica.Replica()
+    held.advance(delta((1, limit('a', 5))))
+    state = configuration.SetEndpointState(
+        'nowhere', configuration.EndpointState.DRAINED
+    )
+    assert not held.advance(delta((2, state)))
+    assert held.current.index == 1
--- a/wrenspoke/coordination/local.py
+++ b/wrenspoke/coordination/local.py
@@ -27,6 +27,8 @@
     errors.MaybeSentError,
 )
 FIRST_TRY_SHARE = 0.5
+LOOKS = 20
+LOOK_INTERVAL_MS = 100
 # Checks of a send that fail for every endpoint alike.
 HOPELESS = {
     'configuration': outcomes.Reason.NO_CONFIGURATION,
@@ -66,6 +68,7 @@
         self.excluded: set[ids.EndpointId] = set()
         self.may_have_run = False
         self.last_error = ''
+        self._looks = LOOKS
         self.count = 0
         self._head = head
         self._limit = limit
@@ -96,6 +99,22 @@
             return left_ms * FIRST_TRY_SHARE
         return left_ms
 
+    async def after(
+        self, endpoint: ids.EndpointId, error: errors.CoordinationError
+    ) -> None:
+        """Do what a failure asks for before the next try.
+
+        A host that was stopped gets a moment to look for changes.
+
+        :raises EndedError: there is no next try
+        """
+        refused = isinstance(error, errors.SendRefusedError)
+        if refused and error.check == 'configuration' and self._looks:
+            self._looks -= 1
+            await self._clock.sleep_ms(LOOK_INTERVAL_MS)
+            return
+        self.failed(endpoint, error)
+
     def failed(
         self, endpoint: ids.EndpointId, error: errors.CoordinationError
     ) -> None:
@@ -213,7 +232,7 @@
             try:
                 answer = await self._try(send, tries)
             except FAILURES as error:
-                tries.failed(send.endpoint, error)
+                await tries.after(send.endpoint, error)
                 continue
             if answer.status < SERVER_ERROR:
                 return answer
--- a/wrenspoke/coordination/once.py
+++ b/wrenspoke/coordination/once.py
@@ -238,7 +238,7 @@
     ) -> placement.Slot:
         """Return another place, as nothing has been sent yet."""
         try:
-            tries.failed(send.endpoint, error)
+            await tries.after(send.endpoint, error)
             return await self._server.place(head, tries)
         except errors.EndedError:
             await self._give_back(key, send.ticket)
--- a/wrenspoke/coordination/streams.py
+++ b/wrenspoke/coordination/streams.py
@@ -156,7 +156,7 @@
                 await self._stream(head, transcript, reply, slot, tries)
                 return slot.endpoint.endpoint
             except local.FAILURES as error:
-                tries.failed(slot.endpoint.endpoint, error)
+                await tries.after(slot.endpoint.endpoint, error)
             finally:
                 slot.release()
 
@@ -182,7 +182,8 @@
         try:
             await self._relay(send, transcript, reply, tries)
         except errors.MaybeSentError as error:
-            if not transcript.last_event or reply.started is False:
+            tries.may_have_run = True
+            if not transcript.last_event or not reply.started:
                 raise
             self._note_broken(head, slot, transcript, error)
             await self._resume(head, slot, transcript, reply, tries)
