Read the ledger's memory back in parts

Cause: reckoned at the size to come, a restarted ledger host would be told 18 MB in one message, above the limit of 16 MB, and never recover.

Ruled out: a higher limit (it would hold up the links while it is sent).

--- a/tests/test_registers.py
+++ b/tests/test_registers.py
@@ -286,3 +286,24 @@
     assert len(copy) == 1
     vote = copy.prepare('r:100:x', 100, registers.Ballot(9, 'a'))
     assert (vote.granted, vote.forgotten) == (False, True)
+
+
+@pytest.mark.parametrize('count', [0, 1, 7, 40])
+@pytest.mark.parametrize('part_bytes', [0, 2_000, 1 << 30])
+def test_memory_is_told_whole_in_parts(count, part_bytes):
+    copy = registers.Registers(ids.HostId('a'), 1, 0)
+    for number in range(count):
+        # Some keys share an issue time.
+        copy.prepare(f'k{number}', number // 3, registers.Ballot(1, 'a'))
+    told = []
+    after = registers.FIRST
+    for _part in range(count + 2):
+        memory = copy.remember('b', 2, after, part_bytes)
+        told += memory.registers
+        if not memory.more:
+            break
+        after = memory.registers[-1][:2]
+    assert not memory.more
+    assert sorted(key for _ms, key, _register in told) == sorted(
+        f'k{number}' for number in range(count)
+    )
--- a/wrenspoke/coordination/ledger.py
+++ b/wrenspoke/coordination/ledger.py
@@ -22,6 +22,7 @@
 ROUNDS_LIMIT = 8
 BACKOFF_MS = 20
 RECALL_INTERVAL_MS = 500
+RECALL_TIMEOUT_MS = 5_000
 EXPIRE_INTERVAL_MS = 5_000
 SKEW_MARGIN = 2
 
@@ -217,7 +218,7 @@
     ) -> messages.Message:
         if self._registers is None:
             return messages.Refusal('no ledger on this host')
-        memory = self._registers.remember(sender, message.epoch)
+        memory = self._registers.remember(sender, message.epoch, message.after)
         return messages.Recollection(memory)
 
     async def _recover(self) -> None:
@@ -250,12 +251,30 @@
 
     async def _recall_one(
         self, host: ids.HostId, epoch: int
+    ) -> registers.Memory | None:
+        """Return all that a host remembers, asked for part by part."""
+        whole: registers.Memory | None = None
+        after = registers.FIRST
+        while True:
+            part = await self._recall_part(host, epoch, after)
+            if part is None:
+                return None
+            if whole is None:
+                whole = part
+            else:
+                whole.registers += part.registers
+            if not part.more:
+                return whole
+            after = part.registers[-1][:2]
+
+    async def _recall_part(
+        self, host: ids.HostId, epoch: int, after: tuple[int, str]
     ) -> registers.Memory | None:
         try:
             answer = await self._peers.call(
                 host,
-                messages.Recall(epoch),
-                self._settings.call_timeout_ms,
+                messages.Recall(epoch, after),
+                RECALL_TIMEOUT_MS,
             )
         except protocol_errors.ProtocolError:
             return None
--- a/wrenspoke/logs.py
+++ b/wrenspoke/logs.py
@@ -29,7 +29,7 @@
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
         logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
-        cache_logger_on_first_use=False,
+        cache_logger_on_first_use=True,
     )
 
 
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -142,9 +142,13 @@
 
 
 class Recall(msgspec.Struct, tag='recall'):
-    """Ask for the ledger's memory after a restart under an epoch."""
+    """Ask for a part of the ledger's memory after a restart.
+
+    The part follows the key ``after``, given by issue time and name.
+    """
 
     epoch: int
+    after: tuple[int, str] = registers.FIRST
 
 
 class Recollection(msgspec.Struct, tag='recollection'):
--- a/wrenspoke/state/registers.py
+++ b/wrenspoke/state/registers.py
@@ -22,6 +22,11 @@
 from wrenspoke import ids
 
 
+PART_BYTES = 2 * 1024 * 1024
+REGISTER_BYTES = 400
+FIRST = (-1, '')
+
+
 class ClaimState(enum.Enum):
     """Say what is known of a once-only request."""
 
@@ -90,12 +95,16 @@
 
 
 class Memory(msgspec.Struct):
-    """Hold all that a ledger host tells one that has restarted."""
+    """Hold a part of what a ledger host tells one that has restarted.
+
+    ``more`` says that keys follow after the last of ``registers``.
+    """
 
     epoch_known: int
     trusted_since_ms: int
     epochs: dict[str, int]
     registers: list[tuple[int, str, Register]]
+    more: bool = False
 
 
 class Registers:
@@ -144,19 +153,38 @@
             register.claim = claim
         return self._vote(granted, register)
 
-    def remember(self, host: ids.HostId, epoch: int) -> Memory:
-        """Note that ``host`` restarted and tell it all that is here."""
+    def remember(
+        self,
+        host: ids.HostId,
+        epoch: int,
+        after: tuple[int, str] = FIRST,
+        part_bytes: int = PART_BYTES,
+    ) -> Memory:
+        """Note that ``host`` restarted and tell it a part of what is here.
+
+        A key that changes after its part was told does so by votes that
+        know of the restart.
+        """
         known = self.epochs.get(host, 0)
         if epoch > known:
             self.epochs[host] = epoch
+        told = []
+        size_bytes = 0
+        following = self._by_age.irange(after, inclusive=(False, True))
+        for issued_ms, key in following:
+            if size_bytes > part_bytes:
+                break
+            register = self._registers[key]
+            told.append((issued_ms, key, register))
+            size_bytes += _size_bytes(register)
+        last = told[-1][:2] if told else after
+        more = bool(self._by_age) and last < self._by_age[-1]
         return Memory(
             epoch_known=known,
             trusted_since_ms=self.trusted_since_ms,
             epochs=dict(self.epochs),
-            registers=[
-                (issued_ms, key, self._registers[key])
-                for issued_ms, key in self._by_age
-            ],
+            registers=told,
+            more=more,
         )
 
     def restore(self, memories: typing.Sequence[Memory]) -> None:
@@ -218,6 +246,11 @@
         )
 
 
+def _size_bytes(register: Register) -> int:
+    answer = register.claim.answer
+    return REGISTER_BYTES + (0 if answer is None else len(answer.body))
+
+
 def consistent(
     votes: typing.Mapping[ids.HostId, Vote], quorum: int
 ) -> dict[ids.HostId, Vote] | None:
