Build entry hosts step by step and share the daemons' command line

Cause: EntryDaemon.__init__ had 145 lines, and two daemons parsed the same arguments in the same words.

Ruled out: a container of parts (the steps read as well and add nothing).

Before: 145 lines in one function.

--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -1,13 +1,11 @@
 """``wrenspoke-controld``: the daemon of a control host."""
 
-import argparse
-import asyncio
 import pathlib
-import sys
 
 import aiohttp.web
 import structlog
 
+from wrenspoke import arguments
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import control
 from wrenspoke.coordination import dispatch
@@ -15,10 +13,8 @@
 from wrenspoke.coordination import replica
 from wrenspoke.coordination import voter
 from wrenspoke import entryd
-from wrenspoke import errors
 from wrenspoke import ids
 from wrenspoke import keys
-from wrenspoke import logs
 from wrenspoke import metrics
 from wrenspoke.protocol import operators
 from wrenspoke.protocol import peers as peer_calls
@@ -151,22 +147,8 @@
 
 
 def main() -> None:
-    """Parse arguments, configure logs and hand over."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--settings', required=True, type=pathlib.Path)
-    parser.add_argument('--host', required=True, help='name in the file')
-    parser.add_argument(
-        '--log-level', default='info', choices=sorted(logs.LEVELS)
-    )
-    arguments = parser.parse_args()
-    logs.configure(arguments.log_level, arguments.host)
-    try:
-        runtime.run(serve(arguments.settings, arguments.host))
-    except errors.WrenspokeError as error:
-        logger.error('not_started', reason=str(error))
-        sys.exit(str(error))
-    except asyncio.CancelledError:
-        pass
+    """Hand over to the control host that the arguments name."""
+    arguments.run_daemon(__doc__, serve)
 
 
 if __name__ == '__main__':
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -1,13 +1,11 @@
 """``wrenspoke-entryd``: the daemon of an entry host."""
 
-import argparse
-import asyncio
 import pathlib
-import sys
 
 import aiohttp.web
 import structlog
 
+from wrenspoke import arguments
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import decisions
 from wrenspoke.coordination import dispatch
@@ -29,7 +27,6 @@
 from wrenspoke.coordination import streams
 from wrenspoke import ids
 from wrenspoke import keys
-from wrenspoke import logs
 from wrenspoke import metrics
 from wrenspoke.protocol import hops
 from wrenspoke.protocol import peers as peer_calls
@@ -51,145 +48,181 @@
         name: str,
         keys_folder: pathlib.Path,
     ):
+        self._deployment = deployment
         self._settings = deployment.entry
         self._own = deployment.host(name)
-        host = ids.HostId(name)
-        region = ids.RegionId(self._own.region)
-        clock = clocks.Clock()
-        self._clock = clock
-        skew_ms = deployment.ledger.clock_skew_ms
+        self._host = ids.HostId(name)
+        self._region = ids.RegionId(self._own.region)
+        self._clock = clocks.Clock()
+        self._signer = hops.HopSigner(
+            deployment.cluster, keys.read_cluster_key(keys_folder)
+        )
+        self._client = web.HttpClient(self._settings.connect_timeout_ms)
         self.peers = peer_calls.Peers(
             keys.read_identity(keys_folder, deployment, self._own),
             link_peers(deployment),
-            clock,
-            skew_ms,
-        )
-        signer = hops.HopSigner(
-            deployment.cluster, keys.read_cluster_key(keys_folder)
+            self._clock,
+            deployment.ledger.clock_skew_ms,
         )
-        self._client = web.HttpClient(self._settings.connect_timeout_ms)
         self.replica = replica.Replica()
-        self.decisions = decisions.Decisions(clock)
-        self.loads = loads.Loads(clock)
-        limit_table = limits.Limits(clock)
+        self.decisions = decisions.Decisions(self._clock)
+        self.loads = loads.Loads(self._clock)
+        self._limits = limits.Limits(self._clock)
+        self._build_membership()
+        self._build_serving()
+        self._build_ledger()
+        self._build_gateway()
+        self._build_surface()
+
+    def _build_membership(self) -> None:
+        """Build what knows the other hosts and the configuration."""
         self.members = members.Members(
-            deployment,
+            self._deployment,
             self._own,
             self.peers,
             self.replica,
             self.loads,
-            limit_table,
-            clock,
+            self._limits,
+            self._clock,
         )
         self._puller = pulls.Puller(
-            host, deployment, self.peers, self.members, self.replica, clock
+            self._host,
+            self._deployment,
+            self.peers,
+            self.members,
+            self.replica,
+            self._clock,
         )
+        self._platform = platform.PlatformWatcher(
+            self._settings.platform_url,
+            self._host,
+            self._client,
+            self.members,
+            self.replica,
+            self._clock,
+        )
+        self._reach = reach.Reach(
+            self._settings,
+            self.peers,
+            self._clock,
+            lambda: self.members.draining,
+        )
+        self._shares = shares.TeamShares(
+            self._deployment,
+            self._own,
+            self.peers,
+            self.members,
+            self.replica,
+            self._clock,
+        )
+
+    def _build_serving(self) -> None:
+        """Build what sends to this region's endpoints."""
         dispatcher = dispatch.Dispatcher(
-            host,
-            region,
+            self._host,
+            self._region,
             self.replica,
             self._client,
-            clock,
+            self._clock,
             lambda: self.members.awake,
         )
-        self._platform = platform.PlatformWatcher(
-            self._settings.platform_url,
-            name,
-            self._client,
+        self._poller = polls.LoadPoller(
+            self._settings,
+            self._region,
+            self._own.data_centre,
+            dispatcher,
             self.members,
             self.replica,
-            clock,
+            self.loads,
+            self._limits,
+            self._clock,
         )
-        placer = placement.Placer(
-            region,
+        self._placer = placement.Placer(
+            self._region,
             self._settings,
             self.replica,
             self.loads,
-            limit_table,
+            self._limits,
             self.decisions,
-            clock,
+            self._clock,
         )
-        server = local.LocalServer(
+        self._server = local.LocalServer(
             self._settings,
             dispatcher,
-            placer,
+            self._placer,
             self.loads,
             self.decisions,
-            clock,
+            self._clock,
         )
-        self._streams = streams.StreamServer(server)
-        ledger_hosts = [
+        self._streams = streams.StreamServer(self._server)
+
+    def _build_ledger(self) -> None:
+        """Build what serves once-only requests."""
+        hosts = [
             ids.HostId(entry.host)
-            for entry in deployment.with_role('ledger')
-            if entry.region == region
+            for entry in self._deployment.with_role('ledger')
+            if entry.region == self._region
         ]
         self.ledger = ledger.Ledger(
-            host, ledger_hosts, deployment.ledger, self.peers, clock
+            self._host,
+            hosts,
+            self._deployment.ledger,
+            self.peers,
+            self._clock,
         )
-        once_server = once.OnceServer(
-            host,
-            deployment.ledger,
+        self._once = once.OnceServer(
+            self._host,
+            self._deployment.ledger,
             self.ledger,
-            server,
+            self._server,
             self.members,
             self.decisions,
-            clock,
-        )
-        self._reach = reach.Reach(
-            self._settings, self.peers, clock, lambda: self.members.draining
-        )
-        self._shares = shares.TeamShares(
-            deployment,
-            self._own,
-            self.peers,
-            self.members,
-            self.replica,
-            clock,
+            self._clock,
         )
+
+    def _build_gateway(self) -> None:
+        """Build what decides where a request is served."""
         forwarder = forwarding.Forwarder(
-            host,
-            deployment,
+            self._host,
+            self._deployment,
             self.members,
             self._reach,
             self._client,
-            signer,
+            self._signer,
             self.decisions,
-            clock,
+            self._clock,
         )
         self.gateway = gateway.Gateway(
-            deployment,
+            self._deployment,
             self._own,
             self.replica,
             self.members,
-            placer,
-            server,
+            self._placer,
+            self._server,
             self._streams,
-            once_server,
+            self._once,
             forwarder,
             self._shares,
             self.ledger,
             self.decisions,
-            clock,
-        )
-        self._poller = polls.LoadPoller(
-            self._settings,
-            region,
-            self._own.data_centre,
-            dispatcher,
-            self.members,
-            self.replica,
-            self.loads,
-            limit_table,
-            clock,
+            self._clock,
         )
+
+    def _build_surface(self) -> None:
+        """Build what callers and scrapers talk to."""
         entry_surface = surface.EntrySurface(
-            self.gateway, host, self._settings, signer, clock, skew_ms
+            self.gateway,
+            self._host,
+            self._settings,
+            self._signer,
+            self._clock,
+            self._deployment.ledger.clock_skew_ms,
         )
-        self._metrics = metrics.Metrics(name)
+        self._metrics = metrics.Metrics(self._host)
+        self.loads.on_first = self._metrics.observe_first_ms
         application = entry_surface.application()
         application.router.add_get('/metrics', self._show_metrics)
         self._web = web.HttpServer(application)
-        self.loads.on_first = self._metrics.observe_first_ms
 
     async def start(self) -> None:
         """Listen and begin every task."""
@@ -283,21 +316,8 @@
 
 
 def main() -> None:
-    """Parse arguments, configure logs and hand over."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--settings', required=True, type=pathlib.Path)
-    parser.add_argument('--host', required=True, help='name in the file')
-    parser.add_argument(
-        '--log-level', default='info', choices=sorted(logs.LEVELS)
-    )
-    arguments = parser.parse_args()
-    logs.configure(arguments.log_level, arguments.host)
-    try:
-        runtime.run(serve(arguments.settings, arguments.host))
-    except settings.SettingsError as error:
-        sys.exit('\n'.join(error.problems))
-    except asyncio.CancelledError:
-        pass
+    """Hand over to the entry host that the arguments name."""
+    arguments.run_daemon(__doc__, serve)
 
 
 if __name__ == '__main__':
