Prove that a stream without its end mark is no whole answer

Cause: two of the switches left their tests passing: a stream that ends cleanly but early was never played, and a second layer hid the first where bound work must not go away.

Change: the stand-in engine can end early; the test of bound work looks at the reason as well.

--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -126,14 +126,16 @@
         assert result.text == WHOLE
 
 
+@pytest.mark.parametrize('end_early', [False, True])
 @pytest.mark.parametrize('break_after', [1, 5, 16])
-async def test_broken_stream_is_resumed(running, break_after):
+async def test_broken_stream_is_resumed(running, break_after, end_early):
     caller = running.caller('north-1')
     for number in (1, 2):
         await running.faults(
             f'north-chat-{number}',
             break_after_events=break_after,
             break_times=1,
+            end_early=end_early,
         )
     result = await caller.chat(chat())
     assert result.outcome == 'whole', result
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -172,6 +172,7 @@
         sent = {headers.HOME: 'south', headers.BOUND: 'true'}
         result = await caller.chat(CHAT, sent)
         assert result.outcome == 'not_run'
+        assert result.reason in ('no_endpoint', 'endpoint_failed')
         running.start_standins('south')
 
         async def at_home_again():
--- a/wrenspoke/standin/engine.py
+++ b/wrenspoke/standin/engine.py
@@ -216,8 +216,11 @@
                 sent += 1
                 await response.write(self._chunk(stream, sent))
                 if self._breaks(sent - after):
-                    transport_web.abort(request)
                     stream.left_at = time.monotonic()
+                    if self.faults.end_early:
+                        await response.write_eof()
+                    else:
+                        transport_web.abort(request)
                     return response
             await response.write(sse.encode(sse.SseEvent(data=sse.DONE)))
             await response.write_eof()
--- a/wrenspoke/standin/faults.py
+++ b/wrenspoke/standin/faults.py
@@ -6,7 +6,8 @@
 class Faults(msgspec.Struct):
     """Say how a stand-in misbehaves; the default is not at all.
 
-    ``break_after_events`` closes a stream after so many events,
+    ``break_after_events`` closes a stream after so many events, with
+    ``end_early`` as if it were whole but for its end mark,
     ``truncate`` states a longer body than it sends, ``crossed`` answers
     with another request's id, ``close_after_read`` counts a request and
     closes, ``status`` answers with that status, ``slow_factor``
@@ -15,6 +16,7 @@
 
     break_after_events: int = 0
     break_times: int = 0
+    end_early: bool = False
     truncate: bool = False
     crossed: bool = False
     close_after_read: bool = False
