--- a/wrenspoke/coordination/gateway.py
+++ b/wrenspoke/coordination/gateway.py
@@ -369,10 +369,10 @@
             )
         )
 
-    def directory(self, address: str | None) -> dict[str, typing.Any]:
+    def directory(self, region: str | None) -> dict[str, typing.Any]:
         """Return which entry hosts to use, nearest first."""
         return {
-            'region': address or self._host.region,
+            'region': region or self._host.region,
             'ttl_ms': self._settings.directory_ttl_ms,
             'hosts': [
                 {
@@ -381,7 +381,7 @@
                     'data_centre': entry.data_centre,
                     'url': f'http://{entry.ip}:{entry.http_port}',
                 }
-                for entry in self._members.directory(address)
+                for entry in self._members.directory(region)
             ],
         }
 
--- a/wrenspoke/protocol/surface.py
+++ b/wrenspoke/protocol/surface.py
@@ -42,7 +42,7 @@
     ) -> None:
         """Answer one request."""
 
-    def directory(self, address: str | None) -> dict[str, typing.Any]:
+    def directory(self, region: str | None) -> dict[str, typing.Any]:
         """Return which entry hosts to use, nearest first."""
 
     def models(self) -> list[str]:
