Let a late once-only failure end quietly

Cause: a once-only attempt that failed after its caller had been told unknown was logged as an unhandled error of the daemon, an event that operators are to act on.

Ruled out: hiding unhandled errors as such.

Before: test_late_failure_of_a_once_only_attempt_is_no_error_of_ours found unhandled_error in the log. After: it passes; the resend is told unknown/claim_exists.

Conclusion: unhandled_error means what OPERATIONS.md says.

--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -221,3 +221,23 @@
                 assert result.reason == 'overload'
             else:
                 assert result.text == WHOLE
+
+
+async def test_late_failure_of_a_once_only_attempt_is_no_error_of_ours(
+    running,
+):
+    """The caller was told unknown at its deadline; nobody waits any more."""
+    for number in (1, 2):
+        await running.faults(
+            f'north-records-{number}', delay_ms=900, truncate=True
+        )
+    caller = running.caller('north-1')
+    request = once_id()
+    sent = {headers.REQUEST: request, headers.DEADLINE_MS: '300'}
+    first = await caller.call('POST', 'records', '/release/1', sent)
+    assert first.outcome == 'unknown'
+    second = await caller.call(
+        'POST', 'records', '/release/1', {headers.REQUEST: request}
+    )
+    assert (second.outcome, second.reason) == ('unknown', 'claim_exists')
+    assert 'unhandled_error' not in running.log('north-1')
--- a/wrenspoke/coordination/once.py
+++ b/wrenspoke/coordination/once.py
@@ -75,7 +75,7 @@
             self._attempt(head, key, body)
         )
         self._running.add(task)
-        task.add_done_callback(self._running.discard)
+        task.add_done_callback(self._forget)
         answer = await self._wait(head, task)
         if isinstance(answer, registers.Claim):
             await self._answer_known(head, key, answer, reply)
@@ -84,6 +84,12 @@
             answer.status, answer.headers, answer.body, answer.outcome
         )
 
+    def _forget(self, task: asyncio.Task) -> None:
+        """Let go of an attempt; a caller that left hears no error."""
+        self._running.discard(task)
+        if not task.cancelled():
+            task.exception()
+
     async def _wait(
         self, head: requests.RequestHead, task: asyncio.Task
     ) -> local.Whole | registers.Claim:
