Count unhandled errors in the run of all faults

Cause: a daemon's unhandled error would have passed the check of the history unseen.

Ruled out: looking at logs by hand.

Before: not looked at. After: 0 in the run of tests/test_history.py.

Conclusion: the check stands with the others.

--- a/benches/faults.py
+++ b/benches/faults.py
@@ -113,6 +113,10 @@
         found = load.report(running.settings, asked, runs)
         found['faults'] = done
         found['changes_accepted'] = changes
+        found['unhandled_errors'] = sum(
+            running.log(host.host).count('event=unhandled_error')
+            for host in running.settings.hosts
+        )
         found['index_went_back'] = len(history.indexes_went_back(seen))
         return found, asked
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -76,5 +76,6 @@
         'cut_short_as_whole': 0,
     }
     assert found['index_went_back'] == 0
+    assert found['unhandled_errors'] == 0
     assert found['changes_accepted'] > 0
     assert found['ends']['whole'] > len(lines) / 2
