Wait for stand-ins before a test speaks to them

Tests waited for entry hosts only.

Ruled out: a retry within the test's own call (it would hide a stand-in that died).

Before: 1 failure in 1 run on a busy machine (connection refused).

Conclusion: every process of a test is waited for.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -19,6 +19,7 @@
 from wrenspoke import operator as operators
 from wrenspoke import settings
 from wrenspoke.standin import relay
+from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import web
 
 PLACEHOLDER_KEY = '0' * 40
@@ -358,6 +359,19 @@
         margin_ms = 3 * self.settings.ledger.clock_skew_ms
         await asyncio.sleep(margin_ms / 1000)
 
+    async def wait_standins(self) -> None:
+        """Wait until every stand-in listens."""
+        for endpoint in self.settings.endpoints:
+            name = endpoint.endpoint
+            await until(lambda name=name: self._listens(name), name)
+
+    async def _listens(self, endpoint: str) -> bool:
+        try:
+            await self.runs(endpoint)
+            return True
+        except transport_errors.TransportError:
+            return False
+
     async def _serves(self, host: str) -> bool:
         status = await self.status(host)
         if status is None or not status['serving']:
@@ -422,6 +436,7 @@
         for host in fleet.settings.with_role('entry'):
             if entries is None or host.host in entries:
                 fleet.start_entry(host.host)
+        await fleet.wait_standins()
         await fleet.wait_serving(*(entries or []))
         yield fleet
     except BaseException:
