Prove that a caller resumes a stream by its last event

Cause: resuming by Last-Event-ID after an entry host was killed had code and no test.

Ruled out: the caller's own way of going on (it sends the text so far).

Before: not run. After: the rest of the stream comes through another host with its numbers, or the caller is told unknown/stream_broken where no engine holds it.

--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -182,3 +182,36 @@
             return 'forwarded' not in str(explained)
 
         await fleet.until(at_home_again, 'work to come home')
+
+
+@pytest.mark.parametrize('known', [True, False])
+async def test_caller_resumes_a_stream_by_its_last_event(tmp_path, known):
+    """An engine that still has the stream goes on; else that is said."""
+    made = fleet.deployment(regions=('north',), entries=2, engines=2)
+    async with fleet.running(tmp_path, made, SLOW) as running:
+        request = ids.new_unique()
+        seen = []
+        first = asyncio.create_task(
+            running.caller('north-1').chat(
+                CHAT, {headers.REQUEST: request}, seen.append
+            )
+        )
+        await fleet.until(lambda: len(seen) > 3, 'the stream to flow')
+        running.kill('north-1')
+        await asyncio.gather(first, return_exceptions=True)
+        sent = {
+            headers.REQUEST: request if known else ids.new_unique(),
+            headers.ATTEMPT: '2',
+            headers.LAST_EVENT_ID: str(len(seen)),
+        }
+        result = await running.caller('north-2').chat(CHAT, sent)
+        if known:
+            assert (result.outcome, result.text) == (
+                'whole',
+                WHOLE.removeprefix(''.join(seen)),
+            )
+        else:
+            assert (result.outcome, result.reason) == (
+                'unknown',
+                'stream_broken',
+            )
