Let one plan be confirmed on an index, whatever it begins with

Cause: generated orders of plans and confirms found two plans confirmed on one index: a plan that begins with an order changed nothing yet, so the index stood still. They also found that an entry that issues an order for a step that is none would have stopped every voter.

Ruled out: a lock per endpoint (rules and limits race as well).

Change: an accepted confirm always moves the index on; such an entry is passed over.

Before: test_plans failed with "two plans won on one index" and with AttributeError.

Conclusion: a confirm is a compare-and-set in every case.

--- a/wrenspoke/state/replicated.py
+++ b/wrenspoke/state/replicated.py
@@ -214,6 +214,13 @@
         verdict, detail = Verdict.ACCEPTED, plan.summary
         confirmed = msgspec.structs.replace(plan, confirmed_index=index)
         change = state.advance(confirmed, index, 0, ())
+        if change is None:
+            # A plan that begins with an order changes nothing yet, but
+            # no other made on the same index may be confirmed beside it.
+            change = configuration.Several(())
+            state.configuration = configuration.apply(
+                state.configuration, change, index
+            )
     answer = Answer(verdict, entry.plan, index, detail)
     state.keep_answer(entry.operator, entry.number, entry.digest, answer)
     return Applied(answer=answer, change=change)
@@ -224,7 +231,9 @@
     state: ReplicatedState, index: int, entry: entries.IssueOrder
 ):
     plan = state.plans.get(entry.plan)
-    if plan is None or plan.current is None or plan.reached != entry.step:
+    if plan is None or plan.reached != entry.step:
+        return Applied()
+    if not isinstance(plan.current, plans.Order):
         return Applied()
     state.plans[entry.plan] = msgspec.structs.replace(plan, issued_index=index)
     if plan.current.loads:
