Take out four names that nothing uses

Cause: a last reading of the whole change found two errors never raised, a method never called and a constant never read, and methods of the voter that had turned public without docstrings; one docstring was stale.

Ruled out: joining the shapes that stand twice (plans' intents and the configuration's changes, two registries of checks): the likeness is of form, their types and meaning differ.

Before: four unused names.

Conclusion: behaviour stays.

--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -46,10 +46,6 @@
     """Say that too few ledger hosts answered."""
 
 
-class KeyForgottenError(CoordinationError):
-    """Say that the key is older than what the ledger remembers."""
-
-
 class NotLeaderError(CoordinationError):
     """Say that this control host does not lead, and who may.
 
--- a/wrenspoke/coordination/reach.py
+++ b/wrenspoke/coordination/reach.py
@@ -74,11 +74,6 @@
         answers = await asyncio.gather(*(self._check(h) for h in hosts))
         return [host for host, found in zip(hosts, answers) if found]
 
-    def known_away(self, host: ids.HostId) -> bool:
-        """Tell whether a host lately gave no answer, without asking."""
-        remote = self._remotes.get(host)
-        return remote is not None and self._failed_lately(remote)
-
     async def _check(self, host: ids.HostId) -> bool:
         now_ms = self._clock.mono_ms()
         remote = self._remotes.get(host)
--- a/wrenspoke/coordination/voter.py
+++ b/wrenspoke/coordination/voter.py
@@ -117,6 +117,7 @@
             )
 
     def adopt_term(self, term: int) -> None:
+        """Take note of a higher term, which ends a lead of this host."""
         if term <= self.term:
             return
         self.storage.meta.term = term
@@ -127,7 +128,7 @@
     # Start.
 
     def start(self) -> None:
-        """Count this start, then take part."""
+        """Take part, once the others know of this start."""
         self._heard_ms = self.clock.mono_ms()
         self._tasks.start(self._clearance.obtain(self._become_new))
         self._tasks.start(self._watch())
@@ -229,6 +230,7 @@
     async def call(
         self, host: ids.HostId, message: messages.Message
     ) -> messages.Message | None:
+        """Send a message and return the answer, None without one."""
         try:
             return await self._peers.call(
                 host, message, self.settings.election_timeout_ms / 2
@@ -396,6 +398,7 @@
     # Applying.
 
     def commit(self, index: int) -> None:
+        """Apply what is committed, up to ``index``."""
         while self.commit_index < index:
             entry = self.storage.entry(self.commit_index + 1)
             if entry is None:
--- a/wrenspoke/transport/errors.py
+++ b/wrenspoke/transport/errors.py
@@ -13,7 +13,3 @@
 
 class MaybeSentError(TransportError):
     """Say that the message may have arrived, though no answer came."""
-
-
-class LinkClosedError(TransportError):
-    """Say that the link was closed on this side."""
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -11,7 +11,6 @@
 from wrenspoke.transport import errors
 
 POOL_PER_HOST = 256
-READ_CHUNK_BYTES = 64 * 1024
 LINE_LIMIT_BYTES = 8190
 BACKLOG = 4096
 PORT_RANGE = range(10_000, 32_000)
