Split coordination into agreement, membership and serving

Cause: 26 modules lay in one folder, and running on the users' platform adds about as many. Moved without other change; platform.py is now membership/leaving.py, since a module named platform hides the standard library's in a folder on the path. Imports were rewritten by a script.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -20,10 +20,10 @@
 from benches import processes
 from tests import fleet
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import limits
-from wrenspoke.coordination import loads
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import routing
+from wrenspoke.coordination.membership import loads
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import limits
+from wrenspoke.coordination.serving import routing
 from wrenspoke import logs
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import requests
--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -87,7 +87,7 @@
     ),
     Switch(
         'residency check off',
-        DECISIONS + 'gateway.py',
+        DECISIONS + 'serving/gateway.py',
         ('        if head.bound:\n            return head.home\n'),
         (
             '        if head.bound:\n'
@@ -97,7 +97,7 @@
     ),
     Switch(
         'forwards again',
-        DECISIONS + 'gateway.py',
+        DECISIONS + 'serving/gateway.py',
         ('        if head.forwarded:\n            return own\n'),
         (''),
         (
@@ -107,7 +107,7 @@
     ),
     Switch(
         'hop check off',
-        DECISIONS + 'dispatch.py',
+        DECISIONS + 'serving/dispatch.py',
         ('    if len(path) > MAX_HOPS:'),
         ('    return None\n    if len(path) > MAX_HOPS:'),
         ('tests/test_regions.py::test_loops_are_refused'),
@@ -131,7 +131,7 @@
     ),
     Switch(
         'crossed answers taken',
-        DECISIONS + 'dispatch.py',
+        DECISIONS + 'serving/dispatch.py',
         ('        if echoed == send.name:\n            return\n'),
         ('        return\n'),
         ('tests/test_endpoints.py -k another'),
@@ -148,14 +148,14 @@
     ),
     Switch(
         'no resume',
-        DECISIONS + 'local.py',
+        DECISIONS + 'serving/local.py',
         ('allowed = self.count < self._limit and'),
         ('allowed = False and'),
         ('tests/test_regions.py::test_stream_survives_its_engine'),
     ),
     Switch(
         'endpoint state check off',
-        DECISIONS + 'replica.py',
+        DECISIONS + 'membership/replica.py',
         (
             '            endpoint.state is'
             ' configuration.EndpointState.ACTIVE\n'
@@ -169,21 +169,21 @@
     ),
     Switch(
         'frozen host goes on',
-        DECISIONS + 'dispatch.py',
+        DECISIONS + 'serving/dispatch.py',
         ('if send.purpose in WORK and not context.current:'),
         ('if False:'),
         ('tests/test_dispatch.py::test_checks'),
     ),
     Switch(
         'list takes leaving back',
-        DECISIONS + 'platform.py',
+        DECISIONS + 'membership/leaving.py',
         ('        news = False\n'),
         ('        news = False\n        self._replica.leaving.clear()\n'),
         ('tests/test_leaving.py::test_platform_list_only_ever_adds_leaving'),
     ),
     Switch(
         'old disk votes',
-        DECISIONS + 'clearance.py',
+        DECISIONS + 'agreement/clearance.py',
         ('if answer.known_boot >= meta.boot:'),
         ('if False:'),
         ('tests/test_control.py::test_old_copy_of_a_disk_gets_no_vote'),
@@ -204,14 +204,14 @@
     ),
     Switch(
         'serves before it knows',
-        DECISIONS + 'pulls.py',
+        DECISIONS + 'membership/pulls.py',
         ('        held = serving or self._replica.held_before\n'),
         ('        held = True\n'),
         ('tests/test_control.py::test_configuration_never_goes_back'),
     ),
     Switch(
         'not run told after a loss',
-        DECISIONS + 'once.py',
+        DECISIONS + 'serving/once.py',
         (
             '        if head.resend:\n'
             '            outcome = outcomes.Outcome.UNKNOWN\n'
@@ -221,7 +221,7 @@
     ),
     Switch(
         'no admission',
-        DECISIONS + 'lead.py',
+        DECISIONS + 'agreement/lead.py',
         (
             '        voters = self._group.voters\n'
             '        for host, follower in self._followers.items():\n'
@@ -274,7 +274,7 @@
     ),
     Switch(
         'cut home waits',
-        DECISIONS + 'forwarding.py',
+        DECISIONS + 'serving/forwarding.py',
         ('await self._reach.reachable('),
         ('list('),
         (
@@ -284,14 +284,14 @@
     ),
     Switch(
         'budget off',
-        DECISIONS + 'retries.py',
+        DECISIONS + 'serving/retries.py',
         ('        if self._tokens < 1:'),
         ('        if False:'),
         ('tests/test_endpoints.py::test_retries_stay_within_their_budget'),
     ),
     Switch(
         'lease not looked at',
-        DECISIONS + 'execution.py',
+        DECISIONS + 'agreement/execution.py',
         (
             '        if not self._voter.has_lease:\n'
             '            raise errors.NotLeaderError(None,'
@@ -336,7 +336,7 @@
     ),
     Switch(
         'leases not counted',
-        DECISIONS + 'shares.py',
+        DECISIONS + 'serving/shares.py',
         ('min(fair, whole_per_s - taken)'),
         ('fair'),
         (
@@ -346,7 +346,7 @@
     ),
     Switch(
         'cut short passed as whole',
-        DECISIONS + 'streams.py',
+        DECISIONS + 'serving/streams.py',
         (
             '            if event is None:\n'
             "                raise errors.MaybeSentError('stream"
@@ -377,7 +377,7 @@
     ),
     Switch(
         'away only when allowed',
-        DECISIONS + 'gateway.py',
+        DECISIONS + 'serving/gateway.py',
         (
             '        if head.bound or head.once or head.forwarded:\n'
             '            return None\n'
@@ -390,7 +390,7 @@
     ),
     Switch(
         'not leaving home',
-        DECISIONS + 'gateway.py',
+        DECISIONS + 'serving/gateway.py',
         ('        if ending.reason not in NO_CAPACITY:'),
         ('        if True:'),
         (
@@ -400,7 +400,7 @@
     ),
     Switch(
         'index may go back',
-        DECISIONS + 'replica.py',
+        DECISIONS + 'membership/replica.py',
         (
             '        if delta.index <= self.current.index:\n'
             '            return False'
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,9 +3,9 @@
 import msgspec
 import pytest
 
-from wrenspoke.coordination import dispatch
-from wrenspoke.coordination import limits
-from wrenspoke.coordination import placement
+from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import limits
+from wrenspoke.coordination.serving import placement
 from wrenspoke.protocol import requests
 from wrenspoke.state import configuration
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -6,8 +6,8 @@
 import pytest
 
 from tests import fleet
+from wrenspoke.coordination.agreement import execution
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import execution
 from wrenspoke import settings
 from wrenspoke.state import configuration
 from wrenspoke.state import entries
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -34,7 +34,7 @@
 
 @pytest.mark.parametrize('layer', sorted(ALLOWED))
 def test_layer_imports_downwards(layer):
-    paths = sorted((ROOT / layer).glob('*.py'))
+    paths = sorted((ROOT / layer).rglob('*.py'))
     assert paths
     for path in paths:
         above = set(imported(path)) - ALLOWED[layer] - BASE
@@ -44,7 +44,7 @@
 def test_only_dispatch_reads_an_endpoints_address():
     """Nothing else can send to an endpoint past the checks."""
     readers = []
-    for path in sorted((ROOT / 'coordination').glob('*.py')):
+    for path in sorted((ROOT / 'coordination').rglob('*.py')):
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Attribute) and node.attr == 'url':
                 readers.append(path.name)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wrenspoke.coordination import replica
+from wrenspoke.coordination.membership import replica
 from wrenspoke.protocol import messages
 from wrenspoke.state import configuration
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests import fleet
-from wrenspoke.coordination import shares
+from wrenspoke.coordination.serving import shares
 from wrenspoke.protocol import headers
 
 HOSTS = ('a', 'b', 'c')
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -7,11 +7,11 @@
 
 from wrenspoke import arguments
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import control
-from wrenspoke.coordination import dispatch
-from wrenspoke.coordination import execution
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import voter
+from wrenspoke.coordination.agreement import control
+from wrenspoke.coordination.agreement import execution
+from wrenspoke.coordination.agreement import voter
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import dispatch
 from wrenspoke import entryd
 from wrenspoke import ids
 from wrenspoke import keys
--- /dev/null
+++ b/wrenspoke/coordination/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""How control hosts agree, and what they order."""
--- a/wrenspoke/coordination/clearance.py
+++ b/wrenspoke/coordination/agreement/clearance.py
@@ -12,7 +12,7 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import lead
+from wrenspoke.coordination.agreement import lead
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import messages
--- a/wrenspoke/coordination/control.py
+++ b/wrenspoke/coordination/agreement/control.py
@@ -6,10 +6,10 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import execution
+from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import execution
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import voter
+from wrenspoke.coordination.membership import replica
 from wrenspoke import ids
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import operators
--- a/wrenspoke/coordination/execution.py
+++ b/wrenspoke/coordination/agreement/execution.py
@@ -14,9 +14,9 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import dispatch
+from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import voter
+from wrenspoke.coordination.serving import dispatch
 from wrenspoke import ids
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import messages
--- a/wrenspoke/coordination/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -18,10 +18,10 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import clearance
+from wrenspoke.coordination.agreement import clearance
+from wrenspoke.coordination.agreement import lead
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import lead
-from wrenspoke.coordination import replica
+from wrenspoke.coordination.membership import replica
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import messages
--- /dev/null
+++ b/wrenspoke/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts and endpoints there are, and what they hold."""
--- a/wrenspoke/coordination/platform.py
+++ b/wrenspoke/coordination/membership/leaving.py
@@ -9,8 +9,8 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import members
-from wrenspoke.coordination import replica
+from wrenspoke.coordination.membership import members
+from wrenspoke.coordination.membership import replica
 from wrenspoke import runtime
 from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import web
@@ -35,7 +35,7 @@
     hosts: list[ListedHost]
 
 
-class PlatformWatcher:
+class LeavingWatcher:
     """Take endpoints that the platform lists as leaving out of use."""
 
     def __init__(
--- a/wrenspoke/coordination/members.py
+++ b/wrenspoke/coordination/membership/members.py
@@ -7,10 +7,10 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import limits
-from wrenspoke.coordination import loads
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import routing
+from wrenspoke.coordination.membership import loads
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import limits
+from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
--- a/wrenspoke/coordination/polls.py
+++ b/wrenspoke/coordination/membership/polls.py
@@ -6,12 +6,12 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import dispatch
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import limits
-from wrenspoke.coordination import loads
-from wrenspoke.coordination import members
-from wrenspoke.coordination import replica
+from wrenspoke.coordination.membership import loads
+from wrenspoke.coordination.membership import members
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import limits
 from wrenspoke import ids
 from wrenspoke.protocol import messages
 from wrenspoke import runtime
--- a/wrenspoke/coordination/pulls.py
+++ b/wrenspoke/coordination/membership/pulls.py
@@ -13,9 +13,9 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import members
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import routing
+from wrenspoke.coordination.membership import members
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import messages
--- /dev/null
+++ b/wrenspoke/coordination/serving/__init__.py
@@ -0,0 +1,1 @@
+"""How a request is served, from its entry to its end."""
--- a/wrenspoke/coordination/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -15,8 +15,8 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import placement
-from wrenspoke.coordination import replica
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import placement
 from wrenspoke import ids
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import requests
--- a/wrenspoke/coordination/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -10,11 +10,11 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import decisions
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import members
-from wrenspoke.coordination import reach
-from wrenspoke.coordination import streams
+from wrenspoke.coordination.membership import members
+from wrenspoke.coordination.membership import reach
+from wrenspoke.coordination.serving import decisions
+from wrenspoke.coordination.serving import streams
 from wrenspoke import ids
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import hops
--- a/wrenspoke/coordination/gateway.py
+++ b/wrenspoke/coordination/serving/gateway.py
@@ -7,17 +7,17 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import decisions
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import forwarding
-from wrenspoke.coordination import ledger
-from wrenspoke.coordination import local
-from wrenspoke.coordination import members
-from wrenspoke.coordination import once
-from wrenspoke.coordination import placement
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import shares
-from wrenspoke.coordination import streams
+from wrenspoke.coordination.membership import members
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import decisions
+from wrenspoke.coordination.serving import forwarding
+from wrenspoke.coordination.serving import ledger
+from wrenspoke.coordination.serving import local
+from wrenspoke.coordination.serving import once
+from wrenspoke.coordination.serving import placement
+from wrenspoke.coordination.serving import shares
+from wrenspoke.coordination.serving import streams
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import headers
--- a/wrenspoke/coordination/local.py
+++ b/wrenspoke/coordination/serving/local.py
@@ -5,12 +5,12 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import decisions
-from wrenspoke.coordination import dispatch
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import loads
-from wrenspoke.coordination import placement
-from wrenspoke.coordination import retries
+from wrenspoke.coordination.membership import loads
+from wrenspoke.coordination.serving import decisions
+from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import placement
+from wrenspoke.coordination.serving import retries
 from wrenspoke import ids
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import outcomes
--- a/wrenspoke/coordination/once.py
+++ b/wrenspoke/coordination/serving/once.py
@@ -5,13 +5,13 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import decisions
-from wrenspoke.coordination import dispatch
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import ledger
-from wrenspoke.coordination import local
-from wrenspoke.coordination import members
-from wrenspoke.coordination import placement
+from wrenspoke.coordination.membership import members
+from wrenspoke.coordination.serving import decisions
+from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import ledger
+from wrenspoke.coordination.serving import local
+from wrenspoke.coordination.serving import placement
 from wrenspoke import ids
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import outcomes
--- a/wrenspoke/coordination/placement.py
+++ b/wrenspoke/coordination/serving/placement.py
@@ -9,12 +9,12 @@
 import sortedcontainers
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import decisions
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import limits
-from wrenspoke.coordination import loads
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import routing
+from wrenspoke.coordination.membership import loads
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import decisions
+from wrenspoke.coordination.serving import limits
+from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import outcomes
 from wrenspoke.protocol import requests
--- a/wrenspoke/coordination/routing.py
+++ b/wrenspoke/coordination/serving/routing.py
@@ -9,8 +9,8 @@
 
 import xxhash
 
-from wrenspoke.coordination import limits
-from wrenspoke.coordination import loads
+from wrenspoke.coordination.membership import loads
+from wrenspoke.coordination.serving import limits
 from wrenspoke import ids
 from wrenspoke.protocol import requests
 from wrenspoke.state import configuration
--- a/wrenspoke/coordination/shares.py
+++ b/wrenspoke/coordination/serving/shares.py
@@ -11,9 +11,9 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import members
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import routing
+from wrenspoke.coordination.membership import members
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import messages
--- a/wrenspoke/coordination/streams.py
+++ b/wrenspoke/coordination/serving/streams.py
@@ -15,10 +15,10 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import dispatch
 from wrenspoke.coordination import errors
-from wrenspoke.coordination import local
-from wrenspoke.coordination import placement
+from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import local
+from wrenspoke.coordination.serving import placement
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import headers
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -7,24 +7,24 @@
 
 from wrenspoke import arguments
 from wrenspoke import clock as clocks
-from wrenspoke.coordination import decisions
-from wrenspoke.coordination import dispatch
-from wrenspoke.coordination import forwarding
-from wrenspoke.coordination import gateway
-from wrenspoke.coordination import ledger
-from wrenspoke.coordination import limits
-from wrenspoke.coordination import loads
-from wrenspoke.coordination import local
-from wrenspoke.coordination import members
-from wrenspoke.coordination import once
-from wrenspoke.coordination import placement
-from wrenspoke.coordination import platform
-from wrenspoke.coordination import polls
-from wrenspoke.coordination import pulls
-from wrenspoke.coordination import reach
-from wrenspoke.coordination import replica
-from wrenspoke.coordination import shares
-from wrenspoke.coordination import streams
+from wrenspoke.coordination.membership import leaving
+from wrenspoke.coordination.membership import loads
+from wrenspoke.coordination.membership import members
+from wrenspoke.coordination.membership import polls
+from wrenspoke.coordination.membership import pulls
+from wrenspoke.coordination.membership import reach
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import decisions
+from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import forwarding
+from wrenspoke.coordination.serving import gateway
+from wrenspoke.coordination.serving import ledger
+from wrenspoke.coordination.serving import limits
+from wrenspoke.coordination.serving import local
+from wrenspoke.coordination.serving import once
+from wrenspoke.coordination.serving import placement
+from wrenspoke.coordination.serving import shares
+from wrenspoke.coordination.serving import streams
 from wrenspoke import ids
 from wrenspoke import keys
 from wrenspoke import metrics
@@ -93,7 +93,7 @@
             self.replica,
             self._clock,
         )
-        self._platform = platform.PlatformWatcher(
+        self._leaving = leaving.LeavingWatcher(
             self._settings.platform_url,
             self._host,
             self._client,
@@ -232,7 +232,7 @@
         self.ledger.start()
         self._puller.start()
         self._poller.start()
-        self._platform.start()
+        self._leaving.start()
         self._shares.start()
         await self._web.start(ip, self._own.http_port)
         logger.info('started', ip=ip, http_port=self._own.http_port)
@@ -280,7 +280,7 @@
         await self._web.close()
         await self._shares.close()
         await self._reach.close()
-        await self._platform.close()
+        await self._leaving.close()
         await self._poller.close()
         await self._puller.close()
         await self.ledger.close()
