Grow routes, endpoint registry, joint founding and replaced voters

Cause: the users' platform replaces routes as a whole, lets endpoints register themselves, names three seeds instead of a list of hosts, and removes control hosts for good. Links without keys, and an expiry by the sender's monotonic clock in place of the time of day, which jumps there. Before: none of it could be said.

--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -10,6 +10,7 @@
 from wrenspoke.coordination.agreement import control
 from wrenspoke.coordination.agreement import execution
 from wrenspoke.coordination.agreement import voter
+from wrenspoke.coordination.membership import controls
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import dispatch
 from wrenspoke import entryd
@@ -47,7 +48,6 @@
             ),
             entryd.link_peers(deployment),
             clock,
-            deployment.ledger.clock_skew_ms,
         )
         self.replica = replica.Replica()
         self._client = web.HttpClient(deployment.entry.connect_timeout_ms)
@@ -57,7 +57,7 @@
         ]
         self.voter = voter.Voter(
             host,
-            hosts,
+            controls.ControlGroup(host, hosts, clock),
             deployment.control,
             kept,
             self.peers,
--- a/wrenspoke/coordination/agreement/clearance.py
+++ b/wrenspoke/coordination/agreement/clearance.py
@@ -6,20 +6,26 @@
 becomes a new one. Until a majority has taken note, it gives no vote.
 """
 
+from __future__ import annotations
+
 import asyncio
 import collections.abc
+import typing
 
 import structlog
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.agreement import lead
+from wrenspoke.coordination.membership import controls
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
-from wrenspoke import settings
 from wrenspoke.state import storage
 
+if typing.TYPE_CHECKING:
+    from wrenspoke import settings
+
 logger = structlog.get_logger(__name__)
 
 HELLO_INTERVAL_MS = 200
@@ -31,13 +37,13 @@
     def __init__(
         self,
         kept: storage.Storage,
-        others: list[ids.HostId],
+        group: controls.ControlGroup,
         peers: peer_calls.Peers,
         limits: settings.ControlSettings,
         clock: clocks.Clock,
     ):
         self._storage = kept
-        self._others = others
+        self._group = group
         self._peers = peers
         self._settings = limits
         self._clock = clock
@@ -74,12 +80,13 @@
     ) -> None:
         meta = self._storage.meta
         message = messages.Hello(meta.incarnation, meta.boot, self._start)
+        voters = self._storage.voters()
+        others = {*self._group.others(), *voters} - {self._group.host}
         answers = await asyncio.gather(
-            *(self._call(host, message) for host in self._others)
+            *(self._call(host, message) for host in others)
         )
-        voters = self._storage.voters()
         heard = 1 if meta.incarnation in voters.values() else 0
-        for host, answer in zip(self._others, answers):
+        for host, answer in zip(others, answers):
             if not isinstance(answer, messages.HelloReply):
                 continue
             if answer.known_boot >= meta.boot:
@@ -104,8 +111,9 @@
             )
 
     async def _answer_hello(
-        self, _sender: ids.HostId, message: messages.Hello
+        self, sender: ids.HostId, message: messages.Hello
     ) -> messages.HelloReply:
+        self._group.hear(sender)
         boots = self._storage.meta.boots
         known = boots.get(message.incarnation, (0, ''))
         heard = (message.boot, message.start)
--- a/wrenspoke/coordination/agreement/lead.py
+++ b/wrenspoke/coordination/agreement/lead.py
@@ -7,14 +7,17 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.membership import controls
 from wrenspoke import ids
 from wrenspoke.protocol import messages
 from wrenspoke import runtime
-from wrenspoke import settings
 from wrenspoke.state import entries
 from wrenspoke.state import replicated
 from wrenspoke.state import storage
 
+if typing.TYPE_CHECKING:
+    from wrenspoke import settings as limits
+
 logger = structlog.get_logger(__name__)
 
 BATCH_ENTRIES = 256
@@ -25,8 +28,9 @@
     """Be what a lead needs of the voter that holds it."""
 
     host: ids.HostId
+    group: controls.ControlGroup
     storage: storage.Storage
-    settings: settings.ControlSettings
+    settings: 'limits.ControlSettings'
     clock: clocks.Clock
     commit_index: int
 
@@ -66,7 +70,6 @@
     def __init__(
         self,
         group: Group,
-        others: list[ids.HostId],
         term: int,
         asked_ms: int,
         tasks: runtime.Tasks,
@@ -74,19 +77,27 @@
         self._group = group
         self._tasks = tasks
         self._start_index = group.storage.last_index + 1
-        self._followers = {
-            host: Follower(self._start_index) for host in others
-        }
+        self._followers: dict[ids.HostId, Follower] = {}
         self.term = term
         self.since_ms = asked_ms
         self.over = False
 
     def start(self) -> None:
         """Begin to replicate and to admit."""
-        for host, follower in self._followers.items():
-            self._tasks.start(self._replicate(host, follower))
+        self._follow_group()
         self._tasks.start(self._admit())
 
+    def _follow_group(self) -> None:
+        """Replicate to control hosts that are new, not to those gone."""
+        wanted = {*self._group.group.others(), *self._group.voters}
+        wanted.discard(self._group.host)
+        for host in wanted - self._followers.keys():
+            follower = Follower(self._start_index)
+            self._followers[host] = follower
+            self._tasks.start(self._replicate(host, follower))
+        for host in self._followers.keys() - wanted:
+            del self._followers[host]
+
     def end(self) -> None:
         """Let every task of this lead end."""
         self.over = True
@@ -132,7 +143,7 @@
 
     async def _replicate(self, host: ids.HostId, follower: Follower) -> None:
         """Keep one other control host's log equal to ours."""
-        while not self.over:
+        while not self.over and self._followers.get(host) is follower:
             follower.more.clear()
             sent_ms = self._group.clock.mono_ms()
             answer = await self._group.call(host, self._message_for(follower))
@@ -219,6 +230,7 @@
             await self._group.clock.sleep_ms(
                 self._group.settings.beat_interval_ms
             )
+            self._follow_group()
             if not self.has_lease:
                 continue
             change = self._next_admission()
@@ -235,6 +247,13 @@
                 return
 
     def _next_admission(self) -> entries.SetVoters | None:
+        """Return the next change of voters, None where all is well.
+
+        A host whose disk is new loses its old vote first. Others get a
+        vote while there are too few, or in the place of one that has
+        been silent for long: added first, so that the group is never
+        smaller than it was.
+        """
         voters = self._group.voters
         for host, follower in self._followers.items():
             found = follower.incarnation
@@ -245,19 +264,56 @@
             if self._silent(follower):
                 continue
             if host in voters:
-                rest = {
-                    other: known
-                    for other, known in voters.items()
-                    if other != host
-                }
-                return entries.SetVoters(
-                    rest, f'{host} lost disk {voters[host]}'
-                )
+                reason = f'{host} lost disk {voters[host]}'
+                return entries.SetVoters(_without(voters, host), reason)
+            if not self._has_room(voters):
+                continue
             return entries.SetVoters(
                 {**voters, host: found}, f'{host} caught up on disk {found}'
             )
+        return self._next_removal(voters)
+
+    def _has_room(self, voters: dict[ids.HostId, ids.Incarnation]) -> bool:
+        limit = self._group.settings.voters_limit
+        if limit is None or len(voters) < limit:
+            return True
+        return len(voters) == limit and self._lost(voters) is not None
+
+    def _next_removal(
+        self, voters: dict[ids.HostId, ids.Incarnation]
+    ) -> entries.SetVoters | None:
+        limit = self._group.settings.voters_limit
+        if limit is None or len(voters) <= limit:
+            return None
+        host = self._lost(voters)
+        if host is None:
+            host = self._longest_silent(voters)
+        return entries.SetVoters(_without(voters, host), f'{host} replaced')
+
+    def _lost(
+        self, voters: dict[ids.HostId, ids.Incarnation]
+    ) -> ids.HostId | None:
+        """Return a voter that has been silent for long, if one has."""
+        host = self._longest_silent(voters)
+        if host is None:
+            return None
+        silence_ms = self._group.clock.mono_ms() - self._acked_ms(host)
+        if silence_ms > self._group.settings.replace_after_ms:
+            return host
         return None
 
+    def _longest_silent(
+        self, voters: dict[ids.HostId, ids.Incarnation]
+    ) -> ids.HostId | None:
+        others = [host for host in voters if host != self._group.host]
+        return min(others, key=self._acked_ms, default=None)
+
+    def _acked_ms(self, host: ids.HostId) -> int:
+        follower = self._followers.get(host)
+        if follower is None or follower.acked_ms is None:
+            return self.since_ms
+        return follower.acked_ms
+
     def _silent(self, follower: Follower) -> bool:
         age_ms = self._group.clock.mono_ms() - (follower.acked_ms or 0)
         return age_ms > self._group.settings.election_timeout_ms
@@ -266,3 +322,9 @@
 def majority(voters: typing.Sized) -> int:
     """Return how many of some voters are a majority."""
     return len(voters) // 2 + 1
+
+
+def _without(
+    voters: dict[ids.HostId, ids.Incarnation], left_out: ids.HostId
+) -> dict[ids.HostId, ids.Incarnation]:
+    return {host: found for host, found in voters.items() if host != left_out}
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -10,9 +10,12 @@
 it was started, and becomes a new incarnation.
 """
 
+from __future__ import annotations
+
 import asyncio
 import enum
 import random
+import typing
 
 import msgspec
 import structlog
@@ -21,21 +24,31 @@
 from wrenspoke.coordination.agreement import clearance
 from wrenspoke.coordination.agreement import lead
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.membership import controls
 from wrenspoke.coordination.membership import replica
 from wrenspoke import ids
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
-from wrenspoke import settings
+from wrenspoke.state import configuration
 from wrenspoke.state import entries
 from wrenspoke.state import errors as state_errors
 from wrenspoke.state import replicated
 from wrenspoke.state import storage
 
+if typing.TYPE_CHECKING:
+    # Their checks need a library that control hosts can do without.
+    from wrenspoke import settings
+
 logger = structlog.get_logger(__name__)
 
 
+# A snapshot then takes its place; whole tables of routes are large.
+LOG_LIMIT_BYTES = 4 * 1024 * 1024
+
+
 class Role(enum.Enum):
     """Say what a control host does in its term."""
 
@@ -50,7 +63,7 @@
     def __init__(
         self,
         host: ids.HostId,
-        hosts: list[ids.HostId],
+        group: controls.ControlGroup,
         limits: settings.ControlSettings,
         kept: storage.Storage,
         peers: peer_calls.Peers,
@@ -58,7 +71,7 @@
         clock: clocks.Clock,
     ):
         self.host = host
-        self._others = [other for other in hosts if other != host]
+        self.group = group
         self.settings = limits
         self.storage = kept
         self._peers = peers
@@ -70,7 +83,7 @@
         self._proposed: dict[int, tuple[int, asyncio.Future]] = {}
         self._heard_ms = clock.mono_ms()
         self._clearance = clearance.Clearance(
-            kept, self._others, peers, limits, clock
+            kept, group, peers, limits, clock
         )
         self.role = Role.FOLLOWER
         self.leader: ids.HostId | None = None
@@ -80,6 +93,7 @@
         peers.answers(messages.AskVote)(self._answer_vote)
         peers.answers(messages.Append)(self._answer_append)
         peers.answers(messages.Install)(self._answer_install)
+        peers.answers(attending.ConfirmIndex)(self._answer_confirm)
 
     # State that is on the disk.
 
@@ -266,15 +280,35 @@
         ours = (self.storage.last_term, self.storage.last_index)
         return theirs >= ours
 
+    async def confirmed_index(self) -> int | None:
+        """Return up to which index everything accepted so far is.
+
+        A leader knows by its lease, others ask it; None where neither
+        can be sure.
+        """
+        if self.has_lease:
+            return self.commit_index
+        if self.leader is None or self.leader == self.host:
+            return None
+        answer = await self.call(self.leader, attending.ConfirmIndex())
+        if isinstance(answer, attending.IndexConfirmed):
+            return answer.index
+        return None
+
+    async def _answer_confirm(
+        self, _sender: ids.HostId, _message: attending.ConfirmIndex
+    ) -> attending.IndexConfirmed:
+        return attending.IndexConfirmed(
+            self.commit_index if self.has_lease else None
+        )
+
     # Leading.
 
     def _begin_to_lead(self, asked_ms: int) -> None:
         self.role = Role.LEADER
         self.leader = self.host
         logger.info('leading', term=self.term)
-        self._lead = lead.Lead(
-            self, self._others, self.term, asked_ms, self._leading
-        )
+        self._lead = lead.Lead(self, self.term, asked_ms, self._leading)
         self._append(entries.LeaderStart(self.host))
         self._lead.start()
 
@@ -333,6 +367,7 @@
 
     def _follow(self, leader: ids.HostId, term: int) -> bool:
         """Take a leader's word; False if its term is over."""
+        self.group.hear(leader)
         if term < self.term:
             return False
         self.adopt_term(term)
@@ -427,9 +462,9 @@
 
     def _compact(self) -> None:
         kept = self.storage
-        if self.commit_index - kept.snapshot.index < (
-            self.settings.snapshot_entries
-        ):
+        covered = self.commit_index - kept.snapshot.index
+        large = covered and kept.log_bytes > LOG_LIMIT_BYTES
+        if covered < self.settings.snapshot_entries and not large:
             return
         voters = dict(kept.snapshot.voters)
         for index in range(kept.first_index, self.commit_index + 1):
@@ -470,3 +505,35 @@
             entries.LogEntry(2, 1, first),
         ]
     )
+
+
+def found_together(
+    kept: storage.Storage,
+    host: ids.HostId,
+    seeds: typing.Iterable[ids.HostId],
+) -> None:
+    """Begin a new group on the empty disks of all seeds.
+
+    Each seed writes the same entries under names that all can tell
+    beforehand, so that nobody has to be first. What says that this is
+    the first start of all has to come from the platform: a host whose
+    disk was lost must not do this again.
+    """
+    if host not in seeds or kept.last_index or kept.meta.boot:
+        return
+    voters = {seed: _founding_incarnation(seed) for seed in sorted(seeds)}
+    kept.meta.incarnation = voters[host]
+    kept.meta.term = 1
+    kept.save_meta()
+    first = entries.Found(configuration.Configuration())
+    kept.append(
+        [
+            entries.LogEntry(1, 1, entries.SetVoters(voters, 'founding')),
+            entries.LogEntry(2, 1, first),
+        ]
+    )
+    logger.info('founded', voters=list(voters))
+
+
+def _founding_incarnation(host: ids.HostId) -> ids.Incarnation:
+    return ids.Incarnation(f'founding-{host}')
--- /dev/null
+++ b/wrenspoke/coordination/membership/controls.py
@@ -0,0 +1,73 @@
+"""Which control hosts there are: seeds first, then all that speak."""
+
+import collections.abc
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+
+logger = structlog.get_logger(__name__)
+
+# Far longer than any stop or cut that a host comes back from.
+FORGOTTEN_AFTER_MS = 60_000
+
+
+class ControlGroup:
+    """Know the other control hosts, on any daemon.
+
+    Seeds only start it: they may change, be gone or be cut off. Hosts
+    that were heard of are remembered for a while after they fall silent.
+    """
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        seeds: collections.abc.Iterable[ids.HostId],
+        clock: clocks.Clock,
+    ):
+        self.host = host
+        self._clock = clock
+        self._seeds: list[ids.HostId] = []
+        self._heard_ms: dict[ids.HostId, int] = {}
+        self.reseed(seeds)
+
+    def reseed(self, seeds: collections.abc.Iterable[ids.HostId]) -> None:
+        """Take over what the settings name now."""
+        self._seeds = [seed for seed in seeds if seed != self.host]
+
+    def hear(self, host: ids.HostId) -> None:
+        """Note that a control host spoke."""
+        if host == self.host:
+            return
+        if host not in self._heard_ms:
+            logger.info('control_host_found', peer=host)
+        self._heard_ms[host] = self._clock.mono_ms()
+
+    def learn(self, hosts: collections.abc.Iterable[ids.HostId]) -> None:
+        """Note control hosts that another has heard lately."""
+        for host in hosts:
+            if host not in self._heard_ms:
+                self.hear(host)
+
+    def others(self) -> list[ids.HostId]:
+        """Return every other control host that may be there."""
+        self._forget()
+        unheard = [host for host in self._seeds if host not in self._heard_ms]
+        return [*self._heard_ms, *unheard]
+
+    def lately(self, within_ms: int) -> list[ids.HostId]:
+        """Return the control hosts that spoke within some time."""
+        now_ms = self._clock.mono_ms()
+        return [
+            host
+            for host, heard_ms in self._heard_ms.items()
+            if now_ms - heard_ms <= within_ms
+        ]
+
+    def _forget(self) -> None:
+        now_ms = self._clock.mono_ms()
+        for host, heard_ms in list(self._heard_ms.items()):
+            if now_ms - heard_ms > FORGOTTEN_AFTER_MS:
+                del self._heard_ms[host]
+                logger.info('control_host_forgotten', peer=host)
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -62,7 +62,6 @@
             keys.read_identity(keys_folder, deployment, self._own),
             link_peers(deployment),
             self._clock,
-            deployment.ledger.clock_skew_ms,
         )
         self.replica = replica.Replica()
         self.decisions = decisions.Decisions(self._clock)
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -1,12 +1,14 @@
 """Typed calls between hosts, and the table of who answers which."""
 
 import collections.abc
+import typing
 
 import msgspec
 import structlog
 
 from wrenspoke import clock as clocks
 from wrenspoke import ids
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import messages
 from wrenspoke.transport import errors as transport_errors
@@ -14,9 +16,18 @@
 
 logger = structlog.get_logger(__name__)
 
+Message = typing.Union[
+    messages.Message,
+    attending.Attend,
+    attending.Attended,
+    attending.Exchange,
+    attending.Exchanged,
+    attending.ConfirmIndex,
+    attending.IndexConfirmed,
+]
 Answerer = collections.abc.Callable[
-    [ids.HostId, messages.Message],
-    collections.abc.Awaitable[messages.Message | None],
+    [ids.HostId, Message],
+    collections.abc.Awaitable[Message | None],
 ]
 
 
@@ -28,14 +39,12 @@
         identity: links.Identity,
         peers: collections.abc.Iterable[links.Peer],
         clock: clocks.Clock,
-        clock_skew_ms: int,
+        silence: links.Silence = links.Silence(),
     ):
         self._answerers: dict[type, Answerer] = {}
-        self._decoder = msgspec.msgpack.Decoder(messages.Message)
+        self._decoder = msgspec.msgpack.Decoder(Message)
         self._encoder = msgspec.msgpack.Encoder()
-        self.links = links.Links(
-            identity, peers, clock, self._handle, clock_skew_ms
-        )
+        self.links = links.Links(identity, peers, clock, self._handle, silence)
 
     def answers(
         self, kind: type
@@ -49,8 +58,8 @@
         return register
 
     async def call(
-        self, host: ids.HostId, message: messages.Message, timeout_ms: float
-    ) -> messages.Message:
+        self, host: ids.HostId, message: Message, timeout_ms: float
+    ) -> Message:
         """Send a message and return the answer.
 
         :raises NoAnswerError: none came in time
@@ -66,14 +75,14 @@
             raise errors.NoAnswerError(host, sent=True) from error
         return self._decode(body)
 
-    async def tell(self, host: ids.HostId, message: messages.Message) -> int:
+    async def tell(self, host: ids.HostId, message: Message) -> int:
         """Send a message that has no answer; return the bytes sent.
 
         It may be lost.
         """
         return await self.links.tell(host, self._encoder.encode(message))
 
-    def _decode(self, body: bytes) -> messages.Message:
+    def _decode(self, body: bytes) -> Message:
         try:
             return self._decoder.decode(body)
         except msgspec.DecodeError as error:
--- a/wrenspoke/settings.py
+++ b/wrenspoke/settings.py
@@ -185,6 +185,15 @@
     snapshot_entries: Positive = pydantic.Field(
         default=1_000, description='log entries between two snapshots'
     )
+    voters_limit: Positive | None = pydantic.Field(
+        default=None,
+        description='most voters; more control hosts stand by; null: all',
+    )
+    replace_after_ms: Positive = pydantic.Field(
+        default=20_000,
+        description='silence after which a host that stands by takes the '
+        'place of a voter',
+    )
     order_timeout_ms: Positive = pydantic.Field(
         default=5_000, description='longest an order to an engine may take'
     )
--- a/wrenspoke/state/configuration.py
+++ b/wrenspoke/state/configuration.py
@@ -12,6 +12,7 @@
 
 from wrenspoke import ids
 from wrenspoke.state import errors
+from wrenspoke.state import routes
 
 
 class ServiceKind(enum.Enum):
@@ -93,6 +94,10 @@
     regions: dict[ids.RegionId, float] = {}
 
 
+# The field of that name hides the module in the body below.
+RouteTable = routes.RouteTable
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """Hold everything that operators decide; ``index`` grows only."""
 
@@ -101,6 +106,8 @@
     endpoints: dict[ids.EndpointId, Endpoint] = {}
     rules: dict[str, Rule] = {}
     limits: dict[str, TeamLimit] = {}
+    routes: RouteTable = RouteTable()
+    evacuated: tuple[ids.DataCentreId, ...] = ()
 
     def endpoint(self, endpoint: ids.EndpointId) -> Endpoint:
         """Return one endpoint.
@@ -181,6 +188,19 @@
     limit: TeamLimit
 
 
+class SetRoutes(msgspec.Struct, frozen=True, tag='routes'):
+    """Replace the table of routes by a newer one."""
+
+    table: routes.RouteTable
+
+
+class SetEvacuation(msgspec.Struct, frozen=True, tag='evacuation'):
+    """Keep requests away from a data centre's endpoints, or let them."""
+
+    data_centre: ids.DataCentreId
+    evacuated: bool
+
+
 class SetAll(msgspec.Struct, frozen=True, tag='all'):
     """Replace everything; the first change of every log."""
 
@@ -197,6 +217,8 @@
     SetRule,
     RemoveRule,
     SetLimit,
+    SetRoutes,
+    SetEvacuation,
     SetAll,
 ]
 
@@ -323,14 +345,34 @@
     return {'limits': {**old.limits, change.limit.team: change.limit}}
 
 
+@_applies(SetRoutes)
+def _set_routes(old: Configuration, change: SetRoutes):
+    if change.table.version <= old.routes.version:
+        raise errors.InvalidChangeError(
+            f'version {change.table.version} is not above {old.routes.version}'
+        )
+    return {'routes': change.table}
+
+
+@_applies(SetEvacuation)
+def _set_evacuation(old: Configuration, change: SetEvacuation):
+    return {
+        'evacuated': _toggled(
+            old.evacuated, change.data_centre, change.evacuated
+        )
+    }
+
+
 @_applies(SetAll)
 def _set_all(_old: Configuration, change: SetAll):
-    new = change.configuration
+    return _contents(change.configuration)
+
+
+def _contents(of: Configuration) -> dict:
     return {
-        'services': new.services,
-        'endpoints': new.endpoints,
-        'rules': new.rules,
-        'limits': new.limits,
+        field: getattr(of, field)
+        for field in of.__struct_fields__
+        if field != 'index'
     }
 
 
@@ -339,9 +381,4 @@
     new = old
     for one in change.changes:
         new = apply(new, one, old.index)
-    return {
-        'services': new.services,
-        'endpoints': new.endpoints,
-        'rules': new.rules,
-        'limits': new.limits,
-    }
+    return _contents(new)
--- a/wrenspoke/state/entries.py
+++ b/wrenspoke/state/entries.py
@@ -7,6 +7,7 @@
 from wrenspoke import ids
 from wrenspoke.state import configuration
 from wrenspoke.state import plans
+from wrenspoke.state import routes
 
 
 class LeaderStart(msgspec.Struct, frozen=True, tag='leader_start'):
@@ -69,6 +70,19 @@
     at_ms: int
 
 
+class ReplaceRoutes(msgspec.Struct, frozen=True, tag='replace_routes'):
+    """Put a table of routes in force, unless a newer one is."""
+
+    table: routes.RouteTable
+
+
+class Evacuate(msgspec.Struct, frozen=True, tag='evacuate'):
+    """Empty a data centre's endpoints of requests, or take them back."""
+
+    data_centre: ids.DataCentreId
+    evacuated: bool
+
+
 Entry = typing.Union[
     LeaderStart,
     SetVoters,
@@ -77,6 +91,8 @@
     ConfirmPlan,
     IssueOrder,
     EndStep,
+    ReplaceRoutes,
+    Evacuate,
 ]
 
 
--- /dev/null
+++ b/wrenspoke/state/registry.py
@@ -0,0 +1,170 @@
+"""Endpoints that register themselves: soft state with leases.
+
+A registration is renewed again and again and numbered by its endpoint,
+so that a late one is told from a new one. It is kept apart from the
+replicated log: any control host may take it, one without a majority too,
+and what all have heard is merged. Ages travel, never times of day.
+"""
+
+import dataclasses
+import enum
+
+import msgspec
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+
+# An endpoint renews about every 1.2 s and may come seconds late; after
+# four renewals and some delay were missed, others are used before it.
+SILENT_AFTER_MS = 6_000
+# A name is never used again, so this only bounds memory.
+FORGOTTEN_AFTER_MS = 120_000
+# Smaller moves of the end of a warm-up are not worth telling.
+WARMUP_STEP_MS = 400
+
+
+class RegistrationState(enum.Enum):
+    """Say whether an endpoint wants new work."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    GONE = 'gone'
+
+
+class Registration(msgspec.Struct, frozen=True, array_like=True):
+    """State what an endpoint last said of itself.
+
+    ``number`` rises with each renewal. ``warmup_left_ms`` and
+    ``ends_in_ms`` count from when it was said, ``age_ms`` ago.
+    """
+
+    endpoint: ids.EndpointId
+    service: ids.ServiceId
+    address: str
+    data_centre: ids.DataCentreId
+    slots: int
+    state: RegistrationState
+    number: int
+    warmup_left_ms: int = 0
+    ends_in_ms: int | None = None
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Registered:
+    """Hold a registration with when it was said and last changed."""
+
+    said: Registration
+    heard_ms: int
+    revision: int
+    told_silent: bool = False
+
+    @property
+    def warm_ms(self) -> int:
+        """Return when the endpoint is warm, in this host's time."""
+        return self.heard_ms + self.said.warmup_left_ms
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether it may be given new work."""
+        return self.said.state is RegistrationState.READY
+
+
+class Registry:
+    """Merge what is heard of endpoints, and number the changes."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self.held: dict[ids.EndpointId, Registered] = {}
+        self.revision = 0
+
+    def take(self, said: Registration) -> bool:
+        """Take what is newer; return whether it changes routing."""
+        heard_ms = self._clock.mono_ms() - said.age_ms
+        old = self.held.get(said.endpoint)
+        if old is None:
+            self.revision += 1
+            self.held[said.endpoint] = Registered(
+                said, heard_ms, self.revision
+            )
+            return True
+        if old.said.state is RegistrationState.GONE:
+            return False
+        if said.state is RegistrationState.GONE:
+            said = msgspec.structs.replace(
+                old.said, state=said.state, number=said.number
+            )
+        elif said.number <= old.said.number:
+            return False
+        changed = _differs(old, said, heard_ms)
+        old.said = said
+        old.heard_ms = heard_ms
+        old.told_silent = False
+        if changed:
+            self.revision += 1
+            old.revision = self.revision
+        return changed
+
+    def withdraw(self, endpoint: ids.EndpointId) -> Registration:
+        """Return the last registration of an endpoint that leaves."""
+        old = self.held.get(endpoint)
+        if old is not None:
+            return msgspec.structs.replace(
+                old.said,
+                state=RegistrationState.GONE,
+                number=old.said.number + 1,
+                age_ms=0,
+            )
+        return Registration(
+            endpoint,
+            ids.ServiceId(''),
+            '',
+            ids.DataCentreId(''),
+            1,
+            RegistrationState.GONE,
+            0,
+        )
+
+    def silent(self, endpoint: ids.EndpointId) -> bool:
+        """Tell whether an endpoint has not renewed for long."""
+        found = self.held.get(endpoint)
+        if found is None:
+            return True
+        age_ms = self._clock.mono_ms() - found.heard_ms
+        return age_ms > SILENT_AFTER_MS
+
+    def after(self, revision: int) -> list[Registration]:
+        """Return what changed after a revision, with its age."""
+        return [
+            self.aged(found)
+            for found in self.held.values()
+            if found.revision > revision
+        ]
+
+    def aged(self, found: Registered) -> Registration:
+        """Return a registration with its age of now."""
+        age_ms = self._clock.mono_ms() - found.heard_ms
+        return msgspec.structs.replace(found.said, age_ms=max(age_ms, 0))
+
+    def forget_old(self) -> None:
+        """Drop what was heard too long ago to matter."""
+        now_ms = self._clock.mono_ms()
+        for endpoint, found in list(self.held.items()):
+            if now_ms - found.heard_ms > FORGOTTEN_AFTER_MS:
+                del self.held[endpoint]
+
+
+def _differs(old: Registered, said: Registration, heard_ms: int) -> bool:
+    was = old.said
+    if (was.state, was.address, was.slots, was.service) != (
+        said.state,
+        said.address,
+        said.slots,
+        said.service,
+    ):
+        return True
+    if was.ends_in_ms != said.ends_in_ms:
+        return True
+    moved_ms = heard_ms + said.warmup_left_ms - old.warm_ms
+    cold = was.warmup_left_ms > 0 or said.warmup_left_ms > 0
+    return cold and abs(moved_ms) > WARMUP_STEP_MS
--- a/wrenspoke/state/replicated.py
+++ b/wrenspoke/state/replicated.py
@@ -9,6 +9,7 @@
 from wrenspoke.state import entries
 from wrenspoke.state import errors
 from wrenspoke.state import plans
+from wrenspoke.state import routes
 
 # The fields of the state below hide these modules in its own body.
 Change = configuration.Change
@@ -263,3 +264,46 @@
         )
         return Applied()
     return Applied(change=change)
+
+
+NO_PLAN = ids.PlanId('')
+
+
+@_applies(entries.ReplaceRoutes)
+def _replace_routes(
+    state: ReplicatedState, index: int, entry: entries.ReplaceRoutes
+):
+    held = state.configuration.routes
+    verdict = routes_verdict(held, entry.table)
+    if verdict is not Verdict.ACCEPTED or entry.table.version <= held.version:
+        detail = f'version {held.version} is in force'
+        return Applied(answer=Answer(verdict, NO_PLAN, index, detail))
+    change = configuration.SetRoutes(entry.table)
+    return _put_in_force(state, index, change)
+
+
+def routes_verdict(
+    held: routes.RouteTable, offered: routes.RouteTable
+) -> Verdict:
+    """Say what becomes of a table; an old one is taken and not used."""
+    if offered.version == held.version and offered.digest != held.digest:
+        return Verdict.CONFLICT
+    return Verdict.ACCEPTED
+
+
+@_applies(entries.Evacuate)
+def _evacuate(state: ReplicatedState, index: int, entry: entries.Evacuate):
+    held = entry.data_centre in state.configuration.evacuated
+    if held == entry.evacuated:
+        answer = Answer(Verdict.ACCEPTED, NO_PLAN, index, 'is so already')
+        return Applied(answer=answer)
+    change = configuration.SetEvacuation(entry.data_centre, entry.evacuated)
+    return _put_in_force(state, index, change)
+
+
+def _put_in_force(state: ReplicatedState, index: int, change: Change):
+    state.configuration = configuration.apply(
+        state.configuration, change, index
+    )
+    answer = Answer(Verdict.ACCEPTED, NO_PLAN, index)
+    return Applied(answer=answer, change=change)
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -138,6 +138,11 @@
             return self._entries[-1].term
         return self.snapshot.term
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the size of the log on the disk."""
+        return self._ends[-1] if self._ends else 0
+
     def term_at(self, index: int) -> int | None:
         """Return the term at an index, or None if it is not held."""
         if index == self.snapshot.index:
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -1,20 +1,24 @@
-"""Keyed request and reply links between hosts, by pyzmq with CURVE.
+"""Request and reply links between hosts, by pyzmq, keyed with CURVE.
 
 ZeroMQ keeps messages for a peer that is cut off and delivers them minutes
 later. Links therefore queue nothing for an absent peer, and every message
-carries its cluster, its sender's epoch and a wall-clock expiry that the
-receiver checks.
+carries its cluster, its sender's epoch and how long it is good for. Its
+age is told by the sender's monotonic clock against the quickest message
+of that sender and epoch: times of day may jump.
+
+Where hosts find each other at run time there are no keys; a host is then
+named by the IP number and port of its link.
 """
 
 import asyncio
 import collections.abc
 import dataclasses
+import zlib
 
 import msgspec
 import structlog
 import zmq
 import zmq.asyncio
-import zmq.auth.asyncio
 
 from wrenspoke import clock as clocks
 from wrenspoke import ids
@@ -30,6 +34,11 @@
 HEARTBEAT_IVL_MS = 2000
 HEARTBEAT_TIMEOUT_MS = 6000
 MESSAGE_LIMIT_BYTES = 16 * 1024 * 1024
+# Tables of routes shrink to a tenth; shorter messages are not worth it.
+COMPRESSED_FROM_BYTES = 2_048
+COMPRESSION_LEVEL = 1
+PLAIN, COMPRESSED = b'\0', b'\1'
+KEPT_EPOCHS = 4_096
 
 
 class Envelope(msgspec.Struct, array_like=True):
@@ -39,7 +48,8 @@
     sender: str
     epoch: str
     number: int
-    expires_ms: int
+    sent_ms: int
+    good_for_ms: int
     body: bytes
 
 
@@ -50,7 +60,7 @@
     host: ids.HostId
     ip: str
     port: int
-    public_key: str
+    public_key: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,8 +69,21 @@
 
     cluster: str
     host: ids.HostId
-    public_key: str
-    secret_key: str
+    public_key: str | None = None
+    secret_key: str | None = None
+
+    @property
+    def keyed(self) -> bool:
+        """Tell whether links show and ask for keys."""
+        return self.secret_key is not None
+
+
+@dataclasses.dataclass(frozen=True)
+class Silence:
+    """Say how soon a link that has fallen silent is given up."""
+
+    heartbeat_ms: int = HEARTBEAT_IVL_MS
+    timeout_ms: int = HEARTBEAT_TIMEOUT_MS
 
 
 Handler = collections.abc.Callable[
@@ -77,7 +100,7 @@
         peers: collections.abc.Iterable[Peer],
         clock: clocks.Clock,
         handler: Handler,
-        clock_skew_ms: int,
+        silence: Silence = Silence(),
     ):
         self._identity = identity
         self._peers = {peer.host: peer for peer in peers}
@@ -86,12 +109,14 @@
         }
         self._clock = clock
         self._handler = handler
-        self._clock_skew_ms = clock_skew_ms
+        self._silence = silence
+        self._offsets_ms: dict[tuple[str, str], int] = {}
         self._epoch = ids.new_unique()
         self._context = zmq.asyncio.Context()
         self._authenticator = None
         self._router = None
         self._dealers: dict[ids.HostId, zmq.asyncio.Socket] = {}
+        self._receivers: dict[ids.HostId, asyncio.Task] = {}
         self._pending: dict[int, asyncio.Future] = {}
         self._number = 0
         self._tasks = runtime.Tasks()
@@ -99,24 +124,31 @@
         self.received_bytes = 0
 
     async def start(self, ip: str, port: int) -> None:
-        """Listen for the calls of known hosts."""
-        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
-            self._context
-        )
-        self._authenticator.start()
-        self._authenticator.configure_curve_callback(
-            domain='*', credentials_provider=self
-        )
+        """Listen for the calls of known hosts, of all without keys."""
         router = self._context.socket(zmq.ROUTER)
-        _set_options(router)
+        _set_options(router, self._silence)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
-        router.curve_server = True
-        router.curve_secretkey = self._identity.secret_key.encode()
-        router.curve_publickey = self._identity.public_key.encode()
+        if self._identity.keyed:
+            self._ask_for_keys()
+            router.curve_server = True
+            self._show_key(router)
         router.bind(f'tcp://{ip}:{port}')
         self._router = router
         self._tasks.start(self._serve())
 
+    def _ask_for_keys(self) -> None:
+        from zmq.auth import asyncio as auth
+
+        self._authenticator = auth.AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            domain='*', credentials_provider=self
+        )
+
+    def _show_key(self, opened: zmq.asyncio.Socket) -> None:
+        opened.curve_secretkey = self._identity.secret_key.encode()
+        opened.curve_publickey = self._identity.public_key.encode()
+
     def callback(self, _domain: str, key: bytes) -> bool:
         """Tell pyzmq whether a key belongs to a known host."""
         known = key.decode() in self._hosts_by_key
@@ -169,20 +201,36 @@
         dealer = self._dealers.get(host)
         if dealer is not None:
             return dealer
-        peer = self._peers.get(host)
-        if peer is None:
-            raise errors.NotSentError(f'unknown host {host}')
+        peer = self._peer(host)
         dealer = self._context.socket(zmq.DEALER)
-        _set_options(dealer)
+        _set_options(dealer, self._silence)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
-        dealer.curve_serverkey = peer.public_key.encode()
-        dealer.curve_secretkey = self._identity.secret_key.encode()
-        dealer.curve_publickey = self._identity.public_key.encode()
+        if self._identity.keyed:
+            dealer.curve_serverkey = peer.public_key.encode()
+            self._show_key(dealer)
         dealer.connect(f'tcp://{peer.ip}:{peer.port}')
         self._dealers[host] = dealer
-        self._tasks.start(self._receive(host, dealer))
+        self._receivers[host] = self._tasks.start(self._receive(host, dealer))
         return dealer
 
+    def _peer(self, host: ids.HostId) -> Peer:
+        """Return where a host listens; a name without a key tells it."""
+        peer = self._peers.get(host)
+        if peer is not None:
+            return peer
+        ip, _, port = host.rpartition(':')
+        if self._identity.keyed or not ip or not port.isdigit():
+            raise errors.NotSentError(f'unknown host {host}')
+        return Peer(host, ip, int(port))
+
+    def forget(self, host: ids.HostId) -> None:
+        """Close the link to a host that is gone."""
+        dealer = self._dealers.pop(host, None)
+        if dealer is None:
+            return
+        dealer.close(linger=0)
+        self._receivers.pop(host).cancel()
+
     def _wrap(self, number: int, body: bytes, timeout_ms: float) -> bytes:
         return msgspec.msgpack.encode(
             Envelope(
@@ -190,8 +238,9 @@
                 self._identity.host,
                 self._epoch,
                 number,
-                self._clock.wall_ms() + int(timeout_ms) + 1,
-                body,
+                self._clock.mono_ms(),
+                int(timeout_ms) + 1,
+                _packed(body),
             )
         )
 
@@ -207,7 +256,7 @@
             future = self._pending.get(envelope.number)
             if future is None or future.done():
                 continue
-            future.set_result(envelope.body)
+            future.set_result(_unpacked(envelope.body))
 
     async def _serve(self) -> None:
         while True:
@@ -217,14 +266,19 @@
                 continue
             payload = frames[1].bytes
             self.received_bytes += len(payload)
-            host = self._hosts_by_key.get(frames[1].get('User-Id'))
-            envelope = self._open(payload, host)
+            envelope = self._open(payload, self._shown_by(frames[1]))
             if envelope is None:
                 continue
             self._tasks.start(
                 self._answer(frames[0].bytes, envelope), fatal=False
             )
 
+    def _shown_by(self, frame: zmq.Frame) -> ids.HostId | None:
+        """Return whose key a message came with."""
+        if not self._identity.keyed:
+            return None
+        return self._hosts_by_key.get(frame.get('User-Id'))
+
     def _open(self, frame: bytes, host: ids.HostId | None) -> Envelope | None:
         try:
             envelope = msgspec.msgpack.decode(frame, type=Envelope)
@@ -242,20 +296,29 @@
     ) -> str | None:
         if envelope.cluster != self._identity.cluster:
             return 'other_cluster'
-        if envelope.sender != host:
+        if self._identity.keyed and envelope.sender != host:
             return 'key_of_another_host'
-        age_limit_ms = self._clock.wall_ms() - self._clock_skew_ms
-        if envelope.expires_ms < age_limit_ms:
+        if self._age_ms(envelope) > envelope.good_for_ms:
             return 'expired'
         return None
 
+    def _age_ms(self, envelope: Envelope) -> int:
+        """Return how much longer it took than the quickest before it."""
+        key = (envelope.sender, envelope.epoch)
+        offset_ms = self._clock.mono_ms() - envelope.sent_ms
+        quickest_ms = self._offsets_ms.get(key)
+        if quickest_ms is None and len(self._offsets_ms) >= KEPT_EPOCHS:
+            del self._offsets_ms[next(iter(self._offsets_ms))]
+        if quickest_ms is None or offset_ms < quickest_ms:
+            self._offsets_ms[key] = quickest_ms = offset_ms
+        return offset_ms - quickest_ms
+
     async def _answer(self, route: bytes, envelope: Envelope) -> None:
         sender = ids.HostId(envelope.sender)
-        answer = await self._handler(sender, envelope.body)
+        answer = await self._handler(sender, _unpacked(envelope.body))
         if answer is None or envelope.number == NO_ANSWER:
             return
-        left_ms = envelope.expires_ms - self._clock.wall_ms()
-        frame = self._wrap(envelope.number, answer, left_ms)
+        frame = self._wrap(envelope.number, answer, envelope.good_for_ms)
         try:
             await self._router.send_multipart([route, frame], zmq.NOBLOCK)
             self.sent_bytes += len(frame)
@@ -290,13 +353,26 @@
             await asyncio.sleep(CONNECT_POLL_S)
 
 
-def _set_options(opened: zmq.asyncio.Socket) -> None:
+def _packed(body: bytes) -> bytes:
+    if len(body) < COMPRESSED_FROM_BYTES:
+        return PLAIN + body
+    return COMPRESSED + zlib.compress(body, COMPRESSION_LEVEL)
+
+
+def _unpacked(body: bytes) -> bytes:
+    if body.startswith(COMPRESSED):
+        return zlib.decompress(body[1:])
+    return body[1:]
+
+
+def _set_options(opened: zmq.asyncio.Socket, silence: Silence) -> None:
     opened.setsockopt(zmq.LINGER, 0)
     opened.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
     opened.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
-    opened.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_IVL_MS)
-    opened.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    opened.setsockopt(zmq.HEARTBEAT_IVL, silence.heartbeat_ms)
+    opened.setsockopt(zmq.HEARTBEAT_TIMEOUT, silence.timeout_ms)
     opened.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
+    opened.setsockopt(zmq.CONNECT_TIMEOUT, silence.timeout_ms)
     opened.setsockopt(zmq.RECONNECT_IVL, 100)
     opened.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
 
