--- /dev/null
+++ b/wrenspoke/coordination/agreement/direct.py
@@ -0,0 +1,105 @@
+"""Operators' decisions that need no plan: routes and evacuations.
+
+Each is one entry of the log. What was taken before is acknowledged
+again; what lost against something newer is not in force.
+"""
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import voter
+from wrenspoke.coordination import errors
+from wrenspoke import ids
+from wrenspoke.state import entries
+from wrenspoke.state import replicated
+from wrenspoke.state import routes
+
+logger = structlog.get_logger(__name__)
+
+# An operator waits a second for an answer; a host that does not lead
+# waits a part of it for a leader to be found.
+LEADER_WAIT_MS = 600
+LOOK_INTERVAL_MS = 50
+
+
+class DirectDecisions:
+    """Take operators' decisions on a control host."""
+
+    def __init__(self, elected: voter.Voter, clock: clocks.Clock):
+        self._voter = elected
+        self._clock = clock
+
+    async def replace_routes(
+        self, table: routes.RouteTable
+    ) -> replicated.Answer:
+        """Put a table in force on all hosts, unless a newer one is.
+
+        :raises InvalidChangeError: the table can't be served
+        :raises NotLeaderError: this host does not lead
+        """
+        routes.check(table)
+        await self._wait_for_lead()
+        held = self._voter.state.configuration.routes
+        if replicated.routes_verdict(held, table) is (
+            replicated.Verdict.CONFLICT
+        ):
+            return replicated.Answer(
+                replicated.Verdict.CONFLICT,
+                replicated.NO_PLAN,
+                self._voter.commit_index,
+                f'version {table.version} says something else',
+            )
+        return await self._decide(entries.ReplaceRoutes(table))
+
+    async def set_evacuation(
+        self, data_centre: ids.DataCentreId, evacuated: bool
+    ) -> replicated.Answer:
+        """Keep requests away from a data centre's endpoints, or let them.
+
+        :raises NotLeaderError: this host does not lead
+        """
+        await self._wait_for_lead()
+        return await self._decide(entries.Evacuate(data_centre, evacuated))
+
+    async def _decide(self, entry: entries.Entry) -> replicated.Answer:
+        applied = await self._voter.propose(entry)
+        logger.info(
+            'operator_decision',
+            kind=type(entry).__name__,
+            verdict=applied.answer.verdict,
+            index=applied.answer.index,
+            detail=applied.answer.detail,
+        )
+        return applied.answer
+
+    async def _wait_for_lead(self) -> None:
+        """Return once this host leads with a lease.
+
+        :raises NotLeaderError: another host leads, or none is found
+        """
+        end_ms = self._clock.mono_ms() + LEADER_WAIT_MS
+        while not self._voter.has_lease:
+            leader = self._voter.leader
+            if leader is not None and leader != self._voter.host:
+                raise errors.NotLeaderError(leader, may_be_accepted=False)
+            if self._clock.mono_ms() >= end_ms:
+                raise errors.NotLeaderError(None, may_be_accepted=False)
+            await self._clock.sleep_ms(LOOK_INTERVAL_MS)
+
+    async def read_routes(self) -> routes.RouteTable:
+        """Return the newest table that was accepted anywhere.
+
+        :raises NotLeaderError: this host can't be sure that it has it
+        """
+        index = await self._voter.confirmed_index()
+        end_ms = self._clock.mono_ms() + LEADER_WAIT_MS
+        while index is not None and self._voter.commit_index < index:
+            if self._clock.mono_ms() >= end_ms:
+                index = None
+                break
+            await self._clock.sleep_ms(LOOK_INTERVAL_MS)
+        if index is None:
+            raise errors.NotLeaderError(
+                self._voter.leader, may_be_accepted=False
+            )
+        return self._voter.state.configuration.routes
--- /dev/null
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -0,0 +1,231 @@
+"""How an entry host finds the others and learns what is in force.
+
+It attends at two control hosts at a time, its own data centre's and
+region's first. Each call tells that it lives and brings what is new.
+When one gives no answer the next is tried; the last known ones are kept
+while none does.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import itertools
+import random
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import roster
+from wrenspoke import ids
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke.state import registry
+
+logger = structlog.get_logger(__name__)
+
+# Two, so that one that is lost or cut off delays nothing.
+ATTENDED_COUNT = 2
+WAIT_MS = 700
+# The wait, a far region's round trip and a busy host's delay.
+CALL_TIMEOUT_MS = 1_500
+PAUSE_MS = 100
+# A host that had no processor time for so long looks before it sends.
+STOPPED_AFTER_MS = 1_500
+TICK_MS = 250
+# How long a fresh start waits for a leader's word that nothing is newer.
+CONFIRMATION_WAIT_MS = 1_500
+NEVER_LEASE_MS = 10**9
+
+
+@dataclasses.dataclass
+class _Session:
+    """Hold how far this host has come at one control host."""
+
+    host: ids.HostId | None = None
+    life: str = ''
+    endpoints_revision: int = 0
+    hosts_revision: int = 0
+
+
+class Attendance:
+    """Attend at control hosts, and hold what they told."""
+
+    def __init__(
+        self,
+        record: attending.HostRecord,
+        group: controls.ControlGroup,
+        held: replica.Replica,
+        peers: peer_calls.Peers,
+        clock: clocks.Clock,
+        reseed: collections.abc.Callable[[], None] = lambda: None,
+    ):
+        self._record = record
+        self._group = group
+        self._replica = held
+        self._peers = peers
+        self._clock = clock
+        self._reseed = reseed
+        self._numbers = itertools.count(1)
+        self._tasks = runtime.Tasks()
+        self._sessions = [_Session() for _number in range(ATTENDED_COUNT)]
+        self._looked_ms = clock.mono_ms()
+        self._ticked_ms = clock.mono_ms()
+        self._answered_ms: int | None = None
+        self._first_held_ms: int | None = None
+        self.draining = False
+        self.registry = registry.Registry(clock)
+        self.roster = roster.Roster(NEVER_LEASE_MS, clock)
+        self.changed = asyncio.Event()
+        held.refreshable = True
+
+    def start(self) -> None:
+        """Begin to attend."""
+        for session in self._sessions:
+            self._tasks.start(self._attend(session))
+        self._tasks.start(self._tick())
+
+    async def close(self) -> None:
+        """End every task."""
+        await self._tasks.close()
+
+    @property
+    def answered_age_ms(self) -> int | None:
+        """Return how long ago a control host answered, None if never."""
+        if self._answered_ms is None:
+            return None
+        return self._clock.mono_ms() - self._answered_ms
+
+    @property
+    def awake(self) -> bool:
+        """Tell whether this process has been running of late.
+
+        One that was stopped for long may hold what has been left behind
+        since, and must look before it sends anything.
+        """
+        age_ms = self._clock.mono_ms() - self._ticked_ms
+        return age_ms <= STOPPED_AFTER_MS
+
+    async def _tick(self) -> None:
+        while True:
+            if not self.awake:
+                logger.warning('was_stopped', cause='no_processor_time')
+                self._replica.doubt()
+                self._first_held_ms = self._clock.mono_ms()
+            self._ticked_ms = self._clock.mono_ms()
+            await self._clock.sleep_ms(TICK_MS)
+
+    async def tell_now(self) -> None:
+        """Tell every session's control host of a change here at once."""
+        calls = [
+            self._call(session, session.host, 0)
+            for session in self._sessions
+            if session.host is not None
+        ]
+        await asyncio.gather(*calls)
+
+    async def _attend(self, session: _Session) -> None:
+        while True:
+            if session.host is None:
+                session.host = self._choose()
+                session.life = ''
+            if session.host is None:
+                self._reseed()
+                await self._clock.sleep_ms(PAUSE_MS)
+                continue
+            if await self._call(session, session.host, WAIT_MS):
+                continue
+            logger.warning('control_host_lost', peer=session.host)
+            self._failed = session.host
+            session.host = None
+            await self._clock.sleep_ms(PAUSE_MS)
+
+    _failed: ids.HostId | None = None
+
+    def _choose(self) -> ids.HostId | None:
+        """Return a control host that no other session attends at."""
+        taken = {session.host for session in self._sessions}
+        free = [host for host in self._group.others() if host not in taken]
+        random.shuffle(free)
+        own_ip = self._record.host.rpartition(':')[0]
+        return min(
+            free,
+            key=lambda host: (host == self._failed, not _near(host, own_ip)),
+            default=None,
+        )
+
+    async def _call(
+        self, session: _Session, host: ids.HostId, wait_ms: int
+    ) -> bool:
+        record = attending.HostRecord(
+            self._record.host,
+            self._record.region,
+            self._record.data_centre,
+            self._record.callers_address,
+            self._record.passing_address,
+            self._record.start,
+            next(self._numbers),
+            self.draining,
+        )
+        message = attending.Attend(
+            record,
+            self._replica.current.index,
+            session.life,
+            session.endpoints_revision,
+            session.hosts_revision,
+            wait_ms,
+        )
+        try:
+            answer = await self._peers.call(host, message, CALL_TIMEOUT_MS)
+        except protocol_errors.ProtocolError:
+            return False
+        if not isinstance(answer, attending.Attended):
+            return False
+        if session.host == host:
+            self._take(session, answer)
+        return True
+
+    def _take(self, session: _Session, answer: attending.Attended) -> None:
+        self._answered_ms = self._clock.mono_ms()
+        self._group.hear(session.host)
+        self._group.learn(answer.controls)
+        changed = self._replica.advance(answer.delta)
+        self._serve_if_sure(answer)
+        for said in answer.endpoints:
+            changed |= self.registry.take(said)
+        if answer.hosts is not None:
+            self.roster.replace(answer.hosts)
+        session.life = answer.life
+        session.endpoints_revision = answer.endpoints_revision
+        session.hosts_revision = answer.hosts_revision
+        if changed:
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+    def _serve_if_sure(self, answer: attending.Attended) -> None:
+        """Serve by what a leader confirmed, or, after a wait, by the best.
+
+        A region that is cut off has no leader and serves all the same.
+        """
+        if self._replica.serving or not self._replica.current.index:
+            return
+        now_ms = self._clock.mono_ms()
+        if self._first_held_ms is None:
+            self._first_held_ms = now_ms
+        waited_ms = now_ms - self._first_held_ms
+        if not answer.delta.confirmed and waited_ms < CONFIRMATION_WAIT_MS:
+            return
+        self._replica.serving = True
+        logger.info(
+            'serving',
+            index=self._replica.current.index,
+            confirmed=answer.delta.confirmed,
+        )
+
+
+def _near(host: ids.HostId, own_ip: str) -> bool:
+    """Guess by the number whether a host stands in the same place."""
+    return host.rpartition('.')[0] == own_ip.rpartition('.')[0]
--- /dev/null
+++ b/wrenspoke/coordination/serving/choice.py
@@ -0,0 +1,219 @@
+"""Choose the endpoint or the other region that serves a call.
+
+Filter, then score. An endpoint must be ready, of the service, in this
+region and outside of evacuated data centres. A cold endpoint is used by
+one entry host alone, at the pace that it bears, so that the sum over all
+hosts keeps to it.
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import routing
+from wrenspoke import ids
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.state import registry
+from wrenspoke.state import routes
+
+logger = structlog.get_logger(__name__)
+
+MS_PER_S = 1000
+# The endpoint that holds a prompt's prefix is used until it is so much
+# fuller than the emptiest; reading the prefix anew costs about as much.
+AFFINITY_LOAD_MARGIN = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class Chosen:
+    """Name the endpoint that a call goes to, and how it was found."""
+
+    endpoint: ids.EndpointId
+    address: str
+    slots: int
+    score: float
+    candidates: int
+
+
+class Choice:
+    """Choose among registered endpoints and other regions."""
+
+    def __init__(
+        self,
+        region: ids.RegionId,
+        host: ids.HostId,
+        regions: collections.abc.Mapping[ids.DataCentreId, ids.RegionId],
+        attended: attendance.Attendance,
+        held: replica.Replica,
+        noted: health.Health,
+        clock: clocks.Clock,
+    ):
+        self._region = region
+        self._host = host
+        self._regions = regions
+        self._attended = attended
+        self._replica = held
+        self._health = noted
+        self._clock = clock
+        self._random = random.Random()
+        self._evacuated: set[ids.DataCentreId] = set()
+        self._taken_back_ms: dict[ids.DataCentreId, int] = {}
+        self._next_warm_ms: dict[ids.EndpointId, float] = {}
+        self.in_flight: dict[ids.EndpointId, int] = {}
+
+    def regions_for(self, route: routes.Route) -> list[ids.RegionId]:
+        """Return the regions that may serve a route, this one first."""
+        allowed = {
+            region for region in self._regions.values() if route.allows(region)
+        }
+        return sorted(allowed, key=lambda region: region != self._region)
+
+    def draw(self, targets: tuple[routes.Target, ...]) -> ids.ServiceId:
+        """Draw one of a route's services by their weights."""
+        weights = [target.weight for target in targets]
+        return self._random.choices(targets, weights)[0].service
+
+    def usable(
+        self, service: ids.ServiceId, region: ids.RegionId
+    ) -> list[registry.Registered]:
+        """Return the endpoints of a service that may get new work."""
+        self._note_evacuations()
+        return [
+            found
+            for found in self._attended.registry.held.values()
+            if found.takes_work
+            and found.said.service == service
+            and self._regions.get(found.said.data_centre) == region
+            and found.said.data_centre not in self._evacuated
+        ]
+
+    def _note_evacuations(self) -> None:
+        """Take endpoints that were just taken back for cold.
+
+        They may have turned cold unseen; their next renewal tells.
+        """
+        evacuated = set(self._replica.current.evacuated)
+        for data_centre in self._evacuated - evacuated:
+            self._taken_back_ms[data_centre] = self._clock.mono_ms()
+        self._evacuated = evacuated
+
+    def choose(
+        self,
+        service: routes.RoutedService,
+        call: dialects.Call,
+        excluded: collections.abc.Container[ids.EndpointId],
+    ) -> Chosen | None:
+        """Return the best endpoint of this region, None without one."""
+        every = [
+            found
+            for found in self.usable(service.service, self._region)
+            if found.said.endpoint not in excluded
+        ]
+        warm = [found for found in every if not self._cold(found)]
+        sound = [
+            found
+            for found in warm
+            if not self._health.set_aside(found.said.address)
+        ]
+        warming = self._warming_turn(service, every)
+        if warming is not None:
+            return self._made(warming, 0.0, len(every))
+        candidates = sound or warm
+        if not candidates:
+            return None
+        scored = self._scored(candidates, call)
+        score, _tie, found = min(scored, key=lambda item: item[:2])
+        return self._made(found, score, len(every))
+
+    def _made(
+        self, found: registry.Registered, score: float, candidates: int
+    ) -> Chosen:
+        said = found.said
+        return Chosen(
+            said.endpoint, said.address, said.slots, score, candidates
+        )
+
+    def _scored(
+        self,
+        candidates: list[registry.Registered],
+        call: dialects.Call,
+    ) -> list[tuple[float, float, registry.Registered]]:
+        """Return each candidate with its share of places taken."""
+        favourite = None
+        if len(call.parts) > 1:
+            shared = call.parts[-2].part
+            names = [found.said.endpoint for found in candidates]
+            favourite = routing.rendezvous(shared, names)[0]
+        scored = []
+        for found in candidates:
+            said = found.said
+            load = self.in_flight.get(said.endpoint, 0) / said.slots
+            if self._attended.registry.silent(said.endpoint):
+                load += 1.0
+            if said.endpoint == favourite:
+                load -= AFFINITY_LOAD_MARGIN
+            scored.append((load, self._random.random(), found))
+        return scored
+
+    def _cold(self, found: registry.Registered) -> bool:
+        if found.warm_ms > self._clock.mono_ms():
+            return True
+        taken_back_ms = self._taken_back_ms.get(found.said.data_centre)
+        return taken_back_ms is not None and found.heard_ms < taken_back_ms
+
+    def _warming_turn(
+        self,
+        service: routes.RoutedService,
+        every: list[registry.Registered],
+    ) -> registry.Registered | None:
+        """Return a cold endpoint whose next request is due from here."""
+        if service.warmup_per_s <= 0:
+            return None
+        now_ms = self._clock.mono_ms()
+        for found in every:
+            name = found.said.endpoint
+            if not self._cold(found) or not self._warms(name):
+                continue
+            if self._health.set_aside(found.said.address):
+                continue
+            if now_ms < self._next_warm_ms.get(name, 0):
+                continue
+            interval_ms = MS_PER_S / service.warmup_per_s
+            self._next_warm_ms[name] = now_ms + interval_ms
+            return found
+        return None
+
+    def _warms(self, endpoint: ids.EndpointId) -> bool:
+        """Tell whether this host is the one that uses a cold endpoint."""
+        hosts = [
+            record.host
+            for record in self._attended.roster.usable(self._region)
+        ]
+        hosts = sorted({*hosts, self._host})
+        return routing.rendezvous(endpoint, hosts)[0] == self._host
+
+    def host_in(
+        self,
+        region: ids.RegionId,
+        excluded: collections.abc.Container[ids.HostId],
+    ) -> attending.HostRecord | None:
+        """Return an entry host of another region to pass a call to."""
+        hosts = [
+            record
+            for record in self._attended.roster.usable(region)
+            if record.host not in excluded and record.host != self._host
+        ]
+        sound = [
+            record
+            for record in hosts
+            if not self._health.set_aside(record.passing_address)
+        ]
+        candidates = sound or hosts
+        return self._random.choice(candidates) if candidates else None
--- /dev/null
+++ b/wrenspoke/coordination/serving/events.py
@@ -0,0 +1,57 @@
+"""Follow the events of a stream as its bytes pass.
+
+An event ends with an empty line. A stream that may be taken up elsewhere
+is passed on in whole events only, since its endpoint may break off inside
+one, and the next begins behind the last whole one.
+"""
+
+import re
+
+END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+ID_LINE = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
+# No event of text is larger; a stream without ends is passed on as it is.
+HELD_LIMIT_BYTES = 1024 * 1024
+
+
+class EventTracker:
+    """Know the last whole event of a stream."""
+
+    def __init__(self, whole_only: bool):
+        self._whole_only = whole_only
+        self._held = b''
+        self.last_id: str | None = None
+        self.count = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes and return those that may be passed on."""
+        self._held += data
+        end = 0
+        for found in END.finditer(self._held):
+            self._note(self._held[end : found.end()])
+            end = found.end()
+        whole, self._held = self._held[:end], self._held[end:]
+        if self._whole_only and len(self._held) <= HELD_LIMIT_BYTES:
+            return whole
+        if self._whole_only:
+            return whole + self._take_rest()
+        # What is passed on piece by piece is still looked at whole.
+        self._held = self._held[-HELD_LIMIT_BYTES:]
+        return data
+
+    def _note(self, event: bytes) -> None:
+        self.count += 1
+        found = ID_LINE.search(event)
+        if found is not None:
+            self.last_id = found.group(1).decode('utf-8', 'replace')
+
+    def _take_rest(self) -> bytes:
+        rest, self._held = self._held, b''
+        return rest
+
+    def rest(self) -> bytes:
+        """Return what is held back behind the last whole event."""
+        return self._take_rest() if self._whole_only else b''
+
+    def begin_again(self) -> None:
+        """Drop a part of an event; the next stream sends it whole."""
+        self._held = b''
--- /dev/null
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -0,0 +1,501 @@
+"""Serve calls that are passed through: routes, tries and their ends.
+
+A call is sent to one endpoint at a time. What may run twice is tried
+again within the route's attempts and the shared budget; what may not is
+only sent again after a promise that it was not run. Given up on, it gets
+its final answer at once.
+"""
+
+import asyncio
+import dataclasses
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import choice
+from wrenspoke.coordination.serving import events
+from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import sending
+from wrenspoke.coordination.serving import spending
+from wrenspoke import ids
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import passing
+from wrenspoke.state import routes
+
+logger = structlog.get_logger(__name__)
+
+OK_STATUSES = range(200, 300)
+NOT_FOUND = 404
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+SERVER_ERRORS = range(500, 600)
+# An answer is held back whole up to here, so that one cut short can be
+# tried again; longer ones flow.
+WHOLE_LIMIT_BYTES = 8 * 1024 * 1024
+# Sends that reached no endpoint, or that it refused unrun.
+UNRUN_LIMIT = 4
+# What is left must be worth sending.
+LEAST_LEFT_MS = 20
+# A host that lags waits for the configuration that the first went by.
+CATCH_UP_MS = 600
+RETRY_AFTER_MS = 500
+
+
+@dataclasses.dataclass
+class KeptAnswer:
+    """Hold an endpoint's failure while another try is made."""
+
+    status: int
+    fields: dialects.Fields
+    body: bytes
+
+
+@dataclasses.dataclass
+class Work:
+    """Hold how far serving one call has come."""
+
+    call: dialects.Call
+    route: routes.Route
+    service: routes.RoutedService
+    deadline_ms: int
+    reply: passing.Reply
+    hop: passing.Hop | None = None
+    runs: int = 0
+    unrun: int = 0
+    sent: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    cause: str = ''
+    kept: KeptAnswer | None = None
+    tracker: events.EventTracker | None = None
+
+    @property
+    def runs_limit(self) -> int:
+        """Return how many endpoints may run it, as seen from here."""
+        if self.hop is not None:
+            return self.hop.attempts_left
+        return self.route.attempts_limit
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether an endpoint may have begun it."""
+        return self.runs > 0
+
+
+class PassThrough:
+    """Serve passed-through calls on an entry host."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        region: ids.RegionId,
+        held: replica.Replica,
+        attended: attendance.Attendance,
+        chosen: choice.Choice,
+        sender: sending.Sender,
+        noted: health.Health,
+        budget: spending.Spending,
+        clock: clocks.Clock,
+    ):
+        self._host = host
+        self._region = region
+        self._replica = held
+        self._attended = attended
+        self._choice = chosen
+        self._sender = sender
+        self._health = noted
+        self._spending = budget
+        self._clock = clock
+        self._index = routes.RouteIndex(routes.RouteTable())
+        self.in_flight = 0
+        self.leaving = False
+
+    @property
+    def body_limit_bytes(self) -> int:
+        """Return how large a body may be."""
+        return self._replica.current.routes.limits.body_bytes
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether this host should be given requests."""
+        return (
+            not self.leaving
+            and self._replica.serving
+            and self._attended.awake
+            and self._replica.current.routes.version > 0
+        )
+
+    def _routes(self) -> routes.RouteIndex:
+        table = self._replica.current.routes
+        if self._index.table is not table:
+            self._index = routes.RouteIndex(table)
+        return self._index
+
+    async def serve(
+        self,
+        call: dialects.Call,
+        reply: passing.Reply,
+        hop: passing.Hop | None,
+    ) -> None:
+        """Answer one call."""
+        self.in_flight += 1
+        try:
+            work = await self._begin(call, reply, hop)
+            if work is not None:
+                await self._serve(work)
+        finally:
+            self.in_flight -= 1
+
+    async def _begin(
+        self,
+        call: dialects.Call,
+        reply: passing.Reply,
+        hop: passing.Hop | None,
+    ) -> Work | None:
+        """Find the call's route; answer it where there is none."""
+        if hop is not None:
+            await self._catch_up(hop.index)
+        if not self._replica.serving or not self._attended.awake:
+            await self._refuse(call, reply, 'no_configuration')
+            return None
+        table = self._replica.current.routes
+        if table.version == 0 or (
+            hop is not None and self._replica.current.index < hop.index
+        ):
+            await self._refuse(call, reply, 'no_configuration')
+            return None
+        route = self._routes().find(call.host, call.path)
+        if route is None:
+            logger.info(
+                'no_route',
+                request=call.request,
+                version=table.version,
+                path=call.path,
+            )
+            await reply.refuse(NOT_FOUND, 'no_route')
+            return None
+        service = table.service(self._service_of(route, hop))
+        left_ms = min(call.left_ms, route.timeout_ms)
+        return Work(
+            call, route, service, call.arrived_ms + left_ms, reply, hop
+        )
+
+    async def _refuse(
+        self, call: dialects.Call, reply: passing.Reply, reason: str
+    ) -> None:
+        logger.info('request_refused', request=call.request, reason=reason)
+        await reply.refuse(UNAVAILABLE, reason, RETRY_AFTER_MS)
+
+    async def _catch_up(self, index: int) -> None:
+        try:
+            async with clocks.timeout_ms(CATCH_UP_MS):
+                while self._replica.current.index < index:
+                    await self._replica.changed.wait()
+        except TimeoutError:
+            return
+
+    def _service_of(
+        self, route: routes.Route, hop: passing.Hop | None
+    ) -> ids.ServiceId:
+        names = [target.service for target in route.targets]
+        if hop is not None and hop.service in names:
+            return hop.service
+        return self._choice.draw(route.targets)
+
+    def _left_ms(self, work: Work) -> int:
+        return work.deadline_ms - self._clock.mono_ms()
+
+    async def _serve(self, work: Work) -> None:
+        self._spending.first(work.service.service)
+        try:
+            async with clocks.timeout_ms(self._left_ms(work)):
+                if await self._try_all(work):
+                    return
+        except TimeoutError:
+            work.cause = work.cause or 'timeout'
+            await self._give_up(work, GATEWAY_TIMEOUT)
+            return
+        except protocol_errors.CallerGoneError:
+            logger.info('caller_gone', request=work.call.request)
+            raise
+        await self._give_up(work, BAD_GATEWAY)
+
+    async def _try_all(self, work: Work) -> bool:
+        """Try until it is answered; False when it is given up."""
+        while self._left_ms(work) > LEAST_LEFT_MS:
+            place = self._next_place(work)
+            if place is None:
+                work.cause = work.cause or 'no_endpoint'
+                return False
+            if work.sent and not self._spending.spend(work.service.service):
+                work.cause = f'{work.cause} (no retry left)'
+                return False
+            work.tried.add(place.name)
+            if await self._try(work, place):
+                return True
+            if not self._may_go_on(work):
+                return False
+        work.cause = work.cause or 'timeout'
+        return False
+
+    def _may_go_on(self, work: Work) -> bool:
+        if work.unrun >= UNRUN_LIMIT:
+            return False
+        if not work.may_have_run:
+            return True
+        if not work.route.repeatable:
+            return False
+        return work.runs < work.runs_limit
+
+    def _next_place(self, work: Work) -> sending.Place | None:
+        """Return where to send a call: here first, then another region."""
+        for region in self._choice.regions_for(work.route):
+            if region != self._region:
+                place = self._host_of(work, region)
+            else:
+                place = self._endpoint_of(work)
+            if place is not None:
+                return place
+        return None
+
+    def _endpoint_of(self, work: Work) -> sending.Place | None:
+        found = self._choice.choose(work.service, work.call, work.tried)
+        if found is None:
+            return None
+        logger.info(
+            'endpoint_chosen',
+            request=work.call.request,
+            route=work.route.name,
+            endpoint=found.endpoint,
+            score=round(found.score, 2),
+            candidates=found.candidates,
+            version=self._replica.current.routes.version,
+        )
+        return sending.Place(found.address, endpoint=found.endpoint)
+
+    def _host_of(
+        self, work: Work, region: ids.RegionId
+    ) -> sending.Place | None:
+        if work.hop is not None:
+            return None
+        if not self._choice.usable(work.service.service, region):
+            return None
+        found = self._choice.host_in(region, work.tried)
+        if found is None:
+            return None
+        logger.info(
+            'passed_on',
+            request=work.call.request,
+            route=work.route.name,
+            peer=found.host,
+            region=region,
+        )
+        hop = passing.Hop(
+            self._host,
+            work.route.name,
+            work.service.service,
+            self._replica.current.index,
+            work.runs_limit - work.runs,
+        )
+        return sending.Place(found.passing_address, host=found.host, hop=hop)
+
+    async def _try(self, work: Work, place: sending.Place) -> bool:
+        """Send once; return whether the caller has its answer."""
+        counts = self._choice.in_flight
+        counts[place.name] = counts.get(place.name, 0) + 1
+        last_event = work.call.last_event
+        if work.tracker is not None and work.tracker.last_id is not None:
+            last_event = work.tracker.last_id
+        try:
+            async with self._sender.send(
+                work.call,
+                work.route,
+                place,
+                self._left_ms(work),
+                last_event,
+            ) as answer:
+                return await self._take(work, place, answer)
+        except errors.NotSentError as error:
+            work.unrun += 1
+            self._failed(work, place, f'not sent: {error}', certain=True)
+        except errors.MaybeSentError as error:
+            work.sent += 1
+            work.runs += 1
+            self._failed(work, place, str(error))
+        finally:
+            counts[place.name] -= 1
+        return False
+
+    def _failed(
+        self,
+        work: Work,
+        place: sending.Place,
+        cause: str,
+        certain: bool = False,
+    ) -> None:
+        work.cause = cause
+        self._health.failed(place.address, cause, certain)
+        logger.warning(
+            'try_failed',
+            request=work.call.request,
+            place=place.name,
+            cause=cause,
+            runs=work.runs,
+            left_ms=self._left_ms(work),
+        )
+
+    async def _take(
+        self, work: Work, place: sending.Place, answer: sending.Answer
+    ) -> bool:
+        """Pass an answer on, or keep it back where another try is due."""
+        work.sent += 1
+        if answer.verdict is sending.Verdict.NOT_HERE:
+            work.unrun += 1
+            self._failed(work, place, 'not here any more', certain=True)
+            return False
+        if answer.verdict is sending.Verdict.NOT_RUN:
+            work.unrun += 1
+            work.cause = f'endpoint refused with {answer.status}'
+            return False
+        work.runs += 1
+        if answer.refused is not None:
+            return await self._take_refusal(work, place, answer)
+        if answer.status in SERVER_ERRORS:
+            self._health.failed(place.address, f'status {answer.status}')
+            if self._may_repeat(work):
+                work.cause = f'status {answer.status}'
+                body = await answer.whole(WHOLE_LIMIT_BYTES)
+                work.kept = KeptAnswer(answer.status, answer.fields, body)
+                return False
+        else:
+            self._health.succeeded(place.address)
+        if work.tracker is not None:
+            return await self._go_on(work, answer)
+        if work.route.kind is routes.RouteKind.STREAM and (
+            answer.status in OK_STATUSES
+        ):
+            await self._stream(work, answer)
+            return True
+        body = await answer.whole(WHOLE_LIMIT_BYTES)
+        await work.reply.whole(answer.status, answer.fields, body)
+        self._log_end(work, place, answer.status)
+        return True
+
+    async def _take_refusal(
+        self, work: Work, place: sending.Place, answer: sending.Answer
+    ) -> bool:
+        """Take the word of a host elsewhere that could not serve it."""
+        work.cause = f'{place.name}: {answer.refused}'
+        if answer.status == UNAVAILABLE:
+            work.runs -= 1
+            work.unrun += 1
+        return False
+
+    def _may_repeat(self, work: Work) -> bool:
+        return (
+            work.route.repeatable
+            and not work.reply.started
+            and work.runs < work.runs_limit
+            and self._left_ms(work) > LEAST_LEFT_MS
+        )
+
+    # Streams.
+
+    async def _stream(self, work: Work, answer: sending.Answer) -> None:
+        """Pass a stream on; the first piece goes with the head."""
+        tracker = events.EventTracker(whole_only=work.route.resumable)
+        async for chunk in answer.chunks():
+            data = tracker.feed(chunk)
+            if not data:
+                continue
+            if not work.reply.started:
+                await work.reply.open(answer.status, answer.fields)
+                work.tracker = tracker
+            await work.reply.write(data)
+        await self._end_stream(work, answer, tracker)
+
+    async def _end_stream(
+        self,
+        work: Work,
+        answer: sending.Answer,
+        tracker: events.EventTracker,
+    ) -> None:
+        if not work.reply.started:
+            await work.reply.open(answer.status, answer.fields)
+        rest = tracker.rest()
+        if rest:
+            await work.reply.write(rest)
+        await work.reply.end()
+        logger.info(
+            'answered',
+            request=work.call.request,
+            status=answer.status,
+            events=tracker.count,
+            runs=work.runs,
+        )
+
+    async def _go_on(self, work: Work, answer: sending.Answer) -> bool:
+        """Go on with a stream that another endpoint began."""
+        if answer.status not in OK_STATUSES:
+            work.cause = f'not resumed: status {answer.status}'
+            return False
+        logger.info(
+            'stream_resumed',
+            request=work.call.request,
+            last_event=work.tracker.last_id,
+        )
+        work.tracker.begin_again()
+        async for chunk in answer.chunks():
+            data = work.tracker.feed(chunk)
+            if data:
+                await work.reply.write(data)
+        await self._end_stream(work, answer, work.tracker)
+        return True
+
+    # Ends.
+
+    async def _give_up(self, work: Work, status: int) -> None:
+        """Give the final answer, at once, and say whether it has run."""
+        if not work.may_have_run:
+            status = UNAVAILABLE
+        logger.warning(
+            'gave_up',
+            request=work.call.request,
+            route=work.route.name,
+            status=status,
+            cause=work.cause,
+            runs=work.runs,
+            unrun=work.unrun,
+            left_ms=self._left_ms(work),
+        )
+        if work.reply.started:
+            work.reply.abort()
+            return
+        if work.kept is not None:
+            kept = work.kept
+            await work.reply.whole(kept.status, kept.fields, kept.body)
+            return
+        retry_after_ms = RETRY_AFTER_MS if status == UNAVAILABLE else None
+        await work.reply.refuse(status, 'gave_up', retry_after_ms)
+
+    def _log_end(self, work: Work, place: sending.Place, status: int) -> None:
+        logger.info(
+            'answered',
+            request=work.call.request,
+            place=place.name,
+            status=status,
+            runs=work.runs,
+            unrun=work.unrun,
+        )
+
+    async def drain(self, timeout_ms: int) -> bool:
+        """Wait for what is in flight; True if all of it ended."""
+        self.leaving = True
+        end_ms = self._clock.mono_ms() + timeout_ms
+        while self.in_flight and self._clock.mono_ms() < end_ms:
+            await asyncio.sleep(0.05)
+        return self.in_flight == 0
--- /dev/null
+++ b/wrenspoke/coordination/serving/sending.py
@@ -0,0 +1,174 @@
+"""Send a call on to an endpoint or to a host of another region, once.
+
+This is the only place that writes to registered endpoints. It tells
+apart what came back: an answer, a promise that nothing was run, or
+nothing that says whether the call was run.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import enum
+
+import aiohttp
+import msgspec
+import structlog
+
+from wrenspoke.coordination import errors
+from wrenspoke import ids
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import passing
+from wrenspoke.state import routes
+from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+MISDIRECTED = 421
+URGENCIES = 10
+
+
+class Verdict(enum.Enum):
+    """Say what an answer's head means."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not_run'
+    NOT_HERE = 'not_here'
+
+
+@dataclasses.dataclass
+class Place:
+    """Say where a call is sent: an endpoint, or a host elsewhere."""
+
+    address: str
+    endpoint: ids.EndpointId | None = None
+    host: ids.HostId | None = None
+    hop: passing.Hop | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the endpoint's or host's name, for logs."""
+        return self.endpoint or self.host
+
+
+class Answer:
+    """Hold the head of an answer; the body is read from it."""
+
+    def __init__(self, response: aiohttp.ClientResponse, verdict: Verdict):
+        self._response = response
+        self.verdict = verdict
+        self.status = response.status
+        self.fields = dialects.answer_fields(response.raw_headers)
+        self.refused = response.headers.get(passing.REFUSED)
+        self.retry_after = response.headers.get('Retry-After')
+
+    async def whole(self, limit_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :raises MaybeSentError: it was cut short or is too long
+        """
+        try:
+            return await web.read_whole(self._response, limit_bytes)
+        except transport_errors.TransportError as error:
+            raise errors.MaybeSentError(str(error)) from error
+
+    async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        :raises MaybeSentError: it was cut short
+        """
+        try:
+            async for chunk in web.read_chunks(self._response):
+                yield chunk
+        except transport_errors.TransportError as error:
+            raise errors.MaybeSentError(str(error)) from error
+
+
+class Sender:
+    """Write calls to endpoints and hosts, and read what comes back."""
+
+    def __init__(self, dialect: dialects.Dialect, client: web.HttpClient):
+        self._dialect = dialect
+        self._client = client
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        call: dialects.Call,
+        route: routes.Route,
+        place: Place,
+        left_ms: int,
+        last_event: str | None,
+    ) -> collections.abc.AsyncIterator[Answer]:
+        """Send once and yield the answer's head.
+
+        Leaving the block early closes the connection, which ends the
+        work on the other side.
+
+        :raises NotSentError: no connection; nothing was sent
+        :raises MaybeSentError: it may have been run
+        """
+        fields = self._fields(call, route, place, left_ms, last_event)
+        body = call.body or None
+        try:
+            async with self._client.pass_on(
+                call.method, place.address, call.target, fields, body
+            ) as response:
+                yield Answer(response, self._verdict(call, place, response))
+        except transport_errors.NotSentError as error:
+            raise errors.NotSentError(str(error)) from error
+        except transport_errors.MaybeSentError as error:
+            raise errors.MaybeSentError(str(error)) from error
+
+    def _fields(
+        self,
+        call: dialects.Call,
+        route: routes.Route,
+        place: Place,
+        left_ms: int,
+        last_event: str | None,
+    ) -> dialects.Fields:
+        dialect = self._dialect
+        fields = list(call.fields)
+        if last_event is not None and last_event != call.last_event:
+            name = dialect.last_event.lower()
+            fields = [item for item in fields if item[0].lower() != name]
+            fields.append((dialect.last_event, last_event))
+        fields.append((dialect.deadline_ms, str(max(left_ms, 0))))
+        if place.hop is not None:
+            hop = msgspec.json.encode(place.hop).decode()
+            fields.append((passing.HOP, hop))
+            return fields
+        fields.append((dialect.endpoint, place.endpoint))
+        if call.parts:
+            urgency = min(max(route.priority, 0), URGENCIES - 1)
+            fields.append((dialect.priority, str(urgency)))
+        return fields
+
+    def _verdict(
+        self,
+        call: dialects.Call,
+        place: Place,
+        response: aiohttp.ClientResponse,
+    ) -> Verdict:
+        """Judge a head; another request's answer counts as none.
+
+        :raises MaybeSentError: the answer belongs to another request
+        """
+        if response.status == MISDIRECTED and place.endpoint is not None:
+            return Verdict.NOT_HERE
+        if self._dialect.not_run in response.headers:
+            return Verdict.NOT_RUN
+        if passing.REFUSED in response.headers and place.host is not None:
+            return Verdict.ANSWERED
+        echoed = response.headers.get(self._dialect.request)
+        if echoed != call.request:
+            logger.warning(
+                'answer_crossed',
+                request=call.request,
+                place=place.name,
+                found=echoed,
+                status=response.status,
+            )
+            raise errors.MaybeSentError("answer is another request's")
+        return Verdict.ANSWERED
--- /dev/null
+++ b/wrenspoke/coordination/serving/spending.py
@@ -0,0 +1,88 @@
+"""Budgets that all entry hosts share, each spending its part.
+
+A service may be sent a number of repeats in any window that is a share of
+its requests and a fixed number over all hosts. Each host keeps to its own
+requests' share and its part of the fixed number, so that the sum holds
+without any word between them. The parts are cut below the bounds, as
+hosts may be counted late.
+"""
+
+import collections
+import math
+
+import msgspec
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+
+# Requests and repeats do not fall into the same window; a part of the
+# allowance is left unspent for that.
+SPENT_SHARE = 0.7
+
+
+class RetryBounds(msgspec.Struct, frozen=True):
+    """Bound the repeats that a service is sent over all hosts."""
+
+    ratio: float = 0.1
+    fixed: int = 10
+    window_ms: int = 10_000
+
+
+class Window:
+    """Count events of the last while."""
+
+    def __init__(self, window_ms: int):
+        self._window_ms = window_ms
+        self._times_ms: collections.deque[int] = collections.deque()
+
+    def add(self, now_ms: int) -> None:
+        """Count an event."""
+        self._times_ms.append(now_ms)
+
+    def count(self, now_ms: int) -> int:
+        """Return how many events the window holds."""
+        while self._times_ms and (
+            self._times_ms[0] <= now_ms - self._window_ms
+        ):
+            self._times_ms.popleft()
+        return len(self._times_ms)
+
+
+class Spending:
+    """Keep this host's part of the retry budgets, by service."""
+
+    def __init__(self, bounds: RetryBounds, clock: clocks.Clock):
+        self._bounds = bounds
+        self._clock = clock
+        self._firsts: dict[ids.ServiceId, Window] = {}
+        self._repeats: dict[ids.ServiceId, Window] = {}
+        self.hosts = 1
+        self.denied = 0
+
+    def first(self, service: ids.ServiceId) -> None:
+        """Count a request that callers sent for a service."""
+        self._window(self._firsts, service).add(self._clock.mono_ms())
+
+    def spend(self, service: ids.ServiceId) -> bool:
+        """Take a repeat from the budget; False when there is none."""
+        now_ms = self._clock.mono_ms()
+        repeats = self._window(self._repeats, service)
+        if repeats.count(now_ms) + 1 > self._allowed(service, now_ms):
+            self.denied += 1
+            return False
+        repeats.add(now_ms)
+        return True
+
+    def _allowed(self, service: ids.ServiceId, now_ms: int) -> int:
+        firsts = self._window(self._firsts, service).count(now_ms)
+        fixed = self._bounds.fixed / max(self.hosts, 1)
+        allowed = SPENT_SHARE * (self._bounds.ratio * firsts + fixed)
+        return math.floor(allowed)
+
+    def _window(
+        self, windows: dict[ids.ServiceId, Window], service: ids.ServiceId
+    ) -> Window:
+        found = windows.get(service)
+        if found is None:
+            found = windows[service] = Window(self._bounds.window_ms)
+        return found
--- /dev/null
+++ b/wrenspoke/nodes.py
@@ -0,0 +1,217 @@
+"""The daemons of hosts that find each other at run time.
+
+Library parts put together: what listens to callers, operators and
+endpoints is given by whoever starts them, and speaks their protocol.
+"""
+
+import pathlib
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import direct
+from wrenspoke.coordination.agreement import voter
+from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import registrar
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import choice
+from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import passthrough
+from wrenspoke.coordination.serving import sending
+from wrenspoke.coordination.serving import spending
+from wrenspoke import ids
+from wrenspoke import node as nodes
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import passing
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke.state import disk
+from wrenspoke.state import storage
+from wrenspoke.transport import links
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+# A cut says nothing; a link is made anew soon after one heals.
+SILENCE = links.Silence(heartbeat_ms=700, timeout_ms=2_000)
+COUNT_INTERVAL_MS = 1_000
+
+
+def _peers(node: nodes.Node, clock: clocks.Clock) -> peer_calls.Peers:
+    identity = links.Identity(node.cluster, node.host)
+    return peer_calls.Peers(identity, [], clock, SILENCE)
+
+
+class ControlNode:
+    """Run a control host: agreement, registry, roster, directory."""
+
+    def __init__(self, node: nodes.Node):
+        self.node = node
+        self.clock = clocks.Clock()
+        self.peers = _peers(node, self.clock)
+        self.group = controls.ControlGroup(
+            node.host, node.seed_hosts, self.clock
+        )
+        self.replica = replica.Replica()
+        kept = storage.Storage(disk.Disk(pathlib.Path(node.data_folder)))
+        if node.first_start:
+            voter.found_together(kept, node.host, node.seed_hosts)
+        self.voter = voter.Voter(
+            node.host,
+            self.group,
+            node.control,
+            kept,
+            self.peers,
+            self.replica,
+            self.clock,
+        )
+        self.registrar = registrar.Registrar(
+            self.voter, self.group, self.replica, self.peers, self.clock
+        )
+        self.decisions = direct.DirectDecisions(self.voter, self.clock)
+
+    async def start(self) -> None:
+        """Listen for other hosts and begin every task."""
+        await self.peers.links.start(self.node.ip, self.node.link_port)
+        self.voter.start()
+        self.registrar.start()
+        logger.info('started', host=self.node.host, seeds=self.node.seeds)
+
+    def reload(self, node: nodes.Node) -> None:
+        """Take over changed settings; only seeds change in a life."""
+        self.group.reseed(node.seed_hosts)
+        logger.info('reloaded', seeds=node.seeds)
+
+    async def close(self) -> None:
+        """End every task and close every socket."""
+        await self.registrar.close()
+        await self.voter.close()
+        await self.peers.links.close()
+        logger.info('stopped')
+
+
+class EntryNode:
+    """Run an entry host: attendance, routing, passing requests on."""
+
+    def __init__(self, node: nodes.Node, dialect: dialects.Dialect):
+        self.node = node
+        self.clock = clocks.Clock()
+        self.peers = _peers(node, self.clock)
+        self.group = controls.ControlGroup(
+            node.host, node.seed_hosts, self.clock
+        )
+        self.replica = replica.Replica()
+        self.attendance = attendance.Attendance(
+            self._record(),
+            self.group,
+            self.replica,
+            self.peers,
+            self.clock,
+        )
+        self._client = web.HttpClient(
+            node.entry.connect_timeout_ms, node.entry.endpoint_idle_ms
+        )
+        self.spending = spending.Spending(
+            spending.RetryBounds(
+                node.retries.ratio, node.retries.fixed, node.retries.window_ms
+            ),
+            self.clock,
+        )
+        self._build_serving(dialect)
+
+    def _record(self) -> attending.HostRecord:
+        node = self.node
+        return attending.HostRecord(
+            node.host,
+            node.region,
+            node.data_centre,
+            node.callers_address,
+            f'{node.ip}:{node.passing_port}',
+            ids.new_unique(),
+            0,
+            False,
+        )
+
+    def _build_serving(self, dialect: dialects.Dialect) -> None:
+        """Build what serves requests and what listens for them."""
+        node = self.node
+        noted = health.Health(self.clock)
+        chosen = choice.Choice(
+            node.region,
+            node.host,
+            node.regions,
+            self.attendance,
+            self.replica,
+            noted,
+            self.clock,
+        )
+        self.passthrough = passthrough.PassThrough(
+            node.host,
+            node.region,
+            self.replica,
+            self.attendance,
+            chosen,
+            sending.Sender(dialect, self._client),
+            noted,
+            self.spending,
+            self.clock,
+        )
+        surface = passing.PassingSurface(
+            self.passthrough,
+            dialect,
+            passing.PassingLimits(
+                node.entry.body_limit_bytes,
+                node.entry.body_timeout_ms,
+                node.entry.default_deadline_ms,
+            ),
+            self.clock,
+        )
+        self._callers = self._server(surface.handle_caller)
+        self._hosts = self._server(surface.handle_host)
+
+    def _server(self, handler: web.Handler) -> web.PlainServer:
+        entry = self.node.entry
+        return web.PlainServer(
+            handler, entry.caller_idle_ms, entry.header_limit_bytes
+        )
+
+    async def start(self) -> None:
+        """Listen for callers and hosts, and begin every task."""
+        node = self.node
+        await self.peers.links.start(node.ip, node.link_port)
+        self.attendance.start()
+        await self._hosts.start(f'{node.ip}:{node.passing_port}')
+        await self._callers.start(node.callers_address)
+        logger.info('started', host=node.host, seeds=node.seeds)
+
+    def reload(self, node: nodes.Node) -> None:
+        """Take over changed settings; only seeds change in a life."""
+        self.group.reseed(node.seed_hosts)
+        logger.info('reloaded', seeds=node.seeds)
+
+    async def count_hosts(self) -> None:
+        """Tell the budgets how many hosts share them, for ever."""
+        while True:
+            known = len(self.attendance.roster.usable())
+            self.spending.hosts = max(known, 1)
+            await self.clock.sleep_ms(COUNT_INTERVAL_MS)
+
+    async def drain(self) -> None:
+        """Let callers go elsewhere, then wait for what is in flight."""
+        self.attendance.draining = True
+        self.passthrough.leaving = True
+        logger.info('draining', in_flight=self.passthrough.in_flight)
+        await self.attendance.tell_now()
+        await self.clock.sleep_ms(self.node.entry.leave_delay_ms)
+        drained = await self.passthrough.drain(self.node.entry.stop_timeout_ms)
+        logger.info('drained', whole=drained)
+
+    async def close(self) -> None:
+        """End every task and close every socket."""
+        await self._callers.close()
+        await self._hosts.close()
+        await self.attendance.close()
+        await self._client.close()
+        await self.peers.links.close()
+        logger.info('stopped')
--- /dev/null
+++ b/wrenspoke/protocol/dialect.py
@@ -0,0 +1,221 @@
+"""Which headers of a passed-through request say what.
+
+Requests that are passed through keep their method, path, body and
+headers. What the gateway needs of them, and what it tells endpoints, goes
+by the names of a ``Dialect``: our own below, or those of a platform.
+"""
+
+import collections.abc
+import re
+
+import msgspec
+from multidict import istr
+
+from wrenspoke import ids
+from wrenspoke.protocol import errors
+
+# Headers that belong to one connection, by RFC 9110, and those by which
+# the body is framed, which each connection states anew.
+CONNECTION_FIELDS = frozenset(
+    [
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ]
+)
+TOKEN = re.compile(r'[!-~]{1,128}\Z')
+DEADLINE_LIMIT_MS = 600_000
+PARTS_LIMIT = 256
+
+Fields = list[tuple[str, str]]
+
+
+class Dialect(msgspec.Struct, frozen=True):
+    """Name the headers that the gateway reads and sets.
+
+    ``endpoint`` makes an endpoint refuse what is meant for another one,
+    ``not_run`` in its answer says that it did not run the request.
+    ``reserved`` headers are never passed on from callers.
+    """
+
+    request: str = 'Wrenspoke-Request-Id'
+    deadline_ms: str = 'Wrenspoke-Deadline-Ms'
+    endpoint: str = 'Wrenspoke-Endpoint'
+    not_run: str = 'Wrenspoke-Not-Run'
+    priority: str = 'Wrenspoke-Endpoint-Priority'
+    prompt_parts: str = 'Wrenspoke-Prompt-Parts'
+    tokens: str = 'Wrenspoke-Tokens'
+    last_event: str = 'Last-Event-ID'
+    reserved: tuple[str, ...] = ()
+
+    def kept_back(self) -> frozenset[str]:
+        """Return, in lower case, what is not passed on to endpoints."""
+        own = (self.deadline_ms, self.endpoint, self.priority)
+        names = (*own, *self.reserved)
+        return CONNECTION_FIELDS | {name.lower() for name in names}
+
+
+class PromptPart(msgspec.Struct, frozen=True, array_like=True):
+    """Name a part of a prompt and say how many tokens it has."""
+
+    part: str
+    tokens: int
+
+
+class Call(msgspec.Struct):
+    """Hold one request that is to be passed through.
+
+    ``fields`` are the headers to be passed on, in their order.
+    """
+
+    request: ids.RequestId
+    method: str
+    host: str
+    target: str
+    fields: Fields
+    arrived_ms: int
+    left_ms: int
+    body: bytes = b''
+    parts: tuple[PromptPart, ...] = ()
+    tokens_in: int = 0
+    tokens_out: int = 0
+    last_event: str | None = None
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition('?')[0]
+
+
+class CallReader:
+    """Read the head of a request by a dialect."""
+
+    def __init__(self, dialect: Dialect, default_deadline_ms: int):
+        self._dialect = dialect
+        self._default_deadline_ms = default_deadline_ms
+        self._kept_back = dialect.kept_back()
+
+    def read(
+        self,
+        method: str,
+        target: str,
+        raw: collections.abc.Iterable[tuple[bytes, bytes]],
+        now_ms: int,
+    ) -> Call:
+        """Return the call that a head describes.
+
+        :raises BadRequestError: naming the header that is wrong
+        """
+        found: dict[str, str] = {}
+        fields: Fields = []
+        for raw_name, raw_value in raw:
+            name = raw_name.decode('utf-8', 'surrogateescape')
+            value = raw_value.decode('utf-8', 'surrogateescape')
+            lower = name.lower()
+            if lower in found and lower in self._single():
+                raise errors.BadRequestError(name, 'may be given once only')
+            found[lower] = value
+            fields.append((name, value))
+        named = _connection_options(found.get('connection', ''))
+        left_out = self._kept_back | named
+        return Call(
+            request=self._request(found),
+            method=method,
+            host=found.get('host', '').partition(':')[0],
+            target=_checked_target(target),
+            fields=[
+                item for item in fields if item[0].lower() not in left_out
+            ],
+            arrived_ms=now_ms,
+            left_ms=self._left_ms(found),
+            parts=self._parts(found),
+            tokens_in=self._tokens(found)[0],
+            tokens_out=self._tokens(found)[1],
+            last_event=found.get(self._dialect.last_event.lower()),
+        )
+
+    def _single(self) -> frozenset[str]:
+        dialect = self._dialect
+        names = ('host', dialect.request, dialect.deadline_ms)
+        return frozenset(name.lower() for name in names)
+
+    def _request(self, found: dict[str, str]) -> ids.RequestId:
+        name = self._dialect.request
+        value = found.get(name.lower(), '')
+        if not TOKEN.match(value):
+            raise errors.BadRequestError(
+                name, 'required: 1 to 128 visible characters'
+            )
+        return ids.RequestId(value)
+
+    def _left_ms(self, found: dict[str, str]) -> int:
+        name = self._dialect.deadline_ms
+        value = found.get(name.lower())
+        if value is None:
+            return self._default_deadline_ms
+        if not value.isdigit() or int(value) > DEADLINE_LIMIT_MS:
+            raise errors.BadRequestError(
+                name,
+                f'found {value!r}; must be 0 to {DEADLINE_LIMIT_MS} ms',
+            )
+        return int(value)
+
+    def _parts(self, found: dict[str, str]) -> tuple[PromptPart, ...]:
+        """Return the prompt's parts; none where they can't be read.
+
+        They only steer the choice of an endpoint, which judges them.
+        """
+        text = found.get(self._dialect.prompt_parts.lower(), '')
+        parts = []
+        for item in text.split(',')[:PARTS_LIMIT]:
+            name, _, tokens = item.strip().partition(':')
+            if name and tokens.isdigit():
+                parts.append(PromptPart(name, int(tokens)))
+        return tuple(parts)
+
+    def _tokens(self, found: dict[str, str]) -> tuple[int, int]:
+        text = found.get(self._dialect.tokens.lower(), '')
+        tokens_in, _, tokens_out = text.partition(',')
+        if tokens_in.strip().isdigit() and tokens_out.strip().isdigit():
+            return int(tokens_in), int(tokens_out)
+        return 0, 0
+
+
+def _connection_options(text: str) -> frozenset[str]:
+    options = (option.strip().lower() for option in text.split(','))
+    return frozenset(option for option in options if option)
+
+
+def _checked_target(target: str) -> str:
+    if not target.startswith('/'):
+        raise errors.BadRequestError(
+            'request line', f'path {target!r} must start with a slash'
+        )
+    return target
+
+
+def answer_fields(
+    raw: collections.abc.Iterable[tuple[bytes, bytes]],
+) -> Fields:
+    """Return the headers of an endpoint's answer that go to the caller."""
+    fields = [
+        (
+            istr(name.decode('utf-8', 'surrogateescape')),
+            value.decode('utf-8', 'surrogateescape'),
+        )
+        for name, value in raw
+    ]
+    named = {'connection': ''}
+    for name, value in fields:
+        if name.lower() == 'connection':
+            named['connection'] += f',{value}'
+    left_out = CONNECTION_FIELDS | _connection_options(named['connection'])
+    return [item for item in fields if item[0].lower() not in left_out]
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -7,16 +7,35 @@
 
 import aiohttp
 from aiohttp import web
+import multidict
+import yarl
 
 from wrenspoke.transport import errors
 
 POOL_PER_HOST = 256
 LINE_LIMIT_BYTES = 8190
 BACKLOG = 4096
+IDLE_TIMEOUT_MS = 15_000
+# What aiohttp adds by itself, none of which the caller asked for.
+ADDED_FIELDS = frozenset(
+    ['Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type']
+)
+# A peer without power says nothing. Probes after two seconds of silence,
+# then each second, find that out within five; a peer that lives answers
+# them whatever its program does.
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 3
+USER_TIMEOUT_MS = 5_000
 PORT_RANGE = range(10_000, 32_000)
 _GIVEN_PORTS: set[int] = set()
 
 
+Handler = collections.abc.Callable[
+    [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
+]
+
+
 class HttpClient:
     """Send HTTP requests without redirects or silent repeats.
 
@@ -27,7 +46,12 @@
     closed by the other side a moment ago.
     """
 
-    def __init__(self, connect_timeout_ms: int):
+    def __init__(
+        self,
+        connect_timeout_ms: int,
+        idle_timeout_ms: int = IDLE_TIMEOUT_MS,
+    ):
+        self._idle_timeout_s = idle_timeout_ms / 1000
         self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_ms / 1000
         )
@@ -35,10 +59,15 @@
         self._fresh = self._session(force_close=True)
 
     def _session(self, force_close: bool) -> aiohttp.ClientSession:
+        idle = {}
+        if not force_close:
+            idle['keepalive_timeout'] = self._idle_timeout_s
         connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=0 if force_close else POOL_PER_HOST,
             force_close=force_close,
+            socket_factory=_probing_socket,
+            **idle,
         )
         return aiohttp.ClientSession(
             connector=connector,
@@ -83,12 +112,62 @@
         finally:
             response.close()
 
+    @contextlib.asynccontextmanager
+    async def pass_on(
+        self,
+        method: str,
+        address: str,
+        target: str,
+        fields: collections.abc.Iterable[tuple[str, str]],
+        body: bytes | None,
+    ) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
+        """Send a request as its caller wrote it; see ``send``.
+
+        ``target`` is the path and query of the request line, ``fields``
+        all headers but those of the connection.
+        """
+        url = yarl.URL(f'http://{address}{target}', encoded=True)
+        try:
+            response = await self._pooled.request(
+                method,
+                url,
+                headers=multidict.CIMultiDict(fields),
+                skip_auto_headers=ADDED_FIELDS,
+                data=body,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise errors.MaybeSentError(repr(error)) from error
+        try:
+            yield response
+        finally:
+            response.close()
+
     async def close(self) -> None:
         """Close every connection."""
         await self._pooled.close()
         await self._fresh.close()
 
 
+def _probing_socket(address: tuple) -> socket.socket:
+    """Return a socket that notices a peer that is no longer there."""
+    family, kind, protocol, _name, _address = address
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    probe(made)
+    return made
+
+
+def probe(opened: socket.socket) -> None:
+    """Let the system find out when the other end is gone."""
+    tcp = socket.IPPROTO_TCP
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
+    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
 async def _once_only(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -165,7 +244,49 @@
         await self._runner.cleanup()
 
 
-def abort(request: web.Request) -> None:
+class PlainServer:
+    """Serve a handler on one IP number and port, without routes.
+
+    Nothing is read from a request but what the handler asks for: no
+    path is decoded and no expectation answered.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        idle_timeout_ms: int,
+        header_limit_bytes: int = LINE_LIMIT_BYTES,
+    ):
+        self._handler = handler
+        self._idle_timeout_ms = idle_timeout_ms
+        self._header_limit_bytes = header_limit_bytes
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen on an ``IP:PORT``; the port must be free."""
+        ip, _, port = address.rpartition(':')
+        server = web.Server(
+            self._handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=self._idle_timeout_ms / 1000,
+            auto_decompress=False,
+            lingering_time=0,
+            max_line_size=self._header_limit_bytes,
+            max_field_size=self._header_limit_bytes,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.5)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, ip, int(port), backlog=BACKLOG)
+        await site.start()
+
+    async def close(self) -> None:
+        """Stop listening and end what is left."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+def abort(request: web.BaseRequest) -> None:
     """Close a caller's connection so that no end of body is seen."""
     if request.transport is not None:
         request.transport.abort()
