Count a send as run until something says it was not

Ruled out: an expired deadline before the send. After: runs counts from the send on and is taken back by a refused connection or the endpoint's word.

--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -73,6 +73,11 @@
     kept: KeptAnswer | None = None
     tracker: events.EventTracker | None = None
 
+    def was_not_run(self) -> None:
+        """Take back that the last send may have run."""
+        self.runs -= 1
+        self.unrun += 1
+
     @property
     def runs_limit(self) -> int:
         """Return how many endpoints may run it, as seen from here."""
@@ -310,6 +315,9 @@
         last_event = work.call.last_event
         if work.tracker is not None and work.tracker.last_id is not None:
             last_event = work.tracker.last_id
+        # From here on it may have run, until something says it has not.
+        work.sent += 1
+        work.runs += 1
         try:
             async with self._sender.send(
                 work.call,
@@ -320,11 +328,10 @@
             ) as answer:
                 return await self._take(work, place, answer)
         except errors.NotSentError as error:
-            work.unrun += 1
+            work.sent -= 1
+            work.was_not_run()
             self._failed(work, place, f'not sent: {error}', certain=True)
         except errors.MaybeSentError as error:
-            work.sent += 1
-            work.runs += 1
             self._failed(work, place, str(error))
         finally:
             counts[place.name] -= 1
@@ -352,16 +359,14 @@
         self, work: Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
         """Pass an answer on, or keep it back where another try is due."""
-        work.sent += 1
         if answer.verdict is sending.Verdict.NOT_HERE:
-            work.unrun += 1
+            work.was_not_run()
             self._failed(work, place, 'not here any more', certain=True)
             return False
         if answer.verdict is sending.Verdict.NOT_RUN:
-            work.unrun += 1
+            work.was_not_run()
             work.cause = f'endpoint refused with {answer.status}'
             return False
-        work.runs += 1
         if answer.refused is not None:
             return await self._take_refusal(work, place, answer)
         if answer.status in SERVER_ERRORS:
@@ -391,8 +396,7 @@
         """Take the word of a host elsewhere that could not serve it."""
         work.cause = f'{place.name}: {answer.refused}'
         if answer.status == UNAVAILABLE:
-            work.runs -= 1
-            work.unrun += 1
+            work.was_not_run()
         return False
 
     def _may_repeat(self, work: Work) -> bool:
