--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -90,6 +90,7 @@
         self.commit_index = kept.snapshot.index
         self.state = replicated.ReplicatedState()
         self._load_snapshot()
+        self.commit(kept.known_committed())
         peers.answers(messages.AskVote)(self._answer_vote)
         peers.answers(messages.Append)(self._answer_append)
         peers.answers(messages.Install)(self._answer_install)
@@ -434,12 +435,16 @@
 
     def commit(self, index: int) -> None:
         """Apply what is committed, up to ``index``."""
+        advanced = False
         while self.commit_index < index:
             entry = self.storage.entry(self.commit_index + 1)
             if entry is None:
                 break
             self._apply(entry)
             self.commit_index = entry.index
+            advanced = True
+        if advanced:
+            self.storage.note_committed(self.commit_index)
         self._compact()
 
     def _apply(self, entry: entries.LogEntry) -> None:
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -36,8 +36,9 @@
 # A host that had no processor time for so long looks before it sends.
 STOPPED_AFTER_MS = 1_500
 TICK_MS = 250
-# How long a fresh start waits for a leader's word that nothing is newer.
-CONFIRMATION_WAIT_MS = 1_500
+# How long a fresh start waits for a leader's word that nothing is newer:
+# two round trips to a far region.
+CONFIRMATION_WAIT_MS = 400
 NEVER_LEASE_MS = 10**9
 
 
--- a/wrenspoke/coordination/membership/reach.py
+++ b/wrenspoke/coordination/membership/reach.py
@@ -9,6 +9,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import typing
 
 import structlog
 
@@ -18,7 +19,6 @@
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
-from wrenspoke import settings
 
 logger = structlog.get_logger(__name__)
 
@@ -26,6 +26,14 @@
 PINGS_TO_SUSPICION = 3
 
 
+class ReachLimits(typing.Protocol):
+    """Be what of an entry host's settings is needed here."""
+
+    @property
+    def suspect_after_ms(self) -> int:
+        """Return the silence after which a host is suspected."""
+
+
 @dataclasses.dataclass
 class Remote:
     """Hold what is known of a host elsewhere, on this host's clock."""
@@ -44,7 +52,7 @@
 
     def __init__(
         self,
-        limits: settings.EntrySettings,
+        limits: ReachLimits,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
         draining: collections.abc.Callable[[], bool],
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import collections.abc
+import contextlib
 import dataclasses
 
 import structlog
@@ -14,6 +16,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import choice
 from wrenspoke.coordination.serving import events
@@ -21,6 +24,7 @@
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import spending
 from wrenspoke import ids
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import passing
@@ -41,6 +45,8 @@
 UNRUN_LIMIT = 4
 # What is left must be worth sending.
 LEAST_LEFT_MS = 20
+# Hosts of a region that are asked before it counts as cut off.
+HOSTS_ASKED = 2
 # A host that lags waits for the configuration that the first went by.
 CATCH_UP_MS = 600
 RETRY_AFTER_MS = 500
@@ -104,6 +110,7 @@
         sender: sending.Sender,
         noted: health.Health,
         budget: spending.Spending,
+        reached: reach.Reach,
         clock: clocks.Clock,
     ):
         self._host = host
@@ -114,10 +121,12 @@
         self._sender = sender
         self._health = noted
         self._spending = budget
+        self._reach = reached
         self._clock = clock
         self._index = routes.RouteIndex(routes.RouteTable())
         self.in_flight = 0
         self.leaving = False
+        self.closed = False
 
     @property
     def body_limit_bytes(self) -> int:
@@ -162,6 +171,9 @@
         hop: passing.Hop | None,
     ) -> Work | None:
         """Find the call's route; answer it where there is none."""
+        if self.closed:
+            await self._refuse(call, reply, 'leaving')
+            return None
         if hop is not None:
             await self._catch_up(hop.index)
         if not self._replica.serving or not self._attended.awake:
@@ -215,7 +227,9 @@
         return work.deadline_ms - self._clock.mono_ms()
 
     async def _serve(self, work: Work) -> None:
-        self._spending.first(work.service.service)
+        if work.hop is None:
+            # Counted where the caller sent it, and nowhere else.
+            self._spending.first(work.service.service)
         try:
             async with clocks.timeout_ms(self._left_ms(work)):
                 if await self._try_all(work):
@@ -232,7 +246,7 @@
     async def _try_all(self, work: Work) -> bool:
         """Try until it is answered; False when it is given up."""
         while self._left_ms(work) > LEAST_LEFT_MS:
-            place = self._next_place(work)
+            place = await self._next_place(work)
             if place is None:
                 work.cause = work.cause or 'no_endpoint'
                 return False
@@ -256,11 +270,11 @@
             return False
         return work.runs < work.runs_limit
 
-    def _next_place(self, work: Work) -> sending.Place | None:
+    async def _next_place(self, work: Work) -> sending.Place | None:
         """Return where to send a call: here first, then another region."""
         for region in self._choice.regions_for(work.route):
             if region != self._region:
-                place = self._host_of(work, region)
+                place = await self._host_of(work, region)
             else:
                 place = self._endpoint_of(work)
             if place is not None:
@@ -282,14 +296,14 @@
         )
         return sending.Place(found.address, endpoint=found.endpoint)
 
-    def _host_of(
+    async def _host_of(
         self, work: Work, region: ids.RegionId
     ) -> sending.Place | None:
         if work.hop is not None:
             return None
         if not self._choice.usable(work.service.service, region):
             return None
-        found = self._choice.host_in(region, work.tried)
+        found = await self._reachable_host(work, region)
         if found is None:
             return None
         logger.info(
@@ -308,6 +322,20 @@
         )
         return sending.Place(found.passing_address, host=found.host, hop=hop)
 
+    async def _reachable_host(
+        self, work: Work, region: ids.RegionId
+    ) -> attending.HostRecord | None:
+        """Return a host of another region that answers, if one does."""
+        left_out = set(work.tried)
+        for _number in range(HOSTS_ASKED):
+            found = self._choice.host_in(region, left_out)
+            if found is None:
+                return None
+            if await self._reach.reachable([found.host]):
+                return found
+            left_out.add(found.host)
+        return None
+
     async def _try(self, work: Work, place: sending.Place) -> bool:
         """Send once; return whether the caller has its answer."""
         counts = self._choice.in_flight
@@ -319,14 +347,15 @@
         work.sent += 1
         work.runs += 1
         try:
-            async with self._sender.send(
-                work.call,
-                work.route,
-                place,
-                self._left_ms(work),
-                last_event,
-            ) as answer:
-                return await self._take(work, place, answer)
+            async with self._watched(work, place):
+                async with self._sender.send(
+                    work.call,
+                    work.route,
+                    place,
+                    self._left_ms(work),
+                    last_event,
+                ) as answer:
+                    return await self._take(work, place, answer)
         except errors.NotSentError as error:
             work.sent -= 1
             work.was_not_run()
@@ -337,6 +366,33 @@
             counts[place.name] -= 1
         return False
 
+    @contextlib.asynccontextmanager
+    async def _watched(
+        self, work: Work, place: sending.Place
+    ) -> collections.abc.AsyncIterator[None]:
+        """Give up on a host that falls silent, if another may be asked.
+
+        What may not run twice waits: the answer may come once a cut
+        has healed, and no other host may be asked for it.
+        """
+        if place.host is None or not work.route.repeatable:
+            yield
+            return
+        try:
+            async with clocks.timeout_ms(None) as bound:
+
+                def lost() -> None:
+                    if not work.reply.started:
+                        now_s = asyncio.get_running_loop().time()
+                        bound.reschedule(now_s)
+
+                with self._reach.watching(place.host, lost):
+                    yield
+        except TimeoutError as error:
+            if not bound.expired():
+                raise
+            raise errors.MaybeSentError('host fell silent') from error
+
     def _failed(
         self,
         work: Work,
@@ -497,8 +553,9 @@
         )
 
     async def drain(self, timeout_ms: int) -> bool:
-        """Wait for what is in flight; True if all of it ended."""
+        """Take nothing new and wait; True if all of it ended."""
         self.leaving = True
+        self.closed = True
         end_ms = self._clock.mono_ms() + timeout_ms
         while self.in_flight and self._clock.mono_ms() < end_ms:
             await asyncio.sleep(0.05)
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -45,7 +45,7 @@
     """
 
     beat_interval_ms: Positive = 200
-    election_timeout_ms: Positive = 1_200
+    election_timeout_ms: Positive = 1_000
     snapshot_entries: Positive = 500
     tolerated_losses: Losses | None = None
     replace_after_ms: Positive = 8_000
@@ -63,7 +63,8 @@
 
     Endpoints are near, so that a connection that takes longer than the
     connect time-out will not come. Theirs rest a while less than the
-    shortest time after which endpoints close them.
+    shortest time after which endpoints close them. A host elsewhere is
+    suspected after the silence of some round trips.
     """
 
     connect_timeout_ms: Positive = 400
@@ -73,6 +74,7 @@
     body_limit_bytes: Positive = 8 * 1024 * 1024
     header_limit_bytes: Positive = 64 * 1024
     default_deadline_ms: Positive = 30_000
+    suspect_after_ms: Positive = 1_200
     leave_delay_ms: Positive = 2_500
     grace_ms: Positive = 8_000
 
--- a/wrenspoke/nodes.py
+++ b/wrenspoke/nodes.py
@@ -4,6 +4,7 @@
 endpoints is given by whoever starts them, and speaks their protocol.
 """
 
+import asyncio
 import pathlib
 
 import structlog
@@ -13,6 +14,7 @@
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import registrar
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import choice
@@ -26,6 +28,7 @@
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import passing
 from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
 from wrenspoke.state import disk
 from wrenspoke.state import storage
 from wrenspoke.transport import links
@@ -118,6 +121,13 @@
             ),
             self.clock,
         )
+        self._reach = reach.Reach(
+            node.entry,
+            self.peers,
+            self.clock,
+            lambda: self.attendance.draining,
+        )
+        self._tasks = runtime.Tasks()
         self._build_serving(dialect)
 
     def _record(self) -> attending.HostRecord:
@@ -155,6 +165,7 @@
             sending.Sender(dialect, self._client),
             noted,
             self.spending,
+            self._reach,
             self.clock,
         )
         surface = passing.PassingSurface(
@@ -181,6 +192,7 @@
         node = self.node
         await self.peers.links.start(node.ip, node.link_port)
         self.attendance.start()
+        self._tasks.start(self._count_hosts())
         await self._hosts.start(f'{node.ip}:{node.passing_port}')
         await self._callers.start(node.callers_address)
         logger.info('started', host=node.host, seeds=node.seeds)
@@ -190,7 +202,7 @@
         self.group.reseed(node.seed_hosts)
         logger.info('reloaded', seeds=node.seeds)
 
-    async def count_hosts(self) -> None:
+    async def _count_hosts(self) -> None:
         """Tell the budgets how many hosts share them, for ever."""
         while True:
             known = len(self.attendance.roster.usable())
@@ -209,8 +221,9 @@
 
     async def close(self) -> None:
         """End every task and close every socket."""
-        await self._callers.close()
-        await self._hosts.close()
+        await asyncio.gather(self._callers.close(), self._hosts.close())
+        await self._tasks.close()
+        await self._reach.close()
         await self.attendance.close()
         await self._client.close()
         await self.peers.links.close()
--- a/wrenspoke/state/disk.py
+++ b/wrenspoke/state/disk.py
@@ -83,6 +83,11 @@
             temporary.replace(path)
             self._sync_folder(self._folder)
 
+    def note(self, name: str, data: bytes) -> None:
+        """Write a file that may be lost, without waiting for the disk."""
+        with self._writing(name):
+            (self._folder / name).write_bytes(data)
+
     def remove(self, name: str) -> None:
         """Remove a file, if it is there."""
         with self._writing(name):
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -2,7 +2,8 @@
 
 Everything is synced before the call returns, so that what was
 acknowledged survives. The folder holds three files: ``meta``, replaced
-whole; ``snapshot``, replaced whole; ``log``, appended to.
+whole; ``snapshot``, replaced whole; ``log``, appended to. A fourth,
+``committed``, only helps a restart and may be lost.
 """
 
 import typing
@@ -21,6 +22,7 @@
 META = 'meta'
 SNAPSHOT = 'snapshot'
 LOG = 'log'
+COMMITTED = 'committed'
 
 
 class Meta(msgspec.Struct):
@@ -223,6 +225,25 @@
             end += len(record)
             self._ends.append(end)
 
+    def note_committed(self, index: int) -> None:
+        """Write down, unsynced, up to where entries are committed."""
+        noted = (self.meta.incarnation, index)
+        body = msgspec.msgpack.encode(noted)
+        self._disk.note(COMMITTED, records.encode(body))
+
+    def known_committed(self) -> int:
+        """Return up to where entries were surely committed."""
+        least = self.snapshot.index
+        found, _size = records.decode(
+            COMMITTED, self._disk.read(COMMITTED) or b''
+        )
+        if not found:
+            return least
+        incarnation, index = msgspec.msgpack.decode(found[0].body)
+        if incarnation != self.meta.incarnation:
+            return least
+        return max(least, min(index, self.last_index))
+
     def forget_all(self) -> None:
         """Become a new disk: another incarnation that holds nothing."""
         # The new name goes first: a log under a name that never voted
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -1,11 +1,14 @@
 """HTTP on both sides by aiohttp, with its surprises switched off."""
 
+import asyncio
 import collections.abc
 import contextlib
+import functools
 import random
 import socket
 
 import aiohttp
+from aiohttp import client_proto
 from aiohttp import web
 import multidict
 import yarl
@@ -15,6 +18,8 @@
 POOL_PER_HOST = 256
 LINE_LIMIT_BYTES = 8190
 BACKLOG = 4096
+# Whoever closes a plain server has waited for what was in flight.
+SHUTDOWN_TIMEOUT_S = 0.1
 IDLE_TIMEOUT_MS = 15_000
 # What aiohttp adds by itself, none of which the caller asked for.
 ADDED_FIELDS = frozenset(
@@ -36,6 +41,21 @@
 ]
 
 
+class WaryHandler(client_proto.ResponseHandler):
+    """Tell a reset from the end of an answer that states no length.
+
+    aiohttp takes the end of the connection, however it came, for the end
+    of such an answer (3.14.5).
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer whose connection did not end as it should."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+        super().connection_lost(exc)
+
+
 class HttpClient:
     """Send HTTP requests without redirects or silent repeats.
 
@@ -69,6 +89,9 @@
             socket_factory=_probing_socket,
             **idle,
         )
+        connector._factory = functools.partial(
+            WaryHandler, loop=asyncio.get_running_loop()
+        )
         return aiohttp.ClientSession(
             connector=connector,
             timeout=self._timeout,
@@ -275,7 +298,9 @@
             max_line_size=self._header_limit_bytes,
             max_field_size=self._header_limit_bytes,
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.5)
+        self._runner = web.ServerRunner(
+            server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
         await self._runner.setup()
         site = web.TCPSite(self._runner, ip, int(port), backlog=BACKLOG)
         await site.start()
