Let a host that canvasses still give its vote to another

A host that canvassed noted that as if it had heard a leader and refused its vote for a whole election time-out, in turn with the other one: 8 s without a leader, 751 requests refused. Ruled out: clearance (both cleared after 0.9 s).

--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -82,6 +82,7 @@
         self._lead: lead.Lead | None = None
         self._proposed: dict[int, tuple[int, asyncio.Future]] = {}
         self._heard_ms = clock.mono_ms()
+        self._canvassed_ms = self._heard_ms
         self._clearance = clearance.Clearance(
             kept, group, peers, limits, clock
         )
@@ -178,11 +179,15 @@
             if self.role is Role.LEADER:
                 self._check_quorum()
                 continue
-            silence_ms = self.clock.mono_ms() - self._heard_ms
-            if silence_ms < patience_ms:
+            waited_ms = self.clock.mono_ms() - max(
+                self._heard_ms, self._canvassed_ms
+            )
+            if waited_ms < patience_ms:
                 continue
             patience_ms = self._patience_ms()
-            self._heard_ms = self.clock.mono_ms()
+            # Not as if a leader was heard: two hosts that canvass in turn
+            # would refuse each other their votes.
+            self._canvassed_ms = self.clock.mono_ms()
             if not self._clearance.given or not self.is_voter:
                 continue
             if await self._canvass(pre=True):
