--- /dev/null
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -0,0 +1,176 @@
+"""Ask the engines of this region for their load, and share the answers.
+
+The region's entry hosts split the engines between them; each asks its own
+and tells the others what it heard.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+import msgspec
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import routing
+from wrenspoke import ids
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke.state import errors as state_errors
+from wrenspoke.state import loads
+from wrenspoke.state import registry
+from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+REPORT_LIMIT_BYTES = 64 * 1024
+# Longer than a report takes at a busy engine, shorter than the interval
+# after which it is stale.
+REPORT_TIMEOUT_MS = 400
+# A report older than this says nothing about now.
+STALE_AFTER_MS = 2_500
+
+
+class ReportReader(typing.Protocol):
+    """Know how an engine is asked for its load."""
+
+    @property
+    def path(self) -> str:
+        """Return the path to be asked."""
+
+    def read(self, endpoint: ids.EndpointId, body: bytes) -> loads.EngineLoad:
+        """Return what a report says.
+
+        :raises InvalidChangeError: it can't be read
+        """
+
+
+class Gauges:
+    """Hold the newest load of each engine of the region."""
+
+    def __init__(
+        self,
+        region: ids.RegionId,
+        host: ids.HostId,
+        regions: collections.abc.Mapping[ids.DataCentreId, ids.RegionId],
+        interval_ms: int,
+        reader: ReportReader,
+        attended: attendance.Attendance,
+        held: replica.Replica,
+        client: web.HttpClient,
+        peers: peer_calls.Peers,
+        clock: clocks.Clock,
+    ):
+        self._region = region
+        self._host = host
+        self._regions = regions
+        self._interval_ms = interval_ms
+        self._reader = reader
+        self._attended = attended
+        self._replica = held
+        self._client = client
+        self._peers = peers
+        self._clock = clock
+        self._held: dict[ids.EndpointId, tuple[loads.EngineLoad, int]] = {}
+        self._tasks = runtime.Tasks()
+        peers.answers(attending.TellLoads)(self._hear)
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._tasks.start(self._run())
+
+    async def close(self) -> None:
+        """End every task."""
+        await self._tasks.close()
+
+    def load(self, endpoint: ids.EndpointId) -> loads.EngineLoad | None:
+        """Return an engine's load with its age, None if none is fresh."""
+        found, heard_ms = self._held.get(endpoint, (None, 0))
+        if found is None:
+            return None
+        age_ms = self._clock.mono_ms() - heard_ms
+        if age_ms > STALE_AFTER_MS:
+            return None
+        return msgspec.structs.replace(found, age_ms=age_ms)
+
+    async def _run(self) -> None:
+        while True:
+            asked_ms = self._clock.mono_ms()
+            if self._replica.serving:
+                await self._ask_own()
+            took_ms = self._clock.mono_ms() - asked_ms
+            await self._clock.sleep_ms(self._interval_ms - took_ms)
+
+    async def _ask_own(self) -> None:
+        answers = await asyncio.gather(
+            *(self._ask(found) for found in self._own())
+        )
+        heard = [answer for answer in answers if answer is not None]
+        if not heard:
+            return
+        now_ms = self._clock.mono_ms()
+        for load in heard:
+            self._held[load.endpoint] = (load, now_ms)
+        for record in self._attended.roster.usable(self._region):
+            if record.host != self._host:
+                await self._peers.tell(record.host, attending.TellLoads(heard))
+
+    def _own(self) -> list[registry.Registered]:
+        """Return the engines that this host asks for all others."""
+        services = self._replica.current.routes.services
+        hosts = {
+            record.host
+            for record in self._attended.roster.usable(self._region)
+        }
+        hosts.add(self._host)
+        own = []
+        for found in self._attended.registry.held.values():
+            said = found.said
+            service = services.get(said.service)
+            if service is None or service.batch is None:
+                continue
+            if not found.takes_work:
+                continue
+            if self._regions.get(said.data_centre) != self._region:
+                continue
+            if routing.rendezvous(said.endpoint, hosts)[0] == self._host:
+                own.append(found)
+        return own
+
+    async def _ask(
+        self, found: registry.Registered
+    ) -> loads.EngineLoad | None:
+        said = found.said
+        try:
+            async with clocks.timeout_ms(REPORT_TIMEOUT_MS):
+                async with self._client.pass_on(
+                    'GET', said.address, self._reader.path, [], None
+                ) as response:
+                    body = await web.read_whole(response, REPORT_LIMIT_BYTES)
+            return self._reader.read(said.endpoint, body)
+        except (
+            TimeoutError,
+            transport_errors.TransportError,
+            state_errors.InvalidChangeError,
+        ) as error:
+            logger.debug(
+                'no_report', endpoint=said.endpoint, cause=repr(error)
+            )
+            return None
+
+    async def _hear(
+        self, _sender: ids.HostId, message: attending.TellLoads
+    ) -> None:
+        now_ms = self._clock.mono_ms()
+        for load in message.loads:
+            self._held[load.endpoint] = (load, now_ms)
+        self._forget()
+
+    def _forget(self) -> None:
+        for endpoint in list(self._held):
+            if endpoint not in self._attended.registry.held:
+                del self._held[endpoint]
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -158,7 +158,8 @@
                     continue
                 self._exchanging[host] = asyncio.Event()
                 self._tasks.start(self._exchange_with(host))
-            if self.roster.expire():
+            lost = self.roster.expire()
+            if self.registry.mark_silent() or lost:
                 self._announce()
             self.registry.forget_old()
             await self._clock.sleep_ms(EXCHANGE_INTERVAL_MS)
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -15,6 +15,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
@@ -26,19 +27,30 @@
 logger = structlog.get_logger(__name__)
 
 MS_PER_S = 1000
-# The endpoint that holds a prompt's prefix is used until it is so much
-# fuller than the emptiest; reading the prefix anew costs about as much.
-AFFINITY_LOAD_MARGIN = 0.25
+# Added for an endpoint that has not renewed its registration for long:
+# more than any wait elsewhere, less than having none.
+SILENT_PENALTY_MS = 5_000
+# First piece through another region until one was seen: a round trip of
+# 160 ms between far regions and some work there.
+FAR_FIRST_MS = 250.0
+FAR_WEIGHT = 0.3
+# What was seen of a region is believed for so long.
+FAR_BELIEVED_MS = 3_000
 
 
 @dataclasses.dataclass(slots=True)
 class Chosen:
-    """Name the endpoint that a call goes to, and how it was found."""
+    """Name the endpoint that a call goes to, and how it was found.
 
-    endpoint: ids.EndpointId
-    address: str
-    slots: int
-    score: float
+    ``first_ms`` is when its first piece is expected, ``room`` whether
+    the endpoint can begin at once, ``usual`` whether it is the one that
+    hosts agree on for the prompt's prefix.
+    """
+
+    found: registry.Registered
+    first_ms: float
+    room: bool
+    usual: bool
     candidates: int
 
 
@@ -53,6 +65,7 @@
         attended: attendance.Attendance,
         held: replica.Replica,
         noted: health.Health,
+        estimator: estimate.Estimator,
         clock: clocks.Clock,
     ):
         self._region = region
@@ -61,6 +74,8 @@
         self._attended = attended
         self._replica = held
         self._health = noted
+        self._estimator = estimator
+        self._far: dict[ids.RegionId, tuple[float, int]] = {}
         self._clock = clock
         self._random = random.Random()
         self._evacuated: set[ids.DataCentreId] = set()
@@ -124,43 +139,68 @@
         ]
         warming = self._warming_turn(service, every)
         if warming is not None:
-            return self._made(warming, 0.0, len(every))
+            return Chosen(warming, 0.0, True, False, len(every))
         candidates = sound or warm
         if not candidates:
             return None
-        scored = self._scored(candidates, call)
-        score, _tie, found = min(scored, key=lambda item: item[:2])
-        return self._made(found, score, len(every))
-
-    def _made(
-        self, found: registry.Registered, score: float, candidates: int
-    ) -> Chosen:
-        said = found.said
-        return Chosen(
-            said.endpoint, said.address, said.slots, score, candidates
+        return min(
+            self._estimated(service, call, candidates, len(every)),
+            key=lambda item: (
+                not item.room,
+                item.first_ms,
+                self._random.random(),
+            ),
         )
 
-    def _scored(
+    def _estimated(
         self,
-        candidates: list[registry.Registered],
+        service: routes.RoutedService,
         call: dialects.Call,
-    ) -> list[tuple[float, float, registry.Registered]]:
-        """Return each candidate with its share of places taken."""
-        favourite = None
-        if len(call.parts) > 1:
-            shared = call.parts[-2].part
-            names = [found.said.endpoint for found in candidates]
-            favourite = routing.rendezvous(shared, names)[0]
-        scored = []
+        candidates: list[registry.Registered],
+        count: int,
+    ) -> list[Chosen]:
+        names = [found.said.endpoint for found in candidates]
+        usual = estimate.usual_endpoint(call, names)
+        estimated = []
         for found in candidates:
-            said = found.said
-            load = self.in_flight.get(said.endpoint, 0) / said.slots
-            if self._attended.registry.silent(said.endpoint):
-                load += 1.0
-            if said.endpoint == favourite:
-                load -= AFFINITY_LOAD_MARGIN
-            scored.append((load, self._random.random(), found))
-        return scored
+            name = found.said.endpoint
+            is_usual = name == usual
+            first_ms = self._estimator.first_ms(
+                found, service, call, self.in_flight.get(name, 0), is_usual
+            )
+            if self._attended.registry.silent(name):
+                first_ms += SILENT_PENALTY_MS
+            room = self._estimator.room(found, service, call, is_usual)
+            estimated.append(Chosen(found, first_ms, room, is_usual, count))
+        return estimated
+
+    def far_first_ms(self, region: ids.RegionId) -> float:
+        """Return when a first piece through another region is expected."""
+        seen_ms, at_ms = self._far.get(region, (FAR_FIRST_MS, 0))
+        age_ms = self._clock.mono_ms() - at_ms
+        if age_ms > FAR_BELIEVED_MS:
+            return min(seen_ms, FAR_FIRST_MS)
+        return seen_ms
+
+    def note_far(self, region: ids.RegionId, took_ms: float) -> None:
+        """Learn from a first piece that came through another region."""
+        old_ms = self.far_first_ms(region)
+        moved_ms = old_ms + FAR_WEIGHT * (took_ms - old_ms)
+        self._far[region] = (moved_ms, self._clock.mono_ms())
+
+    def far_busy(self, region: ids.RegionId, first_ms: float) -> None:
+        """Note that a region turned a call away for being full."""
+        self._far[region] = (first_ms, self._clock.mono_ms())
+
+    def far_regions(self, route: routes.Route) -> list[ids.RegionId]:
+        """Return the other regions that may serve, the quickest first."""
+        regions = [
+            region
+            for region in self.regions_for(route)
+            if region != self._region
+        ]
+        self._random.shuffle(regions)
+        return sorted(regions, key=self.far_first_ms)
 
     def _cold(self, found: registry.Registered) -> bool:
         if found.warm_ms > self._clock.mono_ms():
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -19,6 +19,7 @@
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import choice
+from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import events
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import sending
@@ -50,6 +51,14 @@
 # A host that lags waits for the configuration that the first went by.
 CATCH_UP_MS = 600
 RETRY_AFTER_MS = 500
+BUSY = 'busy'
+# While the first piece is expected within this part of its target, other
+# regions are not looked at.
+NEAR_SHARE = 0.4
+# A call waits here for room for less than the quarter of its target
+# within which a refusal still lets the caller be served in time.
+HOLD_SHARE = 0.2
+HOLD_STEP_MS = 40
 
 
 @dataclasses.dataclass
@@ -74,6 +83,7 @@
     runs: int = 0
     unrun: int = 0
     sent: int = 0
+    regions_tried: set[ids.RegionId] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     cause: str = ''
     kept: KeptAnswer | None = None
@@ -97,6 +107,10 @@
         return self.runs > 0
 
 
+class BusyError(errors.CoordinationError):
+    """Say that the host that passed a call on can do better itself."""
+
+
 class PassThrough:
     """Serve passed-through calls on an entry host."""
 
@@ -111,6 +125,7 @@
         noted: health.Health,
         budget: spending.Spending,
         reached: reach.Reach,
+        estimator: estimate.Estimator,
         clock: clocks.Clock,
     ):
         self._host = host
@@ -122,6 +137,7 @@
         self._health = noted
         self._spending = budget
         self._reach = reached
+        self._estimator = estimator
         self._clock = clock
         self._index = routes.RouteIndex(routes.RouteTable())
         self.in_flight = 0
@@ -238,6 +254,10 @@
             work.cause = work.cause or 'timeout'
             await self._give_up(work, GATEWAY_TIMEOUT)
             return
+        except BusyError:
+            logger.info('passed_back', request=work.call.request)
+            await work.reply.refuse(UNAVAILABLE, BUSY, RETRY_AFTER_MS)
+            return
         except protocol_errors.CallerGoneError:
             logger.info('caller_gone', request=work.call.request)
             raise
@@ -271,47 +291,102 @@
         return work.runs < work.runs_limit
 
     async def _next_place(self, work: Work) -> sending.Place | None:
-        """Return where to send a call: here first, then another region."""
-        for region in self._choice.regions_for(work.route):
-            if region != self._region:
-                place = await self._host_of(work, region)
-            else:
-                place = self._endpoint_of(work)
-            if place is not None:
+        """Return where to send a call, after a wait if it pays."""
+        while True:
+            local = self._local(work)
+            if work.hop is not None:
+                self._refuse_if_slower(work, local)
+                return self._endpoint_place(work, local)
+            near_enough = local is not None and (
+                local.room
+                and local.first_ms <= work.route.target_ms * NEAR_SHARE
+            )
+            if near_enough:
+                return self._endpoint_place(work, local)
+            place = await self._elsewhere(work, local)
+            if place is not None or local is None:
                 return place
-        return None
+            if local.room or not self._may_hold(work):
+                return self._endpoint_place(work, local)
+            await self._clock.sleep_ms(HOLD_STEP_MS)
+
+    def _may_hold(self, work: Work) -> bool:
+        """Tell whether a call may wait here for room at an endpoint."""
+        held_ms = self._clock.mono_ms() - work.call.arrived_ms
+        return held_ms < work.route.target_ms * HOLD_SHARE
+
+    def _refuse_if_slower(
+        self, work: Work, local: choice.Chosen | None
+    ) -> None:
+        limit_ms = work.hop.limit_ms
+        if limit_ms is None or work.sent:
+            return
+        if local is None or not local.room or local.first_ms > limit_ms:
+            raise BusyError()
 
-    def _endpoint_of(self, work: Work) -> sending.Place | None:
-        found = self._choice.choose(work.service, work.call, work.tried)
-        if found is None:
+    def _local(self, work: Work) -> choice.Chosen | None:
+        if not work.route.allows(self._region):
             return None
+        return self._choice.choose(work.service, work.call, work.tried)
+
+    def _endpoint_place(
+        self, work: Work, chosen: choice.Chosen | None
+    ) -> sending.Place | None:
+        if chosen is None:
+            return None
+        said = chosen.found.said
         logger.info(
             'endpoint_chosen',
             request=work.call.request,
             route=work.route.name,
-            endpoint=found.endpoint,
-            score=round(found.score, 2),
-            candidates=found.candidates,
+            endpoint=said.endpoint,
+            first_ms=round(chosen.first_ms),
+            room=chosen.room,
+            usual=chosen.usual,
+            candidates=chosen.candidates,
             version=self._replica.current.routes.version,
         )
-        return sending.Place(found.address, endpoint=found.endpoint)
+        return sending.Place(
+            said.address, endpoint=said.endpoint, chosen=chosen
+        )
 
-    async def _host_of(
-        self, work: Work, region: ids.RegionId
+    async def _elsewhere(
+        self, work: Work, local: choice.Chosen | None
     ) -> sending.Place | None:
-        if work.hop is not None:
-            return None
-        if not self._choice.usable(work.service.service, region):
-            return None
-        found = await self._reachable_host(work, region)
-        if found is None:
-            return None
+        """Return a host of another region, if it is better than here."""
+        for region in self._choice.far_regions(work.route):
+            far_ms = self._choice.far_first_ms(region)
+            limit_ms = None
+            if local is not None:
+                here_ms = local.first_ms
+                if not local.room:
+                    here_ms = max(here_ms, work.route.target_ms)
+                if far_ms >= here_ms or region in work.regions_tried:
+                    continue
+                limit_ms = int(here_ms - choice.FAR_FIRST_MS / 2)
+            if not self._choice.usable(work.service.service, region):
+                continue
+            found = await self._reachable_host(work, region)
+            if found is None:
+                continue
+            work.regions_tried.add(region)
+            return self._host_place(work, region, found, limit_ms)
+        return None
+
+    def _host_place(
+        self,
+        work: Work,
+        region: ids.RegionId,
+        found: attending.HostRecord,
+        limit_ms: int | None,
+    ) -> sending.Place:
         logger.info(
             'passed_on',
             request=work.call.request,
             route=work.route.name,
             peer=found.host,
             region=region,
+            limit_ms=limit_ms,
         )
         hop = passing.Hop(
             self._host,
@@ -319,8 +394,11 @@
             work.service.service,
             self._replica.current.index,
             work.runs_limit - work.runs,
+            limit_ms,
+        )
+        return sending.Place(
+            found.passing_address, host=found.host, region=region, hop=hop
         )
-        return sending.Place(found.passing_address, host=found.host, hop=hop)
 
     async def _reachable_host(
         self, work: Work, region: ids.RegionId
@@ -343,6 +421,7 @@
         last_event = work.call.last_event
         if work.tracker is not None and work.tracker.last_id is not None:
             last_event = work.tracker.last_id
+        self._note_sent(work, place)
         # From here on it may have run, until something says it has not.
         work.sent += 1
         work.runs += 1
@@ -366,6 +445,26 @@
             counts[place.name] -= 1
         return False
 
+    def _note_sent(self, work: Work, place: sending.Place) -> None:
+        place.sent_ms = self._clock.mono_ms()
+        if place.chosen is None:
+            return
+        usual = place.chosen.usual
+        place.unread_tokens = self._estimator.unread_tokens(
+            place.endpoint, work.call, usual
+        )
+        self._estimator.note_sent(
+            place.endpoint, work.service, work.call, usual
+        )
+
+    def _note_first(self, work: Work, place: sending.Place) -> None:
+        """Learn from how long the first piece of an answer took."""
+        took_ms = self._clock.mono_ms() - place.sent_ms
+        if place.region is not None:
+            self._choice.note_far(place.region, took_ms)
+            return
+        self._estimator.note_first(work.service, place.unread_tokens, took_ms)
+
     @contextlib.asynccontextmanager
     async def _watched(
         self, work: Work, place: sending.Place
@@ -439,9 +538,11 @@
         if work.route.kind is routes.RouteKind.STREAM and (
             answer.status in OK_STATUSES
         ):
-            await self._stream(work, answer)
+            await self._stream(work, place, answer)
             return True
         body = await answer.whole(WHOLE_LIMIT_BYTES)
+        if answer.status in OK_STATUSES:
+            self._note_first(work, place)
         await work.reply.whole(answer.status, answer.fields, body)
         self._log_end(work, place, answer.status)
         return True
@@ -453,6 +554,9 @@
         work.cause = f'{place.name}: {answer.refused}'
         if answer.status == UNAVAILABLE:
             work.was_not_run()
+            work.sent -= 1
+        if answer.refused == BUSY:
+            self._choice.far_busy(place.region, work.route.target_ms)
         return False
 
     def _may_repeat(self, work: Work) -> bool:
@@ -465,7 +569,9 @@
 
     # Streams.
 
-    async def _stream(self, work: Work, answer: sending.Answer) -> None:
+    async def _stream(
+        self, work: Work, place: sending.Place, answer: sending.Answer
+    ) -> None:
         """Pass a stream on; the first piece goes with the head."""
         tracker = events.EventTracker(whole_only=work.route.resumable)
         async for chunk in answer.chunks():
@@ -473,6 +579,7 @@
             if not data:
                 continue
             if not work.reply.started:
+                self._note_first(work, place)
                 await work.reply.open(answer.status, answer.fields)
                 work.tracker = tracker
             await work.reply.write(data)
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -15,6 +15,7 @@
 import structlog
 
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.serving import choice
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import passing
@@ -43,7 +44,11 @@
     address: str
     endpoint: ids.EndpointId | None = None
     host: ids.HostId | None = None
+    region: ids.RegionId | None = None
     hop: passing.Hop | None = None
+    chosen: choice.Chosen | None = None
+    unread_tokens: float = 0.0
+    sent_ms: int = 0
 
     @property
     def name(self) -> str:
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -64,7 +64,8 @@
     Endpoints are near, so that a connection that takes longer than the
     connect time-out will not come. Theirs rest a while less than the
     shortest time after which endpoints close them. A host elsewhere is
-    suspected after the silence of some round trips.
+    suspected after the silence of some round trips. Engines report with a
+    lag of some hundred ms, so that asking more often tells little.
     """
 
     connect_timeout_ms: Positive = 400
@@ -75,6 +76,7 @@
     header_limit_bytes: Positive = 64 * 1024
     default_deadline_ms: Positive = 30_000
     suspect_after_ms: Positive = 1_200
+    report_interval_ms: Positive = 250
     leave_delay_ms: Positive = 2_500
     grace_ms: Positive = 8_000
 
--- a/wrenspoke/nodes.py
+++ b/wrenspoke/nodes.py
@@ -14,10 +14,12 @@
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import gauges
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import registrar
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import choice
+from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import passthrough
 from wrenspoke.coordination.serving import sending
@@ -97,7 +99,12 @@
 class EntryNode:
     """Run an entry host: attendance, routing, passing requests on."""
 
-    def __init__(self, node: nodes.Node, dialect: dialects.Dialect):
+    def __init__(
+        self,
+        node: nodes.Node,
+        dialect: dialects.Dialect,
+        reports: gauges.ReportReader,
+    ):
         self.node = node
         self.clock = clocks.Clock()
         self.peers = _peers(node, self.clock)
@@ -128,6 +135,7 @@
             lambda: self.attendance.draining,
         )
         self._tasks = runtime.Tasks()
+        self._build_gauges(reports)
         self._build_serving(dialect)
 
     def _record(self) -> attending.HostRecord:
@@ -143,6 +151,23 @@
             False,
         )
 
+    def _build_gauges(self, reports: gauges.ReportReader) -> None:
+        """Build what knows how loaded engines are."""
+        node = self.node
+        self._gauges = gauges.Gauges(
+            node.region,
+            node.host,
+            node.regions,
+            node.entry.report_interval_ms,
+            reports,
+            self.attendance,
+            self.replica,
+            self._client,
+            self.peers,
+            self.clock,
+        )
+        self._estimator = estimate.Estimator(self._gauges, self.clock)
+
     def _build_serving(self, dialect: dialects.Dialect) -> None:
         """Build what serves requests and what listens for them."""
         node = self.node
@@ -154,6 +179,7 @@
             self.attendance,
             self.replica,
             noted,
+            self._estimator,
             self.clock,
         )
         self.passthrough = passthrough.PassThrough(
@@ -166,6 +192,7 @@
             noted,
             self.spending,
             self._reach,
+            self._estimator,
             self.clock,
         )
         surface = passing.PassingSurface(
@@ -192,6 +219,7 @@
         node = self.node
         await self.peers.links.start(node.ip, node.link_port)
         self.attendance.start()
+        self._gauges.start()
         self._tasks.start(self._count_hosts())
         await self._hosts.start(f'{node.ip}:{node.passing_port}')
         await self._callers.start(node.callers_address)
@@ -223,6 +251,7 @@
         """End every task and close every socket."""
         await asyncio.gather(self._callers.close(), self._hosts.close())
         await self._tasks.close()
+        await self._gauges.close()
         await self._reach.close()
         await self.attendance.close()
         await self._client.close()
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -4,9 +4,14 @@
 
 from wrenspoke import ids
 from wrenspoke.protocol import messages
+from wrenspoke.state import loads
 from wrenspoke.state import registry
 
 
+# The field of that name hides the module in the message below.
+EngineLoad = loads.EngineLoad
+
+
 class HostRecord(msgspec.Struct, array_like=True, frozen=True):
     """Describe an entry host, as it told ``age_ms`` ago.
 
@@ -76,3 +81,9 @@
     """Answer with the index, None from a host that does not lead."""
 
     index: int | None
+
+
+class TellLoads(msgspec.Struct, tag='tell_loads'):
+    """Tell the entry hosts of the region what engines reported."""
+
+    loads: list[EngineLoad]
--- a/wrenspoke/protocol/passing.py
+++ b/wrenspoke/protocol/passing.py
@@ -32,7 +32,9 @@
     """Say what the host that passes a request on has decided.
 
     ``index`` is the configuration it went by, ``attempts_left`` how many
-    endpoints may still run it. There is one hop at most.
+    endpoints may still run it. There is one hop at most. With
+    ``limit_ms`` the call is to be refused where its first piece would
+    take longer, since the first host could do better itself.
     """
 
     host: ids.HostId
@@ -40,6 +42,7 @@
     service: ids.ServiceId
     index: int
     attempts_left: int
+    limit_ms: int | None = None
 
 
 class PassingLimits(msgspec.Struct, frozen=True):
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -24,6 +24,7 @@
     attending.Exchanged,
     attending.ConfirmIndex,
     attending.IndexConfirmed,
+    attending.TellLoads,
 ]
 Answerer = collections.abc.Callable[
     [ids.HostId, Message],
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -57,7 +57,7 @@
     said: Registration
     heard_ms: int
     revision: int
-    told_silent: bool = False
+    silent: bool = False
 
     @property
     def warm_ms(self) -> int:
@@ -95,11 +95,13 @@
                 old.said, state=said.state, number=said.number
             )
         elif said.number <= old.said.number:
+            # The same again, from who noticed that no newer one comes.
+            old.silent |= said.age_ms > SILENT_AFTER_MS
             return False
-        changed = _differs(old, said, heard_ms)
+        changed = old.silent or _differs(old, said, heard_ms)
         old.said = said
         old.heard_ms = heard_ms
-        old.told_silent = False
+        old.silent = said.age_ms > SILENT_AFTER_MS
         if changed:
             self.revision += 1
             old.revision = self.revision
@@ -125,13 +127,25 @@
             0,
         )
 
+    def mark_silent(self) -> bool:
+        """Mark those that have not renewed for long; tell if any is new.
+
+        Only who hears the renewals can tell; others are told.
+        """
+        now_ms = self._clock.mono_ms()
+        marked = False
+        for found in self.held.values():
+            if found.silent or now_ms - found.heard_ms <= SILENT_AFTER_MS:
+                continue
+            self.revision += 1
+            found.silent = marked = True
+            found.revision = self.revision
+        return marked
+
     def silent(self, endpoint: ids.EndpointId) -> bool:
         """Tell whether an endpoint has not renewed for long."""
         found = self.held.get(endpoint)
-        if found is None:
-            return True
-        age_ms = self._clock.mono_ms() - found.heard_ms
-        return age_ms > SILENT_AFTER_MS
+        return found is None or found.silent
 
     def after(self, revision: int) -> list[Registration]:
         """Return what changed after a revision, with its age."""
