Test routes, registry, budgets, founding and passing through

Seen to fail first: a second Connection header hid the first one's options (a header of the connection was passed on; mended here); a canvass that counts as a leader heard. Before: none of the new parts had a test. Also mended: an unawaited part of each canvass.

--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,192 @@
+"""Hosts that find each other at run time, in this process, on loopback.
+
+Every host has a loopback number of its own, as all use the same ports.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import os
+
+from wrenspoke.coordination.agreement import direct
+from wrenspoke import node as settings
+from wrenspoke import nodes
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.state import errors
+from wrenspoke.state import loads
+from wrenspoke.state import registry
+from wrenspoke.state import routes
+from wrenspoke.transport import web
+
+WAIT_S = float(os.environ.get('WRENSPOKE_TEST_WAIT_S', 60))
+REGIONS = {'north-hall': 'north', 'south-hall': 'south'}
+# Every worker of a test run has its own numbers.
+_WORKER = os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw')
+_NUMBERS = itertools.count(1)
+FAST = settings.ControlTimes(
+    beat_interval_ms=50, election_timeout_ms=300, tolerated_losses=1
+)
+
+
+def new_ip():
+    """Return a loopback number that no other host here has."""
+    number = next(_NUMBERS)
+    return f'127.{10 + int(_WORKER)}.{number // 250}.{1 + number % 250}'
+
+
+class NoReports:
+    """Find no report readable: endpoints of these tests give none."""
+
+    path = '/load'
+
+    def read(self, endpoint, body):
+        raise errors.InvalidChangeError('no report')
+
+
+class Reports:
+    """Read the load that a test states as plain numbers."""
+
+    path = '/load'
+
+    def read(self, endpoint, body):
+        return loads.EngineLoad(endpoint, *(int(n) for n in body.split()))
+
+
+class Nodes:
+    """Hold the hosts of one small system."""
+
+    def __init__(self, folder, controls=1, reports=None):
+        self.folder = folder
+        self.ports = web.free_ports(4)
+        self.reports = reports or NoReports()
+        self.control_ips = [new_ip() for _number in range(controls)]
+        self.controls = []
+        self.entries = []
+        self.numbers = itertools.count(1)
+
+    def node(self, ip, data_centre='north-hall', **changes):
+        """Return the settings of one host."""
+        fields = {
+            'cluster': 'test',
+            'ip': ip,
+            'region': REGIONS[data_centre],
+            'data_centre': data_centre,
+            'regions': REGIONS,
+            'link_port': self.ports[0],
+            'seeds': [f'{one}:{self.ports[1]}' for one in self.control_ips],
+            'control': FAST,
+            **changes,
+        }
+        return settings.Node(**fields)
+
+    async def start_control(self, ip, first_start=True):
+        """Start a control host on the disk of its number."""
+        node = self.node(
+            ip,
+            control_address=f'{ip}:{self.ports[1]}',
+            data_folder=str(self.folder / ip),
+            first_start=first_start,
+        )
+        made = nodes.ControlNode(node)
+        await made.start()
+        self.controls.append(made)
+        return made
+
+    async def start_entry(self, data_centre='north-hall', **entry):
+        """Start an entry host and wait until it serves."""
+        ip = new_ip()
+        node = self.node(
+            ip,
+            data_centre,
+            callers_address=f'{ip}:{self.ports[2]}',
+            passing_port=self.ports[3],
+            entry=settings.EntryTimes(
+                **{'leave_delay_ms': 100, 'grace_ms': 2_000, **entry}
+            ),
+        )
+        made = nodes.EntryNode(node, dialects.Dialect(), self.reports)
+        await made.start()
+        self.entries.append(made)
+        return made
+
+    async def start(self, entries=1):
+        """Start every control host and some entry hosts."""
+        for ip in self.control_ips:
+            await self.start_control(ip)
+        for _number in range(entries):
+            await self.start_entry()
+        return self
+
+    async def leader(self):
+        """Return the control host that leads."""
+        return await until(
+            lambda: next((c for c in self.controls if c.voter.has_lease), None)
+        )
+
+    async def put(self, *found, version=None, services=('s',)):
+        """Put a table in force, and wait until every entry host has it."""
+        leader = await self.leader()
+        table = routes.RouteTable(
+            version or next(self.numbers),
+            found,
+            {
+                name: routes.RoutedService(name, '/health', 10)
+                for name in services
+            },
+            digest=repr(found),
+        )
+        decisions = direct.DirectDecisions(leader.voter, leader.clock)
+        await decisions.replace_routes(table)
+        await until(
+            lambda: all(
+                entry.replica.serving
+                and entry.replica.current.routes.version >= table.version
+                for entry in self.entries
+            )
+        )
+
+    async def register(
+        self, name, endpoint, service='s', data_centre='north-hall', **changes
+    ):
+        """Register an endpoint, and wait until entry hosts know of it."""
+        said = registry.Registration(
+            name,
+            service,
+            endpoint.address,
+            data_centre,
+            changes.get('slots', 4),
+            changes.get('state', registry.RegistrationState.READY),
+            next(self.numbers),
+            changes.get('warmup_left_ms', 0),
+        )
+        self.controls[0].registrar.register(said)
+        await until(
+            lambda: all(
+                (found := entry.attendance.registry.held.get(name))
+                and found.said.state is said.state
+                for entry in self.entries
+            )
+        )
+
+    async def close(self):
+        """Stop every host."""
+        for one in [*self.entries, *self.controls]:
+            await one.close()
+
+
+@contextlib.asynccontextmanager
+async def running(folder, controls=1, entries=1, reports=None):
+    """Run a small system for as long as the block lasts."""
+    made = Nodes(folder, controls, reports)
+    try:
+        yield await made.start(entries)
+    finally:
+        await made.close()
+
+
+async def until(condition):
+    """Wait until a condition holds, and return what it gives."""
+    async with asyncio.timeout(WAIT_S):
+        while not (found := condition()):
+            await asyncio.sleep(0.02)
+    return found
--- /dev/null
+++ b/tests/test_founding.py
@@ -0,0 +1,222 @@
+"""Control hosts that found a group together, lose disks and replace them."""
+
+import pytest
+
+from tests import nodes
+from wrenspoke.coordination.agreement import lead
+from wrenspoke.coordination.agreement import voter
+from wrenspoke.coordination import errors
+from wrenspoke import node as settings
+from wrenspoke.state import disk
+from wrenspoke.state import entries
+from wrenspoke.state import storage
+
+SEEDS = ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7']
+
+
+def kept_in(folder):
+    """Return the storage in a folder."""
+    return storage.Storage(disk.Disk(folder))
+
+
+def test_seeds_write_the_same_first_entries(tmp_path):
+    logs = []
+    for seed in SEEDS:
+        kept = kept_in(tmp_path / seed)
+        voter.found_together(kept, seed, SEEDS)
+        logs.append([kept.entry(index) for index in (1, 2)])
+        assert kept.voters()[seed] == kept.meta.incarnation
+    assert logs[0] == logs[1] == logs[2]
+    assert logs[0][0].entry.voters.keys() == set(SEEDS)
+
+
+@pytest.mark.parametrize('case', ['no seed', 'holds a log', 'was started'])
+def test_only_an_empty_disk_of_a_seed_founds(tmp_path, case):
+    kept = kept_in(tmp_path)
+    host = SEEDS[0]
+    if case == 'no seed':
+        host = '10.0.0.9:7'
+    elif case == 'holds a log':
+        kept.append([entries.LogEntry(1, 1, entries.LeaderStart('x'))])
+    else:
+        kept.meta.boot = 1
+    before = kept.last_index
+    voter.found_together(kept, host, SEEDS)
+    assert kept.last_index == before
+
+
+@pytest.mark.parametrize(
+    'case, known',
+    [
+        ('noted', 2),
+        ('not noted', 0),
+        ('beyond the log', 3),
+        ('of another disk', 0),
+        ('torn', 0),
+    ],
+)
+def test_committed_entries_are_known_after_a_restart(tmp_path, case, known):
+    """The note may be lost or torn, but never claims too much."""
+    kept = kept_in(tmp_path)
+    kept.save_meta()
+    kept.append(
+        [
+            entries.LogEntry(index, 1, entries.LeaderStart('x'))
+            for index in (1, 2, 3)
+        ]
+    )
+    if case != 'not noted':
+        kept.note_committed(9 if case == 'beyond the log' else 2)
+    if case == 'of another disk':
+        kept.meta.incarnation = 'other'
+        kept.save_meta()
+    if case == 'torn':
+        path = tmp_path / storage.COMMITTED
+        path.write_bytes(path.read_bytes()[:-1])
+    assert kept_in(tmp_path).known_committed() == known
+
+
+async def test_restart_of_all_holds_what_was_accepted(tmp_path):
+    async with nodes.running(tmp_path, controls=3) as system:
+        await system.put(version=7)
+        leader = await system.leader()
+        assert (await leader.decisions.read_routes()).version == 7
+        for one in system.controls:
+            await one.close()
+        system.controls.clear()
+        for ip in system.control_ips:
+            await system.start_control(ip, first_start=False)
+        versions = [
+            one.replica.current.routes.version for one in system.controls
+        ]
+        assert 7 in versions, 'the noted commit is applied at the start'
+        leader = await system.leader()
+        assert (await leader.decisions.read_routes()).version == 7
+
+
+async def test_wiped_disk_never_founds_and_is_admitted_anew(tmp_path):
+    async with nodes.running(tmp_path, controls=3) as system:
+        await system.put(version=3)
+        lost = system.controls.pop(0)
+        await lost.close()
+        for path in (tmp_path / lost.node.ip).iterdir():
+            path.unlink()
+        back = await system.start_control(lost.node.ip, first_start=False)
+        assert back.voter.voters == {}
+        await nodes.until(
+            lambda: back.voter.is_voter and len(back.voter.voters) == 3
+        )
+        assert (
+            await nodes.until(lambda: back.replica.current.routes.version) == 3
+        )
+
+
+async def test_new_control_host_takes_a_lost_ones_vote(tmp_path, monkeypatch):
+    patient = settings.ControlTimes(
+        beat_interval_ms=50,
+        election_timeout_ms=300,
+        tolerated_losses=1,
+        replace_after_ms=700,
+    )
+    monkeypatch.setattr(nodes, 'FAST', patient)
+    async with nodes.running(tmp_path, controls=3) as system:
+        await system.put(version=3)
+        new = await system.start_control(nodes.new_ip(), first_start=False)
+        await nodes.until(lambda: new.replica.current.routes.version == 3)
+        assert not new.voter.is_voter, 'three are enough'
+        lost = system.controls.pop(0)
+        await lost.close()
+        leader = await system.leader()
+        await nodes.until(
+            lambda: (
+                new.voter.is_voter
+                and lost.node.host not in leader.voter.voters
+                and len(leader.voter.voters) == 3
+            )
+        )
+
+
+async def test_host_that_canvasses_may_still_vote_for_another(tmp_path):
+    """Its own canvass must not count as having heard a leader."""
+    async with nodes.running(tmp_path, controls=2, entries=0) as system:
+        await system.leader()
+        left, gone = system.controls
+        system.controls.remove(gone)
+        await gone.close()
+        await nodes.until(lambda: left.voter.role is voter.Role.FOLLOWER)
+        before_ms = left.clock.mono_ms()
+        await nodes.until(lambda: left.voter._canvassed_ms > before_ms)
+        assert not left.voter._hears_leader()
+
+
+async def test_read_is_refused_where_it_cannot_be_sure(tmp_path):
+    async with nodes.running(tmp_path, controls=3) as system:
+        await system.put(version=3)
+        await system.leader()
+        for one in system.controls:
+            read = await one.decisions.read_routes()
+            assert read.version == 3
+        left = system.controls.pop()
+        for one in system.controls:
+            await one.close()
+        system.controls.clear()
+        await nodes.until(lambda: not left.voter.has_lease)
+        with pytest.raises(errors.NotLeaderError):
+            await left.decisions.read_routes()
+        await left.close()
+
+
+@pytest.mark.parametrize(
+    'limit, voters, change',
+    [
+        (None, {'a': 'A', 'b': 'B'}, 'add c'),
+        (3, {'a': 'A', 'b': 'B'}, 'add c'),
+        (2, {'a': 'A', 'b': 'B'}, None),
+        (2, {'a': 'A', 'lost': 'L'}, 'add b'),
+        (2, {'a': 'A', 'b': 'B', 'lost': 'L'}, 'remove lost'),
+        (3, {'a': 'A', 'b': 'old', 'c': 'C'}, 'remove b'),
+    ],
+)
+def test_voters_are_changed_one_at_a_time(limit, voters, change):
+    group = FakeGroup(limit, voters)
+    led = lead.Lead(group, 1, 0, None)
+    for host, name in (('b', 'B'), ('c', 'C')):
+        follower = lead.Follower(1)
+        follower.incarnation = name
+        follower.match_index = 9
+        follower.acked_ms = group.clock.now_ms
+        led._followers[host] = follower
+    found = led._next_admission()
+    if change is None:
+        assert found is None
+        return
+    verb, host = change.split()
+    assert (host in found.voters) is (verb == 'add')
+    assert len(found.voters) == len(voters) + (1 if verb == 'add' else -1)
+
+
+class FakeGroup:
+    """Be what a lead asks of its voter."""
+
+    def __init__(self, limit, voters):
+        self.host = 'a'
+        self.voters = voters
+        self.commit_index = 5
+        self.clock = self
+        self.now_ms = 100_000
+        self.storage = self
+        self.last_index = 5
+        self.settings = FakeTimes(limit)
+
+    def mono_ms(self):
+        return self.now_ms
+
+
+class FakeTimes:
+    """Be the times that a lead goes by."""
+
+    replace_after_ms = 8_000
+    election_timeout_ms = 1_000
+
+    def __init__(self, limit):
+        self.voters_limit = limit
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -83,9 +83,7 @@
         heard.append(body)
         return b'here'
 
-    back = links.Links(
-        one.identity_of_absent, one.peers, clocks.Clock(), hear
-    )
+    back = links.Links(one.identity_of_absent, one.peers, clocks.Clock(), hear)
     await back.start('127.0.0.1', one.port_of_absent)
     assert await one.call('absent', b'new', 10_000) == b'here'
     assert heard == [b'new']
--- /dev/null
+++ b/tests/test_passing.py
@@ -0,0 +1,464 @@
+"""Requests passed through: the bytes each side gets, and every end."""
+
+import asyncio
+
+import pytest
+
+from tests import endpoints
+from tests import nodes
+from wrenspoke.state import registry
+from wrenspoke.state import routes
+
+RESET = endpoints.ScriptedEndpoint.RESET
+CLOSE = endpoints.ScriptedEndpoint.CLOSE
+STALL = endpoints.ScriptedEndpoint.STALL
+ID = 'Wrenspoke-Request-Id'
+ONCE = routes.RouteKind.ONCE
+REPEATABLE = routes.RouteKind.REPEATABLE
+STREAM = routes.RouteKind.STREAM
+
+
+def route(kind=ONCE, prefix='/a/', **changes):
+    """Return a route to the one service."""
+    fields = {'timeout_ms': 5_000, 'target_ms': 500, **changes}
+    return routes.Route(
+        f'r{prefix}',
+        'h.example',
+        prefix,
+        kind,
+        (routes.Target('s'),),
+        **fields,
+    )
+
+
+def request(line='GET /a/x HTTP/1.1', headers=(), body=b'', request_id='q1'):
+    """Return a request's bytes; the connection is to close after it."""
+    head = [
+        line,
+        'Host: h.example',
+        f'{ID}: {request_id}',
+        *headers,
+        'Connection: close',
+    ]
+    return '\r\n'.join(head).encode() + b'\r\n\r\n' + body
+
+
+def answer(sent, body=b'whole', status='200 OK', extra=b''):
+    """Return a whole answer's bytes."""
+    return (
+        f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n'.encode()
+        + endpoints.echo(sent, ID)
+        + extra
+        + b'\r\n'
+        + body
+    )
+
+
+def chunked(sent, *pieces):
+    """Return a stream's head and its pieces, without the end."""
+    head = (
+        b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+        b'Transfer-Encoding: chunked\r\n' + endpoints.echo(sent, ID) + b'\r\n'
+    )
+    return [head, *(b'%x\r\n%s\r\n' % (len(p), p) for p in pieces)]
+
+
+END = b'0\r\n\r\n'
+
+
+@pytest.fixture
+async def system(tmp_path):
+    """Run one control and one entry host, and scripted endpoints."""
+    made = []
+    async with nodes.running(tmp_path) as running:
+
+        async def add(name, script, **changes):
+            endpoint = await endpoints.ScriptedEndpoint(script).start()
+            made.append(endpoint)
+            await running.register(name, endpoint, **changes)
+            return endpoint
+
+        running.add = add
+        running.ask = lambda sent: endpoints.ask(
+            running.entries[0].node.callers_address, sent
+        )
+        yield running
+    for endpoint in made:
+        await endpoint.close()
+
+
+@pytest.mark.parametrize(
+    'line, headers, body, seen',
+    [
+        ('GET /a/x HTTP/1.1', [], b'', b''),
+        ('GET /a/%7Ex%2F..//y?q=%20&q HTTP/1.1', [], b'', b''),
+        ('DELETE /a/x?b=+ HTTP/1.1', ['X-Odd: a, b ;c'], b'', b''),
+        ('POST /a/x HTTP/1.1', ['Content-Length: 3'], b'\0\r\n', b'\0\r\n'),
+        (
+            'POST /a/x HTTP/1.1',
+            ['Transfer-Encoding: chunked', 'Content-Type: a/b'],
+            b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n',
+            b'abc',
+        ),
+        (
+            'PUT /a/x HTTP/1.1',
+            ['Content-Encoding: gzip', 'Content-Length: 4'],
+            b'\x1f\x8bxx',
+            b'\x1f\x8bxx',
+        ),
+        (
+            'POST /a/x HTTP/1.1',
+            ['Expect: 100-continue', 'Content-Length: 2'],
+            b'ok',
+            b'ok',
+        ),
+    ],
+    ids=['get', 'odd path', 'odd headers', 'sized', 'chunked', 'gzip', '100'],
+)
+async def test_endpoint_gets_what_the_caller_wrote(
+    system, line, headers, body, seen
+):
+    await system.put(route())
+    endpoint = await system.add('e', lambda sent, _number: [answer(sent)])
+    got = await system.ask(request(line, headers, body))
+    assert got.endswith(b'whole')
+    [sent] = endpoint.requests
+    head, _, sent_body = sent.partition(b'\r\n\r\n')
+    lines = head.decode().split('\r\n')
+    assert lines[0] == line
+    assert sent_body == seen
+    kept = [h for h in headers if not _of_the_connection(h)]
+    expected = {'Host: h.example', f'{ID}: q1', *kept}
+    added = {one for one in lines[1:] if one not in expected}
+    names = {one.partition(':')[0].lower() for one in added}
+    assert expected <= set(lines[1:])
+    assert names <= {
+        'content-length',
+        'wrenspoke-deadline-ms',
+        'wrenspoke-endpoint',
+    }
+
+
+def _of_the_connection(line):
+    name = line.partition(':')[0].lower()
+    return name in ('content-length', 'transfer-encoding', 'expect')
+
+
+async def test_only_the_gateway_speaks_of_endpoints_and_hops(system):
+    await system.put(route())
+    endpoint = await system.add('e', lambda sent, _number: [answer(sent)])
+    forged = [
+        'Wrenspoke-Endpoint: other',
+        'Wrenspoke-Endpoint-Priority: 0',
+        'Wrenspoke-Hop: {}',
+        'X-Mine: 1',
+    ]
+    headers = [*forged, 'Connection: X-Mine']
+    await system.ask(request(headers=headers))
+    [sent] = endpoint.requests
+    assert endpoints.header(sent, 'Wrenspoke-Endpoint') == 'e'
+    for name in ('Wrenspoke-Endpoint-Priority', 'Wrenspoke-Hop', 'X-Mine'):
+        assert endpoints.header(sent, name) is None
+
+
+@pytest.mark.parametrize(
+    'kind, attempts, status, sends',
+    [
+        (REPEATABLE, 2, 200, 2),
+        (REPEATABLE, 1, 500, 1),
+        (ONCE, 2, 500, 1),
+    ],
+)
+async def test_failure_is_tried_again_where_it_may_be(
+    system, kind, attempts, status, sends
+):
+    """A failure that stays is the endpoint's own, not one of ours."""
+    await system.put(route(kind, attempts_limit=attempts))
+    count = []
+
+    def script(sent, _number):
+        count.append(1)
+        if len(count) == 1:
+            return [answer(sent, b'mine', '500 No', b'X-Stamp: e\r\n')]
+        return [answer(sent)]
+
+    await system.add('e1', script)
+    await system.add('e2', script)
+    got = await system.ask(request())
+    assert got.startswith(f'HTTP/1.1 {status} '.encode())
+    assert len(count) == sends
+    if status == 500:
+        assert b'X-Stamp: e' in got and got.endswith(b'mine')
+
+
+BROKEN = {
+    'reset before the head': lambda sent: [RESET],
+    'closed before the head': lambda sent: [CLOSE],
+    'no answer at all': lambda sent: [b'what is this\r\n\r\n', CLOSE],
+    'cut short': lambda sent: [answer(sent)[:-2], CLOSE],
+    'reset in the body': lambda sent: [answer(sent)[:-2], RESET],
+    'no length and reset': lambda sent: [
+        b'HTTP/1.1 200 OK\r\n' + endpoints.echo(sent, ID) + b'\r\nwho',
+        RESET,
+    ],
+    "another request's": lambda sent: [
+        answer(sent).replace(b': q1', b': q0'),
+    ],
+    'nameless': lambda sent: [answer(sent).replace(b': q1', b':')],
+}
+
+
+@pytest.mark.parametrize('name', BROKEN)
+@pytest.mark.parametrize('kind', [ONCE, REPEATABLE])
+async def test_broken_answer_is_never_passed_as_whole(system, name, kind):
+    """What may run once is not sent again, and not told as unrun."""
+    await system.put(route(kind, attempts_limit=2))
+    count = []
+
+    def script(sent, _number):
+        count.append(1)
+        if len(count) == 1:
+            return BROKEN[name](sent)
+        return [answer(sent)]
+
+    await system.add('e1', script)
+    await system.add('e2', script)
+    got = await system.ask(request())
+    if kind is REPEATABLE:
+        assert got.endswith(b'whole') and len(count) == 2
+    else:
+        assert got.startswith(b'HTTP/1.1 502 ') and len(count) == 1
+
+
+async def test_answer_without_length_that_ends_is_whole(system):
+    await system.put(route())
+    await system.add(
+        'e',
+        lambda sent, _number: [
+            b'HTTP/1.1 200 OK\r\n' + endpoints.echo(sent, ID) + b'\r\nwhole',
+            CLOSE,
+        ],
+    )
+    got = await system.ask(request())
+    assert got.startswith(b'HTTP/1.1 200 ') and b'whole' in got
+
+
+async def test_surplus_answer_is_nobodys(system):
+    """An answer behind an answer must not reach the next request."""
+    await system.put(route(REPEATABLE, attempts_limit=2))
+    await system.add(
+        'e',
+        lambda sent, number: (
+            [answer(sent) + answer(sent, b'stale').replace(b': q1', b': q9')]
+            if number == 1
+            else [answer(sent, b'second')]
+        ),
+    )
+    assert (await system.ask(request())).endswith(b'whole')
+    await asyncio.sleep(0.1)
+    got = await system.ask(request(request_id='q2'))
+    assert b'stale' not in got
+
+
+async def test_promise_not_to_have_run_is_tried_elsewhere(system):
+    await system.put(route(ONCE))
+    count = []
+
+    def script(sent, _number):
+        count.append(1)
+        if len(count) == 1:
+            extra = b'Wrenspoke-Not-Run: 1\r\n'
+            return [answer(sent, b'', '503 Full', extra)]
+        return [answer(sent)]
+
+    await system.add('e1', script)
+    await system.add('e2', script)
+    assert (await system.ask(request())).endswith(b'whole')
+    assert len(count) == 2
+
+
+@pytest.mark.parametrize(
+    'line, host, status',
+    [
+        ('GET /b/x HTTP/1.1', 'h.example', 404),
+        ('GET /a HTTP/1.1', 'h.example', 404),
+        ('GET /a/x HTTP/1.1', 'other.example', 404),
+        ('GET /a/x HTTP/1.1', 'H.EXAMPLE:80', 503),
+    ],
+)
+async def test_request_without_route_is_told_so(system, line, host, status):
+    """There is no endpoint either: what has a route is not run."""
+    await system.put(route())
+    sent = request(line).replace(b'h.example', host.encode())
+    got = await system.ask(sent)
+    assert got.startswith(f'HTTP/1.1 {status} '.encode())
+    assert (b'Retry-After' in got) is (status == 503)
+
+
+@pytest.mark.parametrize(
+    'sent, status',
+    [
+        (b'GET /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n', 400),
+        (request(headers=[f'{ID}: q2']), 400),
+        (request(headers=['Wrenspoke-Deadline-Ms: soon']), 400),
+        (request('GET a/x HTTP/1.1'), 400),
+        (request('POST /a/x HTTP/1.1', ['Content-Length: 99999999']), 413),
+        (
+            request(
+                'POST /a/x HTTP/1.1',
+                ['Content-Length: 3', 'Transfer-Encoding: chunked'],
+                b'0\r\n\r\nGET /a/smuggled HTTP/1.1\r\n\r\n',
+            ),
+            400,
+        ),
+        (request('POST /a/x HTTP/1.1', ['Content-Length: 3, 4']), 400),
+        (b'nonsense\r\n\r\n', 400),
+    ],
+    ids=[
+        'no id',
+        'two ids',
+        'deadline',
+        'path',
+        'too large',
+        'two framings',
+        'two lengths',
+        'nonsense',
+    ],
+)
+async def test_malformed_request_is_refused_and_closed(system, sent, status):
+    await system.put(route())
+    endpoint = await system.add('e', lambda sent, _number: [answer(sent)])
+    got = await system.ask(sent)
+    assert got.split(b' ')[1] == str(status).encode(), got[:80]
+    assert endpoint.requests == []
+
+
+async def test_time_out_is_no_promise(system):
+    await system.put(route(timeout_ms=300))
+    await system.add('e', lambda sent, _number: [STALL])
+    got = await system.ask(request())
+    assert got.startswith(b'HTTP/1.1 504 ')
+
+
+async def test_endpoint_is_told_what_time_is_left(system):
+    await system.put(route(timeout_ms=800))
+    endpoint = await system.add('e', lambda sent, _number: [answer(sent)])
+    await system.ask(request(headers=['Wrenspoke-Deadline-Ms: 60000']))
+    left = endpoints.header(endpoint.requests[0], 'Wrenspoke-Deadline-Ms')
+    assert 0 < int(left) <= 800
+
+
+@pytest.mark.parametrize('kind', [ONCE, STREAM])
+async def test_caller_that_leaves_ends_the_work(system, kind):
+    await system.put(route(kind))
+    endpoint = await system.add(
+        'e', lambda sent, _number: [*chunked(sent, b'id: 1\n\n'), STALL]
+    )
+    address = system.entries[0].node.callers_address
+    ip, _, port = address.rpartition(':')
+    _reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(request())
+    await nodes.until(lambda: endpoint.requests)
+    writer.close()
+    async with asyncio.timeout(nodes.WAIT_S):
+        await endpoint.gone.wait()
+
+
+async def test_stream_flows_piece_by_piece(system):
+    await system.put(route(STREAM))
+    more = asyncio.Event()
+
+    def script(sent, _number):
+        return [*chunked(sent, b'id: 1\ndata: a\n\n'), STALL]
+
+    await system.add('e', script)
+    address = system.entries[0].node.callers_address
+    ip, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(request())
+    async with asyncio.timeout(nodes.WAIT_S):
+        await reader.readuntil(b'id: 1\ndata: a\n\n')
+    more.set()
+    writer.close()
+
+
+@pytest.mark.parametrize('resumable', [True, False])
+async def test_broken_stream_goes_on_or_breaks_visibly(system, resumable):
+    """No event is lost, doubled or torn; no end is made up."""
+    await system.put(route(STREAM, resumable=resumable, attempts_limit=2))
+    count = []
+
+    def script(sent, _number):
+        count.append(sent)
+        if len(count) == 1:
+            return [*chunked(sent, b'id: 1\n\n', b'id: 2\n\nid: 3\nda'), RESET]
+        return [*chunked(sent, b'id: 3\ndata: c\n\n'), END]
+
+    await system.add('e1', script)
+    await system.add('e2', script)
+    got = await system.ask(request())
+    if resumable:
+        assert endpoints.header(count[1], 'Last-Event-ID') == '2'
+        events = b''.join(got.split(b'\r\n')).count(b'id: ')
+        assert events == 3 and got.endswith(END)
+    else:
+        assert len(count) == 1 and not got.endswith(END)
+
+
+@pytest.mark.parametrize(
+    'state',
+    [registry.RegistrationState.DRAINING, registry.RegistrationState.GONE],
+)
+async def test_endpoint_that_leaves_gets_nothing_new(system, state):
+    await system.put(route())
+    leaving = await system.add('e1', lambda sent, _number: [answer(sent)])
+    staying = await system.add('e2', lambda sent, _number: [answer(sent)])
+    await system.register('e1', leaving, state=state)
+    for number in range(8):
+        await system.ask(request(request_id=f'q{number}'))
+    assert (len(leaving.requests), len(staying.requests)) == (0, 8)
+
+
+async def test_evacuated_data_centre_gets_nothing(system):
+    await system.put(route())
+    endpoint = await system.add('e', lambda sent, _number: [answer(sent)])
+    leader = await system.leader()
+    await leader.decisions.set_evacuation('north-hall', True)
+    held = system.entries[0].replica
+    await nodes.until(lambda: held.current.evacuated)
+    assert (await system.ask(request())).startswith(b'HTTP/1.1 503 ')
+    assert endpoint.requests == []
+
+
+async def test_cold_endpoint_gets_no_more_than_it_bears(system):
+    await system.put(route())
+    endpoint = await system.add(
+        'e', lambda sent, _number: [answer(sent)], warmup_left_ms=60_000
+    )
+    table = system.entries[0].replica.current.routes
+    assert table.services['s'].warmup_per_s == 0
+    for number in range(5):
+        await system.ask(request(request_id=f'q{number}'))
+    assert endpoint.requests == []
+
+
+async def test_stopping_host_refuses_new_work_and_ends_the_old(system):
+    await system.put(route())
+    go_on = asyncio.Event()
+
+    def script(sent, _number):
+        go_on.set()
+        return [b'', b'', b'', answer(sent)]
+
+    await system.add('e', script)
+    asked = asyncio.create_task(system.ask(request()))
+    await go_on.wait()
+    entry = system.entries[0]
+    draining = asyncio.create_task(entry.drain())
+    assert (await asked).endswith(b'whole')
+    await nodes.until(lambda: entry.passthrough.closed)
+    assert not entry.passthrough.ready
+    got = await system.ask(request(request_id='q2'))
+    assert got.startswith(b'HTTP/1.1 503 ')
+    assert b'Connection: close' in got
+    await draining
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,153 @@
+"""Endpoints and entry hosts that tell of themselves, late or lost."""
+
+import pytest
+
+from wrenspoke.coordination.membership import directory
+from wrenspoke.coordination.membership import roster
+from wrenspoke.protocol import attending
+from wrenspoke.state import registry
+
+READY = registry.RegistrationState.READY
+DRAINING = registry.RegistrationState.DRAINING
+GONE = registry.RegistrationState.GONE
+
+
+class FakeClock:
+    """Stand still until told."""
+
+    def __init__(self):
+        self.now_ms = 100_000
+
+    def mono_ms(self):
+        return self.now_ms
+
+
+def said(number, state=READY, **changes):
+    """Return a registration of one endpoint."""
+    fields = {'warmup_left_ms': 0, 'age_ms': 0, **changes}
+    return registry.Registration(
+        'e', 's', '10.0.0.1:80', 'hall', 4, state, number, **fields
+    )
+
+
+@pytest.mark.parametrize(
+    'later, changed, state, number',
+    [
+        (said(6), False, READY, 6),
+        (said(4, DRAINING), False, READY, 5),
+        (said(5, DRAINING), False, READY, 5),
+        (said(6, DRAINING), True, DRAINING, 6),
+        (said(6, warmup_left_ms=3000), True, READY, 6),
+        (said(0, GONE), True, GONE, 0),
+    ],
+    ids=['renewed', 'late', 'same', 'drains', 'cold again', 'gone'],
+)
+def test_newer_number_prevails(later, changed, state, number):
+    held = registry.Registry(FakeClock())
+    assert held.take(said(5))
+    before = held.revision
+    assert held.take(later) is changed
+    assert (held.revision > before) is changed
+    found = held.held['e']
+    assert (found.said.state, found.said.number) == (state, number)
+
+
+def test_endpoint_that_left_never_comes_back_under_its_name():
+    held = registry.Registry(FakeClock())
+    held.take(said(5))
+    held.take(held.withdraw('e'))
+    assert not held.take(said(99))
+    assert not held.held['e'].takes_work
+
+
+def test_leave_of_an_unknown_endpoint_is_remembered():
+    """The heartbeat before it may come later, from another host."""
+    held = registry.Registry(FakeClock())
+    held.take(held.withdraw('e'))
+    held.take(said(1))
+    assert not held.held['e'].takes_work
+
+
+def test_silence_is_told_to_those_who_hear_changes_only():
+    clock = FakeClock()
+    hears = registry.Registry(clock)
+    told = registry.Registry(clock)
+    hears.take(said(1))
+    told.take(hears.after(0)[0])
+    clock.now_ms += registry.SILENT_AFTER_MS + 1
+    assert not told.silent('e')
+    seen = hears.revision
+    assert hears.mark_silent() and not hears.mark_silent()
+    for change in hears.after(seen):
+        told.take(change)
+    assert told.silent('e') and hears.silent('e')
+    seen = hears.revision
+    assert hears.take(said(2))
+    for change in hears.after(seen):
+        told.take(change)
+    assert not told.silent('e')
+
+
+def record(host, start='a', number=1, draining=False, age_ms=0, **place):
+    """Return what an entry host tells of itself."""
+    return attending.HostRecord(
+        host,
+        place.get('region', 'north'),
+        place.get('data_centre', 'hall'),
+        f'{host}:80',
+        f'{host}:81',
+        start,
+        number,
+        draining,
+        age_ms,
+    )
+
+
+@pytest.mark.parametrize(
+    'later, draining',
+    [
+        (record('h', number=2, draining=True), True),
+        (record('h', number=1, draining=True), False),
+        (record('h', start='b', number=1, draining=True), True),
+        (record('h', start='b', draining=True, age_ms=500), False),
+    ],
+    ids=['newer', 'late', 'restarted', 'before the restart'],
+)
+def test_newer_word_of_a_host_prevails(later, draining):
+    held = roster.Roster(2_000, FakeClock())
+    held.take(record('h'))
+    held.take(later)
+    assert held.records()[0].draining is draining
+
+
+def test_host_is_left_out_once_its_lease_has_ended():
+    clock = FakeClock()
+    held = roster.Roster(2_000, clock)
+    held.take(record('h'))
+    clock.now_ms += 2_001
+    assert held.expire() and not held.records()
+
+
+@pytest.mark.parametrize(
+    'region, data_centre, addresses',
+    [
+        ('north', 'hall', ['a:80', 'b:80']),
+        ('north', 'elsewhere', ['a:80', 'b:80', 'c:80']),
+        ('south', 'far', ['d:80']),
+        ('west', 'x', ['a:80', 'b:80', 'c:80', 'd:80']),
+    ],
+    ids=['own hall', 'own region', 'one host', 'none of its own'],
+)
+def test_directory_names_the_nearest_usable_hosts(
+    region, data_centre, addresses
+):
+    held = roster.Roster(2_000, FakeClock())
+    for found in (
+        record('a'),
+        record('b'),
+        record('c', data_centre='annex'),
+        record('d', region='south', data_centre='far'),
+        record('gone', draining=True),
+    ):
+        held.take(found)
+    assert directory.addresses(held, region, data_centre) == addresses
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -226,8 +226,6 @@
         votes = 1
         try:
             for earliest in asyncio.as_completed(tasks):
-                if votes >= lead.majority(voters):
-                    break
                 host, answer = await earliest
                 if answer is None:
                     continue
@@ -235,6 +233,8 @@
                     self.adopt_term(answer.term)
                     return False
                 votes += answer.granted and answer.incarnation == voters[host]
+                if votes >= lead.majority(voters):
+                    break
         finally:
             await runtime.cancel(tasks)
         return votes >= lead.majority(voters)
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -122,7 +122,9 @@
             lower = name.lower()
             if lower in found and lower in self._single():
                 raise errors.BadRequestError(name, 'may be given once only')
-            found[lower] = value
+            found[lower] = (
+                f'{found[lower]}, {value}' if lower in found else value
+            )
             fields.append((name, value))
         named = _connection_options(found.get('connection', ''))
         left_out = self._kept_back | named
