Know after a loss of power what was committed, and say when to return

Each entry now carries what its leader knew as committed; it is synced with the entry at no cost. A host that starts tells callers to return after 1 s, not 0.5.

--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -53,6 +53,7 @@
         ('beyond the log', 3),
         ('of another disk', 0),
         ('torn', 0),
+        ('told by the log', 2),
     ],
 )
 def test_committed_entries_are_known_after_a_restart(tmp_path, case, known):
@@ -62,10 +63,13 @@
     kept.append(
         [
             entries.LogEntry(index, 1, entries.LeaderStart('x'))
-            for index in (1, 2, 3)
+            for index in (1, 2)
         ]
     )
-    if case != 'not noted':
+    told = 2 if case == 'told by the log' else 0
+    last = entries.LogEntry(3, 1, entries.LeaderStart('x'), told)
+    kept.append([last])
+    if case not in ('not noted', 'told by the log'):
         kept.note_committed(9 if case == 'beyond the log' else 2)
     if case == 'of another disk':
         kept.meta.incarnation = 'other'
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -365,7 +365,9 @@
 
     def _append(self, entry: entries.Entry) -> None:
         index = self.storage.last_index + 1
-        self.storage.append([entries.LogEntry(index, self.term, entry)])
+        self.storage.append(
+            [entries.LogEntry(index, self.term, entry, self.commit_index)]
+        )
         self._lead.wake()
         self._lead.advance_commit()
 
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -49,6 +49,8 @@
 # A host that lags waits for the configuration that the first went by.
 CATCH_UP_MS = 600
 RETRY_AFTER_MS = 500
+# A host that starts has what it needs about a second later.
+START_RETRY_AFTER_MS = 1_000
 BUSY = 'busy'
 # While the first piece is expected within this part of its target, other
 # regions are not looked at.
@@ -220,7 +222,7 @@
         self, call: dialects.Call, reply: passing.Reply, reason: str
     ) -> None:
         logger.info('request_refused', request=call.request, reason=reason)
-        await reply.refuse(UNAVAILABLE, reason, RETRY_AFTER_MS)
+        await reply.refuse(UNAVAILABLE, reason, START_RETRY_AFTER_MS)
 
     async def _catch_up(self, index: int) -> None:
         try:
--- a/wrenspoke/state/entries.py
+++ b/wrenspoke/state/entries.py
@@ -97,8 +97,13 @@
 
 
 class LogEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Hold an entry with its place in the log."""
+    """Hold an entry with its place in the log.
+
+    Up to ``committed`` the leader knew entries to be committed when it
+    wrote this one, which a restart may go by.
+    """
 
     index: int
     term: int
     entry: Entry
+    committed: int = 0
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -234,6 +234,9 @@
     def known_committed(self) -> int:
         """Return up to where entries were surely committed."""
         least = self.snapshot.index
+        if self._entries:
+            told = max(entry.committed for entry in self._entries)
+            least = max(least, min(told, self.last_index))
         found, _size = records.decode(
             COMMITTED, self._disk.read(COMMITTED) or b''
         )
