Do not stand for election after giving one's vote to another

A leader came 2 s later, too late for an order that is repeated for 8 s with acknowledgements lost. Ruled out: the log (decided at 5.5 s at once). The test fails without the change.

--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -224,3 +224,24 @@
 
     def __init__(self, limit):
         self.voters_limit = limit
+
+
+async def test_who_gave_its_vote_meanwhile_does_not_stand(tmp_path):
+    """Two that canvass at once must not end each other's lead."""
+    async with nodes.running(tmp_path, controls=1, entries=0) as system:
+        leader = await system.leader()
+        elected = leader.voter
+        term = elected.term
+        asked = []
+
+        async def canvass(pre):
+            asked.append(pre)
+            # A vote for another is given while this one still asks.
+            elected._heard_ms = elected.clock.mono_ms()
+            return True
+
+        elected._canvass = canvass
+        elected._step_down()
+        elected._heard_ms = elected.clock.mono_ms() - 10_000
+        await nodes.until(lambda: asked)
+        assert asked == [True] and elected.term == term
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -190,8 +190,14 @@
             self._canvassed_ms = self.clock.mono_ms()
             if not self._clearance.given or not self.is_voter:
                 continue
-            if await self._canvass(pre=True):
-                await self._stand()
+            before = (self.term, self._heard_ms)
+            if not await self._canvass(pre=True):
+                continue
+            if (self.term, self._heard_ms) != before:
+                # Another stood meanwhile and has this host's vote, or
+                # leads already; a higher term would only end its lead.
+                continue
+            await self._stand()
 
     async def _stand(self) -> None:
         meta = self.storage.meta
