End an endpoint's name at the first word that another has its place

A 421 now ends the name here and, told to the control hosts, everywhere; a host says whether it sent anything. Where all endpoints of a region are set aside, other regions go first. Ruled out: the count of hosts that share the budget.

--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -286,6 +286,21 @@
     assert b'stale' not in got
 
 
+async def test_endpoint_that_another_took_the_place_of_is_gone(system):
+    """One refusal is enough, for this host and for all others."""
+    await system.put(route())
+    other = await system.add(
+        'e1', lambda sent, _number: [answer(sent, b'', '421 Other')]
+    )
+    await system.add('e2', lambda sent, _number: [answer(sent)])
+    for number in range(12):
+        got = await system.ask(request(request_id=f'q{number}'))
+        assert got.endswith(b'whole')
+    assert len(other.requests) == 1
+    held = system.controls[0].registrar.registry.held
+    await nodes.until(lambda: not held['e1'].takes_work)
+
+
 async def test_promise_not_to_have_run_is_tried_elsewhere(system):
     await system.put(route(ONCE))
     count = []
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -128,6 +128,19 @@
         ]
         await asyncio.gather(*calls)
 
+    def withdraw(self, endpoint: ids.EndpointId) -> None:
+        """Take an endpoint for gone, and tell the control hosts so."""
+        if not self.registry.take(self.registry.withdraw(endpoint)):
+            return
+        logger.info('endpoint_gone', endpoint=endpoint)
+        for session in self._sessions:
+            if session.host is None:
+                continue
+            self._tasks.start(
+                self._peers.tell(session.host, attending.Withdraw(endpoint)),
+                fatal=False,
+            )
+
     async def _attend(self, session: _Session) -> None:
         while True:
             if session.host is None:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -58,6 +58,7 @@
         self.roster = roster.Roster(HOST_LEASE_MS, clock)
         peers.answers(attending.Attend)(self._answer_attend)
         peers.answers(attending.Exchange)(self._answer_exchange)
+        peers.answers(attending.Withdraw)(self._hear_withdrawn)
 
     def start(self) -> None:
         """Begin to exchange with the other control hosts."""
@@ -88,6 +89,11 @@
         """Take note that an endpoint leaves."""
         self.register(self.registry.withdraw(endpoint))
 
+    async def _hear_withdrawn(
+        self, _sender: ids.HostId, message: attending.Withdraw
+    ) -> None:
+        self.withdraw(message.endpoint)
+
     # Entry hosts.
 
     async def _answer_attend(
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -31,6 +31,8 @@
 # Added for an endpoint that has not renewed its registration for long:
 # more than any wait elsewhere, less than having none.
 SILENT_PENALTY_MS = 5_000
+# Added where every endpoint is set aside: other regions go before them.
+ASIDE_PENALTY_MS = 3_000
 # First piece through another region until one was seen: a round trip of
 # 160 ms between far regions and some work there.
 FAR_FIRST_MS = 250.0
@@ -146,8 +148,13 @@
         candidates = sound or warm
         if not candidates:
             return None
+        estimated = self._estimated(service, call, candidates, len(every))
+        if not sound:
+            for item in estimated:
+                item.first_ms += ASIDE_PENALTY_MS
+                item.room = False
         return min(
-            self._estimated(service, call, candidates, len(every)),
+            estimated,
             key=lambda item: (
                 not item.room,
                 item.first_ms,
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -52,6 +52,13 @@
 # A host that starts has what it needs about a second later.
 START_RETRY_AFTER_MS = 1_000
 BUSY = 'busy'
+UNSENT = 'unsent'
+GAVE_UP = 'gave_up'
+NO_CONFIGURATION = 'no_configuration'
+LEAVING = 'leaving'
+# What a host says that sent nothing to an endpoint: its word costs the
+# budget of repeats nothing.
+NOTHING_SENT = frozenset([BUSY, UNSENT, NO_CONFIGURATION, LEAVING])
 # While the first piece is expected within this part of its target, other
 # regions are not looked at.
 NEAR_SHARE = 0.4
@@ -189,18 +196,18 @@
     ) -> Work | None:
         """Find the call's route; answer it where there is none."""
         if self.closed:
-            await self._refuse(call, reply, 'leaving')
+            await self._refuse(call, reply, LEAVING)
             return None
         if hop is not None:
             await self._catch_up(hop.index)
         if not self._replica.serving or not self._attended.awake:
-            await self._refuse(call, reply, 'no_configuration')
+            await self._refuse(call, reply, NO_CONFIGURATION)
             return None
         table = self._replica.current.routes
         if table.version == 0 or (
             hop is not None and self._replica.current.index < hop.index
         ):
-            await self._refuse(call, reply, 'no_configuration')
+            await self._refuse(call, reply, NO_CONFIGURATION)
             return None
         route = self._routes().find(call.host, call.path)
         if route is None:
@@ -504,7 +511,9 @@
         """Pass an answer on, or keep it back where another try is due."""
         if answer.verdict is sending.Verdict.NOT_HERE:
             work.was_not_run()
-            self._failed(work, place, 'not here any more', certain=True)
+            work.cause = 'not here any more'
+            # A name is never used again: nothing of it will come back.
+            self._attended.withdraw(place.endpoint)
             return False
         if answer.verdict is sending.Verdict.NOT_RUN:
             work.was_not_run()
@@ -542,6 +551,7 @@
         work.cause = f'{place.name}: {answer.refused}'
         if answer.status == UNAVAILABLE:
             work.was_not_run()
+        if answer.refused in NOTHING_SENT:
             work.sent -= 1
         if answer.refused == BUSY:
             self._choice.far_busy(place.region, work.route.target_ms)
@@ -632,7 +642,8 @@
             await work.reply.whole(kept.status, kept.fields, kept.body)
             return
         retry_after_ms = RETRY_AFTER_MS if status == UNAVAILABLE else None
-        await work.reply.refuse(status, 'gave_up', retry_after_ms)
+        reason = GAVE_UP if work.sent else UNSENT
+        await work.reply.refuse(status, reason, retry_after_ms)
 
     def _log_end(
         self, work: Work, place: sending.Place, status: int, pieces: int = 1
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -87,3 +87,12 @@
     """Tell the entry hosts of the region what engines reported."""
 
     loads: list[EngineLoad]
+
+
+class Withdraw(msgspec.Struct, tag='withdraw'):
+    """Tell a control host that an endpoint is not there any more.
+
+    Another one answered at its address.
+    """
+
+    endpoint: ids.EndpointId
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -25,6 +25,7 @@
     attending.ConfirmIndex,
     attending.IndexConfirmed,
     attending.TellLoads,
+    attending.Withdraw,
 ]
 Answerer = collections.abc.Callable[
     [ids.HostId, Message],
