--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -6,6 +6,7 @@
 from wrenspoke.coordination.membership import roster
 from wrenspoke.protocol import attending
 from wrenspoke.state import registry
+from wrenspoke.state import routes
 
 READY = registry.RegistrationState.READY
 DRAINING = registry.RegistrationState.DRAINING
@@ -129,18 +130,49 @@
 
 
 @pytest.mark.parametrize(
-    'region, data_centre, addresses',
+    'name, region, data_centre, addresses',
     [
-        ('north', 'hall', ['a:80', 'b:80']),
-        ('north', 'elsewhere', ['a:80', 'b:80', 'c:80']),
-        ('south', 'far', ['d:80']),
-        ('west', 'x', ['a:80', 'b:80', 'c:80', 'd:80']),
+        ('free', 'north', 'hall', ['a:80', 'b:80']),
+        ('free', 'north', 'elsewhere', ['a:80', 'b:80', 'c:80']),
+        ('bound', 'south', 'far', ['d:80']),
+        ('free', 'west', 'x', ['a:80', 'b:80', 'c:80', 'd:80']),
+        ('bound', 'west', 'x', ['a:80', 'b:80', 'c:80']),
+        ('nowhere', 'west', 'x', ['a:80', 'b:80', 'c:80', 'd:80']),
+    ],
+    ids=[
+        'own hall',
+        'own region',
+        'one host',
+        'none of its own',
+        'none of its own, so at home',
+        'no host at home either',
     ],
-    ids=['own hall', 'own region', 'one host', 'none of its own'],
 )
 def test_directory_names_the_nearest_usable_hosts(
-    region, data_centre, addresses
+    name, region, data_centre, addresses
 ):
+    table = routes.RouteTable(
+        1,
+        tuple(
+            routes.Route(
+                host,
+                host,
+                '/',
+                routes.RouteKind.ONCE,
+                (),
+                1,
+                1,
+                homes=homes,
+            )
+            for host, homes in (
+                ('free', ()),
+                ('bound', ('north', 'south')),
+                ('bound', ('north',)),
+                ('bound', ('south', 'north')),
+                ('nowhere', ('east',)),
+            )
+        ),
+    )
     held = roster.Roster(2_000, FakeClock())
     for found in (
         record('a'),
@@ -150,4 +182,5 @@
         record('gone', draining=True),
     ):
         held.take(found)
-    assert directory.addresses(held, region, data_centre) == addresses
+    found = directory.addresses(held, table, name, region, data_centre)
+    assert found == addresses
