Write logs on a stream that never blocks, failures left out last

Lines are kept up to 256 KB and then left out, those of failures last, with a count. Before: print to standard output.

--- a/wrenspoke/logs.py
+++ b/wrenspoke/logs.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+from wrenspoke import logstream
+
 LEVELS = {
     'debug': logging.DEBUG,
     'info': logging.INFO,
@@ -33,6 +35,16 @@
     )
 
 
+def is_urgent(line: str) -> bool:
+    """Tell whether a line is to be left out last."""
+    return 'level=warning' in line or 'level=error' in line
+
+
+def bounded_stdout() -> logstream.BoundedStream:
+    """Return standard output as a stream that never blocks."""
+    return logstream.BoundedStream(sys.stdout.fileno(), is_urgent)
+
+
 def _add_host(host: str):
     def add(_logger, _method, event):
         if host:
--- /dev/null
+++ b/wrenspoke/logstream.py
@@ -0,0 +1,83 @@
+"""Write log lines without ever waiting for who reads them.
+
+What can't be written at once is kept, up to a bound; beyond it the
+lines of single requests that went well go first, and what was left out
+is counted in a line of its own.
+"""
+
+import collections
+import os
+import typing
+
+# A few hundred lines: a reader that pauses for a moment loses none.
+KEPT_BYTES = 256 * 1024
+WRITE_BYTES = 16 * 1024
+
+
+class BoundedStream:
+    """Be a text stream on a file descriptor that never blocks.
+
+    ``urgent`` says which lines may use the whole bound; others may use
+    half of it, so that failures are the last to be left out.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        urgent: typing.Callable[[str], bool],
+        kept_bytes: int = KEPT_BYTES,
+    ):
+        self._descriptor = descriptor
+        self._urgent = urgent
+        self._kept_bytes = kept_bytes
+        self._kept: collections.deque[bytes] = collections.deque()
+        self._size_bytes = 0
+        self._left_out = 0
+        self.left_out = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> int:
+        """Keep a text for writing, or leave it out."""
+        limit = self._kept_bytes
+        if not self._urgent(text):
+            limit //= 2
+        data = text.encode('utf-8', 'replace')
+        if self._size_bytes + len(data) > limit:
+            self._left_out += 1
+            self.left_out += 1
+        else:
+            self._keep(data)
+        return len(text)
+
+    def _keep(self, data: bytes) -> None:
+        self._kept.append(data)
+        self._size_bytes += len(data)
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self._kept:
+            data = b''.join(self._kept)[:WRITE_BYTES]
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; requests go on.
+                self._kept.clear()
+                self._size_bytes = 0
+                return
+            self._drop_written(written)
+        if self._left_out:
+            count, self._left_out = self._left_out, 0
+            line = f'level=warning event=log_lines_left_out count={count}\n'
+            self._keep(line.encode())
+            self.flush()
+
+    def _drop_written(self, written: int) -> None:
+        self._size_bytes -= written
+        while written:
+            first = self._kept.popleft()
+            if len(first) > written:
+                self._kept.appendleft(first[written:])
+                return
+            written -= len(first)
