--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -114,6 +114,16 @@
             and found.said.data_centre not in self._evacuated
         ]
 
+    def warm(
+        self, service: ids.ServiceId, region: ids.RegionId
+    ) -> list[registry.Registered]:
+        """Return the usable endpoints that bear more than a few requests."""
+        return [
+            found
+            for found in self.usable(service, region)
+            if not self._cold(found)
+        ]
+
     def _note_evacuations(self) -> None:
         """Take endpoints that were just taken back for cold.
 
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -91,6 +91,7 @@
     unrun: int = 0
     sent: int = 0
     regions_tried: set[ids.RegionId] = dataclasses.field(default_factory=set)
+    regions_out: set[ids.RegionId] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     cause: str = ''
     first_at_ms: int | None = None
@@ -362,17 +363,22 @@
         self, work: Work, local: choice.Chosen | None
     ) -> sending.Place | None:
         """Return a host of another region, if it is better than here."""
+        if local is not None and work.regions_tried:
+            # It was turned back once; another round trip would be lost.
+            return None
         for region in self._choice.far_regions(work.route):
+            if region in work.regions_out:
+                continue
             far_ms = self._choice.far_first_ms(region)
             limit_ms = None
             if local is not None:
                 here_ms = local.first_ms
                 if not local.room:
                     here_ms = max(here_ms, work.route.target_ms)
-                if far_ms >= here_ms or region in work.regions_tried:
+                if far_ms >= here_ms:
                     continue
                 limit_ms = int(here_ms - choice.FAR_FIRST_MS / 2)
-            if not self._choice.usable(work.service.service, region):
+            if not self._choice.warm(work.service.service, region):
                 continue
             found = self._choice.host_in(region, work.tried)
             if found is None:
@@ -553,6 +559,8 @@
             work.was_not_run()
         if answer.refused in NOTHING_SENT:
             work.sent -= 1
+        if answer.refused == UNSENT:
+            work.regions_out.add(place.region)
         if answer.refused == BUSY:
             self._choice.far_busy(place.region, work.route.target_ms)
         return False
