--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -16,6 +16,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import placement
 from wrenspoke import ids
 from wrenspoke.protocol import headers
@@ -190,36 +191,15 @@
     return None
 
 
-class Answer:
+class Answer(bodies.Body):
     """Hold the head of an endpoint's answer; the body is read from it."""
 
     def __init__(self, response: aiohttp.ClientResponse, name: str):
-        self._response = response
+        super().__init__(response)
         self.name = name
         self.status = response.status
         self.headers = dict(response.headers)
 
-    async def whole(self, limit_bytes: int) -> bytes:
-        """Return the whole body.
-
-        :raises MaybeSentError: it was cut short, too long or unending
-        """
-        try:
-            return await web.read_whole(self._response, limit_bytes)
-        except transport_errors.TransportError as error:
-            raise errors.MaybeSentError(str(error)) from error
-
-    async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the body as it comes.
-
-        :raises MaybeSentError: it was cut short
-        """
-        try:
-            async for chunk in web.read_chunks(self._response):
-                yield chunk
-        except transport_errors.TransportError as error:
-            raise errors.MaybeSentError(str(error)) from error
-
 
 class Dispatcher:
     """Send to endpoints, after every check."""
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -9,7 +9,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import dataclasses
 
 import structlog
 
@@ -22,10 +21,11 @@
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import events
 from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import placing
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import spending
+from wrenspoke.coordination.serving import work as works
 from wrenspoke import ids
-from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import passing
@@ -51,73 +51,6 @@
 RETRY_AFTER_MS = 500
 # A host that starts has what it needs about a second later.
 START_RETRY_AFTER_MS = 1_000
-BUSY = 'busy'
-UNSENT = 'unsent'
-GAVE_UP = 'gave_up'
-NO_CONFIGURATION = 'no_configuration'
-LEAVING = 'leaving'
-# What a host says that sent nothing to an endpoint: its word costs the
-# budget of repeats nothing.
-NOTHING_SENT = frozenset([BUSY, UNSENT, NO_CONFIGURATION, LEAVING])
-# While the first piece is expected within this part of its target, other
-# regions are not looked at.
-NEAR_SHARE = 0.4
-# A call waits here for room for less than the quarter of its target
-# within which a refusal still lets the caller be served in time.
-HOLD_SHARE = 0.2
-HOLD_STEP_MS = 40
-
-
-@dataclasses.dataclass
-class KeptAnswer:
-    """Hold an endpoint's failure while another try is made."""
-
-    status: int
-    fields: dialects.Fields
-    body: bytes
-
-
-@dataclasses.dataclass
-class Work:
-    """Hold how far serving one call has come."""
-
-    call: dialects.Call
-    route: routes.Route
-    service: routes.RoutedService
-    deadline_ms: int
-    reply: passing.Reply
-    hop: passing.Hop | None = None
-    runs: int = 0
-    unrun: int = 0
-    sent: int = 0
-    regions_tried: set[ids.RegionId] = dataclasses.field(default_factory=set)
-    regions_out: set[ids.RegionId] = dataclasses.field(default_factory=set)
-    tried: set[str] = dataclasses.field(default_factory=set)
-    cause: str = ''
-    first_at_ms: int | None = None
-    kept: KeptAnswer | None = None
-    tracker: events.EventTracker | None = None
-
-    def was_not_run(self) -> None:
-        """Take back that the last send may have run."""
-        self.runs -= 1
-        self.unrun += 1
-
-    @property
-    def runs_limit(self) -> int:
-        """Return how many endpoints may run it, as seen from here."""
-        if self.hop is not None:
-            return self.hop.attempts_left
-        return self.route.attempts_limit
-
-    @property
-    def may_have_run(self) -> bool:
-        """Tell whether an endpoint may have begun it."""
-        return self.runs > 0
-
-
-class BusyError(errors.CoordinationError):
-    """Say that the host that passed a call on can do better itself."""
 
 
 class PassThrough:
@@ -137,8 +70,6 @@
         estimator: estimate.Estimator,
         clock: clocks.Clock,
     ):
-        self._host = host
-        self._region = region
         self._replica = held
         self._attended = attended
         self._choice = chosen
@@ -148,6 +79,7 @@
         self._reach = reached
         self._estimator = estimator
         self._clock = clock
+        self._placing = placing.Placing(host, region, held, chosen, clock)
         self._index = routes.RouteIndex(routes.RouteTable())
         self.in_flight = 0
         self.leaving = False
@@ -194,21 +126,21 @@
         call: dialects.Call,
         reply: passing.Reply,
         hop: passing.Hop | None,
-    ) -> Work | None:
+    ) -> works.Work | None:
         """Find the call's route; answer it where there is none."""
         if self.closed:
-            await self._refuse(call, reply, LEAVING)
+            await self._refuse(call, reply, passing.Refusal.LEAVING)
             return None
         if hop is not None:
             await self._catch_up(hop.index)
         if not self._replica.serving or not self._attended.awake:
-            await self._refuse(call, reply, NO_CONFIGURATION)
+            await self._refuse(call, reply, passing.Refusal.NO_CONFIGURATION)
             return None
         table = self._replica.current.routes
         if table.version == 0 or (
             hop is not None and self._replica.current.index < hop.index
         ):
-            await self._refuse(call, reply, NO_CONFIGURATION)
+            await self._refuse(call, reply, passing.Refusal.NO_CONFIGURATION)
             return None
         route = self._routes().find(call.host, call.path)
         if route is None:
@@ -218,16 +150,19 @@
                 version=table.version,
                 path=call.path,
             )
-            await reply.refuse(NOT_FOUND, 'no_route')
+            await reply.refuse(NOT_FOUND, passing.Refusal.NO_ROUTE)
             return None
         service = table.service(self._service_of(route, hop))
         left_ms = min(call.left_ms, route.timeout_ms)
-        return Work(
+        return works.Work(
             call, route, service, call.arrived_ms + left_ms, reply, hop
         )
 
     async def _refuse(
-        self, call: dialects.Call, reply: passing.Reply, reason: str
+        self,
+        call: dialects.Call,
+        reply: passing.Reply,
+        reason: passing.Refusal,
     ) -> None:
         logger.info('request_refused', request=call.request, reason=reason)
         await reply.refuse(UNAVAILABLE, reason, START_RETRY_AFTER_MS)
@@ -248,10 +183,10 @@
             return hop.service
         return self._choice.draw(route.targets)
 
-    def _left_ms(self, work: Work) -> int:
+    def _left_ms(self, work: works.Work) -> int:
         return work.deadline_ms - self._clock.mono_ms()
 
-    async def _serve(self, work: Work) -> None:
+    async def _serve(self, work: works.Work) -> None:
         if work.hop is None:
             # Counted where the caller sent it, and nowhere else.
             self._spending.first(work.service.service)
@@ -263,19 +198,21 @@
             work.cause = work.cause or 'timeout'
             await self._give_up(work, GATEWAY_TIMEOUT)
             return
-        except BusyError:
+        except placing.BusyError:
             logger.info('passed_back', request=work.call.request)
-            await work.reply.refuse(UNAVAILABLE, BUSY, RETRY_AFTER_MS)
+            await work.reply.refuse(
+                UNAVAILABLE, passing.Refusal.BUSY, RETRY_AFTER_MS
+            )
             return
         except protocol_errors.CallerGoneError:
             logger.info('caller_gone', request=work.call.request)
             raise
         await self._give_up(work, BAD_GATEWAY)
 
-    async def _try_all(self, work: Work) -> bool:
+    async def _try_all(self, work: works.Work) -> bool:
         """Try until it is answered; False when it is given up."""
         while self._left_ms(work) > LEAST_LEFT_MS:
-            place = await self._next_place(work)
+            place = await self._placing.next_place(work)
             if place is None:
                 work.cause = work.cause or 'no_endpoint'
                 return False
@@ -290,7 +227,7 @@
         work.cause = work.cause or 'timeout'
         return False
 
-    def _may_go_on(self, work: Work) -> bool:
+    def _may_go_on(self, work: works.Work) -> bool:
         if work.unrun >= UNRUN_LIMIT:
             return False
         if not work.may_have_run:
@@ -299,122 +236,7 @@
             return False
         return work.runs < work.runs_limit
 
-    async def _next_place(self, work: Work) -> sending.Place | None:
-        """Return where to send a call, after a wait if it pays."""
-        while True:
-            local = self._local(work)
-            if work.hop is not None:
-                self._refuse_if_slower(work, local)
-                return self._endpoint_place(work, local)
-            near_enough = local is not None and (
-                local.room
-                and local.first_ms <= work.route.target_ms * NEAR_SHARE
-            )
-            if near_enough:
-                return self._endpoint_place(work, local)
-            place = self._elsewhere(work, local)
-            if place is not None or local is None:
-                return place
-            if local.room or not self._may_hold(work):
-                return self._endpoint_place(work, local)
-            await self._clock.sleep_ms(HOLD_STEP_MS)
-
-    def _may_hold(self, work: Work) -> bool:
-        """Tell whether a call may wait here for room at an endpoint."""
-        held_ms = self._clock.mono_ms() - work.call.arrived_ms
-        return held_ms < work.route.target_ms * HOLD_SHARE
-
-    def _refuse_if_slower(
-        self, work: Work, local: choice.Chosen | None
-    ) -> None:
-        limit_ms = work.hop.limit_ms
-        if limit_ms is None or work.sent:
-            return
-        if local is None or not local.room or local.first_ms > limit_ms:
-            raise BusyError()
-
-    def _local(self, work: Work) -> choice.Chosen | None:
-        if not work.route.allows(self._region):
-            return None
-        return self._choice.choose(work.service, work.call, work.tried)
-
-    def _endpoint_place(
-        self, work: Work, chosen: choice.Chosen | None
-    ) -> sending.Place | None:
-        if chosen is None:
-            return None
-        said = chosen.found.said
-        logger.info(
-            'endpoint_chosen',
-            request=work.call.request,
-            route=work.route.name,
-            endpoint=said.endpoint,
-            first_ms=round(chosen.first_ms),
-            room=chosen.room,
-            usual=chosen.usual,
-            candidates=chosen.candidates,
-            version=self._replica.current.routes.version,
-        )
-        return sending.Place(
-            said.address, endpoint=said.endpoint, chosen=chosen
-        )
-
-    def _elsewhere(
-        self, work: Work, local: choice.Chosen | None
-    ) -> sending.Place | None:
-        """Return a host of another region, if it is better than here."""
-        if local is not None and work.regions_tried:
-            # It was turned back once; another round trip would be lost.
-            return None
-        for region in self._choice.far_regions(work.route):
-            if region in work.regions_out:
-                continue
-            far_ms = self._choice.far_first_ms(region)
-            limit_ms = None
-            if local is not None:
-                here_ms = local.first_ms
-                if not local.room:
-                    here_ms = max(here_ms, work.route.target_ms)
-                if far_ms >= here_ms:
-                    continue
-                limit_ms = int(here_ms - choice.FAR_FIRST_MS / 2)
-            if not self._choice.warm(work.service.service, region):
-                continue
-            found = self._choice.host_in(region, work.tried)
-            if found is None:
-                continue
-            work.regions_tried.add(region)
-            return self._host_place(work, region, found, limit_ms)
-        return None
-
-    def _host_place(
-        self,
-        work: Work,
-        region: ids.RegionId,
-        found: attending.HostRecord,
-        limit_ms: int | None,
-    ) -> sending.Place:
-        logger.info(
-            'passed_on',
-            request=work.call.request,
-            route=work.route.name,
-            peer=found.host,
-            region=region,
-            limit_ms=limit_ms,
-        )
-        hop = passing.Hop(
-            self._host,
-            work.route.name,
-            work.service.service,
-            self._replica.current.index,
-            work.runs_limit - work.runs,
-            limit_ms,
-        )
-        return sending.Place(
-            found.passing_address, host=found.host, region=region, hop=hop
-        )
-
-    async def _try(self, work: Work, place: sending.Place) -> bool:
+    async def _try(self, work: works.Work, place: sending.Place) -> bool:
         """Send once; return whether the caller has its answer."""
         counts = self._choice.in_flight
         counts[place.name] = counts.get(place.name, 0) + 1
@@ -445,7 +267,7 @@
             counts[place.name] -= 1
         return False
 
-    def _note_sent(self, work: Work, place: sending.Place) -> None:
+    def _note_sent(self, work: works.Work, place: sending.Place) -> None:
         place.sent_ms = self._clock.mono_ms()
         if place.chosen is None:
             return
@@ -457,7 +279,7 @@
             place.endpoint, work.service, work.call, usual
         )
 
-    def _note_first(self, work: Work, place: sending.Place) -> None:
+    def _note_first(self, work: works.Work, place: sending.Place) -> None:
         """Learn from how long the first piece of an answer took."""
         work.first_at_ms = self._clock.mono_ms()
         took_ms = work.first_at_ms - place.sent_ms
@@ -468,7 +290,7 @@
 
     @contextlib.asynccontextmanager
     async def _watched(
-        self, work: Work, place: sending.Place
+        self, work: works.Work, place: sending.Place
     ) -> collections.abc.AsyncIterator[None]:
         """Give up on a host that falls silent, if another may be asked.
 
@@ -495,7 +317,7 @@
 
     def _failed(
         self,
-        work: Work,
+        work: works.Work,
         place: sending.Place,
         cause: str,
         certain: bool = False,
@@ -512,7 +334,7 @@
         )
 
     async def _take(
-        self, work: Work, place: sending.Place, answer: sending.Answer
+        self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
         """Pass an answer on, or keep it back where another try is due."""
         if answer.verdict is sending.Verdict.NOT_HERE:
@@ -532,7 +354,9 @@
             if self._may_repeat(work):
                 work.cause = f'status {answer.status}'
                 body = await answer.whole(WHOLE_LIMIT_BYTES)
-                work.kept = KeptAnswer(answer.status, answer.fields, body)
+                work.kept = works.KeptAnswer(
+                    answer.status, answer.fields, body
+                )
                 return False
         else:
             self._health.succeeded(place.address)
@@ -551,21 +375,21 @@
         return True
 
     async def _take_refusal(
-        self, work: Work, place: sending.Place, answer: sending.Answer
+        self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
         """Take the word of a host elsewhere that could not serve it."""
         work.cause = f'{place.name}: {answer.refused}'
         if answer.status == UNAVAILABLE:
             work.was_not_run()
-        if answer.refused in NOTHING_SENT:
+        if answer.refused in passing.NOTHING_SENT:
             work.sent -= 1
-        if answer.refused == UNSENT:
+        if answer.refused == passing.Refusal.UNSENT:
             work.regions_out.add(place.region)
-        if answer.refused == BUSY:
+        if answer.refused == passing.Refusal.BUSY:
             self._choice.far_busy(place.region, work.route.target_ms)
         return False
 
-    def _may_repeat(self, work: Work) -> bool:
+    def _may_repeat(self, work: works.Work) -> bool:
         return (
             work.route.repeatable
             and not work.reply.started
@@ -576,7 +400,7 @@
     # Streams.
 
     async def _stream(
-        self, work: Work, place: sending.Place, answer: sending.Answer
+        self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> None:
         """Pass a stream on; the first piece goes with the head."""
         tracker = events.EventTracker(whole_only=work.route.resumable)
@@ -593,7 +417,7 @@
 
     async def _end_stream(
         self,
-        work: Work,
+        work: works.Work,
         place: sending.Place,
         answer: sending.Answer,
         tracker: events.EventTracker,
@@ -607,7 +431,7 @@
         self._log_end(work, place, answer.status, tracker.count)
 
     async def _go_on(
-        self, work: Work, place: sending.Place, answer: sending.Answer
+        self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
         """Go on with a stream that another endpoint began."""
         if answer.status not in OK_STATUSES:
@@ -628,7 +452,7 @@
 
     # Ends.
 
-    async def _give_up(self, work: Work, status: int) -> None:
+    async def _give_up(self, work: works.Work, status: int) -> None:
         """Give the final answer, at once, and say whether it has run."""
         if not work.may_have_run:
             status = UNAVAILABLE
@@ -650,11 +474,17 @@
             await work.reply.whole(kept.status, kept.fields, kept.body)
             return
         retry_after_ms = RETRY_AFTER_MS if status == UNAVAILABLE else None
-        reason = GAVE_UP if work.sent else UNSENT
+        reason = (
+            passing.Refusal.GAVE_UP if work.sent else passing.Refusal.UNSENT
+        )
         await work.reply.refuse(status, reason, retry_after_ms)
 
     def _log_end(
-        self, work: Work, place: sending.Place, status: int, pieces: int = 1
+        self,
+        work: works.Work,
+        place: sending.Place,
+        status: int,
+        pieces: int = 1,
     ) -> None:
         now_ms = self._clock.mono_ms()
         first_ms = (work.first_at_ms or now_ms) - work.call.arrived_ms
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -15,6 +15,7 @@
 import structlog
 
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import choice
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
@@ -56,37 +57,25 @@
         return self.endpoint or self.host
 
 
-class Answer:
+class Answer(bodies.Body):
     """Hold the head of an answer; the body is read from it."""
 
     def __init__(self, response: aiohttp.ClientResponse, verdict: Verdict):
-        self._response = response
+        super().__init__(response)
         self.verdict = verdict
         self.status = response.status
         self.fields = dialects.answer_fields(response.raw_headers)
-        self.refused = response.headers.get(passing.REFUSED)
-        self.retry_after = response.headers.get('Retry-After')
+        self.refused = _refusal(response.headers.get(passing.REFUSED))
 
-    async def whole(self, limit_bytes: int) -> bytes:
-        """Return the whole body.
 
-        :raises MaybeSentError: it was cut short or is too long
-        """
-        try:
-            return await web.read_whole(self._response, limit_bytes)
-        except transport_errors.TransportError as error:
-            raise errors.MaybeSentError(str(error)) from error
-
-    async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the body as it comes.
-
-        :raises MaybeSentError: it was cut short
-        """
-        try:
-            async for chunk in web.read_chunks(self._response):
-                yield chunk
-        except transport_errors.TransportError as error:
-            raise errors.MaybeSentError(str(error)) from error
+def _refusal(text: str | None) -> passing.Refusal | None:
+    """Return why a host gave its own word; what is unknown is a failure."""
+    if text is None:
+        return None
+    try:
+        return passing.Refusal(text)
+    except ValueError:
+        return passing.Refusal.GAVE_UP
 
 
 class Sender:
--- /dev/null
+++ b/wrenspoke/coordination/serving/work.py
@@ -0,0 +1,57 @@
+"""How far serving one passed-through call has come."""
+
+import dataclasses
+
+from wrenspoke.coordination.serving import events
+from wrenspoke import ids
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import passing
+from wrenspoke.state import routes
+
+
+@dataclasses.dataclass
+class KeptAnswer:
+    """Hold an endpoint's failure while another try is made."""
+
+    status: int
+    fields: dialects.Fields
+    body: bytes
+
+
+@dataclasses.dataclass
+class Work:
+    """Hold how far serving one call has come."""
+
+    call: dialects.Call
+    route: routes.Route
+    service: routes.RoutedService
+    deadline_ms: int
+    reply: passing.Reply
+    hop: passing.Hop | None = None
+    runs: int = 0
+    unrun: int = 0
+    sent: int = 0
+    regions_tried: set[ids.RegionId] = dataclasses.field(default_factory=set)
+    regions_out: set[ids.RegionId] = dataclasses.field(default_factory=set)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    cause: str = ''
+    first_at_ms: int | None = None
+    kept: KeptAnswer | None = None
+    tracker: events.EventTracker | None = None
+
+    def was_not_run(self) -> None:
+        """Take back that the last send may have run."""
+        self.runs -= 1
+        self.unrun += 1
+
+    @property
+    def runs_limit(self) -> int:
+        """Return how many endpoints may run it, as seen from here."""
+        if self.hop is not None:
+            return self.hop.attempts_left
+        return self.route.attempts_limit
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether an endpoint may have begun it."""
+        return self.runs > 0
--- a/wrenspoke/protocol/passing.py
+++ b/wrenspoke/protocol/passing.py
@@ -4,6 +4,7 @@
 carries a hop, which says what the first host decided.
 """
 
+import enum
 import typing
 
 import aiohttp
@@ -28,6 +29,29 @@
 GONE_STATUS = 499
 
 
+class Refusal(enum.Enum):
+    """Say why the gateway answers a call by its own word."""
+
+    NO_ROUTE = 'no_route'
+    NO_CONFIGURATION = 'no_configuration'
+    LEAVING = 'leaving'
+    BUSY = 'busy'
+    UNSENT = 'unsent'
+    GAVE_UP = 'gave_up'
+
+
+# What a host says that sent nothing to an endpoint: its word costs the
+# budget of repeats nothing.
+NOTHING_SENT = frozenset(
+    [
+        Refusal.BUSY,
+        Refusal.UNSENT,
+        Refusal.NO_CONFIGURATION,
+        Refusal.LEAVING,
+    ]
+)
+
+
 class Hop(msgspec.Struct, frozen=True):
     """Say what the host that passes a request on has decided.
 
@@ -123,9 +147,17 @@
         transport.abort(self._request)
 
     async def refuse(
-        self, status: int, reason: str, retry_after_ms: int | None = None
+        self,
+        status: int,
+        reason: Refusal | str,
+        retry_after_ms: int | None = None,
     ) -> None:
-        """Answer by the gateway's own word, at once."""
+        """Answer by the gateway's own word, at once.
+
+        ``reason`` is a text where the call itself is wrong.
+        """
+        if isinstance(reason, Refusal):
+            reason = reason.value
         fields = [
             ('Content-Type', 'application/json'),
             (REFUSED, reason),
