--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -92,7 +92,10 @@
 
 
 class RetryTimes(_Section):
-    """Bound the repeats that a service is sent over all hosts."""
+    """Bound the repeats that a service is sent over all hosts.
+
+    In any window: ``ratio`` times its requests, and ``fixed`` more.
+    """
 
     ratio: Amount = 0.1
     fixed: Positive = 10
@@ -100,7 +103,13 @@
 
 
 class Node(_Section):
-    """Everything that one host has to know."""
+    """Everything that one host has to know.
+
+    ``ip`` and ``link_port`` name the host; links use one port on all
+    hosts. ``regions`` tells the region of each data centre. ``seeds`` are
+    control addresses to begin with, ``first_start`` is true only at the
+    first start of all. Addresses that are null are not listened to.
+    """
 
     cluster: str
     ip: str
--- a/wrenspoke/reference.py
+++ b/wrenspoke/reference.py
@@ -1,8 +1,12 @@
 """Write docs/SETTINGS.md from the settings themselves."""
 
+import inspect
+
+import msgspec
 import pydantic
 import pydantic_core
 
+from wrenspoke import node
 from wrenspoke import settings
 
 HEAD = """# Settings
@@ -29,6 +33,20 @@
 )
 
 
+NODE_HEAD = """# Settings of one host
+
+Where hosts find each other at run time, each has a JSON file of its own
+instead of the deployment's (`wrenspoke.node`). Unknown fields are errors.
+`deploy/node.json` is the template of it for the users' platform.
+"""
+NODE_SECTIONS = (
+    ('the file of a host', node.Node),
+    ('control of a host', node.ControlTimes),
+    ('entry of a host', node.EntryTimes),
+    ('retries of a host', node.RetryTimes),
+)
+
+
 def text() -> str:
     """Return the whole page."""
     parts = [HEAD]
@@ -40,9 +58,26 @@
         for name, field in model.model_fields.items():
             parts.append(_row(name, field, schema))
         parts.append('')
+    parts.append(NODE_HEAD)
+    for title, kind in NODE_SECTIONS:
+        parts.append(f'## {title}\n')
+        parts.append(inspect.getdoc(kind) + '\n')
+        parts.append('| field | default |')
+        parts.append('| --- | --- |')
+        for field in msgspec.structs.fields(kind):
+            parts.append(f'| `{field.name}` | {_node_default(field)} |')
+        parts.append('')
     return '\n'.join(parts)
 
 
+def _node_default(field: msgspec.structs.FieldInfo) -> str:
+    if field.required:
+        return 'required'
+    if isinstance(field.default, msgspec.Struct):
+        return 'see below'
+    return f'`{msgspec.json.encode(field.default).decode()}`'
+
+
 def _row(name: str, field: pydantic.fields.FieldInfo, schema: dict) -> str:
     default = 'required'
     if not field.is_required():
