--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -123,16 +123,13 @@
             lambda: next((c for c in self.controls if c.voter.has_lease), None)
         )
 
-    async def put(self, *found, version=None, services=('s',)):
+    async def put(self, *found, version=None, **service):
         """Put a table in force, and wait until every entry host has it."""
         leader = await self.leader()
         table = routes.RouteTable(
             version or next(self.numbers),
             found,
-            {
-                name: routes.RoutedService(name, '/health', 10)
-                for name in services
-            },
+            {'s': routes.RoutedService('s', '/health', 10, **service)},
             digest=repr(found),
         )
         decisions = direct.DirectDecisions(leader.voter, leader.clock)
--- /dev/null
+++ b/tests/test_far.py
@@ -0,0 +1,211 @@
+"""Calls between regions, and what hosts share without a word."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+import pytest
+
+from tests import endpoints
+from tests import nodes
+from tests import test_passing
+from wrenspoke.protocol import passing
+from wrenspoke.state import routes
+
+ID = test_passing.ID
+request = test_passing.request
+answer = test_passing.answer
+
+
+def route(**changes):
+    """Return a route to the one service."""
+    return test_passing.route(routes.RouteKind.REPEATABLE, **changes)
+
+
+@pytest.fixture
+async def system(tmp_path):
+    """Run entry hosts in two regions, two of them in the south."""
+    made = []
+    async with nodes.running(tmp_path) as running:
+        for _number in range(2):
+            await running.start_entry('south-hall')
+
+        async def add(name, data_centre, script=None, **changes):
+            script = script or (lambda sent, _number: [answer(sent)])
+            endpoint = await endpoints.ScriptedEndpoint(script).start()
+            made.append(endpoint)
+            await running.register(
+                name, endpoint, data_centre=data_centre, **changes
+            )
+            return endpoint
+
+        running.add = add
+        running.north = running.entries[0].node.callers_address
+        yield running
+    for endpoint in made:
+        await endpoint.close()
+
+
+async def know_each_other(system):
+    """Wait until the north's host knows that the south's answer."""
+    north = system.entries[0]
+    await nodes.until(
+        lambda: (
+            [
+                north._reach.answers(other.node.host)
+                for other in system.entries[1:]
+            ]
+            == [True, True]
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    'homes, north_gets, south_gets',
+    [
+        (('south',), 0, 6),
+        (('north',), 6, 0),
+        ((), 6, 0),
+    ],
+    ids=['home elsewhere', 'home here', 'no home'],
+)
+async def test_call_is_served_at_home(system, homes, north_gets, south_gets):
+    await system.put(route(homes=homes))
+    here = await system.add('e1', 'north-hall')
+    there = await system.add('e2', 'south-hall')
+    await know_each_other(system)
+    for number in range(6):
+        got = await endpoints.ask(
+            system.north, request(request_id=f'q{number}')
+        )
+        assert got.endswith(b'whole')
+    counts = (len(here.requests), len(there.requests))
+    assert counts == (north_gets, south_gets)
+
+
+async def test_call_goes_away_where_no_endpoint_is_left(system):
+    await system.put(route())
+    there = await system.add('e2', 'south-hall')
+    await know_each_other(system)
+    got = await endpoints.ask(system.north, request())
+    assert got.endswith(b'whole') and len(there.requests) == 1
+
+
+async def test_host_that_stops_answering_is_left_for_another(system):
+    await system.put(route(homes=('south',)))
+    await system.add('e2', 'south-hall')
+    await know_each_other(system)
+    gone = system.entries.pop()
+    await gone.close()
+    for number in range(6):
+        got = await endpoints.ask(
+            system.north, request(request_id=f'q{number}')
+        )
+        assert got.endswith(b'whole')
+
+
+async def test_bound_call_is_not_run_where_home_has_no_endpoint(system):
+    await system.put(route(homes=('south',)))
+    here = await system.add('e1', 'north-hall')
+    got = await endpoints.ask(system.north, request())
+    assert got.startswith(b'HTTP/1.1 503 ') and b'Retry-After' in got
+    assert here.requests == []
+
+
+async def pass_on(system, **changes):
+    """Pass a call to a host in the south as another host would."""
+    held = system.entries[1].replica.current
+    hop = passing.Hop(
+        'elsewhere', 'r/a/', 's', held.index, 1, changes.pop('limit_ms', None)
+    )
+    hop = msgspec.structs.replace(hop, **changes)
+    node = system.entries[1].node
+    async with aiohttp.ClientSession() as session:
+        async with session.get(
+            f'http://{node.ip}:{node.passing_port}/a/x',
+            headers={
+                'Host': 'h.example',
+                ID: 'q1',
+                passing.HOP: msgspec.json.encode(hop).decode(),
+            },
+        ) as response:
+            await response.read()
+            return response.status, response.headers.get(passing.REFUSED)
+
+
+@pytest.mark.parametrize(
+    'changes, told',
+    [
+        ({}, (200, None)),
+        ({'limit_ms': 5_000}, (200, None)),
+        ({'limit_ms': 0}, (503, 'busy')),
+        ({'index': 10**6}, (503, 'no_configuration')),
+    ],
+    ids=['as it is', 'quick enough', 'slower than there', 'behind'],
+)
+async def test_host_serves_what_is_passed_on_or_says_why_not(
+    system, changes, told
+):
+    await system.put(route())
+    await system.add('e2', 'south-hall')
+    assert await pass_on(system, **changes) == told
+
+
+async def test_call_is_never_passed_on_twice(system):
+    """There is no endpoint in the south; the north's is not asked."""
+    await system.put(route())
+    here = await system.add('e1', 'north-hall')
+    assert await pass_on(system) == (503, 'unsent')
+    assert here.requests == []
+
+
+async def test_cold_endpoint_is_used_by_one_host_at_its_pace(system):
+    """Both hosts of the south ask; the sum keeps to what it bears."""
+    await system.put(route(), warmup_per_s=2.0)
+    cold = await system.add('e2', 'south-hall', warmup_left_ms=60_000)
+    south = [one.node.callers_address for one in system.entries[1:]]
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    for number in range(30):
+        await endpoints.ask(
+            south[number % 2], request(request_id=f'q{number}')
+        )
+    took_s = loop.time() - began
+    assert 1 <= len(cold.requests) <= 1 + 2.0 * took_s
+
+
+async def test_engine_without_room_is_passed_by(tmp_path):
+    """By its own report its memory is full; the other one's is not."""
+
+    def script(load):
+        def answer_or_report(sent, _number):
+            if sent.startswith(b'GET /load '):
+                return [answer(sent, load)]
+            return [answer(sent)]
+
+        return answer_or_report
+
+    async with nodes.running(tmp_path, reports=nodes.Reports()) as system:
+        batch = routes.Batch(8, 1_000)
+        await system.put(route(), batch=batch)
+        made = {}
+        for name, load in (('full', b'0 1 990 1000'), ('free', b'0 1 9 1000')):
+            endpoint = endpoints.ScriptedEndpoint(script(load))
+            made[name] = await endpoint.start()
+            await system.register(name, endpoint)
+        gauges = system.entries[0]._gauges
+        await nodes.until(lambda: gauges.load('full') and gauges.load('free'))
+        headers = ['Wrenspoke-Tokens: 100,10']
+        for number in range(6):
+            await endpoints.ask(
+                system.entries[0].node.callers_address,
+                request(headers=headers, request_id=f'q{number}'),
+            )
+        asked = [
+            sent
+            for sent in made['full'].requests
+            if sent.startswith(b'GET /a/x')
+        ]
+        assert asked == []
+        for endpoint in made.values():
+            await endpoint.close()
