Forget endpoints that are gone, on entry hosts too

Cause, seen when reading the change as a newcomer: what an entry host remembers by endpoint (prefixes, sends, standings, registrations) was never dropped; the functions for it had no caller. Beware: entry hosts hear changes only, so age alone must not drop a registration (test). Unused parts of attendance taken out.

--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -425,6 +425,126 @@
         ("os.environ[URING_VARIABLE] = '1'"),
         ('tests/test_path.py::test_no_daemon_uses_io_uring'),
     ),
+    Switch(
+        'cold endpoints used by every host',
+        DECISIONS + 'serving/choice.py',
+        ('            if not self._cold(found) or not self._warms(name):'),
+        ('            if not self._cold(found):'),
+        (
+            'tests/test_far.py::test_cold_endpoint_is_used_by_one_host_at_its_pace'
+        ),
+    ),
+    Switch(
+        'slower host keeps a call',
+        DECISIONS + 'serving/placing.py',
+        ('            raise BusyError()'),
+        ('            return'),
+        (
+            'tests/test_far.py::test_host_serves_what_is_passed_on_or_says_why_not'
+        ),
+    ),
+    Switch(
+        'once sent again after a loss',
+        DECISIONS + 'serving/passthrough.py',
+        ('        if not work.route.repeatable:'),
+        ('        if False:'),
+        ('tests/test_passing.py::test_broken_answer_is_never_passed_as_whole'),
+    ),
+    Switch(
+        "another request's answer passed on",
+        DECISIONS + 'serving/sending.py',
+        ('        if echoed != call.request:'),
+        ('        if False:'),
+        ('tests/test_passing.py::test_broken_answer_is_never_passed_as_whole'),
+    ),
+    Switch(
+        'reset hidden by an end of file',
+        'wrenspoke/transport/web.py',
+        ('        if found:\n            self._fail'),
+        ('        if False:\n            self._fail'),
+        ('tests/test_passing.py::test_reset_beside_the_last_bytes_is_no_end'),
+    ),
+    Switch(
+        'own canvass counts as a leader heard',
+        DECISIONS + 'agreement/voter.py',
+        ('            self._canvassed_ms = self.clock.mono_ms()'),
+        (
+            '            self._canvassed_ms = self._heard_ms = self.clock.mono_ms()'
+        ),
+        (
+            'tests/test_founding.py::test_host_that_canvasses_may_still_vote_for_another'
+        ),
+    ),
+    Switch(
+        'stands after giving its vote',
+        DECISIONS + 'agreement/voter.py',
+        ('            if (self.term, self._heard_ms) != before:'),
+        ('            if False:'),
+        (
+            'tests/test_founding.py::test_who_gave_its_vote_meanwhile_does_not_stand'
+        ),
+    ),
+    Switch(
+        'committed entries not known after a restart',
+        DECISIONS + 'agreement/voter.py',
+        ('        self.commit(kept.known_committed())\n'),
+        (''),
+        (
+            'tests/test_founding.py::test_restart_of_all_holds_what_was_accepted'
+        ),
+    ),
+    Switch(
+        'same version with other words in force',
+        STATE + 'replicated.py',
+        (
+            '    if offered.version == held.version and offered.digest != held.digest:'
+        ),
+        ('    if False:'),
+        ('tests/test_routes.py::test_highest_version_prevails'),
+    ),
+    Switch(
+        'late registration taken',
+        STATE + 'registry.py',
+        ('        elif said.number <= old.said.number:'),
+        ('        elif False:'),
+        ('tests/test_registry.py::test_newer_number_prevails'),
+    ),
+    Switch(
+        'a name that is gone is tried again',
+        DECISIONS + 'serving/passthrough.py',
+        ('            self._attended.withdraw(place.endpoint)\n'),
+        (''),
+        (
+            'tests/test_passing.py::test_endpoint_that_another_took_the_place_of_is_gone'
+        ),
+    ),
+    Switch(
+        'calls served away from home',
+        DECISIONS + 'serving/placing.py',
+        (
+            '        if not work.route.allows(self._region):\n            return None\n'
+        ),
+        (''),
+        ('tests/test_far.py::test_call_is_served_at_home'),
+    ),
+    Switch(
+        'stopping host takes new calls',
+        DECISIONS + 'serving/passthrough.py',
+        ('        if self.closed:'),
+        ('        if False:'),
+        (
+            'tests/test_passing.py::test_stopping_host_refuses_new_work_and_ends_the_old'
+        ),
+    ),
+    Switch(
+        'headers of the connection passed on',
+        'wrenspoke/protocol/dialect.py',
+        ('        left_out = self._kept_back | named'),
+        ('        left_out = self._kept_back'),
+        (
+            'tests/test_passing.py::test_only_the_gateway_speaks_of_endpoints_and_hops'
+        ),
+    ),
 ]
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -89,6 +89,24 @@
     assert not told.silent('e')
 
 
+@pytest.mark.parametrize(
+    'case, kept',
+    [('ready', True), ('silent', False), ('gone', False)],
+)
+def test_only_what_is_gone_or_silent_is_forgotten(case, kept):
+    """A host that hears changes only must not forget the others."""
+    clock = FakeClock()
+    held = registry.Registry(clock)
+    held.take(said(1))
+    if case == 'gone':
+        held.take(held.withdraw('e'))
+    clock.now_ms += registry.FORGOTTEN_AFTER_MS + 1
+    if case == 'silent':
+        held.mark_silent()
+    held.forget_old()
+    assert ('e' in held.held) is kept
+
+
 def record(host, start='a', number=1, draining=False, age_ms=0, **place):
     """Return what an entry host tells of itself."""
     return attending.HostRecord(
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections.abc
 import dataclasses
 import itertools
 import random
@@ -39,6 +38,7 @@
 # How long a fresh start waits for a leader's word that nothing is newer:
 # two round trips to a far region.
 CONFIRMATION_WAIT_MS = 400
+# A roster that another keeps is taken over whole, and not expired here.
 NEVER_LEASE_MS = 10**9
 
 
@@ -62,20 +62,17 @@
         held: replica.Replica,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
-        reseed: collections.abc.Callable[[], None] = lambda: None,
     ):
         self._record = record
         self._group = group
         self._replica = held
         self._peers = peers
         self._clock = clock
-        self._reseed = reseed
         self._numbers = itertools.count(1)
         self._tasks = runtime.Tasks()
         self._sessions = [_Session() for _number in range(ATTENDED_COUNT)]
-        self._looked_ms = clock.mono_ms()
         self._ticked_ms = clock.mono_ms()
-        self._answered_ms: int | None = None
+        self._failed: ids.HostId | None = None
         self._first_held_ms: int | None = None
         self.draining = False
         self.registry = registry.Registry(clock)
@@ -93,13 +90,6 @@
         """End every task."""
         await self._tasks.close()
 
-    @property
-    def answered_age_ms(self) -> int | None:
-        """Return how long ago a control host answered, None if never."""
-        if self._answered_ms is None:
-            return None
-        return self._clock.mono_ms() - self._answered_ms
-
     @property
     def awake(self) -> bool:
         """Tell whether this process has been running of late.
@@ -147,7 +137,6 @@
                 session.host = self._choose()
                 session.life = ''
             if session.host is None:
-                self._reseed()
                 await self._clock.sleep_ms(PAUSE_MS)
                 continue
             if await self._call(session, session.host, WAIT_MS):
@@ -157,8 +146,6 @@
             session.host = None
             await self._clock.sleep_ms(PAUSE_MS)
 
-    _failed: ids.HostId | None = None
-
     def _choose(self) -> ids.HostId | None:
         """Return a control host that no other session attends at."""
         taken = {session.host for session in self._sessions}
@@ -203,7 +190,6 @@
         return True
 
     def _take(self, session: _Session, answer: attending.Attended) -> None:
-        self._answered_ms = self._clock.mono_ms()
         self._group.hear(session.host)
         self._group.learn(answer.controls)
         changed = self._replica.advance(answer.delta)
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -265,6 +265,8 @@
             self._failed(work, place, str(error))
         finally:
             counts[place.name] -= 1
+            if not counts[place.name]:
+                del counts[place.name]
         return False
 
     def _note_sent(self, work: works.Work, place: sending.Place) -> None:
--- a/wrenspoke/nodes.py
+++ b/wrenspoke/nodes.py
@@ -41,7 +41,7 @@
 
 # A cut says nothing; a link is made anew soon after one heals.
 SILENCE = links.Silence(heartbeat_ms=700, timeout_ms=2_000)
-COUNT_INTERVAL_MS = 1_000
+HOUSE_INTERVAL_MS = 1_000
 
 
 def _peers(node: nodes.Node, clock: clocks.Clock) -> peer_calls.Peers:
@@ -182,14 +182,14 @@
     def _build_serving(self, dialect: dialects.Dialect) -> None:
         """Build what serves requests and what listens for them."""
         node = self.node
-        noted = health.Health(self.clock)
+        self._health = health.Health(self.clock)
         chosen = choice.Choice(
             node.region,
             node.host,
             node.regions,
             self.attendance,
             self.replica,
-            noted,
+            self._health,
             self._estimator,
             self._partners,
             self.clock,
@@ -201,7 +201,7 @@
             self.attendance,
             chosen,
             sending.Sender(dialect, self._client, self._hosts_client),
-            noted,
+            self._health,
             self.spending,
             self._reach,
             self._estimator,
@@ -233,7 +233,7 @@
         self.attendance.start()
         self._gauges.start()
         self._partners.start()
-        self._tasks.start(self._count_hosts())
+        self._tasks.start(self._keep_house())
         await self._hosts.start(f'{node.ip}:{node.passing_port}')
         await self._callers.start(node.callers_address)
         logger.info('started', host=node.host, seeds=node.seeds)
@@ -243,12 +243,18 @@
         self.group.reseed(node.seed_hosts)
         logger.info('reloaded', seeds=node.seeds)
 
-    async def _count_hosts(self) -> None:
-        """Tell the budgets how many hosts share them, for ever."""
+    async def _keep_house(self) -> None:
+        """Count who shares the budgets, and forget what is gone."""
         while True:
-            known = len(self.attendance.roster.usable())
-            self.spending.hosts = max(known, 1)
-            await self.clock.sleep_ms(COUNT_INTERVAL_MS)
+            hosts = self.attendance.roster.usable()
+            self.spending.hosts = max(len(hosts), 1)
+            held = self.attendance.registry.held
+            self._estimator.keep_only(set(held))
+            places = {found.said.address for found in held.values()}
+            places |= {record.passing_address for record in hosts}
+            self._health.keep_only(places)
+            self.attendance.registry.forget_old()
+            await self.clock.sleep_ms(HOUSE_INTERVAL_MS)
 
     async def drain(self) -> None:
         """Let callers go elsewhere, then wait for what is in flight."""
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -161,9 +161,15 @@
         return msgspec.structs.replace(found.said, age_ms=max(age_ms, 0))
 
     def forget_old(self) -> None:
-        """Drop what was heard too long ago to matter."""
+        """Drop what left or fell silent too long ago to matter.
+
+        Age alone says nothing where only changes are heard.
+        """
         now_ms = self._clock.mono_ms()
         for endpoint, found in list(self.held.items()):
+            gone = found.said.state is RegistrationState.GONE
+            if not (gone or found.silent):
+                continue
             if now_ms - found.heard_ms > FORGOTTEN_AFTER_MS:
                 del self.held[endpoint]
 
