--- a/Makefile
+++ b/Makefile
@@ -14,17 +14,17 @@
 	$(BIN)/wrenspoke demo
 
 test: $(VENV)/.ready
-	$(BIN)/ruff format --check wrenspoke tests features platform
-	$(BIN)/flake8 wrenspoke tests features platform
+	$(BIN)/ruff format --check wrenspoke tests features platform deploy
+	$(BIN)/flake8 wrenspoke tests features platform deploy
 	$(BIN)/python -m pytest -q -n 4
 	$(BIN)/behave -q features
 
 lint: $(VENV)/.ready
-	$(BIN)/ruff format --check wrenspoke tests features platform
-	$(BIN)/flake8 wrenspoke tests features platform
+	$(BIN)/ruff format --check wrenspoke tests features platform deploy
+	$(BIN)/flake8 wrenspoke tests features platform deploy
 
 format: $(VENV)/.ready
-	$(BIN)/ruff format wrenspoke tests features platform
+	$(BIN)/ruff format wrenspoke tests features platform deploy
 
 clean:
 	rm -rf $(VENV) .run
