--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,6 +1,8 @@
 """Links between hosts, on their own."""
 
 import asyncio
+import subprocess
+import sys
 
 import pytest
 
@@ -88,3 +90,20 @@
     assert await one.call('absent', b'new', 10_000) == b'here'
     assert heard == [b'new']
     await back.close()
+
+
+def test_ports_are_not_given_to_two_processes(monkeypatch):
+    """Two runs of the tests side by side take other ports."""
+    first = web.free_ports(1)[0]
+    monkeypatch.setattr(web, 'PORT_RANGE', range(first, first + 20))
+    mine = set(web.free_ports(5)) | {first}
+    code = (
+        'from wrenspoke.transport import web;'
+        f'web.PORT_RANGE = range({first}, {first + 20});'
+        'print(*web.free_ports(20))'
+    )
+    ended = subprocess.run(
+        [sys.executable, '-c', code], capture_output=True, text=True
+    )
+    theirs = {int(port) for port in ended.stdout.split()}
+    assert theirs and not theirs & mine
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -13,7 +13,6 @@
 from wrenspoke.coordination.membership import controls
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import dispatch
-from wrenspoke import entryd
 from wrenspoke import ids
 from wrenspoke import keys
 from wrenspoke import metrics
@@ -46,7 +45,7 @@
             keys.read_identity(
                 folder / deployment.keys_folder, deployment, self._own
             ),
-            entryd.link_peers(deployment),
+            keys.link_peers(deployment),
             clock,
         )
         self.replica = replica.Replica()
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -28,12 +28,15 @@
 
 # Two, so that one that is lost or cut off delays nothing.
 ATTENDED_COUNT = 2
+# Renews the lease of 2.5 s three times, so that two may be lost.
 WAIT_MS = 700
 # The wait, a far region's round trip and a busy host's delay.
 CALL_TIMEOUT_MS = 1_500
+# Between two tries at control hosts that do not answer.
 PAUSE_MS = 100
 # A host that had no processor time for so long looks before it sends.
 STOPPED_AFTER_MS = 1_500
+# Often enough to notice a stop within a fraction of it.
 TICK_MS = 250
 # How long a fresh start waits for a leader's word that nothing is newer:
 # two round trips to a far region.
--- a/wrenspoke/coordination/membership/gauges.py
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -27,6 +27,7 @@
 
 logger = structlog.get_logger(__name__)
 
+# Reports are a few hundred bytes; more is no report.
 REPORT_LIMIT_BYTES = 64 * 1024
 # Longer than a report takes at a busy engine, shorter than the interval
 # after which it is stale.
--- a/wrenspoke/coordination/membership/partners.py
+++ b/wrenspoke/coordination/membership/partners.py
@@ -19,6 +19,7 @@
 
 # Two, so that one that stops leaves one that is known.
 PARTNERS_COUNT = 2
+# As often as the roster can change.
 LOOK_INTERVAL_MS = 1_000
 
 
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -28,7 +28,9 @@
 HOST_LEASE_MS = 2_500
 # Renewals ride on this; changes do not wait for it.
 EXCHANGE_INTERVAL_MS = 1_000
+# Some far round trips of 160 ms; one that is lost is made up by the next.
 EXCHANGE_TIMEOUT_MS = 800
+# Half of the time after which callers of links give up by default.
 LONGEST_WAIT_MS = 2_000
 # Longer than the exchange interval and a far region's round trip.
 HEARD_LATELY_MS = 3_000
--- a/wrenspoke/coordination/serving/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -28,7 +28,9 @@
 
 logger = structlog.get_logger(__name__)
 
+# Of a region; beyond these it counts as cut off.
 HOSTS_TRIED = 3
+# Part of the time that is left, so that a second try has as much.
 FIRST_TRY_SHARE = 0.5
 EVENT_STREAM = 'text/event-stream'
 
--- a/wrenspoke/coordination/serving/local.py
+++ b/wrenspoke/coordination/serving/local.py
@@ -26,7 +26,10 @@
     errors.OverloadedError,
     errors.MaybeSentError,
 )
+# Part of the time that is left, so that a second try has as much.
 FIRST_TRY_SHARE = 0.5
+# Looks at whether this host may send again after it was stopped: 2 s, in
+# which a pull from a peer or a leader comes back.
 LOOKS = 20
 LOOK_INTERVAL_MS = 100
 # Checks of a send that fail for every endpoint alike.
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -33,7 +33,6 @@
 from wrenspoke.protocol import surface
 from wrenspoke import runtime
 from wrenspoke import settings
-from wrenspoke.transport import links
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -60,7 +59,7 @@
         self._client = web.HttpClient(self._settings.connect_timeout_ms)
         self.peers = peer_calls.Peers(
             keys.read_identity(keys_folder, deployment, self._own),
-            link_peers(deployment),
+            keys.link_peers(deployment),
             self._clock,
         )
         self.replica = replica.Replica()
@@ -290,19 +289,6 @@
         logger.info('stopped')
 
 
-def link_peers(deployment: settings.Deployment) -> list[links.Peer]:
-    """Return where every host of a deployment listens for links."""
-    return [
-        links.Peer(
-            ids.HostId(entry.host),
-            str(entry.ip),
-            entry.link_port,
-            entry.public_key,
-        )
-        for entry in deployment.hosts
-    ]
-
-
 async def serve(path: pathlib.Path, name: str) -> None:
     """Run one entry host until it is told to stop."""
     deployment = settings.read(path)
--- a/wrenspoke/keys.py
+++ b/wrenspoke/keys.py
@@ -6,6 +6,7 @@
 import pathlib
 import secrets
 
+from wrenspoke import ids
 from wrenspoke import settings
 from wrenspoke.transport import links
 
@@ -72,3 +73,16 @@
 def digest(token: str) -> str:
     """Return what settings hold in place of an operator's token."""
     return hashlib.sha256(token.encode()).hexdigest()
+
+
+def link_peers(deployment: settings.Deployment) -> list[links.Peer]:
+    """Return where every host of a deployment listens for links."""
+    return [
+        links.Peer(
+            ids.HostId(entry.host),
+            str(entry.ip),
+            entry.link_port,
+            entry.public_key,
+        )
+        for entry in deployment.hosts
+    ]
--- a/wrenspoke/nodes.py
+++ b/wrenspoke/nodes.py
@@ -41,6 +41,7 @@
 
 # A cut says nothing; a link is made anew soon after one heals.
 SILENCE = links.Silence(heartbeat_ms=700, timeout_ms=2_000)
+# Hosts come and go in seconds; the budgets' window is ten.
 HOUSE_INTERVAL_MS = 1_000
 
 
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -32,7 +32,9 @@
     ]
 )
 TOKEN = re.compile(r'[!-~]{1,128}\Z')
+# As the callers' own interface allows (entry.deadline_limit_ms).
 DEADLINE_LIMIT_MS = 600_000
+# Prompts have a few parts; more would only cost time to look at.
 PARTS_LIMIT = 256
 
 Fields = list[tuple[str, str]]
--- a/wrenspoke/protocol/passing.py
+++ b/wrenspoke/protocol/passing.py
@@ -26,6 +26,7 @@
 EXPECT = 'Expect'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 MS_PER_S = 1000
+# Nobody reads it; the name that proxies use for a caller who left.
 GONE_STATUS = 499
 
 
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -3,10 +3,13 @@
 import asyncio
 import collections.abc
 import contextlib
+import fcntl
 import functools
 import os
+import pathlib
 import random
 import socket
+import tempfile
 
 import aiohttp
 from aiohttp import client_proto
@@ -35,6 +38,8 @@
 USER_TIMEOUT_MS = 5_000
 PORT_RANGE = range(10_000, 32_000)
 _GIVEN_PORTS: set[int] = set()
+# Held open for as long as the process lives.
+_RESERVATIONS: list[int] = []
 
 
 Handler = collections.abc.Callable[
@@ -336,11 +341,11 @@
 
     They lie below those that the system gives to outgoing connections,
     so that none of these takes one before its server starts, and none
-    is returned twice.
+    is returned twice, nor to another process while this one lives.
     """
     found: list[int] = []
     for port in random.sample(PORT_RANGE, len(PORT_RANGE)):
-        if port in _GIVEN_PORTS:
+        if port in _GIVEN_PORTS or not _reserved(port):
             continue
         with socket.socket() as tried:
             try:
@@ -352,3 +357,16 @@
         if len(found) == count:
             break
     return found
+
+
+def _reserved(port: int) -> bool:
+    """Reserve a port among the processes that ask for free ones."""
+    path = pathlib.Path(tempfile.gettempdir()) / f'wrenspoke-port-{port}'
+    lock = os.open(path, os.O_CREAT | os.O_RDWR, 0o600)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        return False
+    _RESERVATIONS.append(lock)
+    return True
