Take prompts over from the engine of the region that keeps them

Estimates therefore clung to the usual engine also when it had work waiting.

Ruled out: asking engines of other regions as well, one drawn by chance.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -49,7 +49,14 @@
     'tls': False,
     'warmupS': 3.0,
     'warmupPerS': 2.2,
-    'engine': {'slots': 64, 'kvCapacityTokens': 232000, 'other': 1},
+    'engine': {
+        'slots': 64,
+        'kvCapacityTokens': 232000,
+        'kvTokenBytes': 327680,
+        'linkMbps': 550000.0,
+        'moves': True,
+        'other': 1,
+    },
 }
 
 
@@ -88,7 +95,7 @@
     )
     service = table.services['chat']
     assert (service.warmup_ms, service.warmup_per_s) == (3000, 2.2)
-    assert service.batch == routes.Batch(64, 232000)
+    assert service.batch == routes.Batch(64, 232000, 327680, 550000.0, True)
     assert table.limits.body_bytes == 4096
 
 
--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -174,24 +174,68 @@
     assert 1 <= len(cold.requests) <= 1 + 2.0 * took_s
 
 
-async def test_engine_without_room_is_passed_by(tmp_path):
-    """By its own report its memory is full; the other one's is not."""
+class ReportingEngine:
+    """Answer calls, and reports by the load that a test states."""
+
+    def __init__(self, load):
+        self.load = load
+        self.endpoint = endpoints.ScriptedEndpoint(self._answer)
+
+    def _answer(self, sent, _number):
+        if sent.startswith(b'GET /load '):
+            return [answer(sent, self.load)]
+        return [answer(sent)]
+
+    @property
+    def calls(self):
+        """Return the calls that came, without those for reports."""
+        return [
+            sent
+            for sent in self.endpoint.requests
+            if sent.startswith(b'GET /a/x')
+        ]
 
-    def script(load):
-        def answer_or_report(sent, _number):
-            if sent.startswith(b'GET /load '):
-                return [answer(sent, load)]
-            return [answer(sent)]
 
-        return answer_or_report
+@pytest.mark.parametrize('moves', [True, False])
+async def test_prompt_is_taken_over_from_who_keeps_it(tmp_path, moves):
+    """The engine that read it has no room any more."""
+    parts = 'Wrenspoke-Prompt-Parts: a:2000,b:1000,own:100'
+    async with nodes.running(tmp_path, reports=nodes.Reports()) as system:
+        batch = routes.Batch(8, 9_000, 1_000, 10_000.0, moves)
+        await system.put(route(), batch=batch)
+        made = {}
+        for name in ('e1', 'e2'):
+            engine = made[name] = ReportingEngine(b'0 1 9 90000')
+            await system.register(name, await engine.endpoint.start())
+        gauges = system.entries[0]._gauges
+        await nodes.until(lambda: gauges.load('e1') and gauges.load('e2'))
+        asked = request(headers=['Wrenspoke-Tokens: 3100,10', parts])
+        address = system.entries[0].node.callers_address
+        await endpoints.ask(address, asked)
+        keeper = next(name for name in made if made[name].calls)
+        [other] = made.keys() - {keeper}
+        made[keeper].load = b'9 8 9 90000'
+        await nodes.until(lambda: gauges.load(keeper).queued)
+        await endpoints.ask(address, asked)
+        [second] = made[other].calls
+        named = endpoints.header(second, 'Wrenspoke-Fetch-From')
+        expected = made[keeper].endpoint.address if moves else None
+        assert named == expected
+        first = made[keeper].calls[0]
+        assert endpoints.header(first, 'Wrenspoke-Fetch-From') is None
+        for engine in made.values():
+            await engine.endpoint.close()
+
 
+async def test_engine_without_room_is_passed_by(tmp_path):
+    """By its own report its memory is full; the other one's is not."""
     async with nodes.running(tmp_path, reports=nodes.Reports()) as system:
         batch = routes.Batch(8, 1_000)
         await system.put(route(), batch=batch)
         made = {}
         for name, load in (('full', b'0 1 990 1000'), ('free', b'0 1 9 1000')):
-            endpoint = endpoints.ScriptedEndpoint(script(load))
-            made[name] = await endpoint.start()
+            made[name] = ReportingEngine(load)
+            endpoint = await made[name].endpoint.start()
             await system.register(name, endpoint)
         gauges = system.entries[0]._gauges
         await nodes.until(lambda: gauges.load('full') and gauges.load('free'))
@@ -201,11 +245,6 @@
                 system.entries[0].node.callers_address,
                 request(headers=headers, request_id=f'q{number}'),
             )
-        asked = [
-            sent
-            for sent in made['full'].requests
-            if sent.startswith(b'GET /a/x')
-        ]
-        assert asked == []
-        for endpoint in made.values():
-            await endpoint.close()
+        assert made['full'].calls == []
+        for engine in made.values():
+            await engine.endpoint.close()
--- /dev/null
+++ b/tests/test_prefixes.py
@@ -0,0 +1,57 @@
+"""What hosts know of prompts' parts."""
+
+import pytest
+
+from wrenspoke.coordination.serving import prefixes
+from wrenspoke.protocol import dialect as dialects
+
+OWN = dialects.PromptPart('own', 300)
+
+
+def parts(*names, tokens=1_000):
+    """Return shared parts of equal size, and one of the request's own."""
+    shared = [dialects.PromptPart(name, tokens) for name in names]
+    return (*shared, OWN)
+
+
+@pytest.mark.parametrize(
+    'sent, usual, asked, found',
+    [
+        ([], None, parts('a', 'b'), None),
+        ([], 'e2', parts('a', 'b'), ('e2', 1_600)),
+        ([('e1', parts('a', 'b'))], None, parts('a', 'b'), ('e1', 2_300)),
+        ([('e1', parts('a', 'b'))], None, parts('a', 'c'), ('e1', 1_000)),
+        ([('e1', parts('a', 'b'))], None, parts('c', 'b'), None),
+        ([('e1', parts('a'))], 'e2', parts('a', 'b'), ('e2', 1_600)),
+        ([('e1', parts('a', 'b'))], 'e2', parts('a', 'b'), ('e1', 2_300)),
+        # Whoever is not asked is not named: it drains, or falls silent.
+        ([('gone', parts('a', 'b'))], None, parts('a', 'b'), None),
+    ],
+    ids=[
+        'nothing known',
+        'usual engine',
+        'whole prompt sent',
+        'first part only',
+        'first part differs',
+        'usual has more',
+        'sent has more',
+        'not asked',
+    ],
+)
+def test_holder_keeps_the_most(sent, usual, asked, found):
+    known = prefixes.Prefixes()
+    for endpoint, its_parts in sent:
+        known.note(endpoint, 10_000, its_parts)
+    holder = known.holder(asked, ['e1', 'e2'], usual)
+    assert (holder and (holder.endpoint, holder.tokens)) == found
+
+
+def test_oldest_parts_give_way():
+    known = prefixes.Prefixes()
+    for name in ('a', 'b', 'c'):
+        known.note('e1', 2_700, (dialects.PromptPart(name, 1_000),))
+    kept = [
+        known.kept_tokens('e1', (dialects.PromptPart(name, 1_000),), False)
+        for name in ('a', 'b', 'c')
+    ]
+    assert kept == [0, 1_000, 1_000]
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -18,6 +18,7 @@
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import prefixes
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import attending
@@ -50,7 +51,8 @@
 
     ``first_ms`` is when its first piece is expected, ``room`` whether
     the endpoint can begin at once, ``usual`` whether it is the one that
-    hosts agree on for the prompt's prefix.
+    hosts agree on for the prompt's prefix. From ``source`` it can take
+    ``moved_tokens`` of the prompt over, instead of reading them.
     """
 
     found: registry.Registered
@@ -58,6 +60,8 @@
     room: bool
     usual: bool
     candidates: int
+    source: registry.Registered | None = None
+    moved_tokens: float = 0.0
 
 
 class Choice:
@@ -184,20 +188,60 @@
         count: int,
     ) -> list[Chosen]:
         names = [found.said.endpoint for found in candidates]
-        usual = estimate.usual_endpoint(call, names)
+        usual = prefixes.usual_endpoint(call.parts, names)
+        holder = self._holder(service, call, candidates, usual)
         estimated = []
         for found in candidates:
             name = found.said.endpoint
-            is_usual = name == usual
-            first_ms = self._estimator.first_ms(
-                found, service, call, self.in_flight.get(name, 0), is_usual
+            item = Chosen(found, 0.0, True, name == usual, count)
+            self._take_over(item, call, holder)
+            item.first_ms = self._estimator.first_ms(
+                found,
+                service,
+                call,
+                self.in_flight.get(name, 0),
+                item.usual,
+                item.moved_tokens,
             )
             if self._attended.registry.silent(name):
-                first_ms += SILENT_PENALTY_MS
-            room = self._estimator.room(found, service, call, is_usual)
-            estimated.append(Chosen(found, first_ms, room, is_usual, count))
+                item.first_ms += SILENT_PENALTY_MS
+            item.room = self._estimator.room(found, service, call, item.usual)
+            estimated.append(item)
         return estimated
 
+    def _holder(
+        self,
+        service: routes.RoutedService,
+        call: dialects.Call,
+        candidates: list[registry.Registered],
+        usual: ids.EndpointId | None,
+    ) -> prefixes.Holder | None:
+        """Return the engine from which others can take a prompt over."""
+        if service.batch is None or not service.batch.moves:
+            return None
+        names = [
+            found.said.endpoint for found in candidates if not found.silent
+        ]
+        return self._estimator.prefixes.holder(call.parts, names, usual)
+
+    def _take_over(
+        self,
+        item: Chosen,
+        call: dialects.Call,
+        holder: prefixes.Holder | None,
+    ) -> None:
+        """Let an engine take from the holder what it lacks of a prompt."""
+        name = item.found.said.endpoint
+        if holder is None or holder.endpoint == name:
+            return
+        kept = self._estimator.prefixes.kept_tokens(
+            name, call.parts, item.usual
+        )
+        if holder.tokens - kept < prefixes.LEAST_MOVED_TOKENS:
+            return
+        item.source = self._attended.registry.held.get(holder.endpoint)
+        item.moved_tokens = holder.tokens - kept
+
     def far_first_ms(self, region: ids.RegionId) -> float:
         """Return when a first piece through another region is expected."""
         seen_ms, at_ms = self._far.get(region, (FAR_FIRST_MS, 0))
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -274,11 +274,12 @@
         if place.chosen is None:
             return
         usual = place.chosen.usual
+        moved_tokens = place.chosen.moved_tokens
         place.unread_tokens = self._estimator.unread_tokens(
-            place.endpoint, work.call, usual
+            place.endpoint, work.call, usual, moved_tokens
         )
         self._estimator.note_sent(
-            place.endpoint, work.service, work.call, usual
+            place.endpoint, work.service, work.call, usual, moved_tokens
         )
 
     def _note_first(self, work: works.Work, place: sending.Place) -> None:
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -97,6 +97,7 @@
             first_ms=round(chosen.first_ms),
             room=chosen.room,
             usual=chosen.usual,
+            moved_tokens=round(chosen.moved_tokens),
             candidates=chosen.candidates,
             version=self._replica.current.routes.version,
         )
--- /dev/null
+++ b/wrenspoke/coordination/serving/prefixes.py
@@ -0,0 +1,129 @@
+"""Know which engine keeps which parts of prompts, without asking.
+
+What an engine keeps is remembered from what was sent there, least lately
+used first out, as engines do. Hosts tell each other nothing of it: they
+agree on one engine for a prefix, by rendezvous hashing, and take it to
+have what all of them send there.
+"""
+
+import collections
+
+import msgspec
+
+from wrenspoke.coordination.serving import routing
+from wrenspoke import ids
+from wrenspoke.protocol import dialect as dialects
+
+Parts = tuple[dialects.PromptPart, ...]
+
+# Of the shared parts of a prompt, what the engine that hosts agree on
+# should hold: some were never read there, some gave way.
+USUAL_SHARE = 0.8
+KEPT_PARTS = 20_000
+# Fewer tokens are read again sooner than a move of them begins: about the
+# time of one step of an engine.
+LEAST_MOVED_TOKENS = 256
+
+
+class Holder(msgspec.Struct, frozen=True):
+    """Name an engine that keeps the first tokens of a prompt."""
+
+    endpoint: ids.EndpointId
+    tokens: float
+
+
+class PrefixMemory:
+    """Remember the parts of prompts that were sent to one engine."""
+
+    def __init__(self, capacity_tokens: int):
+        self._capacity_tokens = capacity_tokens
+        self._parts: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._tokens = 0
+
+    def kept_tokens(self, parts: Parts) -> int:
+        """Return how many tokens from the start on are kept."""
+        kept = 0
+        for part in parts:
+            if part.part not in self._parts:
+                break
+            kept += part.tokens
+        return kept
+
+    def note(self, parts: Parts) -> None:
+        """Note that a prompt was read, and forget the oldest for it."""
+        for part in parts:
+            old = self._parts.pop(part.part, 0)
+            self._parts[part.part] = part.tokens
+            self._tokens += part.tokens - old
+        while self._parts and (
+            self._tokens > self._capacity_tokens
+            or len(self._parts) > KEPT_PARTS
+        ):
+            _part, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
+
+
+class Prefixes:
+    """Hold what is known of every engine's kept parts."""
+
+    def __init__(self):
+        self._memories: dict[ids.EndpointId, PrefixMemory] = {}
+
+    def kept_tokens(
+        self, endpoint: ids.EndpointId, parts: Parts, usual: bool
+    ) -> float:
+        """Return how much of a prompt an engine should keep."""
+        memory = self._memories.get(endpoint)
+        kept = memory.kept_tokens(parts) if memory else 0
+        if usual:
+            kept = max(kept, USUAL_SHARE * shared_tokens(parts))
+        return kept
+
+    def holder(
+        self,
+        parts: Parts,
+        names: list[ids.EndpointId],
+        usual: ids.EndpointId | None,
+    ) -> Holder | None:
+        """Return which of some engines keeps the most of a prompt."""
+        best = None
+        for name in names:
+            kept = self.kept_tokens(name, parts, name == usual)
+            if kept and (best is None or kept > best.tokens):
+                best = Holder(name, kept)
+        return best
+
+    def note(
+        self, endpoint: ids.EndpointId, capacity_tokens: int, parts: Parts
+    ) -> None:
+        """Note that an engine reads a prompt."""
+        memory = self._memories.get(endpoint)
+        if memory is None:
+            memory = PrefixMemory(capacity_tokens)
+            self._memories[endpoint] = memory
+        memory.note(parts)
+
+    def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
+        """Forget engines that are gone."""
+        for endpoint in list(self._memories):
+            if endpoint not in endpoints:
+                del self._memories[endpoint]
+
+
+def shared_tokens(parts: Parts) -> int:
+    """Return the tokens of a prompt that other prompts may have too.
+
+    The last part is the request's own.
+    """
+    return sum(part.tokens for part in parts[:-1])
+
+
+def usual_endpoint(
+    parts: Parts, names: list[ids.EndpointId]
+) -> ids.EndpointId | None:
+    """Return the endpoint that all hosts agree on for a prefix."""
+    if len(parts) < 2 or not names:
+        return None
+    return routing.rendezvous(parts[-2].part, names)[0]
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -141,6 +141,9 @@
             fields.append((passing.HOP, hop))
             return fields
         fields.append((dialect.endpoint, place.endpoint))
+        if place.chosen is not None and place.chosen.source is not None:
+            source = place.chosen.source.said
+            fields.append((dialect.fetch_from, source.address))
         if call.parts:
             urgency = min(max(route.priority, 0), URGENCIES - 1)
             fields.append((dialect.priority, str(urgency)))
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -45,6 +45,8 @@
 
     ``endpoint`` makes an endpoint refuse what is meant for another one,
     ``not_run`` in its answer says that it did not run the request.
+    ``fetch_from`` names the address of an endpoint that hands over what
+    it keeps of the prompt.
     ``reserved`` headers are never passed on from callers.
     """
 
@@ -56,11 +58,17 @@
     prompt_parts: str = 'Wrenspoke-Prompt-Parts'
     tokens: str = 'Wrenspoke-Tokens'
     last_event: str = 'Last-Event-ID'
+    fetch_from: str = 'Wrenspoke-Fetch-From'
     reserved: tuple[str, ...] = ()
 
     def kept_back(self) -> frozenset[str]:
         """Return, in lower case, what is not passed on to endpoints."""
-        own = (self.deadline_ms, self.endpoint, self.priority)
+        own = (
+            self.deadline_ms,
+            self.endpoint,
+            self.priority,
+            self.fetch_from,
+        )
         names = (*own, *self.reserved)
         return CONNECTION_FIELDS | {name.lower() for name in names}
 
--- a/wrenspoke/state/routes.py
+++ b/wrenspoke/state/routes.py
@@ -14,6 +14,11 @@
 from wrenspoke.state import errors
 
 
+BITS_PER_BYTE = 8
+# What a link of one megabit a second carries in a millisecond.
+BITS_PER_MS_OF_MBPS = 1_000
+
+
 class RouteKind(enum.Enum):
     """Say what may be repeated, and in which shape answers come."""
 
@@ -65,10 +70,24 @@
 
 
 class Batch(msgspec.Struct, frozen=True):
-    """Say what an engine's memory holds and how it works in batches."""
+    """Say what an engine's memory holds and how it works in batches.
+
+    With ``moves`` an engine can take what another keeps of a prompt, at
+    ``token_bytes`` a token over a link of ``link_mbps``.
+    """
 
     slots: int
     cache_tokens: int
+    token_bytes: int = 0
+    link_mbps: float = 0.0
+    moves: bool = False
+
+    def move_ms(self, tokens: float) -> float:
+        """Return how long the memory of some tokens is on its way."""
+        if self.link_mbps <= 0:
+            return 0.0
+        bits = tokens * self.token_bytes * BITS_PER_BYTE
+        return bits / (self.link_mbps * BITS_PER_MS_OF_MBPS)
 
 
 class RoutedService(msgspec.Struct, frozen=True):
