Send long prompts to a part of the engines, streams to the others

Cause: most late streams were late by a pause, not by their first event.

What is left comes from engines that several hosts give prompts to at once, unseen by each other.

--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -1,9 +1,11 @@
-"""What hosts know of prompts' parts."""
+"""What hosts know of prompts' parts, and where long prompts go."""
 
 import pytest
 
+from wrenspoke.coordination.serving import lanes
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke.protocol import dialect as dialects
+from wrenspoke.state import routes
 
 OWN = dialects.PromptPart('own', 300)
 
@@ -55,3 +57,41 @@
         for name in ('a', 'b', 'c')
     ]
     assert kept == [0, 1_000, 1_000]
+
+
+@pytest.mark.parametrize(
+    'count, readers', [(0, 0), (1, 0), (2, 1), (3, 1), (6, 2), (36, 12)]
+)
+def test_part_of_the_engines_reads_long_prompts(count, readers):
+    names = [f'e{number}' for number in range(count)]
+    found = lanes.readers(names)
+    assert len(found) == readers and found <= set(names)
+    assert found == lanes.readers(list(reversed(names)))
+
+
+@pytest.mark.parametrize(
+    'tokens_in, pause_target_ms, is_reader, better',
+    [
+        (20_000, 400, True, True),
+        (20_000, 400, False, False),
+        (20_000, None, False, False),
+        (500, 400, True, False),
+        (500, 400, False, True),
+        (500, None, True, True),
+    ],
+)
+def test_lane_of_a_call(tokens_in, pause_target_ms, is_reader, better):
+    route = routes.Route(
+        'r',
+        'h',
+        '/',
+        routes.RouteKind.STREAM,
+        (routes.Target('s'),),
+        1_000,
+        500,
+        pause_target_ms=pause_target_ms,
+    )
+    call = dialects.Call(
+        'q', 'GET', 'h', '/', [], 0, 1_000, tokens_in=tokens_in
+    )
+    assert (lanes.penalty_ms(route, call, is_reader) == 0) is better
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -18,6 +18,7 @@
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import lanes
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
@@ -145,6 +146,7 @@
     def choose(
         self,
         service: routes.RoutedService,
+        route: routes.Route,
         call: dialects.Call,
         excluded: collections.abc.Container[ids.EndpointId],
     ) -> Chosen | None:
@@ -166,7 +168,9 @@
         candidates = sound or warm
         if not candidates:
             return None
-        estimated = self._estimated(service, call, candidates, len(every))
+        estimated = self._estimated(
+            service, route, call, candidates, len(every)
+        )
         if not sound:
             for item in estimated:
                 item.first_ms += ASIDE_PENALTY_MS
@@ -183,6 +187,7 @@
     def _estimated(
         self,
         service: routes.RoutedService,
+        route: routes.Route,
         call: dialects.Call,
         candidates: list[registry.Registered],
         count: int,
@@ -190,6 +195,7 @@
         names = [found.said.endpoint for found in candidates]
         usual = prefixes.usual_endpoint(call.parts, names)
         holder = self._holder(service, call, candidates, usual)
+        readers = self._readers(service, names)
         estimated = []
         for found in candidates:
             name = found.said.endpoint
@@ -205,10 +211,19 @@
             )
             if self._attended.registry.silent(name):
                 item.first_ms += SILENT_PENALTY_MS
+            item.first_ms += lanes.penalty_ms(route, call, name in readers)
             item.room = self._estimator.room(found, service, call, item.usual)
             estimated.append(item)
         return estimated
 
+    def _readers(
+        self, service: routes.RoutedService, names: list[ids.EndpointId]
+    ) -> frozenset[ids.EndpointId]:
+        """Return the engines that long prompts go to."""
+        if service.batch is None:
+            return frozenset()
+        return lanes.readers(names)
+
     def _holder(
         self,
         service: routes.RoutedService,
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -415,6 +415,7 @@
                 self._note_first(work, place)
                 await work.reply.open(answer.status, answer.fields)
                 work.tracker = tracker
+            work.note_piece(self._clock.mono_ms())
             await work.reply.write(data)
         await self._end_stream(work, place, answer, tracker)
 
@@ -449,6 +450,7 @@
         async for chunk in answer.chunks():
             data = work.tracker.feed(chunk)
             if data:
+                work.note_piece(self._clock.mono_ms())
                 await work.reply.write(data)
         await self._end_stream(work, place, answer, work.tracker)
         return True
@@ -501,6 +503,7 @@
             target_ms=work.route.target_ms,
             whole_ms=now_ms - work.call.arrived_ms,
             pieces=pieces,
+            longest_pause_ms=work.longest_pause_ms,
             runs=work.runs,
             unrun=work.unrun,
         )
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -81,7 +81,9 @@
     def _local(self, work: works.Work) -> choice.Chosen | None:
         if not work.route.allows(self._region):
             return None
-        return self._choice.choose(work.service, work.call, work.tried)
+        return self._choice.choose(
+            work.service, work.route, work.call, work.tried
+        )
 
     def _endpoint_place(
         self, work: works.Work, chosen: choice.Chosen | None
@@ -97,6 +99,7 @@
             first_ms=round(chosen.first_ms),
             room=chosen.room,
             usual=chosen.usual,
+            tokens_in=work.call.tokens_in,
             moved_tokens=round(chosen.moved_tokens),
             candidates=chosen.candidates,
             version=self._replica.current.routes.version,
--- a/wrenspoke/coordination/serving/work.py
+++ b/wrenspoke/coordination/serving/work.py
@@ -36,9 +36,18 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     cause: str = ''
     first_at_ms: int | None = None
+    last_piece_ms: int | None = None
+    longest_pause_ms: int = 0
     kept: KeptAnswer | None = None
     tracker: events.EventTracker | None = None
 
+    def note_piece(self, now_ms: int) -> None:
+        """Note that a piece of the answer goes to the caller."""
+        if self.last_piece_ms is not None:
+            pause_ms = now_ms - self.last_piece_ms
+            self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        self.last_piece_ms = now_ms
+
     def was_not_run(self) -> None:
         """Take back that the last send may have run."""
         self.runs -= 1
