Serve 200 ms after the first answer where no leader confirms

Cause: a host that starts waited for a leader's word for 400 ms and looked only when the next answer came, up to 700 ms later. Also takes out Attendance.changed, which nobody waited for.

Ruled out: imports (0.35 s from start to listening, unchanged), the control hosts (listening 50 ms before the entry hosts).

Test: tests/test_attendance.py, two rows seen to fail on the code before. A host that was stopped still waits for an answer.

--- /dev/null
+++ b/tests/test_attendance.py
@@ -0,0 +1,87 @@
+"""When an entry host that starts, or was stopped, begins to serve."""
+
+import asyncio
+
+import pytest
+
+from tests import nodes
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import replica
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import messages
+from wrenspoke.state import configuration
+
+CONTROL = '127.0.0.2:1'
+RECORD = attending.HostRecord(
+    '127.0.0.1:1', 'north', 'north-hall', '', '', 'start', 0, False
+)
+
+
+class ScriptedPeers:
+    """Answer every call of an attending host by what a test states."""
+
+    def __init__(self):
+        self.confirmed = False
+        self.index = 1
+        self.calls = 0
+
+    async def call(self, _host, _message, _timeout_ms):
+        self.calls += 1
+        delta = messages.ConfigurationDelta(
+            index=self.index,
+            confirmed=self.confirmed,
+            whole=configuration.Configuration(index=self.index),
+        )
+        return attending.Attended(delta, 'life', 1, 1, [], None, [])
+
+
+@pytest.fixture
+async def attended():
+    """Return an attending host that calls only when a test says so."""
+    clock = clocks.Clock()
+    made = attendance.Attendance(
+        RECORD,
+        controls.ControlGroup(RECORD.host, [CONTROL], clock),
+        replica.Replica(),
+        ScriptedPeers(),
+        clock,
+    )
+    yield made
+    await made.close()
+
+
+async def hear(attended):
+    """Let a control host answer once."""
+    [session, _other] = attended._sessions
+    session.host = CONTROL
+    await attended._call(session, CONTROL, 0)
+
+
+@pytest.mark.parametrize(
+    'confirmed, index, at_once, later',
+    [(True, 1, True, True), (False, 1, False, True), (True, 0, False, False)],
+    ids=['leader', 'no leader', 'nothing known'],
+)
+async def test_first_answer_decides_when_to_serve(
+    attended, confirmed, index, at_once, later
+):
+    """Without a leader's word no further answer is waited for."""
+    attended._peers.confirmed = confirmed
+    attended._peers.index = index
+    await hear(attended)
+    assert attended._replica.serving is at_once
+    if later:
+        await nodes.until(lambda: attended._replica.serving)
+    assert attended._peers.calls == 1
+
+
+async def test_host_that_was_stopped_serves_after_a_new_answer_only(attended):
+    await hear(attended)
+    waiting = attended._waiting
+    attended._doubt()
+    await asyncio.wait([waiting])
+    assert waiting.cancelled() and not attended._replica.serving
+    await hear(attended)
+    await nodes.until(lambda: attended._replica.serving)
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -38,9 +38,10 @@
 STOPPED_AFTER_MS = 1_500
 # Often enough to notice a stop within a fraction of it.
 TICK_MS = 250
-# How long a fresh start waits for a leader's word that nothing is newer:
-# two round trips to a far region.
-CONFIRMATION_WAIT_MS = 400
+# How long a fresh start waits for a leader's word that nothing is newer: a
+# round trip to a far region of 160 ms, which brings the other session's
+# answer too. Where there is no leader, the best of both is served.
+CONFIRMATION_WAIT_MS = 200
 # A roster that another keeps is taken over whole, and not expired here.
 NEVER_LEASE_MS = 10**9
 
@@ -76,11 +77,10 @@
         self._sessions = [_Session() for _number in range(ATTENDED_COUNT)]
         self._ticked_ms = clock.mono_ms()
         self._failed: ids.HostId | None = None
-        self._first_held_ms: int | None = None
+        self._waiting: asyncio.Task | None = None
         self.draining = False
         self.registry = registry.Registry(clock)
         self.roster = roster.Roster(NEVER_LEASE_MS, clock)
-        self.changed = asyncio.Event()
         held.refreshable = True
 
     def start(self) -> None:
@@ -107,11 +107,17 @@
         while True:
             if not self.awake:
                 logger.warning('was_stopped', cause='no_processor_time')
-                self._replica.doubt()
-                self._first_held_ms = self._clock.mono_ms()
+                self._doubt()
             self._ticked_ms = self._clock.mono_ms()
             await self._clock.sleep_ms(TICK_MS)
 
+    def _doubt(self) -> None:
+        """Serve nothing before a control host was heard again."""
+        self._replica.doubt()
+        if self._waiting is not None:
+            self._waiting.cancel()
+            self._waiting = None
+
     async def tell_now(self) -> None:
         """Tell every session's control host of a change here at once."""
         calls = [
@@ -195,18 +201,15 @@
     def _take(self, session: _Session, answer: attending.Attended) -> None:
         self._group.hear(session.host)
         self._group.learn(answer.controls)
-        changed = self._replica.advance(answer.delta)
+        self._replica.advance(answer.delta)
         self._serve_if_sure(answer)
         for said in answer.endpoints:
-            changed |= self.registry.take(said)
+            self.registry.take(said)
         if answer.hosts is not None:
             self.roster.replace(answer.hosts)
         session.life = answer.life
         session.endpoints_revision = answer.endpoints_revision
         session.hosts_revision = answer.hosts_revision
-        if changed:
-            self.changed.set()
-            self.changed = asyncio.Event()
 
     def _serve_if_sure(self, answer: attending.Attended) -> None:
         """Serve by what a leader confirmed, or, after a wait, by the best.
@@ -215,17 +218,24 @@
         """
         if self._replica.serving or not self._replica.current.index:
             return
-        now_ms = self._clock.mono_ms()
-        if self._first_held_ms is None:
-            self._first_held_ms = now_ms
-        waited_ms = now_ms - self._first_held_ms
-        if not answer.delta.confirmed and waited_ms < CONFIRMATION_WAIT_MS:
+        if answer.delta.confirmed:
+            self._serve(confirmed=True)
             return
+        if self._waiting is None:
+            self._waiting = self._tasks.start(
+                self._serve_unconfirmed(), fatal=False
+            )
+
+    async def _serve_unconfirmed(self) -> None:
+        await self._clock.sleep_ms(CONFIRMATION_WAIT_MS)
+        self._waiting = None
+        if not self._replica.serving:
+            self._serve(confirmed=False)
+
+    def _serve(self, confirmed: bool) -> None:
         self._replica.serving = True
         logger.info(
-            'serving',
-            index=self._replica.current.index,
-            confirmed=answer.delta.confirmed,
+            'serving', index=self._replica.current.index, confirmed=confirmed
         )
 
 
