Count the runs that another host made of a call that was passed on

Ruled out: retries by callers (one request id), the budget of repeats.

A host now says in Wrenspoke-Runs how many endpoints it used; the header does not go on to callers. Test: test_runs_elsewhere_count_against_the_ attempts, seen to fail (3 == 2) without the count.

--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -83,6 +83,24 @@
     assert counts == (north_gets, south_gets)
 
 
+async def test_runs_elsewhere_count_against_the_attempts(system):
+    """Every endpoint fails; two hosts of the south may be asked."""
+    await system.put(route(attempts_limit=2))
+    failing = [
+        await system.add(
+            f'e{number}',
+            'south-hall',
+            lambda sent, _number: [answer(sent, status='500 Failed')],
+        )
+        for number in range(3)
+    ]
+    await know_each_other(system)
+    got = await endpoints.ask(system.north, request())
+    assert got.startswith(b'HTTP/1.1 500 ')
+    assert passing.RUNS.encode() not in got
+    assert sum(len(endpoint.requests) for endpoint in failing) == 2
+
+
 async def test_call_goes_away_where_no_endpoint_is_left(system):
     await system.put(route())
     there = await system.add('e2', 'south-hall')
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -246,7 +246,7 @@
         self._note_sent(work, place)
         # From here on it may have run, until something says it has not.
         work.sent += 1
-        work.runs += 1
+        work.count_runs(1)
         try:
             async with self._watched(work, place):
                 async with self._sender.send(
@@ -340,6 +340,8 @@
         self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
         """Pass an answer on, or keep it back where another try is due."""
+        if place.host is not None:
+            work.count_runs(answer.runs - 1)
         if answer.verdict is sending.Verdict.NOT_HERE:
             work.was_not_run()
             work.cause = 'not here any more'
@@ -383,7 +385,7 @@
         """Take the word of a host elsewhere that could not serve it."""
         work.cause = f'{place.name}: {answer.refused}'
         if answer.status == UNAVAILABLE:
-            work.was_not_run()
+            work.unrun += 1
         if answer.refused in passing.NOTHING_SENT:
             work.sent -= 1
         if answer.refused == passing.Refusal.UNSENT:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -58,14 +58,36 @@
 
 
 class Answer(bodies.Body):
-    """Hold the head of an answer; the body is read from it."""
+    """Hold the head of an answer; the body is read from it.
 
-    def __init__(self, response: aiohttp.ClientResponse, verdict: Verdict):
+    ``runs`` is how many endpoints a host that answers for others used.
+    """
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        verdict: Verdict,
+        from_host: bool,
+    ):
         super().__init__(response)
         self.verdict = verdict
         self.status = response.status
         self.fields = dialects.answer_fields(response.raw_headers)
         self.refused = _refusal(response.headers.get(passing.REFUSED))
+        self.runs = 1
+        if from_host:
+            self.runs = _runs(response.headers.get(passing.RUNS))
+            self.fields = [
+                item for item in self.fields if item[0] != passing.RUNS
+            ]
+
+
+def _runs(text: str | None) -> int:
+    """Return how many endpoints ran a call, by a host's own word.
+
+    Where it says nothing, one is taken to have run it.
+    """
+    return int(text) if text is not None and text.isdigit() else 1
 
 
 def _refusal(text: str | None) -> passing.Refusal | None:
@@ -115,7 +137,8 @@
             async with client.pass_on(
                 call.method, place.address, call.target, fields, body
             ) as response:
-                yield Answer(response, self._verdict(call, place, response))
+                verdict = self._verdict(call, place, response)
+                yield Answer(response, verdict, place.host is not None)
         except transport_errors.NotSentError as error:
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
--- a/wrenspoke/coordination/serving/work.py
+++ b/wrenspoke/coordination/serving/work.py
@@ -50,9 +50,15 @@
 
     def was_not_run(self) -> None:
         """Take back that the last send may have run."""
-        self.runs -= 1
+        self.count_runs(-1)
         self.unrun += 1
 
+    def count_runs(self, more: int) -> None:
+        """Count runs, and tell them to a host that passed the call on."""
+        self.runs += more
+        if self.hop is not None:
+            self.reply.runs = self.runs
+
     @property
     def runs_limit(self) -> int:
         """Return how many endpoints may run it, as seen from here."""
--- a/wrenspoke/protocol/passing.py
+++ b/wrenspoke/protocol/passing.py
@@ -23,6 +23,9 @@
 
 HOP = 'Wrenspoke-Hop'
 REFUSED = 'Wrenspoke-Refused'
+# How many endpoints may have run it, in an answer to the host that passed
+# it on.
+RUNS = 'Wrenspoke-Runs'
 EXPECT = 'Expect'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 MS_PER_S = 1000
@@ -79,13 +82,17 @@
 
 
 class Reply:
-    """Answer one request, whole or piece by piece."""
+    """Answer one request, whole or piece by piece.
+
+    ``runs`` is told to a host that passed the request on.
+    """
 
     def __init__(self, request: web.BaseRequest, close: bool):
         self._request = request
         self._close = close
         self.response: web.StreamResponse | None = None
         self.status = 0
+        self.runs: int | None = None
 
     @property
     def started(self) -> bool:
@@ -116,6 +123,8 @@
     async def _send(self, response: web.StreamResponse, status: int) -> None:
         if self._close:
             response.force_close()
+        if self.runs is not None:
+            response.headers[RUNS] = str(self.runs)
         self.response = response
         self.status = status
         try:
