--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -8,9 +8,10 @@
 import itertools
 import os
 
+from wrenspoke import control_node
 from wrenspoke.coordination.agreement import direct
+from wrenspoke import entry_node
 from wrenspoke import node as settings
-from wrenspoke import nodes
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.state import errors
 from wrenspoke.state import loads
@@ -87,7 +88,7 @@
             data_folder=str(self.folder / ip),
             first_start=first_start,
         )
-        made = nodes.ControlNode(node)
+        made = control_node.ControlNode(node)
         await made.start()
         self.controls.append(made)
         return made
@@ -104,7 +105,7 @@
                 **{'leave_delay_ms': 100, 'grace_ms': 2_000, **entry}
             ),
         )
-        made = nodes.EntryNode(node, dialects.Dialect(), self.reports)
+        made = entry_node.EntryNode(node, dialects.Dialect(), self.reports)
         await made.start()
         self.entries.append(made)
         return made
--- /dev/null
+++ b/wrenspoke/control_node.py
@@ -0,0 +1,70 @@
+"""The control daemon of hosts that find each other at run time.
+
+Library parts put together: what listens to operators and endpoints is
+given by whoever starts it, and speaks their protocol.
+"""
+
+import pathlib
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import direct
+from wrenspoke.coordination.agreement import voter
+from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import registrar
+from wrenspoke.coordination.membership import replica
+from wrenspoke import node as nodes
+from wrenspoke import node_peers
+from wrenspoke.state import disk
+from wrenspoke.state import storage
+
+logger = structlog.get_logger(__name__)
+
+
+class ControlNode:
+    """Run a control host: agreement, registry, roster, directory."""
+
+    def __init__(self, node: nodes.Node):
+        self.node = node
+        self.clock = clocks.Clock()
+        self.peers = node_peers.peers_of(node, self.clock)
+        self.group = controls.ControlGroup(
+            node.host, node.seed_hosts, self.clock
+        )
+        self.replica = replica.Replica()
+        kept = storage.Storage(disk.Disk(pathlib.Path(node.data_folder)))
+        if node.first_start:
+            voter.found_together(kept, node.host, node.seed_hosts)
+        self.voter = voter.Voter(
+            node.host,
+            self.group,
+            node.control,
+            kept,
+            self.peers,
+            self.replica,
+            self.clock,
+        )
+        self.registrar = registrar.Registrar(
+            self.voter, self.group, self.replica, self.peers, self.clock
+        )
+        self.decisions = direct.DirectDecisions(self.voter, self.clock)
+
+    async def start(self) -> None:
+        """Listen for other hosts and begin every task."""
+        await self.peers.links.start(self.node.ip, self.node.link_port)
+        self.voter.start()
+        self.registrar.start()
+        logger.info('started', host=self.node.host, seeds=self.node.seeds)
+
+    def reload(self, node: nodes.Node) -> None:
+        """Take over changed settings; only seeds change in a life."""
+        self.group.reseed(node.seed_hosts)
+        logger.info('reloaded', seeds=node.seeds)
+
+    async def close(self) -> None:
+        """End every task and close every socket."""
+        await self.registrar.close()
+        await self.voter.close()
+        await self.peers.links.close()
+        logger.info('stopped')
--- /dev/null
+++ b/wrenspoke/entry_node.py
@@ -0,0 +1,219 @@
+"""The entry daemon of hosts that find each other at run time.
+
+Library parts put together; callers are spoken to by a dialect that is
+given by whoever starts it. Nothing of agreement is imported here.
+"""
+
+import asyncio
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import gauges
+from wrenspoke.coordination.membership import partners
+from wrenspoke.coordination.membership import reach
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import choice
+from wrenspoke.coordination.serving import estimate
+from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import passthrough
+from wrenspoke.coordination.serving import sending
+from wrenspoke.coordination.serving import spending
+from wrenspoke import ids
+from wrenspoke import node as nodes
+from wrenspoke import node_peers
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import passing
+from wrenspoke import runtime
+from wrenspoke.transport import web
+
+logger = structlog.get_logger(__name__)
+
+# Hosts come and go in seconds; the budgets' window is ten.
+HOUSE_INTERVAL_MS = 1_000
+
+
+class EntryNode:
+    """Run an entry host: attendance, routing, passing requests on."""
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        dialect: dialects.Dialect,
+        reports: gauges.ReportReader,
+    ):
+        self.node = node
+        self.clock = clocks.Clock()
+        self.peers = node_peers.peers_of(node, self.clock)
+        self.group = controls.ControlGroup(
+            node.host, node.seed_hosts, self.clock
+        )
+        self.replica = replica.Replica()
+        self.attendance = attendance.Attendance(
+            self._record(),
+            self.group,
+            self.replica,
+            self.peers,
+            self.clock,
+        )
+        self._client = web.HttpClient(
+            node.entry.connect_timeout_ms, node.entry.endpoint_idle_ms
+        )
+        self._hosts_client = web.HttpClient(
+            node.entry.far_connect_timeout_ms, node.entry.host_idle_ms
+        )
+        self.spending = spending.Spending(
+            spending.RetryBounds(
+                node.retries.ratio, node.retries.fixed, node.retries.window_ms
+            ),
+            self.clock,
+        )
+        self._reach = reach.Reach(
+            node.entry,
+            self.peers,
+            self.clock,
+            lambda: self.attendance.draining,
+        )
+        self._partners = partners.Partners(
+            node.host,
+            node.region,
+            self.attendance.roster,
+            self._reach,
+            self.clock,
+        )
+        self._tasks = runtime.Tasks()
+        self._build_gauges(reports)
+        self._build_serving(dialect)
+
+    def _record(self) -> attending.HostRecord:
+        node = self.node
+        return attending.HostRecord(
+            node.host,
+            node.region,
+            node.data_centre,
+            node.callers_address,
+            f'{node.ip}:{node.passing_port}',
+            ids.new_unique(),
+            0,
+            False,
+        )
+
+    def _build_gauges(self, reports: gauges.ReportReader) -> None:
+        """Build what knows how loaded engines are."""
+        node = self.node
+        self._gauges = gauges.Gauges(
+            node.region,
+            node.host,
+            node.regions,
+            node.entry.report_interval_ms,
+            reports,
+            self.attendance,
+            self.replica,
+            self._client,
+            self.peers,
+            self.clock,
+        )
+        self._estimator = estimate.Estimator(self._gauges, self.clock)
+
+    def _build_serving(self, dialect: dialects.Dialect) -> None:
+        """Build what serves requests and what listens for them."""
+        node = self.node
+        self._health = health.Health(self.clock)
+        chosen = choice.Choice(
+            node.region,
+            node.host,
+            node.regions,
+            self.attendance,
+            self.replica,
+            self._health,
+            self._estimator,
+            self._partners,
+            self.clock,
+        )
+        self.passthrough = passthrough.PassThrough(
+            node.host,
+            node.region,
+            self.replica,
+            self.attendance,
+            chosen,
+            sending.Sender(dialect, self._client, self._hosts_client),
+            self._health,
+            self.spending,
+            self._reach,
+            self._estimator,
+            self.clock,
+        )
+        surface = passing.PassingSurface(
+            self.passthrough,
+            dialect,
+            passing.PassingLimits(
+                node.entry.body_limit_bytes,
+                node.entry.body_timeout_ms,
+                node.entry.default_deadline_ms,
+            ),
+            self.clock,
+        )
+        self._callers = self._server(surface.handle_caller)
+        self._hosts = self._server(surface.handle_host)
+
+    def _server(self, handler: web.Handler) -> web.PlainServer:
+        entry = self.node.entry
+        return web.PlainServer(
+            handler, entry.caller_idle_ms, entry.header_limit_bytes
+        )
+
+    async def start(self) -> None:
+        """Listen for callers and hosts, and begin every task."""
+        node = self.node
+        await self.peers.links.start(node.ip, node.link_port)
+        self.attendance.start()
+        self._gauges.start()
+        self._partners.start()
+        self._tasks.start(self._keep_house())
+        await self._hosts.start(f'{node.ip}:{node.passing_port}')
+        await self._callers.start(node.callers_address)
+        logger.info('started', host=node.host, seeds=node.seeds)
+
+    def reload(self, node: nodes.Node) -> None:
+        """Take over changed settings; only seeds change in a life."""
+        self.group.reseed(node.seed_hosts)
+        logger.info('reloaded', seeds=node.seeds)
+
+    async def _keep_house(self) -> None:
+        """Count who shares the budgets, and forget what is gone."""
+        while True:
+            hosts = self.attendance.roster.usable()
+            self.spending.hosts = max(len(hosts), 1)
+            held = self.attendance.registry.held
+            self._estimator.keep_only(set(held))
+            places = {found.said.address for found in held.values()}
+            places |= {record.passing_address for record in hosts}
+            self._health.keep_only(places)
+            self.attendance.registry.forget_old()
+            await self.clock.sleep_ms(HOUSE_INTERVAL_MS)
+
+    async def drain(self) -> None:
+        """Let callers go elsewhere, then wait for what is in flight."""
+        self.attendance.draining = True
+        self.passthrough.leaving = True
+        logger.info('draining', in_flight=self.passthrough.in_flight)
+        await self.attendance.tell_now()
+        await self.clock.sleep_ms(self.node.entry.leave_delay_ms)
+        drained = await self.passthrough.drain(self.node.entry.stop_timeout_ms)
+        logger.info('drained', whole=drained)
+
+    async def close(self) -> None:
+        """End every task and close every socket."""
+        await asyncio.gather(self._callers.close(), self._hosts.close())
+        await self._tasks.close()
+        await self._gauges.close()
+        await self._partners.close()
+        await self._reach.close()
+        await self.attendance.close()
+        await self._client.close()
+        await self._hosts_client.close()
+        await self.peers.links.close()
+        logger.info('stopped')
--- /dev/null
+++ b/wrenspoke/node_peers.py
@@ -0,0 +1,15 @@
+"""The calls between hosts that find each other at run time."""
+
+from wrenspoke import clock as clocks
+from wrenspoke import node as nodes
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke.transport import links
+
+# A cut says nothing; a link is made anew soon after one heals.
+SILENCE = links.Silence(heartbeat_ms=700, timeout_ms=2_000)
+
+
+def peers_of(node: nodes.Node, clock: clocks.Clock) -> peer_calls.Peers:
+    """Return what a host calls others with; a name tells the address."""
+    identity = links.Identity(node.cluster, node.host)
+    return peer_calls.Peers(identity, [], clock, SILENCE)
