--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -55,7 +55,7 @@
                 north._reach.answers(other.node.host)
                 for other in system.entries[1:]
             ]
-            == [True, True]
+            == [True] * (len(system.entries) - 1)
         )
     )
 
@@ -245,6 +245,36 @@
             await engine.endpoint.close()
 
 
+async def test_host_elsewhere_that_turns_a_call_back_ran_nothing(tmp_path):
+    """No engine has room; what may run once is served all the same."""
+    async with nodes.running(tmp_path, reports=nodes.Reports()) as system:
+        await system.start_entry('south-hall')
+        batch = routes.Batch(8, 9_000)
+        await system.put(
+            test_passing.route(routes.RouteKind.ONCE), batch=batch
+        )
+        made = {}
+        for name in ('north', 'south'):
+            engine = made[name] = ReportingEngine(b'9 8 9 90000')
+            await system.register(
+                name,
+                await engine.endpoint.start(),
+                data_centre=f'{name}-hall',
+            )
+        await know_each_other(system)
+        for entry, name in zip(system.entries, made):
+            await nodes.until(lambda e=entry, n=name: e._gauges.load(n))
+        got = await endpoints.ask(
+            system.entries[0].node.callers_address,
+            request(headers=['Wrenspoke-Tokens: 100,10']),
+        )
+        assert got.endswith(b'whole')
+        counts = [len(engine.calls) for engine in made.values()]
+        assert counts == [1, 0]
+        for engine in made.values():
+            await engine.endpoint.close()
+
+
 async def test_engine_without_room_is_passed_by(tmp_path):
     """By its own report its memory is full; the other one's is not."""
     async with nodes.running(tmp_path, reports=nodes.Reports()) as system:
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -114,6 +114,8 @@
     ) -> None:
         """Answer one call."""
         self.in_flight += 1
+        if hop is not None:
+            reply.runs = 0
         try:
             work = await self._begin(call, reply, hop)
             if work is not None:
