Explain one request from log files

Cause: an engineer on call has logs of many hosts and one id; the command could only ask hosts that still remember it.

Text or JSON, progress by tqdm on a terminal.

Not done: a report with plots.

--- a/wrenspoke/cli.py
+++ b/wrenspoke/cli.py
@@ -11,6 +11,7 @@
 from wrenspoke import controld
 from wrenspoke import demo
 from wrenspoke import errors
+from wrenspoke import explain
 from wrenspoke import keys
 from wrenspoke import logs
 from wrenspoke import operator as operators
@@ -125,13 +126,33 @@
 
 def parser_explain(parser: argparse.ArgumentParser) -> None:
     """Add the arguments of ``explain``."""
-    add_entry(parser)
-    parser.add_argument('request')
+    asked = parser.add_mutually_exclusive_group(required=True)
+    asked.add_argument(
+        '--entry',
+        action='append',
+        metavar='URL',
+        help='an entry host that remembers the request; may be repeated',
+    )
+    asked.add_argument(
+        '--log',
+        nargs='+',
+        metavar='FILE',
+        help='log files of any hosts; - is standard input',
+    )
+    parser.add_argument(
+        '--json', action='store_true', help='print log lines as JSON'
+    )
+    parser.add_argument(
+        'request',
+        help='its id; with --log also a host, an endpoint or other value',
+    )
 
 
 @command('explain', 'show the decisions on one request', parser_explain)
 async def run_explain(arguments: argparse.Namespace) -> int:
-    """Print the decisions that the asked hosts remember."""
+    """Print the decisions that hosts remember or that logs tell."""
+    if arguments.log:
+        return _explain_logs(arguments)
     found = []
     for url in arguments.entry:
         caller = callers.Caller([url])
@@ -145,6 +166,20 @@
     return OK if found else FAILED
 
 
+def _explain_logs(arguments: argparse.Namespace) -> int:
+    try:
+        lines = explain.read(arguments.log, arguments.request)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return FAILED
+    show = explain.as_json if arguments.json else explain.as_text
+    for text in show(lines):
+        print(text)
+    if not lines:
+        print(f'nothing on {arguments.request}', file=sys.stderr)
+    return OK if lines else FAILED
+
+
 async def _print_json(urls: list[str], path: str) -> int:
     caller = callers.Caller(urls)
     try:
--- /dev/null
+++ b/wrenspoke/explain.py
@@ -0,0 +1,63 @@
+"""Tell one subject's history from log files: ``wrenspoke explain``."""
+
+import datetime
+import pathlib
+
+import msgspec
+import tqdm
+
+from wrenspoke import logread
+
+MS_PER_S = 1000
+
+
+def read(files: list[str], subject: str) -> list[logread.LogLine]:
+    """Return the lines on a subject; show progress on a terminal."""
+    sizes = [
+        pathlib.Path(path).stat().st_size
+        for path in files
+        if path != logread.STANDARD_INPUT
+    ]
+    # Without a terminal there is no progress to be seen.
+    with tqdm.tqdm(
+        total=sum(sizes) or None,
+        unit='B',
+        unit_scale=True,
+        leave=False,
+        disable=None,
+    ) as bar:
+        return logread.find(files, subject, bar.update)
+
+
+def as_text(lines: list[logread.LogLine]) -> list[str]:
+    """Return a line of text each, with the time since the host's first.
+
+    Times of different hosts can't be compared, those of one host can.
+    """
+    began: dict[str, str] = {}
+    texts = []
+    for line in lines:
+        first = began.setdefault(line.host, line.timestamp)
+        since_ms = _since_ms(first, line.timestamp)
+        fields = ' '.join(
+            f'{name}={value}' for name, value in line.fields.items()
+        )
+        texts.append(f'{since_ms:+8d} ms {line.host} {line.event} {fields}')
+    return texts
+
+
+def as_json(lines: list[logread.LogLine]) -> list[str]:
+    """Return a JSON object each."""
+    return [msgspec.json.encode(line).decode() for line in lines]
+
+
+def _since_ms(first: str, later: str) -> int:
+    try:
+        took = _time(later) - _time(first)
+    except ValueError:
+        return 0
+    return round(took.total_seconds() * MS_PER_S)
+
+
+def _time(text: str) -> datetime.datetime:
+    return datetime.datetime.fromisoformat(text)
