--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -545,6 +545,56 @@
             'tests/test_passing.py::test_only_the_gateway_speaks_of_endpoints_and_hops'
         ),
     ),
+    Switch(
+        'runs elsewhere not counted',
+        DECISIONS + 'serving/passthrough.py',
+        ('            work.count_runs(answer.runs - 1)\n'),
+        ('            pass\n'),
+        (
+            'tests/test_far.py::test_runs_elsewhere_count_against_the_attempts'
+        ),
+    ),
+    Switch(
+        'turned back taken for run',
+        DECISIONS + 'serving/passthrough.py',
+        ('            reply.runs = 0\n'),
+        ('            pass\n'),
+        (
+            'tests/test_far.py::test_host_elsewhere_that_turns_a_call_back_ran_nothing'
+        ),
+    ),
+    Switch(
+        'start waits for a further answer',
+        DECISIONS + 'membership/attendance.py',
+        ('        if self._waiting is None:\n'),
+        ('        if False:\n'),
+        (
+            'tests/test_attendance.py::test_first_answer_decides_when_to_serve'
+        ),
+    ),
+    Switch(
+        'stopped host serves without a word',
+        DECISIONS + 'membership/attendance.py',
+        ('            self._waiting.cancel()\n'),
+        ('            pass\n'),
+        (
+            'tests/test_attendance.py::test_host_that_was_stopped_serves_after_a_new_answer_only'
+        ),
+    ),
+    Switch(
+        'prompts taken over from nobody',
+        DECISIONS + 'serving/sending.py',
+        ('            fields.append((dialect.fetch_from, source.address))\n'),
+        ('            pass\n'),
+        ('tests/test_far.py::test_prompt_is_taken_over_from_who_keeps_it'),
+    ),
+    Switch(
+        'long prompts read anywhere',
+        DECISIONS + 'serving/lanes.py',
+        ('    if len(names) < 2:\n'),
+        ('    if True:\n'),
+        ('tests/test_prefixes.py'),
+    ),
 ]
 
 
