Lead callers only to regions where every route of the name may go

Ruled out: passing between hosts (homes are checked for each route).

Where a region has no usable host, hosts of regions that every route of the name allows are told, then the region's own stopping hosts, then none.

--- a/wrenspoke/coordination/membership/directory.py
+++ b/wrenspoke/coordination/membership/directory.py
@@ -23,12 +23,14 @@
     """Return callers' addresses of live hosts, of the nearest place.
 
     The caller's data centre goes before its region. Where the region has
-    no host, those of the regions that may serve most routes of the host
-    ``name`` are told, so that few requests have to go on from there.
+    no usable host, those of regions that may serve every route of the
+    host ``name`` are told, so that no body is led to a region where it
+    must not go; failing that, the region's own hosts that are stopping,
+    which answer to the end. There may be none.
     """
     usable = known.usable(region)
     if not usable:
-        usable = _at_home(known, table, name)
+        usable = _at_home(known, table, name) or _stopping(known, region)
         logger.warning(
             'directory_elsewhere',
             region=region,
@@ -45,12 +47,21 @@
 def _at_home(
     known: roster.Roster, table: routes.RouteTable, name: str
 ) -> list[attending.HostRecord]:
-    """Return the hosts where most routes of a host name may be served."""
+    """Return the hosts where every route of a host name may be served."""
     found = [route for route in table.routes if route.host == name]
-    usable = known.usable()
-    served = {
-        record.region: sum(route.allows(record.region) for route in found)
-        for record in usable
-    }
-    most = max(served.values(), default=0)
-    return [record for record in usable if served[record.region] == most]
+    return [
+        record
+        for record in known.usable()
+        if all(route.allows(record.region) for route in found)
+    ]
+
+
+def _stopping(
+    known: roster.Roster, region: ids.RegionId
+) -> list[attending.HostRecord]:
+    """Return the hosts of a region that are stopping."""
+    return [
+        record
+        for record in known.records()
+        if record.region == region and record.draining
+    ]
