Believe who renews at an address, not a registration held up on its way

Cause: the registry knew names only, so the late one was taken for a ready endpoint; each host then sent calls there until one got 421, each a repeat out of the shared budget.

While another endpoint renewed at the address within 2 s, a registration is acknowledged and not taken; a real successor is taken with its next renewal. A successor is used before its predecessor at once. Considered: taking the predecessor for gone; a name that is gone never comes back, so one late renewal of a living endpoint would lose it for good.

test_held_up_heartbeat_displaces_no_successor seen to fail before.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -308,6 +308,19 @@
     assert status == 400
 
 
+async def test_held_up_heartbeat_displaces_no_successor(surfaces):
+    """Its sender crashed, and another one runs at the address."""
+    one = surfaces.controls[0]
+    body = json.dumps({**HEARTBEAT, 'zone': 'north-hall'}).encode()
+    for name in ('new', 'old'):
+        status, _body, _headers = await send(
+            surfaces, one, f'/instances/i-{name}/heartbeat', body
+        )
+        assert status == 200, 'the sender is not to try elsewhere'
+    held = one.registrar.registry.held
+    assert 'i-new' in held and 'i-old' not in held
+
+
 GIVEN = {
     'ip': '10.1.0.35',
     'zone': 'hall',
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -77,6 +77,17 @@
 
     def register(self, said: registry.Registration) -> None:
         """Take an endpoint's registration; pass a change on at once."""
+        occupant = self.registry.occupant(said)
+        if occupant is not None:
+            logger.warning(
+                'registration_contested',
+                endpoint=said.endpoint,
+                address=said.address,
+                occupant=occupant.said.endpoint,
+            )
+            return
+        if said.state is not registry.RegistrationState.GONE:
+            self.registry.displace(said)
         if self.registry.take(said):
             logger.info(
                 'endpoint_registered',
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -17,6 +17,10 @@
 # An endpoint renews about every 1.2 s and may come seconds late; after
 # four renewals and some delay were missed, others are used before it.
 SILENT_AFTER_MS = 6_000
+# Who renewed at an address within this time still runs there: longer than
+# the time between two renewals (1.2 s) and most of their delays, no longer
+# than it takes until another may get the address (2 s).
+OCCUPIED_MS = 2_000
 # A name is never used again, so this only bounds memory.
 FORGOTTEN_AFTER_MS = 120_000
 # Smaller moves of the end of a warm-up are not worth telling.
@@ -76,12 +80,14 @@
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
         self.held: dict[ids.EndpointId, Registered] = {}
+        self._at_address: dict[str, set[ids.EndpointId]] = {}
         self.revision = 0
 
     def take(self, said: Registration) -> bool:
         """Take what is newer; return whether it changes routing."""
         heard_ms = self._clock.mono_ms() - said.age_ms
         old = self.held.get(said.endpoint)
+        self._at_address.setdefault(said.address, set()).add(said.endpoint)
         if old is None:
             self.revision += 1
             self.held[said.endpoint] = Registered(
@@ -107,6 +113,41 @@
             old.revision = self.revision
         return changed
 
+    def occupant(self, said: Registration) -> Registered | None:
+        """Return who else renewed lately at a registration's address.
+
+        Only one endpoint runs at an address. A registration that was held
+        up on its way may come after its sender crashed and another one
+        began there; who renews is the one to believe.
+        """
+        if said.state is RegistrationState.GONE:
+            return None
+        for found in self._others_at(said):
+            if self._clock.mono_ms() - found.heard_ms < OCCUPIED_MS:
+                return found
+        return None
+
+    def displace(self, said: Registration) -> None:
+        """Use others before those that ran at the address until now."""
+        for found in self._others_at(said):
+            if found.silent:
+                continue
+            self.revision += 1
+            found.silent = True
+            found.revision = self.revision
+
+    def _others_at(self, said: Registration) -> list[Registered]:
+        others = []
+        for endpoint in self._at_address.get(said.address, ()):
+            found = self.held.get(endpoint)
+            if found is None or endpoint == said.endpoint:
+                continue
+            if found.said.address != said.address:
+                continue
+            if found.said.state is not RegistrationState.GONE:
+                others.append(found)
+        return others
+
     def withdraw(self, endpoint: ids.EndpointId) -> Registration:
         """Return the last registration of an endpoint that leaves."""
         old = self.held.get(endpoint)
@@ -172,6 +213,13 @@
                 continue
             if now_ms - found.heard_ms > FORGOTTEN_AFTER_MS:
                 del self.held[endpoint]
+                self._leave_address(found.said)
+
+    def _leave_address(self, said: Registration) -> None:
+        there = self._at_address.get(said.address, set())
+        there.discard(said.endpoint)
+        if not there:
+            self._at_address.pop(said.address, None)
 
 
 def _differs(old: Registered, said: Registration, heard_ms: int) -> bool:
