Find connections that fell silent within three seconds, on both sides

Probes began after two seconds and gave up after five, the time that most calls have; accepted connections were probed after two hours only, so that work went on for a host that is gone. Now one second, two probes, three seconds for what is not acknowledged, on sockets that connect and on those that are accepted (inherited from listening).

test_silent_connection_is_found seen to fail: 5,000 and 7,875,000 ms.

--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,55 @@
+"""Connections that fall silent for good are found on both sides."""
+
+import asyncio
+import socket
+
+from aiohttp import web as aiohttp_web
+import pytest
+
+from wrenspoke.transport import web
+
+# A caller gives a stream up after some such silence; what hangs on a
+# connection has to end before that.
+FOUND_WITHIN_MS = 3_000
+
+
+def found_after_ms(opened):
+    """Return after which silence the system ends a connection."""
+    assert opened.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+
+    def option(name):
+        return opened.getsockopt(socket.IPPROTO_TCP, name)
+
+    probes_s = option(socket.TCP_KEEPINTVL) * option(socket.TCP_KEEPCNT)
+    idle_ms = (option(socket.TCP_KEEPIDLE) + probes_s) * 1_000
+    return max(idle_ms, option(socket.TCP_USER_TIMEOUT))
+
+
+@pytest.mark.parametrize('side', ['sender', 'receiver'])
+async def test_silent_connection_is_found(side):
+    seen = {}
+    looked_at = asyncio.Event()
+
+    async def handle(request):
+        accepted = request.transport.get_extra_info('socket')
+        seen['receiver'] = found_after_ms(accepted)
+        answer = aiohttp_web.StreamResponse()
+        await answer.prepare(request)
+        await looked_at.wait()
+        return answer
+
+    [port] = web.free_ports(1)
+    address = f'127.0.0.1:{port}'
+    server = web.PlainServer(handle, 1_000)
+    await server.start(address)
+    client = web.HttpClient(1_000)
+    try:
+        async with client.pass_on('GET', address, '/', [], None) as answer:
+            sender = answer.connection.transport.get_extra_info('socket')
+            seen['sender'] = found_after_ms(sender)
+            looked_at.set()
+            await answer.read()
+    finally:
+        await client.close()
+        await server.close()
+    assert seen[side] <= FOUND_WITHIN_MS
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -29,13 +29,17 @@
 ADDED_FIELDS = frozenset(
     ['Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type']
 )
-# A peer without power says nothing. Probes after two seconds of silence,
-# then each second, find that out within five; a peer that lives answers
-# them whatever its program does.
-KEEPALIVE_IDLE_S = 2
+# A peer without power says nothing, and a connection may fall silent while
+# new ones work. Probes after a second of silence and one second later find
+# that out within three; a peer that lives answers them whatever its
+# program does. A second is the least that the system lets one state.
+KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 3
-USER_TIMEOUT_MS = 5_000
+KEEPALIVE_COUNT = 2
+# What is not acknowledged for so long is lost: many times the 110 ms of a
+# far round trip, and four resends of a packet in the system's doubling
+# steps from 200 ms.
+USER_TIMEOUT_MS = 3_000
 PORT_RANGE = range(10_000, 32_000)
 _GIVEN_PORTS: set[int] = set()
 # Held open for as long as the process lives.
@@ -200,6 +204,16 @@
     return made
 
 
+def _listening_socket(ip: str, port: int) -> socket.socket:
+    """Return a socket whose accepted connections probe their peers too."""
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    probe(made)
+    made.bind((ip, port))
+    return made
+
+
 def probe(opened: socket.socket) -> None:
     """Let the system find out when the other end is gone."""
     tcp = socket.IPPROTO_TCP
@@ -321,7 +335,8 @@
             server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, ip, int(port), backlog=BACKLOG)
+        listening = _listening_socket(ip, int(port))
+        site = web.SockSite(self._runner, listening, backlog=BACKLOG)
         await site.start()
 
     async def close(self) -> None:
