Go on answering without room on a control host's disk

A write for which there is no room is now taken back and the file holds what it held; other failures are final as before. Such a host gives up its lead and its vote, acknowledges nothing, answers all else, says disk_full and disk_has_room once each, and catches up by the leader's next appends. A start is counted once there is room; until then it has no vote.

Ruled out: remembering a term or vote in memory alone; save_meta puts the last synced state back. Not covered: a start on a full disk whose log has a torn end, which has to be cut first.

test_host_without_room_on_its_disk_goes_on_answering fails without the voter's part, test_full_disk_* without the disk's.

--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -1,5 +1,7 @@
 """Control hosts that found a group together, lose disks and replace them."""
 
+import errno
+
 import pytest
 
 from tests import nodes
@@ -9,8 +11,11 @@
 from wrenspoke import node as settings
 from wrenspoke.state import disk
 from wrenspoke.state import entries
+from wrenspoke.state import registry
+from wrenspoke.state import routes
 from wrenspoke.state import storage
 
+READY = registry.RegistrationState.READY
 SEEDS = ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7']
 
 
@@ -115,6 +120,54 @@
         )
 
 
+@pytest.mark.parametrize('leads', [True, False], ids=['leader', 'follower'])
+async def test_host_without_room_on_its_disk_goes_on_answering(
+    tmp_path, monkeypatch, leads
+):
+    """It acknowledges nothing meanwhile, and catches up by itself."""
+    full = set()
+    write = disk._put_synced
+
+    def write_if_room(file, data):
+        if any(f'/{ip}/' in file.name for ip in full):
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        write(file, data)
+
+    monkeypatch.setattr(disk, '_put_synced', write_if_room)
+    async with nodes.running(tmp_path, controls=3) as system:
+        await system.put(version=3)
+        leader = await system.leader()
+        found = next(
+            one for one in system.controls if (one is leader) is leads
+        )
+        full.add(found.node.ip)
+        if leads:
+            with pytest.raises(errors.NotLeaderError):
+                await found.decisions.set_evacuation('north-hall', True)
+        others = [one for one in system.controls if one is not found]
+        other = await nodes.until(
+            lambda: next((one for one in others if one.voter.has_lease), None)
+        )
+        table = routes.RouteTable(version=4, digest='4')
+        await other.decisions.replace_routes(table)
+        assert not found.voter.has_lease
+        assert found.replica.current.routes.version == 3
+        said = registry.Registration(
+            'e', 's', '10.9.9.9:1', 'north-hall', 1, READY, 1
+        )
+        found.registrar.register(said)
+        [entry] = system.entries
+        await nodes.until(lambda: 'e' in entry.attendance.registry.held)
+        # Started again without room, it answers too.
+        await found.close()
+        system.controls.remove(found)
+        again = await system.start_control(found.node.ip, first_start=False)
+        assert again.replica.current.routes.version == 3
+        full.clear()
+        await nodes.until(lambda: again.replica.current.routes.version == 4)
+        await nodes.until(lambda: again.voter.is_voter)
+
+
 async def test_new_control_host_takes_a_lost_ones_vote(tmp_path, monkeypatch):
     patient = settings.ControlTimes(
         beat_interval_ms=50,
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,7 @@
 """The log, snapshots and meta survive crashes; damage is told."""
 
+import errno
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -213,6 +215,46 @@
         opened.check()
 
 
+@pytest.mark.parametrize('call', ['append', 'replace'])
+@pytest.mark.parametrize('before', [None, b'old'])
+def test_full_disk_changes_nothing(tmp_path, monkeypatch, call, before):
+    opened = disk.Disk(tmp_path / 'data')
+    if before is not None:
+        opened.replace('file', before)
+
+    def fail(_number):
+        raise OSError(errno.ENOSPC, 'No space left on device')
+
+    monkeypatch.setattr('os.fsync', fail)
+    with pytest.raises(errors.DiskFullError):
+        getattr(opened, call)('file', b'new')
+    monkeypatch.undo()
+    assert opened.read('file') == before
+    assert [path.name for path in (tmp_path / 'data').iterdir()] == (
+        ['file'] if before else []
+    )
+    opened.check()
+    getattr(opened, call)('file', b'new')
+    kept = before or b'' if call == 'append' else b''
+    assert opened.read('file') == kept + b'new'
+
+
+def test_full_disk_remembers_no_vote(tmp_path, monkeypatch):
+    kept = storage.Storage(disk.Disk(tmp_path / 'data'))
+    kept.meta.term = 3
+    kept.save_meta()
+
+    def fail(_number):
+        raise OSError(errno.ENOSPC, 'No space left on device')
+
+    monkeypatch.setattr('os.fsync', fail)
+    kept.meta.term = 4
+    kept.meta.voted_for = 'x'
+    with pytest.raises(errors.DiskFullError):
+        kept.save_meta()
+    assert (kept.meta.term, kept.meta.voted_for) == (3, None)
+
+
 @pytest.mark.parametrize('call', ['append', 'replace'])
 def test_folder_is_synced_after_a_name_is_made(tmp_path, monkeypatch, call):
     opened = disk.Disk(tmp_path / 'data')
--- a/wrenspoke/coordination/agreement/clearance.py
+++ b/wrenspoke/coordination/agreement/clearance.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import typing
 
 import structlog
@@ -21,6 +22,7 @@
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
+from wrenspoke.state import errors as state_errors
 from wrenspoke.state import storage
 
 if typing.TYPE_CHECKING:
@@ -48,9 +50,10 @@
         self._settings = limits
         self._clock = clock
         self._start = ids.new_unique()
+        self._counted = False
         self.given = False
-        kept.meta.boot += 1
-        kept.save_meta()
+        with contextlib.suppress(state_errors.DiskFullError):
+            self._count_start()
         peers.answers(messages.Hello)(self._answer_hello)
 
     async def _call(
@@ -71,10 +74,23 @@
         ``become_new`` is called if it was one, and now holds nothing.
         """
         while not self.given:
-            await self._say_hello(become_new)
+            # Without room on the disk it tries again until there is some.
+            with contextlib.suppress(state_errors.DiskFullError):
+                if not self._counted:
+                    self._count_start()
+                await self._say_hello(become_new)
             if not self.given:
                 await self._clock.sleep_ms(HELLO_INTERVAL_MS)
 
+    def _count_start(self) -> None:
+        """Count this start on the disk.
+
+        :raises DiskFullError: it is not counted
+        """
+        self._storage.meta.boot += 1
+        self._storage.save_meta()
+        self._counted = True
+
     async def _say_hello(
         self, become_new: collections.abc.Callable[[], None]
     ) -> None:
@@ -98,10 +114,9 @@
                     told_by=host,
                 )
                 self._storage.forget_all()
-                meta = self._storage.meta
-                meta.boot = 1
-                self._storage.save_meta()
                 become_new()
+                self._storage.meta.boot = 1
+                self._storage.save_meta()
                 return
             heard += host in voters
         if not voters or heard >= lead.majority(voters):
@@ -112,7 +127,7 @@
 
     async def _answer_hello(
         self, sender: ids.HostId, message: messages.Hello
-    ) -> messages.HelloReply:
+    ) -> messages.HelloReply | messages.Refusal:
         self._group.hear(sender)
         boots = self._storage.meta.boots
         known = boots.get(message.incarnation, (0, ''))
@@ -121,5 +136,8 @@
             return messages.HelloReply(0)
         if message.boot > known[0]:
             boots[message.incarnation] = heard
-            self._storage.save_meta()
+            try:
+                self._storage.save_meta()
+            except state_errors.DiskFullError as error:
+                return messages.Refusal(str(error))
         return messages.HelloReply(known[0])
--- a/wrenspoke/coordination/agreement/lead.py
+++ b/wrenspoke/coordination/agreement/lead.py
@@ -1,6 +1,7 @@
 """One term's lead: replication, commits, the lease, admissions."""
 
 import asyncio
+import contextlib
 import typing
 
 import structlog
@@ -12,6 +13,7 @@
 from wrenspoke.protocol import messages
 from wrenspoke import runtime
 from wrenspoke.state import entries
+from wrenspoke.state import errors as state_errors
 from wrenspoke.state import replicated
 from wrenspoke.state import storage
 
@@ -189,7 +191,9 @@
         sent_ms: int,
     ) -> None:
         if answer.term > self.term:
-            self._group.adopt_term(answer.term)
+            # Without room for the term on the disk the lead is over too.
+            with contextlib.suppress(state_errors.DiskFullError):
+                self._group.adopt_term(answer.term)
             return
         if answer.incarnation != follower.incarnation:
             follower.incarnation = answer.incarnation
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -8,12 +8,18 @@
 incarnation out, the new one in) once it has caught up and synced. A disk
 put back from an old copy is told so by the others, who remember how often
 it was started, and becomes a new incarnation.
+
+A disk without room takes this host's vote and lead away, as nothing can be
+promised; all else goes on, and it catches up once there is room.
 """
 
 from __future__ import annotations
 
 import asyncio
+import collections.abc
+import contextlib
 import enum
+import functools
 import random
 import typing
 
@@ -57,6 +63,27 @@
     LEADER = 'leader'
 
 
+def _needs_disk(
+    answer: collections.abc.Callable,
+) -> collections.abc.Callable:
+    """Decorate what answers a message and has to write something first.
+
+    Without room on the disk the sender is refused, which it takes for no
+    answer; the disk itself has told of it in the log.
+    """
+
+    @functools.wraps(answer)
+    async def answer_or_refuse(
+        voter: Voter, sender: ids.HostId, message: messages.Message
+    ) -> messages.Message:
+        try:
+            return await answer(voter, sender, message)
+        except state_errors.DiskFullError as error:
+            return messages.Refusal(str(error))
+
+    return answer_or_refuse
+
+
 class Voter:
     """Agree with the other control hosts on a log, and apply it."""
 
@@ -136,10 +163,10 @@
         """Take note of a higher term, which ends a lead of this host."""
         if term <= self.term:
             return
+        self._step_down()
         self.storage.meta.term = term
         self.storage.meta.voted_for = None
         self.storage.save_meta()
-        self._step_down()
 
     # Start.
 
@@ -191,13 +218,15 @@
             if not self._clearance.given or not self.is_voter:
                 continue
             before = (self.term, self._heard_ms)
-            if not await self._canvass(pre=True):
-                continue
-            if (self.term, self._heard_ms) != before:
-                # Another stood meanwhile and has this host's vote, or
-                # leads already; a higher term would only end its lead.
-                continue
-            await self._stand()
+            # Without room on the disk there is nothing to stand with.
+            with contextlib.suppress(state_errors.DiskFullError):
+                if not await self._canvass(pre=True):
+                    continue
+                if (self.term, self._heard_ms) != before:
+                    # Another stood meanwhile and has this host's vote, or
+                    # leads already; a higher term would only end its lead.
+                    continue
+                await self._stand()
 
     async def _stand(self) -> None:
         meta = self.storage.meta
@@ -264,6 +293,7 @@
         except protocol_errors.ProtocolError:
             return None
 
+    @_needs_disk
     async def _answer_vote(
         self, sender: ids.HostId, message: messages.AskVote
     ) -> messages.VoteReply:
@@ -321,7 +351,11 @@
         self.leader = self.host
         logger.info('leading', term=self.term)
         self._lead = lead.Lead(self, self.term, asked_ms, self._leading)
-        self._append(entries.LeaderStart(self.host))
+        try:
+            self._append(entries.LeaderStart(self.host))
+        except state_errors.DiskFullError:
+            self._step_down()
+            raise
         self._lead.start()
 
     def _step_down(self) -> None:
@@ -366,7 +400,12 @@
         future = asyncio.get_running_loop().create_future()
         index = self.storage.last_index + 1
         self._proposed[index] = (self.term, future)
-        self._append(entry)
+        try:
+            self._append(entry)
+        except state_errors.DiskFullError as error:
+            del self._proposed[index]
+            self._step_down()
+            raise errors.NotLeaderError(None, may_be_accepted=False) from error
         return await future
 
     def _append(self, entry: entries.Entry) -> None:
@@ -400,6 +439,7 @@
             self.term, matched, last_index, self.incarnation
         )
 
+    @_needs_disk
     async def _answer_append(
         self, sender: ids.HostId, message: messages.Append
     ) -> messages.AppendReply:
@@ -432,6 +472,7 @@
             break
         return added[-1].index if added else 0
 
+    @_needs_disk
     async def _answer_install(
         self, sender: ids.HostId, message: messages.Install
     ) -> messages.AppendReply:
@@ -484,6 +525,12 @@
         large = covered and kept.log_bytes > LOG_LIMIT_BYTES
         if covered < self.settings.snapshot_entries and not large:
             return
+        # Where there is no room the log stays, and the next commit tries.
+        with contextlib.suppress(state_errors.DiskFullError):
+            self._write_snapshot()
+
+    def _write_snapshot(self) -> None:
+        kept = self.storage
         voters = dict(kept.snapshot.voters)
         for index in range(kept.first_index, self.commit_index + 1):
             entry = kept.entry(index).entry
--- a/wrenspoke/state/disk.py
+++ b/wrenspoke/state/disk.py
@@ -1,13 +1,24 @@
-"""Files in one folder that last once they are synced."""
+"""Files in one folder that last once they are synced.
+
+A disk without room refuses a write and holds what it held before; it is
+used again once there is room. Any other failure is final.
+"""
 
 import collections.abc
 import contextlib
+import errno
 import os
 import pathlib
+import typing
+
+import structlog
 
 from wrenspoke.state import errors
 
+logger = structlog.get_logger(__name__)
+
 TEMPORARY = '.new'
+NO_ROOM = frozenset([errno.ENOSPC, errno.EDQUOT])
 
 
 class Disk:
@@ -16,6 +27,7 @@
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
         self._broken: str | None = None
+        self._full = False
         try:
             folder.mkdir(parents=True, exist_ok=True)
             self._sync_folder(folder.parent)
@@ -41,6 +53,28 @@
         except OSError as error:
             self._broken = f'{name}: {error}'
             raise errors.DiskError(self._broken) from error
+        if self._full:
+            self._full = False
+            logger.info('disk_has_room', file=name)
+
+    @contextlib.contextmanager
+    def _undone_if_full(
+        self, name: str, undo: collections.abc.Callable[[], None]
+    ) -> collections.abc.Iterator[None]:
+        """Take a write back for which there was no room.
+
+        :raises DiskFullError: the files are as they were
+        """
+        try:
+            yield
+        except OSError as error:
+            if error.errno not in NO_ROOM:
+                raise
+            undo()
+            if not self._full:
+                self._full = True
+                logger.error('disk_full', file=name, reason=str(error))
+            raise errors.DiskFullError(f'{name}: {error}') from error
 
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if it is not there."""
@@ -56,10 +90,16 @@
         path = self._folder / name
         with self._writing(name):
             fresh = not path.exists()
-            with open(path, 'ab') as file:
-                file.write(data)
-                file.flush()
-                os.fsync(file.fileno())
+            size_bytes = 0 if fresh else path.stat().st_size
+
+            def undo() -> None:
+                if fresh:
+                    path.unlink(missing_ok=True)
+                else:
+                    os.truncate(path, size_bytes)
+
+            with self._undone_if_full(name, undo):
+                _append_synced(path, data)
             if fresh:
                 self._sync_folder(self._folder)
 
@@ -76,17 +116,22 @@
         path = self._folder / name
         temporary = path.with_name(name + TEMPORARY)
         with self._writing(name):
-            with open(temporary, 'wb') as file:
-                file.write(data)
-                file.flush()
-                os.fsync(file.fileno())
+
+            def undo() -> None:
+                temporary.unlink(missing_ok=True)
+
+            with self._undone_if_full(name, undo):
+                _write_synced(temporary, data)
             temporary.replace(path)
             self._sync_folder(self._folder)
 
     def note(self, name: str, data: bytes) -> None:
         """Write a file that may be lost, without waiting for the disk."""
-        with self._writing(name):
+        self.check()
+        try:
             (self._folder / name).write_bytes(data)
+        except OSError as error:
+            logger.warning('note_lost', file=name, reason=str(error))
 
     def remove(self, name: str) -> None:
         """Remove a file, if it is there."""
@@ -100,3 +145,19 @@
             os.fsync(opened)
         finally:
             os.close(opened)
+
+
+def _append_synced(path: pathlib.Path, data: bytes) -> None:
+    with open(path, 'ab') as file:
+        _put_synced(file, data)
+
+
+def _write_synced(path: pathlib.Path, data: bytes) -> None:
+    with open(path, 'wb') as file:
+        _put_synced(file, data)
+
+
+def _put_synced(file: typing.BinaryIO, data: bytes) -> None:
+    file.write(data)
+    file.flush()
+    os.fsync(file.fileno())
--- a/wrenspoke/state/errors.py
+++ b/wrenspoke/state/errors.py
@@ -26,3 +26,7 @@
 
 class DiskError(StateError):
     """Say that a write or sync failed; nothing more may be acknowledged."""
+
+
+class DiskFullError(DiskError):
+    """Say that there was no room for a write, which changed nothing."""
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -57,6 +57,7 @@
         self._entries: list[entries.LogEntry] = []
         self._ends: list[int] = []
         self.meta = self._read_meta()
+        self._synced_meta = msgspec.msgpack.encode(self.meta)
         self.snapshot = self._read_snapshot()
         self._read_log()
 
@@ -198,9 +199,17 @@
         del self._ends[keep:]
 
     def save_meta(self) -> None:
-        """Sync who this voter is and whom it voted for."""
+        """Sync who this voter is and whom it voted for.
+
+        :raises DiskFullError: ``meta`` is again what was synced last
+        """
         body = msgspec.msgpack.encode(self.meta)
-        self._disk.replace(META, records.encode(body))
+        try:
+            self._disk.replace(META, records.encode(body))
+        except errors.DiskFullError:
+            self.meta = msgspec.msgpack.decode(self._synced_meta, type=Meta)
+            raise
+        self._synced_meta = body
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Sync a snapshot, then drop the entries that it covers."""
