--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -109,6 +109,29 @@
     assert got.endswith(b'whole') and len(there.requests) == 1
 
 
+@pytest.mark.parametrize(
+    'kind', [routes.RouteKind.REPEATABLE, routes.RouteKind.ONCE]
+)
+async def test_caller_that_leaves_ends_the_work_elsewhere(system, kind):
+    """Nothing was answered yet, and nothing new is sent."""
+    stall = endpoints.ScriptedEndpoint.STALL
+    await system.put(test_passing.route(kind, homes=('south',)))
+    there = await system.add('e2', 'south-hall', lambda _s, _n: [stall])
+    other = await system.add('e3', 'south-hall', lambda _s, _n: [stall])
+    await know_each_other(system)
+    ip, _, port = system.north.rpartition(':')
+    _reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(request())
+    await nodes.until(lambda: there.requests or other.requests)
+    writer.close()
+    used = there if there.requests else other
+    async with asyncio.timeout(nodes.WAIT_S):
+        await used.gone.wait()
+    served = [entry.passthrough for entry in system.entries]
+    await nodes.until(lambda: not any(one.in_flight for one in served))
+    assert len(there.requests) + len(other.requests) == 1
+
+
 async def test_host_that_stops_answering_is_left_for_another(system):
     await system.put(route(homes=('south',)))
     await system.add('e2', 'south-hall')
