Keep what is known of endpoints over a control host's restart

Hypothesis: after all hosts lost power, a region knows one engine of three until each has renewed (1.2 s), and everybody is sent to that one.

The registry goes to a file of its own, synced in a thread so that a disk that stalls holds up nothing, and is believed for 3 s after a start.

--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -8,6 +8,7 @@
 from wrenspoke.coordination.agreement import lead
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.membership import kept_registry
 from wrenspoke import node as settings
 from wrenspoke.state import disk
 from wrenspoke.state import entries
@@ -120,6 +121,35 @@
         )
 
 
+@pytest.mark.parametrize(
+    'kept, known', [(True, True), (False, False)], ids=['kept', 'lost']
+)
+async def test_restart_of_all_knows_the_endpoints_before_they_renew(
+    tmp_path, kept, known
+):
+    async with nodes.running(tmp_path) as system:
+        await system.put(version=1)
+        [control] = system.controls
+        control.registrar.register(
+            registry.Registration(
+                'e', 's', '10.9.9.9:1', 'north-hall', 1, READY, 1
+            )
+        )
+        path = tmp_path / control.node.ip / kept_registry.FILE
+        await nodes.until(path.exists)
+        await control.close()
+        if not kept:
+            path.write_bytes(path.read_bytes()[:-1])
+        system.controls.clear()
+        again = await system.start_control(control.node.ip, first_start=False)
+        held = again.registrar.registry.held
+        assert ('e' in held) is known
+        # Believed for a while only, as nothing renews it here.
+        if known:
+            age_ms = again.clock.mono_ms() - held['e'].heard_ms
+            assert age_ms >= kept_registry.BELIEVED_MS
+
+
 @pytest.mark.parametrize('leads', [True, False], ids=['leader', 'follower'])
 async def test_host_without_room_on_its_disk_goes_on_answering(
     tmp_path, monkeypatch, leads
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -12,6 +12,7 @@
 from wrenspoke.coordination.agreement import direct
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import kept_registry
 from wrenspoke.coordination.membership import registrar
 from wrenspoke.coordination.membership import replica
 from wrenspoke import node as nodes
@@ -48,12 +49,18 @@
         self.registrar = registrar.Registrar(
             self.voter, self.group, self.replica, self.peers, self.clock
         )
+        self._kept_registry = kept_registry.KeptRegistry(
+            pathlib.Path(node.data_folder),
+            self.registrar.registry,
+            self.clock,
+        )
         self.decisions = direct.DirectDecisions(self.voter, self.clock)
 
     async def start(self) -> None:
         """Listen for other hosts and begin every task."""
         await self.peers.links.start(self.node.ip, self.node.link_port)
         self.voter.start()
+        self._kept_registry.start()
         self.registrar.start()
         logger.info('started', host=self.node.host, seeds=self.node.seeds)
 
@@ -65,6 +72,7 @@
     async def close(self) -> None:
         """End every task and close every socket."""
         await self.registrar.close()
+        await self._kept_registry.close()
         await self.voter.close()
         await self.peers.links.close()
         logger.info('stopped')
--- /dev/null
+++ b/wrenspoke/coordination/membership/kept_registry.py
@@ -0,0 +1,91 @@
+"""Keep what a control host heard of endpoints over its own restart.
+
+Endpoints renew every second or so. A control host that starts with an
+empty registry leaves its region without most of its endpoints until then,
+in the very second in which every caller comes back. What was known before
+is believed until each has had the time to renew.
+"""
+
+import asyncio
+import pathlib
+
+import msgspec
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke import runtime
+from wrenspoke.state import disk
+from wrenspoke.state import errors
+from wrenspoke.state import records
+from wrenspoke.state import registry
+
+logger = structlog.get_logger(__name__)
+
+FILE = 'endpoints'
+# At most so often is a changed registry written.
+INTERVAL_MS = 1_000
+# How long an endpoint that does not renew is believed after a start: two
+# renewals of 1.2 s, the second of them late.
+BELIEVED_MS = 3_000
+
+
+class KeptRegistry:
+    """Write a registry to a file of its own, and read it back."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        held: registry.Registry,
+        clock: clocks.Clock,
+    ):
+        self._disk = disk.Disk(folder)
+        self._registry = held
+        self._clock = clock
+        self._written_revision = 0
+        self._tasks = runtime.Tasks()
+
+    def start(self) -> None:
+        """Take over what was kept, and begin to write."""
+        self._load()
+        self._tasks.start(self._run())
+
+    async def close(self) -> None:
+        """End the task."""
+        await self._tasks.close()
+
+    def _load(self) -> None:
+        try:
+            found, _size = records.decode(FILE, self._disk.read(FILE) or b'')
+            if not found:
+                return
+            kept = msgspec.msgpack.decode(
+                found[0].body, type=list[registry.Registration]
+            )
+        except (errors.StateError, msgspec.DecodeError) as error:
+            # It only helps: endpoints renew.
+            logger.warning('registry_not_read', reason=str(error))
+            return
+        age_ms = registry.SILENT_AFTER_MS - BELIEVED_MS
+        for said in kept:
+            self._registry.take(msgspec.structs.replace(said, age_ms=age_ms))
+        logger.info('registry_read', endpoints=len(kept))
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep_ms(INTERVAL_MS)
+            revision = self._registry.revision
+            if revision == self._written_revision:
+                continue
+            body = msgspec.msgpack.encode(self._registry.after(0))
+            try:
+                # The disk may stall; answers go on meanwhile.
+                await asyncio.to_thread(
+                    self._disk.replace, FILE, records.encode(body)
+                )
+                self._written_revision = revision
+            except errors.DiskFullError:
+                # The disk told so itself; the next look tries again.
+                continue
+            except errors.DiskError as error:
+                logger.error('registry_not_kept', reason=str(error))
+                return
