Let calls wait for a host that starts instead of sending them away

Hypothesis: after all hosts were lost, callers reach hosts that have no configuration for 0.2 to 0.7 s more, and are told to come back after a second; they are late then whatever happens.

They now wait, a second at most, for what is sure to come; calls passed on by other hosts are refused at once as before, since those can do better.

--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -381,6 +381,18 @@
     assert got.startswith(b'HTTP/1.1 504 ')
 
 
+async def test_call_waits_until_a_host_that_starts_can_serve(system):
+    await system.put(route())
+    await system.add('e', lambda sent, _number: [answer(sent)])
+    [entry] = system.entries
+    entry.replica.doubt()
+    asked = asyncio.ensure_future(system.ask(request()))
+    await nodes.until(lambda: entry.passthrough.in_flight or asked.done())
+    entry.replica.serve()
+    got = await asked
+    assert got.endswith(b'whole')
+
+
 async def test_endpoint_is_told_what_time_is_left(system):
     await system.put(route(timeout_ms=800))
     endpoint = await system.add('e', lambda sent, _number: [answer(sent)])
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -233,7 +233,7 @@
             self._serve(confirmed=False)
 
     def _serve(self, confirmed: bool) -> None:
-        self._replica.serving = True
+        self._replica.serve()
         logger.info(
             'serving', index=self._replica.current.index, confirmed=confirmed
         )
--- a/wrenspoke/coordination/membership/pulls.py
+++ b/wrenspoke/coordination/membership/pulls.py
@@ -64,7 +64,7 @@
             self._replica.advance(
                 messages.ConfigurationDelta(index=1, whole=self._founding())
             )
-            self._replica.serving = True
+            self._replica.serve()
             return
         self._replica.refreshable = True
         self._tasks.start(self._run())
@@ -130,7 +130,7 @@
             self._serve('peers')
 
     def _serve(self, source: str) -> None:
-        self._replica.serving = True
+        self._replica.serve()
         logger.info(
             'serving', source=source, index=self._replica.current.index
         )
--- a/wrenspoke/coordination/membership/replica.py
+++ b/wrenspoke/coordination/membership/replica.py
@@ -58,9 +58,18 @@
 
     def _announce(self) -> None:
         logger.info('configuration_in_force', index=self.current.index)
+        self._wake()
+
+    def _wake(self) -> None:
+        """Wake who waits for a change, or for serving to begin."""
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def serve(self) -> None:
+        """Serve by what is held from now on."""
+        self.serving = True
+        self._wake()
+
     def doubt(self) -> None:
         """Stop serving until it is known again that nothing is newer."""
         if self.refreshable:
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -49,7 +49,9 @@
 # A host that lags waits for the configuration that the first went by.
 CATCH_UP_MS = 600
 RETRY_AFTER_MS = 500
-# A host that starts has what it needs about a second later.
+# A host that starts has what it needs 0.2 to 0.7 s later; calls wait for
+# that, as they would be late after coming back.
+START_WAIT_MS = 1_000
 START_RETRY_AFTER_MS = 1_000
 
 
@@ -135,7 +137,9 @@
             return None
         if hop is not None:
             await self._catch_up(hop.index)
-        if not self._replica.serving or not self._attended.awake:
+        elif not self._sure:
+            await self._wait_until_sure(call)
+        if not self._sure:
             await self._refuse(call, reply, passing.Refusal.NO_CONFIGURATION)
             return None
         table = self._replica.current.routes
@@ -169,6 +173,20 @@
         logger.info('request_refused', request=call.request, reason=reason)
         await reply.refuse(UNAVAILABLE, reason, START_RETRY_AFTER_MS)
 
+    @property
+    def _sure(self) -> bool:
+        """Tell whether what this host holds may be served by."""
+        return self._replica.serving and self._attended.awake
+
+    async def _wait_until_sure(self, call: dialects.Call) -> None:
+        """Let a caller's call wait for what a host needs that starts."""
+        try:
+            async with clocks.timeout_ms(min(START_WAIT_MS, call.left_ms)):
+                while not self._sure:
+                    await self._replica.changed.wait()
+        except TimeoutError:
+            return
+
     async def _catch_up(self, index: int) -> None:
         try:
             async with clocks.timeout_ms(CATCH_UP_MS):
