Learn engines by least squares, apart from what waits there

Now a model a service: a part each call takes, a part a token unread, a part a token that waits before it, by recursive least squares with forgetting, errors relative and bounded, a factor an engine. What waits is reckoned from own calls without a first piece and from the last report brought up to now.

Found beside it: where no lanes are in force, long prompts were charged 400 ms for the wrong lane all the same, and travelled for that.

--- /dev/null
+++ b/tests/test_backlog.py
@@ -0,0 +1,96 @@
+"""What waits at an engine, by own calls and by its reports."""
+
+import pytest
+
+from wrenspoke.coordination.serving import backlog
+from wrenspoke.state import loads
+
+TOKEN_MS = 0.02
+
+
+class FakeClock:
+    """Stand still until told."""
+
+    def __init__(self):
+        self.now_ms = 100_000
+
+    def mono_ms(self):
+        return self.now_ms
+
+
+def load(queued, age_ms=0):
+    """Return what an engine reported."""
+    return loads.EngineLoad('e', queued, queued, 0, 10**6, age_ms)
+
+
+def known(clock, *calls):
+    """Return a backlog after calls of (tokens, ms later) to one engine."""
+    made = backlog.Backlog(clock)
+    numbers = []
+    for tokens, later_ms in calls:
+        numbers.append(made.sent('e', tokens))
+        clock.now_ms += later_ms
+    return made, numbers
+
+
+@pytest.mark.parametrize(
+    'calls, answered, ahead',
+    [
+        ([], [], 0),
+        ([(5_000, 0)], [], 5_000),
+        ([(5_000, 40), (3_000, 0)], [], 6_000),
+        ([(5_000, 0), (3_000, 0)], [0], 3_000),
+        ([(5_000, 0), (3_000, 0)], [0, 1], 0),
+        # It has not answered, so that it still is to be read.
+        ([(5_000, 1_000)], [], 5_000),
+    ],
+    ids=[
+        'none',
+        'one',
+        'a part was read meanwhile',
+        'the first has answered',
+        'all have answered',
+        'slower than known',
+    ],
+)
+def test_own_calls_wait_until_their_first_piece(calls, answered, ahead):
+    clock = FakeClock()
+    made, numbers = known(clock, *calls)
+    for place in answered:
+        made.read('e', numbers[place])
+    assert made.ahead('e', None, TOKEN_MS) == pytest.approx(ahead)
+
+
+@pytest.mark.parametrize(
+    'report, hosts, ahead',
+    [
+        (load(0), 1, 0),
+        (load(20), 1, 20 * 1_000 - 200 / TOKEN_MS),
+        (load(20, age_ms=200), 1, 20 * 1_000 - 400 / TOKEN_MS),
+        (load(2), 1, 0),
+    ],
+    ids=['empty', 'full', 'older', 'read since'],
+)
+def test_report_is_brought_up_to_now(report, hosts, ahead):
+    made = backlog.Backlog(FakeClock())
+    made.hosts = hosts
+    assert made.ahead('e', report, TOKEN_MS) == pytest.approx(ahead)
+
+
+def test_other_hosts_are_taken_to_send_as_much():
+    clock = FakeClock()
+    made, numbers = known(clock, *[(1_000.0, 100)] * 10)
+    for number in numbers:
+        made.read('e', number)
+    alone = made.ahead('e', load(40), TOKEN_MS)
+    made.hosts = 3
+    # 10 tokens a ms from each of two others, while the report is old.
+    more = made.ahead('e', load(40), TOKEN_MS) - alone
+    assert more == pytest.approx(2 * 10 * backlog.REPORT_LAG_MS, rel=0.01)
+
+
+def test_call_that_ended_unread_waits_no_more():
+    made, [number] = known(FakeClock(), (5_000, 0))
+    made.read('e', number)
+    made.read('e', number)
+    assert made.ahead('e', None, TOKEN_MS) == 0
--- /dev/null
+++ b/wrenspoke/coordination/serving/backlog.py
@@ -0,0 +1,129 @@
+"""Know how much an engine has yet to read before a new call.
+
+Two views are joined: the calls that this host sent and that have given no
+first piece yet, and what the engine itself last reported, which is some
+hundred ms old and shows the calls of all hosts. Since a report was true the
+engine has read on, this host has sent more, and the region's other hosts
+are taken to have sent as much as this one.
+"""
+
+import collections
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+from wrenspoke.state import loads
+
+# Reports show an engine as it was some hundred ms before.
+REPORT_LAG_MS = 200
+# Own sends are counted over so long to tell what others send meanwhile.
+PACE_MS = 1_000
+# Weight of a new call in the mean length that a waiting call has.
+LENGTH_WEIGHT = 0.05
+FIRST_LENGTH_TOKENS = 1_000.0
+
+
+class Reading:
+    """Be one call that an engine was sent and has not answered yet."""
+
+    __slots__ = ('sent_ms', 'tokens')
+
+    def __init__(self, sent_ms: int, tokens: float):
+        self.sent_ms = sent_ms
+        self.tokens = tokens
+
+
+class _Engine:
+    """Hold this host's calls at one engine."""
+
+    def __init__(self):
+        self.waiting: dict[int, Reading] = {}
+        self.sent: collections.deque[Reading] = collections.deque()
+        # Since when the engine has read nothing but what waits now.
+        self.began_ms = 0
+
+
+class Backlog:
+    """Reckon the tokens that wait at each engine."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._engines: dict[ids.EndpointId, _Engine] = {}
+        self._length_tokens = FIRST_LENGTH_TOKENS
+        self._number = 0
+        # Entry hosts of this region, this one among them.
+        self.hosts = 1
+
+    def sent(self, endpoint: ids.EndpointId, tokens: float) -> int:
+        """Note a call; return the number by which its end is told."""
+        engine = self._engines.setdefault(endpoint, _Engine())
+        now_ms = self._clock.mono_ms()
+        reading = Reading(now_ms, tokens)
+        if not engine.waiting:
+            engine.began_ms = now_ms
+        self._number += 1
+        engine.waiting[self._number] = reading
+        engine.sent.append(reading)
+        self._length_tokens += LENGTH_WEIGHT * (tokens - self._length_tokens)
+        return self._number
+
+    def read(self, endpoint: ids.EndpointId, number: int) -> None:
+        """Note that a call gave its first piece, or ended without one."""
+        engine = self._engines.get(endpoint)
+        if engine is None or engine.waiting.pop(number, None) is None:
+            return
+        engine.began_ms = self._clock.mono_ms()
+
+    def ahead(
+        self,
+        endpoint: ids.EndpointId,
+        load: loads.EngineLoad | None,
+        token_ms: float,
+    ) -> float:
+        """Return the tokens that a call sent now has before it."""
+        engine = self._engines.get(endpoint)
+        own = 0.0 if engine is None else self._own(engine, token_ms)
+        if load is None:
+            return own
+        return max(own, self._reported(engine, load, token_ms))
+
+    def _own(self, engine: _Engine, token_ms: float) -> float:
+        """Return what waits of this host's calls."""
+        if not engine.waiting:
+            return 0.0
+        waiting = sum(found.tokens for found in engine.waiting.values())
+        read = (self._clock.mono_ms() - engine.began_ms) / token_ms
+        # The last one is not read yet, or it would have answered.
+        newest = next(reversed(engine.waiting.values()))
+        return max(waiting - read, min(newest.tokens, waiting))
+
+    def _reported(
+        self,
+        engine: _Engine | None,
+        load: loads.EngineLoad,
+        token_ms: float,
+    ) -> float:
+        """Return what a report says that waits, brought up to now."""
+        age_ms = load.age_ms + REPORT_LAG_MS
+        waiting = load.queued * self._length_tokens
+        if engine is not None:
+            since_ms = self._clock.mono_ms() - age_ms
+            waiting += sum(
+                found.tokens
+                for found in engine.sent
+                if found.sent_ms >= since_ms
+            )
+            waiting += self._pace(engine) * (self.hosts - 1) * age_ms
+        return max(waiting - age_ms / token_ms, 0.0)
+
+    def _pace(self, engine: _Engine) -> float:
+        """Return the tokens a ms that this host sent an engine lately."""
+        since_ms = self._clock.mono_ms() - PACE_MS
+        while engine.sent and engine.sent[0].sent_ms < since_ms:
+            engine.sent.popleft()
+        return sum(found.tokens for found in engine.sent) / PACE_MS
+
+    def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
+        """Forget engines that are gone."""
+        for endpoint in list(self._engines):
+            if endpoint not in endpoints:
+                del self._engines[endpoint]
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -50,13 +50,15 @@
 class Chosen:
     """Name the endpoint that a call goes to, and how it was found.
 
-    ``first_ms`` is when its first piece is expected, ``room`` whether
-    the endpoint can begin at once, ``usual`` whether it is the one that
-    hosts agree on for the prompt's prefix. From ``source`` it can take
-    ``moved_tokens`` of the prompt over, instead of reading them.
+    ``first_ms`` is when its first piece is expected, with what speaks
+    against the endpoint added, ``room`` whether it can begin at once,
+    ``usual`` whether it is the one that hosts agree on for the prompt's
+    prefix. From ``source`` it can take ``moved_tokens`` of the prompt
+    over, instead of reading them.
     """
 
     found: registry.Registered
+    prospect: estimate.Prospect
     first_ms: float
     room: bool
     usual: bool
@@ -164,7 +166,9 @@
         ]
         warming = self._warming_turn(service, every)
         if warming is not None:
-            return Chosen(warming, 0.0, True, False, len(every))
+            return Chosen(
+                warming, estimate.Prospect(0.0), 0.0, True, False, len(every)
+            )
         candidates = sound or warm
         if not candidates:
             return None
@@ -194,15 +198,17 @@
     ) -> list[Chosen]:
         names = [found.said.endpoint for found in candidates]
         readers = self._readers(service, route, names)
-        lane = lanes.lane(names, readers, route, call)
+        lane = lanes.lane(names, readers, route, call) if readers else names
         usual = prefixes.usual_endpoint(call.parts, lane or names)
         holder = self._holder(service, call, candidates)
         estimated = []
         for found in candidates:
             name = found.said.endpoint
-            item = Chosen(found, 0.0, True, name == usual, count)
+            item = Chosen(
+                found, estimate.Prospect(0.0), 0.0, True, name == usual, count
+            )
             self._take_over(item, call, holder)
-            item.first_ms = self._estimator.first_ms(
+            item.prospect = self._estimator.prospect(
                 found,
                 service,
                 call,
@@ -210,10 +216,12 @@
                 item.usual,
                 item.moved_tokens,
             )
+            item.first_ms = item.prospect.first_ms
+            item.room = item.prospect.room
             if self._attended.registry.silent(name):
                 item.first_ms += SILENT_PENALTY_MS
-            item.first_ms += lanes.penalty_ms(route, call, name in readers)
-            item.room = self._estimator.room(found, service, call, item.usual)
+            if readers:
+                item.first_ms += lanes.penalty_ms(route, call, name in readers)
             estimated.append(item)
         return estimated
 
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -284,6 +284,7 @@
         except errors.MaybeSentError as error:
             self._failed(work, place, str(error))
         finally:
+            self._estimator.note_read(place.endpoint, place.reading)
             counts[place.name] -= 1
             if not counts[place.name]:
                 del counts[place.name]
@@ -293,13 +294,8 @@
         place.sent_ms = self._clock.mono_ms()
         if place.chosen is None:
             return
-        usual = place.chosen.usual
-        moved_tokens = place.chosen.moved_tokens
-        place.unread_tokens = self._estimator.unread_tokens(
-            place.endpoint, work.call, usual, moved_tokens
-        )
-        self._estimator.note_sent(
-            place.endpoint, work.service, work.call, usual, moved_tokens
+        place.reading = self._estimator.note_sent(
+            place.endpoint, work.service, work.call, place.chosen.prospect
         )
 
     def _note_first(self, work: works.Work, place: sending.Place) -> None:
@@ -309,7 +305,10 @@
         if place.region is not None:
             self._choice.note_far(place.region, took_ms)
             return
-        self._estimator.note_first(work.service, place.unread_tokens, took_ms)
+        self._estimator.note_read(place.endpoint, place.reading)
+        self._estimator.note_first(
+            place.endpoint, work.service, place.chosen.prospect, took_ms
+        )
 
     @contextlib.asynccontextmanager
     async def _watched(
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -48,8 +48,8 @@
     region: ids.RegionId | None = None
     hop: passing.Hop | None = None
     chosen: choice.Chosen | None = None
-    unread_tokens: float = 0.0
     sent_ms: int = 0
+    reading: int | None = None
 
     @property
     def name(self) -> str:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -187,6 +187,8 @@
         while True:
             hosts = self.attendance.roster.usable()
             self.spending.hosts = max(len(hosts), 1)
+            near = self.attendance.roster.usable(self.node.region)
+            self._estimator.backlog.hosts = max(len(near), 1)
             held = self.attendance.registry.held
             self._estimator.keep_only(set(held))
             places = {found.said.address for found in held.values()}
