Weigh all regions alike by what their hosts say they offer

Hosts now answer pings with what a call would find: wait, time a token, endpoints; with their configuration's index and whether they serve. Each place is weighed in ms: the target times the chances to be late and to miss the deadline, by the spread of the estimates, and what reading and bytes take from others. A call that would most likely miss its deadline everywhere is refused at once with Retry-After by how long the backlog lasts, spread. The window that was a share of the target is gone, and the share of the target within which other regions were not looked at.

--- a/wrenspoke/coordination/membership/reach.py
+++ b/wrenspoke/coordination/membership/reach.py
@@ -24,6 +24,8 @@
 
 USED_FOR_MS = 10_000
 PINGS_TO_SUSPICION = 3
+# A route that has become longer is believed after some ten pings.
+TRAVEL_WEIGHT = 0.1
 
 
 class ReachLimits(typing.Protocol):
@@ -36,9 +38,14 @@
 
 @dataclasses.dataclass
 class Remote:
-    """Hold what is known of a host elsewhere, on this host's clock."""
+    """Hold what is known of a host elsewhere, on this host's clock.
+
+    ``said`` is its last answer, ``travel_ms`` what a round trip takes.
+    """
 
     used_ms: int
+    said: messages.Pong | None = None
+    travel_ms: float | None = None
     answered_ms: int | None = None
     failed_ms: int | None = None
     pinger: asyncio.Task | None = None
@@ -55,13 +62,13 @@
         limits: ReachLimits,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
-        draining: collections.abc.Callable[[], bool],
+        standing: collections.abc.Callable[[], messages.Pong],
     ):
         self._suspect_ms = limits.suspect_after_ms
         self._interval_ms = limits.suspect_after_ms / PINGS_TO_SUSPICION
         self._peers = peers
         self._clock = clock
-        self._draining = draining
+        self._standing = standing
         self._remotes: dict[ids.HostId, Remote] = {}
         self._tasks = runtime.Tasks()
         peers.answers(messages.Ping)(self._answer)
@@ -73,7 +80,7 @@
     async def _answer(
         self, _sender: ids.HostId, _message: messages.Ping
     ) -> messages.Pong:
-        return messages.Pong(self._draining())
+        return self._standing()
 
     async def reachable(
         self, hosts: collections.abc.Sequence[ids.HostId]
@@ -91,6 +98,10 @@
             return True
         return False if self._failed_lately(remote) else None
 
+    def remote(self, host: ids.HostId) -> Remote | None:
+        """Return what is known of a host, None if it was never asked."""
+        return self._remotes.get(host)
+
     async def _check(self, host: ids.HostId) -> bool:
         now_ms = self._clock.mono_ms()
         remote = self._remotes.get(host)
@@ -120,6 +131,7 @@
         return remote.failed_ms > answered_ms and age_ms < self._suspect_ms
 
     async def _ping(self, host: ids.HostId, remote: Remote) -> bool:
+        asked_ms = self._clock.mono_ms()
         try:
             answer = await self._peers.call(
                 host, messages.Ping(), self._interval_ms
@@ -129,10 +141,20 @@
         usable = isinstance(answer, messages.Pong) and not answer.draining
         if usable:
             remote.answered_ms = self._clock.mono_ms()
+            remote.said = answer
+            self._note_travel(remote, remote.answered_ms - asked_ms)
             return True
         remote.failed_ms = self._clock.mono_ms()
         return False
 
+    def _note_travel(self, remote: Remote, took_ms: int) -> None:
+        """Learn the round trip; a longer one than usual was a wait."""
+        known_ms = remote.travel_ms
+        if known_ms is None or took_ms < known_ms:
+            remote.travel_ms = took_ms
+            return
+        remote.travel_ms = known_ms + TRAVEL_WEIGHT * (took_ms - known_ms)
+
     async def _keep(self, host: ids.HostId, remote: Remote) -> None:
         """Ping a host for as long as it is used."""
         while self._is_used(remote):
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -24,6 +24,7 @@
 from wrenspoke import ids
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import messages
 from wrenspoke.state import registry
 from wrenspoke.state import routes
 
@@ -38,12 +39,10 @@
 # An endpoint renews about every 1.2 s, sometimes a second late, and half a
 # second more brings what changed here.
 TAKEN_BACK_DOUBT_MS = 3_000
-# First piece through another region until one was seen: a round trip of
-# 160 ms between far regions and some work there.
-FAR_FIRST_MS = 250.0
-FAR_WEIGHT = 0.3
-# What was seen of a region is believed for so long.
-FAR_BELIEVED_MS = 3_000
+# Added where an engine's memory or batch is full: about the time in which
+# one of its streams ends.
+NO_ROOM_MS = 500.0
+NO_PROMPT = dialects.Call(ids.RequestId(''), '', '', '', [], 0, 0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +89,6 @@
         self._health = noted
         self._estimator = estimator
         self._partners = near
-        self._far: dict[ids.RegionId, tuple[float, int]] = {}
         self._clock = clock
         self._random = random.Random()
         self._evacuated: set[ids.DataCentreId] = set()
@@ -182,8 +180,7 @@
         return min(
             estimated,
             key=lambda item: (
-                not item.room,
-                item.first_ms,
+                item.first_ms + item.prospect.reading_ms,
                 self._random.random(),
             ),
         )
@@ -212,12 +209,14 @@
                 found,
                 service,
                 call,
-                self.in_flight.get(name, 0),
+                self._in_flight_at(found),
                 item.usual,
                 item.moved_tokens,
             )
             item.first_ms = item.prospect.first_ms
             item.room = item.prospect.room
+            if not item.room:
+                item.first_ms += NO_ROOM_MS
             if self._attended.registry.silent(name):
                 item.first_ms += SILENT_PENALTY_MS
             if readers:
@@ -272,33 +271,51 @@
         item.source = self._attended.registry.held.get(holder.endpoint)
         item.moved_tokens = holder.tokens - kept
 
-    def far_first_ms(self, region: ids.RegionId) -> float:
-        """Return when a first piece through another region is expected."""
-        seen_ms, at_ms = self._far.get(region, (FAR_FIRST_MS, 0))
-        age_ms = self._clock.mono_ms() - at_ms
-        if age_ms > FAR_BELIEVED_MS:
-            return min(seen_ms, FAR_FIRST_MS)
-        return seen_ms
-
-    def note_far(self, region: ids.RegionId, took_ms: float) -> None:
-        """Learn from a first piece that came through another region."""
-        old_ms = self.far_first_ms(region)
-        moved_ms = old_ms + FAR_WEIGHT * (took_ms - old_ms)
-        self._far[region] = (moved_ms, self._clock.mono_ms())
-
-    def far_busy(self, region: ids.RegionId, first_ms: float) -> None:
-        """Note that a region turned a call away for being full."""
-        self._far[region] = (first_ms, self._clock.mono_ms())
-
-    def far_regions(self, route: routes.Route) -> list[ids.RegionId]:
-        """Return the other regions that may serve, the quickest first."""
+    def spread(self, service: ids.ServiceId) -> float:
+        """Return how far estimates of a service are off, in the mean."""
+        return self._estimator.model(service).spread
+
+    def other_regions(self, route: routes.Route) -> list[ids.RegionId]:
+        """Return the other regions that may serve a route, in any order."""
         regions = [
             region
             for region in self.regions_for(route)
             if region != self._region
         ]
         self._random.shuffle(regions)
-        return sorted(regions, key=self.far_first_ms)
+        return regions
+
+    def offers(self) -> list[messages.Offer]:
+        """Return what calls to each service would find in this region."""
+        services = self._replica.current.routes.services.values()
+        made = [self._offer(service) for service in services]
+        return [offer for offer in made if offer is not None]
+
+    def _offer(self, service: routes.RoutedService) -> messages.Offer | None:
+        found = [
+            found
+            for found in self.warm(service.service, self._region)
+            if not self._health.set_aside(found.said.address)
+        ]
+        if not found:
+            return None
+        best = min(
+            (
+                self._estimator.prospect(
+                    one, service, NO_PROMPT, self._in_flight_at(one), False
+                )
+                for one in found
+            ),
+            key=lambda prospect: (not prospect.room, prospect.first_ms),
+        )
+        wait_ms = best.first_ms + (0.0 if best.room else NO_ROOM_MS)
+        token_ms = 0.0
+        if service.batch is not None:
+            token_ms = self._estimator.model(service.service).token_ms
+        return messages.Offer(service.service, wait_ms, token_ms, len(found))
+
+    def _in_flight_at(self, found: registry.Registered) -> int:
+        return self.in_flight.get(found.said.endpoint, 0)
 
     def _cold(self, found: registry.Registered) -> bool:
         if found.warm_ms > self._clock.mono_ms():
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -30,14 +30,18 @@
     """Say what a call would find at an endpoint.
 
     ``unread_tokens`` of its prompt are still to be read there, with
-    ``ahead_tokens`` of others before it; ``moving_ms`` is what a move of
-    memory takes first. ``room`` tells whether it can begin at once.
+    ``ahead_tokens`` of others before it; ``reading_ms`` is what reading
+    them takes from others, ``moving_ms`` what a move of memory takes
+    first. ``room`` tells whether it can begin at once, ``spread`` how far
+    the estimate is off in the mean, as a logarithm.
     """
 
     first_ms: float
     unread_tokens: float = 0.0
     ahead_tokens: float = 0.0
+    reading_ms: float = 0.0
     moving_ms: float = 0.0
+    spread: float = reading.FIRST_SPREAD
     room: bool = True
 
 
@@ -90,7 +94,15 @@
             needed = unread + call.tokens_out + ahead
             fits = load.held_tokens + needed <= load.total_tokens
             room = fits and load.running < service.batch.slots
-        return Prospect(first_ms, unread, ahead, moving_ms, room)
+        return Prospect(
+            first_ms,
+            unread,
+            ahead,
+            unread * token_ms,
+            moving_ms,
+            model.spread,
+            room,
+        )
 
     def note_sent(
         self,
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -22,6 +22,7 @@
 from wrenspoke.coordination.serving import events
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import placing
+from wrenspoke.coordination.serving import regions
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import spending
 from wrenspoke.coordination.serving import work as works
@@ -70,6 +71,7 @@
         budget: spending.Spending,
         reached: reach.Reach,
         estimator: estimate.Estimator,
+        elsewhere: regions.Regions,
         clock: clocks.Clock,
     ):
         self._replica = held
@@ -81,7 +83,10 @@
         self._reach = reached
         self._estimator = estimator
         self._clock = clock
-        self._placing = placing.Placing(host, region, held, chosen, clock)
+        self._regions = elsewhere
+        self._placing = placing.Placing(
+            host, region, held, chosen, elsewhere, clock
+        )
         self._index = routes.RouteIndex(routes.RouteTable())
         self.in_flight = 0
         self.leaving = False
@@ -218,12 +223,20 @@
             work.cause = work.cause or 'timeout'
             await self._give_up(work, GATEWAY_TIMEOUT)
             return
-        except placing.BusyError:
-            logger.info('passed_back', request=work.call.request)
+        except placing.BusyError as error:
+            logger.info(
+                'passed_back',
+                request=work.call.request,
+                first_ms=round(error.first_ms),
+                limit_ms=work.hop.limit_ms,
+            )
             await work.reply.refuse(
-                UNAVAILABLE, passing.Refusal.BUSY, RETRY_AFTER_MS
+                UNAVAILABLE, passing.Refusal.BUSY, int(error.first_ms)
             )
             return
+        except placing.HopelessError as error:
+            work.cause = work.cause or 'hopeless'
+            work.retry_after_ms = error.retry_after_ms
         except protocol_errors.CallerGoneError:
             logger.info('caller_gone', request=work.call.request)
             raise
@@ -232,7 +245,7 @@
     async def _try_all(self, work: works.Work) -> bool:
         """Try until it is answered; False when it is given up."""
         while self._left_ms(work) > LEAST_LEFT_MS:
-            place = await self._placing.next_place(work)
+            place = self._placing.next_place(work)
             if place is None:
                 work.cause = work.cause or 'no_endpoint'
                 return False
@@ -303,7 +316,6 @@
         work.first_at_ms = self._clock.mono_ms()
         took_ms = work.first_at_ms - place.sent_ms
         if place.region is not None:
-            self._choice.note_far(place.region, took_ms)
             return
         self._estimator.note_read(place.endpoint, place.reading)
         self._estimator.note_first(
@@ -407,10 +419,12 @@
             work.unrun += 1
         if answer.refused in passing.NOTHING_SENT:
             work.sent -= 1
-        if answer.refused == passing.Refusal.UNSENT:
+        if answer.refused in (passing.Refusal.UNSENT, passing.Refusal.BUSY):
             work.regions_out.add(place.region)
         if answer.refused == passing.Refusal.BUSY:
-            self._choice.far_busy(place.region, work.route.target_ms)
+            self._regions.note_told(
+                place.region, work.service.service, answer.retry_after_ms
+            )
         return False
 
     def _may_repeat(self, work: works.Work) -> bool:
@@ -499,7 +513,9 @@
             kept = work.kept
             await work.reply.whole(kept.status, kept.fields, kept.body)
             return
-        retry_after_ms = RETRY_AFTER_MS if status == UNAVAILABLE else None
+        retry_after_ms = None
+        if status == UNAVAILABLE:
+            retry_after_ms = work.retry_after_ms or RETRY_AFTER_MS
         reason = (
             passing.Refusal.GAVE_UP if work.sent else passing.Refusal.UNSENT
         )
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -1,4 +1,12 @@
-"""Decide where a passed-through call is sent next: here or elsewhere."""
+"""Decide where a passed-through call is sent next: here or elsewhere.
+
+Every place that may serve is weighed alike: by when the first piece is
+expected there, what of that its caller notices, what the call takes from
+others, and what is known to be lost on the way. What can't be served before
+its deadline anywhere is turned away at once.
+"""
+
+import random
 
 import structlog
 
@@ -6,26 +14,43 @@
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import choice
+from wrenspoke.coordination.serving import costs
+from wrenspoke.coordination.serving import regions
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import work as works
 from wrenspoke import ids
-from wrenspoke.protocol import attending
 from wrenspoke.protocol import passing
 
 logger = structlog.get_logger(__name__)
 
-# While the first piece is expected within this part of its target, other
-# regions are not looked at.
-NEAR_SHARE = 0.4
-# A call waits here for room for less than the quarter of its target
-# within which a refusal still lets the caller be served in time.
-HOLD_SHARE = 0.2
-HOLD_STEP_MS = 40
+# A call that is more likely than not to miss its deadline is not sent.
+HOPELESS = 0.5
+# What a KB that goes to another region is worth, in ms of first piece: of
+# a prompt of 20 KB about the round trip that it travels.
+FAR_KB_MS = 3.0
+# What any call is worth that stays: a host more that may fail on its way.
+FAR_MS = 20.0
+# Callers that are turned away come back spread over this much longer.
+RETRY_SPREAD = 0.5
+LEAST_RETRY_AFTER_MS = 100
 
 
 class BusyError(errors.CoordinationError):
     """Say that the host that passed a call on can do better itself."""
 
+    def __init__(self, first_ms: float):
+        super().__init__(f'first piece after {first_ms:.0f} ms')
+        self.first_ms = first_ms
+
+
+class HopelessError(errors.CoordinationError):
+    """Say that a call can't be served before its deadline."""
+
+    def __init__(self, first_ms: float, retry_after_ms: int):
+        super().__init__(f'first piece after {first_ms:.0f} ms')
+        self.first_ms = first_ms
+        self.retry_after_ms = retry_after_ms
+
 
 class Placing:
     """Find the place for a call's next try."""
@@ -36,47 +61,76 @@
         region: ids.RegionId,
         held: replica.Replica,
         chosen: choice.Choice,
+        elsewhere: regions.Regions,
         clock: clocks.Clock,
     ):
         self._host = host
         self._region = region
         self._replica = held
         self._choice = chosen
+        self._regions = elsewhere
         self._clock = clock
+        self._random = random.Random()
+
+    def next_place(self, work: works.Work) -> sending.Place | None:
+        """Return where to send a call, None where nothing takes it.
+
+        :raises BusyError: who passed it on can do better
+        :raises HopelessError: no place would serve it in time
+        """
+        local = self._local(work)
+        if work.hop is not None:
+            self._refuse_if_slower(work, local)
+            return self._endpoint_place(work, local)
+        local_ms = None if local is None else self._local_cost(work, local)
+        far, far_ms = self._best_elsewhere(work)
+        if far is not None and (local_ms is None or far_ms < local_ms):
+            self._refuse_hopeless(work, far.first_ms)
+            return self._host_place(work, far, local)
+        if local is not None:
+            self._refuse_hopeless(work, local.first_ms)
+        return self._endpoint_place(work, local)
+
+    def _local_cost(self, work: works.Work, local: choice.Chosen) -> float:
+        cost_ms = self._waiting_cost(
+            work, local.first_ms, local.prospect.spread
+        )
+        return cost_ms + local.prospect.reading_ms
+
+    def _waiting_cost(
+        self, work: works.Work, first_ms: float, spread: float
+    ) -> float:
+        now_ms = self._clock.mono_ms()
+        target_ms = work.route.target_ms
+        return costs.waiting_ms(
+            first_ms,
+            target_ms,
+            work.call.arrived_ms + target_ms - now_ms,
+            work.deadline_ms - now_ms,
+            spread,
+        )
+
+    def _refuse_hopeless(self, work: works.Work, first_ms: float) -> None:
+        """Turn away what would most likely miss its deadline.
 
-    async def next_place(self, work: works.Work) -> sending.Place | None:
-        """Return where to send a call, after a wait if it pays."""
-        while True:
-            local = self._local(work)
-            if work.hop is not None:
-                self._refuse_if_slower(work, local)
-                return self._endpoint_place(work, local)
-            near_enough = local is not None and (
-                local.room
-                and local.first_ms <= work.route.target_ms * NEAR_SHARE
-            )
-            if near_enough:
-                return self._endpoint_place(work, local)
-            place = self._elsewhere(work, local)
-            if place is not None or local is None:
-                return place
-            if local.room or not self._may_hold(work):
-                return self._endpoint_place(work, local)
-            await self._clock.sleep_ms(HOLD_STEP_MS)
-
-    def _may_hold(self, work: works.Work) -> bool:
-        """Tell whether a call may wait here for room at an endpoint."""
-        held_ms = self._clock.mono_ms() - work.call.arrived_ms
-        return held_ms < work.route.target_ms * HOLD_SHARE
+        What was sent before, and may go on, is not turned away.
+        """
+        left_ms = work.deadline_ms - self._clock.mono_ms()
+        spread = self._choice.spread(work.service.service)
+        if work.sent or costs.missed(first_ms, left_ms, spread) <= HOPELESS:
+            return
+        wait_ms = first_ms - work.route.target_ms
+        wait_ms *= self._random.uniform(1.0, 1.0 + RETRY_SPREAD)
+        raise HopelessError(first_ms, max(int(wait_ms), LEAST_RETRY_AFTER_MS))
 
     def _refuse_if_slower(
         self, work: works.Work, local: choice.Chosen | None
     ) -> None:
         limit_ms = work.hop.limit_ms
-        if limit_ms is None or work.sent:
+        if limit_ms is None or work.sent or local is None:
             return
-        if local is None or not local.room or local.first_ms > limit_ms:
-            raise BusyError()
+        if local.first_ms > limit_ms:
+            raise BusyError(local.first_ms)
 
     def _local(self, work: works.Work) -> choice.Chosen | None:
         if not work.route.allows(self._region):
@@ -97,6 +151,9 @@
             route=work.route.name,
             endpoint=said.endpoint,
             first_ms=round(chosen.first_ms),
+            expected_ms=round(chosen.prospect.first_ms),
+            unread_tokens=round(chosen.prospect.unread_tokens),
+            ahead_tokens=round(chosen.prospect.ahead_tokens),
             room=chosen.room,
             usual=chosen.usual,
             tokens_in=work.call.tokens_in,
@@ -108,57 +165,61 @@
             said.address, endpoint=said.endpoint, chosen=chosen
         )
 
-    def _elsewhere(
-        self, work: works.Work, local: choice.Chosen | None
-    ) -> sending.Place | None:
-        """Return a host of another region, if it is better than here."""
-        if local is not None and work.regions_tried:
-            # It was turned back once; another round trip would be lost.
-            return None
-        for region in self._choice.far_regions(work.route):
+    def _best_elsewhere(
+        self, work: works.Work
+    ) -> tuple[regions.Offered | None, float]:
+        """Return the best other region and what it costs."""
+        best, best_ms = None, 0.0
+        spread = self._choice.spread(work.service.service)
+        for region in self._choice.other_regions(work.route):
             if region in work.regions_out:
                 continue
-            far_ms = self._choice.far_first_ms(region)
-            limit_ms = None
-            if local is not None:
-                here_ms = local.first_ms
-                if not local.room:
-                    here_ms = max(here_ms, work.route.target_ms)
-                if far_ms >= here_ms:
-                    continue
-                limit_ms = int(here_ms - choice.FAR_FIRST_MS / 2)
-            if not self._choice.warm(work.service.service, region):
+            host = self._choice.host_in(region, work.tried)
+            if host is None:
                 continue
-            found = self._choice.host_in(region, work.tried)
+            found = self._regions.offer(region, work.service, work.call, host)
             if found is None:
                 continue
-            work.regions_tried.add(region)
-            return self._host_place(work, region, found, limit_ms)
-        return None
+            cost_ms = self._waiting_cost(work, found.first_ms, spread)
+            cost_ms += found.unread_ms + FAR_MS
+            kb = len(work.call.body) / costs.BYTES_PER_KB
+            cost_ms += kb * FAR_KB_MS
+            if best is None or cost_ms < best_ms:
+                best, best_ms = found, cost_ms
+        return best, best_ms
 
     def _host_place(
         self,
         work: works.Work,
-        region: ids.RegionId,
-        found: attending.HostRecord,
-        limit_ms: int | None,
+        found: regions.Offered,
+        local: choice.Chosen | None,
     ) -> sending.Place:
+        # Where it is turned back, the way there and back is lost as well.
+        limit_ms = work.deadline_ms - self._clock.mono_ms()
+        if local is not None:
+            limit_ms = min(limit_ms, local.first_ms)
         logger.info(
             'passed_on',
             request=work.call.request,
             route=work.route.name,
-            peer=found.host,
-            region=region,
-            limit_ms=limit_ms,
+            peer=found.host.host,
+            region=found.region,
+            first_ms=round(found.first_ms),
+            here_ms=None if local is None else round(local.first_ms),
+            limit_ms=int(limit_ms),
         )
+        self._regions.note_passed(found.region, work.service, work.call)
         hop = passing.Hop(
             self._host,
             work.route.name,
             work.service.service,
             self._replica.current.index,
             work.runs_limit - work.runs,
-            limit_ms,
+            int(limit_ms),
         )
         return sending.Place(
-            found.passing_address, host=found.host, region=region, hop=hop
+            found.host.passing_address,
+            host=found.host.host,
+            region=found.region,
+            hop=hop,
         )
--- /dev/null
+++ b/wrenspoke/coordination/serving/regions.py
@@ -0,0 +1,173 @@
+"""What other regions offer for a call, by what their hosts last said.
+
+The hosts that this one would pass calls to say with each answer to a ping
+what a call would find there. What was passed on since then is added, and
+what a call was told when it was turned back goes before both.
+"""
+
+import collections
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import reach
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import prefixes
+from wrenspoke import ids
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import messages
+from wrenspoke.state import routes
+
+# First piece through a region whose hosts have not said what they offer: a
+# round trip of 160 ms between far regions and some work there.
+UNKNOWN_FIRST_MS = 250.0
+# What a region said when it turned a call back is believed for so long,
+# some pings; the next ones tell anew.
+TOLD_MS = 800
+# A host that has not got this host's configuration after so long would
+# turn calls back: two pings, and the time a change takes to every host.
+LAG_MS = 800
+# Host time in which a call is taken over there, on both ways.
+HANDLING_MS = 6.0
+
+
+class Offered:
+    """Hold what one region offers for one call."""
+
+    __slots__ = ('region', 'host', 'first_ms', 'unread_ms')
+
+    def __init__(
+        self,
+        region: ids.RegionId,
+        host: attending.HostRecord,
+        first_ms: float,
+        unread_ms: float,
+    ):
+        self.region = region
+        self.host = host
+        self.first_ms = first_ms
+        self.unread_ms = unread_ms
+
+
+class Regions:
+    """Hold what is known of other regions."""
+
+    def __init__(
+        self,
+        reached: reach.Reach,
+        held: replica.Replica,
+        clock: clocks.Clock,
+    ):
+        self._reach = reached
+        self._replica = held
+        self._index = 0
+        self._index_ms = clock.mono_ms()
+        self._clock = clock
+        self._passed: dict[ids.RegionId, collections.deque] = {}
+        self._told: dict[
+            tuple[ids.RegionId, ids.ServiceId], tuple[float, int]
+        ] = {}
+        self._kept = prefixes.Prefixes()
+
+    def offer(
+        self,
+        region: ids.RegionId,
+        service: routes.RoutedService,
+        call: dialects.Call,
+        host: attending.HostRecord,
+    ) -> Offered | None:
+        """Return what a region offers through a host; None if nothing."""
+        remote = self._reach.remote(host.host)
+        if remote is None or remote.said is None:
+            return Offered(region, host, UNKNOWN_FIRST_MS, 0.0)
+        said = remote.said
+        if not said.serving or self._lags(remote):
+            return None
+        travel_ms = (remote.travel_ms or 0.0) + HANDLING_MS
+        found = _of_service(said.offers, service.service)
+        if said.offers is None:
+            return Offered(region, host, UNKNOWN_FIRST_MS, 0.0)
+        if found is None:
+            return None
+        unread_ms = found.token_ms * self._unread(region, service, call)
+        waiting_ms = found.wait_ms + self._passed_ms(region, remote, found)
+        told_ms, at_ms = self._told.get((region, service.service), (0.0, 0))
+        if self._clock.mono_ms() - at_ms < TOLD_MS:
+            waiting_ms = max(waiting_ms, told_ms)
+        first_ms = travel_ms + waiting_ms + unread_ms
+        return Offered(region, host, first_ms, unread_ms)
+
+    def _lags(self, remote: reach.Remote) -> bool:
+        """Tell whether a host goes by an older configuration for long."""
+        if self._replica.current.index != self._index:
+            self._index = self._replica.current.index
+            self._index_ms = self._clock.mono_ms()
+        if remote.said.index >= self._index:
+            return False
+        return remote.answered_ms - self._index_ms > LAG_MS
+
+    def _unread(
+        self,
+        region: ids.RegionId,
+        service: routes.RoutedService,
+        call: dialects.Call,
+    ) -> float:
+        if service.batch is None:
+            return 0.0
+        name = _memory_name(region, service.service)
+        kept = self._kept.kept_tokens(name, call.parts, usual=False)
+        return max(call.tokens_in - kept, 0.0)
+
+    def _passed_ms(
+        self,
+        region: ids.RegionId,
+        remote: reach.Remote,
+        found: messages.Offer,
+    ) -> float:
+        """Return what was passed on and is not in the offer yet."""
+        passed = self._passed.get(region)
+        if not passed:
+            return 0.0
+        since_ms = remote.answered_ms - (remote.travel_ms or 0.0) / 2
+        while passed and passed[0][0] < since_ms:
+            passed.popleft()
+        tokens = sum(item[1] for item in passed)
+        return tokens * found.token_ms / max(found.endpoints, 1)
+
+    def note_passed(
+        self,
+        region: ids.RegionId,
+        service: routes.RoutedService,
+        call: dialects.Call,
+    ) -> None:
+        """Note that a call goes to a region."""
+        unread = self._unread(region, service, call)
+        passed = self._passed.setdefault(region, collections.deque())
+        passed.append((self._clock.mono_ms(), unread))
+        if service.batch is None:
+            return
+        self._kept.note(
+            _memory_name(region, service.service),
+            service.batch.cache_tokens,
+            call.parts,
+        )
+
+    def note_told(
+        self, region: ids.RegionId, service: ids.ServiceId, wait_ms: float
+    ) -> None:
+        """Note what a region said when it turned a call back."""
+        self._told[region, service] = (wait_ms, self._clock.mono_ms())
+
+
+def _of_service(
+    offers: list[messages.Offer] | None, service: ids.ServiceId
+) -> messages.Offer | None:
+    for found in offers or ():
+        if found.service == service:
+            return found
+    return None
+
+
+def _memory_name(
+    region: ids.RegionId, service: ids.ServiceId
+) -> ids.EndpointId:
+    return ids.EndpointId(f'{region}/{service}')
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -74,6 +74,7 @@
         self.status = response.status
         self.fields = dialects.answer_fields(response.raw_headers)
         self.refused = _refusal(response.headers.get(passing.REFUSED))
+        self.retry_after_ms = _retry_after_ms(response.headers)
         self.runs = 1
         if from_host:
             self.runs = _runs(response.headers.get(passing.RUNS))
@@ -82,6 +83,14 @@
             ]
 
 
+def _retry_after_ms(fields: collections.abc.Mapping[str, str]) -> float:
+    """Return how long a host says that a call would wait, 0 if not."""
+    try:
+        return float(fields.get('Retry-After', 0)) * passing.MS_PER_S
+    except ValueError:
+        return 0.0
+
+
 def _runs(text: str | None) -> int:
     """Return how many endpoints ran a call, by a host's own word.
 
--- a/wrenspoke/coordination/serving/work.py
+++ b/wrenspoke/coordination/serving/work.py
@@ -31,10 +31,10 @@
     runs: int = 0
     unrun: int = 0
     sent: int = 0
-    regions_tried: set[ids.RegionId] = dataclasses.field(default_factory=set)
     regions_out: set[ids.RegionId] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     cause: str = ''
+    retry_after_ms: int | None = None
     first_at_ms: int | None = None
     last_piece_ms: int | None = None
     longest_pause_ms: int = 0
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -19,6 +19,7 @@
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import passthrough
+from wrenspoke.coordination.serving import regions
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import spending
 from wrenspoke import ids
@@ -26,6 +27,7 @@
 from wrenspoke import node_peers
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import messages
 from wrenspoke.protocol import passing
 from wrenspoke import runtime
 from wrenspoke.transport import web
@@ -75,7 +77,7 @@
             node.entry,
             self.peers,
             self.clock,
-            lambda: self.attendance.draining,
+            self._standing,
         )
         self._partners = partners.Partners(
             node.host,
@@ -101,6 +103,16 @@
             False,
         )
 
+    def _standing(self) -> messages.Pong:
+        """Return what hosts elsewhere are told that may pass calls here."""
+        serving = self.replica.serving and self.attendance.awake
+        return messages.Pong(
+            self.attendance.draining,
+            serving,
+            self.replica.current.index,
+            self._choice.offers() if serving else [],
+        )
+
     def _build_gauges(self, reports: gauges.ReportReader) -> None:
         """Build what knows how loaded engines are."""
         node = self.node
@@ -122,7 +134,7 @@
         """Build what serves requests and what listens for them."""
         node = self.node
         self._health = health.Health(self.clock)
-        chosen = choice.Choice(
+        self._choice = choice.Choice(
             node.region,
             node.host,
             node.regions,
@@ -138,12 +150,13 @@
             node.region,
             self.replica,
             self.attendance,
-            chosen,
+            self._choice,
             sending.Sender(dialect, self._client, self._hosts_client),
             self._health,
             self.spending,
             self._reach,
             self._estimator,
+            regions.Regions(self._reach, self.replica, self.clock),
             self.clock,
         )
         surface = passing.PassingSurface(
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -29,6 +29,7 @@
 from wrenspoke import keys
 from wrenspoke import metrics
 from wrenspoke.protocol import hops
+from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke.protocol import surface
 from wrenspoke import runtime
@@ -103,7 +104,7 @@
             self._settings,
             self.peers,
             self._clock,
-            lambda: self.members.draining,
+            lambda: messages.Pong(self.members.draining),
         )
         self._shares = shares.TeamShares(
             self._deployment,
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -88,10 +88,31 @@
     """Ask a host elsewhere whether it can be reached."""
 
 
+class Offer(msgspec.Struct, array_like=True, frozen=True):
+    """State what a call to a service would find in a region.
+
+    ``wait_ms`` is when a call without a prompt is expected to give its
+    first piece at the best endpoint, ``token_ms`` what each token that is
+    to be read adds, ``endpoints`` how many take work.
+    """
+
+    service: ids.ServiceId
+    wait_ms: float
+    token_ms: float
+    endpoints: int
+
+
 class Pong(msgspec.Struct, tag='pong'):
-    """Answer a ping."""
+    """Answer a ping with what calls that are passed on would find.
+
+    ``index`` is the configuration in force, ``serving`` whether the host
+    serves by it. ``offers`` is None from hosts that make none.
+    """
 
     draining: bool
+    serving: bool = True
+    index: int = 0
+    offers: list[Offer] | None = None
 
 
 class PullConfiguration(msgspec.Struct, tag='pull'):
