Estimate ends and pauses by the pace of each engine

Hypothesis: streams are lost at their deadline and late by pauses (617 to 640 ms of 600 allowed) where engines read without a break; only the first piece was estimated. Ruled out: lanes, which are off where an event takes under the bound at an ordinary engine (a third of these take 1.3 times).

The gaps between events that pass through a host give each engine's pace, present and usual, and its longest gap. The end is estimated by it and by the caller's hint of the length; a call also pays for the streams beside it that its reading would pause too long.

--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -16,6 +16,7 @@
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import partners
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import costs
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import lanes
@@ -50,7 +51,8 @@
     """Name the endpoint that a call goes to, and how it was found.
 
     ``first_ms`` is when its first piece is expected, with what speaks
-    against the endpoint added, ``room`` whether it can begin at once,
+    against the endpoint added, ``cost_ms`` what that costs the call and
+    others (see ``costs``), ``room`` whether it can begin at once,
     ``usual`` whether it is the one that hosts agree on for the prompt's
     prefix. From ``source`` it can take ``moved_tokens`` of the prompt
     over, instead of reading them.
@@ -62,6 +64,7 @@
     room: bool
     usual: bool
     candidates: int
+    cost_ms: float = 0.0
     source: registry.Registered | None = None
     moved_tokens: float = 0.0
 
@@ -149,6 +152,7 @@
         route: routes.Route,
         call: dialects.Call,
         excluded: collections.abc.Container[ids.EndpointId],
+        bounds: costs.Bounds,
     ) -> Chosen | None:
         """Return the best endpoint of this region, None without one."""
         every = [
@@ -177,13 +181,23 @@
             for item in estimated:
                 item.first_ms += ASIDE_PENALTY_MS
                 item.room = False
+        for item in estimated:
+            item.cost_ms = self._cost(bounds, item)
         return min(
             estimated,
-            key=lambda item: (
-                item.first_ms + item.prospect.reading_ms,
-                self._random.random(),
-            ),
+            key=lambda item: (item.cost_ms, self._random.random()),
+        )
+
+    @staticmethod
+    def _cost(bounds: costs.Bounds, item: 'Chosen') -> float:
+        """Return what an endpoint would cost the call and others."""
+        found = item.prospect
+        end_ms = found.end_ms + item.first_ms - found.first_ms
+        waiting_ms = costs.waiting_ms(
+            bounds, item.first_ms, end_ms, found.spread
         )
+        pausing_ms = costs.pausing_ms(bounds, found.pause_ms, found.harmed)
+        return waiting_ms + pausing_ms + found.reading_ms
 
     def _estimated(
         self,
@@ -299,20 +313,33 @@
         ]
         if not found:
             return None
-        best = min(
+        name, best = min(
             (
-                self._estimator.prospect(
-                    one, service, NO_PROMPT, self._in_flight_at(one), False
+                (
+                    one.said.endpoint,
+                    self._estimator.prospect(
+                        one, service, NO_PROMPT, self._in_flight_at(one), False
+                    ),
                 )
                 for one in found
             ),
-            key=lambda prospect: (not prospect.room, prospect.first_ms),
+            key=lambda item: (not item[1].room, item[1].first_ms),
         )
         wait_ms = best.first_ms + (0.0 if best.room else NO_ROOM_MS)
-        token_ms = 0.0
+        token_ms = usual_ms = present_ms = 0.0
         if service.batch is not None:
             token_ms = self._estimator.model(service.service).token_ms
-        return messages.Offer(service.service, wait_ms, token_ms, len(found))
+            usual_ms, present_ms = self._estimator.pace.ahead(
+                name, service.batch.event_tokens
+            )
+        return messages.Offer(
+            service.service,
+            wait_ms,
+            token_ms,
+            usual_ms,
+            present_ms,
+            len(found),
+        )
 
     def _in_flight_at(self, found: registry.Registered) -> int:
         return self.in_flight.get(found.said.endpoint, 0)
--- a/wrenspoke/coordination/serving/costs.py
+++ b/wrenspoke/coordination/serving/costs.py
@@ -6,6 +6,7 @@
 prompt, and the bytes that go to another region.
 """
 
+import dataclasses
 import math
 
 # The error of an estimate is taken to be log-normal; the spread that is
@@ -18,6 +19,12 @@
 # time.
 SOONER_SHARE = 0.1
 BYTES_PER_KB = 1_000
+# How far a caller is off in what it expects an answer's length to be, in the
+# mean, as a logarithm: right at the median, often by half or twice.
+LENGTH_SPREAD = 0.5
+# Pauses are bounded by the longest one that was seen, so that they are
+# known better than first pieces.
+PAUSE_SPREAD = 0.08
 
 
 def missed(first_ms: float, left_ms: float, spread: float) -> float:
@@ -29,14 +36,39 @@
     return 0.5 * (1.0 + math.erf(off / math.sqrt(2.0)))
 
 
+@dataclasses.dataclass(slots=True)
+class Bounds:
+    """Hold what a call has left: to its target, and to its deadline."""
+
+    target_ms: float
+    target_left_ms: float
+    deadline_left_ms: float
+    pause_target_ms: float | None = None
+
+
+def lost(
+    bounds: Bounds, first_ms: float, end_ms: float, spread: float
+) -> float:
+    """Return the chance that an answer is not whole by its deadline."""
+    left_ms = bounds.deadline_left_ms
+    return max(
+        missed(first_ms, left_ms, spread),
+        missed(end_ms, left_ms, math.hypot(spread, LENGTH_SPREAD)),
+    )
+
+
 def waiting_ms(
-    first_ms: float,
-    target_ms: float,
-    target_left_ms: float,
-    deadline_left_ms: float,
-    spread: float,
+    bounds: Bounds, first_ms: float, end_ms: float, spread: float
 ) -> float:
-    """Return what a first piece after ``first_ms`` costs its caller."""
-    late = missed(first_ms, target_left_ms, spread)
-    lost = missed(first_ms, deadline_left_ms, spread)
-    return target_ms * (late + lost) + SOONER_SHARE * first_ms
+    """Return what a first piece and an end at such times cost a caller."""
+    late = missed(first_ms, bounds.target_left_ms, spread)
+    gone = lost(bounds, first_ms, end_ms, spread)
+    return bounds.target_ms * (late + gone) + SOONER_SHARE * first_ms
+
+
+def pausing_ms(bounds: Bounds, pause_ms: float, harmed: int) -> float:
+    """Return what a pause costs the streams that run beside a call."""
+    if bounds.pause_target_ms is None or not harmed:
+        return 0.0
+    late = missed(pause_ms, bounds.pause_target_ms, PAUSE_SPREAD)
+    return bounds.target_ms * late * harmed
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -7,10 +7,12 @@
 """
 
 import dataclasses
+import math
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import gauges
 from wrenspoke.coordination.serving import backlog
+from wrenspoke.coordination.serving import pace
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke.coordination.serving import reading
 from wrenspoke import ids
@@ -32,15 +34,21 @@
     ``unread_tokens`` of its prompt are still to be read there, with
     ``ahead_tokens`` of others before it; ``reading_ms`` is what reading
     them takes from others, ``moving_ms`` what a move of memory takes
-    first. ``room`` tells whether it can begin at once, ``spread`` how far
-    the estimate is off in the mean, as a logarithm.
+    first. After ``end_ms`` the answer is whole; ``pause_ms`` is the
+    longest pause that streams there have while it is read, and ``harmed``
+    how many of them that pause would make late. ``room`` tells whether it
+    can begin at once, ``spread`` how far estimates are off in the mean,
+    as a logarithm.
     """
 
     first_ms: float
+    end_ms: float = 0.0
     unread_tokens: float = 0.0
     ahead_tokens: float = 0.0
     reading_ms: float = 0.0
     moving_ms: float = 0.0
+    pause_ms: float = 0.0
+    harmed: int = 0
     spread: float = reading.FIRST_SPREAD
     room: bool = True
 
@@ -52,6 +60,7 @@
         self._gauges = known
         self.prefixes = prefixes.Prefixes()
         self.backlog = backlog.Backlog(clock)
+        self.pace = pace.Pace(clock)
         self._models: dict[ids.ServiceId, reading.ReadingModel] = {}
         self._hold_ms: dict[ids.ServiceId, float] = {}
 
@@ -80,7 +89,8 @@
         if service.batch is None:
             hold_ms = self._hold_ms.get(said.service, FIRST_HOLD_MS)
             waves = (in_flight + 1) / said.slots
-            return Prospect(hold_ms * max(waves, 1.0))
+            first_ms = hold_ms * max(waves, 1.0)
+            return Prospect(first_ms, first_ms)
         model = self.model(said.service)
         load = self._gauges.load(said.endpoint)
         kept = self.prefixes.kept_tokens(said.endpoint, call.parts, usual)
@@ -94,12 +104,20 @@
             needed = unread + call.tokens_out + ahead
             fits = load.held_tokens + needed <= load.total_tokens
             room = fits and load.running < service.batch.slots
+        event_tokens = service.batch.event_tokens
+        events = math.ceil(call.tokens_expected / event_tokens)
+        pace_ahead = self.pace.ahead(said.endpoint, event_tokens)
+        reading_ms = unread * token_ms
+        busy_ms = ahead * token_ms + reading_ms
         return Prospect(
             first_ms,
+            first_ms + pace_ahead.stream_ms(events),
             unread,
             ahead,
-            unread * token_ms,
+            reading_ms,
             moving_ms,
+            min(busy_ms, self.pace.longest_ms(said.endpoint)),
+            self.pace.sound(said.endpoint),
             model.spread,
             room,
         )
@@ -149,5 +167,6 @@
         """Forget endpoints that are gone."""
         self.prefixes.keep_only(endpoints)
         self.backlog.keep_only(endpoints)
+        self.pace.keep_only(endpoints)
         for model in self._models.values():
             model.keep_only(endpoints)
--- /dev/null
+++ b/wrenspoke/coordination/serving/pace.py
@@ -0,0 +1,204 @@
+"""Know how quickly engines give the events of their streams.
+
+An engine reads prompts between the tokens of all streams that run there,
+so that streams slow down while it reads, and crawl while more comes than
+it can read. How long the gaps between events are is seen from the streams
+that pass through this host.
+"""
+
+import math
+import typing
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+
+# Until it was seen: a few ms for each token of an event.
+FIRST_TOKEN_MS = 8.0
+# What was seen this long ago counts a third for the present pace.
+MEMORY_MS = 1_000.0
+# What was usual over this time is expected where nothing was seen lately.
+USUAL_MEMORY_MS = 20_000.0
+# What slows an engine down at present is taken to last so long.
+PERSISTS_MS = 2_000.0
+# The longest gap seen is forgotten to a half over this time.
+LONGEST_HALF_MS = 30_000.0
+
+
+class Ahead(typing.NamedTuple):
+    """State how long events are expected to take.
+
+    ``usual_ms`` lies between two of a stream as a rule, ``present_ms`` in
+    the present crowd, which does not last.
+    """
+
+    usual_ms: float
+    present_ms: float
+
+    def stream_ms(self, events: float) -> float:
+        """Return how long so many events take."""
+        slowed = min(events, PERSISTS_MS / self.present_ms)
+        return slowed * self.present_ms + (events - slowed) * self.usual_ms
+
+
+class _FadingMean:
+    """Be the mean of what was seen; older values fade with time."""
+
+    __slots__ = ('_memory_ms', '_total', '_weight', '_at_ms')
+
+    def __init__(self, memory_ms: float, value: float, now_ms: int):
+        self._memory_ms = memory_ms
+        self._total = value
+        self._weight = 1.0
+        self._at_ms = now_ms
+
+    def note(self, value: float, now_ms: int) -> None:
+        kept = self._kept(now_ms)
+        self._total = kept * self._total + value
+        self._weight = kept * self._weight + 1.0
+        self._at_ms = now_ms
+
+    def value(self, usual: float, now_ms: int) -> float:
+        """Return the mean, joined by ``usual`` as one more value."""
+        kept = self._kept(now_ms)
+        return (kept * self._total + usual) / (kept * self._weight + 1.0)
+
+    def _kept(self, now_ms: int) -> float:
+        return math.exp(-(now_ms - self._at_ms) / self._memory_ms)
+
+
+class _Engine:
+    """Hold the pace of one engine."""
+
+    __slots__ = (
+        'first_ms',
+        'present',
+        'usual',
+        'longest_ms',
+        'seen_ms',
+        'sound',
+    )
+
+    def __init__(self, first_ms: float, now_ms: int):
+        self.first_ms = first_ms
+        self.present = _FadingMean(MEMORY_MS, first_ms, now_ms)
+        self.usual = _FadingMean(USUAL_MEMORY_MS, first_ms, now_ms)
+        self.longest_ms = 0.0
+        self.seen_ms = now_ms
+        # Streams from here that have not paused for too long yet.
+        self.sound = 0
+
+
+class Pace:
+    """Hold the pace of every engine that streams come from."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._engines: dict[ids.EndpointId, _Engine] = {}
+
+    def now_ms(self) -> int:
+        """Return the time by which gaps are measured."""
+        return self._clock.mono_ms()
+
+    def _of(self, endpoint: ids.EndpointId, event_tokens: int) -> _Engine:
+        found = self._engines.get(endpoint)
+        if found is None:
+            found = _Engine(
+                FIRST_TOKEN_MS * event_tokens, self._clock.mono_ms()
+            )
+            self._engines[endpoint] = found
+        return found
+
+    def note_gap(
+        self, endpoint: ids.EndpointId, event_tokens: int, gap_ms: float
+    ) -> None:
+        """Learn from the time between two events of a stream."""
+        found = self._of(endpoint, event_tokens)
+        now_ms = self._clock.mono_ms()
+        found.present.note(gap_ms, now_ms)
+        found.usual.note(gap_ms, now_ms)
+        age_ms = now_ms - found.seen_ms
+        faded_ms = found.longest_ms * 0.5 ** (age_ms / LONGEST_HALF_MS)
+        found.longest_ms = max(faded_ms, gap_ms)
+        found.seen_ms = now_ms
+
+    def ahead(self, endpoint: ids.EndpointId, event_tokens: int) -> Ahead:
+        """Return the pace that is to be expected of an engine."""
+        found = self._of(endpoint, event_tokens)
+        now_ms = self._clock.mono_ms()
+        usual_ms = found.usual.value(found.first_ms, now_ms)
+        present_ms = found.present.value(usual_ms, now_ms)
+        return Ahead(usual_ms, max(usual_ms, present_ms))
+
+    def longest_ms(self, endpoint: ids.EndpointId) -> float:
+        """Return how long an engine's events take while it reads."""
+        found = self._engines.get(endpoint)
+        return 0.0 if found is None else found.longest_ms
+
+    def begin(self, endpoint: ids.EndpointId, event_tokens: int) -> None:
+        """Count a stream that begins."""
+        self._of(endpoint, event_tokens).sound += 1
+
+    def spoilt(self, endpoint: ids.EndpointId) -> None:
+        """Count a stream no more, as it has ended or paused too long."""
+        found = self._engines.get(endpoint)
+        if found is not None:
+            found.sound = max(found.sound - 1, 0)
+
+    def sound(self, endpoint: ids.EndpointId) -> int:
+        """Return the streams that a long pause would make late."""
+        found = self._engines.get(endpoint)
+        return 0 if found is None else found.sound
+
+    def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
+        """Forget engines that are gone."""
+        for endpoint in list(self._engines):
+            if endpoint not in endpoints:
+                del self._engines[endpoint]
+
+
+class PacedStream:
+    """Follow one stream of an engine, and let its pace be learned.
+
+    A stream that comes by way of another host tells nothing of an engine.
+    """
+
+    def __init__(
+        self,
+        known: Pace,
+        endpoint: ids.EndpointId | None,
+        event_tokens: int,
+        pause_target_ms: float | None,
+    ):
+        self._pace = known
+        self._endpoint = endpoint
+        self._event_tokens = event_tokens
+        self._pause_target_ms = pause_target_ms
+        self._piece_ms: int | None = None
+        self._sound = False
+
+    def __enter__(self) -> 'PacedStream':
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self._spoil()
+
+    def note_piece(self) -> None:
+        """Note that a piece has come."""
+        if self._endpoint is None:
+            return
+        now_ms = self._pace.now_ms()
+        if self._piece_ms is None:
+            self._sound = True
+            self._pace.begin(self._endpoint, self._event_tokens)
+        else:
+            gap_ms = now_ms - self._piece_ms
+            self._pace.note_gap(self._endpoint, self._event_tokens, gap_ms)
+            late = self._pause_target_ms is not None
+            if late and gap_ms > self._pause_target_ms:
+                self._spoil()
+        self._piece_ms = now_ms
+
+    def _spoil(self) -> None:
+        if self._sound:
+            self._sound = False
+            self._pace.spoilt(self._endpoint)
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -21,6 +21,7 @@
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import events
 from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import pace as paces
 from wrenspoke.coordination.serving import placing
 from wrenspoke.coordination.serving import regions
 from wrenspoke.coordination.serving import sending
@@ -442,18 +443,43 @@
     ) -> None:
         """Pass a stream on; the first piece goes with the head."""
         tracker = events.EventTracker(whole_only=work.route.resumable)
-        async for chunk in answer.chunks():
-            data = tracker.feed(chunk)
-            if not data:
-                continue
-            if not work.reply.started:
-                self._note_first(work, place)
-                await work.reply.open(answer.status, answer.fields)
-                work.tracker = tracker
-            work.note_piece(self._clock.mono_ms())
-            await work.reply.write(data)
+        await self._pass_events(work, place, answer, tracker)
         await self._end_stream(work, place, answer, tracker)
 
+    async def _pass_events(
+        self,
+        work: works.Work,
+        place: sending.Place,
+        answer: sending.Answer,
+        tracker: events.EventTracker,
+    ) -> None:
+        """Pass on what comes, and learn the pace of the engine."""
+        with self._paced(work, place) as paced:
+            async for chunk in answer.chunks():
+                data = tracker.feed(chunk)
+                if not data:
+                    continue
+                if not work.reply.started:
+                    self._note_first(work, place)
+                    await work.reply.open(answer.status, answer.fields)
+                    work.tracker = tracker
+                work.note_piece(self._clock.mono_ms())
+                paced.note_piece()
+                await work.reply.write(data)
+
+    def _paced(
+        self, work: works.Work, place: sending.Place
+    ) -> paces.PacedStream:
+        tokens = 1
+        if work.service.batch is not None:
+            tokens = work.service.batch.event_tokens
+        return paces.PacedStream(
+            self._estimator.pace,
+            place.endpoint,
+            tokens,
+            work.route.pause_target_ms,
+        )
+
     async def _end_stream(
         self,
         work: works.Work,
@@ -482,11 +508,7 @@
             last_event=work.tracker.last_id,
         )
         work.tracker.begin_again()
-        async for chunk in answer.chunks():
-            data = work.tracker.feed(chunk)
-            if data:
-                work.note_piece(self._clock.mono_ms())
-                await work.reply.write(data)
+        await self._pass_events(work, place, answer, work.tracker)
         await self._end_stream(work, place, answer, work.tracker)
         return True
 
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -23,8 +23,8 @@
 
 logger = structlog.get_logger(__name__)
 
-# A call that is more likely than not to miss its deadline is not sent.
-HOPELESS = 0.5
+# A call that misses its deadline four times in five is not sent.
+HOPELESS = 0.8
 # What a KB that goes to another region is worth, in ms of first piece: of
 # a prompt of 20 KB about the round trip that it travels.
 FAR_KB_MS = 3.0
@@ -78,47 +78,54 @@
         :raises BusyError: who passed it on can do better
         :raises HopelessError: no place would serve it in time
         """
-        local = self._local(work)
+        bounds = self._bounds(work)
+        local = self._local(work, bounds)
         if work.hop is not None:
             self._refuse_if_slower(work, local)
             return self._endpoint_place(work, local)
-        local_ms = None if local is None else self._local_cost(work, local)
-        far, far_ms = self._best_elsewhere(work)
-        if far is not None and (local_ms is None or far_ms < local_ms):
-            self._refuse_hopeless(work, far.first_ms)
+        far, far_ms = self._best_elsewhere(work, bounds)
+        if far is not None and (local is None or far_ms < local.cost_ms):
+            self._refuse_hopeless(work, bounds, far.first_ms, far.end_ms)
             return self._host_place(work, far, local)
         if local is not None:
-            self._refuse_hopeless(work, local.first_ms)
+            self._refuse_hopeless(
+                work, bounds, local.first_ms, local.prospect.end_ms
+            )
         return self._endpoint_place(work, local)
 
-    def _local_cost(self, work: works.Work, local: choice.Chosen) -> float:
-        cost_ms = self._waiting_cost(
-            work, local.first_ms, local.prospect.spread
-        )
-        return cost_ms + local.prospect.reading_ms
-
-    def _waiting_cost(
-        self, work: works.Work, first_ms: float, spread: float
-    ) -> float:
+    def _bounds(self, work: works.Work) -> costs.Bounds:
         now_ms = self._clock.mono_ms()
         target_ms = work.route.target_ms
-        return costs.waiting_ms(
-            first_ms,
+        return costs.Bounds(
             target_ms,
             work.call.arrived_ms + target_ms - now_ms,
             work.deadline_ms - now_ms,
-            spread,
+            work.route.pause_target_ms,
         )
 
-    def _refuse_hopeless(self, work: works.Work, first_ms: float) -> None:
+    def _refuse_hopeless(
+        self,
+        work: works.Work,
+        bounds: costs.Bounds,
+        first_ms: float,
+        end_ms: float,
+    ) -> None:
         """Turn away what would most likely miss its deadline.
 
         What was sent before, and may go on, is not turned away.
         """
-        left_ms = work.deadline_ms - self._clock.mono_ms()
         spread = self._choice.spread(work.service.service)
-        if work.sent or costs.missed(first_ms, left_ms, spread) <= HOPELESS:
+        lost = costs.lost(bounds, first_ms, end_ms, spread)
+        if work.sent or lost <= HOPELESS:
             return
+        logger.info(
+            'hopeless',
+            request=work.call.request,
+            route=work.route.name,
+            first_ms=round(first_ms),
+            end_ms=round(end_ms),
+            left_ms=round(bounds.deadline_left_ms),
+        )
         wait_ms = first_ms - work.route.target_ms
         wait_ms *= self._random.uniform(1.0, 1.0 + RETRY_SPREAD)
         raise HopelessError(first_ms, max(int(wait_ms), LEAST_RETRY_AFTER_MS))
@@ -132,11 +139,13 @@
         if local.first_ms > limit_ms:
             raise BusyError(local.first_ms)
 
-    def _local(self, work: works.Work) -> choice.Chosen | None:
+    def _local(
+        self, work: works.Work, bounds: costs.Bounds
+    ) -> choice.Chosen | None:
         if not work.route.allows(self._region):
             return None
         return self._choice.choose(
-            work.service, work.route, work.call, work.tried
+            work.service, work.route, work.call, work.tried, bounds
         )
 
     def _endpoint_place(
@@ -152,6 +161,9 @@
             endpoint=said.endpoint,
             first_ms=round(chosen.first_ms),
             expected_ms=round(chosen.prospect.first_ms),
+            end_ms=round(chosen.prospect.end_ms),
+            pause_ms=round(chosen.prospect.pause_ms),
+            harmed=chosen.prospect.harmed,
             unread_tokens=round(chosen.prospect.unread_tokens),
             ahead_tokens=round(chosen.prospect.ahead_tokens),
             room=chosen.room,
@@ -166,7 +178,7 @@
         )
 
     def _best_elsewhere(
-        self, work: works.Work
+        self, work: works.Work, bounds: costs.Bounds
     ) -> tuple[regions.Offered | None, float]:
         """Return the best other region and what it costs."""
         best, best_ms = None, 0.0
@@ -180,7 +192,9 @@
             found = self._regions.offer(region, work.service, work.call, host)
             if found is None:
                 continue
-            cost_ms = self._waiting_cost(work, found.first_ms, spread)
+            cost_ms = costs.waiting_ms(
+                bounds, found.first_ms, found.end_ms, spread
+            )
             cost_ms += found.unread_ms + FAR_MS
             kb = len(work.call.body) / costs.BYTES_PER_KB
             cost_ms += kb * FAR_KB_MS
--- a/wrenspoke/coordination/serving/regions.py
+++ b/wrenspoke/coordination/serving/regions.py
@@ -10,6 +10,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import pace
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke import ids
 from wrenspoke.protocol import attending
@@ -33,18 +34,20 @@
 class Offered:
     """Hold what one region offers for one call."""
 
-    __slots__ = ('region', 'host', 'first_ms', 'unread_ms')
+    __slots__ = ('region', 'host', 'first_ms', 'end_ms', 'unread_ms')
 
     def __init__(
         self,
         region: ids.RegionId,
         host: attending.HostRecord,
         first_ms: float,
+        end_ms: float,
         unread_ms: float,
     ):
         self.region = region
         self.host = host
         self.first_ms = first_ms
+        self.end_ms = end_ms
         self.unread_ms = unread_ms
 
 
@@ -78,14 +81,14 @@
         """Return what a region offers through a host; None if nothing."""
         remote = self._reach.remote(host.host)
         if remote is None or remote.said is None:
-            return Offered(region, host, UNKNOWN_FIRST_MS, 0.0)
+            return _unknown(region, host)
         said = remote.said
         if not said.serving or self._lags(remote):
             return None
         travel_ms = (remote.travel_ms or 0.0) + HANDLING_MS
         found = _of_service(said.offers, service.service)
         if said.offers is None:
-            return Offered(region, host, UNKNOWN_FIRST_MS, 0.0)
+            return _unknown(region, host)
         if found is None:
             return None
         unread_ms = found.token_ms * self._unread(region, service, call)
@@ -94,7 +97,12 @@
         if self._clock.mono_ms() - at_ms < TOLD_MS:
             waiting_ms = max(waiting_ms, told_ms)
         first_ms = travel_ms + waiting_ms + unread_ms
-        return Offered(region, host, first_ms, unread_ms)
+        end_ms = first_ms
+        if service.batch is not None:
+            events = call.tokens_expected / service.batch.event_tokens
+            paced = pace.Ahead(found.usual_ms, found.present_ms)
+            end_ms += paced.stream_ms(events)
+        return Offered(region, host, first_ms, end_ms, unread_ms)
 
     def _lags(self, remote: reach.Remote) -> bool:
         """Tell whether a host goes by an older configuration for long."""
@@ -158,6 +166,10 @@
         self._told[region, service] = (wait_ms, self._clock.mono_ms())
 
 
+def _unknown(region: ids.RegionId, host: attending.HostRecord) -> Offered:
+    return Offered(region, host, UNKNOWN_FIRST_MS, UNKNOWN_FIRST_MS, 0.0)
+
+
 def _of_service(
     offers: list[messages.Offer] | None, service: ids.ServiceId
 ) -> messages.Offer | None:
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -45,6 +45,8 @@
 
     ``endpoint`` makes an endpoint refuse what is meant for another one,
     ``not_run`` in its answer says that it did not run the request.
+    ``tokens`` gives those of the prompt and the most that may come out,
+    ``length_hint`` how many the caller expects to come.
     ``fetch_from`` names the address of an endpoint that hands over what
     it keeps of the prompt.
     ``reserved`` headers are never passed on from callers.
@@ -57,6 +59,7 @@
     priority: str = 'Wrenspoke-Endpoint-Priority'
     prompt_parts: str = 'Wrenspoke-Prompt-Parts'
     tokens: str = 'Wrenspoke-Tokens'
+    length_hint: str = 'Wrenspoke-Length-Hint'
     last_event: str = 'Last-Event-ID'
     fetch_from: str = 'Wrenspoke-Fetch-From'
     reserved: tuple[str, ...] = ()
@@ -97,6 +100,7 @@
     parts: tuple[PromptPart, ...] = ()
     tokens_in: int = 0
     tokens_out: int = 0
+    tokens_expected: int = 0
     last_event: str | None = None
 
     @property
@@ -151,6 +155,7 @@
             parts=self._parts(found),
             tokens_in=self._tokens(found)[0],
             tokens_out=self._tokens(found)[1],
+            tokens_expected=self._tokens_expected(found),
             last_event=found.get(self._dialect.last_event.lower()),
         )
 
@@ -193,6 +198,14 @@
                 parts.append(PromptPart(name, int(tokens)))
         return tuple(parts)
 
+    def _tokens_expected(self, found: dict[str, str]) -> int:
+        """Return how many tokens should come: the hint, else the most."""
+        hint = found.get(self._dialect.length_hint.lower(), '').strip()
+        most = self._tokens(found)[1]
+        if not hint.isdigit():
+            return most
+        return min(int(hint), most) if most else int(hint)
+
     def _tokens(self, found: dict[str, str]) -> tuple[int, int]:
         text = found.get(self._dialect.tokens.lower(), '')
         tokens_in, _, tokens_out = text.partition(',')
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -93,12 +93,15 @@
 
     ``wait_ms`` is when a call without a prompt is expected to give its
     first piece at the best endpoint, ``token_ms`` what each token that is
-    to be read adds, ``endpoints`` how many take work.
+    to be read adds. Between two events of a stream lie ``usual_ms`` as a
+    rule and ``present_ms`` in the present crowd; ``endpoints`` take work.
     """
 
     service: ids.ServiceId
     wait_ms: float
     token_ms: float
+    usual_ms: float
+    present_ms: float
     endpoints: int
 
 
