Ask endpoints that were taken back whether they are warm

test_endpoint_that_was_taken_back_is_used_again expected a refusal right after, of a service without warm-up; it was wrong there. It now has one with warm-up, and test_endpoint_that_was_taken_back_is_used_if_it_is_warm covers the five cases.

--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -22,6 +22,7 @@
 from wrenspoke.coordination.serving import lanes
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke.coordination.serving import routing
+from wrenspoke.coordination.serving import warmth as warmths
 from wrenspoke import ids
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
@@ -82,6 +83,7 @@
         noted: health.Health,
         estimator: estimate.Estimator,
         near: partners.Partners,
+        warmth: warmths.Warmth,
         clock: clocks.Clock,
     ):
         self._region = region
@@ -92,6 +94,7 @@
         self._health = noted
         self._estimator = estimator
         self._partners = near
+        self._warmth = warmth
         self._clock = clock
         self._random = random.Random()
         self._evacuated: set[ids.DataCentreId] = set()
@@ -138,13 +141,27 @@
     def _note_evacuations(self) -> None:
         """Take endpoints that were just taken back for cold.
 
-        They may have turned cold unseen; their next renewal tells, or,
-        as only changes are heard here, that no change is heard.
+        They may have turned cold unseen; they are asked, and their next
+        renewal tells, or, as only changes are heard here, that no change
+        is heard.
         """
         evacuated = set(self._replica.current.evacuated)
-        for data_centre in self._evacuated - evacuated:
-            self._taken_back_ms[data_centre] = self._clock.mono_ms()
+        taken_back = self._evacuated - evacuated
         self._evacuated = evacuated
+        if not taken_back:
+            return
+        for data_centre in taken_back:
+            self._taken_back_ms[data_centre] = self._clock.mono_ms()
+        services = self._replica.current.routes.services
+        self._warmth.ask(
+            found
+            for found in self._attended.registry.held.values()
+            if found.takes_work
+            and found.said.data_centre in taken_back
+            and self._regions.get(found.said.data_centre) == self._region
+            and found.said.service in services
+            and services[found.said.service].warmup_per_s > 0
+        )
 
     def choose(
         self,
@@ -350,6 +367,12 @@
         taken_back_ms = self._taken_back_ms.get(found.said.data_centre)
         if taken_back_ms is None or found.heard_ms >= taken_back_ms:
             return False
+        service = self._replica.current.routes.service(found.said.service)
+        if service is None or service.warmup_per_s <= 0:
+            return False
+        warm_ms = self._warmth.warm_ms(found.said.endpoint)
+        if warm_ms is not None:
+            return warm_ms > self._clock.mono_ms()
         since_ms = self._clock.mono_ms() - taken_back_ms
         return since_ms < TAKEN_BACK_DOUBT_MS
 
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -22,6 +22,7 @@
 from wrenspoke.coordination.serving import regions
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import spending
+from wrenspoke.coordination.serving import warmth
 from wrenspoke import ids
 from wrenspoke import node as nodes
 from wrenspoke import node_peers
@@ -134,6 +135,9 @@
         """Build what serves requests and what listens for them."""
         node = self.node
         self._health = health.Health(self.clock)
+        self._warmth = warmth.Warmth(
+            node.host, self.replica, dialect, self._client, self.clock
+        )
         self._choice = choice.Choice(
             node.region,
             node.host,
@@ -143,6 +147,7 @@
             self._health,
             self._estimator,
             self._partners,
+            self._warmth,
             self.clock,
         )
         self.passthrough = passthrough.PassThrough(
@@ -204,6 +209,7 @@
             self._estimator.backlog.hosts = max(len(near), 1)
             held = self.attendance.registry.held
             self._estimator.keep_only(set(held))
+            self._warmth.keep_only(set(held))
             places = {found.said.address for found in held.values()}
             places |= {record.passing_address for record in hosts}
             self._health.keep_only(places)
@@ -226,6 +232,7 @@
         await self._tasks.close()
         await self._gauges.close()
         await self._partners.close()
+        await self._warmth.close()
         await self._reach.close()
         await self.attendance.close()
         await self._client.close()
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -49,6 +49,8 @@
     ``length_hint`` how many the caller expects to come.
     ``fetch_from`` names the address of an endpoint that hands over what
     it keeps of the prompt.
+    A health answer names its endpoint by ``instance`` and tells by
+    ``warmup_ms`` how much longer it bears few requests only.
     ``reserved`` headers are never passed on from callers.
     """
 
@@ -61,6 +63,8 @@
     tokens: str = 'Wrenspoke-Tokens'
     length_hint: str = 'Wrenspoke-Length-Hint'
     last_event: str = 'Last-Event-ID'
+    instance: str = 'Wrenspoke-Instance'
+    warmup_ms: str = 'Wrenspoke-Warmup-Ms'
     fetch_from: str = 'Wrenspoke-Fetch-From'
     reserved: tuple[str, ...] = ()
 
