Reach a region that is cut off by way of a third

A ping says which regions the asking host can't reach, and is answered with what can be passed on to them; a call may go on once from there.

test_region_that_is_cut_off_is_reached_through_a_third: fails without the relays (no endpoint), and where homes forbid the way nothing is sent.

--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -20,7 +20,11 @@
 from wrenspoke.transport import web
 
 WAIT_S = float(os.environ.get('WRENSPOKE_TEST_WAIT_S', 60))
-REGIONS = {'north-hall': 'north', 'south-hall': 'south'}
+REGIONS = {
+    'north-hall': 'north',
+    'south-hall': 'south',
+    'west-hall': 'west',
+}
 # Every worker of a test run has its own numbers.
 _WORKER = os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw')
 _NUMBERS = itertools.count(1)
--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -109,6 +109,42 @@
     assert got.endswith(b'whole') and len(there.requests) == 1
 
 
+@pytest.mark.parametrize(
+    'homes, served',
+    [((), True), (('south', 'west'), True), (('south', 'north'), False)],
+    ids=['anywhere', 'may go through the west', 'may not go there'],
+)
+async def test_region_that_is_cut_off_is_reached_through_a_third(
+    system, homes, served, monkeypatch
+):
+    await system.put(route(homes=homes))
+    there = await system.add('e2', 'south-hall')
+    west = await system.start_entry('west-hall')
+    north, *south = system.entries[:3]
+    cut = {one.node.host for one in south}
+    ping = north._reach._ping
+
+    async def ping_unless_cut(host, remote):
+        if host not in cut:
+            return await ping(host, remote)
+        remote.failed_ms = north.clock.mono_ms()
+        return False
+
+    monkeypatch.setattr(north._reach, '_ping', ping_unless_cut)
+
+    def knows_a_way():
+        remote = north._reach.remote(west.node.host)
+        return remote and remote.said and 'south' in remote.said.relayed
+
+    await nodes.until(lambda: north._partners.cut_off() == ['south'])
+    await nodes.until(knows_a_way)
+    got = await endpoints.ask(system.north, request())
+    assert got.endswith(b'whole') is served
+    assert len(there.requests) == served
+    if not served:
+        assert got.startswith(b'HTTP/1.1 503 ')
+
+
 @pytest.mark.parametrize(
     'kind', [routes.RouteKind.REPEATABLE, routes.RouteKind.ONCE]
 )
--- a/wrenspoke/coordination/membership/partners.py
+++ b/wrenspoke/coordination/membership/partners.py
@@ -40,6 +40,7 @@
         self._reach = reached
         self._clock = clock
         self._tasks = runtime.Tasks()
+        reached.tell_cut_off(self.cut_off)
 
     def start(self) -> None:
         """Begin to ping the partners."""
@@ -61,6 +62,14 @@
             await self._reach.reachable(chosen)
             await self._clock.sleep_ms(LOOK_INTERVAL_MS)
 
+    def cut_off(self) -> list[ids.RegionId]:
+        """Return the regions none of whose hosts here known answer."""
+        regions = {record.region for record in self._roster.usable()}
+        regions.discard(self._region)
+        return [
+            region for region in sorted(regions) if not self.reachable(region)
+        ]
+
     def ranked(self, region: ids.RegionId) -> list[attending.HostRecord]:
         """Return a region's hosts in the order of this host's choice."""
         records = {
--- a/wrenspoke/coordination/membership/reach.py
+++ b/wrenspoke/coordination/membership/reach.py
@@ -62,13 +62,14 @@
         limits: ReachLimits,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
-        standing: collections.abc.Callable[[], messages.Pong],
+        standing: collections.abc.Callable[[messages.Ping], messages.Pong],
     ):
         self._suspect_ms = limits.suspect_after_ms
         self._interval_ms = limits.suspect_after_ms / PINGS_TO_SUSPICION
         self._peers = peers
         self._clock = clock
         self._standing = standing
+        self._cut_off = _none_cut_off
         self._remotes: dict[ids.HostId, Remote] = {}
         self._tasks = runtime.Tasks()
         peers.answers(messages.Ping)(self._answer)
@@ -77,10 +78,16 @@
         """End every task."""
         await self._tasks.close()
 
+    def tell_cut_off(
+        self, cut_off: collections.abc.Callable[[], list[ids.RegionId]]
+    ) -> None:
+        """Say with each ping which regions can't be reached from here."""
+        self._cut_off = cut_off
+
     async def _answer(
-        self, _sender: ids.HostId, _message: messages.Ping
+        self, _sender: ids.HostId, message: messages.Ping
     ) -> messages.Pong:
-        return self._standing()
+        return self._standing(message)
 
     async def reachable(
         self, hosts: collections.abc.Sequence[ids.HostId]
@@ -134,7 +141,7 @@
         asked_ms = self._clock.mono_ms()
         try:
             answer = await self._peers.call(
-                host, messages.Ping(), self._interval_ms
+                host, messages.Ping(self._cut_off()), self._interval_ms
             )
         except protocol_errors.ProtocolError:
             answer = None
@@ -190,3 +197,7 @@
         finally:
             remote.watchers.discard(lost)
             remote.used_ms = self._clock.mono_ms()
+
+
+def _none_cut_off() -> list[ids.RegionId]:
+    return []
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -8,6 +8,7 @@
 
 import random
 
+import msgspec
 import structlog
 
 from wrenspoke import clock as clocks
@@ -19,6 +20,7 @@
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import work as works
 from wrenspoke import ids
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import passing
 
 logger = structlog.get_logger(__name__)
@@ -80,6 +82,11 @@
         """
         bounds = self._bounds(work)
         local = self._local(work, bounds)
+        if work.hop is not None and work.hop.region not in (
+            None,
+            self._region,
+        ):
+            return self._relay(work, work.hop.region)
         if work.hop is not None:
             self._refuse_if_slower(work, local)
             return self._endpoint_place(work, local)
@@ -187,6 +194,8 @@
             if region in work.regions_out:
                 continue
             host = self._choice.host_in(region, work.tried)
+            if host is None:
+                host = self._relay_to(work, region)
             if host is None:
                 continue
             found = self._regions.offer(region, work.service, work.call, host)
@@ -202,6 +211,41 @@
                 best, best_ms = found, cost_ms
         return best, best_ms
 
+    def _relay_to(
+        self, work: works.Work, region: ids.RegionId
+    ) -> attending.HostRecord | None:
+        """Return a host by way of which a region can be reached."""
+        allowed = self._choice.other_regions(work.route)
+        for host in self._regions.relays(region, allowed):
+            if host.host not in work.tried:
+                return host
+        return None
+
+    def _relay(
+        self, work: works.Work, region: ids.RegionId
+    ) -> sending.Place | None:
+        """Return the host that a call for a third region goes on to."""
+        if region in work.regions_out or not work.route.allows(region):
+            return None
+        host = self._choice.host_in(region, work.tried)
+        if host is None:
+            return None
+        logger.info(
+            'relayed',
+            request=work.call.request,
+            route=work.route.name,
+            peer=host.host,
+            region=region,
+        )
+        hop = msgspec.structs.replace(
+            work.hop,
+            region=None,
+            attempts_left=work.runs_limit - work.runs,
+        )
+        return sending.Place(
+            host.passing_address, host=host.host, region=region, hop=hop
+        )
+
     def _host_place(
         self,
         work: works.Work,
@@ -218,6 +262,7 @@
             route=work.route.name,
             peer=found.host.host,
             region=found.region,
+            relayed=found.host.region != found.region,
             first_ms=round(found.first_ms),
             here_ms=None if local is None else round(local.first_ms),
             limit_ms=int(limit_ms),
@@ -230,6 +275,7 @@
             self._replica.current.index,
             work.runs_limit - work.runs,
             int(limit_ms),
+            found.region,
         )
         return sending.Place(
             found.host.passing_address,
--- a/wrenspoke/coordination/serving/regions.py
+++ b/wrenspoke/coordination/serving/regions.py
@@ -7,7 +7,10 @@
 
 import collections
 
+import msgspec
+
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import partners
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import pace
@@ -32,9 +35,18 @@
 
 
 class Offered:
-    """Hold what one region offers for one call."""
+    """Hold what one region offers for one call, through which host.
+
+    The host is of another region where this one is cut off from it.
+    """
 
-    __slots__ = ('region', 'host', 'first_ms', 'end_ms', 'unread_ms')
+    __slots__ = (
+        'region',
+        'host',
+        'first_ms',
+        'end_ms',
+        'unread_ms',
+    )
 
     def __init__(
         self,
@@ -57,10 +69,12 @@
     def __init__(
         self,
         reached: reach.Reach,
+        near: partners.Partners,
         held: replica.Replica,
         clock: clocks.Clock,
     ):
         self._reach = reached
+        self._partners = near
         self._replica = held
         self._index = 0
         self._index_ms = clock.mono_ms()
@@ -86,9 +100,12 @@
         if not said.serving or self._lags(remote):
             return None
         travel_ms = (remote.travel_ms or 0.0) + HANDLING_MS
-        found = _of_service(said.offers, service.service)
-        if said.offers is None:
+        offers = said.offers
+        if host.region != region:
+            offers = said.relayed.get(region, [])
+        if offers is None:
             return _unknown(region, host)
+        found = _of_service(offers, service.service)
         if found is None:
             return None
         unread_ms = found.token_ms * self._unread(region, service, call)
@@ -104,6 +121,50 @@
             end_ms += paced.stream_ms(events)
         return Offered(region, host, first_ms, end_ms, unread_ms)
 
+    def relayed(
+        self, cut_off: list[ids.RegionId]
+    ) -> dict[ids.RegionId, list[messages.Offer]]:
+        """Return what a host that some regions are cut off from is told.
+
+        It may pass calls for them to this host, a travel away from them.
+        """
+        found: dict[ids.RegionId, list[messages.Offer]] = {}
+        for region in cut_off:
+            for host in self._partners.reachable(region):
+                remote = self._reach.remote(host.host)
+                if remote is None or remote.said is None:
+                    continue
+                if not remote.said.serving or not remote.said.offers:
+                    continue
+                travel_ms = (remote.travel_ms or 0.0) + HANDLING_MS
+                found[region] = [
+                    msgspec.structs.replace(
+                        offer, wait_ms=offer.wait_ms + travel_ms
+                    )
+                    for offer in remote.said.offers
+                ]
+                break
+        return found
+
+    def relays(
+        self, region: ids.RegionId, allowed: list[ids.RegionId]
+    ) -> list[attending.HostRecord]:
+        """Return hosts of other regions that reach a region for this one.
+
+        Only ``allowed`` regions may be gone through.
+        """
+        hosts = []
+        for between in allowed:
+            if between == region:
+                continue
+            for host in self._partners.reachable(between):
+                remote = self._reach.remote(host.host)
+                if remote is None or remote.said is None:
+                    continue
+                if region in remote.said.relayed:
+                    hosts.append(host)
+        return hosts
+
     def _lags(self, remote: reach.Remote) -> bool:
         """Tell whether a host goes by an older configuration for long."""
         if self._replica.current.index != self._index:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -104,7 +104,7 @@
             False,
         )
 
-    def _standing(self) -> messages.Pong:
+    def _standing(self, ping: messages.Ping) -> messages.Pong:
         """Return what hosts elsewhere are told that may pass calls here."""
         serving = self.replica.serving and self.attendance.awake
         return messages.Pong(
@@ -112,6 +112,7 @@
             serving,
             self.replica.current.index,
             self._choice.offers() if serving else [],
+            self._regions.relayed(ping.cut_off) if serving else {},
         )
 
     def _build_gauges(self, reports: gauges.ReportReader) -> None:
@@ -138,6 +139,9 @@
         self._warmth = warmth.Warmth(
             node.host, self.replica, dialect, self._client, self.clock
         )
+        self._regions = regions.Regions(
+            self._reach, self._partners, self.replica, self.clock
+        )
         self._choice = choice.Choice(
             node.region,
             node.host,
@@ -161,7 +165,7 @@
             self.spending,
             self._reach,
             self._estimator,
-            regions.Regions(self._reach, self.replica, self.clock),
+            self._regions,
             self.clock,
         )
         surface = passing.PassingSurface(
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -104,7 +104,7 @@
             self._settings,
             self.peers,
             self._clock,
-            lambda: messages.Pong(self.members.draining),
+            lambda _ping: messages.Pong(self.members.draining),
         )
         self._shares = shares.TeamShares(
             self._deployment,
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -85,7 +85,12 @@
 
 
 class Ping(msgspec.Struct, tag='ping'):
-    """Ask a host elsewhere whether it can be reached."""
+    """Ask a host elsewhere whether it can be reached.
+
+    ``cut_off`` are the regions that the asking host can't reach itself.
+    """
+
+    cut_off: list[ids.RegionId] = []
 
 
 class Offer(msgspec.Struct, array_like=True, frozen=True):
@@ -109,13 +114,15 @@
     """Answer a ping with what calls that are passed on would find.
 
     ``index`` is the configuration in force, ``serving`` whether the host
-    serves by it. ``offers`` is None from hosts that make none.
+    serves by it. ``offers`` is None from hosts that make none. What it
+    can pass on to the regions that were asked for stands in ``relayed``.
     """
 
     draining: bool
     serving: bool = True
     index: int = 0
     offers: list[Offer] | None = None
+    relayed: dict[ids.RegionId, list[Offer]] = {}
 
 
 class PullConfiguration(msgspec.Struct, tag='pull'):
--- a/wrenspoke/protocol/passing.py
+++ b/wrenspoke/protocol/passing.py
@@ -62,7 +62,8 @@
     ``index`` is the configuration it went by, ``attempts_left`` how many
     endpoints may still run it. There is one hop at most. With
     ``limit_ms`` the call is to be refused where its first piece would
-    take longer, since the first host could do better itself.
+    take longer, since the first host could do better itself. With
+    ``region`` it goes on to that region, which the first host can't reach.
     """
 
     host: ids.HostId
@@ -71,6 +72,7 @@
     index: int
     attempts_left: int
     limit_ms: int | None = None
+    region: ids.RegionId | None = None
 
 
 class PassingLimits(msgspec.Struct, frozen=True):
