--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -2,10 +2,8 @@
 
 import pytest
 
-from wrenspoke.coordination.serving import lanes
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke.protocol import dialect as dialects
-from wrenspoke.state import routes
 
 OWN = dialects.PromptPart('own', 300)
 
@@ -59,66 +57,9 @@
     assert kept == [0, 1_000, 1_000]
 
 
-def stream(pause_target_ms):
-    """Return a route of streams with a bound on their pauses."""
-    return routes.Route(
-        'r',
-        'h',
-        '/',
-        routes.RouteKind.STREAM,
-        (routes.Target('s'),),
-        1_000,
-        500,
-        pause_target_ms=pause_target_ms,
-    )
-
-
-@pytest.mark.parametrize(
-    'count, event_tokens, pause_target_ms, readers',
-    [
-        (0, 5, 400, 0),
-        (1, 5, 400, 0),
-        (2, 5, 400, 1),
-        (3, 5, 400, 1),
-        (36, 5, 400, 12),
-        # An event is there in time also beside a long prompt.
-        (36, 6, 600, 0),
-        (36, 5, None, 0),
-    ],
-)
-def test_part_of_the_engines_reads_long_prompts(
-    count, event_tokens, pause_target_ms, readers
-):
-    names = [f'e{number}' for number in range(count)]
-    batch = routes.Batch(8, 9_000, event_tokens=event_tokens)
-    route = stream(pause_target_ms)
-    found = lanes.readers(names, route, batch)
-    assert len(found) == readers and found <= set(names)
-    assert found == lanes.readers(names[::-1], route, batch)
-
-
 @pytest.mark.parametrize(
     'usual, kept', [(False, 0), (True, 1_600)], ids=['another', 'usual']
 )
 def test_usual_engine_is_taken_to_keep_the_shared_parts(usual, kept):
     known = prefixes.Prefixes()
     assert known.kept_tokens('e1', parts('a', 'b'), usual) == kept
-
-
-@pytest.mark.parametrize(
-    'tokens_in, pause_target_ms, is_reader, better',
-    [
-        (20_000, 400, True, True),
-        (20_000, 400, False, False),
-        (20_000, None, False, False),
-        (500, 400, True, False),
-        (500, 400, False, True),
-        (500, None, True, True),
-    ],
-)
-def test_lane_of_a_call(tokens_in, pause_target_ms, is_reader, better):
-    route = stream(pause_target_ms)
-    call = dialects.Call(
-        'q', 'GET', 'h', '/', [], 0, 1_000, tokens_in=tokens_in
-    )
-    assert (lanes.penalty_ms(route, call, is_reader) == 0) is better
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -19,7 +19,6 @@
 from wrenspoke.coordination.serving import costs
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
-from wrenspoke.coordination.serving import lanes
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke.coordination.serving import routing
 from wrenspoke.coordination.serving import warmth as warmths
@@ -225,9 +224,7 @@
         count: int,
     ) -> list[Chosen]:
         names = [found.said.endpoint for found in candidates]
-        readers = self._readers(service, route, names)
-        lane = lanes.lane(names, readers, route, call) if readers else names
-        usual = prefixes.usual_endpoint(call.parts, lane or names)
+        usual = prefixes.usual_endpoint(call.parts, names)
         holder = self._holder(service, call, candidates)
         estimated = []
         for found in candidates:
@@ -250,22 +247,9 @@
                 item.first_ms += NO_ROOM_MS
             if self._attended.registry.silent(name):
                 item.first_ms += SILENT_PENALTY_MS
-            if readers:
-                item.first_ms += lanes.penalty_ms(route, call, name in readers)
             estimated.append(item)
         return estimated
 
-    def _readers(
-        self,
-        service: routes.RoutedService,
-        route: routes.Route,
-        names: list[ids.EndpointId],
-    ) -> frozenset[ids.EndpointId]:
-        """Return the engines that long prompts go to."""
-        if service.batch is None:
-            return frozenset()
-        return lanes.readers(names, route, service.batch)
-
     def _holder(
         self,
         service: routes.RoutedService,
