Let an end that comes sooner count, not the first piece alone

Hypothesis: at a loss of hosts the streams in flight are lost, so shorter ones are safer, and callers read on as they come. The small share that sooner counts now goes by the expected end.

--- a/wrenspoke/coordination/serving/costs.py
+++ b/wrenspoke/coordination/serving/costs.py
@@ -63,7 +63,7 @@
     """Return what a first piece and an end at such times cost a caller."""
     late = missed(first_ms, bounds.target_left_ms, spread)
     gone = lost(bounds, first_ms, end_ms, spread)
-    return bounds.target_ms * (late + gone) + SOONER_SHARE * first_ms
+    return bounds.target_ms * (late + gone) + SOONER_SHARE * end_ms
 
 
 def pausing_ms(bounds: Bounds, pause_ms: float, harmed: int) -> float:
