--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -69,6 +69,7 @@
         replicated,
         None,
         NoPeers(),
+        lambda _address, _asked_ms: None,
         clocks.Clock(),
     )
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -35,7 +35,7 @@
         if outcome == 's':
             noted.succeeded('p')
         else:
-            noted.failed('p', 'test', certain=outcome == 'c')
+            noted.failed('p', 'test', 0, certain=outcome == 'c')
     assert noted.set_aside('p') is aside
 
 
@@ -44,10 +44,40 @@
     noted = health.Health(clock)
     pauses = []
     for _number in range(8):
-        noted.failed('p', 'test', certain=True)
+        noted.failed('p', 'test', clock.now_ms, certain=True)
         start_ms = clock.now_ms
         while noted.set_aside('p'):
             clock.now_ms += 100
         pauses.append(clock.now_ms - start_ms)
     assert pauses[:3] == [500, 1000, 2000]
     assert pauses[-1] == health.LONGEST_PAUSE_MS
+
+
+@pytest.mark.parametrize(
+    'sent_ms, pause_ms', [(900, 500), (1_500, 1_000)], ids=['same', 'next']
+)
+def test_what_was_under_way_belongs_to_the_same_episode(sent_ms, pause_ms):
+    clock = FakeClock()
+    noted = health.Health(clock)
+    clock.now_ms = 1_000
+    noted.failed('p', 'test', 800, certain=True)
+    clock.now_ms = 1_500
+    assert not noted.set_aside('p')
+    noted.failed('p', 'test', sent_ms, certain=True)
+    clock.now_ms += pause_ms - 1
+    assert noted.set_aside('p') is (sent_ms > 1_000)
+
+
+@pytest.mark.parametrize(
+    'certain, asked_ms, aside',
+    [(True, 1_100, False), (True, 900, True), (False, 1_100, True)],
+    ids=['is back', 'asked before', 'answers badly'],
+)
+def test_place_that_is_heard_of_can_be_reached_again(certain, asked_ms, aside):
+    clock = FakeClock()
+    noted = health.Health(clock)
+    clock.now_ms = 1_000
+    for _number in range(1 if certain else health.FAILURES_LIMIT):
+        noted.failed('p', 'test', 1_000, certain)
+    noted.heard('p', asked_ms)
+    assert noted.set_aside('p') is aside
--- a/wrenspoke/coordination/membership/gauges.py
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -71,6 +71,7 @@
         held: replica.Replica,
         client: web.HttpClient,
         peers: peer_calls.Peers,
+        heard: collections.abc.Callable[[str, int], None],
         clock: clocks.Clock,
     ):
         self._region = region
@@ -82,6 +83,7 @@
         self._replica = held
         self._client = client
         self._peers = peers
+        self._heard = heard
         self._clock = clock
         self._held: dict[ids.EndpointId, tuple[loads.EngineLoad, int]] = {}
         self._tasks = runtime.Tasks()
@@ -171,13 +173,14 @@
         self, found: registry.Registered
     ) -> loads.EngineLoad | None:
         said = found.said
+        asked_ms = self._clock.mono_ms()
         try:
             async with clocks.timeout_ms(REPORT_TIMEOUT_MS):
                 async with self._client.pass_on(
                     'GET', said.address, self._reader.path, [], None
                 ) as response:
                     body = await web.read_whole(response, REPORT_LIMIT_BYTES)
-            return self._reader.read(said.endpoint, body)
+            load = self._reader.read(said.endpoint, body)
         except (
             TimeoutError,
             transport_errors.TransportError,
@@ -187,6 +190,8 @@
                 'no_report', endpoint=said.endpoint, cause=repr(error)
             )
             return None
+        self._heard(said.address, asked_ms)
+        return load
 
     async def _hear(
         self, _sender: ids.HostId, message: attending.TellLoads
@@ -194,6 +199,10 @@
         now_ms = self._clock.mono_ms()
         for load in message.loads:
             self._held[load.endpoint] = (load, now_ms)
+            found = self._attended.registry.held.get(load.endpoint)
+            if found is not None:
+                asked_ms = now_ms - REPORT_TIMEOUT_MS
+                self._heard(found.said.address, asked_ms)
         self._forget()
 
     def _forget(self) -> None:
--- a/wrenspoke/coordination/membership/reach.py
+++ b/wrenspoke/coordination/membership/reach.py
@@ -70,6 +70,7 @@
         self._clock = clock
         self._standing = standing
         self._cut_off = _none_cut_off
+        self._heard = _nothing_to_tell
         self._remotes: dict[ids.HostId, Remote] = {}
         self._tasks = runtime.Tasks()
         peers.answers(messages.Ping)(self._answer)
@@ -84,6 +85,12 @@
         """Say with each ping which regions can't be reached from here."""
         self._cut_off = cut_off
 
+    def tell_heard(
+        self, heard: collections.abc.Callable[[ids.HostId, int], None]
+    ) -> None:
+        """Tell of each host that answers a ping, and when it was asked."""
+        self._heard = heard
+
     async def _answer(
         self, _sender: ids.HostId, message: messages.Ping
     ) -> messages.Pong:
@@ -149,6 +156,7 @@
         if usable:
             remote.answered_ms = self._clock.mono_ms()
             remote.said = answer
+            self._heard(host, asked_ms)
             self._note_travel(remote, remote.answered_ms - asked_ms)
             return True
         remote.failed_ms = self._clock.mono_ms()
@@ -201,3 +209,7 @@
 
 def _none_cut_off() -> list[ids.RegionId]:
     return []
+
+
+def _nothing_to_tell(_host: ids.HostId, _asked_ms: int) -> None:
+    return
--- a/wrenspoke/coordination/serving/health.py
+++ b/wrenspoke/coordination/serving/health.py
@@ -1,7 +1,9 @@
 """What the outcomes of requests say about endpoints and hosts.
 
 No probes are sent. What fails several times in a row is set aside for a
-while that doubles, then tried by one request at a time. It is up to who
+while that doubles with each further episode; what else was under way there
+and fails too belongs to the same one. What can't be reached is used again
+as soon as it is heard of, whatever is left of the while. It is up to who
 chooses to use what is set aside where there is nothing else.
 """
 
@@ -25,7 +27,9 @@
 
     failures: int = 0
     pause_ms: int = 0
+    aside_since_ms: int = 0
     aside_until_ms: int = 0
+    unreachable: bool = False
 
 
 class Health:
@@ -47,15 +51,27 @@
         if self._standings.pop(place, Standing()).pause_ms:
             logger.info('place_recovered', place=place)
 
-    def failed(self, place: str, cause: str, certain: bool = False) -> None:
-        """Note a failure; ``certain`` if one is enough to tell."""
+    def failed(
+        self, place: str, cause: str, sent_ms: int, certain: bool = False
+    ) -> None:
+        """Note that what was sent at some time failed.
+
+        ``certain`` says that the place can't be reached, for which one
+        failure is enough.
+        """
         found = self._standings.setdefault(place, Standing())
+        if sent_ms < found.aside_since_ms:
+            # Under way when it was set aside: the same episode.
+            return
         found.failures += 1
         if not certain and found.failures < FAILURES_LIMIT:
             return
+        now_ms = self._clock.mono_ms()
         doubled_ms = max(2 * found.pause_ms, FIRST_PAUSE_MS)
         found.pause_ms = min(doubled_ms, LONGEST_PAUSE_MS)
-        found.aside_until_ms = self._clock.mono_ms() + found.pause_ms
+        found.aside_since_ms = now_ms
+        found.aside_until_ms = now_ms + found.pause_ms
+        found.unreachable = certain
         logger.warning(
             'place_set_aside',
             place=place,
@@ -64,6 +80,18 @@
             pause_ms=found.pause_ms,
         )
 
+    def heard(self, place: str, asked_ms: int) -> None:
+        """Note that a place answered something that was asked at a time.
+
+        What can't be reached is back then; what answers badly may go on
+        to do so.
+        """
+        found = self._standings.get(place)
+        if found is None or not found.unreachable:
+            return
+        if asked_ms >= found.aside_since_ms:
+            self.succeeded(place)
+
     def keep_only(self, places: set[str]) -> None:
         """Forget places that are gone."""
         for place in list(self._standings):
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -358,7 +358,9 @@
         certain: bool = False,
     ) -> None:
         work.cause = cause
-        self._health.failed(place.address, cause, certain)
+        if place.host is None or not place.answered:
+            # A host that answers and breaks off lost its endpoint.
+            self._health.failed(place.address, cause, place.sent_ms, certain)
         logger.warning(
             'try_failed',
             request=work.call.request,
@@ -372,6 +374,7 @@
         self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
         """Pass an answer on, or keep it back where another try is due."""
+        place.answered = True
         if place.host is not None:
             work.count_runs(answer.runs - 1)
         if answer.verdict is sending.Verdict.NOT_HERE:
@@ -387,7 +390,9 @@
         if answer.refused is not None:
             return await self._take_refusal(work, place, answer)
         if answer.status in SERVER_ERRORS:
-            self._health.failed(place.address, f'status {answer.status}')
+            self._health.failed(
+                place.address, f'status {answer.status}', place.sent_ms
+            )
             if self._may_repeat(work):
                 work.cause = f'status {answer.status}'
                 body = await answer.whole(WHOLE_LIMIT_BYTES)
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -49,6 +49,7 @@
     hop: passing.Hop | None = None
     chosen: choice.Chosen | None = None
     sent_ms: int = 0
+    answered: bool = False
     reading: int | None = None
 
     @property
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -115,9 +115,17 @@
             self._regions.relayed(ping.cut_off) if serving else {},
         )
 
+    def _host_heard(self, host: ids.HostId, asked_ms: int) -> None:
+        """Note that a host elsewhere can be reached."""
+        for record in self.attendance.roster.usable():
+            if record.host == host:
+                self._health.heard(record.passing_address, asked_ms)
+
     def _build_gauges(self, reports: gauges.ReportReader) -> None:
         """Build what knows how loaded engines are."""
         node = self.node
+        self._health = health.Health(self.clock)
+        self._reach.tell_heard(self._host_heard)
         self._gauges = gauges.Gauges(
             node.region,
             node.host,
@@ -128,6 +136,7 @@
             self.replica,
             self._client,
             self.peers,
+            self._health.heard,
             self.clock,
         )
         self._estimator = estimate.Estimator(self._gauges, self.clock)
@@ -135,7 +144,6 @@
     def _build_serving(self, dialect: dialects.Dialect) -> None:
         """Build what serves requests and what listens for them."""
         node = self.node
-        self._health = health.Health(self.clock)
         self._warmth = warmth.Warmth(
             node.host, self.replica, dialect, self._client, self.clock
         )
