Report from logs how calls were decided; switches for each mechanism

What it needs stands in the log lines: expected_ms and took_ms, pause_target_ms, held_ms, free_places, pieces. matplotlib is an extra that hosts don't install; tests do.

Also here: what is late already is sent to an engine behind what can still be in time (Request priority of the route plus five).

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,7 +8,15 @@
 import wrenspoke
 
 ROOT = pathlib.Path(wrenspoke.__file__).parent
-BASE = {'clock', 'errors', 'ids', 'logs', 'runtime', 'settings'}
+BASE = {
+    'clock',
+    'errors',
+    'ids',
+    'logs',
+    'mechanisms',
+    'runtime',
+    'settings',
+}
 ALLOWED = {
     'state': {'state'},
     'transport': {'transport'},
--- a/wrenspoke/cli.py
+++ b/wrenspoke/cli.py
@@ -6,6 +6,8 @@
 import pathlib
 import sys
 
+import msgspec
+
 from wrenspoke import caller as callers
 from wrenspoke import clock as clocks
 from wrenspoke import controld
@@ -16,6 +18,7 @@
 from wrenspoke import logs
 from wrenspoke import operator as operators
 from wrenspoke.protocol import headers
+from wrenspoke import report
 from wrenspoke import runtime
 from wrenspoke import settings
 
@@ -166,6 +169,47 @@
     return OK if found else FAILED
 
 
+def parser_report(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``report``."""
+    parser.add_argument(
+        '--log',
+        nargs='+',
+        required=True,
+        metavar='FILE',
+        help='log files of entry hosts; - is standard input',
+    )
+    parser.add_argument(
+        '--json', action='store_true', help='print the report as JSON'
+    )
+    parser.add_argument(
+        '--plot',
+        metavar='FILE',
+        help='draw it too, as .svg or .png (needs the extra "plots")',
+    )
+
+
+@command('report', 'tell from logs how well calls were decided', parser_report)
+async def run_report(arguments: argparse.Namespace) -> int:
+    """Print, and draw, how a deployment decided by its logs."""
+    try:
+        found = report.read(arguments.log)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return FAILED
+    if arguments.json:
+        print(msgspec.json.encode(found).decode())
+    else:
+        for text in report.as_text(found):
+            print(text)
+    if arguments.plot:
+        try:
+            report.plot(found, arguments.plot)
+        except (ImportError, ValueError, OSError) as error:
+            print(f'not drawn: {error}', file=sys.stderr)
+            return FAILED
+    return OK if sum(found.calls.values()) else FAILED
+
+
 def _explain_logs(arguments: argparse.Namespace) -> int:
     try:
         lines = explain.read(arguments.log, arguments.request)
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -15,6 +15,7 @@
 from wrenspoke.coordination.membership import kept_registry
 from wrenspoke.coordination.membership import registrar
 from wrenspoke.coordination.membership import replica
+from wrenspoke import mechanisms
 from wrenspoke import node as nodes
 from wrenspoke import node_peers
 from wrenspoke.state import disk
@@ -60,7 +61,11 @@
         """Listen for other hosts and begin every task."""
         await self.peers.links.start(self.node.ip, self.node.link_port)
         self.voter.start()
-        self._kept_registry.start()
+        if (
+            mechanisms.Mechanism.KEEPING_ENDPOINTS
+            not in self.node.switched_off
+        ):
+            self._kept_registry.start()
         self.registrar.start()
         logger.info('started', host=self.node.host, seeds=self.node.seeds)
 
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -23,6 +23,7 @@
 from wrenspoke.coordination.serving import routing
 from wrenspoke.coordination.serving import warmth as warmths
 from wrenspoke import ids
+from wrenspoke import mechanisms
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import messages
@@ -83,6 +84,7 @@
         estimator: estimate.Estimator,
         near: partners.Partners,
         warmth: warmths.Warmth,
+        switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
         self._region = region
@@ -94,6 +96,7 @@
         self._estimator = estimator
         self._partners = near
         self._warmth = warmth
+        self._switched_off = switched_off
         self._clock = clock
         self._random = random.Random()
         self._evacuated: set[ids.DataCentreId] = set()
@@ -151,6 +154,8 @@
             return
         for data_centre in taken_back:
             self._taken_back_ms[data_centre] = self._clock.mono_ms()
+        if not self._on(mechanisms.Mechanism.ASKING_WARMTH):
+            return
         services = self._replica.current.routes.services
         self._warmth.ask(
             found
@@ -178,9 +183,7 @@
         ]
         warm = [found for found in every if not self._cold(found)]
         sound = [
-            found
-            for found in warm
-            if not self._health.set_aside(found.said.address)
+            found for found in warm if not self._aside(found.said.address)
         ]
         warming = self._warming_turn(service, every)
         if warming is not None:
@@ -204,16 +207,27 @@
             key=lambda item: (item.cost_ms, self._random.random()),
         )
 
-    @staticmethod
-    def _cost(bounds: costs.Bounds, item: 'Chosen') -> float:
+    def _aside(self, place: str) -> bool:
+        if not self._on(mechanisms.Mechanism.SETTING_ASIDE):
+            return False
+        return self._health.set_aside(place)
+
+    def _on(self, mechanism: mechanisms.Mechanism) -> bool:
+        return mechanism not in self._switched_off
+
+    def _cost(self, bounds: costs.Bounds, item: 'Chosen') -> float:
         """Return what an endpoint would cost the call and others."""
         found = item.prospect
         end_ms = found.end_ms + item.first_ms - found.first_ms
         waiting_ms = costs.waiting_ms(
             bounds, item.first_ms, end_ms, found.spread
         )
-        pausing_ms = costs.pausing_ms(bounds, found.pause_ms, found.harmed)
-        return waiting_ms + pausing_ms + found.reading_ms
+        cost_ms = waiting_ms
+        if self._on(mechanisms.Mechanism.WEIGHING_PAUSES):
+            cost_ms += costs.pausing_ms(bounds, found.pause_ms, found.harmed)
+        if self._on(mechanisms.Mechanism.WEIGHING_READING):
+            cost_ms += found.reading_ms
+        return cost_ms
 
     def _estimated(
         self,
@@ -224,7 +238,9 @@
         count: int,
     ) -> list[Chosen]:
         names = [found.said.endpoint for found in candidates]
-        usual = prefixes.usual_endpoint(call.parts, names)
+        usual = None
+        if self._on(mechanisms.Mechanism.USUAL_ENGINES):
+            usual = prefixes.usual_endpoint(call.parts, names)
         holder = self._holder(service, call, candidates)
         estimated = []
         for found in candidates:
@@ -263,6 +279,8 @@
         """
         if service.batch is None or not service.batch.moves:
             return None
+        if not self._on(mechanisms.Mechanism.TAKING_OVER):
+            return None
         names = [
             found.said.endpoint for found in candidates if not found.silent
         ]
@@ -300,6 +318,14 @@
         self._random.shuffle(regions)
         return regions
 
+    def free_places(self, service: routes.RoutedService) -> int:
+        """Return the places of a service here that are known to be free."""
+        return sum(
+            self._estimator.free_places(found, service)
+            for found in self.warm(service.service, self._region)
+            if not self._aside(found.said.address)
+        )
+
     def offers(self) -> list[messages.Offer]:
         """Return what calls to each service would find in this region."""
         services = self._replica.current.routes.services.values()
@@ -310,7 +336,7 @@
         found = [
             found
             for found in self.warm(service.service, self._region)
-            if not self._health.set_aside(found.said.address)
+            if not self._aside(found.said.address)
         ]
         if not found:
             return None
@@ -373,7 +399,7 @@
             name = found.said.endpoint
             if not self._cold(found) or not self._warms(name):
                 continue
-            if self._health.set_aside(found.said.address):
+            if self._aside(found.said.address):
                 continue
             if now_ms < self._next_warm_ms.get(name, 0):
                 continue
@@ -404,7 +430,7 @@
             record
             for record in self._partners.reachable(region)
             if record.host not in excluded
-            and not self._health.set_aside(record.passing_address)
+            and not self._aside(record.passing_address)
         ]
         if not hosts:
             return None
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -122,6 +122,15 @@
             room,
         )
 
+    def free_places(
+        self, found: registry.Registered, service: routes.RoutedService
+    ) -> int:
+        """Return the places of an engine that its last report left free."""
+        load = self._gauges.load(found.said.endpoint)
+        if service.batch is None or load is None:
+            return 0
+        return max(service.batch.slots - load.running - load.queued, 0)
+
     def note_sent(
         self,
         endpoint: ids.EndpointId,
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -28,6 +28,7 @@
 from wrenspoke.coordination.serving import spending
 from wrenspoke.coordination.serving import work as works
 from wrenspoke import ids
+from wrenspoke import mechanisms
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import passing
@@ -73,6 +74,7 @@
         reached: reach.Reach,
         estimator: estimate.Estimator,
         elsewhere: regions.Regions,
+        switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
         self._replica = held
@@ -86,8 +88,9 @@
         self._clock = clock
         self._regions = elsewhere
         self._placing = placing.Placing(
-            host, region, held, chosen, elsewhere, clock
+            host, region, held, chosen, elsewhere, switched_off, clock
         )
+        self._waits = mechanisms.Mechanism.WAITING_AT_START not in switched_off
         self._index = routes.RouteIndex(routes.RouteTable())
         self.in_flight = 0
         self.leaving = False
@@ -143,7 +146,7 @@
             return None
         if hop is not None:
             await self._catch_up(hop.index)
-        elif not self._sure:
+        elif self._waits and not self._sure:
             await self._wait_until_sure(call)
         if not self._sure:
             await self._refuse(call, reply, passing.Refusal.NO_CONFIGURATION)
@@ -532,6 +535,9 @@
             runs=work.runs,
             unrun=work.unrun,
             left_ms=self._left_ms(work),
+            held_ms=self._clock.mono_ms() - work.call.arrived_ms,
+            free_places=self._choice.free_places(work.service),
+            pieces=0 if work.tracker is None else work.tracker.count,
         )
         if work.reply.started:
             work.reply.abort()
@@ -568,10 +574,23 @@
             whole_ms=now_ms - work.call.arrived_ms,
             pieces=pieces,
             longest_pause_ms=work.longest_pause_ms,
+            pause_target_ms=work.route.pause_target_ms,
+            expected_ms=place.expected_ms,
+            took_ms=self._took_ms(work, place),
             runs=work.runs,
             unrun=work.unrun,
         )
 
+    @staticmethod
+    def _took_ms(work: works.Work, place: sending.Place) -> int | None:
+        """Return how long the first piece took after the call was sent.
+
+        None where another endpoint gave it.
+        """
+        if work.first_at_ms is None or work.first_at_ms < place.sent_ms:
+            return None
+        return work.first_at_ms - place.sent_ms
+
     async def drain(self, timeout_ms: int) -> bool:
         """Take nothing new and wait; True if all of it ended."""
         self.leaving = True
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -6,6 +6,7 @@
 its deadline anywhere is turned away at once.
 """
 
+import collections.abc
 import random
 
 import msgspec
@@ -20,6 +21,7 @@
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import work as works
 from wrenspoke import ids
+from wrenspoke import mechanisms
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import passing
 
@@ -64,6 +66,7 @@
         held: replica.Replica,
         chosen: choice.Choice,
         elsewhere: regions.Regions,
+        switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
         self._host = host
@@ -71,6 +74,7 @@
         self._replica = held
         self._choice = chosen
         self._regions = elsewhere
+        self._switched_off = switched_off
         self._clock = clock
         self._random = random.Random()
 
@@ -89,7 +93,7 @@
             return self._relay(work, work.hop.region)
         if work.hop is not None:
             self._refuse_if_slower(work, local)
-            return self._endpoint_place(work, local)
+            return self._endpoint_place(work, local, bounds)
         far, far_ms = self._best_elsewhere(work, bounds)
         if far is not None and (local is None or far_ms < local.cost_ms):
             self._refuse_hopeless(work, bounds, far.first_ms, far.end_ms)
@@ -98,7 +102,10 @@
             self._refuse_hopeless(
                 work, bounds, local.first_ms, local.prospect.end_ms
             )
-        return self._endpoint_place(work, local)
+        return self._endpoint_place(work, local, bounds)
+
+    def _on(self, mechanism: mechanisms.Mechanism) -> bool:
+        return mechanism not in self._switched_off
 
     def _bounds(self, work: works.Work) -> costs.Bounds:
         now_ms = self._clock.mono_ms()
@@ -125,6 +132,8 @@
         lost = costs.lost(bounds, first_ms, end_ms, spread)
         if work.sent or lost <= HOPELESS:
             return
+        if not self._on(mechanisms.Mechanism.REFUSING_HOPELESS):
+            return
         logger.info(
             'hopeless',
             request=work.call.request,
@@ -156,11 +165,15 @@
         )
 
     def _endpoint_place(
-        self, work: works.Work, chosen: choice.Chosen | None
+        self,
+        work: works.Work,
+        chosen: choice.Chosen | None,
+        bounds: costs.Bounds,
     ) -> sending.Place | None:
         if chosen is None:
             return None
         said = chosen.found.said
+        late = chosen.first_ms > bounds.target_left_ms
         logger.info(
             'endpoint_chosen',
             request=work.call.request,
@@ -181,7 +194,10 @@
             version=self._replica.current.routes.version,
         )
         return sending.Place(
-            said.address, endpoint=said.endpoint, chosen=chosen
+            said.address,
+            endpoint=said.endpoint,
+            chosen=chosen,
+            late=late and self._on(mechanisms.Mechanism.LATE_BEHIND),
         )
 
     def _best_elsewhere(
@@ -194,7 +210,7 @@
             if region in work.regions_out:
                 continue
             host = self._choice.host_in(region, work.tried)
-            if host is None:
+            if host is None and self._on(mechanisms.Mechanism.RELAYS):
                 host = self._relay_to(work, region)
             if host is None:
                 continue
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -28,6 +28,8 @@
 
 MISDIRECTED = 421
 URGENCIES = 10
+# What is late already goes behind what can still be in time.
+LATE_URGENCY = 5
 
 
 class Verdict(enum.Enum):
@@ -50,8 +52,16 @@
     chosen: choice.Chosen | None = None
     sent_ms: int = 0
     answered: bool = False
+    late: bool = False
     reading: int | None = None
 
+    @property
+    def expected_ms(self) -> int | None:
+        """Return when a first piece was expected of an endpoint."""
+        if self.chosen is None:
+            return None
+        return round(self.chosen.prospect.first_ms)
+
     @property
     def name(self) -> str:
         """Return the endpoint's or host's name, for logs."""
@@ -178,7 +188,8 @@
             source = place.chosen.source.said
             fields.append((dialect.fetch_from, source.address))
         if call.parts:
-            urgency = min(max(route.priority, 0), URGENCIES - 1)
+            urgency = route.priority + (LATE_URGENCY if place.late else 0)
+            urgency = min(max(urgency, 0), URGENCIES - 1)
             fields.append((dialect.priority, str(urgency)))
         return fields
 
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -160,6 +160,7 @@
             self._estimator,
             self._partners,
             self._warmth,
+            node.switched_off,
             self.clock,
         )
         self.passthrough = passthrough.PassThrough(
@@ -174,6 +175,7 @@
             self._reach,
             self._estimator,
             self._regions,
+            node.switched_off,
             self.clock,
         )
         surface = passing.PassingSurface(
--- a/wrenspoke/logread.py
+++ b/wrenspoke/logread.py
@@ -65,6 +65,20 @@
         return value[1:-1]
 
 
+def lines(
+    files: collections.abc.Iterable[str],
+    progress: Progress = lambda _bytes: None,
+) -> collections.abc.Iterator[LogLine]:
+    """Yield every line of ours in some files, in their order."""
+    for path in files:
+        with _opened(path) as opened:
+            for raw in opened:
+                progress(len(raw))
+                line = parse(raw.decode('utf-8', 'replace'))
+                if line is not None:
+                    yield line
+
+
 def find(
     files: collections.abc.Iterable[str],
     subject: str,
--- /dev/null
+++ b/wrenspoke/mechanisms.py
@@ -0,0 +1,22 @@
+"""What of the decisions can be switched off, to measure its worth."""
+
+import enum
+
+
+class Mechanism(enum.Enum):
+    """Name what can be switched off, to measure what it is worth.
+
+    Every one is on unless a host's settings say otherwise.
+    """
+
+    RELAYS = 'relays'
+    REFUSING_HOPELESS = 'refusing_hopeless'
+    LATE_BEHIND = 'late_behind'
+    TAKING_OVER = 'taking_over'
+    ASKING_WARMTH = 'asking_warmth'
+    USUAL_ENGINES = 'usual_engines'
+    WEIGHING_PAUSES = 'weighing_pauses'
+    WEIGHING_READING = 'weighing_reading'
+    KEEPING_ENDPOINTS = 'keeping_endpoints'
+    WAITING_AT_START = 'waiting_at_start'
+    SETTING_ASIDE = 'setting_aside'
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -13,6 +13,7 @@
 
 from wrenspoke import errors
 from wrenspoke import ids
+from wrenspoke import mechanisms
 
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Positive = typing.Annotated[int, msgspec.Meta(ge=1)]
@@ -129,6 +130,7 @@
     control: ControlTimes = ControlTimes()
     entry: EntryTimes = EntryTimes()
     retries: RetryTimes = RetryTimes()
+    switched_off: frozenset[mechanisms.Mechanism] = frozenset()
 
     @property
     def host(self) -> ids.HostId:
--- /dev/null
+++ b/wrenspoke/report.py
@@ -0,0 +1,340 @@
+"""Tell from log files how well a deployment decided: ``wrenspoke report``.
+
+Reads what entry hosts logged of passed-through calls, from any deployment:
+outcomes over time and by reason, expected against real first pieces, calls
+passed on and turned back, how long calls were held before they were
+refused, and places that stood empty meanwhile.
+"""
+
+import collections
+import collections.abc
+import datetime
+import enum
+import pathlib
+import statistics
+import typing
+
+import msgspec
+import tqdm
+
+from wrenspoke import logread
+
+# The bands of expected first pieces for which the error is told.
+BANDS_MS = (0, 25, 50, 100, 200, 400, 1_000)
+PERCENTILES = 10
+OK_STATUS = '2'
+UNAVAILABLE = '503'
+UNKNOWN_HOST = ''
+
+
+class Outcome(enum.Enum):
+    """Say how a call ended, as its caller saw it."""
+
+    IN_TIME = 'in_time'
+    LATE = 'late'
+    REFUSED = 'refused'
+    FAILED = 'failed'
+
+
+class Spread(msgspec.Struct, frozen=True):
+    """Give the number of some values, their median and outer tenths."""
+
+    count: int
+    tenth: float
+    median: float
+    ninetieth: float
+
+
+class Reason(msgspec.Struct, frozen=True, order=True):
+    """Count the calls of a route that ended alike."""
+
+    count: int
+    outcome: str
+    route: str
+    reason: str
+
+
+class Report(msgspec.Struct):
+    """Hold everything that a report tells.
+
+    ``seconds`` gives, for each second since the first line, the calls by
+    outcome; ``calibration`` the ratio of expected over real first piece by
+    band of what was expected; ``held_ms`` how long refused calls were
+    held; ``free_places`` counts refusals by the places that were free.
+    """
+
+    calls: dict[str, int]
+    reasons: list[Reason]
+    seconds: list[dict[str, int]]
+    calibration: dict[str, Spread]
+    passed_on: int
+    relayed: int
+    turned_back: int
+    held_ms: Spread | None
+    refused_with_free_places: int
+
+
+class _End(msgspec.Struct):
+    """Hold how one host ended its part of a call."""
+
+    at: str
+    outcome: Outcome
+    route: str
+    reason: str
+
+
+class Collector:
+    """Take log lines in any order, and make a report of them."""
+
+    def __init__(self):
+        self._ends: dict[tuple[str, str], _End] = {}
+        self._taken_over: set[tuple[str, str]] = set()
+        self._ratios: dict[str, list[float]] = collections.defaultdict(list)
+        self._held_ms: list[float] = []
+        self._passed_on = self._relayed = self._turned_back = 0
+        self._with_free_places = 0
+
+    def take(self, line: logread.LogLine) -> None:
+        """Take one line; what is not told of is left out."""
+        take = _TAKERS.get(line.event)
+        if take is not None:
+            take(self, line)
+
+    def _take_answered(self, line: logread.LogLine) -> None:
+        fields = line.fields
+        self._note_ratio(fields)
+        first_ms = _number(fields.get('first_ms'))
+        target_ms = _number(fields.get('target_ms'))
+        pause_ms = _number(fields.get('longest_pause_ms')) or 0.0
+        pause_target_ms = _number(fields.get('pause_target_ms'))
+        status = fields.get('status', '')
+        if not status.startswith(OK_STATUS):
+            self._end(line, Outcome.FAILED, f'status {status}')
+        elif first_ms is not None and target_ms and first_ms > target_ms:
+            self._end(line, Outcome.LATE, 'first piece')
+        elif pause_target_ms and pause_ms > pause_target_ms:
+            self._end(line, Outcome.LATE, 'pause')
+        else:
+            self._end(line, Outcome.IN_TIME, 'in time')
+
+    def _note_ratio(self, fields: dict[str, str]) -> None:
+        expected_ms = _number(fields.get('expected_ms'))
+        took_ms = _number(fields.get('took_ms'))
+        if expected_ms is None or took_ms is None:
+            return
+        self._ratios[band(expected_ms)].append(
+            max(expected_ms, 1.0) / max(took_ms, 1.0)
+        )
+
+    def _take_gave_up(self, line: logread.LogLine) -> None:
+        fields = line.fields
+        reason = fields.get('cause', '').partition(':')[0]
+        if fields.get('status') != UNAVAILABLE:
+            self._end(line, Outcome.FAILED, reason)
+            return
+        self._end(line, Outcome.REFUSED, reason)
+        held_ms = _number(fields.get('held_ms'))
+        if held_ms is not None:
+            self._held_ms.append(held_ms)
+        if _number(fields.get('free_places')):
+            self._with_free_places += 1
+
+    def _take_refused(self, line: logread.LogLine) -> None:
+        self._end(line, Outcome.REFUSED, line.fields.get('reason', ''))
+
+    def _take_passed_on(self, line: logread.LogLine) -> None:
+        fields = line.fields
+        self._passed_on += 1
+        self._relayed += fields.get('relayed') == 'true'
+        self._taken_over.add((fields['request'], fields.get('peer', '')))
+
+    def _take_relayed(self, line: logread.LogLine) -> None:
+        fields = line.fields
+        self._taken_over.add((fields['request'], fields.get('peer', '')))
+
+    def _take_passed_back(self, _line: logread.LogLine) -> None:
+        self._turned_back += 1
+
+    def _end(
+        self, line: logread.LogLine, outcome: Outcome, reason: str
+    ) -> None:
+        key = (line.fields.get('request', ''), line.host)
+        route = line.fields.get('route', '')
+        self._ends[key] = _End(line.timestamp, outcome, route, reason)
+
+    def report(self) -> Report:
+        """Return what the lines told."""
+        ends = [
+            end
+            for key, end in self._ends.items()
+            if key not in self._taken_over
+        ]
+        counted = collections.Counter(
+            (end.outcome.value, end.route, end.reason) for end in ends
+        )
+        reasons = [Reason(count, *key) for key, count in counted.items()]
+        calls = collections.Counter(end.outcome.value for end in ends)
+        return Report(
+            calls={item.value: calls[item.value] for item in Outcome},
+            reasons=sorted(reasons, reverse=True),
+            seconds=_by_second(ends),
+            calibration={
+                name: _spread(self._ratios[name])
+                for name in map(band, BANDS_MS)
+                if self._ratios[name]
+            },
+            passed_on=self._passed_on,
+            relayed=self._relayed,
+            turned_back=self._turned_back,
+            held_ms=_spread(self._held_ms) if self._held_ms else None,
+            refused_with_free_places=self._with_free_places,
+        )
+
+
+_TAKERS: dict[
+    str, collections.abc.Callable[[Collector, logread.LogLine], None]
+] = {
+    'answered': Collector._take_answered,
+    'gave_up': Collector._take_gave_up,
+    'request_refused': Collector._take_refused,
+    'passed_on': Collector._take_passed_on,
+    'relayed': Collector._take_relayed,
+    'passed_back': Collector._take_passed_back,
+}
+
+
+def band(expected_ms: float) -> str:
+    """Return the name of the band that an expected time lies in."""
+    lower = max(edge for edge in BANDS_MS if edge <= max(expected_ms, 0))
+    place = BANDS_MS.index(lower)
+    if place + 1 == len(BANDS_MS):
+        return f'{lower} and more'
+    return f'{lower} to {BANDS_MS[place + 1]}'
+
+
+def _by_second(ends: list[_End]) -> list[dict[str, int]]:
+    if not ends:
+        return []
+    times = [datetime.datetime.fromisoformat(end.at) for end in ends]
+    began = min(times)
+    length = int((max(times) - began).total_seconds()) + 1
+    seconds = [{item.value: 0 for item in Outcome} for _s in range(length)]
+    for end, at in zip(ends, times):
+        second = int((at - began).total_seconds())
+        seconds[second][end.outcome.value] += 1
+    return seconds
+
+
+def _spread(values: list[float]) -> Spread:
+    if len(values) == 1:
+        return Spread(1, values[0], values[0], values[0])
+    cuts = statistics.quantiles(values, n=PERCENTILES, method='inclusive')
+    return Spread(len(values), cuts[0], statistics.median(values), cuts[-1])
+
+
+def _number(text: str | None) -> float | None:
+    try:
+        return None if text is None else float(text)
+    except ValueError:
+        return None
+
+
+def read(files: list[str]) -> Report:
+    """Return the report on some log files; show progress on a terminal."""
+    sizes = [
+        pathlib.Path(path).stat().st_size
+        for path in files
+        if path != logread.STANDARD_INPUT
+    ]
+    collector = Collector()
+    with tqdm.tqdm(
+        total=sum(sizes) or None,
+        unit='B',
+        unit_scale=True,
+        leave=False,
+        disable=None,
+    ) as bar:
+        for line in logread.lines(files, bar.update):
+            collector.take(line)
+    return collector.report()
+
+
+def as_text(found: Report) -> typing.Iterator[str]:
+    """Yield a report as lines of text."""
+    calls = sum(found.calls.values())
+    yield f'{calls} calls: ' + ', '.join(
+        f'{count} {name}' for name, count in found.calls.items()
+    )
+    yield ''
+    yield f'{"calls":>6}  {"outcome":8} {"route":14} reason'
+    for reason in found.reasons:
+        yield (
+            f'{reason.count:6}  {reason.outcome:8} {reason.route:14} '
+            f'{reason.reason}'
+        )
+    yield ''
+    yield 'expected over real first piece, by what was expected, ms'
+    for name, spread in found.calibration.items():
+        yield (
+            f'  {name:14} {spread.count:6} calls: tenth {spread.tenth:.2f}, '
+            f'median {spread.median:.2f}, ninetieth {spread.ninetieth:.2f}'
+        )
+    yield ''
+    share = found.turned_back / found.passed_on if found.passed_on else 0.0
+    yield (
+        f'passed on {found.passed_on}, {found.relayed} of them through a '
+        f'third region; turned back {found.turned_back} ({share:.1%})'
+    )
+    if found.held_ms is not None:
+        held = found.held_ms
+        yield (
+            f'held before a refusal, ms: median {held.median:.0f}, '
+            f'ninetieth {held.ninetieth:.0f}; with places free: '
+            f'{found.refused_with_free_places} of {held.count}'
+        )
+    yield ''
+    yield 'second  ' + '  '.join(f'{item.value:>7}' for item in Outcome)
+    for second, counts in enumerate(found.seconds):
+        yield f'{second:6}  ' + '  '.join(
+            f'{counts[item.value]:7}' for item in Outcome
+        )
+
+
+def plot(found: Report, path: str) -> None:
+    """Draw a report to a file, as SVG or PNG by its name.
+
+    :raises ImportError: the library for plots is not installed
+    """
+    from matplotlib import figure
+
+    drawn = figure.Figure(figsize=(10, 7), layout='constrained')
+    over_time, errors = drawn.subplots(2, 1)
+    over_time.stackplot(
+        range(len(found.seconds)),
+        *(
+            [counts[item.value] for counts in found.seconds]
+            for item in Outcome
+        ),
+        labels=[item.value for item in Outcome],
+        colors=['tab:green', 'tab:olive', 'tab:orange', 'tab:red'],
+    )
+    over_time.set_xlabel('second')
+    over_time.set_ylabel('calls a second')
+    over_time.legend(loc='upper right')
+    names = list(found.calibration)
+    spreads = list(found.calibration.values())
+    errors.errorbar(
+        names,
+        [spread.median for spread in spreads],
+        yerr=[
+            [spread.median - spread.tenth for spread in spreads],
+            [spread.ninetieth - spread.median for spread in spreads],
+        ],
+        fmt='o',
+        capsize=4,
+    )
+    errors.axhline(1.0, color='grey', linewidth=0.8)
+    errors.set_yscale('log')
+    errors.set_xlabel('expected first piece, ms')
+    errors.set_ylabel('expected over real')
+    drawn.savefig(path)
