Tell callers without an endpoint when to come back, and repeat what pays

Retry-After was 500 ms whatever happened: it is now when a cold endpoint is warm or one that was set aside is tried again, where that is known, spread over half as much again.

Each host learns by route how often repeats succeed and makes one in ten where fewer than one in ten do.

--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -557,6 +557,28 @@
     assert endpoint.requests == []
 
 
+@pytest.mark.parametrize(
+    'warmup_left_ms, least_s, most_s',
+    [(None, 0.5, 0.75), (8_000, 5.0, 12.0)],
+    ids=['nothing known', 'cold for a while'],
+)
+async def test_caller_without_endpoint_is_told_when_to_come_back(
+    system, warmup_left_ms, least_s, most_s
+):
+    await system.put(route(), warmup_per_s=0.1)
+    if warmup_left_ms is not None:
+        await system.add(
+            'e',
+            lambda sent, _number: [answer(sent)],
+            warmup_left_ms=warmup_left_ms,
+        )
+        await system.ask(request(request_id='first'))
+    got = await system.ask(request())
+    assert got.startswith(b'HTTP/1.1 503 ')
+    wait_s = float(endpoints.header(got, 'Retry-After'))
+    assert least_s <= wait_s <= most_s
+
+
 async def test_stopping_host_refuses_new_work_and_ends_the_old(system):
     await system.put(route())
     go_on = asyncio.Event()
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,35 @@
+"""Whether repeats pay, by what they came to."""
+
+import random
+
+import pytest
+
+from wrenspoke.coordination.serving import repeats
+
+
+@pytest.mark.parametrize(
+    'success, least, most',
+    [(1.0, 1.0, 1.0), (0.5, 0.95, 1.0), (0.0, 0.05, 0.2)],
+    ids=['endpoints fail', 'half of them fail', 'requests fail everywhere'],
+)
+def test_repeats_are_made_where_they_pay(success, least, most):
+    chance = random.Random(1)
+    known = repeats.Repeats(chance)
+    made = []
+    for _number in range(500):
+        pays = known.pays('r')
+        made.append(pays)
+        if pays:
+            known.note('r', chance.random() < success)
+    share = sum(made[100:]) / len(made[100:])
+    assert least <= share <= most
+
+
+def test_repeats_are_made_again_after_a_change():
+    known = repeats.Repeats(random.Random(1))
+    for _number in range(50):
+        known.note('r', False)
+    for _number in range(20):
+        known.note('r', True)
+    assert known.pays('r')
+    assert known.pays('another')
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -318,6 +318,21 @@
         self._random.shuffle(regions)
         return regions
 
+    def usable_in_ms(self, service: routes.RoutedService) -> float | None:
+        """Return when an endpoint here takes calls again, if that is known.
+
+        That is once one that is cold has warmed up, or one that was set
+        aside is tried again.
+        """
+        now_ms = self._clock.mono_ms()
+        waits_ms = []
+        for found in self.usable(service.service, self._region):
+            until_ms = self._health.aside_until_ms(found.said.address)
+            wait_ms = max(found.warm_ms, until_ms) - now_ms
+            if wait_ms > 0:
+                waits_ms.append(wait_ms)
+        return min(waits_ms, default=None)
+
     def free_places(self, service: routes.RoutedService) -> int:
         """Return the places of a service here that are known to be free."""
         return sum(
--- a/wrenspoke/coordination/serving/health.py
+++ b/wrenspoke/coordination/serving/health.py
@@ -46,6 +46,11 @@
             return False
         return self._clock.mono_ms() < found.aside_until_ms
 
+    def aside_until_ms(self, place: str) -> int:
+        """Return until when a place is set aside, 0 if it never was."""
+        found = self._standings.get(place)
+        return 0 if found is None else found.aside_until_ms
+
     def succeeded(self, place: str) -> None:
         """Note that a place answered as it should."""
         if self._standings.pop(place, Standing()).pause_ms:
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import random
 
 import structlog
 
@@ -24,6 +25,7 @@
 from wrenspoke.coordination.serving import pace as paces
 from wrenspoke.coordination.serving import placing
 from wrenspoke.coordination.serving import regions
+from wrenspoke.coordination.serving import repeats
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import spending
 from wrenspoke.coordination.serving import work as works
@@ -51,6 +53,7 @@
 LEAST_LEFT_MS = 20
 # A host that lags waits for the configuration that the first went by.
 CATCH_UP_MS = 600
+# Where nothing tells when an endpoint is back: some pings of other regions.
 RETRY_AFTER_MS = 500
 # A host that starts has what it needs 0.2 to 0.7 s later; calls wait for
 # that, as they would be late after coming back.
@@ -92,6 +95,7 @@
         )
         self._waits = mechanisms.Mechanism.WAITING_AT_START not in switched_off
         self._index = routes.RouteIndex(routes.RouteTable())
+        self._repeats = repeats.Repeats()
         self.in_flight = 0
         self.leaving = False
         self.closed = False
@@ -378,6 +382,8 @@
     ) -> bool:
         """Pass an answer on, or keep it back where another try is due."""
         place.answered = True
+        if work.kept is not None and answer.refused is None:
+            self._repeats.note(work.route.name, answer.status in OK_STATUSES)
         if place.host is not None:
             work.count_runs(answer.runs - 1)
         if answer.verdict is sending.Verdict.NOT_HERE:
@@ -396,7 +402,7 @@
             self._health.failed(
                 place.address, f'status {answer.status}', place.sent_ms
             )
-            if self._may_repeat(work):
+            if self._may_repeat(work) and self._repeats.pays(work.route.name):
                 work.cause = f'status {answer.status}'
                 body = await answer.whole(WHOLE_LIMIT_BYTES)
                 work.kept = works.KeptAnswer(
@@ -548,12 +554,21 @@
             return
         retry_after_ms = None
         if status == UNAVAILABLE:
-            retry_after_ms = work.retry_after_ms or RETRY_AFTER_MS
+            retry_after_ms = work.retry_after_ms or self._return_in_ms(work)
         reason = (
             passing.Refusal.GAVE_UP if work.sent else passing.Refusal.UNSENT
         )
         await work.reply.refuse(status, reason, retry_after_ms)
 
+    def _return_in_ms(self, work: works.Work) -> int:
+        """Return when a caller that found no endpoint should come back.
+
+        Callers that are sent away together are spread.
+        """
+        known_ms = self._choice.usable_in_ms(work.service)
+        wait_ms = RETRY_AFTER_MS if known_ms is None else known_ms
+        return int(wait_ms * random.uniform(1.0, 1.0 + placing.RETRY_SPREAD))
+
     def _log_end(
         self,
         work: works.Work,
--- /dev/null
+++ b/wrenspoke/coordination/serving/repeats.py
@@ -0,0 +1,38 @@
+"""Learn whether it pays to repeat what an endpoint failed.
+
+Some failures are the endpoint's, and another one answers; others are the
+request's own and come back from every endpoint. A repeat of those takes a
+place from somebody else ("Your Retry Policy May Be Feeding the Outage").
+What repeats came to says which kind a route has at present.
+"""
+
+import random
+
+# A repeat that succeeds less often than this is worth less than the place
+# that it takes, which a first try would use.
+LEAST_SUCCESS = 0.1
+# Until something was learned, repeats are taken to succeed.
+FIRST_SUCCESS = 0.8
+# A dozen repeats tell; as many undo it.
+WEIGHT = 0.15
+# Of those that would not pay, so many are made to learn of a change.
+EXPLORED_SHARE = 0.1
+
+
+class Repeats:
+    """Hold how often repeats succeed, by route."""
+
+    def __init__(self, chance: random.Random | None = None):
+        self._success: dict[str, float] = {}
+        self._random = chance or random.Random()
+
+    def note(self, route: str, succeeded: bool) -> None:
+        """Note what came of a repeat."""
+        known = self._success.get(route, FIRST_SUCCESS)
+        self._success[route] = known + WEIGHT * (succeeded - known)
+
+    def pays(self, route: str) -> bool:
+        """Tell whether a failed call of a route should be repeated."""
+        if self._success.get(route, FIRST_SUCCESS) >= LEAST_SUCCESS:
+            return True
+        return self._random.random() < EXPLORED_SHARE
