--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -93,7 +93,7 @@
             return self._relay(work, work.hop.region)
         if work.hop is not None:
             self._refuse_if_slower(work, local)
-            return self._endpoint_place(work, local, bounds)
+            return self._endpoint_place(work, local)
         far, far_ms = self._best_elsewhere(work, bounds)
         if far is not None and (local is None or far_ms < local.cost_ms):
             self._refuse_hopeless(work, bounds, far.first_ms, far.end_ms)
@@ -102,7 +102,7 @@
             self._refuse_hopeless(
                 work, bounds, local.first_ms, local.prospect.end_ms
             )
-        return self._endpoint_place(work, local, bounds)
+        return self._endpoint_place(work, local)
 
     def _on(self, mechanism: mechanisms.Mechanism) -> bool:
         return mechanism not in self._switched_off
@@ -168,12 +168,10 @@
         self,
         work: works.Work,
         chosen: choice.Chosen | None,
-        bounds: costs.Bounds,
     ) -> sending.Place | None:
         if chosen is None:
             return None
         said = chosen.found.said
-        late = chosen.first_ms > bounds.target_left_ms
         logger.info(
             'endpoint_chosen',
             request=work.call.request,
@@ -197,7 +195,6 @@
             said.address,
             endpoint=said.endpoint,
             chosen=chosen,
-            late=late and self._on(mechanisms.Mechanism.LATE_BEHIND),
         )
 
     def _best_elsewhere(
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -28,8 +28,6 @@
 
 MISDIRECTED = 421
 URGENCIES = 10
-# What is late already goes behind what can still be in time.
-LATE_URGENCY = 5
 
 
 class Verdict(enum.Enum):
@@ -52,7 +50,6 @@
     chosen: choice.Chosen | None = None
     sent_ms: int = 0
     answered: bool = False
-    late: bool = False
     reading: int | None = None
 
     @property
@@ -188,8 +185,7 @@
             source = place.chosen.source.said
             fields.append((dialect.fetch_from, source.address))
         if call.parts:
-            urgency = route.priority + (LATE_URGENCY if place.late else 0)
-            urgency = min(max(urgency, 0), URGENCIES - 1)
+            urgency = min(max(route.priority, 0), URGENCIES - 1)
             fields.append((dialect.priority, str(urgency)))
         return fields
 
--- a/wrenspoke/mechanisms.py
+++ b/wrenspoke/mechanisms.py
@@ -11,7 +11,6 @@
 
     RELAYS = 'relays'
     REFUSING_HOPELESS = 'refusing_hopeless'
-    LATE_BEHIND = 'late_behind'
     TAKING_OVER = 'taking_over'
     ASKING_WARMTH = 'asking_warmth'
     USUAL_ENGINES = 'usual_engines'
