Split passing through into tries, and choosing from availability

A try at one place (sending, what comes back, streams, what is learned) is serving/tries.py; which endpoints may get work, and cold ones' turns, is serving/availability.py.

--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -427,9 +427,9 @@
     ),
     Switch(
         'cold endpoints used by every host',
-        DECISIONS + 'serving/choice.py',
-        ('            if not self._cold(found) or not self._warms(name):'),
-        ('            if not self._cold(found):'),
+        DECISIONS + 'serving/availability.py',
+        ('            if not self.cold(found) or not self._warms(name):'),
+        ('            if not self.cold(found):'),
         (
             'tests/test_far.py::test_cold_endpoint_is_used_by_one_host_at_its_pace'
         ),
@@ -511,7 +511,7 @@
     ),
     Switch(
         'a name that is gone is tried again',
-        DECISIONS + 'serving/passthrough.py',
+        DECISIONS + 'serving/tries.py',
         ('            self._attended.withdraw(place.endpoint)\n'),
         (''),
         (
@@ -547,7 +547,7 @@
     ),
     Switch(
         'runs elsewhere not counted',
-        DECISIONS + 'serving/passthrough.py',
+        DECISIONS + 'serving/tries.py',
         ('            work.count_runs(answer.runs - 1)\n'),
         ('            pass\n'),
         (
@@ -611,7 +611,7 @@
     ),
     Switch(
         'endpoints taken back are not asked',
-        DECISIONS + 'serving/choice.py',
+        DECISIONS + 'serving/availability.py',
         ('        if warm_ms is not None:\n'),
         ('        if False:\n'),
         ('tests/test_passing.py'),
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -1,9 +1,8 @@
 """Choose the endpoint or the other region that serves a call.
 
-Filter, then score. An endpoint must be ready, of the service, in this
-region and outside of evacuated data centres. A cold endpoint is used by
-one entry host alone, at the pace that it bears, so that the sum over all
-hosts keeps to it.
+What may get work (see ``availability``) is ranked by what it would cost
+the call and others. The same estimates are what this region offers to
+others.
 """
 
 import collections.abc
@@ -16,12 +15,11 @@
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import partners
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import costs
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import prefixes
-from wrenspoke.coordination.serving import routing
-from wrenspoke.coordination.serving import warmth as warmths
 from wrenspoke import ids
 from wrenspoke import mechanisms
 from wrenspoke.protocol import attending
@@ -32,15 +30,11 @@
 
 logger = structlog.get_logger(__name__)
 
-MS_PER_S = 1000
 # Added for an endpoint that has not renewed its registration for long:
 # more than any wait elsewhere, less than having none.
 SILENT_PENALTY_MS = 5_000
 # Added where every endpoint is set aside: other regions go before them.
 ASIDE_PENALTY_MS = 3_000
-# An endpoint renews about every 1.2 s, sometimes a second late, and half a
-# second more brings what changed here.
-TAKEN_BACK_DOUBT_MS = 3_000
 # Added where an engine's memory or batch is full: about the time in which
 # one of its streams ends.
 NO_ROOM_MS = 500.0
@@ -76,32 +70,27 @@
     def __init__(
         self,
         region: ids.RegionId,
-        host: ids.HostId,
         regions: collections.abc.Mapping[ids.DataCentreId, ids.RegionId],
         attended: attendance.Attendance,
         held: replica.Replica,
         noted: health.Health,
         estimator: estimate.Estimator,
         near: partners.Partners,
-        warmth: warmths.Warmth,
+        available: availability.Availability,
         switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
         self._region = region
-        self._host = host
         self._regions = regions
         self._attended = attended
         self._replica = held
         self._health = noted
         self._estimator = estimator
         self._partners = near
-        self._warmth = warmth
+        self._available = available
         self._switched_off = switched_off
         self._clock = clock
         self._random = random.Random()
-        self._evacuated: set[ids.DataCentreId] = set()
-        self._taken_back_ms: dict[ids.DataCentreId, int] = {}
-        self._next_warm_ms: dict[ids.EndpointId, float] = {}
         self.in_flight: dict[ids.EndpointId, int] = {}
 
     def regions_for(self, route: routes.Route) -> list[ids.RegionId]:
@@ -116,57 +105,6 @@
         weights = [target.weight for target in targets]
         return self._random.choices(targets, weights)[0].service
 
-    def usable(
-        self, service: ids.ServiceId, region: ids.RegionId
-    ) -> list[registry.Registered]:
-        """Return the endpoints of a service that may get new work."""
-        self._note_evacuations()
-        return [
-            found
-            for found in self._attended.registry.held.values()
-            if found.takes_work
-            and found.said.service == service
-            and self._regions.get(found.said.data_centre) == region
-            and found.said.data_centre not in self._evacuated
-        ]
-
-    def warm(
-        self, service: ids.ServiceId, region: ids.RegionId
-    ) -> list[registry.Registered]:
-        """Return the usable endpoints that bear more than a few requests."""
-        return [
-            found
-            for found in self.usable(service, region)
-            if not self._cold(found)
-        ]
-
-    def _note_evacuations(self) -> None:
-        """Take endpoints that were just taken back for cold.
-
-        They may have turned cold unseen; they are asked, and their next
-        renewal tells, or, as only changes are heard here, that no change
-        is heard.
-        """
-        evacuated = set(self._replica.current.evacuated)
-        taken_back = self._evacuated - evacuated
-        self._evacuated = evacuated
-        if not taken_back:
-            return
-        for data_centre in taken_back:
-            self._taken_back_ms[data_centre] = self._clock.mono_ms()
-        if not self._on(mechanisms.Mechanism.ASKING_WARMTH):
-            return
-        services = self._replica.current.routes.services
-        self._warmth.ask(
-            found
-            for found in self._attended.registry.held.values()
-            if found.takes_work
-            and found.said.data_centre in taken_back
-            and self._regions.get(found.said.data_centre) == self._region
-            and found.said.service in services
-            and services[found.said.service].warmup_per_s > 0
-        )
-
     def choose(
         self,
         service: routes.RoutedService,
@@ -178,14 +116,16 @@
         """Return the best endpoint of this region, None without one."""
         every = [
             found
-            for found in self.usable(service.service, self._region)
+            for found in self._available.usable(service.service, self._region)
             if found.said.endpoint not in excluded
         ]
-        warm = [found for found in every if not self._cold(found)]
+        warm = [found for found in every if not self._available.cold(found)]
         sound = [
-            found for found in warm if not self._aside(found.said.address)
+            found
+            for found in warm
+            if not self._available.set_aside(found.said.address)
         ]
-        warming = self._warming_turn(service, every)
+        warming = self._available.warming_turn(service, every)
         if warming is not None:
             return Chosen(
                 warming, estimate.Prospect(0.0), 0.0, True, False, len(every)
@@ -207,11 +147,6 @@
             key=lambda item: (item.cost_ms, self._random.random()),
         )
 
-    def _aside(self, place: str) -> bool:
-        if not self._on(mechanisms.Mechanism.SETTING_ASIDE):
-            return False
-        return self._health.set_aside(place)
-
     def _on(self, mechanism: mechanisms.Mechanism) -> bool:
         return mechanism not in self._switched_off
 
@@ -326,7 +261,7 @@
         """
         now_ms = self._clock.mono_ms()
         waits_ms = []
-        for found in self.usable(service.service, self._region):
+        for found in self._available.usable(service.service, self._region):
             until_ms = self._health.aside_until_ms(found.said.address)
             wait_ms = max(found.warm_ms, until_ms) - now_ms
             if wait_ms > 0:
@@ -337,8 +272,8 @@
         """Return the places of a service here that are known to be free."""
         return sum(
             self._estimator.free_places(found, service)
-            for found in self.warm(service.service, self._region)
-            if not self._aside(found.said.address)
+            for found in self._available.warm(service.service, self._region)
+            if not self._available.set_aside(found.said.address)
         )
 
     def offers(self) -> list[messages.Offer]:
@@ -350,8 +285,8 @@
     def _offer(self, service: routes.RoutedService) -> messages.Offer | None:
         found = [
             found
-            for found in self.warm(service.service, self._region)
-            if not self._aside(found.said.address)
+            for found in self._available.warm(service.service, self._region)
+            if not self._available.set_aside(found.said.address)
         ]
         if not found:
             return None
@@ -386,52 +321,6 @@
     def _in_flight_at(self, found: registry.Registered) -> int:
         return self.in_flight.get(found.said.endpoint, 0)
 
-    def _cold(self, found: registry.Registered) -> bool:
-        if found.warm_ms > self._clock.mono_ms():
-            return True
-        taken_back_ms = self._taken_back_ms.get(found.said.data_centre)
-        if taken_back_ms is None or found.heard_ms >= taken_back_ms:
-            return False
-        service = self._replica.current.routes.service(found.said.service)
-        if service is None or service.warmup_per_s <= 0:
-            return False
-        warm_ms = self._warmth.warm_ms(found.said.endpoint)
-        if warm_ms is not None:
-            return warm_ms > self._clock.mono_ms()
-        since_ms = self._clock.mono_ms() - taken_back_ms
-        return since_ms < TAKEN_BACK_DOUBT_MS
-
-    def _warming_turn(
-        self,
-        service: routes.RoutedService,
-        every: list[registry.Registered],
-    ) -> registry.Registered | None:
-        """Return a cold endpoint whose next request is due from here."""
-        if service.warmup_per_s <= 0:
-            return None
-        now_ms = self._clock.mono_ms()
-        for found in every:
-            name = found.said.endpoint
-            if not self._cold(found) or not self._warms(name):
-                continue
-            if self._aside(found.said.address):
-                continue
-            if now_ms < self._next_warm_ms.get(name, 0):
-                continue
-            interval_ms = MS_PER_S / service.warmup_per_s
-            self._next_warm_ms[name] = now_ms + interval_ms
-            return found
-        return None
-
-    def _warms(self, endpoint: ids.EndpointId) -> bool:
-        """Tell whether this host is the one that uses a cold endpoint."""
-        hosts = [
-            record.host
-            for record in self._attended.roster.usable(self._region)
-        ]
-        hosts = sorted({*hosts, self._host})
-        return routing.rendezvous(endpoint, hosts)[0] == self._host
-
     def host_in(
         self,
         region: ids.RegionId,
@@ -445,7 +334,7 @@
             record
             for record in self._partners.reachable(region)
             if record.host not in excluded
-            and not self._aside(record.passing_address)
+            and not self._available.set_aside(record.passing_address)
         ]
         if not hosts:
             return None
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -15,13 +15,16 @@
 from wrenspoke.coordination.membership import partners
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import choice
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import passthrough
+from wrenspoke.coordination.serving import placing
 from wrenspoke.coordination.serving import regions
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import spending
+from wrenspoke.coordination.serving import tries
 from wrenspoke.coordination.serving import warmth
 from wrenspoke import ids
 from wrenspoke import node as nodes
@@ -150,31 +153,53 @@
         self._regions = regions.Regions(
             self._reach, self._partners, self.replica, self.clock
         )
-        self._choice = choice.Choice(
+        available = availability.Availability(
             node.region,
             node.host,
             node.regions,
             self.attendance,
             self.replica,
             self._health,
+            self._warmth,
+            node.switched_off,
+            self.clock,
+        )
+        self._choice = choice.Choice(
+            node.region,
+            node.regions,
+            self.attendance,
+            self.replica,
+            self._health,
             self._estimator,
             self._partners,
-            self._warmth,
+            available,
             node.switched_off,
             self.clock,
         )
         self.passthrough = passthrough.PassThrough(
-            node.host,
-            node.region,
             self.replica,
             self.attendance,
             self._choice,
-            sending.Sender(dialect, self._client, self._hosts_client),
-            self._health,
+            placing.Placing(
+                node.host,
+                node.region,
+                self.replica,
+                self._choice,
+                self._regions,
+                node.switched_off,
+                self.clock,
+            ),
+            tries.Tries(
+                sending.Sender(dialect, self._client, self._hosts_client),
+                self.attendance,
+                self._choice,
+                self._health,
+                self._reach,
+                self._estimator,
+                self._regions,
+                self.clock,
+            ),
             self.spending,
-            self._reach,
-            self._estimator,
-            self._regions,
             node.switched_off,
             self.clock,
         )
