--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -437,8 +437,8 @@
     Switch(
         'slower host keeps a call',
         DECISIONS + 'serving/placing.py',
-        ('            raise BusyError()'),
-        ('            return'),
+        ('            raise BusyError(local.first_ms)\n'),
+        ('            return\n'),
         (
             'tests/test_far.py::test_host_serves_what_is_passed_on_or_says_why_not'
         ),
--- a/wrenspoke/protocol/passing.py
+++ b/wrenspoke/protocol/passing.py
@@ -60,10 +60,11 @@
     """Say what the host that passes a request on has decided.
 
     ``index`` is the configuration it went by, ``attempts_left`` how many
-    endpoints may still run it. There is one hop at most. With
-    ``limit_ms`` the call is to be refused where its first piece would
-    take longer, since the first host could do better itself. With
-    ``region`` it goes on to that region, which the first host can't reach.
+    endpoints may still run it. There is one hop, or two by way of a
+    third region. With ``limit_ms`` the call is to be refused where its
+    first piece would take longer, since the first host could do better
+    itself. With ``region`` it goes on to that region, which the first host
+    can't reach.
     """
 
     host: ids.HostId
