--- a/wrenspoke/explain.py
+++ b/wrenspoke/explain.py
@@ -1,10 +1,8 @@
 """Tell one subject's history from log files: ``wrenspoke explain``."""
 
 import datetime
-import pathlib
 
 import msgspec
-import tqdm
 
 from wrenspoke import logread
 
@@ -13,19 +11,7 @@
 
 def read(files: list[str], subject: str) -> list[logread.LogLine]:
     """Return the lines on a subject; show progress on a terminal."""
-    sizes = [
-        pathlib.Path(path).stat().st_size
-        for path in files
-        if path != logread.STANDARD_INPUT
-    ]
-    # Without a terminal there is no progress to be seen.
-    with tqdm.tqdm(
-        total=sum(sizes) or None,
-        unit='B',
-        unit_scale=True,
-        leave=False,
-        disable=None,
-    ) as bar:
+    with logread.progress_bar(files) as bar:
         return logread.find(files, subject, bar.update)
 
 
--- a/wrenspoke/logread.py
+++ b/wrenspoke/logread.py
@@ -6,11 +6,13 @@
 """
 
 import collections.abc
+import pathlib
 import re
 import sys
 import typing
 
 import msgspec
+import tqdm
 
 STANDARD_INPUT = '-'
 # A field as structlog's LogfmtRenderer writes it: quoted where it holds
@@ -65,6 +67,22 @@
         return value[1:-1]
 
 
+def progress_bar(files: collections.abc.Iterable[str]) -> tqdm.tqdm:
+    """Return a bar over the bytes of some files, seen on a terminal only."""
+    sizes = [
+        pathlib.Path(path).stat().st_size
+        for path in files
+        if path != STANDARD_INPUT
+    ]
+    return tqdm.tqdm(
+        total=sum(sizes) or None,
+        unit='B',
+        unit_scale=True,
+        leave=False,
+        disable=None,
+    )
+
+
 def lines(
     files: collections.abc.Iterable[str],
     progress: Progress = lambda _bytes: None,
--- a/wrenspoke/report.py
+++ b/wrenspoke/report.py
@@ -10,12 +10,10 @@
 import collections.abc
 import datetime
 import enum
-import pathlib
 import statistics
 import typing
 
 import msgspec
-import tqdm
 
 from wrenspoke import logread
 
@@ -241,19 +239,8 @@
 
 def read(files: list[str]) -> Report:
     """Return the report on some log files; show progress on a terminal."""
-    sizes = [
-        pathlib.Path(path).stat().st_size
-        for path in files
-        if path != logread.STANDARD_INPUT
-    ]
     collector = Collector()
-    with tqdm.tqdm(
-        total=sum(sizes) or None,
-        unit='B',
-        unit_scale=True,
-        leave=False,
-        disable=None,
-    ) as bar:
+    with logread.progress_bar(files) as bar:
         for line in logread.lines(files, bar.update):
             collector.take(line)
     return collector.report()
