--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -103,6 +103,16 @@
             and services[found.said.service].warmup_per_s > 0
         )
 
+    def sound(
+        self, service: ids.ServiceId, region: ids.RegionId
+    ) -> list[registry.Registered]:
+        """Return the warm endpoints that are not set aside."""
+        return [
+            found
+            for found in self.warm(service, region)
+            if not self.set_aside(found.said.address)
+        ]
+
     def cold(self, found: registry.Registered) -> bool:
         """Tell whether an endpoint bears a few requests only."""
         if found.warm_ms > self._clock.mono_ms():
--- a/wrenspoke/coordination/serving/backlog.py
+++ b/wrenspoke/coordination/serving/backlog.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import dataclasses
 
 from wrenspoke import clock as clocks
 from wrenspoke import ids
@@ -22,14 +23,12 @@
 FIRST_LENGTH_TOKENS = 1_000.0
 
 
+@dataclasses.dataclass(slots=True)
 class Reading:
     """Be one call that an engine was sent and has not answered yet."""
 
-    __slots__ = ('sent_ms', 'tokens')
-
-    def __init__(self, sent_ms: int, tokens: float):
-        self.sent_ms = sent_ms
-        self.tokens = tokens
+    sent_ms: int
+    tokens: float
 
 
 class _Engine:
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -9,8 +9,6 @@
 import dataclasses
 import random
 
-import structlog
-
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import partners
@@ -28,8 +26,6 @@
 from wrenspoke.state import registry
 from wrenspoke.state import routes
 
-logger = structlog.get_logger(__name__)
-
 # Added for an endpoint that has not renewed its registration for long:
 # more than any wait elsewhere, less than having none.
 SILENT_PENALTY_MS = 5_000
@@ -272,8 +268,7 @@
         """Return the places of a service here that are known to be free."""
         return sum(
             self._estimator.free_places(found, service)
-            for found in self._available.warm(service.service, self._region)
-            if not self._available.set_aside(found.said.address)
+            for found in self._available.sound(service.service, self._region)
         )
 
     def offers(self) -> list[messages.Offer]:
@@ -283,11 +278,7 @@
         return [offer for offer in made if offer is not None]
 
     def _offer(self, service: routes.RoutedService) -> messages.Offer | None:
-        found = [
-            found
-            for found in self._available.warm(service.service, self._region)
-            if not self._available.set_aside(found.said.address)
-        ]
+        found = self._available.sound(service.service, self._region)
         if not found:
             return None
         name, best = min(
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections.abc
-import random
 
 import structlog
 
@@ -288,7 +287,7 @@
         """
         known_ms = self._choice.usable_in_ms(work.service)
         wait_ms = RETRY_AFTER_MS if known_ms is None else known_ms
-        return int(wait_ms * random.uniform(1.0, 1.0 + placing.RETRY_SPREAD))
+        return placing.spread_ms(wait_ms)
 
     async def drain(self, timeout_ms: int) -> bool:
         """Take nothing new and wait; True if all of it ended."""
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -39,6 +39,11 @@
 LEAST_RETRY_AFTER_MS = 100
 
 
+def spread_ms(wait_ms: float) -> int:
+    """Return a wait by which callers that are sent away come back apart."""
+    return int(wait_ms * random.uniform(1.0, 1.0 + RETRY_SPREAD))
+
+
 class BusyError(errors.CoordinationError):
     """Say that the host that passed a call on can do better itself."""
 
@@ -76,7 +81,6 @@
         self._regions = elsewhere
         self._switched_off = switched_off
         self._clock = clock
-        self._random = random.Random()
 
     def next_place(self, work: works.Work) -> sending.Place | None:
         """Return where to send a call, None where nothing takes it.
@@ -142,9 +146,10 @@
             end_ms=round(end_ms),
             left_ms=round(bounds.deadline_left_ms),
         )
-        wait_ms = first_ms - work.route.target_ms
-        wait_ms *= self._random.uniform(1.0, 1.0 + RETRY_SPREAD)
-        raise HopelessError(first_ms, max(int(wait_ms), LEAST_RETRY_AFTER_MS))
+        retry_after_ms = spread_ms(first_ms - work.route.target_ms)
+        raise HopelessError(
+            first_ms, max(retry_after_ms, LEAST_RETRY_AFTER_MS)
+        )
 
     def _refuse_if_slower(
         self, work: works.Work, local: choice.Chosen | None
@@ -192,9 +197,7 @@
             version=self._replica.current.routes.version,
         )
         return sending.Place(
-            said.address,
-            endpoint=said.endpoint,
-            chosen=chosen,
+            said.address, endpoint=said.endpoint, chosen=chosen
         )
 
     def _best_elsewhere(
--- a/wrenspoke/coordination/serving/regions.py
+++ b/wrenspoke/coordination/serving/regions.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import dataclasses
 
 import msgspec
 
@@ -34,33 +35,18 @@
 HANDLING_MS = 6.0
 
 
+@dataclasses.dataclass(slots=True)
 class Offered:
     """Hold what one region offers for one call, through which host.
 
     The host is of another region where this one is cut off from it.
     """
 
-    __slots__ = (
-        'region',
-        'host',
-        'first_ms',
-        'end_ms',
-        'unread_ms',
-    )
-
-    def __init__(
-        self,
-        region: ids.RegionId,
-        host: attending.HostRecord,
-        first_ms: float,
-        end_ms: float,
-        unread_ms: float,
-    ):
-        self.region = region
-        self.host = host
-        self.first_ms = first_ms
-        self.end_ms = end_ms
-        self.unread_ms = unread_ms
+    region: ids.RegionId
+    host: attending.HostRecord
+    first_ms: float
+    end_ms: float
+    unread_ms: float
 
 
 class Regions:
--- a/wrenspoke/state/disk.py
+++ b/wrenspoke/state/disk.py
@@ -99,8 +99,11 @@
                 else:
                     os.truncate(path, size_bytes)
 
-            with self._undone_if_full(name, undo):
-                _append_synced(path, data)
+            with (
+                self._undone_if_full(name, undo),
+                open(path, 'ab') as file,
+            ):
+                _put_synced(file, data)
             if fresh:
                 self._sync_folder(self._folder)
 
@@ -121,8 +124,11 @@
             def undo() -> None:
                 temporary.unlink(missing_ok=True)
 
-            with self._undone_if_full(name, undo):
-                _write_synced(temporary, data)
+            with (
+                self._undone_if_full(name, undo),
+                open(temporary, 'wb') as file,
+            ):
+                _put_synced(file, data)
             temporary.replace(path)
             self._sync_folder(self._folder)
 
@@ -148,16 +154,6 @@
             os.close(opened)
 
 
-def _append_synced(path: pathlib.Path, data: bytes) -> None:
-    with open(path, 'ab') as file:
-        _put_synced(file, data)
-
-
-def _write_synced(path: pathlib.Path, data: bytes) -> None:
-    with open(path, 'wb') as file:
-        _put_synced(file, data)
-
-
 def _put_synced(file: typing.BinaryIO, data: bytes) -> None:
     file.write(data)
     file.flush()
