Relay a call before looking for a place of this region

Cause: next_place chose a local endpoint first, also for a call that only goes through to a third region. That was work for nothing and took a cold endpoint's turn, so that a warming call was lost for each such call. test_relay_uses_up_no_turn_of_a_cold_endpoint_of_its_own seen to fail (0 calls at the cold endpoint). Its set-up is shared with the test of the way through a third region, whose assertions stand.

--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -109,16 +109,8 @@
     assert got.endswith(b'whole') and len(there.requests) == 1
 
 
-@pytest.mark.parametrize(
-    'homes, served',
-    [((), True), (('south', 'west'), True), (('south', 'north'), False)],
-    ids=['anywhere', 'may go through the west', 'may not go there'],
-)
-async def test_region_that_is_cut_off_is_reached_through_a_third(
-    system, homes, served, monkeypatch
-):
-    await system.put(route(homes=homes))
-    there = await system.add('e2', 'south-hall')
+async def cut_north_from_south(system, monkeypatch):
+    """Leave the north a way to the south by a third region's host."""
     west = await system.start_entry('west-hall')
     north, *south = system.entries[:3]
     cut = {one.node.host for one in south}
@@ -138,6 +130,20 @@
 
     await nodes.until(lambda: north._partners.cut_off() == ['south'])
     await nodes.until(knows_a_way)
+    return west
+
+
+@pytest.mark.parametrize(
+    'homes, served',
+    [((), True), (('south', 'west'), True), (('south', 'north'), False)],
+    ids=['anywhere', 'may go through the west', 'may not go there'],
+)
+async def test_region_that_is_cut_off_is_reached_through_a_third(
+    system, homes, served, monkeypatch
+):
+    await system.put(route(homes=homes))
+    there = await system.add('e2', 'south-hall')
+    await cut_north_from_south(system, monkeypatch)
     got = await endpoints.ask(system.north, request())
     assert got.endswith(b'whole') is served
     assert len(there.requests) == served
@@ -145,6 +151,22 @@
         assert got.startswith(b'HTTP/1.1 503 ')
 
 
+async def test_relay_uses_up_no_turn_of_a_cold_endpoint_of_its_own(
+    system, monkeypatch
+):
+    """What only goes through must not cost its region a warming call."""
+    await system.put(route(), warmup_per_s=0.1)
+    there = await system.add('e2', 'south-hall')
+    west = await cut_north_from_south(system, monkeypatch)
+    cold = await system.add('e3', 'west-hall', warmup_left_ms=60_000)
+    got = await endpoints.ask(system.north, request())
+    assert got.endswith(b'whole') and len(there.requests) == 1
+    got = await endpoints.ask(
+        west.node.callers_address, request(request_id='q2')
+    )
+    assert got.endswith(b'whole') and len(cold.requests) == 1
+
+
 @pytest.mark.parametrize(
     'kind', [routes.RouteKind.REPEATABLE, routes.RouteKind.ONCE]
 )
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -88,14 +88,12 @@
         :raises BusyError: who passed it on can do better
         :raises HopelessError: no place would serve it in time
         """
+        hop = work.hop
+        if hop is not None and hop.region not in (None, self._region):
+            return self._relay(work, hop.region)
         bounds = self._bounds(work)
         local = self._local(work, bounds)
-        if work.hop is not None and work.hop.region not in (
-            None,
-            self._region,
-        ):
-            return self._relay(work, work.hop.region)
-        if work.hop is not None:
+        if hop is not None:
             self._refuse_if_slower(work, local)
             return self._endpoint_place(work, local)
         far, far_ms = self._best_elsewhere(work, bounds)
