Tell why no vote, no lead and no sure read was to be had

Each lost canvass now names who gave a vote, who refused and why, and who was silent; each read or change that finds no leader says what it lacked.

Measured: tests of agreement, passing and reports pass (179); no decision changed.

--- a/wrenspoke/coordination/agreement/direct.py
+++ b/wrenspoke/coordination/agreement/direct.py
@@ -83,6 +83,12 @@
             if leader is not None and leader != self._voter.host:
                 raise errors.NotLeaderError(leader, may_be_accepted=False)
             if self._clock.mono_ms() >= end_ms:
+                logger.warning(
+                    'no_leader_found',
+                    role=self._voter.role,
+                    term=self._voter.term,
+                    has_vote=self._voter.is_voter,
+                )
                 raise errors.NotLeaderError(None, may_be_accepted=False)
             await self._clock.sleep_ms(LOOK_INTERVAL_MS)
 
@@ -95,6 +101,11 @@
         end_ms = self._clock.mono_ms() + LEADER_WAIT_MS
         while index is not None and self._voter.commit_index < index:
             if self._clock.mono_ms() >= end_ms:
+                logger.warning(
+                    'read_behind',
+                    confirmed_index=index,
+                    commit_index=self._voter.commit_index,
+                )
                 index = None
                 break
             await self._clock.sleep_ms(LOOK_INTERVAL_MS)
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -27,6 +27,7 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import canvass
 from wrenspoke.coordination.agreement import clearance
 from wrenspoke.coordination.agreement import lead
 from wrenspoke.coordination import errors
@@ -252,27 +253,30 @@
             self.storage.last_term,
             pre,
         )
-        voters = self.voters
-        others = [host for host in voters if host != self.host]
+        votes = canvass.Canvass(self.host, self.voters)
         tasks = [
             asyncio.get_running_loop().create_task(self._ask(host, message))
-            for host in others
+            for host in votes.others
         ]
-        votes = 1
         try:
             for earliest in asyncio.as_completed(tasks):
                 host, answer = await earliest
                 if answer is None:
                     continue
                 if answer.term > term:
+                    logger.info(
+                        'newer_term', term=term, found=answer.term, peer=host
+                    )
                     self.adopt_term(answer.term)
                     return False
-                votes += answer.granted and answer.incarnation == voters[host]
-                if votes >= lead.majority(voters):
+                votes.note(host, answer)
+                if votes.won:
                     break
         finally:
             await runtime.cancel(tasks)
-        return votes >= lead.majority(voters)
+        if not votes.won:
+            votes.tell_lost(message, self.clock.mono_ms() - self._heard_ms)
+        return votes.won
 
     async def _ask(
         self, host: ids.HostId, message: messages.AskVote
@@ -297,30 +301,47 @@
     async def _answer_vote(
         self, sender: ids.HostId, message: messages.AskVote
     ) -> messages.VoteReply:
-        granted = self._may_vote(sender, message)
-        if granted and not message.pre:
-            self.adopt_term(message.term)
-            granted = self.term == message.term and (
-                self.storage.meta.voted_for in (None, sender)
-            )
-            if granted:
-                self.storage.meta.voted_for = sender
-                self.storage.save_meta()
-                self._heard_ms = self.clock.mono_ms()
-        return messages.VoteReply(self.term, granted, self.incarnation)
-
-    def _may_vote(self, sender: ids.HostId, message: messages.AskVote) -> bool:
-        if not self._clearance.given or not self.is_voter:
-            return False
-        if message.term < self.term or self._hears_leader():
-            return False
+        refused = self._vote_refusal(message)
+        if refused is None and not message.pre:
+            refused = self._give_vote(sender, message.term)
+        return messages.VoteReply(
+            self.term, refused is None, self.incarnation, refused
+        )
+
+    def _give_vote(
+        self, sender: ids.HostId, term: int
+    ) -> messages.VoteRefusal | None:
+        """Note a vote on the disk; return why none can be given."""
+        self.adopt_term(term)
+        meta = self.storage.meta
+        if meta.voted_for not in (None, sender):
+            return messages.VoteRefusal.VOTED
+        meta.voted_for = sender
+        self.storage.save_meta()
+        self._heard_ms = self.clock.mono_ms()
+        return None
+
+    def _vote_refusal(
+        self, message: messages.AskVote
+    ) -> messages.VoteRefusal | None:
+        """Return what speaks against a vote, None where nothing does."""
+        if not self._clearance.given:
+            return messages.VoteRefusal.NOT_CLEARED
+        if not self.is_voter:
+            return messages.VoteRefusal.NO_VOTE
+        if message.term < self.term:
+            return messages.VoteRefusal.OLD_TERM
+        if self._hears_leader():
+            return messages.VoteRefusal.LEADER_HEARD
         if self.has_lease:
-            return False
+            return messages.VoteRefusal.LEADS
         if message.pre and message.term <= self.term:
-            return False
+            return messages.VoteRefusal.OLD_TERM
         theirs = (message.last_term, message.last_index)
         ours = (self.storage.last_term, self.storage.last_index)
-        return theirs >= ours
+        if theirs < ours:
+            return messages.VoteRefusal.LOG_BEHIND
+        return None
 
     async def confirmed_index(self) -> int | None:
         """Return up to which index everything accepted so far is.
@@ -331,11 +352,29 @@
         if self.has_lease:
             return self.commit_index
         if self.leader is None or self.leader == self.host:
+            self._tell_unconfirmed('no leader')
             return None
         answer = await self.call(self.leader, attending.ConfirmIndex())
-        if isinstance(answer, attending.IndexConfirmed):
-            return answer.index
-        return None
+        if not isinstance(answer, attending.IndexConfirmed):
+            self._tell_unconfirmed('leader gave no answer')
+            return None
+        if answer.index is None:
+            self._tell_unconfirmed('leader has no lease')
+        return answer.index
+
+    def _tell_unconfirmed(self, reason: str) -> None:
+        """Log why it is not known whether something newer was accepted."""
+        logger.warning(
+            'index_unconfirmed',
+            reason=reason,
+            leader=self.leader,
+            role=self.role,
+            term=self.term,
+            commit_index=self.commit_index,
+            last_index=self.storage.last_index,
+            has_vote=self.is_voter,
+            silence_ms=self.clock.mono_ms() - self._heard_ms,
+        )
 
     async def _answer_confirm(
         self, _sender: ids.HostId, _message: attending.ConfirmIndex
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -250,6 +250,8 @@
             route=work.route.name,
             peer=host.host,
             region=region,
+            homes=list(work.route.homes),
+            version=self._replica.current.routes.version,
         )
         hop = msgspec.structs.replace(
             work.hop,
@@ -277,6 +279,9 @@
             peer=found.host.host,
             region=found.region,
             relayed=found.host.region != found.region,
+            peer_region=found.host.region,
+            homes=list(work.route.homes),
+            version=self._replica.current.routes.version,
             first_ms=round(found.first_ms),
             here_ms=None if local is None else round(local.first_ms),
             limit_ms=int(limit_ms),
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -1,5 +1,6 @@
 """The messages that hosts send each other over links."""
 
+import enum
 import typing
 
 import msgspec
@@ -216,12 +217,25 @@
     pre: bool
 
 
+class VoteRefusal(enum.Enum):
+    """Say why a vote was not given."""
+
+    NOT_CLEARED = 'not_cleared'
+    NO_VOTE = 'no_vote'
+    OLD_TERM = 'old_term'
+    LEADER_HEARD = 'leader_heard'
+    LEADS = 'leads'
+    LOG_BEHIND = 'log_behind'
+    VOTED = 'voted'
+
+
 class VoteReply(msgspec.Struct, tag='vote_reply'):
-    """Answer a call for votes."""
+    """Answer a call for votes; ``refused`` says why none is given."""
 
     term: int
     granted: bool
     incarnation: ids.Incarnation
+    refused: VoteRefusal | None = None
 
 
 class Append(msgspec.Struct, tag='append'):
