--- /dev/null
+++ b/tests/test_group.py
@@ -0,0 +1,115 @@
+"""Voters that change while hosts are cut off, replaced and wiped."""
+
+import pytest
+
+from tests import group
+from wrenspoke.protocol import messages
+from wrenspoke.state import entries
+
+# A change of voters is over within the silence that brings it about, an
+# election and some round trips.
+SETTLED_MS = 30_000
+# A lost host counts as lost for so long after another in its place has
+# started; from then on one more may be lost.
+CATCH_UP_MS = 4_000
+
+
+def carries_voters(message):
+    """Tell whether a message brings a new set of voters."""
+    if not isinstance(message, messages.Append):
+        return False
+    return any(
+        isinstance(item.entry, entries.SetVoters) for item in message.added
+    )
+
+
+class CutAtChange:
+    """Cut all hosts apart as the n-th change of voters is sent."""
+
+    def __init__(self, system, number):
+        self._system = system
+        self._left = number
+        leaders = [host.voter.storage for host in system.running.values()]
+        self._newest = max(kept.last_index for kept in leaders)
+        self.done = False
+        system.network.watch = self
+
+    def __call__(self, _sender, _host, message):
+        if self.done or not carries_voters(message):
+            return
+        for item in message.added:
+            if item.index <= self._newest:
+                continue
+            if isinstance(item.entry, entries.SetVoters):
+                self._newest = item.index
+                self._left -= 1
+        if not self._left:
+            self.done = True
+            self._system.network.cut_all()
+
+
+async def lose_a_host(system, lost, how):
+    """Lose a host or its disk; return the name that takes its place."""
+    if how == 'wiped':
+        await system.wipe(lost)
+        return lost
+    await system.remove(lost)
+    system.seeds = [name for name in system.seeds if name != lost] + ['new']
+    await system.sleep_ms(1_000)
+    system.start('new')
+    return 'new'
+
+
+@pytest.mark.parametrize('power', [False, True], ids=['healed', 'restarted'])
+@pytest.mark.parametrize('number', [1, 2])
+@pytest.mark.parametrize('how', ['replaced', 'wiped'])
+def test_cut_as_voters_change_leaves_a_group_that_can_lead(how, number, power):
+    """Whoever holds the change, and whoever does not, elect a leader."""
+
+    async def play():
+        system = group.Group(seed=number)
+        leader = await system.found()
+        await system.change()
+        cut = CutAtChange(system, number)
+        lost = next(name for name in system.running if name != leader.name)
+        await lose_a_host(system, lost, how)
+        await system.until(lambda: cut.done)
+        await system.sleep_ms(5_000)
+        if power:
+            await system.restart_all()
+        system.network.heal()
+        await system.change(SETTLED_MS)
+        assert await system.version() == system.acknowledged
+        await system.close()
+
+    group.run(play())
+
+
+@pytest.mark.parametrize('second', ['first', 'other', 'newest'])
+@pytest.mark.parametrize('who', ['leader', 'follower'])
+@pytest.mark.parametrize('how', ['replaced', 'wiped'])
+@pytest.mark.parametrize('after_ms', range(0, 6_000, 500))
+def test_lost_disk_leaves_a_group_that_may_lose_another(
+    how, who, second, after_ms
+):
+    """A second disk is lost, and all hosts lose power with it."""
+
+    async def play():
+        system = group.Group(seed=after_ms)
+        leader = await system.found()
+        others = [name for name in system.running if name != leader.name]
+        gone = leader.name if who == 'leader' else others[0]
+        left = [name for name in system.running if name != gone]
+        back = await lose_a_host(system, gone, how)
+        await system.sleep_ms(CATCH_UP_MS + after_ms)
+        await system.change()
+        lost = {'first': left[0], 'other': left[1], 'newest': back}[second]
+        await system.end(lost)
+        system.disks[lost].wipe()
+        await system.restart_all()
+        system.start(lost)
+        await system.change(SETTLED_MS)
+        assert await system.version() == system.acknowledged
+        await system.close()
+
+    group.run(play())
--- /dev/null
+++ b/tests/test_group_soak.py
@@ -0,0 +1,242 @@
+"""Control hosts under mishaps that come in series and overlap, by seed.
+
+``WRENSPOKE_SOAK_SEEDS`` sets how many seeds are played.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+
+import pytest
+
+from tests import group
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke.state import entries
+from wrenspoke.state import routes
+
+SEEDS = int(os.environ.get('WRENSPOKE_SOAK_SEEDS', 20))
+STEPS = 14
+# A lost disk counts as lost for so long after another in its place has
+# been started and nothing else has happened; then one more may be lost.
+CATCH_UP_MS = 4_000
+SETTLED_MS = 30_000
+LOOK_MS = 50
+CHANGE_EVERY_MS = 400
+CHANGE_TIMEOUT_MS = 3_000
+MISHAPS = {}
+
+
+def mishap(function):
+    """Register what may happen to a group."""
+    MISHAPS[function.__name__] = function
+    return function
+
+
+class Soak:
+    """Play one seed: mishaps, changes meanwhile, and what must hold."""
+
+    def __init__(self, seed, hosts):
+        self.random = random.Random(f'soak {seed}')
+        names = [f'host{number}' for number in range(hosts)]
+        self.system = group.Group(seed, names[:3])
+        self.spare = names[3:]
+        self.down = set()
+        self.numbers = iter(range(hosts, 1_000))
+        self.disturbed_ms = 0
+        self.acknowledged = 0
+        self.proposed = 0
+        self.told = []
+
+    def now_ms(self):
+        return int(asyncio.get_running_loop().time() * 1000)
+
+    def tell(self, *what):
+        self.told.append((self.now_ms(), *what))
+
+    @property
+    def calm(self):
+        """Tell whether one more disk may be lost."""
+        return (
+            not self.down
+            and not self.system.network.is_cut
+            and self.now_ms() - self.disturbed_ms >= CATCH_UP_MS
+        )
+
+    def disturb(self):
+        self.disturbed_ms = self.now_ms()
+
+    def draw(self):
+        """Return a host that runs, the leader as often as any other."""
+        leading = [host.name for host in self.system.leading()]
+        names = sorted(self.system.running)
+        if leading and self.random.random() < 0.3:
+            return leading[0]
+        return self.random.choice(names) if names else None
+
+    async def pause(self, least_ms, most_ms):
+        await self.system.sleep_ms(self.random.uniform(least_ms, most_ms))
+
+    async def play(self):
+        await self.system.found()
+        for name in self.spare:
+            self.system.start(name)
+        loop = asyncio.get_running_loop()
+        background = [
+            loop.create_task(self.keep_changing()),
+            loop.create_task(self.look_at_leases()),
+        ]
+        happening = []
+        for _step in range(STEPS):
+            await self.pause(0, 5_000)
+            name = self.random.choice(sorted(MISHAPS))
+            happening.append(loop.create_task(MISHAPS[name](self)))
+        await asyncio.gather(*happening)
+        changing, looking = background
+        changing.cancel()
+        self.tell('settle')
+        leader = await self.system.leader(SETTLED_MS)
+        held = leader.voter.state.configuration.routes.version
+        assert held >= self.acknowledged
+        self.system.acknowledged = self.proposed
+        await self.system.change(SETTLED_MS)
+        looking.cancel()
+        for task in background:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        await self.system.close()
+
+    async def keep_changing(self):
+        while True:
+            await self.system.sleep_ms(CHANGE_EVERY_MS)
+            leader = next(iter(self.system.leading()), None)
+            if leader is None:
+                continue
+            self.proposed += 1
+            version = self.proposed
+            table = routes.RouteTable(version=version, digest=str(version))
+            try:
+                async with clocks.timeout_ms(CHANGE_TIMEOUT_MS):
+                    await leader.voter.propose(entries.ReplaceRoutes(table))
+            except (errors.NotLeaderError, TimeoutError):
+                continue
+            self.acknowledged = version
+
+    async def look_at_leases(self):
+        while True:
+            await self.system.sleep_ms(LOOK_MS)
+            leading = self.system.leading()
+            assert len(leading) <= 1, [host.name for host in leading]
+            for host in leading:
+                held = host.voter.state.configuration.routes.version
+                assert held >= self.acknowledged, (host.name, held)
+
+    async def bring_back(self, name):
+        self.system.start(name)
+        self.down.discard(name)
+        self.disturb()
+
+
+@mishap
+async def kill(soak):
+    """End a process, and start it again."""
+    name = soak.draw()
+    if name is None:
+        return
+    power = soak.random.random() < 0.5
+    soak.tell('kill', name, power)
+    soak.down.add(name)
+    await soak.system.end(name, power)
+    await soak.pause(100, 6_000)
+    await soak.bring_back(name)
+
+
+@mishap
+async def restart_all(soak):
+    """Lose the power of all hosts."""
+    soak.tell('restart_all')
+    soak.disturb()
+    await soak.system.restart_all()
+
+
+@mishap
+async def cut_all(soak):
+    """Cut every host from every other for a while."""
+    soak.tell('cut_all')
+    soak.system.network.cut_all()
+    await soak.pause(500, 10_000)
+    soak.system.network.heal()
+    soak.disturb()
+
+
+@mishap
+async def cut_one(soak):
+    """Cut one host from all others for a while."""
+    name = soak.draw()
+    if name is None:
+        return
+    soak.tell('cut_one', name)
+    for other in soak.system.network.hosts:
+        soak.system.network.cut(name, other)
+    await soak.pause(500, 10_000)
+    soak.system.network.heal()
+    soak.disturb()
+
+
+@mishap
+async def cut_pair(soak):
+    """Cut two hosts from each other for a while."""
+    one, other = soak.draw(), soak.draw()
+    if one is None or one == other:
+        return
+    soak.tell('cut_pair', one, other)
+    soak.system.network.cut(one, other)
+    await soak.pause(500, 10_000)
+    soak.system.network.heal()
+    soak.disturb()
+
+
+@mishap
+async def wipe(soak):
+    """Lose a disk, perhaps as all other hosts lose power."""
+    name = soak.draw()
+    if name is None or not soak.calm:
+        return
+    with_power = soak.random.random() < 0.5
+    soak.tell('wipe', name, with_power)
+    soak.down.add(name)
+    await soak.system.end(name)
+    soak.system.disks[name].wipe()
+    if with_power:
+        await soak.system.restart_all()
+    await soak.pause(100, 1_500)
+    await soak.bring_back(name)
+
+
+@mishap
+async def replace(soak):
+    """Lose a host for good; an empty one comes at another address."""
+    name = soak.draw()
+    if name is None or not soak.calm:
+        return
+    new = f'host{next(soak.numbers)}'
+    soak.tell('replace', name, new)
+    soak.down.add(new)
+    await soak.system.remove(name)
+    seeds = [seed for seed in soak.system.seeds if seed != name]
+    await soak.pause(100, 1_500)
+    soak.system.seeds = [*seeds, new][-3:]
+    await soak.bring_back(new)
+
+
+@pytest.mark.parametrize('hosts', [3, 6])
+@pytest.mark.parametrize('seed', range(SEEDS))
+def test_group_bears_what_it_must(seed, hosts):
+    """One lease at a time, nothing acknowledged lost, a leader in the end."""
+    soak = Soak(seed, hosts)
+    try:
+        group.run(soak.play())
+    finally:
+        for line in soak.told:
+            print(*line)
