Let one voter take another's place by a decision of both sets

A disk lost in place was taken out first, so that two had to live.

Weighed: taking out first (a voter that is only down and whose disk is well is then missed if another disk is lost); one entry that swaps (an old disk that comes back outvotes with one that lags).

Change: an entry names the new set and the one before; what is decided needs a majority of both, and a second entry leaves the old set out once the first is committed. Neither the one that leaves nor the one that comes is needed meanwhile. The lease no longer takes a voter that came during a lead, and lost its disk again, for one that voted for it. The status tells the voters by what is committed, and the set before.

The test of the lost disk waited for the new disk in the leader's newest entry, committed or not; now for the committed set without another beside it, which is stricter. The table of admissions states the swaps.

--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -221,17 +221,9 @@
     ),
     Switch(
         'no admission',
-        DECISIONS + 'agreement/lead.py',
-        (
-            '        voters = self._group.voters\n'
-            '        for host, follower in self._followers.items():\n'
-            '            found'
-        ),
-        (
-            '        return None\n'
-            '        for host, follower in self._followers.items():\n'
-            '            found'
-        ),
+        DECISIONS + 'agreement/admissions.py',
+        ('        deciding = self._group.electorate\n'),
+        ('        return None\n'),
         (
             'tests/test_control.py::test_lost_disk_is_readmitted_and'
             '_a_second_loss_loses_nothing'
@@ -475,6 +467,24 @@
             'tests/test_founding.py::test_host_that_canvasses_may_still_vote_for_another'
         ),
     ),
+    Switch(
+        'own log says who has a vote',
+        DECISIONS + 'agreement/voter.py',
+        ('        if not self.electorate.voters:\n'),
+        ('        if not self.is_voter:\n'),
+        (
+            'tests/test_group.py::test_cut_as_voters_change_leaves_a_group_that_can_lead'
+        ),
+    ),
+    Switch(
+        'one set decides while voters change',
+        STATE + 'electorates.py',
+        (
+            '        return [found for found in (self.voters, self.before) if found]'
+        ),
+        ('        return [self.voters] if self.voters else []'),
+        ('tests/test_electorates.py'),
+    ),
     Switch(
         'stands after giving its vote',
         DECISIONS + 'agreement/voter.py',
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -281,9 +281,9 @@
 
         async def found():
             status = await self.control_status(await self.leader())
-            if status and len(status['voters']) == count:
-                return status
-            return None
+            if not status or status['voters_before']:
+                return None
+            return status if len(status['voters']) == count else None
 
         return await until(found, f'{count} voters')
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -221,6 +221,9 @@
     async def admitted():
         status = await running.control_status(await running.leader())
         found = status['voters'].get('control-2')
+        if status['voters_before']:
+            # A host that was lost may still be needed.
+            return False
         return found and found != old['incarnation']
 
     await fleet.until(admitted, 'the new disk to be admitted')
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -5,12 +5,14 @@
 import pytest
 
 from tests import nodes
-from wrenspoke.coordination.agreement import lead
+from wrenspoke.coordination.agreement import admissions
+from wrenspoke.coordination.agreement import followers
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import kept_registry
 from wrenspoke import node as settings
 from wrenspoke.state import disk
+from wrenspoke.state import electorates
 from wrenspoke.state import entries
 from wrenspoke.state import registry
 from wrenspoke.state import routes
@@ -31,7 +33,7 @@
         kept = kept_in(tmp_path / seed)
         voter.found_together(kept, seed, SEEDS)
         logs.append([kept.entry(index) for index in (1, 2)])
-        assert kept.voters()[seed] == kept.meta.incarnation
+        assert kept.electorate().voters[seed] == kept.meta.incarnation
     assert logs[0] == logs[1] == logs[2]
     assert logs[0][0].entry.voters.keys() == set(SEEDS)
 
@@ -112,9 +114,13 @@
         for path in (tmp_path / lost.node.ip).iterdir():
             path.unlink()
         back = await system.start_control(lost.node.ip, first_start=False)
-        assert back.voter.voters == {}
+        assert back.voter.electorate.voters == {}
         await nodes.until(
-            lambda: back.voter.is_voter and len(back.voter.voters) == 3
+            lambda: (
+                back.voter.is_voter
+                and len(back.voter.electorate.voters) == 3
+                and not back.voter.electorate.before
+            )
         )
         assert (
             await nodes.until(lambda: back.replica.current.routes.version) == 3
@@ -226,8 +232,8 @@
         await nodes.until(
             lambda: (
                 new.voter.is_voter
-                and lost.node.host not in leader.voter.voters
-                and len(leader.voter.voters) == 3
+                and lost.node.host not in leader.voter.electorate.hosts
+                and len(leader.voter.electorate.voters) == 3
             )
         )
 
@@ -268,45 +274,75 @@
         (None, {'a': 'A', 'b': 'B'}, 'add c'),
         (3, {'a': 'A', 'b': 'B'}, 'add c'),
         (2, {'a': 'A', 'b': 'B'}, None),
-        (2, {'a': 'A', 'lost': 'L'}, 'add b'),
+        (2, {'a': 'A', 'lost': 'L'}, 'swap lost b'),
         (2, {'a': 'A', 'b': 'B', 'lost': 'L'}, 'remove lost'),
-        (3, {'a': 'A', 'b': 'old', 'c': 'C'}, 'remove b'),
+        (3, {'a': 'A', 'b': 'old', 'c': 'C'}, 'swap b b'),
+        (None, {'a': 'A', 'b': 'old', 'c': 'C'}, 'swap b b'),
     ],
 )
 def test_voters_are_changed_one_at_a_time(limit, voters, change):
     group = FakeGroup(limit, voters)
-    led = lead.Lead(group, 1, 0, None)
-    for host, name in (('b', 'B'), ('c', 'C')):
-        follower = lead.Follower(1)
-        follower.incarnation = name
-        follower.match_index = 9
-        follower.acked_ms = group.clock.now_ms
-        led._followers[host] = follower
-    found = led._next_admission()
+    known = group.followers(('b', 'B'), ('c', 'C'))
+    found = admissions.Admissions(group, 0).next_change(known)
     if change is None:
         assert found is None
         return
-    verb, host = change.split()
-    assert (host in found.voters) is (verb == 'add')
-    assert len(found.voters) == len(voters) + (1 if verb == 'add' else -1)
+    verb, *names = change.split()
+    wanted = dict(voters)
+    if verb != 'add':
+        del wanted[names[0]]
+    if verb != 'remove':
+        wanted[names[-1]] = names[-1].upper()
+    assert found.voters == wanted
+    # Both sets have to agree until the one has the other's place.
+    assert found.before == (voters if verb == 'swap' else {})
+
+
+def test_a_change_of_places_is_ended_by_another_entry():
+    new = {'a': 'A', 'b': 'B', 'c': 'C'}
+    group = FakeGroup(3, new, before={'a': 'A', 'b': 'B', 'lost': 'L'})
+    known = group.followers(('b', 'B'), ('c', 'C'))
+    found = admissions.Admissions(group, 0).next_change(known)
+    assert (found.voters, found.before) == (new, {})
+
+
+@pytest.mark.parametrize('case', ['behind', 'silent', 'never heard'])
+def test_only_a_host_that_holds_all_and_is_there_gets_a_vote(case):
+    group = FakeGroup(3, {'a': 'A', 'b': 'B', 'lost': 'L'})
+    known = group.followers(('b', 'B'), ('c', 'C'))
+    if case == 'behind':
+        known['c'].match_index = group.commit_index - 1
+    elif case == 'silent':
+        known['c'].acked_ms -= FakeTimes.election_timeout_ms + 1
+    else:
+        known['c'].acked_ms = None
+    assert admissions.Admissions(group, 0).next_change(known) is None
 
 
 class FakeGroup:
     """Be what a lead asks of its voter."""
 
-    def __init__(self, limit, voters):
+    def __init__(self, limit, voters, before=None):
         self.host = 'a'
-        self.voters = voters
+        self.electorate = electorates.Electorate(voters, before or {})
         self.commit_index = 5
         self.clock = self
         self.now_ms = 100_000
-        self.storage = self
-        self.last_index = 5
         self.settings = FakeTimes(limit)
 
     def mono_ms(self):
         return self.now_ms
 
+    def followers(self, *disks):
+        """Return hosts that hold all and answered just now."""
+        known = {}
+        for host, name in disks:
+            known[host] = follower = followers.Follower(1)
+            follower.incarnation = name
+            follower.match_index = 9
+            follower.acked_ms = self.now_ms
+        return known
+
 
 class FakeTimes:
     """Be the times that a lead goes by."""
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -95,7 +95,7 @@
         put('wrenspoke_term', elected.term)
         put('wrenspoke_leading', elected.has_lease)
         put('wrenspoke_commit_index', elected.commit_index)
-        put('wrenspoke_voters', len(elected.voters))
+        put('wrenspoke_voters', len(elected.committed_electorate.voters))
         put(
             'wrenspoke_configuration_index',
             elected.state.configuration.index,
--- /dev/null
+++ b/wrenspoke/coordination/agreement/admissions.py
@@ -0,0 +1,157 @@
+"""Which disks a leader gives a vote, and which lose theirs.
+
+There are as many voters as the settings allow, on disks that are there.
+"""
+
+import collections.abc
+import typing
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import followers
+from wrenspoke import ids
+from wrenspoke.state import electorates
+from wrenspoke.state import entries
+
+if typing.TYPE_CHECKING:
+    from wrenspoke import settings as limits
+
+Followers = collections.abc.Mapping[ids.HostId, followers.Follower]
+
+
+class Group(typing.Protocol):
+    """Be what admissions need to know of the leader's own host."""
+
+    host: ids.HostId
+    settings: 'limits.ControlSettings'
+    clock: clocks.Clock
+    commit_index: int
+
+    @property
+    def electorate(self) -> electorates.Electorate:
+        """Return who decides, by the newest entry."""
+
+
+class Admissions:
+    """Find the next change of voters, as the leader sees the others."""
+
+    def __init__(self, group: Group, since_ms: int):
+        self._group = group
+        self._since_ms = since_ms
+
+    def next_change(self, known: Followers) -> entries.SetVoters | None:
+        """Return the next change of voters, None where all is well.
+
+        The last one must be committed.
+        """
+        deciding = self._group.electorate
+        if deciding.before:
+            return entries.SetVoters(deciding.voters, 'the change is over')
+        voters = deciding.voters
+        return (
+            self._other_disk(voters, known)
+            or self._addition(voters, known)
+            or self._removal(voters, known)
+            or self._replacement(voters, known)
+        )
+
+    @property
+    def _limit(self) -> int | None:
+        return self._group.settings.voters_limit
+
+    def _ready(self, follower: followers.Follower) -> bool:
+        """Tell whether a host holds all that is committed, and is there."""
+        if follower.incarnation is None or follower.acked_ms is None:
+            return False
+        if follower.match_index < self._group.commit_index:
+            return False
+        age_ms = self._group.clock.mono_ms() - follower.acked_ms
+        return age_ms <= self._group.settings.election_timeout_ms
+
+    def _other_disk(
+        self, voters: electorates.Voters, known: Followers
+    ) -> entries.SetVoters | None:
+        """Let a host's new disk take the vote of the one that it lost."""
+        for host, follower in known.items():
+            lost = voters.get(host)
+            if lost is None or lost == follower.incarnation:
+                continue
+            if not self._ready(follower):
+                continue
+            found = follower.incarnation
+            return entries.SetVoters(
+                {**voters, host: found},
+                f'{host} lost disk {lost}, holds all on {found}',
+                voters,
+            )
+        return None
+
+    def _standing_by(
+        self, voters: electorates.Voters, known: Followers
+    ) -> dict[ids.HostId, ids.Incarnation]:
+        """Return the hosts without a vote that could have one at once."""
+        return {
+            host: follower.incarnation
+            for host, follower in known.items()
+            if host not in voters and self._ready(follower)
+        }
+
+    def _addition(
+        self, voters: electorates.Voters, known: Followers
+    ) -> entries.SetVoters | None:
+        if self._limit is not None and len(voters) >= self._limit:
+            return None
+        for host, disk in self._standing_by(voters, known).items():
+            return entries.SetVoters(
+                {**voters, host: disk}, f'{host} holds all on disk {disk}'
+            )
+        return None
+
+    def _removal(
+        self, voters: electorates.Voters, known: Followers
+    ) -> entries.SetVoters | None:
+        if self._limit is None or len(voters) <= self._limit:
+            return None
+        gone = self._longest_silent(voters, known)
+        left = {name: voters[name] for name in voters if name != gone}
+        return entries.SetVoters(left, f'{gone} is one too many')
+
+    def _replacement(
+        self, voters: electorates.Voters, known: Followers
+    ) -> entries.SetVoters | None:
+        """Let a host that stands by take the place of a silent one.
+
+        Until it has, one more lost disk may end the group. That costs two
+        entries, and a host that comes back after all stands by itself.
+        """
+        silent = self._longest_silent(voters, known)
+        if silent is None or self._limit is None:
+            return None
+        silence_ms = self._silence_ms(silent, known)
+        if silence_ms <= self._group.settings.replace_after_ms:
+            return None
+        for host, disk in self._standing_by(voters, known).items():
+            left = {name: voters[name] for name in voters if name != silent}
+            return entries.SetVoters(
+                {**left, host: disk},
+                f'{silent} silent for {silence_ms} ms, {host} takes its place',
+                voters,
+            )
+        return None
+
+    def _longest_silent(
+        self, voters: electorates.Voters, known: Followers
+    ) -> ids.HostId | None:
+        others = [host for host in voters if host != self._group.host]
+        return max(
+            others,
+            key=lambda host: self._silence_ms(host, known),
+            default=None,
+        )
+
+    def _silence_ms(self, host: ids.HostId, known: Followers) -> int:
+        """Return for how long a host was not heard in this lead."""
+        follower = known.get(host)
+        heard_ms = None if follower is None else follower.acked_ms
+        if heard_ms is None:
+            heard_ms = self._since_ms
+        return self._group.clock.mono_ms() - heard_ms
--- a/wrenspoke/coordination/agreement/canvass.py
+++ b/wrenspoke/coordination/agreement/canvass.py
@@ -2,9 +2,9 @@
 
 import structlog
 
-from wrenspoke.coordination.agreement import lead
 from wrenspoke import ids
 from wrenspoke.protocol import messages
+from wrenspoke.state import electorates
 
 logger = structlog.get_logger(__name__)
 
@@ -18,19 +18,20 @@
     def __init__(
         self,
         host: ids.HostId,
-        voters: dict[ids.HostId, ids.Incarnation],
+        disk: ids.Incarnation,
+        deciding: electorates.Electorate,
     ):
-        self._voters = voters
-        self._given = {host}
+        self._deciding = deciding
+        self._given = {host: disk}
         self._refused: dict[ids.HostId, str] = {}
-        self.others = sorted(voters.keys() - {host})
+        self.others = sorted(deciding.hosts - {host})
 
     def note(self, host: ids.HostId, answer: messages.VoteReply) -> None:
         """Count an answer."""
-        if answer.incarnation != self._voters[host]:
+        if not self._deciding.has(host, answer.incarnation):
             self._refused[host] = f'other disk {answer.incarnation}'
         elif answer.granted:
-            self._given.add(host)
+            self._given[host] = answer.incarnation
         else:
             reason = answer.refused
             self._refused[host] = 'unsaid' if reason is None else reason.value
@@ -38,7 +39,11 @@
     @property
     def won(self) -> bool:
         """Tell whether a majority gave its vote."""
-        return len(self._given) >= lead.majority(self._voters)
+        return bool(
+            self._deciding.reached(
+                lambda host, disk: int(self._given.get(host) == disk)
+            )
+        )
 
     def tell_lost(self, asked: messages.AskVote, silence_ms: int) -> None:
         """Log who kept this host from leading, and why.
@@ -46,14 +51,15 @@
         ``silence_ms`` is how long no leader was heard. Who is in none of
         the lists gave no answer.
         """
-        silent = self._voters.keys() - self._given - self._refused.keys()
+        silent = set(self.others) - self._given.keys() - self._refused.keys()
         logger.warning(
             'canvass_lost',
             term=asked.term,
             pre=asked.pre,
             last_index=asked.last_index,
             silence_ms=silence_ms,
-            needed=lead.majority(self._voters),
+            voters=sorted(self._deciding.voters),
+            before=sorted(self._deciding.before),
             given=sorted(self._given),
             refused=dict(sorted(self._refused.items())),
             silent=sorted(silent),
--- a/wrenspoke/coordination/agreement/clearance.py
+++ b/wrenspoke/coordination/agreement/clearance.py
@@ -16,7 +16,6 @@
 import structlog
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination.agreement import lead
 from wrenspoke.coordination.membership import controls
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
@@ -96,12 +95,13 @@
     ) -> None:
         meta = self._storage.meta
         message = messages.Hello(meta.incarnation, meta.boot, self._start)
-        voters = self._storage.voters()
-        others = {*self._group.others(), *voters} - {self._group.host}
+        deciding = self._storage.electorate()
+        others = {*self._group.others(), *deciding.hosts}
+        others.discard(self._group.host)
         answers = await asyncio.gather(
             *(self._call(host, message) for host in others)
         )
-        heard = 1 if meta.incarnation in voters.values() else 0
+        heard = set()
         for host, answer in zip(others, answers):
             if not isinstance(answer, messages.HelloReply):
                 continue
@@ -118,8 +118,12 @@
                 self._storage.meta.boot = 1
                 self._storage.save_meta()
                 return
-            heard += host in voters
-        if not voters or heard >= lead.majority(voters):
+            heard.add(host)
+
+        def knows(host: ids.HostId, disk: ids.Incarnation) -> int:
+            return int(host in heard or disk == meta.incarnation)
+
+        if not deciding.voters or deciding.reached(knows):
             self.given = True
             logger.info(
                 'cleared', incarnation=meta.incarnation, boot=meta.boot
--- a/wrenspoke/coordination/agreement/control.py
+++ b/wrenspoke/coordination/agreement/control.py
@@ -234,13 +234,15 @@
     def show_status(self) -> operators.OperatorAnswer:
         """Tell what this control host knows of the group."""
         elected = self._voter
+        deciding = elected.committed_electorate
         body = {
             'role': elected.role,
             'term': elected.term,
             'leader': elected.leader,
             'has_lease': elected.has_lease,
             'incarnation': elected.incarnation,
-            'voters': elected.voters,
+            'voters': deciding.voters,
+            'voters_before': deciding.before,
             'commit_index': elected.commit_index,
             'configuration_index': elected.state.configuration.index,
         }
--- /dev/null
+++ b/wrenspoke/coordination/agreement/followers.py
@@ -0,0 +1,20 @@
+"""What a leader knows of another control host."""
+
+import asyncio
+
+from wrenspoke import ids
+
+
+class Follower:
+    """Hold how far a control host is, and when it last said so.
+
+    ``acked_ms`` is when the message was sent that it answered last, None
+    before the first one.
+    """
+
+    def __init__(self, next_index: int):
+        self.next_index = next_index
+        self.match_index = 0
+        self.incarnation: ids.Incarnation | None = None
+        self.acked_ms: int | None = None
+        self.more = asyncio.Event()
--- a/wrenspoke/coordination/agreement/lead.py
+++ b/wrenspoke/coordination/agreement/lead.py
@@ -1,17 +1,19 @@
-"""One term's lead: replication, commits, the lease, admissions."""
+"""One term's lead: replication, commits, the lease."""
 
-import asyncio
 import contextlib
 import typing
 
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import admissions
+from wrenspoke.coordination.agreement import followers
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import controls
 from wrenspoke import ids
 from wrenspoke.protocol import messages
 from wrenspoke import runtime
+from wrenspoke.state import electorates
 from wrenspoke.state import entries
 from wrenspoke.state import errors as state_errors
 from wrenspoke.state import replicated
@@ -37,8 +39,12 @@
     commit_index: int
 
     @property
-    def voters(self) -> dict[ids.HostId, ids.Incarnation]:
-        """Return the newest set of voters."""
+    def incarnation(self) -> ids.Incarnation:
+        """Return the name of this host's disk."""
+
+    @property
+    def electorate(self) -> electorates.Electorate:
+        """Return who decides, by the newest entry."""
 
     async def call(
         self, host: ids.HostId, message: messages.Message
@@ -55,17 +61,6 @@
         """Write an entry and wait until it is applied."""
 
 
-class Follower:
-    """Hold what a leader knows of another control host."""
-
-    def __init__(self, next_index: int):
-        self.next_index = next_index
-        self.match_index = 0
-        self.incarnation: ids.Incarnation | None = None
-        self.acked_ms: int | None = None
-        self.more = asyncio.Event()
-
-
 class Lead:
     """Hold what a leader does from its election to its end."""
 
@@ -79,7 +74,9 @@
         self._group = group
         self._tasks = tasks
         self._start_index = group.storage.last_index + 1
-        self._followers: dict[ids.HostId, Follower] = {}
+        self._followers: dict[ids.HostId, followers.Follower] = {}
+        self._admissions = admissions.Admissions(group, asked_ms)
+        self._elected_by = group.electorate
         self.term = term
         self.since_ms = asked_ms
         self.over = False
@@ -91,10 +88,10 @@
 
     def _follow_group(self) -> None:
         """Replicate to control hosts that are new, not to those gone."""
-        wanted = {*self._group.group.others(), *self._group.voters}
+        wanted = {*self._group.group.others(), *self._group.electorate.hosts}
         wanted.discard(self._group.host)
-        for host in wanted - self._followers.keys():
-            follower = Follower(self._start_index)
+        for host in sorted(wanted - self._followers.keys()):
+            follower = followers.Follower(self._start_index)
             self._followers[host] = follower
             self._tasks.start(self._replicate(host, follower))
         for host in self._followers.keys() - wanted:
@@ -113,21 +110,29 @@
     def quorum_acked_ms(self) -> int:
         """Return since when a majority is known to follow this leader."""
         now_ms = self._group.clock.mono_ms()
-        voters = self._group.voters
-        acked = []
-        for host, incarnation in voters.items():
-            if host == self._group.host:
-                acked.append(now_ms)
-                continue
-            follower = self._followers.get(host)
-            known = (
-                follower is not None
-                and follower.acked_ms is not None
-                and follower.incarnation == incarnation
-            )
-            acked.append(follower.acked_ms if known else self.since_ms)
-        acked.sort(reverse=True)
-        return acked[majority(voters) - 1]
+
+        def acked_ms(host: ids.HostId, disk: ids.Incarnation) -> int:
+            if self._is_own(host, disk):
+                return now_ms
+            follower = self._follower_on(host, disk)
+            if follower is not None and follower.acked_ms is not None:
+                return follower.acked_ms
+            return self.since_ms if self._elected_by.has(host, disk) else 0
+
+        return self._group.electorate.reached(acked_ms)
+
+    def _is_own(self, host: ids.HostId, disk: ids.Incarnation) -> bool:
+        group = self._group
+        return host == group.host and disk == group.incarnation
+
+    def _follower_on(
+        self, host: ids.HostId, disk: ids.Incarnation
+    ) -> followers.Follower | None:
+        """Return what is known of a host, None if its disk is another."""
+        follower = self._followers.get(host)
+        if follower is None or follower.incarnation != disk:
+            return None
+        return follower
 
     @property
     def has_lease(self) -> bool:
@@ -143,7 +148,9 @@
         age_ms = self._group.clock.mono_ms() - self.quorum_acked_ms()
         return age_ms < self._group.settings.election_timeout_ms * LEASE_SHARE
 
-    async def _replicate(self, host: ids.HostId, follower: Follower) -> None:
+    async def _replicate(
+        self, host: ids.HostId, follower: followers.Follower
+    ) -> None:
         """Keep one other control host's log equal to ours."""
         while not self.over and self._followers.get(host) is follower:
             follower.more.clear()
@@ -157,7 +164,9 @@
                     continue
             await self._wait_for_more(follower, sent_ms)
 
-    async def _wait_for_more(self, follower: Follower, sent_ms: int) -> None:
+    async def _wait_for_more(
+        self, follower: followers.Follower, sent_ms: int
+    ) -> None:
         interval_ms = self._group.settings.beat_interval_ms
         left_ms = sent_ms + interval_ms - self._group.clock.mono_ms()
         try:
@@ -167,7 +176,7 @@
             return
 
     def _message_for(
-        self, follower: Follower
+        self, follower: followers.Follower
     ) -> messages.Append | messages.Install:
         previous = follower.next_index - 1
         previous_term = self._group.storage.term_at(previous)
@@ -186,7 +195,7 @@
     def _note_answer(
         self,
         host: ids.HostId,
-        follower: Follower,
+        follower: followers.Follower,
         answer: messages.AppendReply,
         sent_ms: int,
     ) -> None:
@@ -208,19 +217,15 @@
         self.advance_commit()
 
     def advance_commit(self) -> None:
-        voters = self._group.voters
-        matches = []
-        for host, incarnation in voters.items():
-            if host == self._group.host:
-                matches.append(self._group.storage.last_index)
-                continue
-            follower = self._followers.get(host)
-            known = (
-                follower is not None and follower.incarnation == incarnation
-            )
-            matches.append(follower.match_index if known else 0)
-        matches.sort(reverse=True)
-        index = matches[majority(voters) - 1]
+        """Commit what a majority holds, if an entry of this term is."""
+
+        def held_index(host: ids.HostId, disk: ids.Incarnation) -> int:
+            if self._is_own(host, disk):
+                return self._group.storage.last_index
+            follower = self._follower_on(host, disk)
+            return 0 if follower is None else follower.match_index
+
+        index = self._group.electorate.reached(held_index)
         if self._group.storage.term_at(index) != self.term:
             return
         if index > self._group.commit_index:
@@ -229,7 +234,7 @@
             self.wake()
 
     async def _admit(self) -> None:
-        """Admit disks that have caught up, one change at a time."""
+        """Keep the voters complete, by one change at a time."""
         while not self.over:
             await self._group.clock.sleep_ms(
                 self._group.settings.beat_interval_ms
@@ -237,98 +242,16 @@
             self._follow_group()
             if not self.has_lease:
                 continue
-            change = self._next_admission()
+            change = self._admissions.next_change(self._followers)
             if change is None:
                 continue
             logger.warning(
                 'voters_change',
                 voters=sorted(change.voters),
+                before=sorted(change.before),
                 reason=change.reason,
             )
             try:
                 await self._group.propose(change)
             except errors.NotLeaderError:
                 return
-
-    def _next_admission(self) -> entries.SetVoters | None:
-        """Return the next change of voters, None where all is well.
-
-        A host whose disk is new loses its old vote first. Others get a
-        vote while there are too few, or in the place of one that has
-        been silent for long: added first, so that the group is never
-        smaller than it was.
-        """
-        voters = self._group.voters
-        for host, follower in self._followers.items():
-            found = follower.incarnation
-            if found is None or voters.get(host) == found:
-                continue
-            if follower.match_index < self._group.commit_index:
-                continue
-            if self._silent(follower):
-                continue
-            if host in voters:
-                reason = f'{host} lost disk {voters[host]}'
-                return entries.SetVoters(_without(voters, host), reason)
-            if not self._has_room(voters):
-                continue
-            return entries.SetVoters(
-                {**voters, host: found}, f'{host} caught up on disk {found}'
-            )
-        return self._next_removal(voters)
-
-    def _has_room(self, voters: dict[ids.HostId, ids.Incarnation]) -> bool:
-        limit = self._group.settings.voters_limit
-        if limit is None or len(voters) < limit:
-            return True
-        return len(voters) == limit and self._lost(voters) is not None
-
-    def _next_removal(
-        self, voters: dict[ids.HostId, ids.Incarnation]
-    ) -> entries.SetVoters | None:
-        limit = self._group.settings.voters_limit
-        if limit is None or len(voters) <= limit:
-            return None
-        host = self._lost(voters)
-        if host is None:
-            host = self._longest_silent(voters)
-        return entries.SetVoters(_without(voters, host), f'{host} replaced')
-
-    def _lost(
-        self, voters: dict[ids.HostId, ids.Incarnation]
-    ) -> ids.HostId | None:
-        """Return a voter that has been silent for long, if one has."""
-        host = self._longest_silent(voters)
-        if host is None:
-            return None
-        silence_ms = self._group.clock.mono_ms() - self._acked_ms(host)
-        if silence_ms > self._group.settings.replace_after_ms:
-            return host
-        return None
-
-    def _longest_silent(
-        self, voters: dict[ids.HostId, ids.Incarnation]
-    ) -> ids.HostId | None:
-        others = [host for host in voters if host != self._group.host]
-        return min(others, key=self._acked_ms, default=None)
-
-    def _acked_ms(self, host: ids.HostId) -> int:
-        follower = self._followers.get(host)
-        if follower is None or follower.acked_ms is None:
-            return self.since_ms
-        return follower.acked_ms
-
-    def _silent(self, follower: Follower) -> bool:
-        age_ms = self._group.clock.mono_ms() - (follower.acked_ms or 0)
-        return age_ms > self._group.settings.election_timeout_ms
-
-
-def majority(voters: typing.Sized) -> int:
-    """Return how many of some voters are a majority."""
-    return len(voters) // 2 + 1
-
-
-def _without(
-    voters: dict[ids.HostId, ids.Incarnation], left_out: ids.HostId
-) -> dict[ids.HostId, ids.Incarnation]:
-    return {host: found for host, found in voters.items() if host != left_out}
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -40,6 +40,7 @@
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
 from wrenspoke.state import configuration
+from wrenspoke.state import electorates
 from wrenspoke.state import entries
 from wrenspoke.state import errors as state_errors
 from wrenspoke.state import replicated
@@ -138,14 +139,19 @@
         return self.storage.meta.incarnation
 
     @property
-    def voters(self) -> dict[ids.HostId, ids.Incarnation]:
-        """Return the newest set of voters."""
-        return self.storage.voters()
+    def electorate(self) -> electorates.Electorate:
+        """Return who decides, by the newest entry."""
+        return self.storage.electorate()
+
+    @property
+    def committed_electorate(self) -> electorates.Electorate:
+        """Return who decides by what is committed, as far as known."""
+        return self.storage.electorate_at(self.commit_index)
 
     @property
     def is_voter(self) -> bool:
         """Tell whether this host, on this disk, has a vote."""
-        return self.voters.get(self.host) == self.incarnation
+        return self.electorate.has(self.host, self.incarnation)
 
     def _load_snapshot(self) -> None:
         snapshot = self.storage.snapshot
@@ -253,7 +259,7 @@
             self.storage.last_term,
             pre,
         )
-        votes = canvass.Canvass(self.host, self.voters)
+        votes = canvass.Canvass(self.host, self.incarnation, self.electorate)
         tasks = [
             asyncio.get_running_loop().create_task(self._ask(host, message))
             for host in votes.others
@@ -336,7 +342,7 @@
         """
         if not self._clearance.given:
             return messages.VoteRefusal.NOT_CLEARED
-        if not self.voters:
+        if not self.electorate.voters:
             return messages.VoteRefusal.NO_VOTE
         if message.term < self.term:
             return messages.VoteRefusal.OLD_TERM
@@ -579,17 +585,14 @@
 
     def _write_snapshot(self) -> None:
         kept = self.storage
-        voters = dict(kept.snapshot.voters)
-        for index in range(kept.first_index, self.commit_index + 1):
-            entry = kept.entry(index).entry
-            if isinstance(entry, entries.SetVoters):
-                voters = entry.voters
+        deciding = kept.electorate_at(self.commit_index)
         kept.save_snapshot(
             storage.Snapshot(
                 self.commit_index,
                 kept.term_at(self.commit_index),
-                voters,
+                deciding.voters,
                 msgspec.msgpack.encode(self.state),
+                deciding.before,
             )
         )
         logger.info('snapshot_written', index=self.commit_index)
--- a/wrenspoke/state/entries.py
+++ b/wrenspoke/state/entries.py
@@ -6,6 +6,7 @@
 
 from wrenspoke import ids
 from wrenspoke.state import configuration
+from wrenspoke.state import electorates
 from wrenspoke.state import plans
 from wrenspoke.state import routes
 
@@ -17,10 +18,21 @@
 
 
 class SetVoters(msgspec.Struct, frozen=True, tag='voters'):
-    """Replace the set of voters; one host at a time differs."""
+    """Replace the set of voters.
 
-    voters: dict[ids.HostId, ids.Incarnation]
+    One is added or taken away at a time; where one takes another's place
+    ``before`` is the set until then, which another entry leaves out once
+    this one is committed.
+    """
+
+    voters: electorates.Voters
     reason: str = ''
+    before: electorates.Voters = {}
+
+    @property
+    def electorate(self) -> electorates.Electorate:
+        """Return who decides from this entry on."""
+        return electorates.Electorate(self.voters, self.before)
 
 
 class Found(msgspec.Struct, frozen=True, tag='found'):
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -13,6 +13,7 @@
 
 from wrenspoke import ids
 from wrenspoke.state import disk
+from wrenspoke.state import electorates
 from wrenspoke.state import entries
 from wrenspoke.state import errors
 from wrenspoke.state import records
@@ -45,8 +46,14 @@
 
     index: int = 0
     term: int = 0
-    voters: dict[ids.HostId, ids.Incarnation] = {}
+    voters: electorates.Voters = {}
     state: bytes = b''
+    before: electorates.Voters = {}
+
+    @property
+    def electorate(self) -> electorates.Electorate:
+        """Return who decided then."""
+        return electorates.Electorate(self.voters, self.before)
 
 
 class Storage:
@@ -60,6 +67,7 @@
         self._synced_meta = msgspec.msgpack.encode(self.meta)
         self.snapshot = self._read_snapshot()
         self._read_log()
+        self._note_electorates()
 
     def check(self) -> None:
         """Stop the voter if its disk has failed.
@@ -165,12 +173,27 @@
         place = index - self.first_index
         return self._entries[place : place + limit]
 
-    def voters(self) -> dict[ids.HostId, ids.Incarnation]:
-        """Return the newest set of voters, committed or not."""
-        for entry in reversed(self._entries):
-            if isinstance(entry.entry, entries.SetVoters):
-                return entry.entry.voters
-        return self.snapshot.voters
+    def electorate(self) -> electorates.Electorate:
+        """Return who decides by the newest entry, committed or not."""
+        return self.electorate_at(self.last_index)
+
+    def electorate_at(self, index: int) -> electorates.Electorate:
+        """Return who decides by the entries up to an index."""
+        for changed, found in reversed(self._electorates):
+            if changed <= index:
+                return found
+        return self.snapshot.electorate
+
+    def _note_electorates(self) -> None:
+        """Remember which entries change who decides.
+
+        It is asked for with each beat, the log is up to 500 entries long.
+        """
+        self._electorates = [
+            (entry.index, entry.entry.electorate)
+            for entry in self._entries
+            if isinstance(entry.entry, entries.SetVoters)
+        ]
 
     def append(self, added: typing.Sequence[entries.LogEntry]) -> None:
         """Add entries behind the last one and sync them."""
@@ -185,6 +208,8 @@
         self._disk.append(LOG, b''.join(data))
         self._entries.extend(added)
         self._ends.extend(ends)
+        if any(isinstance(new.entry, entries.SetVoters) for new in added):
+            self._note_electorates()
 
     def truncate_from(self, index: int) -> None:
         """Drop the entries from an index on, which never committed."""
@@ -197,6 +222,7 @@
         self._disk.truncate(LOG, size_bytes)
         del self._entries[place:]
         del self._ends[keep:]
+        self._note_electorates()
 
     def save_meta(self) -> None:
         """Sync who this voter is and whom it voted for.
@@ -228,6 +254,7 @@
         ]
         self._disk.replace(LOG, b''.join(encoded))
         self._entries = rest
+        self._note_electorates()
         self._ends = []
         end = 0
         for record in encoded:
@@ -266,4 +293,5 @@
         self._disk.remove(SNAPSHOT)
         self.snapshot = Snapshot()
         self._entries = []
+        self._note_electorates()
         self._ends = []
