Replace a silent voter within the time that counts it as lost

Cause: a host that stood by took a lost voter's place after 8 s of silence in the present lead, though another disk may be lost 4 s after the host in its place has started; one lost in between ended the group for good.

Ruled out: keeping the 8 s and counting on restarts being shorter; a voter that is only restarted costs two entries and stands by.

Change: one second, the silence that makes a leader count as lost. Simulated hosts now exchange as real ones do, without which some were unknown to each other, and their runs repeat under any hash seed.

--- a/tests/group.py
+++ b/tests/group.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import random
 import selectors
 
@@ -17,8 +18,10 @@
 from wrenspoke.coordination.membership import controls
 from wrenspoke.coordination.membership import replica
 from wrenspoke import node as settings
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
 from wrenspoke.state import entries
 from wrenspoke.state import routes
 from wrenspoke.state import storage
@@ -28,6 +31,8 @@
 TRAVEL_MS = 80
 JITTER_MS = 20
 LOOK_MS = 20
+# As often as the control hosts of the product do.
+EXCHANGE_INTERVAL_MS = 1_000
 # What cuts, restarts and elections can hold up a change for, by far.
 LONGEST_WAIT_MS = 60_000
 
@@ -222,18 +227,24 @@
 
 
 class Host:
-    """Hold one life of a control host."""
+    """Hold one life of a control host.
+
+    Hosts hear of each other as they exchange what they know of others.
+    """
 
     def __init__(self, name, disk, seeds, network, limits, first_start):
         clock = LoopClock()
         self.name = name
         self.peers = Peers(name, network)
+        self.peers.answers(attending.Exchange)(self._answer_exchange)
+        self._group = controls.ControlGroup(name, seeds, clock)
+        self._tasks = runtime.Tasks()
         kept = storage.Storage(disk)
         if first_start:
             voter.found_together(kept, name, seeds)
         self.voter = voter.Voter(
             name,
-            controls.ControlGroup(name, seeds, clock),
+            self._group,
             limits,
             kept,
             self.peers,
@@ -241,6 +252,31 @@
             clock,
         )
 
+    def start(self):
+        self.voter.start()
+        self._tasks.start(self._exchange())
+
+    async def _exchange(self):
+        while True:
+            for host in self._group.others():
+                self._tasks.start(self._exchange_with(host))
+            await asyncio.sleep(EXCHANGE_INTERVAL_MS / MS_PER_S)
+
+    async def _exchange_with(self, host):
+        with contextlib.suppress(protocol_errors.NoAnswerError):
+            message = attending.Exchange([], [])
+            await self.peers.call(host, message, EXCHANGE_INTERVAL_MS)
+            self._group.hear(host)
+
+    async def _answer_exchange(self, sender, _message):
+        self._group.hear(sender)
+        return attending.Exchanged()
+
+    async def close(self):
+        await self.peers.close()
+        await self._tasks.close()
+        await self.voter.close()
+
 
 class Group:
     """Hold the control hosts of one system, their disks and network."""
@@ -268,15 +304,14 @@
         )
         self.running[name] = host
         self.network.hosts[name] = host.peers
-        host.voter.start()
+        host.start()
         return host
 
     async def end(self, name, power=False):
         """End a host's process at once; its disk stays."""
         host = self.running.pop(name)
         del self.network.hosts[name]
-        await host.peers.close()
-        await host.voter.close()
+        await host.close()
         if power:
             self.disks[name].lose_power()
 
--- a/wrenspoke/coordination/agreement/clearance.py
+++ b/wrenspoke/coordination/agreement/clearance.py
@@ -96,8 +96,8 @@
         meta = self._storage.meta
         message = messages.Hello(meta.incarnation, meta.boot, self._start)
         deciding = self._storage.electorate()
-        others = {*self._group.others(), *deciding.hosts}
-        others.discard(self._group.host)
+        known = {*self._group.others(), *deciding.hosts}
+        others = sorted(known - {self._group.host})
         answers = await asyncio.gather(
             *(self._call(host, message) for host in others)
         )
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -41,15 +41,17 @@
 
     There are twice the tolerated losses and one voters; further control
     hosts stand by. The election time-out is some round trips between far
-    regions (160 ms each) and a slow disk's syncs; a host that stands by
-    takes a voter's place after silence that a restart does not last.
+    regions (160 ms each) and a slow disk's syncs. A host that stands by
+    takes the place of a voter that was silent for as long as makes a
+    leader count as lost: until then one more lost disk may end the group,
+    while one that comes back after all stands by and costs two entries.
     """
 
     beat_interval_ms: Positive = 200
     election_timeout_ms: Positive = 1_000
     snapshot_entries: Positive = 500
     tolerated_losses: Losses | None = None
-    replace_after_ms: Positive = 8_000
+    replace_after_ms: Positive = 1_000
 
     @property
     def voters_limit(self) -> int | None:
