Count a voter's silence from before a lead too

Cause: a new leader counted a voter's silence from its own election, so that a host lost with the old leader, or with everybody's power, kept its place for another second after the group could lead again.

Change: a voter that has not followed in this lead is silent since it was last heard in any way (votes, exchanges), or since this host's start.

--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -326,13 +326,16 @@
         self.host = 'a'
         self.electorate = electorates.Electorate(voters, before or {})
         self.commit_index = 5
-        self.clock = self
+        self.clock = self.group = self
         self.now_ms = 100_000
         self.settings = FakeTimes(limit)
 
     def mono_ms(self):
         return self.now_ms
 
+    def silence_ms(self, _host):
+        return 0
+
     def followers(self, *disks):
         """Return hosts that hold all and answered just now."""
         known = {}
--- a/wrenspoke/coordination/agreement/admissions.py
+++ b/wrenspoke/coordination/agreement/admissions.py
@@ -8,6 +8,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.agreement import followers
+from wrenspoke.coordination.membership import controls
 from wrenspoke import ids
 from wrenspoke.state import electorates
 from wrenspoke.state import entries
@@ -22,6 +23,7 @@
     """Be what admissions need to know of the leader's own host."""
 
     host: ids.HostId
+    group: controls.ControlGroup
     settings: 'limits.ControlSettings'
     clock: clocks.Clock
     commit_index: int
@@ -149,9 +151,15 @@
         )
 
     def _silence_ms(self, host: ids.HostId, known: Followers) -> int:
-        """Return for how long a host was not heard in this lead."""
+        """Return for how long a voter has not followed, as far as known.
+
+        One that has not in this lead may have been silent before: had each
+        new leader to find that out anew, a lost one would keep its place a
+        second longer.
+        """
+        now_ms = self._group.clock.mono_ms()
         follower = known.get(host)
-        heard_ms = None if follower is None else follower.acked_ms
-        if heard_ms is None:
-            heard_ms = self._since_ms
-        return self._group.clock.mono_ms() - heard_ms
+        if follower is not None and follower.acked_ms is not None:
+            return now_ms - follower.acked_ms
+        silence_ms = self._group.group.silence_ms(host)
+        return max(silence_ms, now_ms - self._since_ms)
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -297,11 +297,13 @@
     ) -> messages.Message | None:
         """Send a message and return the answer, None without one."""
         try:
-            return await self._peers.call(
+            answer = await self._peers.call(
                 host, message, self.settings.election_timeout_ms / 2
             )
         except protocol_errors.ProtocolError:
             return None
+        self.group.hear(host)
+        return answer
 
     @_needs_disk
     async def _answer_vote(
--- a/wrenspoke/coordination/membership/controls.py
+++ b/wrenspoke/coordination/membership/controls.py
@@ -30,6 +30,7 @@
         self._clock = clock
         self._seeds: list[ids.HostId] = []
         self._heard_ms: dict[ids.HostId, int] = {}
+        self._began_ms = clock.mono_ms()
         self.reseed(seeds)
 
     def reseed(self, seeds: collections.abc.Iterable[ids.HostId]) -> None:
@@ -56,6 +57,11 @@
         unheard = [host for host in self._seeds if host not in self._heard_ms]
         return [*self._heard_ms, *unheard]
 
+    def silence_ms(self, host: ids.HostId) -> int:
+        """Return for how long a host was not heard, in this life at most."""
+        heard_ms = self._heard_ms.get(host, self._began_ms)
+        return self._clock.mono_ms() - heard_ms
+
     def lately(self, within_ms: int) -> list[ids.HostId]:
         """Return the control hosts that spoke within some time."""
         now_ms = self._clock.mono_ms()
