Let a host stand that lost its vote by a change it alone holds

One that was cut off, had its place taken, and got the entry that ends the change from a leader that then lost its disk, holds the longest log and refuses everybody, but did not stand itself. Nobody could ever lead again. The new test shows it (log_behind for ever), with one disk lost.

Change: who had a vote by what is committed stands too, is elected by the voters of its own newest entry, has it committed and steps down.

--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -467,6 +467,15 @@
             'tests/test_founding.py::test_host_that_canvasses_may_still_vote_for_another'
         ),
     ),
+    Switch(
+        'own newest log says who may stand',
+        DECISIONS + 'agreement/voter.py',
+        ('or not self._may_lead:\n                continue'),
+        ('or not self.is_voter:\n                continue'),
+        (
+            'tests/test_group.py::test_who_lost_its_vote_by_a_change_that_only_it_holds_may_stand'
+        ),
+    ),
     Switch(
         'two that ask at once both stand',
         DECISIONS + 'agreement/voter.py',
--- a/tests/group.py
+++ b/tests/group.py
@@ -144,6 +144,10 @@
                 if one != other:
                     self.cut(one, other)
 
+    def join(self, one, other):
+        """Heal the cut between two hosts."""
+        self._cut.discard(frozenset((one, other)))
+
     @property
     def is_cut(self):
         """Tell whether any two hosts are cut from each other."""
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -124,6 +124,38 @@
     group.run(play())
 
 
+def test_who_lost_its_vote_by_a_change_that_only_it_holds_may_stand():
+    """Nobody else can win against its log, and only it can end the change."""
+
+    async def play():
+        system = group.Group(seed=1)
+        leader = await system.found()
+        await system.change()
+        third, left = [name for name in system.running if name != leader.name]
+        network = system.network
+        system.start('new')
+        await system.sleep_ms(3_000)
+
+        def tell_only_the_one_that_left():
+            network.cut_all()
+            network.join(leader.name, left)
+
+        change = AtChange(system)
+        change.then(nothing).then(tell_only_the_one_that_left)
+        network.cut_off(left)
+        await system.until(lambda: change.done)
+        kept = system.running[left].voter.storage
+        await system.until(lambda: kept.electorate().voters.get('new'))
+        await system.until(lambda: not kept.electorate().before)
+        await system.wipe(leader.name)
+        network.heal()
+        await system.change(SETTLED_MS)
+        assert third in system.running
+        await system.close()
+
+    group.run(play())
+
+
 @pytest.mark.parametrize('second', ['first', 'other', 'newest'])
 @pytest.mark.parametrize('who', ['leader', 'follower'])
 @pytest.mark.parametrize('how', ['replaced', 'wiped'])
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -155,6 +155,17 @@
         """Tell whether this host, on this disk, has a vote."""
         return self.electorate.has(self.host, self.incarnation)
 
+    @property
+    def _may_lead(self) -> bool:
+        """Tell whether this host has a vote, or may have it still.
+
+        One that lost it by a change that is not committed may hold the
+        longest log, so that nobody wins against it. Then it has the change
+        committed, by the votes of others, and steps down.
+        """
+        before = self.committed_electorate
+        return self.is_voter or before.has(self.host, self.incarnation)
+
     def _load_snapshot(self) -> None:
         snapshot = self.storage.snapshot
         if snapshot.index:
@@ -213,7 +224,7 @@
             await self.clock.sleep_ms(self.settings.beat_interval_ms / 2)
             self.storage.check()
             if self.role is Role.LEADER:
-                self._check_quorum()
+                self._check_lead()
                 continue
             waited_ms = self.clock.mono_ms() - max(
                 self._heard_ms, self._canvassed_ms
@@ -224,7 +235,7 @@
             # Not as if a leader was heard: two hosts that canvass in turn
             # would refuse each other their votes.
             self._canvassed_ms = self.clock.mono_ms()
-            if not self._clearance.given or not self.is_voter:
+            if not self._clearance.given or not self._may_lead:
                 continue
             before = (self.term, self._heard_ms)
             # Without room on the disk there is nothing to stand with.
@@ -463,10 +474,11 @@
         """Return when the votes for this lead were asked for."""
         return 0 if self._lead is None else self._lead.since_ms
 
-    def _check_quorum(self) -> None:
-        """Step down when a majority has been silent for long."""
+    def _check_lead(self) -> None:
+        """Step down without a majority for long, or without a vote."""
         silence_ms = self.clock.mono_ms() - self._lead.quorum_acked_ms()
-        if silence_ms > 2 * self.settings.election_timeout_ms:
+        silent = silence_ms > 2 * self.settings.election_timeout_ms
+        if silent or not self._may_lead:
             self._step_down()
 
     async def propose(self, entry: entries.Entry) -> replicated.Applied:
