--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -47,7 +47,7 @@
         self._writers.add(writer)
         try:
             while True:
-                request = await _read_request(reader)
+                request = await read_request(reader)
                 self.requests.append(request)
                 number = len(self.requests)
                 for piece in self.answer(request, number):
@@ -116,7 +116,8 @@
         self._listening.close()
 
 
-async def _read_request(reader):
+async def read_request(reader):
+    """Return a request's bytes, head and body."""
     head = await reader.readuntil(b'\r\n\r\n')
     found = LENGTH.search(head)
     if found is not None:
