Look at a call's homes again as its body leaves

Cause: the homes of a call were those of the table at its arrival, for all of its tries and for as long as a connection took. A repeat, a resumed stream, a relay or a first try behind a slow connection took the body to a region that the route in force forbade.

Ruled out by tests that passed before: a host between that goes by an older table than its own; by reading: prompts taken over (only among engines of the own region), endpoints (only of the own region), keys that run once (kept by hosts of the key's region), probes (no body; a test checks that only the sender has one).

Change: one place lets bodies leave. There, as the first byte is about to go, the route in force and the region that the host itself names decide; what is held back counts as not run and is placed anew by the homes that hold. A line in the log tells both.

Whether it is what the users saw is not shown: suspected.

--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -467,6 +467,26 @@
             'tests/test_founding.py::test_host_that_canvasses_may_still_vote_for_another'
         ),
     ),
+    Switch(
+        'a call keeps the homes of its arrival',
+        DECISIONS + 'serving/passthrough.py',
+        (
+            '            work.route = self._homes.renewed(work.call, work.route)\n'
+        ),
+        (''),
+        (
+            'tests/test_homes.py::test_call_waits_for_nothing_between_a_look_and_its_body'
+        ),
+    ),
+    Switch(
+        'homes not looked at as a body leaves',
+        DECISIONS + 'serving/sending.py',
+        ('                may_enter,\n'),
+        (''),
+        (
+            'tests/test_homes.py::test_call_waits_for_nothing_between_a_look_and_its_body'
+        ),
+    ),
     Switch(
         'own newest log says who may stand',
         DECISIONS + 'agreement/voter.py',
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -57,3 +57,18 @@
             if isinstance(node, ast.Attribute) and node.attr == 'url':
                 readers.append(path.name)
     assert set(readers) == {'dispatch.py'}
+
+
+def test_only_the_sender_lets_a_body_leave():
+    """All else that is asked of endpoints and hosts has no body."""
+    senders = []
+    for path in sorted((ROOT / 'coordination').rglob('*.py')):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            if getattr(node.func, 'attr', '') != 'pass_on':
+                continue
+            body = node.args[4]
+            if not (isinstance(body, ast.Constant) and body.value is None):
+                senders.append(path.name)
+    assert senders == ['sending.py']
--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -29,6 +29,10 @@
     """Say that nothing of the request left this host."""
 
 
+class HeldBackError(CoordinationError):
+    """Say that the request may not go there any more, and did not."""
+
+
 class MaybeSentError(CoordinationError):
     """Say that the endpoint may have run the request."""
 
--- a/wrenspoke/coordination/membership/roster.py
+++ b/wrenspoke/coordination/membership/roster.py
@@ -75,6 +75,11 @@
             for record, heard_ms in self._heard.values()
         ]
 
+    def region_of(self, host: ids.HostId) -> ids.RegionId | None:
+        """Return the region that a host said it is in, None if unknown."""
+        found = self._heard.get(host)
+        return None if found is None else found[0].region
+
     def usable(
         self, region: ids.RegionId | None = None
     ) -> list[attending.HostRecord]:
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -15,6 +15,7 @@
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import choice
+from wrenspoke.coordination.serving import homes
 from wrenspoke.coordination.serving import placing
 from wrenspoke.coordination.serving import spending
 from wrenspoke.coordination.serving import tries
@@ -55,6 +56,7 @@
         placed: placing.Placing,
         tried: tries.Tries,
         budget: spending.Spending,
+        kept_in: homes.Homes,
         switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
@@ -64,9 +66,9 @@
         self._placing = placed
         self._tries = tried
         self._spending = budget
+        self._homes = kept_in
         self._waits = mechanisms.Mechanism.WAITING_AT_START not in switched_off
         self._clock = clock
-        self._index = routes.RouteIndex(routes.RouteTable())
         self.in_flight = 0
         self.leaving = False
         self.closed = False
@@ -86,12 +88,6 @@
             and self._replica.current.routes.version > 0
         )
 
-    def _routes(self) -> routes.RouteIndex:
-        table = self._replica.current.routes
-        if self._index.table is not table:
-            self._index = routes.RouteIndex(table)
-        return self._index
-
     async def serve(
         self,
         call: dialects.Call,
@@ -132,7 +128,7 @@
         ):
             await self._refuse(call, reply, passing.Refusal.NO_CONFIGURATION)
             return None
-        route = self._routes().find(call.host, call.path)
+        route = self._homes.route_of(call)
         if route is None:
             logger.info(
                 'no_route',
@@ -224,6 +220,7 @@
     async def _try_all(self, work: works.Work) -> bool:
         """Try until it is answered; False when it is given up."""
         while self._left_ms(work) > tries.LEAST_LEFT_MS:
+            work.route = self._homes.renewed(work.call, work.route)
             place = self._placing.next_place(work)
             if place is None:
                 work.cause = work.cause or 'no_endpoint'
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -195,7 +195,10 @@
             version=self._replica.current.routes.version,
         )
         return sending.Place(
-            said.address, endpoint=said.endpoint, chosen=chosen
+            said.address,
+            self._region,
+            endpoint=said.endpoint,
+            chosen=chosen,
         )
 
     def _best_elsewhere(
@@ -259,7 +262,11 @@
             attempts_left=work.runs_limit - work.runs,
         )
         return sending.Place(
-            host.passing_address, host=host.host, region=region, hop=hop
+            host.passing_address,
+            host.region,
+            host=host.host,
+            region=region,
+            hop=hop,
         )
 
     def _host_place(
@@ -298,6 +305,7 @@
         )
         return sending.Place(
             found.host.passing_address,
+            found.host.region,
             host=found.host.host,
             region=found.region,
             hop=hop,
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -1,14 +1,16 @@
 """Send a call on to an endpoint or to a host of another region, once.
 
-This is the only place that writes to registered endpoints. It tells
-apart what came back: an answer, a promise that nothing was run, or
-nothing that says whether the call was run.
+This is the only place that writes to registered endpoints, and the only
+one from which a call's body leaves. As it does, its homes are looked at
+again. What came back is told apart: an answer, a promise that nothing was
+run, or nothing that says whether the call was run.
 """
 
 import collections.abc
 import contextlib
 import dataclasses
 import enum
+import functools
 
 import aiohttp
 import msgspec
@@ -17,6 +19,7 @@
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import choice
+from wrenspoke.coordination.serving import homes
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import passing
@@ -40,9 +43,14 @@
 
 @dataclasses.dataclass
 class Place:
-    """Say where a call is sent: an endpoint, or a host elsewhere."""
+    """Say where a call is sent: an endpoint, or a host elsewhere.
+
+    ``stands_in`` is the region of who takes it, ``region`` the one that a
+    host is to serve it in.
+    """
 
     address: str
+    stands_in: ids.RegionId
     endpoint: ids.EndpointId | None = None
     host: ids.HostId | None = None
     region: ids.RegionId | None = None
@@ -59,6 +67,13 @@
             return None
         return round(self.chosen.prospect.first_ms)
 
+    @property
+    def regions(self) -> tuple[ids.RegionId, ...]:
+        """Return the regions that a call enters by going there."""
+        if self.region is None:
+            return (self.stands_in,)
+        return (self.stands_in, self.region)
+
     @property
     def name(self) -> str:
         """Return the endpoint's or host's name, for logs."""
@@ -125,8 +140,10 @@
         dialect: dialects.Dialect,
         endpoints: web.HttpClient,
         hosts: web.HttpClient,
+        kept_in: homes.Homes,
     ):
         self._dialect = dialect
+        self._homes = kept_in
         self._endpoints = endpoints
         self._hosts = hosts
 
@@ -145,17 +162,28 @@
         work on the other side.
 
         :raises NotSentError: no connection; nothing was sent
+        :raises HeldBackError: its homes have changed; nothing was sent
         :raises MaybeSentError: it may have been run
         """
+        may_enter = functools.partial(
+            self._homes.may_enter, call, route, place.host, place.regions
+        )
         fields = self._fields(call, route, place, left_ms, last_event)
         body = call.body or None
         client = self._endpoints if place.host is None else self._hosts
         try:
             async with client.pass_on(
-                call.method, place.address, call.target, fields, body
+                call.method,
+                place.address,
+                call.target,
+                fields,
+                body,
+                may_enter,
             ) as response:
                 verdict = self._verdict(call, place, response)
                 yield Answer(response, verdict, place.host is not None)
+        except transport_errors.HeldBackError as error:
+            raise errors.HeldBackError(str(error)) from error
         except transport_errors.NotSentError as error:
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -84,6 +84,10 @@
                     last_event,
                 ) as answer:
                     return await self._take(work, place, answer)
+        except errors.HeldBackError:
+            work.sent -= 1
+            work.was_not_run()
+            self._held_back(work, place)
         except errors.NotSentError as error:
             work.sent -= 1
             work.was_not_run()
@@ -166,6 +170,18 @@
             left_ms=self._left_ms(work),
         )
 
+    def _held_back(self, work: works.Work, place: sending.Place) -> None:
+        """Note that a call's homes changed before its body had left."""
+        work.cause = f'{place.name}: not at home any more'
+        logger.warning(
+            'held_back',
+            request=work.call.request,
+            route=work.route.name,
+            place=place.name,
+            regions=list(place.regions),
+            homes_before=list(work.route.homes),
+        )
+
     async def _take(
         self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -19,6 +19,7 @@
 from wrenspoke.coordination.serving import choice
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
+from wrenspoke.coordination.serving import homes
 from wrenspoke.coordination.serving import passthrough
 from wrenspoke.coordination.serving import placing
 from wrenspoke.coordination.serving import regions
@@ -176,6 +177,7 @@
             node.switched_off,
             self.clock,
         )
+        kept_in = homes.Homes(self.replica, self.attendance.roster)
         self.passthrough = passthrough.PassThrough(
             self.replica,
             self.attendance,
@@ -190,7 +192,9 @@
                 self.clock,
             ),
             tries.Tries(
-                sending.Sender(dialect, self._client, self._hosts_client),
+                sending.Sender(
+                    dialect, self._client, self._hosts_client, kept_in
+                ),
                 self.attendance,
                 self._choice,
                 self._health,
@@ -200,6 +204,7 @@
                 self.clock,
             ),
             self.spending,
+            kept_in,
             node.switched_off,
             self.clock,
         )
--- a/wrenspoke/transport/errors.py
+++ b/wrenspoke/transport/errors.py
@@ -11,5 +11,9 @@
     """Say that no byte of the message left this process."""
 
 
+class HeldBackError(NotSentError):
+    """Say that the message may not leave any more, and did not."""
+
+
 class MaybeSentError(TransportError):
     """Say that the message may have arrived, though no answer came."""
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -79,6 +79,28 @@
             payload.set_exception(aiohttp.ClientPayloadError(repr(error)))
 
 
+class _GuardedBody(aiohttp.BytesPayload):
+    """Leave only if it still may, at the moment of the first byte.
+
+    A connection may have been waited for since that was looked at last.
+    """
+
+    def __init__(
+        self, body: bytes, may_leave: collections.abc.Callable[[], bool]
+    ):
+        super().__init__(body)
+        self._may_leave = may_leave
+        self.held_back = False
+
+    async def write_with_length(
+        self, writer: aiohttp.abc.AbstractStreamWriter, length: int | None
+    ) -> None:
+        if not self._may_leave():
+            self.held_back = True
+            raise errors.HeldBackError('it may not leave any more')
+        await super().write_with_length(writer, length)
+
+
 class HttpClient:
     """Send HTTP requests without redirects or silent repeats.
 
@@ -166,13 +188,24 @@
         target: str,
         fields: collections.abc.Iterable[tuple[str, str]],
         body: bytes | None,
+        may_leave: collections.abc.Callable[[], bool] | None = None,
     ) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
         """Send a request as its caller wrote it; see ``send``.
 
         ``target`` is the path and query of the request line, ``fields``
-        all headers but those of the connection.
+        all headers but those of the connection. ``may_leave`` is asked as
+        the first byte is about to leave, without a body before there is a
+        connection.
+
+        :raises HeldBackError: it said no
         """
         url = yarl.URL(f'http://{address}{target}', encoded=True)
+        guarded = None
+        if may_leave is not None:
+            if body:
+                body = guarded = _GuardedBody(body, may_leave)
+            elif not may_leave():
+                raise errors.HeldBackError('it may not leave any more')
         try:
             response = await self._pooled.request(
                 method,
@@ -183,6 +216,8 @@
                 allow_redirects=False,
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            if guarded is not None and guarded.held_back:
+                raise errors.HeldBackError(repr(error)) from error
             raise errors.MaybeSentError(repr(error)) from error
         try:
             yield response
