Spread the voters over regions again after a loss

Cause: a silent voter's place was taken by whichever host stood by first, also in another region, and stayed there: one region then held two of three voters, and its loss, which is to be borne, stopped the group until it was back. Since silence is acted on within a second, that would come about at each loss or cut of a region where hosts stand by.

Ruled out: to wait longer for a host of the same region; a disk that is gone for good must be replaced in time wherever the other stands.

Change: hosts say where they stand with what they acknowledge; who spreads the voters over most regions, then data centres, takes a place, and places are changed where that spreads them more. While a voter's place is not known in this lead nothing is moved.

--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -467,6 +467,13 @@
             'tests/test_founding.py::test_host_that_canvasses_may_still_vote_for_another'
         ),
     ),
+    Switch(
+        'voters stay where they are',
+        DECISIONS + 'agreement/admissions.py',
+        ('            or self._spreading(voters, known)\n'),
+        (''),
+        ('tests/test_group_soak.py'),
+    ),
     Switch(
         'a call keeps the homes of its arrival',
         DECISIONS + 'serving/passthrough.py',
--- a/tests/group.py
+++ b/tests/group.py
@@ -23,6 +23,7 @@
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
 from wrenspoke.state import entries
+from wrenspoke.state import locations
 from wrenspoke.state import routes
 from wrenspoke.state import storage
 
@@ -31,6 +32,7 @@
 TRAVEL_MS = 80
 JITTER_MS = 20
 LOOK_MS = 20
+REGIONS = 3
 # As often as the control hosts of the product do.
 EXCHANGE_INTERVAL_MS = 1_000
 # What cuts, restarts and elections can hold up a change for, by far.
@@ -236,7 +238,9 @@
     Hosts hear of each other as they exchange what they know of others.
     """
 
-    def __init__(self, name, disk, seeds, network, limits, first_start):
+    def __init__(
+        self, name, location, disk, seeds, network, limits, first_start
+    ):
         clock = LoopClock()
         self.name = name
         self.peers = Peers(name, network)
@@ -248,6 +252,7 @@
             voter.found_together(kept, name, seeds)
         self.voter = voter.Voter(
             name,
+            location,
             self._group,
             limits,
             kept,
@@ -291,6 +296,7 @@
         self.network = Network(seed)
         self.disks = {}
         self.running = {}
+        self.locations = {}
         self.seeds = list(names)
         self.acknowledged = 0
 
@@ -304,13 +310,26 @@
         """Start a host on its disk, an empty one if it is new."""
         disk = self.disks.setdefault(name, MemoryDisk())
         host = Host(
-            name, disk, self.seeds, self.network, self.limits, first_start
+            name,
+            self.location(name),
+            disk,
+            self.seeds,
+            self.network,
+            self.limits,
+            first_start,
         )
         self.running[name] = host
         self.network.hosts[name] = host.peers
         host.start()
         return host
 
+    def location(self, name):
+        """Return where a host stands: in turn, where it is not said."""
+        if name not in self.locations:
+            region = f'region{len(self.locations) % REGIONS}'
+            self.locations[name] = locations.Location(region, f'{region}-hall')
+        return self.locations[name]
+
     async def end(self, name, power=False):
         """End a host's process at once; its disk stays."""
         host = self.running.pop(name)
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -14,6 +14,7 @@
 from wrenspoke.state import disk
 from wrenspoke.state import electorates
 from wrenspoke.state import entries
+from wrenspoke.state import locations
 from wrenspoke.state import registry
 from wrenspoke.state import routes
 from wrenspoke.state import storage
@@ -319,14 +320,88 @@
     assert admissions.Admissions(group, 0).next_change(known) is None
 
 
+NORTH, SOUTH, WEST = (
+    locations.Location(region, f'{region}-hall')
+    for region in ('north', 'south', 'west')
+)
+
+
+@pytest.mark.parametrize(
+    'where, change',
+    [
+        # The lost one's region has another; any other would be the second
+        # of its own.
+        ({'b': SOUTH, 'c': NORTH, 'd': WEST}, 'lost d'),
+        ({'b': SOUTH, 'c': WEST, 'd': NORTH}, 'lost c'),
+        # None is better than one that is gone.
+        ({'b': SOUTH, 'c': SOUTH}, 'lost c'),
+        ({'b': NORTH, 'c': WEST}, 'lost c'),
+        ({'b': SOUTH}, None),
+    ],
+)
+def test_voters_are_spread_over_regions(where, change):
+    group = FakeGroup(3, {'a': 'A', 'b': 'B', 'lost': 'L'})
+    known = group.followers(*((host, host.upper()) for host in where))
+    for host, location in where.items():
+        known[host].location = location
+    found = admissions.Admissions(group, 0).next_change(known)
+    if change is None:
+        assert found is None
+        return
+    out, come = change.split()
+    assert out not in found.voters and come in found.voters
+
+
+@pytest.mark.parametrize(
+    'where, change',
+    [
+        ({'b': NORTH, 'c': SOUTH, 'd': WEST}, 'b d'),
+        ({'b': WEST, 'c': SOUTH, 'd': NORTH}, None),
+        ({'b': NORTH, 'c': SOUTH, 'd': NORTH}, None),
+        # The other hall of a region is better than the same one twice.
+        (
+            {
+                'b': NORTH,
+                'c': SOUTH,
+                'd': locations.Location('north', 'north-hall-2'),
+            },
+            'b d',
+        ),
+        ({'b': NORTH, 'c': SOUTH, 'd': None}, None),
+        ({'b': None, 'c': SOUTH, 'd': WEST}, None),
+    ],
+    ids=[
+        'third region',
+        'spread',
+        'no other',
+        'other hall',
+        'unknown',
+        'voter unknown',
+    ],
+)
+def test_voters_are_spread_again_once_they_can_be(where, change):
+    group = FakeGroup(3, {'a': 'A', 'b': 'B', 'c': 'C'})
+    known = group.followers(*((host, host.upper()) for host in where))
+    for host, location in where.items():
+        known[host].location = location
+    found = admissions.Admissions(group, 0).next_change(known)
+    if change is None:
+        assert found is None
+        return
+    out, come = change.split()
+    assert out not in found.voters and come in found.voters
+    assert found.before == group.electorate.voters
+
+
 class FakeGroup:
-    """Be what a lead asks of its voter."""
+    """Be what a lead asks of its voter, in the north."""
 
     def __init__(self, limit, voters, before=None):
         self.host = 'a'
         self.electorate = electorates.Electorate(voters, before or {})
         self.commit_index = 5
         self.clock = self.group = self
+        self.location = NORTH
         self.now_ms = 100_000
         self.settings = FakeTimes(limit)
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -64,6 +64,7 @@
     if how == 'wiped':
         await system.wipe(lost)
         return lost
+    system.locations['new'] = system.location(lost)
     await system.remove(lost)
     system.seeds = [name for name in system.seeds if name != lost] + ['new']
     await system.sleep_ms(1_000)
--- a/tests/test_group_soak.py
+++ b/tests/test_group_soak.py
@@ -101,12 +101,23 @@
         assert held >= self.acknowledged
         self.system.acknowledged = self.proposed
         await self.system.change(SETTLED_MS)
+        await self.system.until(self.is_spread, SETTLED_MS)
         looking.cancel()
         for task in background:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         await self.system.close()
 
+    def is_spread(self):
+        """Tell whether each region has one of the voters."""
+        for host in self.system.leading():
+            deciding = host.voter.committed_electorate
+            if deciding.before:
+                return False
+            where = {self.system.location(name) for name in deciding.voters}
+            return len(where) == group.REGIONS == len(deciding.voters)
+        return False
+
     async def keep_changing(self):
         while True:
             await self.system.sleep_ms(CHANGE_EVERY_MS)
@@ -220,6 +231,7 @@
     if name is None or not soak.calm:
         return
     new = f'host{next(soak.numbers)}'
+    soak.system.locations[new] = soak.system.location(name)
     soak.tell('replace', name, new)
     soak.down.add(new)
     await soak.system.remove(name)
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -19,6 +19,7 @@
 from wrenspoke import node as nodes
 from wrenspoke import node_peers
 from wrenspoke.state import disk
+from wrenspoke.state import locations
 from wrenspoke.state import storage
 
 logger = structlog.get_logger(__name__)
@@ -40,6 +41,7 @@
             voter.found_together(kept, node.host, node.seed_hosts)
         self.voter = voter.Voter(
             node.host,
+            locations.Location(node.region, node.data_centre),
             self.group,
             node.control,
             kept,
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -22,6 +22,7 @@
 from wrenspoke import settings
 from wrenspoke.state import disk
 from wrenspoke.state import entries
+from wrenspoke.state import locations
 from wrenspoke.state import storage
 from wrenspoke.transport import web
 
@@ -56,6 +57,7 @@
         ]
         self.voter = voter.Voter(
             host,
+            locations.Location(self._own.region, self._own.data_centre),
             controls.ControlGroup(host, hosts, clock),
             deployment.control,
             kept,
--- a/wrenspoke/coordination/agreement/admissions.py
+++ b/wrenspoke/coordination/agreement/admissions.py
@@ -1,6 +1,7 @@
 """Which disks a leader gives a vote, and which lose theirs.
 
-There are as many voters as the settings allow, on disks that are there.
+There are as many voters as the settings allow, on disks that are there,
+and spread over as many regions and data centres as can be.
 """
 
 import collections.abc
@@ -12,6 +13,7 @@
 from wrenspoke import ids
 from wrenspoke.state import electorates
 from wrenspoke.state import entries
+from wrenspoke.state import locations
 
 if typing.TYPE_CHECKING:
     from wrenspoke import settings as limits
@@ -23,6 +25,7 @@
     """Be what admissions need to know of the leader's own host."""
 
     host: ids.HostId
+    location: locations.Location
     group: controls.ControlGroup
     settings: 'limits.ControlSettings'
     clock: clocks.Clock
@@ -54,6 +57,7 @@
             or self._addition(voters, known)
             or self._removal(voters, known)
             or self._replacement(voters, known)
+            or self._spreading(voters, known)
         )
 
     @property
@@ -102,11 +106,14 @@
     ) -> entries.SetVoters | None:
         if self._limit is not None and len(voters) >= self._limit:
             return None
-        for host, disk in self._standing_by(voters, known).items():
-            return entries.SetVoters(
-                {**voters, host: disk}, f'{host} holds all on disk {disk}'
-            )
-        return None
+        standing_by = self._standing_by(voters, known)
+        host = self._best(standing_by, voters, known)
+        if host is None:
+            return None
+        disk = standing_by[host]
+        return entries.SetVoters(
+            {**voters, host: disk}, f'{host} holds all on disk {disk}'
+        )
 
     def _removal(
         self, voters: electorates.Voters, known: Followers
@@ -114,7 +121,7 @@
         if self._limit is None or len(voters) <= self._limit:
             return None
         gone = self._longest_silent(voters, known)
-        left = {name: voters[name] for name in voters if name != gone}
+        left = _without(voters, gone)
         return entries.SetVoters(left, f'{gone} is one too many')
 
     def _replacement(
@@ -131,15 +138,73 @@
         silence_ms = self._silence_ms(silent, known)
         if silence_ms <= self._group.settings.replace_after_ms:
             return None
-        for host, disk in self._standing_by(voters, known).items():
-            left = {name: voters[name] for name in voters if name != silent}
+        standing_by = self._standing_by(voters, known)
+        left = _without(voters, silent)
+        host = self._best(standing_by, left, known)
+        if host is None:
+            return None
+        return entries.SetVoters(
+            {**left, host: standing_by[host]},
+            f'{silent} silent for {silence_ms} ms, {host} takes its place',
+            voters,
+        )
+
+    def _spreading(
+        self, voters: electorates.Voters, known: Followers
+    ) -> entries.SetVoters | None:
+        """Spread the voters over more places, so that one may be lost.
+
+        Two voters stand in one region after another one was lost, and its
+        host takes a place again once it is back.
+        """
+        if not all(self._location(host, known) for host in voters):
+            # A voter that has not answered in this lead yet may be one of
+            # those that spread them.
+            return None
+        spread = self._spread(voters, known)
+        standing_by = self._standing_by(voters, known)
+        for gone in sorted(voters.keys() - {self._group.host}):
+            left = _without(voters, gone)
+            host = self._best(standing_by, left, known)
+            if host is None or self._spread([*left, host], known) <= spread:
+                continue
             return entries.SetVoters(
-                {**left, host: disk},
-                f'{silent} silent for {silence_ms} ms, {host} takes its place',
+                {**left, host: standing_by[host]},
+                f'{host} stands elsewhere than {gone}',
                 voters,
             )
         return None
 
+    def _best(
+        self,
+        standing_by: collections.abc.Iterable[ids.HostId],
+        voters: collections.abc.Iterable[ids.HostId],
+        known: Followers,
+    ) -> ids.HostId | None:
+        """Return who spreads some voters most, None where nobody is."""
+        return max(
+            sorted(standing_by),
+            key=lambda host: self._spread([*voters, host], known),
+            default=None,
+        )
+
+    def _spread(
+        self, hosts: collections.abc.Iterable[ids.HostId], known: Followers
+    ) -> tuple[int, int]:
+        """Return in how many regions and data centres hosts stand.
+
+        Those that did not say where count for none.
+        """
+        found = {self._location(host, known) for host in hosts} - {None}
+        return len({one.region for one in found}), len(found)
+
+    def _location(
+        self, host: ids.HostId, known: Followers
+    ) -> locations.Location | None:
+        if host == self._group.host:
+            return self._group.location
+        return known[host].location if host in known else None
+
     def _longest_silent(
         self, voters: electorates.Voters, known: Followers
     ) -> ids.HostId | None:
@@ -163,3 +228,9 @@
             return now_ms - follower.acked_ms
         silence_ms = self._group.group.silence_ms(host)
         return max(silence_ms, now_ms - self._since_ms)
+
+
+def _without(
+    voters: electorates.Voters, left_out: ids.HostId
+) -> electorates.Voters:
+    return {host: disk for host, disk in voters.items() if host != left_out}
--- a/wrenspoke/coordination/agreement/followers.py
+++ b/wrenspoke/coordination/agreement/followers.py
@@ -3,11 +3,13 @@
 import asyncio
 
 from wrenspoke import ids
+from wrenspoke.state import locations
 
 
 class Follower:
     """Hold how far a control host is, and when it last said so.
 
+    ``location`` is where it said that it stands.
     ``acked_ms`` is when the message was sent that it answered last, None
     before the first one.
     """
@@ -16,5 +18,6 @@
         self.next_index = next_index
         self.match_index = 0
         self.incarnation: ids.Incarnation | None = None
+        self.location: locations.Location | None = None
         self.acked_ms: int | None = None
         self.more = asyncio.Event()
--- a/wrenspoke/coordination/agreement/lead.py
+++ b/wrenspoke/coordination/agreement/lead.py
@@ -207,6 +207,7 @@
         if answer.incarnation != follower.incarnation:
             follower.incarnation = answer.incarnation
             follower.match_index = 0
+        follower.location = answer.location
         follower.acked_ms = sent_ms
         if not answer.matched:
             lower = min(follower.next_index - 1, answer.last_index)
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -43,6 +43,7 @@
 from wrenspoke.state import electorates
 from wrenspoke.state import entries
 from wrenspoke.state import errors as state_errors
+from wrenspoke.state import locations
 from wrenspoke.state import replicated
 from wrenspoke.state import storage
 
@@ -92,6 +93,7 @@
     def __init__(
         self,
         host: ids.HostId,
+        location: locations.Location,
         group: controls.ControlGroup,
         limits: settings.ControlSettings,
         kept: storage.Storage,
@@ -100,6 +102,7 @@
         clock: clocks.Clock,
     ):
         self.host = host
+        self.location = location
         self.group = group
         self.settings = limits
         self.storage = kept
@@ -528,7 +531,7 @@
         self, matched: bool, last_index: int
     ) -> messages.AppendReply:
         return messages.AppendReply(
-            self.term, matched, last_index, self.incarnation
+            self.term, matched, last_index, self.incarnation, self.location
         )
 
     @_needs_disk
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -8,6 +8,7 @@
 from wrenspoke import ids
 from wrenspoke.state import configuration
 from wrenspoke.state import entries
+from wrenspoke.state import locations
 from wrenspoke.state import registers
 from wrenspoke.state import storage
 
@@ -259,6 +260,7 @@
     matched: bool
     last_index: int
     incarnation: ids.Incarnation
+    location: locations.Location | None = None
 
 
 class Install(msgspec.Struct, tag='install'):
