--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -482,7 +482,7 @@
         ),
         (''),
         (
-            'tests/test_homes.py::test_call_waits_for_nothing_between_a_look_and_its_body'
+            'tests/test_homes.py::test_homes_are_looked_at_again_once_there_is_a_connection'
         ),
     ),
     Switch(
@@ -491,7 +491,7 @@
         ('                may_enter,\n'),
         (''),
         (
-            'tests/test_homes.py::test_call_waits_for_nothing_between_a_look_and_its_body'
+            'tests/test_homes.py::test_homes_are_looked_at_again_once_there_is_a_connection'
         ),
     ),
     Switch(
--- a/tests/group.py
+++ b/tests/group.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import founding
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import controls
@@ -249,7 +250,7 @@
         self._tasks = runtime.Tasks()
         kept = storage.Storage(disk)
         if first_start:
-            voter.found_together(kept, name, seeds)
+            founding.found_together(kept, name, seeds)
         self.voter = voter.Voter(
             name,
             location,
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -7,6 +7,7 @@
 from tests import nodes
 from wrenspoke.coordination.agreement import admissions
 from wrenspoke.coordination.agreement import followers
+from wrenspoke.coordination.agreement import founding
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import kept_registry
@@ -32,7 +33,7 @@
     logs = []
     for seed in SEEDS:
         kept = kept_in(tmp_path / seed)
-        voter.found_together(kept, seed, SEEDS)
+        founding.found_together(kept, seed, SEEDS)
         logs.append([kept.entry(index) for index in (1, 2)])
         assert kept.electorate().voters[seed] == kept.meta.incarnation
     assert logs[0] == logs[1] == logs[2]
@@ -50,7 +51,7 @@
     else:
         kept.meta.boot = 1
     before = kept.last_index
-    voter.found_together(kept, host, SEEDS)
+    founding.found_together(kept, host, SEEDS)
     assert kept.last_index == before
 
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -135,7 +135,7 @@
     await first.close()
 
 
-async def test_call_waits_for_nothing_between_a_look_and_its_body(
+async def test_homes_are_looked_at_again_once_there_is_a_connection(
     system, monkeypatch
 ):
     """The homes change while the connection to the south is made."""
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -10,6 +10,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.agreement import direct
+from wrenspoke.coordination.agreement import founding
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination.membership import controls
 from wrenspoke.coordination.membership import kept_registry
@@ -38,7 +39,7 @@
         self.replica = replica.Replica()
         kept = storage.Storage(disk.Disk(pathlib.Path(node.data_folder)))
         if node.first_start:
-            voter.found_together(kept, node.host, node.seed_hosts)
+            founding.found_together(kept, node.host, node.seed_hosts)
         self.voter = voter.Voter(
             node.host,
             locations.Location(node.region, node.data_centre),
