Show that a power loss can keep a control host from starting

Cause of the test: one write of several entries reaches the disk in blocks, in any order. Where its first entry is lost and a later one is there, the log is taken for damaged in the middle and the host never starts again, though nothing that it acknowledged is lost. Followers that catch up write many entries at once.

--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -22,6 +22,7 @@
     def __init__(self):
         self.files = {}
         self.crash_after = None
+        self.crash_hole = 0
         self.failing = False
 
     def check(self):
@@ -32,11 +33,16 @@
         return self.files.get(name)
 
     def _write(self, name, old, new):
-        """Write, or crash and leave what was there plus a part."""
+        """Write, or crash and leave what was there plus a part.
+
+        Blocks of a write reach the disk in any order: its beginning may
+        be missing where more of it is there.
+        """
         if self.crash_after is not None:
-            grown = new[: len(old) + self.crash_after]
             if new.startswith(old):
-                self.files[name] = grown
+                part = new[len(old) : len(old) + self.crash_after]
+                hole = part[: self.crash_hole]
+                self.files[name] = old + bytes(len(hole)) + part[len(hole) :]
             self.crash_after = None
             raise Crash
         self.files[name] = new
@@ -93,12 +99,15 @@
         self.model += added
 
     @stateful.rule(
-        count=strategies.integers(1, 3), part=strategies.integers(0, 90)
+        count=strategies.integers(1, 3),
+        part=strategies.integers(0, 120),
+        hole=strategies.integers(0, 60),
     )
-    def crash_in_append(self, count, part):
+    def crash_in_append(self, count, part, hole):
         first = self.kept.last_index + 1
         added = [entry(first + step, self.term) for step in range(count)]
         self.disk.crash_after = part
+        self.disk.crash_hole = hole
         with pytest.raises(Crash):
             self.kept.append(added)
         self.reopen()
@@ -283,3 +292,44 @@
     again = storage.Storage(disk.Disk(tmp_path / 'data'))
     assert msgspec.to_builtins(again.entry(2)) == msgspec.to_builtins(entry(2))
     assert again.meta.incarnation == kept.meta.incarnation
+
+
+@pytest.mark.parametrize('lost', range(1, 40, 6))
+def test_append_whose_beginning_was_lost_is_left_out_whole(lost):
+    """It was not synced, whatever of it is on the disk."""
+    made = FakeDisk()
+    kept = storage.Storage(made)
+    kept.save_meta()
+    kept.append([entry(1)])
+    made.crash_after, made.crash_hole = 10_000, lost
+    with pytest.raises(Crash):
+        kept.append([entry(2), entry(3), entry(4)])
+    again = storage.Storage(made)
+    assert again.last_index == 1
+    again.append([entry(2, term=2)])
+    assert storage.Storage(made).entry(2).term == 2
+
+
+def test_entries_of_one_append_can_be_dropped_in_part():
+    made = FakeDisk()
+    kept = storage.Storage(made)
+    kept.save_meta()
+    kept.append([entry(1), entry(2), entry(3)])
+    kept.truncate_from(3)
+    kept.append([entry(3, term=2)])
+    again = storage.Storage(made)
+    assert [again.term_at(index) for index in (1, 2, 3)] == [1, 1, 2]
+
+
+@pytest.mark.parametrize('append', [1, 3])
+def test_damage_before_a_later_append_is_told(append):
+    """What was synced and is damaged must not be taken for a torn end."""
+    made = FakeDisk()
+    kept = storage.Storage(made)
+    kept.save_meta()
+    kept.append([entry(1 + step) for step in range(append)])
+    kept.append([entry(append + 1)])
+    body = made.files[storage.LOG]
+    made.files[storage.LOG] = bytes(6) + body[6:]
+    with pytest.raises(errors.CorruptLogError):
+        storage.Storage(made)
