Write the entries of one append as one record

A power loss in the write of several entries could leave a later record good behind a bad one; the log was then taken for damaged, and the control host ended at each start, for good.

Ruled out: to take any such damage for a torn end (what was synced and is damaged must be told), to sync each entry (5 ms each at some disks).

Change: what is written at once is one record with one checksum, whole or bad. A log cut in the middle of a record is replaced at once. Logs of before are read as they are.

--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -310,6 +310,16 @@
     assert storage.Storage(made).entry(2).term == 2
 
 
+def test_append_that_is_too_large_for_one_record_is_several(monkeypatch):
+    monkeypatch.setattr(records, 'RECORD_LIMIT_BYTES', 60)
+    made = FakeDisk()
+    kept = storage.Storage(made)
+    kept.save_meta()
+    kept.append([entry(1 + step) for step in range(5)])
+    again = storage.Storage(made)
+    assert again.entries_from(1, 9) == [entry(1 + step) for step in range(5)]
+
+
 def test_entries_of_one_append_can_be_dropped_in_part():
     made = FakeDisk()
     kept = storage.Storage(made)
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -6,6 +6,7 @@
 ``committed``, only helps a restart and may be lost.
 """
 
+import itertools
 import typing
 
 import msgspec
@@ -24,6 +25,8 @@
 SNAPSHOT = 'snapshot'
 LOG = 'log'
 COMMITTED = 'committed'
+# Begins a record of several entries; no encoded value begins with it.
+SEVERAL = b'\xc1'
 
 
 class Meta(msgspec.Struct):
@@ -113,8 +116,8 @@
             )  # fmt: skip
             self._disk.truncate(LOG, size_bytes)
         for record in found:
-            entry = msgspec.msgpack.decode(record.body, type=entries.LogEntry)
-            self._load(entry, record)
+            for entry in _entries_of(record.body):
+                self._load(entry, record)
 
     def _load(self, entry: entries.LogEntry, record: records.Record) -> None:
         if not self._entries and entry.index <= self.snapshot.index:
@@ -196,18 +199,23 @@
         ]
 
     def append(self, added: typing.Sequence[entries.LogEntry]) -> None:
-        """Add entries behind the last one and sync them."""
-        data = []
-        end = self._ends[-1] if self._ends else 0
-        ends = []
-        for entry in added:
-            record = records.encode(msgspec.msgpack.encode(entry))
-            end += len(record)
-            data.append(record)
-            ends.append(end)
-        self._disk.append(LOG, b''.join(data))
+        """Add entries behind the last one and sync them.
+
+        They are one record, which a power loss leaves whole or bad: of
+        several, a later one could be there without an earlier one, which
+        looks as if the disk had lost what was synced.
+        """
+        body = _body_of(added)
+        if len(body) > records.RECORD_LIMIT_BYTES and len(added) > 1:
+            half = len(added) // 2
+            self.append(added[:half])
+            self.append(added[half:])
+            return
+        record = records.encode(body)
+        self._disk.append(LOG, record)
+        end = self.log_bytes + len(record)
         self._entries.extend(added)
-        self._ends.extend(ends)
+        self._ends.extend([end] * len(added))
         if any(isinstance(new.entry, entries.SetVoters) for new in added):
             self._note_electorates()
 
@@ -219,6 +227,10 @@
         skipped = len(self._ends) - len(self._entries)
         keep = place + skipped
         size_bytes = self._ends[keep - 1] if keep else 0
+        if size_bytes == self._ends[keep]:
+            # What is kept stands in one record with what is dropped.
+            self._rewrite_log(self._entries[:place])
+            return
         self._disk.truncate(LOG, size_bytes)
         del self._entries[place:]
         del self._ends[keep:]
@@ -249,17 +261,15 @@
                 if entry.index > snapshot.index
             ]
         self.snapshot = snapshot
-        encoded = [
-            records.encode(msgspec.msgpack.encode(entry)) for entry in rest
-        ]
+        self._rewrite_log(rest)
+
+    def _rewrite_log(self, kept: list[entries.LogEntry]) -> None:
+        """Put a log of some entries in place of the log, at once."""
+        encoded = [records.encode(_body_of([entry])) for entry in kept]
         self._disk.replace(LOG, b''.join(encoded))
-        self._entries = rest
+        self._entries = kept
+        self._ends = list(itertools.accumulate(map(len, encoded)))
         self._note_electorates()
-        self._ends = []
-        end = 0
-        for record in encoded:
-            end += len(record)
-            self._ends.append(end)
 
     def note_committed(self, index: int) -> None:
         """Write down, unsynced, up to where entries are committed."""
@@ -295,3 +305,19 @@
         self._entries = []
         self._note_electorates()
         self._ends = []
+
+
+def _body_of(added: typing.Sequence[entries.LogEntry]) -> bytes:
+    """Return the body of the record that holds some entries."""
+    if len(added) == 1:
+        return msgspec.msgpack.encode(added[0])
+    return SEVERAL + msgspec.msgpack.encode(added)
+
+
+def _entries_of(body: bytes) -> list[entries.LogEntry]:
+    """Return the entries that a record holds."""
+    if not body.startswith(SEVERAL):
+        return [msgspec.msgpack.decode(body, type=entries.LogEntry)]
+    return msgspec.msgpack.decode(
+        body[len(SEVERAL) :], type=list[entries.LogEntry]
+    )
