Wait in tests for what hosts offer now, not for any answer

What a host offers comes with that answer, and pings begin a second after the start: where the election took longer than that, the answer was older than the endpoint. The product would have answered the caller with when to come back; the next ping, 0.4 s later, tells.

It waits for two answers in turn, so that one that was under way does not count; no assertion is changed.

--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -47,17 +47,25 @@
 
 
 async def know_each_other(system):
-    """Wait until the north's host knows that the south's answer."""
+    """Wait until the north's host knows what the south's offer now.
+
+    What a host offers comes with its answers to pings. The last answer
+    may be older than what was put in force or registered since, and one
+    that is under way too; the one after it is not.
+    """
     north = system.entries[0]
-    await nodes.until(
-        lambda: (
-            [
-                north._reach.answers(other.node.host)
-                for other in system.entries[1:]
-            ]
-            == [True] * (len(system.entries) - 1)
+    others = [other.node.host for other in system.entries[1:]]
+
+    def answered_since(began_ms):
+        remotes = [north._reach.remote(host) for host in others]
+        return all(
+            remote is not None and (remote.answered_ms or 0) > began_ms
+            for remote in remotes
         )
-    )
+
+    for _answer in range(2):
+        began_ms = north.clock.mono_ms()
+        await nodes.until(lambda began=began_ms: answered_since(began))
 
 
 @pytest.mark.parametrize(
