--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -327,6 +327,20 @@
 )
 
 
+def assert_change_of_places(group, where, change):
+    """Compare who takes whose place with what is expected, if anyone."""
+    known = group.followers(*((host, host.upper()) for host in where))
+    for host, location in where.items():
+        known[host].location = location
+    found = admissions.Admissions(group, 0).next_change(known)
+    if change is None:
+        assert found is None
+        return
+    out, come = change.split()
+    assert out not in found.voters and come in found.voters
+    assert found.before == group.electorate.voters
+
+
 @pytest.mark.parametrize(
     'where, change',
     [
@@ -342,15 +356,7 @@
 )
 def test_voters_are_spread_over_regions(where, change):
     group = FakeGroup(3, {'a': 'A', 'b': 'B', 'lost': 'L'})
-    known = group.followers(*((host, host.upper()) for host in where))
-    for host, location in where.items():
-        known[host].location = location
-    found = admissions.Admissions(group, 0).next_change(known)
-    if change is None:
-        assert found is None
-        return
-    out, come = change.split()
-    assert out not in found.voters and come in found.voters
+    assert_change_of_places(group, where, change)
 
 
 @pytest.mark.parametrize(
@@ -382,16 +388,7 @@
 )
 def test_voters_are_spread_again_once_they_can_be(where, change):
     group = FakeGroup(3, {'a': 'A', 'b': 'B', 'c': 'C'})
-    known = group.followers(*((host, host.upper()) for host in where))
-    for host, location in where.items():
-        known[host].location = location
-    found = admissions.Admissions(group, 0).next_change(known)
-    if change is None:
-        assert found is None
-        return
-    out, come = change.split()
-    assert out not in found.voters and come in found.voters
-    assert found.before == group.electorate.voters
+    assert_change_of_places(group, where, change)
 
 
 class FakeGroup:
