Tell changes of hosts and numbers of renewals, not whole records

Cause: each control host told every other, each second, the whole record of all hosts and endpoints that had renewed, also of those it had itself from a third; and each entry host was told the whole roster at every change of any host, as often as anything changed. Ruled out: compressing alone (records of 200 hosts are packed already).

Now a change is told once, by revision; renewals are a number each, told by who heard them, or passed on where who heard them is cut off from who is told; a loss is told by who heard the host. Entry hosts are told hosts as numbered changes that ride on the next answer, and are answered five times a second at the most. The second session stays in the own region and leaves a control host that hears no leader.

--- /dev/null
+++ b/tests/attending_fleet.py
@@ -0,0 +1,221 @@
+"""Entry and control hosts that find each other, in time of their own.
+
+Nothing but membership runs: hosts attend, endpoints renew, control hosts
+exchange. Every message is counted by who sent it, so that a test can say
+how the cost of a host grows with the number of the others.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+from tests import group
+from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import registrar
+from wrenspoke.coordination.membership import replica
+from wrenspoke.protocol import attending
+from wrenspoke.state import registry
+
+CONTROLS = 6
+REGIONS = ('north', 'south', 'west')
+# As endpoints do on the platform, and daemons of one start.
+RENEWAL_MS = 1_200
+START_SPREAD_MS = 300
+# One way within a region, where most attend: news comes at its quickest.
+TRAVEL_MS = 2
+
+
+@dataclasses.dataclass
+class Sent:
+    """Count what hosts sent: messages and their bytes."""
+
+    messages: int = 0
+    bytes: int = 0
+
+
+class CountingPeers(group.Peers):
+    """Count what a host sends, by who gets it and by kind."""
+
+    def __init__(self, host, network):
+        super().__init__(host, network)
+        self.sent = collections.defaultdict(Sent)
+
+    def _count(self, host, body):
+        kind = type(self._decoder.decode(body)).__name__
+        for key in (kind, (kind, host)):
+            self.sent[key].messages += 1
+            self.sent[key].bytes += len(body)
+
+    async def _carry(self, host, body, answered):
+        self._count(host, body)
+        await super()._carry(host, body, answered)
+
+    async def handle(self, sender, body):
+        answer = await super().handle(sender, body)
+        self._count(sender, answer)
+        return answer
+
+    async def tell(self, host, message):
+        body = self._encoder.encode(message)
+        self._count(host, body)
+        if await self._network.travel(self.host, host):
+            there = self._network.hosts.get(host)
+            if there is not None:
+                await there.hear(self.host, body)
+        return len(body)
+
+    async def hear(self, sender, body):
+        """Take a message that has no answer."""
+        message = self._decoder.decode(body)
+        await self._answerers[type(message)](sender, message)
+
+
+class Leading:
+    """Stand in for a voter that leads."""
+
+    has_lease = led = True
+    leader = None
+
+
+class ControlHost:
+    """Hold what a control host knows of others."""
+
+    def __init__(self, name, region, seeds, network):
+        clock = group.LoopClock()
+        self.name = name
+        self.peers = CountingPeers(name, network)
+        network.hosts[name] = self.peers
+        self.group = controls.ControlGroup(name, seeds, clock)
+        self.registrar = registrar.Registrar(
+            region,
+            Leading(),
+            self.group,
+            replica.Replica(),
+            self.peers,
+            clock,
+        )
+        self.registrar.start()
+
+    async def close(self):
+        await self.peers.close()
+        await self.registrar.close()
+
+
+class EntryHost:
+    """Hold an entry host that attends."""
+
+    def __init__(self, name, number, seeds, network):
+        clock = group.LoopClock()
+        self.name = name
+        self.peers = CountingPeers(name, network)
+        network.hosts[name] = self.peers
+        region = REGIONS[number % len(REGIONS)]
+        record = attending.HostRecord(
+            name,
+            region,
+            f'{region}-hall',
+            f'{name}0',
+            f'{name}1',
+            f'start{number:016}',
+            0,
+            False,
+        )
+        self.attendance = attendance.Attendance(
+            record,
+            controls.ControlGroup(name, seeds, clock),
+            replica.Replica(),
+            self.peers,
+            clock,
+        )
+        self.attendance.start()
+
+    @property
+    def known(self):
+        """Return the hosts that this one knows of."""
+        return {record.host for record in self.attendance.roster.usable()}
+
+    async def close(self):
+        await self.peers.close()
+        await self.attendance.close()
+
+
+class AttendingFleet:
+    """Hold entry hosts, control hosts and endpoints of one system."""
+
+    def __init__(self, entries, endpoints):
+        self.network = group.Network(seed=1, travel_ms=TRAVEL_MS, jitter_ms=1)
+        self.control_names = [f'10.9.0.{n}:7000' for n in range(CONTROLS)]
+        self.entry_names = [
+            f'10.{n // 200}.1.{n % 200}:7000' for n in range(entries)
+        ]
+        self.endpoints = endpoints
+        self.controls = {}
+        self.entries = {}
+        self._renewing = []
+
+    async def start(self):
+        """Start every host within a moment, and let endpoints renew."""
+        for name in self.control_names:
+            self.start_control(name)
+        for number in range(len(self.entry_names)):
+            self.start_entry(number)
+            await self.wait_ms(START_SPREAD_MS / len(self.entry_names))
+        for number in range(self.endpoints):
+            self._renewing.append(asyncio.ensure_future(self._renew(number)))
+
+    def start_control(self, name):
+        seeds = self.control_names[:3]
+        number = self.control_names.index(name)
+        region = REGIONS[number % len(REGIONS)]
+        self.controls[name] = ControlHost(name, region, seeds, self.network)
+
+    def start_entry(self, number):
+        name = self.entry_names[number]
+        seeds = self.control_names[:3]
+        self.entries[name] = EntryHost(name, number, seeds, self.network)
+
+    async def _renew(self, number):
+        await self.wait_ms(RENEWAL_MS * number / self.endpoints)
+        control = self.control_names[number % CONTROLS]
+        renewal = 0
+        while True:
+            renewal += 1
+            if control in self.controls:
+                said = registration(number, renewal)
+                self.controls[control].registrar.register(said)
+            await self.wait_ms(RENEWAL_MS)
+
+    async def wait_ms(self, delay_ms):
+        """Let time go on."""
+        await asyncio.sleep(delay_ms / group.MS_PER_S)
+
+    def sent(self, hosts, kind, to=None):
+        """Return what some hosts sent of a kind, to one host or to all."""
+        key = kind if to is None else (kind, to)
+        total = Sent()
+        for host in hosts.values():
+            total.messages += host.peers.sent[key].messages
+            total.bytes += host.peers.sent[key].bytes
+        return total
+
+    async def close(self):
+        """End every host."""
+        for task in self._renewing:
+            task.cancel()
+        for host in [*self.entries.values(), *self.controls.values()]:
+            await host.close()
+
+
+def registration(number, renewal, **changes):
+    """Return what an endpoint says of itself."""
+    fields = {'state': registry.RegistrationState.READY, **changes}
+    return registry.Registration(
+        f'i-{number:010}',
+        'service',
+        f'10.8.{number // 200}.{number % 200}:8000',
+        f'{REGIONS[number % len(REGIONS)]}-hall',
+        32,
+        number=renewal,
+        **fields,
+    )
--- a/tests/group.py
+++ b/tests/group.py
@@ -124,8 +124,10 @@
 class Network:
     """Carry messages between hosts, unless they are cut off."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, travel_ms=TRAVEL_MS, jitter_ms=JITTER_MS):
         self._random = random.Random(seed)
+        self._travel_ms = travel_ms
+        self._jitter_ms = jitter_ms
         self._cut = set()
         self.hosts = {}
         self.watch = _watch_nothing
@@ -168,7 +170,7 @@
         """Wait until a message is there; False if it never is."""
         if not self.open(one, other):
             return False
-        took_ms = TRAVEL_MS + self._random.uniform(0, JITTER_MS)
+        took_ms = self._travel_ms + self._random.uniform(0, self._jitter_ms)
         await asyncio.sleep(took_ms / MS_PER_S)
         return self.open(one, other)
 
@@ -274,7 +276,7 @@
 
     async def _exchange_with(self, host):
         with contextlib.suppress(protocol_errors.NoAnswerError):
-            message = attending.Exchange([], [])
+            message = attending.Exchange([], attending.HostChanges([], []))
             await self.peers.call(host, message, EXCHANGE_INTERVAL_MS)
             self._group.hear(host)
 
--- /dev/null
+++ b/tests/test_attending_fleet.py
@@ -0,0 +1,173 @@
+"""What membership costs each host as a fleet grows, counted in bytes.
+
+Fleets of 20, 60 and 200 entry hosts, with half as many endpoints and six
+control hosts, as on deployments of hundreds of machines.
+"""
+
+import pytest
+
+from tests import attending_fleet
+from tests import group
+
+SIZES = [20, 60, 200]
+SETTLED_MS = 4_000
+CALM_MS = 5_000
+# A renewal as it is told: a name, its number, an age, a life.
+RENEWAL_BYTES = 40
+# One record of a host or endpoint, told by both sessions of a host.
+RECORD_BYTES = 260
+# What every message carries that tells nothing of others.
+EMPTY_BYTES = 800
+# Four times as long as any change in a calm fleet takes.
+LOST_MS = 8_000
+
+
+async def settled(entries):
+    fleet = attending_fleet.AttendingFleet(entries, entries // 2)
+    await fleet.start()
+    await fleet.wait_ms(SETTLED_MS)
+    return fleet
+
+
+@pytest.mark.parametrize('entries', SIZES)
+def test_hosts_that_start_together_are_told_of_in_few_messages(entries):
+    async def play():
+        fleet = await settled(entries)
+        for host in fleet.entries.values():
+            assert host.known == {*fleet.entry_names}
+        told = fleet.sent(fleet.controls, 'Attended')
+        await fleet.close()
+        assert told.messages / entries <= 30
+        things = entries + fleet.endpoints
+        most = RECORD_BYTES * things + 8 * EMPTY_BYTES
+        assert told.bytes / entries <= most
+
+    group.run(play())
+
+
+@pytest.mark.parametrize('entries', SIZES)
+def test_control_hosts_tell_renewals_in_a_few_bytes_each(entries):
+    async def play():
+        fleet = await settled(entries)
+        before = fleet.sent(fleet.controls, 'Exchange').bytes
+        await fleet.wait_ms(CALM_MS)
+        told = fleet.sent(fleet.controls, 'Exchange').bytes - before
+        await fleet.close()
+        seconds = CALM_MS / group.MS_PER_S
+        things = entries + fleet.endpoints
+        most = RENEWAL_BYTES * things + EMPTY_BYTES
+        assert told / seconds / attending_fleet.CONTROLS <= most
+
+    group.run(play())
+
+
+@pytest.mark.parametrize('entries', SIZES)
+def test_calm_host_is_told_as_little_in_a_large_fleet(entries):
+    async def play():
+        fleet = await settled(entries)
+        before = fleet.sent(fleet.controls, 'Attended')
+        await fleet.wait_ms(CALM_MS)
+        told = fleet.sent(fleet.controls, 'Attended')
+        await fleet.close()
+        seconds = CALM_MS / group.MS_PER_S
+        assert (told.messages - before.messages) / entries / seconds <= 3.2
+        assert (told.bytes - before.bytes) / entries / seconds <= 1_000
+
+    group.run(play())
+
+
+@pytest.mark.parametrize('entries', SIZES)
+def test_host_that_comes_later_costs_each_other_host_one_record(entries):
+    async def play():
+        fleet = await settled(entries)
+        # Calm answers that the join would hide among are counted alike.
+        await fleet.wait_ms(CALM_MS)
+        before = fleet.sent(fleet.controls, 'Attended').bytes
+        await fleet.wait_ms(CALM_MS)
+        calm = fleet.sent(fleet.controls, 'Attended').bytes - before
+        fleet.entry_names.append('10.7.7.7:7000')
+        fleet.start_entry(entries)
+        before += calm
+        newcomer = '10.7.7.7:7000'
+        await fleet.wait_ms(CALM_MS)
+        told = fleet.sent(fleet.controls, 'Attended').bytes - before
+        told -= fleet.sent(fleet.controls, 'Attended', newcomer).bytes
+        known = [newcomer in host.known for host in fleet.entries.values()]
+        await fleet.close()
+        assert all(known)
+        assert (told - calm) / entries <= RECORD_BYTES
+
+    group.run(play())
+
+
+def test_lost_host_is_dropped_everywhere():
+    async def play():
+        fleet = await settled(20)
+        lost = fleet.entry_names[3]
+        await fleet.entries.pop(lost).close()
+        await fleet.wait_ms(LOST_MS)
+        for host in fleet.controls.values():
+            assert lost not in host.registrar.roster.hosts()
+        for host in fleet.entries.values():
+            assert lost not in host.known
+        await fleet.close()
+
+    group.run(play())
+
+
+def test_what_a_control_host_hears_reaches_those_that_it_is_cut_off_from():
+    """Another one that hears both passes it on."""
+
+    async def play():
+        fleet = await settled(20)
+        alone, *others, between = fleet.control_names
+        for other in others:
+            fleet.network.cut(alone, other)
+        await fleet.wait_ms(2 * LOST_MS)
+        for name in others:
+            told = fleet.controls[name].registrar
+            assert told.roster.hosts() == {*fleet.entry_names}
+            silent = [
+                endpoint
+                for endpoint, found in told.registry.held.items()
+                if found.silent
+            ]
+            assert silent == [] and len(told.registry.held) == 10
+        await fleet.close()
+
+    group.run(play())
+
+
+def test_control_host_that_restarts_is_told_all_again():
+    async def play():
+        fleet = await settled(20)
+        name = fleet.control_names[4]
+        await fleet.controls.pop(name).close()
+        await fleet.wait_ms(300)
+        fleet.start_control(name)
+        await fleet.wait_ms(SETTLED_MS)
+        told = fleet.controls[name].registrar
+        assert told.roster.hosts() == {*fleet.entry_names}
+        assert len(told.registry.held) == 10
+        await fleet.close()
+
+    group.run(play())
+
+
+def test_cut_that_heals_leaves_every_host_known():
+    """What was dropped meanwhile is told again once it renews."""
+
+    async def play():
+        fleet = await settled(20)
+        alone, *others = fleet.control_names
+        for other in others:
+            fleet.network.cut(alone, other)
+        await fleet.wait_ms(2 * LOST_MS)
+        fleet.network.heal()
+        await fleet.wait_ms(LOST_MS)
+        for host in fleet.controls.values():
+            assert host.registrar.roster.hosts() == {*fleet.entry_names}
+            assert len(host.registrar.registry.held) == 10
+        await fleet.close()
+
+    group.run(play())
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -51,7 +51,12 @@
             self.clock,
         )
         self.registrar = registrar.Registrar(
-            self.voter, self.group, self.replica, self.peers, self.clock
+            node.region,
+            self.voter,
+            self.group,
+            self.replica,
+            self.peers,
+            self.clock,
         )
         self._kept_registry = kept_registry.KeptRegistry(
             pathlib.Path(node.data_folder),
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -219,6 +219,13 @@
         silence_ms = self.clock.mono_ms() - self._heard_ms
         return silence_ms < self.settings.election_timeout_ms
 
+    @property
+    def led(self) -> bool:
+        """Tell whether this host leads, or heard from who does of late."""
+        if self.role is Role.LEADER:
+            return self.has_lease
+        return self.leader is not None and self._hears_leader()
+
     async def _watch(self) -> None:
         """Stand for election when the leader falls silent."""
         patience_ms = self._patience_ms()
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -2,8 +2,8 @@
 
 It attends at two control hosts at a time, its own data centre's and
 region's first. Each call tells that it lives and brings what is new.
-When one gives no answer the next is tried; the last known ones are kept
-while none does.
+When one gives no answer, or the second knows of no leader, the next is
+tried; the last known ones are kept while none does.
 """
 
 import asyncio
@@ -42,8 +42,12 @@
 # for the other session's answer: a round trip to a far region of 160 ms.
 # Where there is no leader, the best of both is served.
 CONFIRMATION_WAIT_MS = 200
-# A roster that another keeps is taken over whole, and not expired here.
+# What control hosts tell of others is not expired here.
 NEVER_LEASE_MS = 10**9
+# A control host without a leader for so long may be cut off from the others
+# that decide: longer than an election, short beside the time a change may
+# take. One session looks elsewhere then; the other stays where it is.
+LEADERLESS_MS = 2_000
 
 
 @dataclasses.dataclass
@@ -54,6 +58,16 @@
     life: str = ''
     endpoints_revision: int = 0
     hosts_revision: int = 0
+    # The entry hosts that this control host knows.
+    hosts: set[ids.HostId] = dataclasses.field(default_factory=set)
+    led_ms: int = 0
+
+    def begin(self, host: ids.HostId | None, now_ms: int) -> None:
+        """Begin anew at a control host, or at none."""
+        self.host = host
+        self.life = ''
+        self.hosts = set()
+        self.led_ms = now_ms
 
 
 class Attendance:
@@ -77,6 +91,8 @@
         self._sessions = [_Session() for _number in range(ATTENDED_COUNT)]
         self._ticked_ms = clock.mono_ms()
         self._failed: ids.HostId | None = None
+        # Control hosts that are known to stand in this region.
+        self._near: set[ids.HostId] = set()
         self._waiting: asyncio.Task | None = None
         self.draining = False
         self.registry = registry.Registry(clock)
@@ -143,28 +159,40 @@
     async def _attend(self, session: _Session) -> None:
         while True:
             if session.host is None:
-                session.host = self._choose()
-                session.life = ''
+                session.begin(self._choose(), self._clock.mono_ms())
             if session.host is None:
                 await self._clock.sleep_ms(PAUSE_MS)
                 continue
-            if await self._call(session, session.host, WAIT_MS):
+            if not await self._call(session, session.host, WAIT_MS):
+                logger.warning('control_host_lost', peer=session.host)
+            elif self._is_leaderless(session):
+                logger.info('control_host_left', peer=session.host)
+            else:
                 continue
-            logger.warning('control_host_lost', peer=session.host)
             self._failed = session.host
-            session.host = None
+            session.begin(None, self._clock.mono_ms())
             await self._clock.sleep_ms(PAUSE_MS)
 
+    def _is_leaderless(self, session: _Session) -> bool:
+        """Tell whether a session should look for a leader elsewhere."""
+        if session is self._sessions[0]:
+            return False
+        return self._clock.mono_ms() - session.led_ms > LEADERLESS_MS
+
     def _choose(self) -> ids.HostId | None:
         """Return a control host that no other session attends at."""
         taken = {session.host for session in self._sessions}
         free = [host for host in self._group.others() if host not in taken]
         random.shuffle(free)
+        return min(free, key=self._rank, default=None)
+
+    def _rank(self, host: ids.HostId) -> tuple[bool, bool, bool]:
+        """Rank control hosts: own data centre, own region, any other."""
         own_ip = self._record.host.rpartition(':')[0]
-        return min(
-            free,
-            key=lambda host: (host == self._failed, not _near(host, own_ip)),
-            default=None,
+        return (
+            host == self._failed,
+            not _near(host, own_ip),
+            host not in self._near,
         )
 
     async def _call(
@@ -205,12 +233,32 @@
         for said in answer.endpoints:
             self.registry.take(said)
         if answer.hosts is not None:
-            self.roster.replace(answer.hosts)
+            self._take_hosts(session, answer.hosts)
+        self._near.update(answer.near)
+        if answer.delta.confirmed or answer.delta.leader is not None:
+            session.led_ms = self._clock.mono_ms()
         session.life = answer.life
         self._serve_if_sure(answer)
         session.endpoints_revision = answer.endpoints_revision
         session.hosts_revision = answer.hosts_revision
 
+    def _take_hosts(
+        self, session: _Session, changes: attending.HostChanges
+    ) -> None:
+        """Take what changed; a host is lost once no session knows it."""
+        lost = {*changes.lost}
+        for record in changes.found:
+            self.roster.take(record)
+        named = {record.host for record in changes.found}
+        if changes.whole:
+            lost = self.roster.hosts() - named
+            session.hosts = named
+        session.hosts |= named
+        session.hosts -= lost
+        for host in lost:
+            if not any(host in one.hosts for one in self._sessions):
+                self.roster.drop(host)
+
     def _serve_if_sure(self, answer: attending.Attended) -> None:
         """Serve by what a leader confirmed, or, after a wait, by the best.
 
--- /dev/null
+++ b/wrenspoke/coordination/membership/exchanges.py
@@ -0,0 +1,207 @@
+"""What control hosts tell each other of endpoints and entry hosts.
+
+Each is told whole, once, what changed, by a revision that counts within
+one life of who tells. Of all else only the number of the last renewal is
+told, by the control host that heard it, or by another where that one is
+cut off from who is told. A control host that was restarted, or that hears
+of a renewal of something that it does not know, is told all again.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import roster
+from wrenspoke import ids
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke.state import registry
+
+logger = structlog.get_logger(__name__)
+
+# Renewals ride on this; changes do not wait for it.
+INTERVAL_MS = 1_000
+# Some far round trips of 160 ms; one that is lost is made up by the next.
+TIMEOUT_MS = 800
+# Many hosts and endpoints that come at once are told together.
+GATHER_MS = 40
+# The interval, and a far region's way. Who was not heard for longer is cut
+# off from this host, and others are asked to pass on what it hears.
+HEARD_LATELY_MS = 1_500
+# Some intervals: who stood in this region that long ago still does.
+NEAR_LATELY_MS = 3_000
+
+
+@dataclasses.dataclass
+class Told:
+    """Hold how far another control host was told, and whom it hears."""
+
+    life: str = ''
+    at_ms: int = 0
+    endpoints_revision: int = 0
+    hosts_revision: int = 0
+    heard: set[ids.HostId] = dataclasses.field(default_factory=set)
+
+
+class Exchanges:
+    """Tell every other control host what this one hears."""
+
+    def __init__(
+        self,
+        life: str,
+        region: ids.RegionId,
+        group: controls.ControlGroup,
+        endpoints: registry.Registry,
+        hosts: roster.Roster,
+        peers: peer_calls.Peers,
+        changed: collections.abc.Callable[[], None],
+        clock: clocks.Clock,
+    ):
+        self._life = life
+        self._region = region
+        self._group = group
+        self._endpoints = endpoints
+        self._hosts = hosts
+        self._peers = peers
+        self._changed = changed
+        self._clock = clock
+        self._hurries: dict[ids.HostId, asyncio.Event] = {}
+        self._regions: dict[ids.HostId, ids.RegionId] = {}
+        self._tasks = runtime.Tasks()
+        peers.answers(attending.Exchange)(self._answer)
+
+    def start(self) -> None:
+        """Begin to exchange."""
+        self._tasks.start(self._watch())
+
+    async def close(self) -> None:
+        """End every task."""
+        await self._tasks.close()
+
+    def hurry(self) -> None:
+        """Tell all of a change without waiting for the interval."""
+        for event in self._hurries.values():
+            event.set()
+
+    def near(self) -> list[ids.HostId]:
+        """Return the control hosts of this region that spoke lately."""
+        others = [
+            host
+            for host in self._group.lately(NEAR_LATELY_MS)
+            if self._regions.get(host) == self._region
+        ]
+        return [self._group.host, *others]
+
+    async def _watch(self) -> None:
+        """Exchange with each control host that is found."""
+        while True:
+            for host in self._group.others():
+                if host in self._hurries:
+                    continue
+                self._hurries[host] = asyncio.Event()
+                self._tasks.start(self._exchange_with(host))
+            await self._clock.sleep_ms(INTERVAL_MS)
+
+    async def _exchange_with(self, host: ids.HostId) -> None:
+        told = Told()
+        hurried = self._hurries[host]
+        while host in self._group.others():
+            hurried.clear()
+            asked_ms = self._clock.mono_ms()
+            told = await self._tell(host, told)
+            await self._wait(hurried, asked_ms)
+        del self._hurries[host]
+
+    async def _tell(self, host: ids.HostId, told: Told) -> Told:
+        """Tell what is new; return how far the other has come then."""
+        reached = Told(
+            told.life,
+            self._clock.mono_ms(),
+            self._endpoints.revision,
+            self._hosts.revision,
+        )
+        message = self._news(host, told)
+        try:
+            answer = await self._peers.call(host, message, TIMEOUT_MS)
+        except protocol_errors.ProtocolError:
+            return told
+        if not isinstance(answer, attending.Exchanged):
+            return told
+        self._group.hear(host)
+        if answer.unknown or told.life not in ('', answer.life):
+            logger.info('told_again', peer=host, unknown=answer.unknown)
+            self._hurries[host].set()
+            return Told(answer.life)
+        reached.life = answer.life
+        reached.heard = {*answer.heard, host}
+        return reached
+
+    def _news(self, host: ids.HostId, told: Told) -> attending.Exchange:
+        # What came by way of a third was learned up to an interval later.
+        since_ms = told.at_ms - INTERVAL_MS
+        heard = {*told.heard, host}
+        now_ms = self._clock.mono_ms()
+        renewed = [
+            attending.Renewal(
+                found.said.endpoint,
+                found.said.number,
+                max(now_ms - found.heard_ms, 0),
+            )
+            for found in self._endpoints.renewed(
+                since_ms, told.endpoints_revision, heard
+            )
+        ]
+        return attending.Exchange(
+            self._endpoints.after(told.endpoints_revision),
+            self._hosts.after(told.hosts_revision),
+            renewed,
+            self._hosts.renewed(since_ms, told.hosts_revision, heard),
+            self._region,
+        )
+
+    async def _wait(self, hurried: asyncio.Event, asked_ms: int) -> None:
+        left_ms = asked_ms + INTERVAL_MS - self._clock.mono_ms()
+        try:
+            async with clocks.timeout_ms(max(left_ms, 1)):
+                await hurried.wait()
+                await self._clock.sleep_ms(GATHER_MS)
+        except TimeoutError:
+            return
+
+    async def _answer(
+        self, sender: ids.HostId, message: attending.Exchange
+    ) -> attending.Exchanged:
+        self._group.hear(sender)
+        self._regions[sender] = message.region
+        revision = self._endpoints.revision
+        hosts_changed = False
+        for said in message.endpoints:
+            self._endpoints.take(said, sender)
+        for record in message.hosts.found:
+            hosts_changed |= self._hosts.take(record, sender)
+        for host in message.hosts.lost:
+            hosts_changed |= self._hosts.take_lost(host)
+        unknown = False
+        for renewal in message.renewed_endpoints:
+            unknown |= not self._endpoints.renew(
+                ids.EndpointId(renewal.name),
+                renewal.number,
+                renewal.age_ms,
+                sender,
+            )
+        for renewal in message.renewed_hosts:
+            unknown |= not self._hosts.renew(renewal, sender)
+        if self._endpoints.revision != revision:
+            self._changed()
+            self.hurry()
+        elif hosts_changed:
+            self.hurry()
+        return attending.Exchanged(
+            self._life, self._group.lately(HEARD_LATELY_MS), unknown
+        )
--- a/wrenspoke/coordination/membership/partners.py
+++ b/wrenspoke/coordination/membership/partners.py
@@ -40,6 +40,9 @@
         self._reach = reached
         self._clock = clock
         self._tasks = runtime.Tasks()
+        # The order of each region's hosts, as of a revision of the roster.
+        self._ranked: dict[ids.RegionId, list[attending.HostRecord]] = {}
+        self._revision = -1
         reached.tell_cut_off(self.cut_off)
 
     def start(self) -> None:
@@ -67,11 +70,30 @@
         regions = {record.region for record in self._roster.usable()}
         regions.discard(self._region)
         return [
-            region for region in sorted(regions) if not self.reachable(region)
+            region for region in sorted(regions) if self._is_cut_off(region)
         ]
 
+    def _is_cut_off(self, region: ids.RegionId) -> bool:
+        return all(
+            self._reach.answers(record.host) is False
+            for record in self.ranked(region)
+        )
+
     def ranked(self, region: ids.RegionId) -> list[attending.HostRecord]:
-        """Return a region's hosts in the order of this host's choice."""
+        """Return a region's hosts in the order of this host's choice.
+
+        The order is kept until a host comes or goes: every call that may
+        go elsewhere asks for it, and drawing it takes all of them.
+        """
+        if self._revision != self._roster.revision:
+            self._revision = self._roster.revision
+            self._ranked.clear()
+        found = self._ranked.get(region)
+        if found is None:
+            found = self._ranked[region] = self._rank(region)
+        return found
+
+    def _rank(self, region: ids.RegionId) -> list[attending.HostRecord]:
         records = {
             record.host: record
             for record in self._roster.usable(region)
@@ -86,14 +108,11 @@
         Hosts that gave no answer are left out; those that were not asked
         go last.
         """
-        found = [
-            (self._reach.answers(record.host), place, record)
-            for place, record in enumerate(self.ranked(region))
-        ]
-        return [
-            record
-            for answers, place, record in sorted(
-                found, key=lambda item: (item[0] is not True, item[1])
-            )
-            if answers is not False
-        ]
+        answering, unasked = [], []
+        for record in self.ranked(region):
+            answers = self._reach.answers(record.host)
+            if answers is None:
+                unasked.append(record)
+            elif answers:
+                answering.append(record)
+        return answering + unasked
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -1,9 +1,9 @@
 """What a control host hears of endpoints and entry hosts, and passes on.
 
 Any control host takes registrations and attending hosts, one without a
-majority too. What it hears it exchanges with the other control hosts:
-changes at once, renewals from time to time. Entry hosts attend at two
-control hosts and are answered as soon as there is something new.
+majority too, and exchanges what it hears with the others (see
+``exchanges``). Entry hosts attend at two control hosts and are answered as
+soon as there is something new.
 """
 
 import asyncio
@@ -13,11 +13,11 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import exchanges
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.membership import roster
 from wrenspoke import ids
 from wrenspoke.protocol import attending
-from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
 from wrenspoke.state import registry
@@ -26,16 +26,21 @@
 
 # A host is left out of the directory after two or three missed tellings.
 HOST_LEASE_MS = 2_500
-# Renewals ride on this; changes do not wait for it.
-EXCHANGE_INTERVAL_MS = 1_000
-# Some far round trips of 160 ms; one that is lost is made up by the next.
-EXCHANGE_TIMEOUT_MS = 800
+# Who hears a host tells its loss. Without a word for longer, since that
+# control host is lost or cut off, the host would have come to another or
+# another would pass its renewals on.
+TOLD_LEASE_MS = 5_000
+# Leases and silences are looked at so often, a part of the shortest.
+LOOK_INTERVAL_MS = 1_000
 # Half of the time after which callers of links give up by default.
 LONGEST_WAIT_MS = 2_000
 # Many hosts and endpoints that come at once, as after all were killed, are
 # told together: short beside the seconds in which a change is in force.
 GATHER_MS = 40
-# Longer than the exchange interval and a far region's round trip.
+# One host is told of changes no more often: while all start or leave, there
+# is something new every few ms. Short beside the time a change may take.
+NEWS_INTERVAL_MS = 200
+# Longer than between two exchanges and a far region's round trip.
 HEARD_LATELY_MS = 3_000
 
 
@@ -44,6 +49,7 @@
 
     def __init__(
         self,
+        region: ids.RegionId,
         elected: voter.Voter,
         group: controls.ControlGroup,
         held: replica.Replica,
@@ -57,13 +63,23 @@
         self._clock = clock
         self._life = ids.new_unique()
         self._began_ms = clock.mono_ms()
-        self._changed = asyncio.Event()
+        self._news = asyncio.Event()
+        # When each attending host was answered last.
+        self._told_ms: dict[ids.HostId, int] = {}
         self._tasks = runtime.Tasks()
-        self._exchanging: dict[ids.HostId, asyncio.Event] = {}
         self.registry = registry.Registry(clock)
-        self.roster = roster.Roster(HOST_LEASE_MS, clock)
+        self.roster = roster.Roster(HOST_LEASE_MS, clock, TOLD_LEASE_MS)
+        self._exchanges = exchanges.Exchanges(
+            self._life,
+            region,
+            group,
+            self.registry,
+            self.roster,
+            peers,
+            self._wake,
+            clock,
+        )
         peers.answers(attending.Attend)(self._answer_attend)
-        peers.answers(attending.Exchange)(self._answer_exchange)
         peers.answers(attending.Withdraw)(self._hear_withdrawn)
 
     @property
@@ -74,9 +90,12 @@
     def start(self) -> None:
         """Begin to exchange with the other control hosts."""
         self._tasks.start(self._watch())
+        self._tasks.start(self._watch_configuration())
+        self._exchanges.start()
 
     async def close(self) -> None:
         """End every task."""
+        await self._exchanges.close()
         await self._tasks.close()
 
     # Endpoints.
@@ -119,37 +138,38 @@
     # Entry hosts.
 
     async def _answer_attend(
-        self, _sender: ids.HostId, message: attending.Attend
+        self, sender: ids.HostId, message: attending.Attend
     ) -> attending.Attended:
         if self.roster.take(message.record):
-            self._announce()
+            self._exchanges.hurry()
         wait_ms = min(message.wait_ms, LONGEST_WAIT_MS)
         try:
             async with clocks.timeout_ms(wait_ms):
                 while not self._has_news_for(message):
-                    await self._next_change()
+                    await self._news.wait()
                 if message.life == self._life:
-                    await self._clock.sleep_ms(GATHER_MS)
+                    await self._clock.sleep_ms(self._gather_ms(sender))
         except TimeoutError:
             pass
+        self._told_ms[sender] = self._clock.mono_ms()
         return self._attended(message)
 
-    async def _next_change(self) -> None:
-        waits = [
-            asyncio.ensure_future(event.wait())
-            for event in (self._changed, self._replica.changed)
-        ]
-        try:
-            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            await runtime.cancel(waits)
+    def _gather_ms(self, host: ids.HostId) -> int:
+        """Return for how long what is new for a host is gathered."""
+        now_ms = self._clock.mono_ms()
+        next_ms = self._told_ms.get(host, 0) + NEWS_INTERVAL_MS
+        return max(next_ms - now_ms, GATHER_MS)
 
     def _has_news_for(self, message: attending.Attend) -> bool:
+        """Tell whether there is something that a host should not wait for.
+
+        Other entry hosts are not: they are known to a host that has begun,
+        and who passes calls to one that leaves is told so by that host.
+        """
         if message.life != self._life:
             return True
         return (
             self.registry.revision > message.endpoints_revision
-            or self.roster.revision > message.hosts_revision
             or self._replica.current.index > message.index
         )
 
@@ -157,10 +177,12 @@
         known = message.life == self._life
         delta = self._replica.after(message.index)
         delta.confirmed = self._voter.has_lease
-        delta.leader = self._voter.leader
+        delta.leader = self._voter.leader if self._voter.led else None
         hosts = None
-        if not known or self.roster.revision > message.hosts_revision:
-            hosts = self.roster.records()
+        if not known:
+            hosts = self.roster.after(0)
+        elif self.roster.revision > message.hosts_revision:
+            hosts = self.roster.after(message.hosts_revision)
         after = message.endpoints_revision if known else 0
         return attending.Attended(
             delta,
@@ -170,84 +192,37 @@
             self.registry.after(after),
             hosts,
             [self._group.host, *self._group.lately(HEARD_LATELY_MS)],
+            self._exchanges.near(),
         )
 
     def _announce(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
-        for event in self._exchanging.values():
-            event.set()
+        """Tell attending and other control hosts of a change at once."""
+        self._wake()
+        self._exchanges.hurry()
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
 
-    # Other control hosts.
+    # What time takes away.
 
     async def _watch(self) -> None:
-        """Exchange with each control host that is found."""
+        """Drop who lost its lease, and mark who fell silent."""
         while True:
-            for host in self._group.others():
-                if host in self._exchanging:
-                    continue
-                self._exchanging[host] = asyncio.Event()
-                self._tasks.start(self._exchange_with(host))
-            lost = self.roster.expire()
-            if self.registry.mark_silent() or lost:
+            if self.roster.expire():
+                self._exchanges.hurry()
+            if self.registry.mark_silent():
                 self._announce()
             self.registry.forget_old()
-            await self._clock.sleep_ms(EXCHANGE_INTERVAL_MS)
-
-    async def _exchange_with(self, host: ids.HostId) -> None:
-        """Tell one other control host what was heard since it answered."""
-        told_ms = -registry.FORGOTTEN_AFTER_MS
-        more = self._exchanging[host]
-        while host in self._group.others():
-            more.clear()
-            asked_ms = self._clock.mono_ms()
-            message = attending.Exchange(*self._heard_since(told_ms))
-            try:
-                answer = await self._peers.call(
-                    host, message, EXCHANGE_TIMEOUT_MS
-                )
-                if isinstance(answer, attending.Exchanged):
-                    self._group.hear(host)
-                    told_ms = asked_ms
-            except protocol_errors.ProtocolError:
-                pass
-            await self._wait(more, asked_ms)
-        del self._exchanging[host]
-
-    async def _wait(self, more: asyncio.Event, asked_ms: int) -> None:
-        left_ms = asked_ms + EXCHANGE_INTERVAL_MS - self._clock.mono_ms()
-        try:
-            async with clocks.timeout_ms(max(left_ms, 1)):
-                await more.wait()
-                await self._clock.sleep_ms(GATHER_MS)
-        except TimeoutError:
-            return
-
-    def _heard_since(
-        self, told_ms: int
-    ) -> tuple[list[registry.Registration], list[attending.HostRecord]]:
-        age_ms = self._clock.mono_ms() - told_ms
-        endpoints = [
-            said
-            for found in self.registry.held.values()
-            if (said := self.registry.aged(found)).age_ms <= age_ms
-        ]
-        hosts = [
-            record
-            for record in self.roster.records()
-            if record.age_ms <= age_ms
-        ]
-        return endpoints, hosts
-
-    async def _answer_exchange(
-        self, sender: ids.HostId, message: attending.Exchange
-    ) -> attending.Exchanged:
-        self._group.hear(sender)
-        changed = False
-        for said in message.endpoints:
-            changed |= self.registry.take(said)
-        for record in message.hosts:
-            changed |= self.roster.take(record)
-        if changed:
-            self._announce()
-        return attending.Exchanged()
+            self._told_ms = {
+                host: told_ms
+                for host, told_ms in self._told_ms.items()
+                if host in self.roster.hosts()
+            }
+            await self._clock.sleep_ms(LOOK_INTERVAL_MS)
+
+    async def _watch_configuration(self) -> None:
+        """Tell attending hosts when a configuration is decided."""
+        while True:
+            await self._replica.changed.wait()
+            self._wake()
--- a/wrenspoke/coordination/membership/roster.py
+++ b/wrenspoke/coordination/membership/roster.py
@@ -1,4 +1,13 @@
-"""Entry hosts that told of themselves, with leases."""
+"""Entry hosts that told of themselves, with leases and numbered changes.
+
+A control host hears the hosts themselves and what other control hosts
+heard. An entry host is told of changes alone, so that a host that comes
+or goes costs each other host one record, however many there are.
+"""
+
+import collections.abc
+import dataclasses
+import zlib
 
 import msgspec
 import structlog
@@ -9,84 +18,234 @@
 
 logger = structlog.get_logger(__name__)
 
+# A host that attends asks for what is new several times a second. One that
+# was away for longer than this is told everything.
+LOST_KEPT_MS = 60_000
+
+
+@dataclasses.dataclass(slots=True)
+class Known:
+    """Hold what a host last told, and when this host learned of it.
+
+    ``told_by`` is the control host that heard it, None for this one.
+    """
+
+    record: attending.HostRecord
+    heard_ms: int
+    revision: int
+    told_by: ids.HostId | None = None
+
 
 class Roster:
     """Merge what is heard of entry hosts, and number the changes."""
 
-    def __init__(self, lease_ms: int, clock: clocks.Clock):
+    def __init__(
+        self,
+        lease_ms: int,
+        clock: clocks.Clock,
+        told_lease_ms: int | None = None,
+    ):
         self._lease_ms = lease_ms
+        self._told_lease_ms = told_lease_ms or lease_ms
         self._clock = clock
-        self._heard: dict[ids.HostId, tuple[attending.HostRecord, int]] = {}
+        self._known: dict[ids.HostId, Known] = {}
+        # The revision and time at which each host was lost.
+        self._lost: dict[ids.HostId, tuple[int, int]] = {}
+        self._forgotten_revision = 0
+        self._usable: dict[
+            ids.RegionId | None, list[attending.HostRecord]
+        ] = {}
         self.revision = 0
 
-    def take(self, record: attending.HostRecord) -> bool:
+    def take(
+        self,
+        record: attending.HostRecord,
+        told_by: ids.HostId | None = None,
+    ) -> bool:
         """Take what is newer; return whether others should be told."""
         heard_ms = self._clock.mono_ms() - record.age_ms
-        old, old_ms = self._heard.get(record.host, (None, 0))
+        old = self._known.get(record.host)
         if old is None:
-            self._put(record, heard_ms, changed=True)
+            self._put(record, heard_ms, told_by)
             logger.info('host_found', peer=record.host, region=record.region)
             return True
-        same_life = old.start == record.start
-        if same_life and record.number <= old.number:
+        same_life = old.record.start == record.start
+        if same_life and record.number <= old.record.number:
             return False
-        if not same_life and heard_ms < old_ms:
+        if not same_life and heard_ms < old.heard_ms:
             return False
-        changed = (old.start, old.draining, old.callers_address) != (
-            record.start,
-            record.draining,
-            record.callers_address,
-        )
-        self._put(record, heard_ms, changed)
-        return changed
+        if _differs(old.record, record):
+            self._put(record, heard_ms, told_by)
+            return True
+        old.record = record
+        old.heard_ms = heard_ms
+        old.told_by = told_by
+        return False
+
+    def renew(self, renewal: attending.Renewal, told_by: ids.HostId) -> bool:
+        """Take a renewal; return False if its host is not known so."""
+        old = self._known.get(ids.HostId(renewal.name))
+        if old is None or life_of(old.record) != renewal.life:
+            return False
+        if renewal.number > old.record.number:
+            old.record = msgspec.structs.replace(
+                old.record, number=renewal.number
+            )
+            old.heard_ms = self._clock.mono_ms() - renewal.age_ms
+            old.told_by = told_by
+        return True
 
     def _put(
-        self, record: attending.HostRecord, heard_ms: int, changed: bool
+        self,
+        record: attending.HostRecord,
+        heard_ms: int,
+        told_by: ids.HostId | None,
     ) -> None:
-        self._heard[record.host] = (record, heard_ms)
-        self.revision += changed
+        self._next_revision()
+        self._lost.pop(record.host, None)
+        self._known[record.host] = Known(
+            record, heard_ms, self.revision, told_by
+        )
+
+    def _next_revision(self) -> None:
+        self.revision += 1
+        self._usable.clear()
+
+    def drop(self, host: ids.HostId) -> None:
+        """Take a host for lost."""
+        if self._known.pop(host, None) is None:
+            return
+        self._next_revision()
+        self._lost[host] = (self.revision, self._clock.mono_ms())
 
     def expire(self) -> bool:
         """Drop hosts whose lease has ended; return whether any was."""
         now_ms = self._clock.mono_ms()
         ended = [
             host
-            for host, (_record, heard_ms) in self._heard.items()
-            if now_ms - heard_ms > self._lease_ms
+            for host, known in self._known.items()
+            if now_ms - known.heard_ms > self._lease_of(known)
         ]
         for host in ended:
-            del self._heard[host]
-            logger.warning('host_lost', peer=host, lease_ms=self._lease_ms)
-        self.revision += bool(ended)
+            self._lose(host)
+        self._forget_lost(now_ms)
         return bool(ended)
 
-    def replace(self, records: list[attending.HostRecord]) -> None:
-        """Take over a whole roster that another host keeps."""
-        now_ms = self._clock.mono_ms()
-        self._heard = {
-            record.host: (record, now_ms - record.age_ms) for record in records
-        }
+    def _lease_of(self, known: Known) -> int:
+        return self._told_lease_ms if known.told_by else self._lease_ms
 
-    def records(self) -> list[attending.HostRecord]:
-        """Return every host with the age of what it told."""
+    def _lose(self, host: ids.HostId) -> None:
+        self.drop(host)
+        logger.warning('host_lost', peer=host)
+
+    def take_lost(self, host: ids.HostId) -> bool:
+        """Take the word of who heard a host; return whether it is lost.
+
+        It is kept where it was heard here since.
+        """
+        known = self._known.get(host)
+        if known is None:
+            return False
+        if self._clock.mono_ms() - known.heard_ms <= self._lease_ms:
+            return False
+        self._lose(host)
+        return True
+
+    def _forget_lost(self, now_ms: int) -> None:
+        for host, (revision, lost_ms) in list(self._lost.items()):
+            if now_ms - lost_ms <= LOST_KEPT_MS:
+                continue
+            del self._lost[host]
+            self._forgotten_revision = max(self._forgotten_revision, revision)
+
+    def after(self, revision: int) -> attending.HostChanges:
+        """Return what changed after a revision, everything after 0."""
+        whole = revision == 0 or revision < self._forgotten_revision
+        if whole:
+            return attending.HostChanges(self.records(), [], whole=True)
+        found = [
+            self._aged(known)
+            for known in self._known.values()
+            if known.revision > revision
+        ]
+        lost = [
+            host
+            for host, (at_revision, _lost_ms) in self._lost.items()
+            if at_revision > revision
+        ]
+        return attending.HostChanges(found, lost)
+
+    def renewed(
+        self, since_ms: int, told_revision: int, heard: set[ids.HostId]
+    ) -> list[attending.Renewal]:
+        """Return who renewed since a time and has not changed since.
+
+        Left out is what came from the control hosts ``heard`` by who is
+        told.
+        """
         now_ms = self._clock.mono_ms()
         return [
-            msgspec.structs.replace(record, age_ms=max(now_ms - heard_ms, 0))
-            for record, heard_ms in self._heard.values()
+            attending.Renewal(
+                name,
+                known.record.number,
+                max(now_ms - known.heard_ms, 0),
+                life_of(known.record),
+            )
+            for name, known in self._known.items()
+            if known.heard_ms >= since_ms
+            and known.revision <= told_revision
+            and known.told_by not in heard
         ]
 
+    def _aged(self, known: Known) -> attending.HostRecord:
+        age_ms = max(self._clock.mono_ms() - known.heard_ms, 0)
+        return msgspec.structs.replace(known.record, age_ms=age_ms)
+
+    def records(self) -> list[attending.HostRecord]:
+        """Return every host with the age of what it told."""
+        return [self._aged(known) for known in self._known.values()]
+
+    def hosts(self) -> collections.abc.Set[ids.HostId]:
+        """Return the names of every host, those that leave too."""
+        return self._known.keys()
+
+    def record(self, host: ids.HostId) -> attending.HostRecord | None:
+        """Return what a host last told, None if it is not known."""
+        known = self._known.get(host)
+        return None if known is None else known.record
+
     def region_of(self, host: ids.HostId) -> ids.RegionId | None:
         """Return the region that a host said it is in, None if unknown."""
-        found = self._heard.get(host)
-        return None if found is None else found[0].region
+        record = self.record(host)
+        return None if record is None else record.region
 
     def usable(
         self, region: ids.RegionId | None = None
     ) -> list[attending.HostRecord]:
-        """Return the hosts that take requests, of one region or all."""
-        return [
-            record
-            for record, _heard_ms in self._heard.values()
-            if not record.draining
-            and (region is None or record.region == region)
-        ]
+        """Return the hosts that take requests, of one region or all.
+
+        The list is shared until something changes: it is asked for with
+        every call.
+        """
+        found = self._usable.get(region)
+        if found is None:
+            found = self._usable[region] = [
+                known.record
+                for known in self._known.values()
+                if not known.record.draining
+                and region in (None, known.record.region)
+            ]
+        return found
+
+
+def life_of(record: attending.HostRecord) -> int:
+    """Return a short number for the life of a host that told a record."""
+    return zlib.crc32(record.start.encode())
+
+
+def _differs(old: attending.HostRecord, new: attending.HostRecord) -> bool:
+    return (old.start, old.draining, old.callers_address) != (
+        new.start,
+        new.draining,
+        new.callers_address,
+    )
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -121,9 +121,9 @@
 
     def _host_heard(self, host: ids.HostId, asked_ms: int) -> None:
         """Note that a host elsewhere can be reached."""
-        for record in self.attendance.roster.usable():
-            if record.host == host:
-                self._health.heard(record.passing_address, asked_ms)
+        record = self.attendance.roster.record(host)
+        if record is not None:
+            self._health.heard(record.passing_address, asked_ms)
 
     def _build_gauges(self, reports: gauges.ReportReader) -> None:
         """Build what knows how loaded engines are."""
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -31,6 +31,31 @@
     age_ms: int = 0
 
 
+class HostChanges(msgspec.Struct, array_like=True, frozen=True):
+    """Tell which entry hosts were found, changed or lost.
+
+    ``whole`` says that hosts that are not named are not there any more.
+    """
+
+    found: list[HostRecord]
+    lost: list[ids.HostId]
+    whole: bool = False
+
+
+class Renewal(msgspec.Struct, array_like=True, frozen=True):
+    """Say that a host or an endpoint lives on, unchanged.
+
+    ``number`` is the one of what it last told, ``age_ms`` ago; ``life``
+    tells one life of a host from another, and is 0 for endpoints, whose
+    names are never used again.
+    """
+
+    name: str
+    number: int
+    age_ms: int
+    life: int = 0
+
+
 class Attend(msgspec.Struct, tag='attend'):
     """Tell a control host that this entry host lives; ask what is new.
 
@@ -50,7 +75,8 @@
 class Attended(msgspec.Struct, tag='attended'):
     """Answer an attending host with what it does not hold yet.
 
-    ``hosts`` is None where nothing changed.
+    ``hosts`` is None where nothing changed; ``near`` names the control
+    hosts of ``controls`` that stand in the region of the one that answers.
     """
 
     delta: messages.ConfigurationDelta
@@ -58,19 +84,36 @@
     endpoints_revision: int
     hosts_revision: int
     endpoints: list[registry.Registration]
-    hosts: list[HostRecord] | None
+    hosts: HostChanges | None
     controls: list[ids.HostId]
+    near: list[ids.HostId] = []
 
 
 class Exchange(msgspec.Struct, tag='exchange'):
-    """Tell another control host what was heard since the last time."""
+    """Tell another control host what changed, and who lives on unchanged.
+
+    What changed is told whole, once. Of the rest the number of the last
+    renewal is enough, and only from who heard it.
+    """
 
     endpoints: list[registry.Registration]
-    hosts: list[HostRecord]
+    hosts: HostChanges
+    renewed_endpoints: list[Renewal] = []
+    renewed_hosts: list[Renewal] = []
+    region: ids.RegionId = ids.RegionId('')
 
 
 class Exchanged(msgspec.Struct, tag='exchanged'):
-    """Answer an exchange: everything in it has been taken."""
+    """Answer an exchange: everything in it has been taken.
+
+    ``life`` tells one life of the control host from another, ``heard``
+    names those that it hears itself, and ``unknown`` says that something
+    was renewed that it does not know, so that all should be told again.
+    """
+
+    life: str = ''
+    heard: list[ids.HostId] = []
+    unknown: bool = False
 
 
 class ConfirmIndex(msgspec.Struct, tag='confirm_index'):
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -56,12 +56,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Registered:
-    """Hold a registration with when it was said and last changed."""
+    """Hold a registration with when it was said and last changed.
+
+    ``told_by`` is the control host that heard it, None for this one.
+    """
 
     said: Registration
     heard_ms: int
     revision: int
     silent: bool = False
+    told_by: ids.HostId | None = None
 
     @property
     def warm_ms(self) -> int:
@@ -83,7 +87,9 @@
         self._at_address: dict[str, set[ids.EndpointId]] = {}
         self.revision = 0
 
-    def take(self, said: Registration) -> bool:
+    def take(
+        self, said: Registration, told_by: ids.HostId | None = None
+    ) -> bool:
         """Take what is newer; return whether it changes routing."""
         heard_ms = self._clock.mono_ms() - said.age_ms
         old = self.held.get(said.endpoint)
@@ -91,7 +97,7 @@
         if old is None:
             self.revision += 1
             self.held[said.endpoint] = Registered(
-                said, heard_ms, self.revision
+                said, heard_ms, self.revision, told_by=told_by
             )
             return True
         if old.said.state is RegistrationState.GONE:
@@ -107,12 +113,53 @@
         changed = old.silent or _differs(old, said, heard_ms)
         old.said = said
         old.heard_ms = heard_ms
+        old.told_by = told_by
         old.silent = said.age_ms > SILENT_AFTER_MS
         if changed:
             self.revision += 1
             old.revision = self.revision
         return changed
 
+    def renew(
+        self,
+        endpoint: ids.EndpointId,
+        number: int,
+        age_ms: int,
+        told_by: ids.HostId,
+    ) -> bool:
+        """Take a renewal without change; return False if it is not known.
+
+        The end of a warm-up stays where it was.
+        """
+        old = self.held.get(endpoint)
+        if old is None:
+            return False
+        left_ms = old.said.warmup_left_ms
+        if left_ms > 0:
+            heard_ms = self._clock.mono_ms() - age_ms
+            left_ms = max(old.warm_ms - heard_ms, 0)
+        said = msgspec.structs.replace(
+            old.said, number=number, warmup_left_ms=left_ms, age_ms=age_ms
+        )
+        self.take(said, told_by)
+        return True
+
+    def renewed(
+        self, since_ms: int, told_revision: int, heard: set[ids.HostId]
+    ) -> list[Registered]:
+        """Return who renewed since a time and has not changed since.
+
+        Left out is what came from the control hosts ``heard`` by who is
+        told.
+        """
+        return [
+            found
+            for found in self.held.values()
+            if found.heard_ms >= since_ms
+            and found.revision <= told_revision
+            and found.told_by not in heard
+        ]
+
     def occupant(self, said: Registration) -> Registered | None:
         """Return who else renewed lately at a registration's address.
 
@@ -214,6 +261,8 @@
             if now_ms - found.heard_ms > FORGOTTEN_AFTER_MS:
                 del self.held[endpoint]
                 self._leave_address(found.said)
+                # Who keeps lists by the revision makes them anew.
+                self.revision += 1
 
     def _leave_address(self, said: Registration) -> None:
         there = self._at_address.get(said.address, set())
