Ping other regions from a few hosts, and tell the rest in two steps

The two hosts that ask engines told each of the region's others one after the other. Ruled out: pinging more seldom, which tells all of a cut later.

Now the hosts that ask a region's engines ping for all, and tell what they heard along with the loads: to about the root of their number of hosts, each of which tells its share; one that can't be told leaves its share to the next. Who hears no word for 1.2 s pings for itself, as before. An engine of which no report came for two intervals is asked by the next host in order. Both sessions of a host stay in its region and do not go back to a control host that was given up less than 10 s ago.

Before and after: hosts that ping elsewhere, region of 7 / 20 / 67 hosts: all -> 2 / 2 / 2; messages of an asking host an interval 66 -> 9.

--- /dev/null
+++ b/tests/test_askers.py
@@ -0,0 +1,137 @@
+"""How few hosts of a region ask, and how what they hear gets to the rest.
+
+A region of 7, 20 or 67 entry hosts, as in fleets of 20, 60 and 200.
+"""
+
+import collections
+import itertools
+
+import pytest
+
+from tests import test_gauges
+from tests import test_registry
+from wrenspoke.coordination.membership import askers
+from wrenspoke.coordination.membership import partners
+from wrenspoke.coordination.membership import roster
+from wrenspoke.coordination.membership import views
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import messages
+
+SIZES = [7, 20, 67]
+LOST = ('h3', 'h9')
+
+
+class Region:
+    """Carry what hosts of one region tell, and count it."""
+
+    def __init__(self, count, lost=()):
+        self.lost = lost
+        self.told = collections.Counter()
+        self.sent = collections.Counter()
+        self.made = {}
+        records = [test_gauges.record(number) for number in range(count)]
+        for record in records:
+            known = roster.Roster(1_000, test_registry.FakeClock())
+            for other in records:
+                known.take(other)
+            self.made[record.host] = askers.Askers(
+                'north', record.host, known, Link(record.host, self)
+            )
+
+
+class Link:
+    """Be the link of one host."""
+
+    def __init__(self, host, region):
+        self._host = host
+        self._region = region
+
+    async def tell(self, host, message):
+        if host in self._region.lost:
+            return 0
+        self._region.sent[self._host] += 1
+        self._region.told[host] += 1
+        if message.pass_on:
+            await self._region.made[host].relay(message)
+        return 1
+
+
+def asking_hosts(region):
+    """Return the hosts that would ask."""
+    return [host for host, made in region.made.items() if made.asks()]
+
+
+@pytest.mark.parametrize('count', SIZES)
+async def test_every_host_is_told_once_and_none_tells_many(count):
+    region = Region(count)
+    asking = asking_hosts(region)
+    assert len(asking) == askers.LEAST_ASKING_HOSTS
+    [first, *_others] = asking
+    await region.made[first].tell(attending.TellRegion([]))
+    assert region.told == {host: 1 for host in region.made if host != first}
+    assert max(region.sent.values()) <= count**0.5 + 1
+
+
+@pytest.mark.parametrize('count', [20, 67])
+async def test_host_that_is_lost_keeps_nothing_from_others(count):
+    region = Region(count, LOST)
+    teller = next(host for host in asking_hosts(region) if host not in LOST)
+    await region.made[teller].tell(attending.TellRegion([]))
+    reached = {*region.made} - {teller, *LOST}
+    assert region.told == {host: 1 for host in reached}
+
+
+class Unasked:
+    """Know nothing of any host elsewhere."""
+
+    def tell_cut_off(self, _cut_off):
+        return
+
+    def answers(self, _host):
+        return None
+
+
+def partners_of(host, region, count, clock):
+    """Return the partners of a host whose fleet has three regions."""
+    known = roster.Roster(1_000, clock)
+    for number, name in itertools.product(range(count), ('north', 'south')):
+        known.take(test_registry.record(f'{name}{number}', region=name))
+    viewed = views.RegionViews(clock)
+    asking = askers.Askers(region, host, known, None)
+    made = partners.Partners(
+        host, region, known, Unasked(), asking, viewed, clock
+    )
+    return made, viewed
+
+
+@pytest.mark.parametrize('told', [True, False], ids=['told', 'not told'])
+@pytest.mark.parametrize('count', SIZES)
+def test_hosts_elsewhere_are_pinged_by_a_few_for_all(count, told):
+    clock = test_registry.FakeClock()
+    pinging = 0
+    for number in range(count):
+        made, viewed = partners_of(f'north{number}', 'north', count, clock)
+        if told:
+            word = attending.RegionWord('south', messages.Pong(False))
+            viewed.note(word)
+        pinging += bool(made.to_ping())
+    assert pinging == (askers.LEAST_ASKING_HOSTS if told else count)
+
+
+@pytest.mark.parametrize(
+    'words, cut_off',
+    [([True], False), ([None], True), ([None, True], False), ([], False)],
+    ids=['answers', 'silent', 'silent to one', 'no word'],
+)
+def test_region_is_cut_off_once_it_answers_none_of_those_that_ask(
+    words, cut_off
+):
+    clock = test_registry.FakeClock()
+    made, viewed = partners_of('north1', 'north', 7, clock)
+    for said in words:
+        said = said and messages.Pong(False)
+        viewed.note(attending.RegionWord('south', said))
+    assert made.cut_off() == (['south'] if cut_off else [])
+    assert bool(made.reachable('south')) is not cut_off
+    clock.now_ms += views.FRESH_MS + 1
+    assert made.cut_off() == []
--- a/tests/test_attending_fleet.py
+++ b/tests/test_attending_fleet.py
@@ -8,6 +8,7 @@
 
 from tests import attending_fleet
 from tests import group
+from wrenspoke.coordination.membership import attendance
 
 SIZES = [20, 60, 200]
 SETTLED_MS = 4_000
@@ -171,3 +172,73 @@
         await fleet.close()
 
     group.run(play())
+
+
+def sessions_of(fleet):
+    """Return the control hosts that each entry host attends at."""
+    return {
+        name: {session.host for session in host.attendance._sessions}
+        for name, host in fleet.entries.items()
+    }
+
+
+def test_hosts_attend_within_their_region():
+    async def play():
+        fleet = await settled(20)
+        for number, name in enumerate(fleet.entry_names):
+            near = {*fleet.control_names[number % 3 :: 3]}
+            assert sessions_of(fleet)[name] == near
+        await fleet.close()
+
+    group.run(play())
+
+
+def test_hosts_whose_region_lost_its_control_hosts_stay_elsewhere():
+    """They don't try again and again what was lost."""
+
+    async def play():
+        fleet = await settled(20)
+        lost = {*fleet.control_names[0::3]}
+        for name in lost:
+            await fleet.controls.pop(name).close()
+        await fleet.wait_ms(SETTLED_MS)
+        before = sessions_of(fleet)
+        attended = {
+            (name, control): host.peers.sent['Attend', control].messages
+            for name, host in fleet.entries.items()
+            for control in lost
+        }
+        await fleet.wait_ms(SETTLED_MS)
+        assert sessions_of(fleet) == before
+        for (name, control), count in attended.items():
+            peers = fleet.entries[name].peers
+            assert peers.sent['Attend', control].messages == count
+        for name, hosts in before.items():
+            assert len(hosts) == 2 and not hosts & lost
+            assert fleet.entries[name].known == {*fleet.entry_names}
+        await fleet.close()
+
+    group.run(play())
+
+
+def test_one_session_leaves_control_hosts_that_hear_no_leader():
+    """Both of a region's may be cut off from those that decide."""
+
+    async def play():
+        fleet = await settled(20)
+        cut_off = {*fleet.control_names[1::3]}
+        for name in cut_off:
+            fleet.controls[name].registrar._voter = Cut()
+        await fleet.wait_ms(2 * attendance.LEADERLESS_MS)
+        for hosts in sessions_of(fleet).values():
+            assert hosts - cut_off
+        await fleet.close()
+
+    group.run(play())
+
+
+class Cut:
+    """Stand in for a voter that is cut off from the leader."""
+
+    has_lease = led = False
+    leader = 'who led before'
--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -5,9 +5,12 @@
 
 import pytest
 
+from tests import test_registry
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import gauges
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import roster
 from wrenspoke.protocol import attending
 from wrenspoke.state import configuration
 from wrenspoke.state import registry
@@ -45,10 +48,13 @@
 def made(host, hosts, engines):
     """Return what a host of a region knows of engines' loads."""
     held = {found.said.endpoint: found for found in engines}
+    known = roster.Roster(1_000, clocks.Clock())
+    for found in hosts:
+        known.take(found)
     attended = types.SimpleNamespace(
-        roster=types.SimpleNamespace(usable=lambda _region: hosts),
-        registry=types.SimpleNamespace(held=held),
+        roster=known, registry=types.SimpleNamespace(held=held)
     )
+    asking = askers.Askers('north', host, known, NoPeers())
     table = routes.RouteTable(
         1,
         (),
@@ -69,11 +75,23 @@
         replicated,
         None,
         NoPeers(),
+        asking,
+        None,
+        None,
         lambda _address, _asked_ms: None,
         clocks.Clock(),
     )
 
 
+def own_of(gauged):
+    """Return the engines that a host asks for all others."""
+    engines = gauged._engines()
+    gauged._askers.engines = len(engines)
+    if not gauged._askers.asks():
+        return []
+    return gauged._own(engines)
+
+
 @pytest.mark.parametrize(
     'hosts_count, engines_count, asking_count',
     [(1, 6, 1), (3, 3, 2), (28, 36, 3), (28, 16, 2), (2, 100, 2)],
@@ -90,7 +108,7 @@
     asked = collections.Counter()
     asking = 0
     for host in hosts:
-        own = made(host.host, hosts, [*engines, *others])._own()
+        own = own_of(made(host.host, hosts, [*engines, *others]))
         asked.update(found.said.endpoint for found in own)
         asking += bool(own)
     assert asked == {found.said.endpoint: 1 for found in engines}
@@ -98,5 +116,23 @@
 
 
 def test_host_that_is_not_known_yet_counts_itself():
-    own = made('alone', [], [registered(1)])._own()
+    own = own_of(made('alone', [], [registered(1)]))
     assert [found.said.endpoint for found in own] == ['e1']
+
+
+def test_next_in_order_asks_where_no_report_comes():
+    hosts = [record(number) for number in range(3)]
+    engines = [registered(number) for number in range(8)]
+    clock = test_registry.FakeClock()
+    every = [made(host.host, hosts, engines) for host in hosts]
+    for gauged in every:
+        gauged._clock = clock
+    asking = [gauged for gauged in every if own_of(gauged)]
+    first, second = asking
+    before = {found.said.endpoint for found in own_of(second)}
+    assert before.isdisjoint(f.said.endpoint for f in own_of(first))
+    clock.now_ms += gauges.MISSED_INTERVALS * 400 + 1
+    assert len(own_of(second)) == len(engines)
+    for found in engines:
+        second._held[found.said.endpoint] = (None, clock.now_ms)
+    assert {found.said.endpoint for found in own_of(second)} == before
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -5,7 +5,9 @@
 from tests import test_registry
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import views
 from wrenspoke.coordination.serving import regions
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import messages
 from wrenspoke.state import configuration
@@ -38,6 +40,9 @@
     def remote(self, _host):
         return self.told
 
+    def answers(self, _host):
+        return self.told.said is not None
+
     def reachable(self, region):
         return [HOST] if region == 'south' else []
 
@@ -48,7 +53,9 @@
     held = replica.Replica()
     held.current = configuration.Configuration(index=index)
     found = Known(said)
-    return regions.Regions(found, found, held, clock), found, clock
+    viewed = views.RegionViews(clock)
+    made = regions.Regions(found, found, viewed, held, clock)
+    return made, found, clock
 
 
 def pong(**changes):
@@ -106,3 +113,18 @@
     told = made.relayed(['south', 'nowhere'])
     assert list(told) == ['south']
     assert told['south'][0].wait_ms == 100 + 50 + regions.HANDLING_MS
+
+
+@pytest.mark.parametrize(
+    'later_ms, first_ms',
+    [(0, 40 + 100 + 100), (views.FRESH_MS + 1, regions.UNKNOWN_FIRST_MS)],
+    ids=['fresh', 'old'],
+)
+def test_region_offers_what_another_host_of_this_one_heard(later_ms, first_ms):
+    made, _found, clock = known(None)
+    word = attending.RegionWord('south', pong(), 40.0, 200)
+    made._views.note(word)
+    clock.now_ms += later_ms and later_ms - 200
+    offered = made.offer('south', SERVICE, CALL, HOST)
+    handling_ms = 0 if later_ms else regions.HANDLING_MS
+    assert offered.first_ms == pytest.approx(first_ms + handling_ms)
--- /dev/null
+++ b/wrenspoke/coordination/membership/askers.py
@@ -0,0 +1,95 @@
+"""Which few hosts of a region ask engines and other regions for all.
+
+Every host draws the same ones from the roster, without a word. What they
+hear is told in two steps, so that none tells all others itself: to about
+as many hosts as the root of their number, each of which tells its share.
+"""
+
+import math
+
+from wrenspoke.coordination.membership import roster
+from wrenspoke.coordination.serving import routing
+from wrenspoke import ids
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import peers as peer_calls
+
+# An asking host spends about 2% of a core on so many, at the default
+# interval and 0.5 ms a call.
+ENGINES_A_HOST = 16
+# Two, so that one that is lost leaves another that is asking already.
+LEAST_ASKING_HOSTS = 2
+
+
+class Askers:
+    """Draw the asking hosts of a region, and tell what they heard."""
+
+    def __init__(
+        self,
+        region: ids.RegionId,
+        host: ids.HostId,
+        known: roster.Roster,
+        peers: peer_calls.Peers,
+    ):
+        self._region = region
+        self._host = host
+        self._roster = known
+        self._peers = peers
+        self._ranked: list[str] = []
+        self._revision = -1
+        # Of the region, as its hosts last counted them.
+        self.engines = 0
+
+    def hosts(self) -> list[str]:
+        """Return the hosts that ask, in an order that all agree on."""
+        if self._revision != self._roster.revision:
+            self._revision = self._roster.revision
+            near = {record.host for record in self._usable()}
+            self._ranked = routing.rendezvous(
+                self._region, {*near, self._host}
+            )
+        count = math.ceil(self.engines / ENGINES_A_HOST)
+        return self._ranked[: max(count, LEAST_ASKING_HOSTS)]
+
+    def asks(self) -> bool:
+        """Tell whether this host is one of them."""
+        return self._host in self.hosts()
+
+    def _usable(self) -> list[attending.HostRecord]:
+        return self._roster.usable(self._region)
+
+    async def tell(self, message: attending.TellRegion) -> None:
+        """Tell the other hosts of the region, some of them by way of others.
+
+        A host that can't be told leaves its share to the next of them.
+        """
+        others = [
+            record.host
+            for record in self._usable()
+            if record.host != self._host
+        ]
+        for share in shares(others):
+            await self._tell_share(message, share)
+
+    async def _tell_share(
+        self, message: attending.TellRegion, share: list[ids.HostId]
+    ) -> None:
+        for number, host in enumerate(share):
+            sent = attending.TellRegion(
+                message.loads, message.words, share[number + 1 :]
+            )
+            if await self._peers.tell(host, sent):
+                return
+
+    async def relay(self, message: attending.TellRegion) -> None:
+        """Tell the hosts that a message names."""
+        sent = attending.TellRegion(message.loads, message.words)
+        for host in message.pass_on:
+            await self._peers.tell(host, sent)
+
+
+def shares(hosts: list[ids.HostId]) -> list[list[ids.HostId]]:
+    """Split hosts into shares, as many as each share has hosts."""
+    count = math.isqrt(len(hosts))
+    if count * count < len(hosts):
+        count += 1
+    return [hosts[number::count] for number in range(count)]
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -34,6 +34,9 @@
 CALL_TIMEOUT_MS = 1_500
 # Between two tries at control hosts that do not answer.
 PAUSE_MS = 100
+# A control host that was given up is tried after all others for so long:
+# about as long as a stop and a start take.
+GIVEN_UP_MS = 10_000
 # A host that had no processor time for so long looks before it sends.
 STOPPED_AFTER_MS = 1_500
 # Often enough to notice a stop within a fraction of it.
@@ -90,7 +93,8 @@
         self._tasks = runtime.Tasks()
         self._sessions = [_Session() for _number in range(ATTENDED_COUNT)]
         self._ticked_ms = clock.mono_ms()
-        self._failed: ids.HostId | None = None
+        # When control hosts were given up.
+        self._failed_ms: dict[ids.HostId, int] = {}
         # Control hosts that are known to stand in this region.
         self._near: set[ids.HostId] = set()
         self._waiting: asyncio.Task | None = None
@@ -167,9 +171,13 @@
                 logger.warning('control_host_lost', peer=session.host)
             elif self._is_leaderless(session):
                 logger.info('control_host_left', peer=session.host)
+            elif self._nearer_than(session.host):
+                # Where control hosts stand is known after the first answer.
+                session.begin(self._choose(), self._clock.mono_ms())
+                continue
             else:
                 continue
-            self._failed = session.host
+            self._failed_ms[session.host] = self._clock.mono_ms()
             session.begin(None, self._clock.mono_ms())
             await self._clock.sleep_ms(PAUSE_MS)
 
@@ -186,11 +194,29 @@
         random.shuffle(free)
         return min(free, key=self._rank, default=None)
 
-    def _rank(self, host: ids.HostId) -> tuple[bool, bool, bool]:
-        """Rank control hosts: own data centre, own region, any other."""
+    def _nearer_than(self, host: ids.HostId) -> bool:
+        """Tell whether a control host of this region is free, unlike one."""
+        if host in self._near:
+            return False
+        free = self._near - {session.host for session in self._sessions}
+        return any(not self._given_up_ms(one) for one in free)
+
+    def _given_up_ms(self, host: ids.HostId) -> int:
+        """Return when a control host was given up, 0 if not of late."""
+        failed_ms = self._failed_ms.get(host)
+        if failed_ms is None:
+            return 0
+        age_ms = self._clock.mono_ms() - failed_ms
+        return failed_ms if age_ms < GIVEN_UP_MS else 0
+
+    def _rank(self, host: ids.HostId) -> tuple[int, bool, bool]:
+        """Rank control hosts: own data centre, own region, any other.
+
+        Those that were given up of late go last.
+        """
         own_ip = self._record.host.rpartition(':')[0]
         return (
-            host == self._failed,
+            self._given_up_ms(host),
             not _near(host, own_ip),
             host not in self._near,
         )
--- a/wrenspoke/coordination/membership/exchanges.py
+++ b/wrenspoke/coordination/membership/exchanges.py
@@ -89,14 +89,16 @@
         for event in self._hurries.values():
             event.set()
 
-    def near(self) -> list[ids.HostId]:
-        """Return the control hosts of this region that spoke lately."""
-        others = [
+    def standing_in(self, region: ids.RegionId) -> list[ids.HostId]:
+        """Return the control hosts of a region that spoke lately."""
+        found = [
             host
             for host in self._group.lately(NEAR_LATELY_MS)
-            if self._regions.get(host) == self._region
+            if self._regions.get(host) == region
         ]
-        return [self._group.host, *others]
+        if region == self._region:
+            found.append(self._group.host)
+        return found
 
     async def _watch(self) -> None:
         """Exchange with each control host that is found."""
--- a/wrenspoke/coordination/membership/gauges.py
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -1,21 +1,25 @@
 """Ask the engines of this region for their load, and share the answers.
 
-A few of the region's entry hosts split the engines between them; each
-asks its own and tells all others what it heard. A host so gets a few
-messages an interval, however many hosts and engines there are.
+A few of the region's entry hosts (see ``askers``) split the engines
+between them; each asks its own and tells the others what it heard, and
+what other regions said. A host so gets a few messages an interval, however
+many hosts and engines there are. Where an asking host falls silent, the
+next in order asks its engines.
 """
 
 import asyncio
 import collections.abc
-import math
 import typing
 
 import msgspec
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import partners
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import views
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import attending
@@ -34,11 +38,9 @@
 # Longer than a report takes at a busy engine, shorter than the interval
 # after which it is stale.
 REPORT_TIMEOUT_MS = 400
-# An asking host spends about 2% of a core on so many, at the default
-# interval and 0.5 ms a call.
-ENGINES_A_HOST = 16
-# Two, so that one that is lost leaves half of the reports.
-LEAST_ASKING_HOSTS = 2
+# So many intervals without a report of an engine, and the host that is next
+# in order asks it too. Two, as one may just have been missed.
+MISSED_INTERVALS = 2
 # A report older than this says nothing about now.
 STALE_AFTER_MS = 2_500
 
@@ -71,6 +73,9 @@
         held: replica.Replica,
         client: web.HttpClient,
         peers: peer_calls.Peers,
+        asking: askers.Askers,
+        near: partners.Partners,
+        viewed: views.RegionViews,
         heard: collections.abc.Callable[[str, int], None],
         clock: clocks.Clock,
     ):
@@ -82,12 +87,16 @@
         self._attended = attended
         self._replica = held
         self._client = client
-        self._peers = peers
+        self._askers = asking
+        self._partners = near
+        self._views = viewed
         self._heard = heard
         self._clock = clock
         self._held: dict[ids.EndpointId, tuple[loads.EngineLoad, int]] = {}
+        # When an engine of which no load is known was first looked at.
+        self._first_seen_ms: dict[ids.EndpointId, int] = {}
         self._tasks = runtime.Tasks()
-        peers.answers(attending.TellLoads)(self._hear)
+        peers.answers(attending.TellRegion)(self._hear)
 
     def start(self) -> None:
         """Begin to ask."""
@@ -116,42 +125,49 @@
             await self._clock.sleep_ms(self._interval_ms - took_ms)
 
     async def _ask_own(self) -> None:
+        engines = self._engines()
+        self._askers.engines = len(engines)
+        if not self._askers.asks():
+            return
         answers = await asyncio.gather(
-            *(self._ask(found) for found in self._own())
+            *(self._ask(found) for found in self._own(engines))
         )
         heard = [answer for answer in answers if answer is not None]
-        if not heard:
-            return
         now_ms = self._clock.mono_ms()
         for load in heard:
             self._held[load.endpoint] = (load, now_ms)
-        for record in self._attended.roster.usable(self._region):
-            if record.host != self._host:
-                await self._peers.tell(record.host, attending.TellLoads(heard))
-
-    def _own(self) -> list[registry.Registered]:
-        """Return the engines that this host asks for all others."""
-        engines = self._engines()
-        asking = self._asking_hosts(len(engines))
-        if self._host not in asking:
-            return []
-        return [
-            found
-            for found in engines
-            if routing.rendezvous(found.said.endpoint, asking)[0] == self._host
-        ]
-
-    def _asking_hosts(self, engines_count: int) -> list[str]:
-        """Return the hosts of the region that ask its engines."""
-        hosts = {
-            record.host
-            for record in self._attended.roster.usable(self._region)
-        }
-        hosts.add(self._host)
-        count = max(
-            math.ceil(engines_count / ENGINES_A_HOST), LEAST_ASKING_HOSTS
-        )
-        return routing.rendezvous(self._region, hosts)[:count]
+        words = self._partners.words()
+        for word in words:
+            self._views.note(word)
+        if heard or words:
+            await self._askers.tell(attending.TellRegion(heard, words))
+
+    def _own(
+        self, engines: list[registry.Registered]
+    ) -> list[registry.Registered]:
+        """Return the engines that this host asks for all others.
+
+        Those are the ones that fall to it, and those of the hosts before
+        it in order from which no report came of late.
+        """
+        asking = self._askers.hosts()
+        own = []
+        for found in engines:
+            order = routing.rendezvous(found.said.endpoint, asking)
+            place = order.index(self._host)
+            if place == 0 or self._is_missed(found, place):
+                own.append(found)
+        return own
+
+    def _is_missed(self, found: registry.Registered, place: int) -> bool:
+        """Tell whether those before this host in order tell no load."""
+        missed_ms = MISSED_INTERVALS * place * self._interval_ms
+        _load, heard_ms = self._held.get(found.said.endpoint, (None, None))
+        if heard_ms is None:
+            heard_ms = self._first_seen_ms.setdefault(
+                found.said.endpoint, self._clock.mono_ms()
+            )
+        return self._clock.mono_ms() - heard_ms > missed_ms
 
     def _engines(self) -> list[registry.Registered]:
         """Return the engines of this region that take work."""
@@ -194,9 +210,11 @@
         return load
 
     async def _hear(
-        self, _sender: ids.HostId, message: attending.TellLoads
+        self, _sender: ids.HostId, message: attending.TellRegion
     ) -> None:
         now_ms = self._clock.mono_ms()
+        for word in message.words:
+            self._views.note(word)
         for load in message.loads:
             self._held[load.endpoint] = (load, now_ms)
             found = self._attended.registry.held.get(load.endpoint)
@@ -204,8 +222,11 @@
                 asked_ms = now_ms - REPORT_TIMEOUT_MS
                 self._heard(found.said.address, asked_ms)
         self._forget()
+        if message.pass_on:
+            await self._askers.relay(message)
 
     def _forget(self) -> None:
-        for endpoint in list(self._held):
-            if endpoint not in self._attended.registry.held:
-                del self._held[endpoint]
+        for known in (self._held, self._first_seen_ms):
+            for endpoint in list(known):
+                if endpoint not in self._attended.registry.held:
+                    del known[endpoint]
--- a/wrenspoke/coordination/membership/partners.py
+++ b/wrenspoke/coordination/membership/partners.py
@@ -1,15 +1,19 @@
 """The few hosts of other regions that this host passes calls to.
 
 Each host has its own two in every other region, drawn by rendezvous
-hashing, and pings them all the time: which of them can be reached is
-known before a call is passed on, and connections to them are used again.
+hashing, so that connections to them are used again. A region's asking
+hosts ping theirs all the time and tell the others; those ping only where
+no word comes. So it is known before a call is passed on which regions can
+be reached, at a cost that does not grow with the hosts.
 """
 
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import roster
+from wrenspoke.coordination.membership import views
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import attending
@@ -32,12 +36,16 @@
         region: ids.RegionId,
         known: roster.Roster,
         reached: reach.Reach,
+        asking: askers.Askers,
+        viewed: views.RegionViews,
         clock: clocks.Clock,
     ):
         self._host = host
         self._region = region
         self._roster = known
         self._reach = reached
+        self._askers = asking
+        self._views = viewed
         self._clock = clock
         self._tasks = runtime.Tasks()
         # The order of each region's hosts, as of a revision of the roster.
@@ -55,28 +63,58 @@
 
     async def _run(self) -> None:
         while True:
-            regions = {record.region for record in self._roster.usable()}
-            regions.discard(self._region)
-            chosen = [
-                record.host
-                for region in sorted(regions)
-                for record in self.ranked(region)[:PARTNERS_COUNT]
-            ]
-            await self._reach.reachable(chosen)
+            await self._reach.reachable(self.to_ping())
             await self._clock.sleep_ms(LOOK_INTERVAL_MS)
 
-    def cut_off(self) -> list[ids.RegionId]:
-        """Return the regions none of whose hosts here known answer."""
+    def to_ping(self) -> list[ids.HostId]:
+        """Return the hosts elsewhere that this one pings, used or not."""
+        asks = self._askers.asks()
+        return [
+            record.host
+            for region in self._regions()
+            if asks or not self._views.known(region)
+            for record in self.ranked(region)[:PARTNERS_COUNT]
+        ]
+
+    def _regions(self) -> list[ids.RegionId]:
+        """Return the other regions that have hosts."""
         regions = {record.region for record in self._roster.usable()}
         regions.discard(self._region)
+        return sorted(regions)
+
+    def words(self) -> list[attending.RegionWord]:
+        """Return what this host's own partners said of late."""
+        words = [self._word(region) for region in self._regions()]
+        return [word for word in words if word is not None]
+
+    def _word(self, region: ids.RegionId) -> attending.RegionWord | None:
+        partners = self.ranked(region)[:PARTNERS_COUNT]
+        for record in partners:
+            remote = self._reach.remote(record.host)
+            if remote is None or not self._reach.answers(record.host):
+                continue
+            age_ms = self._clock.mono_ms() - remote.answered_ms
+            return attending.RegionWord(
+                region, remote.said, remote.travel_ms or 0.0, age_ms
+            )
+        if partners and self._is_silent(region):
+            return attending.RegionWord(region, None)
+        return None
+
+    def cut_off(self) -> list[ids.RegionId]:
+        """Return the regions none of whose hosts here known answer."""
         return [
-            region for region in sorted(regions) if self._is_cut_off(region)
+            region for region in self._regions() if self._is_cut_off(region)
         ]
 
     def _is_cut_off(self, region: ids.RegionId) -> bool:
+        return self._views.cut_off(region) or self._is_silent(region)
+
+    def _is_silent(self, region: ids.RegionId) -> bool:
+        """Tell whether this host had no answer from any partner there."""
         return all(
             self._reach.answers(record.host) is False
-            for record in self.ranked(region)
+            for record in self.ranked(region)[:PARTNERS_COUNT]
         )
 
     def ranked(self, region: ids.RegionId) -> list[attending.HostRecord]:
@@ -106,13 +144,14 @@
         """Return hosts to pass calls to: those that answer go first.
 
         Hosts that gave no answer are left out; those that were not asked
-        go last.
+        go last, unless the region is known to be cut off.
         """
         answering, unasked = [], []
+        cut_off = self._views.cut_off(region)
         for record in self.ranked(region):
             answers = self._reach.answers(record.host)
-            if answers is None:
-                unasked.append(record)
-            elif answers:
+            if answers:
                 answering.append(record)
+            elif answers is None and not cut_off:
+                unasked.append(record)
         return answering + unasked
--- a/wrenspoke/coordination/membership/reach.py
+++ b/wrenspoke/coordination/membership/reach.py
@@ -22,7 +22,9 @@
 
 logger = structlog.get_logger(__name__)
 
-USED_FOR_MS = 10_000
+# A host that was passed a call is likely to be passed another this soon;
+# what is known of it later comes from those that ask for all.
+USED_FOR_MS = 3_000
 PINGS_TO_SUSPICION = 3
 # A route that has become longer is believed after some ten pings.
 TRAVEL_WEIGHT = 0.1
@@ -186,6 +188,8 @@
             for lost in list(remote.watchers):
                 lost()
         remote.pinger = None
+        # An open link costs heartbeats between regions all the time.
+        self._peers.links.forget(host)
 
     def _is_used(self, remote: Remote) -> bool:
         age_ms = self._clock.mono_ms() - remote.used_ms
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -192,7 +192,7 @@
             self.registry.after(after),
             hosts,
             [self._group.host, *self._group.lately(HEARD_LATELY_MS)],
-            self._exchanges.near(),
+            self._exchanges.standing_in(message.record.region),
         )
 
     def _announce(self) -> None:
--- /dev/null
+++ b/wrenspoke/coordination/membership/views.py
@@ -0,0 +1,70 @@
+"""What hosts of this region last heard of each other region.
+
+The few that ask (see ``askers``) ping hosts elsewhere and tell the others
+what they heard. Any host so knows what a region offers, and whether it is
+cut off, without a message of its own to it.
+"""
+
+import dataclasses
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import messages
+
+# Three tellings; then a host asks for itself.
+FRESH_MS = 1_200
+
+
+@dataclasses.dataclass(slots=True)
+class Heard:
+    """Hold what a host of a region said, by this host's clock.
+
+    ``travel_ms`` is the round trip to it.
+    """
+
+    said: messages.Pong
+    travel_ms: float
+    answered_ms: int
+
+
+class RegionViews:
+    """Hold what the asking hosts of this region tell of others."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._heard: dict[ids.RegionId, Heard] = {}
+        # When each asking host last found that a region does not answer.
+        self._silent_ms: dict[ids.RegionId, int] = {}
+
+    def note(self, word: attending.RegionWord) -> None:
+        """Take what an asking host tells of a region."""
+        now_ms = self._clock.mono_ms()
+        if word.said is None:
+            self._silent_ms[word.region] = now_ms
+            return
+        answered_ms = now_ms - word.age_ms
+        old = self._heard.get(word.region)
+        if old is None or answered_ms >= old.answered_ms:
+            self._heard[word.region] = Heard(
+                word.said, word.travel_ms, answered_ms
+            )
+
+    def heard(self, region: ids.RegionId) -> Heard | None:
+        """Return what a region last said, None if it was not of late."""
+        found = self._heard.get(region)
+        if found is None:
+            return None
+        age_ms = self._clock.mono_ms() - found.answered_ms
+        return found if age_ms <= FRESH_MS else None
+
+    def cut_off(self, region: ids.RegionId) -> bool:
+        """Tell whether a region was found silent, and answered nobody."""
+        silent_ms = self._silent_ms.get(region)
+        if silent_ms is None or self.heard(region) is not None:
+            return False
+        return self._clock.mono_ms() - silent_ms <= FRESH_MS
+
+    def known(self, region: ids.RegionId) -> bool:
+        """Tell whether others say how a region stands now."""
+        return self.heard(region) is not None or self.cut_off(region)
--- a/wrenspoke/coordination/serving/regions.py
+++ b/wrenspoke/coordination/serving/regions.py
@@ -1,8 +1,9 @@
 """What other regions offer for a call, by what their hosts last said.
 
-The hosts that this one would pass calls to say with each answer to a ping
-what a call would find there. What was passed on since then is added, and
-what a call was told when it was turned back goes before both.
+The hosts that were asked, by this one or by another of its region, say
+with each answer to a ping what a call would find there. What was passed on
+since then is added, and what a call was told when it was turned back goes
+before both.
 """
 
 import collections
@@ -14,6 +15,7 @@
 from wrenspoke.coordination.membership import partners
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import views
 from wrenspoke.coordination.serving import pace
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke import ids
@@ -56,11 +58,13 @@
         self,
         reached: reach.Reach,
         near: partners.Partners,
+        viewed: views.RegionViews,
         held: replica.Replica,
         clock: clocks.Clock,
     ):
         self._reach = reached
         self._partners = near
+        self._views = viewed
         self._replica = held
         self._index = 0
         self._index_ms = clock.mono_ms()
@@ -79,8 +83,8 @@
         host: attending.HostRecord,
     ) -> Offered | None:
         """Return what a region offers through a host; None if nothing."""
-        remote = self._reach.remote(host.host)
-        if remote is None or remote.said is None:
+        remote = self._heard(host)
+        if remote is None:
             return _unknown(region, host)
         said = remote.said
         if not said.serving or self._lags(remote):
@@ -117,8 +121,8 @@
         found: dict[ids.RegionId, list[messages.Offer]] = {}
         for region in cut_off:
             for host in self._partners.reachable(region):
-                remote = self._reach.remote(host.host)
-                if remote is None or remote.said is None:
+                remote = self._heard(host)
+                if remote is None:
                     continue
                 if not remote.said.serving or not remote.said.offers:
                     continue
@@ -144,14 +148,26 @@
             if between == region:
                 continue
             for host in self._partners.reachable(between):
-                remote = self._reach.remote(host.host)
-                if remote is None or remote.said is None:
+                remote = self._heard(host)
+                if remote is None:
                     continue
                 if region in remote.said.relayed:
                     hosts.append(host)
         return hosts
 
-    def _lags(self, remote: reach.Remote) -> bool:
+    def _heard(
+        self, host: attending.HostRecord
+    ) -> reach.Remote | views.Heard | None:
+        """Return what a host last said, or else another of its region."""
+        if self._reach.answers(host.host):
+            return self._reach.remote(host.host)
+        found = self._views.heard(host.region)
+        if found is not None:
+            return found
+        remote = self._reach.remote(host.host)
+        return None if remote is None or remote.said is None else remote
+
+    def _lags(self, remote: reach.Remote | views.Heard) -> bool:
         """Tell whether a host goes by an older configuration for long."""
         if self._replica.current.index != self._index:
             self._index = self._replica.current.index
@@ -175,7 +191,7 @@
     def _passed_ms(
         self,
         region: ids.RegionId,
-        remote: reach.Remote,
+        remote: reach.Remote | views.Heard,
         found: messages.Offer,
     ) -> float:
         """Return what was passed on and is not in the offer yet."""
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -9,12 +9,14 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import controls
 from wrenspoke.coordination.membership import gauges
 from wrenspoke.coordination.membership import partners
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import views
 from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import choice
 from wrenspoke.coordination.serving import estimate
@@ -84,11 +86,17 @@
             self.clock,
             self._standing,
         )
+        self._views = views.RegionViews(self.clock)
+        self._askers = askers.Askers(
+            node.region, node.host, self.attendance.roster, self.peers
+        )
         self._partners = partners.Partners(
             node.host,
             node.region,
             self.attendance.roster,
             self._reach,
+            self._askers,
+            self._views,
             self.clock,
         )
         self._tasks = runtime.Tasks()
@@ -140,6 +148,9 @@
             self.replica,
             self._client,
             self.peers,
+            self._askers,
+            self._partners,
+            self._views,
             self._health.heard,
             self.clock,
         )
@@ -152,7 +163,11 @@
             node.host, self.replica, dialect, self._client, self.clock
         )
         self._regions = regions.Regions(
-            self._reach, self._partners, self.replica, self.clock
+            self._reach,
+            self._partners,
+            self._views,
+            self.replica,
+            self.clock,
         )
         available = availability.Availability(
             node.region,
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -76,7 +76,7 @@
     """Answer an attending host with what it does not hold yet.
 
     ``hosts`` is None where nothing changed; ``near`` names the control
-    hosts of ``controls`` that stand in the region of the one that answers.
+    hosts that stand in the region of the one that asks.
     """
 
     delta: messages.ConfigurationDelta
@@ -126,10 +126,29 @@
     index: int | None
 
 
-class TellLoads(msgspec.Struct, tag='tell_loads'):
-    """Tell the entry hosts of the region what engines reported."""
+class RegionWord(msgspec.Struct, array_like=True, frozen=True):
+    """Tell what a host of another region said ``age_ms`` ago.
+
+    ``travel_ms`` is the round trip to it. ``said`` is None where none of
+    that region's hosts answers.
+    """
+
+    region: ids.RegionId
+    said: messages.Pong | None
+    travel_ms: float = 0.0
+    age_ms: int = 0
+
+
+class TellRegion(msgspec.Struct, tag='tell_region'):
+    """Tell the entry hosts of the region what one of them found out.
+
+    That is what engines reported and what other regions offer. Who gets
+    it tells the hosts of ``pass_on``.
+    """
 
     loads: list[EngineLoad]
+    words: list[RegionWord] = []
+    pass_on: list[ids.HostId] = []
 
 
 class Withdraw(msgspec.Struct, tag='withdraw'):
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -24,7 +24,7 @@
     attending.Exchanged,
     attending.ConfirmIndex,
     attending.IndexConfirmed,
-    attending.TellLoads,
+    attending.TellRegion,
     attending.Withdraw,
 ]
 Answerer = collections.abc.Callable[
