Count what hosts send by kind and distance, and report it by role

Each message on a link and each body between hosts is counted by kind and by how far it goes; the counts are written every 30 s and at a stop, and `wrenspoke report` makes a table by role. Processor time by activity is not counted: the platform's processes are told a clock that runs while they wait.

--- a/tests/test_askers.py
+++ b/tests/test_askers.py
@@ -135,3 +135,14 @@
     assert bool(made.reachable('south')) is not cut_off
     clock.now_ms += views.FRESH_MS + 1
     assert made.cut_off() == []
+
+
+@pytest.mark.parametrize(
+    'count, lengths',
+    [(0, []), (1, [1]), (2, [2]), (6, [3, 3]), (66, [9] * 7 + [3])],
+)
+def test_hosts_are_split_into_about_as_many_shares_as_each_has(count, lengths):
+    hosts = [f'h{number:02}' for number in range(count)]
+    split = askers.shares(hosts)
+    assert [len(share) for share in split] == lengths
+    assert [host for share in split for host in share] == hosts
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -19,6 +19,7 @@
 from wrenspoke import mechanisms
 from wrenspoke import node as nodes
 from wrenspoke import node_peers
+from wrenspoke import runtime
 from wrenspoke.state import disk
 from wrenspoke.state import locations
 from wrenspoke.state import storage
@@ -32,7 +33,8 @@
     def __init__(self, node: nodes.Node):
         self.node = node
         self.clock = clocks.Clock()
-        self.peers = node_peers.peers_of(node, self.clock)
+        self._traffic = node_peers.traffic_of(node, self.clock)
+        self.peers = node_peers.peers_of(node, self._traffic, self.clock)
         self.group = controls.ControlGroup(
             node.host, node.seed_hosts, self.clock
         )
@@ -58,11 +60,13 @@
             self.peers,
             self.clock,
         )
+        self._traffic.tell_places(self.registrar.place_of)
         self._kept_registry = kept_registry.KeptRegistry(
             pathlib.Path(node.data_folder),
             self.registrar.registry,
             self.clock,
         )
+        self._tasks = runtime.Tasks()
         self.decisions = direct.DirectDecisions(self.voter, self.clock)
 
     async def start(self) -> None:
@@ -75,6 +79,7 @@
         ):
             self._kept_registry.start()
         self.registrar.start()
+        self._tasks.start(self._traffic.keep_logging('control'))
         logger.info('started', host=self.node.host, seeds=self.node.seeds)
 
     def reload(self, node: nodes.Node) -> None:
@@ -84,8 +89,10 @@
 
     async def close(self) -> None:
         """End every task and close every socket."""
+        await self._tasks.close()
         await self.registrar.close()
         await self._kept_registry.close()
         await self.voter.close()
         await self.peers.links.close()
+        self._traffic.log('control')
         logger.info('stopped')
--- a/wrenspoke/coordination/membership/askers.py
+++ b/wrenspoke/coordination/membership/askers.py
@@ -62,12 +62,12 @@
 
         A host that can't be told leaves its share to the next of them.
         """
-        others = [
-            record.host
+        others = sorted(
+            (record.data_centre, record.host)
             for record in self._usable()
             if record.host != self._host
-        ]
-        for share in shares(others):
+        )
+        for share in shares([host for _data_centre, host in others]):
             await self._tell_share(message, share)
 
     async def _tell_share(
@@ -88,8 +88,15 @@
 
 
 def shares(hosts: list[ids.HostId]) -> list[list[ids.HostId]]:
-    """Split hosts into shares, as many as each share has hosts."""
-    count = math.isqrt(len(hosts))
-    if count * count < len(hosts):
-        count += 1
-    return [hosts[number::count] for number in range(count)]
+    """Split hosts into shares, as many as each share has hosts.
+
+    Neighbours stay together: of hosts in the order of their data centres,
+    few shares reach into two.
+    """
+    length = math.isqrt(len(hosts))
+    if length * length < len(hosts):
+        length += 1
+    return [
+        hosts[began : began + length]
+        for began in range(0, len(hosts), max(length, 1))
+    ]
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -22,6 +22,7 @@
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
+from wrenspoke.state import locations
 from wrenspoke.state import registry
 
 logger = structlog.get_logger(__name__)
@@ -113,6 +114,20 @@
         """End every task."""
         await self._tasks.close()
 
+    def place_of(self, host: ids.HostId) -> locations.Location | None:
+        """Return where a host stands, None if unknown.
+
+        Of control hosts it is known which stand in this region.
+        """
+        record = self.roster.record(host)
+        if record is not None:
+            return locations.Location(record.region, record.data_centre)
+        if host in self._near:
+            return locations.Location(
+                self._record.region, ids.DataCentreId(host)
+            )
+        return None
+
     @property
     def awake(self) -> bool:
         """Tell whether this process has been running of late.
--- a/wrenspoke/coordination/membership/exchanges.py
+++ b/wrenspoke/coordination/membership/exchanges.py
@@ -21,6 +21,7 @@
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
+from wrenspoke.state import locations
 from wrenspoke.state import registry
 
 logger = structlog.get_logger(__name__)
@@ -100,6 +101,16 @@
             found.append(self._group.host)
         return found
 
+    def place_of(self, host: ids.HostId) -> locations.Location | None:
+        """Return where another control host stands, None if unknown.
+
+        Each stands alone in its data centre, whose name is not told.
+        """
+        region = self._regions.get(host)
+        if region is None:
+            return None
+        return locations.Location(region, ids.DataCentreId(host))
+
     async def _watch(self) -> None:
         """Exchange with each control host that is found."""
         while True:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -20,6 +20,7 @@
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
+from wrenspoke.state import locations
 from wrenspoke.state import registry
 
 logger = structlog.get_logger(__name__)
@@ -98,6 +99,13 @@
         await self._exchanges.close()
         await self._tasks.close()
 
+    def place_of(self, host: ids.HostId) -> locations.Location | None:
+        """Return where an entry or control host stands, None if unknown."""
+        record = self.roster.record(host)
+        if record is not None:
+            return locations.Location(record.region, record.data_centre)
+        return self._exchanges.place_of(host)
+
     # Endpoints.
 
     def register(self, said: registry.Registration) -> None:
--- a/wrenspoke/coordination/serving/bodies.py
+++ b/wrenspoke/coordination/serving/bodies.py
@@ -14,6 +14,7 @@
 
     def __init__(self, response: aiohttp.ClientResponse):
         self._response = response
+        self.read_bytes = 0
 
     async def whole(self, limit_bytes: int) -> bytes:
         """Return the whole body.
@@ -21,7 +22,9 @@
         :raises MaybeSentError: it was cut short, too long or unending
         """
         try:
-            return await web.read_whole(self._response, limit_bytes)
+            body = await web.read_whole(self._response, limit_bytes)
+            self.read_bytes += len(body)
+            return body
         except transport_errors.TransportError as error:
             raise errors.MaybeSentError(str(error)) from error
 
@@ -32,6 +35,7 @@
         """
         try:
             async for chunk in web.read_chunks(self._response):
+                self.read_bytes += len(chunk)
                 yield chunk
         except transport_errors.TransportError as error:
             raise errors.MaybeSentError(str(error)) from error
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -23,6 +23,8 @@
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import passing
+from wrenspoke.protocol import traffic
+from wrenspoke.state import locations
 from wrenspoke.state import routes
 from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import web
@@ -31,6 +33,8 @@
 
 MISDIRECTED = 421
 URGENCIES = 10
+# Kinds of traffic beside the messages on links: bodies, without heads.
+CALL, ANSWER = 'call_body', 'answer_body'
 
 
 class Verdict(enum.Enum):
@@ -141,11 +145,13 @@
         endpoints: web.HttpClient,
         hosts: web.HttpClient,
         kept_in: homes.Homes,
+        sent: traffic.Traffic,
     ):
         self._dialect = dialect
         self._homes = kept_in
         self._endpoints = endpoints
         self._hosts = hosts
+        self._traffic = sent
 
     @contextlib.asynccontextmanager
     async def send(
@@ -181,7 +187,11 @@
                 may_enter,
             ) as response:
                 verdict = self._verdict(call, place, response)
-                yield Answer(response, verdict, place.host is not None)
+                answer = Answer(response, verdict, place.host is not None)
+                try:
+                    yield answer
+                finally:
+                    self._note_traffic(call, place, answer)
         except transport_errors.HeldBackError as error:
             raise errors.HeldBackError(str(error)) from error
         except transport_errors.NotSentError as error:
@@ -189,6 +199,16 @@
         except transport_errors.MaybeSentError as error:
             raise errors.MaybeSentError(str(error)) from error
 
+    def _note_traffic(
+        self, call: dialects.Call, place: Place, answer: Answer
+    ) -> None:
+        """Count what went to a host elsewhere and came back from it."""
+        if place.host is None:
+            return
+        there = locations.Location(place.stands_in, ids.DataCentreId(''))
+        self._traffic.note(CALL, there, len(call.body))
+        self._traffic.note(ANSWER, there, answer.read_bytes)
+
     def _fields(
         self,
         call: dialects.Call,
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -56,7 +56,8 @@
     ):
         self.node = node
         self.clock = clocks.Clock()
-        self.peers = node_peers.peers_of(node, self.clock)
+        self._traffic = node_peers.traffic_of(node, self.clock)
+        self.peers = node_peers.peers_of(node, self._traffic, self.clock)
         self.group = controls.ControlGroup(
             node.host, node.seed_hosts, self.clock
         )
@@ -68,6 +69,7 @@
             self.peers,
             self.clock,
         )
+        self._traffic.tell_places(self.attendance.place_of)
         self._client = web.HttpClient(
             node.entry.connect_timeout_ms, node.entry.endpoint_idle_ms
         )
@@ -208,7 +210,11 @@
             ),
             tries.Tries(
                 sending.Sender(
-                    dialect, self._client, self._hosts_client, kept_in
+                    dialect,
+                    self._client,
+                    self._hosts_client,
+                    kept_in,
+                    self._traffic,
                 ),
                 self.attendance,
                 self._choice,
@@ -250,6 +256,7 @@
         self._gauges.start()
         self._partners.start()
         self._tasks.start(self._keep_house())
+        self._tasks.start(self._traffic.keep_logging('entry'))
         await self._hosts.start(f'{node.ip}:{node.passing_port}')
         await self._callers.start(node.callers_address)
         logger.info('started', host=node.host, seeds=node.seeds)
@@ -297,4 +304,5 @@
         await self._client.close()
         await self._hosts_client.close()
         await self.peers.links.close()
+        self._traffic.log('entry')
         logger.info('stopped')
--- a/wrenspoke/node_peers.py
+++ b/wrenspoke/node_peers.py
@@ -3,13 +3,23 @@
 from wrenspoke import clock as clocks
 from wrenspoke import node as nodes
 from wrenspoke.protocol import peers as peer_calls
+from wrenspoke.protocol import traffic
+from wrenspoke.state import locations
 from wrenspoke.transport import links
 
 # A cut says nothing; a link is made anew soon after one heals.
 SILENCE = links.Silence(heartbeat_ms=700, timeout_ms=2_000)
 
 
-def peers_of(node: nodes.Node, clock: clocks.Clock) -> peer_calls.Peers:
+def traffic_of(node: nodes.Node, clock: clocks.Clock) -> traffic.Traffic:
+    """Return what counts the messages that a host sends."""
+    own = locations.Location(node.region, node.data_centre)
+    return traffic.Traffic(own, clock)
+
+
+def peers_of(
+    node: nodes.Node, sent: traffic.Traffic, clock: clocks.Clock
+) -> peer_calls.Peers:
     """Return what a host calls others with; a name tells the address."""
     identity = links.Identity(node.cluster, node.host)
-    return peer_calls.Peers(identity, [], clock, SILENCE)
+    return peer_calls.Peers(identity, [], clock, SILENCE, sent.note_message)
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -42,11 +42,14 @@
         peers: collections.abc.Iterable[links.Peer],
         clock: clocks.Clock,
         silence: links.Silence = links.Silence(),
+        noted: links.Noted | None = None,
     ):
         self._answerers: dict[type, Answerer] = {}
         self._decoder = msgspec.msgpack.Decoder(Message)
         self._encoder = msgspec.msgpack.Encoder()
-        self.links = links.Links(identity, peers, clock, self._handle, silence)
+        self.links = links.Links(
+            identity, peers, clock, self._handle, silence, noted
+        )
 
     def answers(
         self, kind: type
--- a/wrenspoke/report.py
+++ b/wrenspoke/report.py
@@ -22,6 +22,9 @@
 PERCENTILES = 10
 OK_STATUS = '2'
 UNAVAILABLE = '503'
+TRAFFIC_KEY = ('role', 'kind', 'distance')
+TRAFFIC_NUMBERS = ('messages', 'bytes', 'lived_ms')
+MS_PER_S = 1_000
 UNKNOWN_HOST = ''
 
 
@@ -52,6 +55,17 @@
     reason: str
 
 
+class SentKind(msgspec.Struct, frozen=True, order=True):
+    """Say what hosts of a role sent of a kind, a second and host."""
+
+    bytes_per_s: float
+    messages_per_s: float
+    role: str
+    kind: str
+    distance: str
+    hosts: int
+
+
 class Report(msgspec.Struct):
     """Hold everything that a report tells.
 
@@ -70,6 +84,7 @@
     turned_back: int
     held_ms: Spread | None
     refused_with_free_places: int
+    traffic: list[SentKind] = []
 
 
 class _End(msgspec.Struct):
@@ -81,6 +96,14 @@
     reason: str
 
 
+class _Sent(msgspec.Struct):
+    """Hold what a host sent of a kind, so far, in one of its lives."""
+
+    messages: float
+    bytes: float
+    lived_ms: float
+
+
 class Collector:
     """Take log lines in any order, and make a report of them."""
 
@@ -91,6 +114,10 @@
         self._held_ms: list[float] = []
         self._passed_on = self._relayed = self._turned_back = 0
         self._with_free_places = 0
+        # By role, kind and distance: what each life of each host sent.
+        self._traffic: dict[
+            tuple[str, str, str], dict[tuple[str, str], _Sent]
+        ] = collections.defaultdict(dict)
 
     def take(self, line: logread.LogLine) -> None:
         """Take one line; what is not told of is left out."""
@@ -153,6 +180,18 @@
     def _take_passed_back(self, _line: logread.LogLine) -> None:
         self._turned_back += 1
 
+    def _take_traffic(self, line: logread.LogLine) -> None:
+        fields = line.fields
+        key = tuple(fields.get(name, '') for name in TRAFFIC_KEY)
+        numbers = [_number(fields.get(name)) for name in TRAFFIC_NUMBERS]
+        if None in numbers or not numbers[-1]:
+            return
+        sent = _Sent(*numbers)
+        life = (line.host, fields.get('life', ''))
+        known = self._traffic[key].get(life)
+        if known is None or known.lived_ms < sent.lived_ms:
+            self._traffic[key][life] = sent
+
     def _end(
         self, line: logread.LogLine, outcome: Outcome, reason: str
     ) -> None:
@@ -186,6 +225,7 @@
             turned_back=self._turned_back,
             held_ms=_spread(self._held_ms) if self._held_ms else None,
             refused_with_free_places=self._with_free_places,
+            traffic=_traffic(self._traffic),
         )
 
 
@@ -198,9 +238,40 @@
     'passed_on': Collector._take_passed_on,
     'relayed': Collector._take_relayed,
     'passed_back': Collector._take_passed_back,
+    'traffic': Collector._take_traffic,
 }
 
 
+def _traffic(
+    found: dict[tuple[str, str, str], dict[tuple[str, str], _Sent]],
+) -> list[SentKind]:
+    """Return what hosts sent, the most bytes first.
+
+    Hosts that sent nothing of a kind count in its mean as well.
+    """
+    lived_ms: dict[str, dict[tuple[str, str], float]] = (
+        collections.defaultdict(dict)
+    )
+    for (role, _kind, _distance), by_life in found.items():
+        for life, sent in by_life.items():
+            known_ms = lived_ms[role].get(life, 0.0)
+            lived_ms[role][life] = max(known_ms, sent.lived_ms)
+    kinds = []
+    for (role, kind, distance), by_life in found.items():
+        total_s = sum(lived_ms[role].values()) / MS_PER_S
+        kinds.append(
+            SentKind(
+                sum(sent.bytes for sent in by_life.values()) / total_s,
+                sum(sent.messages for sent in by_life.values()) / total_s,
+                role,
+                kind,
+                distance,
+                len({host for host, _life in by_life}),
+            )
+        )
+    return sorted(kinds, reverse=True)
+
+
 def band(expected_ms: float) -> str:
     """Return the name of the band that an expected time lies in."""
     lower = max(edge for edge in BANDS_MS if edge <= max(expected_ms, 0))
@@ -279,6 +350,18 @@
             f'ninetieth {held.ninetieth:.0f}; with places free: '
             f'{found.refused_with_free_places} of {held.count}'
         )
+    if found.traffic:
+        yield ''
+        yield 'sent by a host of the role, a second'
+        yield (
+            f'{"bytes":>9} {"messages":>9}  {"role":8} {"kind":16} '
+            f'{"distance":16} by hosts'
+        )
+    for sent in found.traffic:
+        yield (
+            f'{sent.bytes_per_s:9.1f} {sent.messages_per_s:9.3f}  '
+            f'{sent.role:8} {sent.kind:16} {sent.distance:16} {sent.hosts}'
+        )
     yield ''
     yield 'second  ' + '  '.join(f'{item.value:>7}' for item in Outcome)
     for second, counts in enumerate(found.seconds):
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -90,6 +90,8 @@
     timeout_ms: int = HEARTBEAT_TIMEOUT_MS
 
 
+# Told of each message that was sent: to whom, what, and the bytes it took.
+Noted = collections.abc.Callable[[ids.HostId, bytes, int], None]
 Handler = collections.abc.Callable[
     [ids.HostId, bytes], collections.abc.Awaitable[bytes | None]
 ]
@@ -105,7 +107,9 @@
         clock: clocks.Clock,
         handler: Handler,
         silence: Silence = Silence(),
+        noted: Noted | None = None,
     ):
+        self._noted = noted or _note_nothing
         self._identity = identity
         self._peers = {peer.host: peer for peer in peers}
         self._hosts_by_key = {
@@ -177,7 +181,7 @@
         try:
             async with clocks.timeout_ms(timeout_ms):
                 await _send_when_connected(dealer, frame)
-                self.sent_bytes += len(frame)
+                self._note_sent(host, body, frame)
                 return await future
         except TimeoutError as error:
             raise errors.MaybeSentError(f'no answer from {host}') from error
@@ -198,9 +202,13 @@
         except (zmq.ZMQError, errors.NotSentError):
             logger.debug('tell_dropped', peer=host)
             return 0
-        self.sent_bytes += len(frame)
+        self._note_sent(host, body, frame)
         return len(frame)
 
+    def _note_sent(self, host: ids.HostId, body: bytes, frame: bytes) -> None:
+        self.sent_bytes += len(frame)
+        self._noted(host, body, len(frame))
+
     def _dealer(self, host: ids.HostId) -> zmq.asyncio.Socket:
         dealer = self._dealers.get(host)
         if dealer is not None:
@@ -325,7 +333,7 @@
         frame = self._wrap(envelope.number, answer, envelope.good_for_ms)
         try:
             await self._router.send_multipart([route, frame], zmq.NOBLOCK)
-            self.sent_bytes += len(frame)
+            self._note_sent(sender, answer, frame)
         except zmq.ZMQError:
             logger.info('answer_dropped', peer=sender)
 
@@ -341,6 +349,10 @@
         self._context.destroy(linger=0)
 
 
+def _note_nothing(_host: ids.HostId, _body: bytes, _size: int) -> None:
+    return
+
+
 async def _send_when_connected(
     dealer: zmq.asyncio.Socket, frame: bytes
 ) -> None:
