Keep one table of routes, pack it once, and ask of warmth from two hosts

A host that was six tables behind was sent all six. Now a table that replaces another stands alone in the changes, and is packed once for all hosts that ask for the same. Messages that hardly shrink are not packed a second time.

Cause, warmth: each host of a region asked eight endpoints that were taken back, 528 questions at 66 hosts; two hosts of all ask each and tell the rest, also where no call comes to them.

Packings of a table at 20 / 60 / 200 hosts: one a control host. A control host's log still holds the tables until it is compacted.

--- a/tests/test_askers.py
+++ b/tests/test_askers.py
@@ -46,6 +46,9 @@
         self._host = host
         self._region = region
 
+    def answers(self, _kind):
+        return lambda answerer: answerer
+
     async def tell(self, host, message):
         if host in self._region.lost:
             return 0
@@ -97,7 +100,7 @@
     for number, name in itertools.product(range(count), ('north', 'south')):
         known.take(test_registry.record(f'{name}{number}', region=name))
     viewed = views.RegionViews(clock)
-    asking = askers.Askers(region, host, known, None)
+    asking = askers.Askers(region, host, known, test_gauges.NoPeers())
     made = partners.Partners(
         host, region, known, Unasked(), asking, viewed, clock
     )
@@ -146,3 +149,13 @@
     split = askers.shares(hosts)
     assert [len(share) for share in split] == lengths
     assert [host for share in split for host in share] == hosts
+
+
+@pytest.mark.parametrize('count', SIZES)
+def test_endpoint_that_was_taken_back_is_asked_by_two_of_all_hosts(count):
+    region = Region(count)
+    asked = collections.Counter()
+    for number in range(30):
+        for host, made in region.made.items():
+            asked[number] += made.asks_of(f'e{number}')
+    assert set(asked.values()) == {askers.LEAST_ASKING_HOSTS}
--- a/tests/test_attendance.py
+++ b/tests/test_attendance.py
@@ -34,7 +34,9 @@
             confirmed=self.confirmed,
             whole=configuration.Configuration(index=self.index),
         )
-        return attending.Attended(delta, 'life', 1, 1, [], None, [])
+        return attending.Attended(
+            delta, 'life', 1, 1, [], None, [], [], attending.pack(delta)
+        )
 
 
 @pytest.fixture
--- a/tests/test_attending_fleet.py
+++ b/tests/test_attending_fleet.py
@@ -8,7 +8,10 @@
 
 from tests import attending_fleet
 from tests import group
+from tests import test_replica
 from wrenspoke.coordination.membership import attendance
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import messages
 
 SIZES = [20, 60, 200]
 SETTLED_MS = 4_000
@@ -242,3 +245,28 @@
 
     has_lease = led = False
     leader = 'who led before'
+
+
+@pytest.mark.parametrize('entries', SIZES)
+def test_table_of_routes_is_packed_once_for_all_hosts(entries, monkeypatch):
+    """A table of 1,500 routes takes 10 ms to pack."""
+    packed = []
+    pack = attending.pack
+    monkeypatch.setattr(
+        attending, 'pack', lambda delta: packed.append(1) or pack(delta)
+    )
+
+    async def play():
+        fleet = await settled(entries)
+        delta = messages.ConfigurationDelta(
+            1, changes=[(1, test_replica.table(1, count=1_500))]
+        )
+        for host in fleet.controls.values():
+            host.registrar._replica.advance(delta)
+        await fleet.wait_ms(SETTLED_MS)
+        for host in fleet.entries.values():
+            assert host.attendance._replica.current.routes.version == 1
+        await fleet.close()
+
+    group.run(play())
+    assert len(packed) <= attending_fleet.CONTROLS
--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -74,7 +74,6 @@
         attended,
         replicated,
         None,
-        NoPeers(),
         asking,
         None,
         None,
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -5,6 +5,7 @@
 from wrenspoke.coordination.membership import replica
 from wrenspoke.protocol import messages
 from wrenspoke.state import configuration
+from wrenspoke.state import routes
 
 
 def limit(team, rate):
@@ -68,3 +69,40 @@
     )
     assert not held.advance(delta((2, state)))
     assert held.current.index == 1
+
+
+def table(version, count=1):
+    """Return a change to a table of so many routes."""
+    found = tuple(
+        routes.Route(
+            f'r{number}',
+            'h',
+            f'/{version}/{number}/',
+            routes.RouteKind.ONCE,
+            (),
+            1,
+            1,
+        )
+        for number in range(count)
+    )
+    return configuration.SetRoutes(routes.RouteTable(version, found))
+
+
+@pytest.mark.parametrize('after', [0, 1, 2, 4, 8, 9])
+def test_one_table_brings_a_replica_level_that_is_some_behind(after):
+    held = replica.Replica()
+    other = replica.Replica()
+    for index in range(1, 10):
+        change = table(index) if index % 2 else limit('a', index)
+        held.advance(delta((index, change)))
+        if index <= after:
+            other.advance(delta((index, change)))
+    told = held.after(after)
+    tables = [
+        change
+        for _index, change in told.changes
+        if isinstance(change, configuration.SetRoutes)
+    ]
+    assert len(tables) <= 1
+    other.advance(told)
+    assert other.current == held.current
--- a/wrenspoke/coordination/membership/askers.py
+++ b/wrenspoke/coordination/membership/askers.py
@@ -5,8 +5,11 @@
 as many hosts as the root of their number, each of which tells its share.
 """
 
+import collections.abc
 import math
 
+import msgspec
+
 from wrenspoke.coordination.membership import roster
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
@@ -18,6 +21,7 @@
 ENGINES_A_HOST = 16
 # Two, so that one that is lost leaves another that is asking already.
 LEAST_ASKING_HOSTS = 2
+Listener = collections.abc.Callable[[attending.TellRegion], None]
 
 
 class Askers:
@@ -36,17 +40,28 @@
         self._peers = peers
         self._ranked: list[str] = []
         self._revision = -1
+        self._listeners: list[Listener] = []
         # Of the region, as its hosts last counted them.
         self.engines = 0
+        peers.answers(attending.TellRegion)(self._hear)
+
+    def listen(self, listener: Listener) -> None:
+        """Have everything told to ``listener`` that other hosts heard."""
+        self._listeners.append(listener)
+
+    async def _hear(
+        self, _sender: ids.HostId, message: attending.TellRegion
+    ) -> None:
+        for listener in self._listeners:
+            listener(message)
+        if message.pass_on:
+            await self.relay(message)
 
     def hosts(self) -> list[str]:
         """Return the hosts that ask, in an order that all agree on."""
         if self._revision != self._roster.revision:
             self._revision = self._roster.revision
-            near = {record.host for record in self._usable()}
-            self._ranked = routing.rendezvous(
-                self._region, {*near, self._host}
-            )
+            self._ranked = self._rank(self._region)
         count = math.ceil(self.engines / ENGINES_A_HOST)
         return self._ranked[: max(count, LEAST_ASKING_HOSTS)]
 
@@ -54,6 +69,17 @@
         """Tell whether this host is one of them."""
         return self._host in self.hosts()
 
+    def asks_of(self, endpoint: ids.EndpointId) -> bool:
+        """Tell whether this host is one of those that ask an endpoint.
+
+        Those of an endpoint that is asked once are drawn from all hosts.
+        """
+        return self._host in self._rank(endpoint)[:LEAST_ASKING_HOSTS]
+
+    def _rank(self, key: str) -> list[str]:
+        near = {record.host for record in self._usable()}
+        return routing.rendezvous(key, {*near, self._host})
+
     def _usable(self) -> list[attending.HostRecord]:
         return self._roster.usable(self._region)
 
@@ -74,15 +100,15 @@
         self, message: attending.TellRegion, share: list[ids.HostId]
     ) -> None:
         for number, host in enumerate(share):
-            sent = attending.TellRegion(
-                message.loads, message.words, share[number + 1 :]
+            sent = msgspec.structs.replace(
+                message, pass_on=share[number + 1 :]
             )
             if await self._peers.tell(host, sent):
                 return
 
     async def relay(self, message: attending.TellRegion) -> None:
         """Tell the hosts that a message names."""
-        sent = attending.TellRegion(message.loads, message.words)
+        sent = msgspec.structs.replace(message, pass_on=[])
         for host in message.pass_on:
             await self._peers.tell(host, sent)
 
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -264,13 +264,18 @@
         if not isinstance(answer, attending.Attended):
             return False
         if session.host == host:
-            self._take(session, answer)
+            try:
+                self._take(session, answer)
+            except protocol_errors.ProtocolError as error:
+                logger.warning('answer_refused', peer=host, reason=str(error))
+                return False
         return True
 
     def _take(self, session: _Session, answer: attending.Attended) -> None:
         self._group.hear(session.host)
         self._group.learn(answer.controls)
-        self._replica.advance(answer.delta)
+        if answer.news:
+            self._replica.advance(attending.unpack(answer.news))
         for said in answer.endpoints:
             self.registry.take(said)
         if answer.hosts is not None:
--- a/wrenspoke/coordination/membership/gauges.py
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -23,7 +23,6 @@
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import attending
-from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
 from wrenspoke.state import errors as state_errors
 from wrenspoke.state import loads
@@ -72,7 +71,6 @@
         attended: attendance.Attendance,
         held: replica.Replica,
         client: web.HttpClient,
-        peers: peer_calls.Peers,
         asking: askers.Askers,
         near: partners.Partners,
         viewed: views.RegionViews,
@@ -96,7 +94,7 @@
         # When an engine of which no load is known was first looked at.
         self._first_seen_ms: dict[ids.EndpointId, int] = {}
         self._tasks = runtime.Tasks()
-        peers.answers(attending.TellRegion)(self._hear)
+        asking.listen(self._hear)
 
     def start(self) -> None:
         """Begin to ask."""
@@ -209,9 +207,7 @@
         self._heard(said.address, asked_ms)
         return load
 
-    async def _hear(
-        self, _sender: ids.HostId, message: attending.TellRegion
-    ) -> None:
+    def _hear(self, message: attending.TellRegion) -> None:
         now_ms = self._clock.mono_ms()
         for word in message.words:
             self._views.note(word)
@@ -222,8 +218,6 @@
                 asked_ms = now_ms - REPORT_TIMEOUT_MS
                 self._heard(found.said.address, asked_ms)
         self._forget()
-        if message.pass_on:
-            await self._askers.relay(message)
 
     def _forget(self) -> None:
         for known in (self._held, self._first_seen_ms):
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -18,6 +18,7 @@
 from wrenspoke.coordination.membership import roster
 from wrenspoke import ids
 from wrenspoke.protocol import attending
+from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
 from wrenspoke.state import locations
@@ -67,6 +68,9 @@
         self._news = asyncio.Event()
         # When each attending host was answered last.
         self._told_ms: dict[ids.HostId, int] = {}
+        # What follows each index that was asked for, up to an index.
+        self._packed: dict[int, bytes] = {}
+        self._packed_at = 0
         self._tasks = runtime.Tasks()
         self.registry = registry.Registry(clock)
         self.roster = roster.Roster(HOST_LEASE_MS, clock, TOLD_LEASE_MS)
@@ -183,7 +187,7 @@
 
     def _attended(self, message: attending.Attend) -> attending.Attended:
         known = message.life == self._life
-        delta = self._replica.after(message.index)
+        delta = messages.ConfigurationDelta(self._replica.current.index)
         delta.confirmed = self._voter.has_lease
         delta.leader = self._voter.leader if self._voter.led else None
         hosts = None
@@ -201,8 +205,23 @@
             hosts,
             [self._group.host, *self._group.lately(HEARD_LATELY_MS)],
             self._exchanges.standing_in(message.record.region),
+            self._news_after(message.index),
         )
 
+    def _news_after(self, index: int) -> bytes:
+        """Return the changes after an index, packed once for all hosts."""
+        now = self._replica.current.index
+        if index >= now:
+            return b''
+        if self._packed_at != now:
+            self._packed_at = now
+            self._packed.clear()
+        packed = self._packed.get(index)
+        if packed is None:
+            packed = attending.pack(self._replica.after(index))
+            self._packed[index] = packed
+        return packed
+
     def _announce(self) -> None:
         """Tell attending and other control hosts of a change at once."""
         self._wake()
--- a/wrenspoke/coordination/membership/replica.py
+++ b/wrenspoke/coordination/membership/replica.py
@@ -46,10 +46,28 @@
                 logger.error('change_refused', index=index, reason=error)
                 return False
             self.current = changed
-            self._changes.append((index, change))
+            self._keep(index, change)
         self._announce()
         return True
 
+    def _keep(self, index: int, change: configuration.Change) -> None:
+        """Keep a change for who has not got it.
+
+        A table of routes replaces the one before it. Of those one is kept:
+        they are by far the largest, and a host that is some changes behind
+        is brought level by the last.
+        """
+        if isinstance(change, configuration.SetRoutes):
+            self._changes = collections.deque(
+                (
+                    item
+                    for item in self._changes
+                    if not isinstance(item[1], configuration.SetRoutes)
+                ),
+                maxlen=KEPT_CHANGES,
+            )
+        self._changes.append((index, change))
+
     def _replace(self, whole: configuration.Configuration) -> None:
         self.current = whole
         self._changes.clear()
--- a/wrenspoke/coordination/serving/warmth.py
+++ b/wrenspoke/coordination/serving/warmth.py
@@ -2,7 +2,8 @@
 
 Endpoints of a data centre that was evacuated may have turned cold
 meanwhile. Their next renewal tells, a second or more later; their health
-answer tells at once.
+answer tells at once. Two hosts ask each endpoint and tell the region's
+others, however many there are.
 """
 
 import asyncio
@@ -11,9 +12,10 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import replica
-from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke import runtime
 from wrenspoke.state import registry
@@ -23,9 +25,9 @@
 logger = structlog.get_logger(__name__)
 
 OK = 200
-# Each host asks a few, so that a large region is not asked by all; those
-# that others asked are doubted here until they renew.
-ASKED_COUNT = 8
+# A word that came before this host learned that the data centre was taken
+# back counts: the change takes a second at most from host to host.
+EARLY_MS = 1_000
 # A near endpoint that takes longer is busy enough.
 ANSWER_TIMEOUT_MS = 400
 BODY_LIMIT_BYTES = 64 * 1024
@@ -36,19 +38,21 @@
 
     def __init__(
         self,
-        host: ids.HostId,
+        asking: askers.Askers,
         held: replica.Replica,
         dialect: dialects.Dialect,
         client: web.HttpClient,
         clock: clocks.Clock,
     ):
-        self._host = host
+        self._askers = asking
         self._replica = held
         self._dialect = dialect
         self._client = client
         self._clock = clock
-        self._warm_ms: dict[ids.EndpointId, int] = {}
+        # From when on an endpoint is warm, and when that was heard.
+        self._warm_ms: dict[ids.EndpointId, tuple[int, int]] = {}
         self._tasks = runtime.Tasks()
+        asking.listen(self._hear)
 
     async def close(self) -> None:
         """End every question."""
@@ -56,27 +60,47 @@
 
     def warm_ms(self, endpoint: ids.EndpointId) -> int | None:
         """Return from when on an endpoint is warm, None if not known."""
-        return self._warm_ms.get(endpoint)
+        warm_ms, _heard_ms = self._warm_ms.get(endpoint, (None, 0))
+        return warm_ms
 
     def ask(
         self, taken_back: collections.abc.Iterable[registry.Registered]
     ) -> None:
         """Begin to ask endpoints that were taken back."""
-        found = {one.said.endpoint: one for one in taken_back}
-        for endpoint in found:
-            self._warm_ms.pop(endpoint, None)
-        ranked = routing.rendezvous(self._host, found)
-        chosen = [found[ids.EndpointId(name)] for name in ranked[:ASKED_COUNT]]
+        early_ms = self._clock.mono_ms() - EARLY_MS
+        chosen = []
+        for one in taken_back:
+            endpoint = one.said.endpoint
+            _warm_ms, heard_ms = self._warm_ms.get(endpoint, (0, 0))
+            if heard_ms < early_ms:
+                self._warm_ms.pop(endpoint, None)
+            if self._askers.asks_of(endpoint):
+                chosen.append(one)
         if chosen:
             self._tasks.start(self._ask_all(chosen))
 
     async def _ask_all(self, chosen: list[registry.Registered]) -> None:
-        await asyncio.gather(*(self._ask(one.said) for one in chosen))
+        answers = await asyncio.gather(
+            *(self._ask(one.said) for one in chosen)
+        )
+        warm = [answer for answer in answers if answer is not None]
+        if warm:
+            await self._askers.tell(attending.TellRegion(warm=warm))
+
+    def _hear(self, message: attending.TellRegion) -> None:
+        for word in message.warm:
+            self._note(word)
+
+    def _note(self, word: attending.WarmWord) -> None:
+        now_ms = self._clock.mono_ms()
+        self._warm_ms[word.endpoint] = (now_ms + word.left_ms, now_ms)
 
-    async def _ask(self, said: registry.Registration) -> None:
+    async def _ask(
+        self, said: registry.Registration
+    ) -> attending.WarmWord | None:
         service = self._replica.current.routes.service(said.service)
         if service is None:
-            return
+            return None
         try:
             async with clocks.timeout_ms(ANSWER_TIMEOUT_MS):
                 async with self._client.pass_on(
@@ -87,7 +111,7 @@
             logger.info(
                 'warmth_unknown', endpoint=said.endpoint, cause=repr(error)
             )
-            return
+            return None
         instance = response.headers.get(self._dialect.instance)
         if response.status != OK or instance != said.endpoint:
             logger.info(
@@ -96,13 +120,15 @@
                 status=response.status,
                 instance=instance,
             )
-            return
+            return None
         text = response.headers.get(self._dialect.warmup_ms, '0')
         left_ms = float(text) if text.replace('.', '', 1).isdigit() else 0.0
-        self._warm_ms[said.endpoint] = self._clock.mono_ms() + int(left_ms)
+        word = attending.WarmWord(said.endpoint, int(left_ms))
+        self._note(word)
         logger.info(
             'warmth_known', endpoint=said.endpoint, warmup_left_ms=left_ms
         )
+        return word
 
     def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
         """Forget endpoints that are gone."""
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -149,7 +149,6 @@
             self.attendance,
             self.replica,
             self._client,
-            self.peers,
             self._askers,
             self._partners,
             self._views,
@@ -162,7 +161,7 @@
         """Build what serves requests and what listens for them."""
         node = self.node
         self._warmth = warmth.Warmth(
-            node.host, self.replica, dialect, self._client, self.clock
+            self._askers, self.replica, dialect, self._client, self.clock
         )
         self._regions = regions.Regions(
             self._reach,
@@ -171,7 +170,7 @@
             self.replica,
             self.clock,
         )
-        available = availability.Availability(
+        self._available = availability.Availability(
             node.region,
             node.host,
             node.regions,
@@ -190,7 +189,7 @@
             self._health,
             self._estimator,
             self._partners,
-            available,
+            self._available,
             node.switched_off,
             self.clock,
         )
@@ -256,6 +255,7 @@
         self._gauges.start()
         self._partners.start()
         self._tasks.start(self._keep_house())
+        self._tasks.start(self._watch_evacuations())
         self._tasks.start(self._traffic.keep_logging('entry'))
         await self._hosts.start(f'{node.ip}:{node.passing_port}')
         await self._callers.start(node.callers_address)
@@ -282,6 +282,12 @@
             self.attendance.registry.forget_old()
             await self.clock.sleep_ms(HOUSE_INTERVAL_MS)
 
+    async def _watch_evacuations(self) -> None:
+        """Look at once at what was taken back, also where no call comes."""
+        while True:
+            await self.replica.changed.wait()
+            self._available.note_evacuations()
+
     async def drain(self) -> None:
         """Let callers go elsewhere, then wait for what is in flight."""
         self.attendance.draining = True
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -1,13 +1,20 @@
 """The messages by which hosts find each other and endpoints at run time."""
 
+import zlib
+
 import msgspec
 
 from wrenspoke import ids
+from wrenspoke.protocol import errors
 from wrenspoke.protocol import messages
 from wrenspoke.state import loads
 from wrenspoke.state import registry
 
 
+# Tables of routes shrink to a tenth at the lowest level.
+COMPRESSION_LEVEL = 1
+_DELTAS = msgspec.msgpack.Decoder(messages.ConfigurationDelta)
+
 # The field of that name hides the module in the message below.
 EngineLoad = loads.EngineLoad
 
@@ -75,6 +82,9 @@
 class Attended(msgspec.Struct, tag='attended'):
     """Answer an attending host with what it does not hold yet.
 
+    ``delta`` says how far the configuration has come, and ``news`` holds
+    the changes themselves, packed (see ``pack``): one packing serves every
+    host that asks for the same.
     ``hosts`` is None where nothing changed; ``near`` names the control
     hosts that stand in the region of the one that asks.
     """
@@ -87,6 +97,24 @@
     hosts: HostChanges | None
     controls: list[ids.HostId]
     near: list[ids.HostId] = []
+    news: bytes = b''
+
+
+def pack(delta: messages.ConfigurationDelta) -> bytes:
+    """Return the changes of a delta as bytes for ``Attended.news``."""
+    body = msgspec.msgpack.encode(delta)
+    return zlib.compress(body, COMPRESSION_LEVEL)
+
+
+def unpack(news: bytes) -> messages.ConfigurationDelta:
+    """Return the changes that were packed.
+
+    :raises MalformedMessageError: they can't be read
+    """
+    try:
+        return _DELTAS.decode(zlib.decompress(news))
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise errors.MalformedMessageError(str(error)) from error
 
 
 class Exchange(msgspec.Struct, tag='exchange'):
@@ -139,15 +167,24 @@
     age_ms: int = 0
 
 
+class WarmWord(msgspec.Struct, array_like=True, frozen=True):
+    """Tell for how long an endpoint stays cold, by its own answer."""
+
+    endpoint: ids.EndpointId
+    left_ms: int
+
+
 class TellRegion(msgspec.Struct, tag='tell_region'):
     """Tell the entry hosts of the region what one of them found out.
 
-    That is what engines reported and what other regions offer. Who gets
-    it tells the hosts of ``pass_on``.
+    That is what engines reported, what other regions offer, and which
+    endpoints that were taken back are warm. Who gets it tells the hosts of
+    ``pass_on``.
     """
 
-    loads: list[EngineLoad]
+    loads: list[EngineLoad] = []
     words: list[RegionWord] = []
+    warm: list[WarmWord] = []
     pass_on: list[ids.HostId] = []
 
 
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -41,6 +41,8 @@
 # Tables of routes shrink to a tenth; shorter messages are not worth it.
 COMPRESSED_FROM_BYTES = 2_048
 COMPRESSION_LEVEL = 1
+# A message whose end hardly shrinks was packed before it came here.
+DENSE = 0.9
 PLAIN, COMPRESSED = b'\0', b'\1'
 KEPT_EPOCHS = 4_096
 
@@ -372,6 +374,9 @@
 def _packed(body: bytes) -> bytes:
     if len(body) < COMPRESSED_FROM_BYTES:
         return PLAIN + body
+    sample = body[-COMPRESSED_FROM_BYTES:]
+    if len(zlib.compress(sample, COMPRESSION_LEVEL)) > len(sample) * DENSE:
+        return PLAIN + body
     return COMPRESSED + zlib.compress(body, COMPRESSION_LEVEL)
 
 
