Send nothing to an engine that is silent to all hosts of its region

Cause: an engine that loses power says nothing. Each host finds out by itself, 3 s after its own first call there, so a host with a call a second goes on sending to it for longer than many such losses last. Ruled out: a shorter time-out of connections, which a far packet or a busy host would meet as well.

Reports come to all hosts of the region anyway. An engine of which none came for four intervals (1.6 s), while at least half of the region's report, goes last, like one whose calls failed here. Where most are silent, the asking hosts are taken to be at fault.

--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -11,6 +11,8 @@
 from wrenspoke.coordination.membership import gauges
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.membership import roster
+from wrenspoke.coordination.serving import availability
+from wrenspoke.coordination.serving import health
 from wrenspoke.protocol import attending
 from wrenspoke.state import configuration
 from wrenspoke.state import registry
@@ -135,3 +137,66 @@
     for found in engines:
         second._held[found.said.endpoint] = (None, clock.now_ms)
     assert {found.said.endpoint for found in own_of(second)} == before
+
+
+@pytest.mark.parametrize(
+    'ages_ms, silent',
+    [
+        ([0, 0, 0], False),
+        ([1_600, 0, 0], False),
+        ([1_601, 0, 0], True),
+        ([1_601, 0], True),
+        ([1_601, 1_601, 0], False),
+        ([1_601], False),
+        ([None, 0, 0], False),
+    ],
+    ids=[
+        'all report',
+        'missed',
+        'silent',
+        'one of two is silent',
+        'most are silent',
+        'the only one',
+        'never reported',
+    ],
+)
+def test_engine_is_silent_once_it_alone_stops_reporting(ages_ms, silent):
+    """Where most stop, it is the asking hosts that fail."""
+    engines = [registered(number) for number in range(len(ages_ms))]
+    gauged = made('h0', [record(0)], engines)
+    gauged._clock = test_registry.FakeClock()
+    for number, age_ms in enumerate(ages_ms):
+        if age_ms is not None:
+            heard_ms = gauged._clock.now_ms - age_ms
+            gauged._held[f'e{number}'] = (None, heard_ms)
+    assert gauged.silent('e0') is silent
+
+
+@pytest.mark.parametrize('silent', [True, False])
+def test_calls_go_to_an_engine_that_is_silent_only_for_want_of_others(silent):
+    engines = [registered(number) for number in range(2)]
+    gauged = made('h0', [record(0)], engines)
+    gauged._clock = test_registry.FakeClock()
+    now_ms = gauged._clock.now_ms
+    for found in engines:
+        gauged._held[found.said.endpoint] = (None, now_ms)
+    if silent:
+        gauged._held['e0'] = (None, now_ms - 1_601)
+    # One that left reports no more, and counts for nothing.
+    gauged._held['gone'] = (None, 0)
+    clock = clocks.Clock()
+    available = availability.Availability(
+        'north',
+        'h0',
+        REGIONS,
+        gauged._attended,
+        gauged._replica,
+        health.Health(clock),
+        None,
+        gauged,
+        frozenset(),
+        clock,
+    )
+    sound = [found.said.endpoint for found in available.sound('s', 'north')]
+    assert sound == (['e1'] if silent else ['e0', 'e1'])
+    assert len(available.warm('s', 'north')) == 2
--- a/wrenspoke/coordination/membership/gauges.py
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -40,6 +40,12 @@
 # So many intervals without a report of an engine, and the host that is next
 # in order asks it too. Two, as one may just have been missed.
 MISSED_INTERVALS = 2
+# So many intervals without a report, while most engines of the region report,
+# and an engine is taken for lost: two until the next host in order asks it,
+# one for the answer, and one that may be missed by chance. A call sent there
+# would wait 3 s until its connection is given up, at each host anew.
+SILENT_INTERVALS = 4
+FRESH_SHARE = 0.5
 # A report older than this says nothing about now.
 STALE_AFTER_MS = 2_500
 
@@ -114,6 +120,21 @@
             return None
         return msgspec.structs.replace(found, age_ms=age_ms)
 
+    def silent(self, endpoint: ids.EndpointId) -> bool:
+        """Tell whether an engine stopped reporting while others go on."""
+        if not self._is_old(endpoint):
+            return False
+        engines = [other.said.endpoint for other in self._engines()]
+        fresh = sum(not self._is_old(other) for other in engines)
+        return fresh >= FRESH_SHARE * len(engines)
+
+    def _is_old(self, endpoint: ids.EndpointId) -> bool:
+        _load, heard_ms = self._held.get(endpoint, (None, None))
+        if heard_ms is None:
+            return False
+        age_ms = self._clock.mono_ms() - heard_ms
+        return age_ms > SILENT_INTERVALS * self._interval_ms
+
     async def _run(self) -> None:
         while True:
             asked_ms = self._clock.mono_ms()
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -9,6 +9,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.membership import gauges
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import routing
@@ -36,6 +37,7 @@
         held: replica.Replica,
         noted: health.Health,
         warmth: warmths.Warmth,
+        known: gauges.Gauges,
         switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
@@ -46,6 +48,7 @@
         self._replica = held
         self._health = noted
         self._warmth = warmth
+        self._gauges = known
         self._switched_off = switched_off
         self._clock = clock
         self._evacuated: set[ids.DataCentreId] = set()
@@ -110,7 +113,7 @@
         return [
             found
             for found in self.warm(service, region)
-            if not self.set_aside(found.said.address)
+            if not self.doubted(found)
         ]
 
     def cold(self, found: registry.Registered) -> bool:
@@ -160,6 +163,17 @@
         hosts = sorted({*hosts, self._host})
         return routing.rendezvous(endpoint, hosts)[0] == self._host
 
+    def doubted(self, found: registry.Registered) -> bool:
+        """Tell whether others should be used before an endpoint.
+
+        Its calls failed here, or it is silent to all hosts of the region.
+        """
+        if self.set_aside(found.said.address):
+            return True
+        if not self._on(mechanisms.Mechanism.SETTING_ASIDE):
+            return False
+        return self._gauges.silent(found.said.endpoint)
+
     def set_aside(self, place: str) -> bool:
         """Tell whether a place is to be left alone for now."""
         if not self._on(mechanisms.Mechanism.SETTING_ASIDE):
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -116,11 +116,7 @@
             if found.said.endpoint not in excluded
         ]
         warm = [found for found in every if not self._available.cold(found)]
-        sound = [
-            found
-            for found in warm
-            if not self._available.set_aside(found.said.address)
-        ]
+        sound = [found for found in warm if not self._available.doubted(found)]
         warming = self._available.warming_turn(service, every)
         if warming is not None:
             return Chosen(
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -178,6 +178,7 @@
             self.replica,
             self._health,
             self._warmth,
+            self._gauges,
             node.switched_off,
             self.clock,
         )
