Share the fixed number of repeats in whole parts

Cause: each host took an equal part of the fixed number and rounded what it may spend down. With 56 repeats over 85 hosts or 428 over 710 that is none at a host without many calls: a budget that nobody can use. Parts are whole now; where there are more hosts than repeats, some hosts have one, drawn anew for each service, and the sum is the same at every size.

Before and after, hosts without calls, 56 repeats, summed over 20 / 60 / 200 / 710 hosts: 20 / 0 / 0 / 0 -> 39 / 39 / 39 / 39, of 39 that seven tenths allow. The bound on the sum is proved as before, now up to 710. Ruled out: parts leased by a lender, which has to be reached in just the seconds in which repeats matter.

--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -17,26 +17,56 @@
         return self.now_ms
 
 
+def sharing(count, bounds, clock):
+    """Return the budgets of hosts that share them."""
+    names = [f'10.0.{number // 250}.{number % 250}' for number in range(count)]
+    every = [spending.Spending(name, bounds, clock) for name in names]
+    for budget in every:
+        budget.share_with(names)
+    return every
+
+
 @pytest.mark.parametrize('fixed', [56, 4.7])
-@pytest.mark.parametrize('hosts', [1, 8, 85])
+@pytest.mark.parametrize('hosts', [1, 8, 85, 200, 710])
 @pytest.mark.parametrize('firsts', [0, 40, 1000])
 def test_all_hosts_together_keep_the_bound(hosts, firsts, fixed):
     clock = FakeClock()
     bounds = spending.RetryBounds(0.2, fixed, WINDOW_MS)
-    every = [spending.Spending(bounds, clock) for _number in range(hosts)]
+    every = sharing(hosts, bounds, clock)
     for number in range(firsts):
         every[number % hosts].first('s')
     spent = 0
     for budget in every:
-        budget.hosts = hosts
         while budget.spend('s'):
             spent += 1
     assert spent <= 0.2 * firsts + fixed
 
 
+@pytest.mark.parametrize('hosts', [20, 60, 200, 710])
+def test_fixed_part_is_used_at_every_size(hosts):
+    """Parts below one are no budget that nobody can use."""
+    bounds = spending.RetryBounds(0.2, 56, WINDOW_MS)
+    spent = 0
+    for budget in sharing(hosts, bounds, FakeClock()):
+        while budget.spend('s'):
+            spent += 1
+    assert spent == int(spending.SPENT_SHARE * 56)
+
+
+def test_hosts_that_have_a_repeat_differ_by_service():
+    bounds = spending.RetryBounds(0.0, 56, WINDOW_MS)
+    every = sharing(200, bounds, FakeClock())
+    having = [
+        {number for number, one in enumerate(every) if one.spend(service)}
+        for service in ('a', 'b')
+    ]
+    assert having[0] != having[1]
+
+
 def test_window_slides():
     clock = FakeClock()
-    budget = spending.Spending(spending.RetryBounds(0.0, 3, 1_000), clock)
+    bounds = spending.RetryBounds(0.0, 3, 1_000)
+    [budget] = sharing(1, bounds, clock)
     assert budget.spend('s') and budget.spend('s')
     assert not budget.spend('s')
     clock.now_ms = 1_000
@@ -44,8 +74,7 @@
 
 
 def test_services_do_not_share_a_budget():
-    budget = spending.Spending(
-        spending.RetryBounds(0.0, 2, 1_000), FakeClock()
-    )
+    bounds = spending.RetryBounds(0.0, 2, 1_000)
+    [budget] = sharing(1, bounds, FakeClock())
     assert budget.spend('a') and not budget.spend('a')
     assert budget.spend('b')
--- a/wrenspoke/coordination/serving/spending.py
+++ b/wrenspoke/coordination/serving/spending.py
@@ -3,16 +3,19 @@
 A service may be sent a number of repeats in any window that is a share of
 its requests and a fixed number over all hosts. Each host keeps to its own
 requests' share and its part of the fixed number, so that the sum holds
-without any word between them. The parts are cut below the bounds, as
-hosts may be counted late.
+without any word between them. Parts are whole repeats: where there are more
+hosts than repeats, some hosts have one, which ones is drawn for each
+service. The parts are cut below the bounds, as hosts may be counted late.
 """
 
 import collections
+import collections.abc
 import math
 
 import msgspec
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 
 # Requests and repeats do not fall into the same window; a part of the
@@ -51,14 +54,25 @@
 class Spending:
     """Keep this host's part of the retry budgets, by service."""
 
-    def __init__(self, bounds: RetryBounds, clock: clocks.Clock):
+    def __init__(
+        self, host: ids.HostId, bounds: RetryBounds, clock: clocks.Clock
+    ):
+        self._host = host
         self._bounds = bounds
         self._clock = clock
         self._firsts: dict[ids.ServiceId, Window] = {}
         self._repeats: dict[ids.ServiceId, Window] = {}
-        self.hosts = 1
+        self._hosts: set[ids.HostId] = {host}
+        self._parts: dict[ids.ServiceId, int] = {}
         self.denied = 0
 
+    def share_with(self, hosts: collections.abc.Iterable[ids.HostId]) -> None:
+        """Take over who else shares the budgets."""
+        hosts = {*hosts, self._host}
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._parts.clear()
+
     def first(self, service: ids.ServiceId) -> None:
         """Count a request that callers sent for a service."""
         self._window(self._firsts, service).add(self._clock.mono_ms())
@@ -75,9 +89,19 @@
 
     def _allowed(self, service: ids.ServiceId, now_ms: int) -> int:
         firsts = self._window(self._firsts, service).count(now_ms)
-        fixed = self._bounds.fixed / max(self.hosts, 1)
-        allowed = SPENT_SHARE * (self._bounds.ratio * firsts + fixed)
-        return math.floor(allowed)
+        earned = SPENT_SHARE * self._bounds.ratio * firsts
+        return math.floor(earned) + self._part(service)
+
+    def _part(self, service: ids.ServiceId) -> int:
+        """Return this host's part of the fixed number, in whole repeats."""
+        part = self._parts.get(service)
+        if part is None:
+            whole = math.floor(SPENT_SHARE * self._bounds.fixed)
+            part, rest = divmod(whole, len(self._hosts))
+            order = routing.rendezvous(service, self._hosts)
+            part += order.index(self._host) < rest
+            self._parts[service] = part
+        return part
 
     def _window(
         self, windows: dict[ids.ServiceId, Window], service: ids.ServiceId
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -77,6 +77,7 @@
             node.entry.far_connect_timeout_ms, node.entry.host_idle_ms
         )
         self.spending = spending.Spending(
+            node.host,
             spending.RetryBounds(
                 node.retries.ratio, node.retries.fixed, node.retries.window_ms
             ),
@@ -271,7 +272,7 @@
         """Count who shares the budgets, and forget what is gone."""
         while True:
             hosts = self.attendance.roster.usable()
-            self.spending.hosts = max(len(hosts), 1)
+            self.spending.share_with(record.host for record in hosts)
             near = self.attendance.roster.usable(self.node.region)
             self._estimator.backlog.hosts = max(len(near), 1)
             held = self.attendance.registry.held
