Count a host's silence from when a call was passed on, not from long ago

Cause: the silence of a host elsewhere was reckoned since its last answer, also where nobody had asked it since, or since the start of the clock where none had come: the log told of 97,206,890 ms. One ping that failed so ended the calls that were passed there, and a ping over a link that is made anew (three round trips, 640 ms) fails at 400 ms.

Silence is counted since the pings of this use began, and the first of them may wait until the host would be suspected. Two of seven rows of tests/test_reach.py failed before. test_far's stand-in for a ping takes the time-out now and refuses as it did.

--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -124,9 +124,9 @@
     cut = {one.node.host for one in south}
     ping = north._reach._ping
 
-    async def ping_unless_cut(host, remote):
+    async def ping_unless_cut(host, remote, timeout_ms):
         if host not in cut:
-            return await ping(host, remote)
+            return await ping(host, remote, timeout_ms)
         remote.failed_ms = north.clock.mono_ms()
         return False
 
--- /dev/null
+++ b/tests/test_reach.py
@@ -0,0 +1,90 @@
+"""Whether a host elsewhere that a call is passed to is taken for lost.
+
+A link that is made anew takes three round trips before the first answer
+comes: 640 ms between far regions, after the first ping at 400 ms.
+"""
+
+import asyncio
+import types
+
+import pytest
+
+from tests import group
+from wrenspoke.coordination.membership import reach
+from wrenspoke.protocol import errors
+from wrenspoke.protocol import messages
+
+SUSPECT_MS = 1_200
+CALL_MS = 5_000
+# The host has run for long when the call is passed on.
+BEGUN_MS = 100_000
+
+
+class Peers:
+    """Be a link to one host, which answers late, or from some time on."""
+
+    def __init__(self, answers_after_ms):
+        self._answers_after_ms = answers_after_ms
+        self.forgotten = []
+        self.links = types.SimpleNamespace(forget=self.forgotten.append)
+
+    def answers(self, _kind):
+        return lambda answerer: answerer
+
+    async def call(self, host, _message, timeout_ms):
+        answers_ms = BEGUN_MS + self._answers_after_ms
+        wait_ms = max(answers_ms - group.LoopClock().mono_ms(), 1)
+        await asyncio.sleep(min(wait_ms, timeout_ms) / group.MS_PER_S)
+        if wait_ms > timeout_ms:
+            raise errors.NoAnswerError(host, sent=True)
+        return messages.Pong(False)
+
+
+def made(answers_after_ms):
+    limits = types.SimpleNamespace(suspect_after_ms=SUSPECT_MS)
+    peers = Peers(answers_after_ms)
+    return reach.Reach(limits, peers, group.LoopClock(), None), peers
+
+
+@pytest.mark.parametrize(
+    'answers_after_ms, lost',
+    [(0, False), (1_040, False), (10**6, True)],
+    ids=['at once', 'once there is a link', 'never'],
+)
+@pytest.mark.parametrize('known', [False, True], ids=['new', 'long unused'])
+def test_host_is_lost_by_its_silence_since_a_call_was_passed_on(
+    answers_after_ms, lost, known
+):
+    """Not by the time since it was used before."""
+    reached, _peers = made(answers_after_ms)
+    told = []
+
+    async def play():
+        await asyncio.sleep(BEGUN_MS / group.MS_PER_S)
+        if known:
+            remote = reached._remotes['h'] = reach.Remote(0)
+            remote.answered_ms = BEGUN_MS - 60_000
+        with reached.watching('h', lambda: told.append('lost')):
+            await asyncio.sleep(CALL_MS / group.MS_PER_S)
+        await reached.close()
+
+    group.run(play())
+    assert bool(told) is lost
+
+
+def test_link_to_a_host_that_is_not_used_is_closed():
+    reached, peers = made(0)
+
+    async def play():
+        with reached.watching('h', lambda: None):
+            await asyncio.sleep(1)
+        used = [*peers.forgotten]
+        await asyncio.sleep(2 * reach.USED_FOR_MS / group.MS_PER_S)
+        await reached.close()
+        return used
+
+    async def check():
+        assert await play() == []
+        assert peers.forgotten == ['h']
+
+    group.run(check())
--- a/wrenspoke/coordination/membership/reach.py
+++ b/wrenspoke/coordination/membership/reach.py
@@ -130,7 +130,7 @@
             return True
         if self._failed_lately(remote):
             return False
-        return await self._ping(host, remote)
+        return await self._ping(host, remote, self._interval_ms)
 
     def _answered_lately(self, remote: Remote) -> bool:
         if remote.answered_ms is None:
@@ -146,11 +146,13 @@
         age_ms = self._clock.mono_ms() - remote.failed_ms
         return remote.failed_ms > answered_ms and age_ms < self._suspect_ms
 
-    async def _ping(self, host: ids.HostId, remote: Remote) -> bool:
+    async def _ping(
+        self, host: ids.HostId, remote: Remote, timeout_ms: float
+    ) -> bool:
         asked_ms = self._clock.mono_ms()
         try:
             answer = await self._peers.call(
-                host, messages.Ping(self._cut_off()), self._interval_ms
+                host, messages.Ping(self._cut_off()), timeout_ms
             )
         except protocol_errors.ProtocolError:
             answer = None
@@ -173,13 +175,21 @@
         remote.travel_ms = known_ms + TRAVEL_WEIGHT * (took_ms - known_ms)
 
     async def _keep(self, host: ids.HostId, remote: Remote) -> None:
-        """Ping a host for as long as it is used."""
+        """Ping a host for as long as it is used.
+
+        The first ping may wait for a link to be made, and a silence from
+        before is none: nobody asked then.
+        """
+        heard_ms = self._clock.mono_ms()
+        timeout_ms = self._suspect_ms
         while self._is_used(remote):
             await self._clock.sleep_ms(self._interval_ms)
-            if await self._ping(host, remote):
+            answered = await self._ping(host, remote, timeout_ms)
+            timeout_ms = self._interval_ms
+            if answered:
+                heard_ms = self._clock.mono_ms()
                 continue
-            answered_ms = remote.answered_ms or 0
-            silence_ms = self._clock.mono_ms() - answered_ms
+            silence_ms = self._clock.mono_ms() - heard_ms
             if silence_ms < self._suspect_ms or not remote.watchers:
                 continue
             logger.warning(
