--- a/tests/test_askers.py
+++ b/tests/test_askers.py
@@ -117,25 +117,25 @@
     for number in range(count):
         made, viewed = partners_of(f'north{number}', 'north', count, clock)
         if told:
-            word = attending.RegionWord('south', messages.Pong(False))
-            viewed.note(word)
+            status = attending.RegionStatus('south', messages.Pong(False))
+            viewed.note(status)
         pinging += bool(made.to_ping())
     assert pinging == (askers.LEAST_ASKING_HOSTS if told else count)
 
 
 @pytest.mark.parametrize(
-    'words, cut_off',
+    'statuses, cut_off',
     [([True], False), ([None], True), ([None, True], False), ([], False)],
-    ids=['answers', 'silent', 'silent to one', 'no word'],
+    ids=['answers', 'silent', 'silent to one', 'nothing told'],
 )
 def test_region_is_cut_off_once_it_answers_none_of_those_that_ask(
-    words, cut_off
+    statuses, cut_off
 ):
     clock = test_registry.FakeClock()
     made, viewed = partners_of('north1', 'north', 7, clock)
-    for said in words:
+    for said in statuses:
         said = said and messages.Pong(False)
-        viewed.note(attending.RegionWord('south', said))
+        viewed.note(attending.RegionStatus('south', said))
     assert made.cut_off() == (['south'] if cut_off else [])
     assert bool(made.reachable('south')) is not cut_off
     clock.now_ms += views.FRESH_MS + 1
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -122,8 +122,8 @@
 )
 def test_region_offers_what_another_host_of_this_one_heard(later_ms, first_ms):
     made, _found, clock = known(None)
-    word = attending.RegionWord('south', pong(), 40.0, 200)
-    made._views.note(word)
+    status = attending.RegionStatus('south', pong(), 40.0, 200)
+    made._views.note(status)
     clock.now_ms += later_ms and later_ms - 200
     offered = made.offer('south', SERVICE, CALL, HOST)
     handling_ms = 0 if later_ms else regions.HANDLING_MS
--- a/tests/test_warmth.py
+++ b/tests/test_warmth.py
@@ -15,7 +15,7 @@
     [(warmth.EARLY_MS, True), (warmth.EARLY_MS + 1, False)],
     ids=['of this time', 'of an earlier time'],
 )
-def test_word_of_another_host_may_come_before_the_change(before_ms, known):
+def test_answer_to_another_host_may_come_before_the_change(before_ms, known):
     clock = test_registry.FakeClock()
     held = roster.Roster(1_000, clock)
     for number in range(20):
@@ -25,9 +25,9 @@
     number = next(n for n in range(99) if not asking.asks_of(f'e{n}'))
     endpoint = test_gauges.registered(number)
     made = warmth.Warmth(asking, None, None, None, clock)
-    word = attending.WarmWord(endpoint.said.endpoint, 500)
+    status = attending.WarmupStatus(endpoint.said.endpoint, 500)
     [listener] = asking._listeners
-    listener(attending.TellRegion(warm=[word]))
+    listener(attending.TellRegion(warm=[status]))
     warm_ms = clock.now_ms + 500
     clock.now_ms += before_ms
     made.ask([endpoint])
--- a/wrenspoke/coordination/membership/exchanges.py
+++ b/wrenspoke/coordination/membership/exchanges.py
@@ -72,7 +72,7 @@
         self._peers = peers
         self._changed = changed
         self._clock = clock
-        self._hurries: dict[ids.HostId, asyncio.Event] = {}
+        self._urgent: dict[ids.HostId, asyncio.Event] = {}
         self._regions: dict[ids.HostId, ids.RegionId] = {}
         self._tasks = runtime.Tasks()
         peers.answers(attending.Exchange)(self._answer)
@@ -85,9 +85,9 @@
         """End every task."""
         await self._tasks.close()
 
-    def hurry(self) -> None:
+    def tell_soon(self) -> None:
         """Tell all of a change without waiting for the interval."""
-        for event in self._hurries.values():
+        for event in self._urgent.values():
             event.set()
 
     def standing_in(self, region: ids.RegionId) -> list[ids.HostId]:
@@ -115,21 +115,21 @@
         """Exchange with each control host that is found."""
         while True:
             for host in self._group.others():
-                if host in self._hurries:
+                if host in self._urgent:
                     continue
-                self._hurries[host] = asyncio.Event()
+                self._urgent[host] = asyncio.Event()
                 self._tasks.start(self._exchange_with(host))
             await self._clock.sleep_ms(INTERVAL_MS)
 
     async def _exchange_with(self, host: ids.HostId) -> None:
         told = Told()
-        hurried = self._hurries[host]
+        urgent = self._urgent[host]
         while host in self._group.others():
-            hurried.clear()
+            urgent.clear()
             asked_ms = self._clock.mono_ms()
             told = await self._tell(host, told)
-            await self._wait(hurried, asked_ms)
-        del self._hurries[host]
+            await self._wait(urgent, asked_ms)
+        del self._urgent[host]
 
     async def _tell(self, host: ids.HostId, told: Told) -> Told:
         """Tell what is new; return how far the other has come then."""
@@ -149,7 +149,7 @@
         self._group.hear(host)
         if answer.unknown or told.life not in ('', answer.life):
             logger.info('told_again', peer=host, unknown=answer.unknown)
-            self._hurries[host].set()
+            self._urgent[host].set()
             return Told(answer.life)
         reached.life = answer.life
         reached.heard = {*answer.heard, host}
@@ -178,11 +178,11 @@
             self._region,
         )
 
-    async def _wait(self, hurried: asyncio.Event, asked_ms: int) -> None:
+    async def _wait(self, urgent: asyncio.Event, asked_ms: int) -> None:
         left_ms = asked_ms + INTERVAL_MS - self._clock.mono_ms()
         try:
             async with clocks.timeout_ms(max(left_ms, 1)):
-                await hurried.wait()
+                await urgent.wait()
                 await self._clock.sleep_ms(GATHER_MS)
         except TimeoutError:
             return
@@ -212,9 +212,9 @@
             unknown |= not self._hosts.renew(renewal, sender)
         if self._endpoints.revision != revision:
             self._changed()
-            self.hurry()
+            self.tell_soon()
         elif hosts_changed:
-            self.hurry()
+            self.tell_soon()
         return attending.Exchanged(
             self._life, self._group.lately(HEARD_LATELY_MS), unknown
         )
--- a/wrenspoke/coordination/membership/gauges.py
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -155,11 +155,11 @@
         now_ms = self._clock.mono_ms()
         for load in heard:
             self._held[load.endpoint] = (load, now_ms)
-        words = self._partners.words()
-        for word in words:
-            self._views.note(word)
-        if heard or words:
-            await self._askers.tell(attending.TellRegion(heard, words))
+        statuses = self._partners.statuses()
+        for status in statuses:
+            self._views.note(status)
+        if heard or statuses:
+            await self._askers.tell(attending.TellRegion(heard, statuses))
 
     def _own(
         self, engines: list[registry.Registered]
@@ -230,8 +230,8 @@
 
     def _hear(self, message: attending.TellRegion) -> None:
         now_ms = self._clock.mono_ms()
-        for word in message.words:
-            self._views.note(word)
+        for status in message.regions:
+            self._views.note(status)
         for load in message.loads:
             self._held[load.endpoint] = (load, now_ms)
             found = self._attended.registry.held.get(load.endpoint)
--- a/wrenspoke/coordination/membership/partners.py
+++ b/wrenspoke/coordination/membership/partners.py
@@ -2,9 +2,9 @@
 
 Each host has its own two in every other region, drawn by rendezvous
 hashing, so that connections to them are used again. A region's asking
-hosts ping theirs all the time and tell the others; those ping only where
-no word comes. So it is known before a call is passed on which regions can
-be reached, at a cost that does not grow with the hosts.
+hosts ping theirs all the time and tell the others, which ping only where
+nothing is told of a region. So it is known before a call is passed on
+which regions can be reached, at a cost that does not grow with the hosts.
 """
 
 import structlog
@@ -82,23 +82,23 @@
         regions.discard(self._region)
         return sorted(regions)
 
-    def words(self) -> list[attending.RegionWord]:
+    def statuses(self) -> list[attending.RegionStatus]:
         """Return what this host's own partners said of late."""
-        words = [self._word(region) for region in self._regions()]
-        return [word for word in words if word is not None]
+        statuses = [self._status(region) for region in self._regions()]
+        return [status for status in statuses if status is not None]
 
-    def _word(self, region: ids.RegionId) -> attending.RegionWord | None:
+    def _status(self, region: ids.RegionId) -> attending.RegionStatus | None:
         partners = self.ranked(region)[:PARTNERS_COUNT]
         for record in partners:
             remote = self._reach.remote(record.host)
             if remote is None or not self._reach.answers(record.host):
                 continue
             age_ms = self._clock.mono_ms() - remote.answered_ms
-            return attending.RegionWord(
+            return attending.RegionStatus(
                 region, remote.said, remote.travel_ms or 0.0, age_ms
             )
         if partners and self._is_silent(region):
-            return attending.RegionWord(region, None)
+            return attending.RegionStatus(region, None)
         return None
 
     def cut_off(self) -> list[ids.RegionId]:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -153,7 +153,7 @@
         self, sender: ids.HostId, message: attending.Attend
     ) -> attending.Attended:
         if self.roster.take(message.record):
-            self._exchanges.hurry()
+            self._exchanges.tell_soon()
         wait_ms = min(message.wait_ms, LONGEST_WAIT_MS)
         try:
             async with clocks.timeout_ms(wait_ms):
@@ -225,7 +225,7 @@
     def _announce(self) -> None:
         """Tell attending and other control hosts of a change at once."""
         self._wake()
-        self._exchanges.hurry()
+        self._exchanges.tell_soon()
 
     def _wake(self) -> None:
         self._news.set()
@@ -237,7 +237,7 @@
         """Drop who lost its lease, and mark who fell silent."""
         while True:
             if self.roster.expire():
-                self._exchanges.hurry()
+                self._exchanges.tell_soon()
             if self.registry.mark_silent():
                 self._announce()
             self.registry.forget_old()
--- a/wrenspoke/coordination/membership/views.py
+++ b/wrenspoke/coordination/membership/views.py
@@ -37,17 +37,17 @@
         # When each asking host last found that a region does not answer.
         self._silent_ms: dict[ids.RegionId, int] = {}
 
-    def note(self, word: attending.RegionWord) -> None:
+    def note(self, status: attending.RegionStatus) -> None:
         """Take what an asking host tells of a region."""
         now_ms = self._clock.mono_ms()
-        if word.said is None:
-            self._silent_ms[word.region] = now_ms
+        if status.said is None:
+            self._silent_ms[status.region] = now_ms
             return
-        answered_ms = now_ms - word.age_ms
-        old = self._heard.get(word.region)
+        answered_ms = now_ms - status.age_ms
+        old = self._heard.get(status.region)
         if old is None or answered_ms >= old.answered_ms:
-            self._heard[word.region] = Heard(
-                word.said, word.travel_ms, answered_ms
+            self._heard[status.region] = Heard(
+                status.said, status.travel_ms, answered_ms
             )
 
     def heard(self, region: ids.RegionId) -> Heard | None:
--- a/wrenspoke/coordination/serving/warmth.py
+++ b/wrenspoke/coordination/serving/warmth.py
@@ -25,7 +25,7 @@
 logger = structlog.get_logger(__name__)
 
 OK = 200
-# A word that came before this host learned that the data centre was taken
+# What was told before this host learned that the data centre was taken
 # back counts: the change takes a second at most from host to host.
 EARLY_MS = 1_000
 # A near endpoint that takes longer is busy enough.
@@ -88,16 +88,16 @@
             await self._askers.tell(attending.TellRegion(warm=warm))
 
     def _hear(self, message: attending.TellRegion) -> None:
-        for word in message.warm:
-            self._note(word)
+        for status in message.warm:
+            self._note(status)
 
-    def _note(self, word: attending.WarmWord) -> None:
+    def _note(self, status: attending.WarmupStatus) -> None:
         now_ms = self._clock.mono_ms()
-        self._warm_ms[word.endpoint] = (now_ms + word.left_ms, now_ms)
+        self._warm_ms[status.endpoint] = (now_ms + status.left_ms, now_ms)
 
     async def _ask(
         self, said: registry.Registration
-    ) -> attending.WarmWord | None:
+    ) -> attending.WarmupStatus | None:
         service = self._replica.current.routes.service(said.service)
         if service is None:
             return None
@@ -123,12 +123,12 @@
             return None
         text = response.headers.get(self._dialect.warmup_ms, '0')
         left_ms = float(text) if text.replace('.', '', 1).isdigit() else 0.0
-        word = attending.WarmWord(said.endpoint, int(left_ms))
-        self._note(word)
+        status = attending.WarmupStatus(said.endpoint, int(left_ms))
+        self._note(status)
         logger.info(
             'warmth_known', endpoint=said.endpoint, warmup_left_ms=left_ms
         )
-        return word
+        return status
 
     def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
         """Forget endpoints that are gone."""
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -154,7 +154,7 @@
     index: int | None
 
 
-class RegionWord(msgspec.Struct, array_like=True, frozen=True):
+class RegionStatus(msgspec.Struct, array_like=True, frozen=True):
     """Tell what a host of another region said ``age_ms`` ago.
 
     ``travel_ms`` is the round trip to it. ``said`` is None where none of
@@ -167,7 +167,7 @@
     age_ms: int = 0
 
 
-class WarmWord(msgspec.Struct, array_like=True, frozen=True):
+class WarmupStatus(msgspec.Struct, array_like=True, frozen=True):
     """Tell for how long an endpoint stays cold, by its own answer."""
 
     endpoint: ids.EndpointId
@@ -183,8 +183,8 @@
     """
 
     loads: list[EngineLoad] = []
-    words: list[RegionWord] = []
-    warm: list[WarmWord] = []
+    regions: list[RegionStatus] = []
+    warm: list[WarmupStatus] = []
     pass_on: list[ids.HostId] = []
 
 
