Give each worker of a test run enough ports for two runs side by side

Cause: a worker's tests take ports from a range of 2,700 and keep them until it ends; the same worker of a second run takes from the same range. With 980 tests the range of one ran out: 5 and 1 tests failed in two runs side by side, each where a port was asked for and none was given. Ranges for eight workers were laid out, and four are started: each has twice as many now. Ruled out: ports given twice (locks), descriptors (no such error).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,9 +7,12 @@
 from tests import known_red
 from wrenspoke.transport import web
 
-WORKERS = 8
+# As many as the Makefile starts; more share ranges, and locks keep them apart.
+# A run's tests take some 2,000 ports a worker and keep them to its end, and
+# two runs side by side share the ranges.
+WORKERS = 4
 FIRST_PORT = 10_000
-PORTS_EACH = 2_700
+PORTS_EACH = 5_400
 
 
 def pytest_configure():
