Say each thing of membership once, and drop what nothing read

Cause, found by reading the whole change again: - who renewed was chosen by the same filter in the registry and the roster, and renewals were made in two places: one function where they are told; - the order of a region's hosts for a key stood in Askers and, from before, in Availability, which drew it anew for each cold endpoint and call: one order, kept until a host comes or goes; - Attended carried a whole ConfigurationDelta of which two booleans were read; it carries these; - the registry's revision rose as an endpoint was forgotten, for lists that were never built: every attending host got an empty answer.

Ruled out: one cache of orders for partners too, which need records and are asked with every call.

--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -683,9 +683,9 @@
     ),
     Switch(
         'nobody passes on what another hears',
-        DECISIONS + 'membership/roster.py',
-        ('            and known.told_by not in heard\n'),
-        ('            and known.told_by is None\n'),
+        DECISIONS + 'membership/exchanges.py',
+        ('        and found.told_by not in heard\n'),
+        ('        and found.told_by is None\n'),
         (
             'tests/test_attending_fleet.py::test_what_a_control_host_hears_reaches_those_that_it_is_cut_off_from'
         ),
--- a/tests/attending_fleet.py
+++ b/tests/attending_fleet.py
@@ -56,26 +56,11 @@
         self._count(sender, answer)
         return answer
 
-    async def tell(self, host, message):
-        body = self._encoder.encode(message)
-        self._count(host, body)
-        if await self._network.travel(self.host, host):
-            there = self._network.hosts.get(host)
-            if there is not None:
-                await there.hear(self.host, body)
-        return len(body)
-
-    async def hear(self, sender, body):
-        """Take a message that has no answer."""
-        message = self._decoder.decode(body)
-        await self._answerers[type(message)](sender, message)
-
 
 class Leading:
     """Stand in for a voter that leads."""
 
     has_lease = led = True
-    leader = None
 
 
 class ControlHost:
@@ -207,15 +192,14 @@
             await host.close()
 
 
-def registration(number, renewal, **changes):
+def registration(number, renewal):
     """Return what an endpoint says of itself."""
-    fields = {'state': registry.RegistrationState.READY, **changes}
     return registry.Registration(
         f'i-{number:010}',
         'service',
         f'10.8.{number // 200}.{number % 200}:8000',
         f'{REGIONS[number % len(REGIONS)]}-hall',
         32,
-        number=renewal,
-        **fields,
+        registry.RegistrationState.READY,
+        renewal,
     )
--- a/tests/test_attendance.py
+++ b/tests/test_attendance.py
@@ -35,7 +35,16 @@
             whole=configuration.Configuration(index=self.index),
         )
         return attending.Attended(
-            delta, 'life', 1, 1, [], None, [], [], attending.pack(delta)
+            self.confirmed,
+            True,
+            'life',
+            1,
+            1,
+            [],
+            None,
+            [],
+            [],
+            attending.pack(delta),
         )
 
 
--- a/tests/test_attending_fleet.py
+++ b/tests/test_attending_fleet.py
@@ -244,7 +244,6 @@
     """Stand in for a voter that is cut off from the leader."""
 
     has_lease = led = False
-    leader = 'who led before'
 
 
 @pytest.mark.parametrize('entries', SIZES)
--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -187,7 +187,7 @@
     clock = clocks.Clock()
     available = availability.Availability(
         'north',
-        'h0',
+        gauged._askers,
         REGIONS,
         gauged._attended,
         gauged._replica,
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -257,3 +257,15 @@
     begun = directory.addresses(held, table, name, region, data_centre, False)
     own = region in ('north', 'south')
     assert begun == (addresses if own else []), 'nobody is led away'
+
+
+def test_endpoint_that_is_forgotten_is_no_news():
+    """It left long ago; who attends has nothing to learn of it."""
+    clock = FakeClock()
+    held = registry.Registry(clock)
+    held.take(said(1))
+    held.take(said(2, GONE))
+    revision = held.revision
+    clock.now_ms += registry.FORGOTTEN_AFTER_MS + 1
+    held.forget_old()
+    assert not held.held and held.revision == revision
--- a/wrenspoke/coordination/membership/askers.py
+++ b/wrenspoke/coordination/membership/askers.py
@@ -38,7 +38,9 @@
         self._host = host
         self._roster = known
         self._peers = peers
-        self._ranked: list[str] = []
+        # The order of the region's hosts for each key, as of a revision of
+        # the roster.
+        self._orders: dict[str, list[str]] = {}
         self._revision = -1
         self._listeners: list[Listener] = []
         # Of the region, as its hosts last counted them.
@@ -59,11 +61,8 @@
 
     def hosts(self) -> list[str]:
         """Return the hosts that ask, in an order that all agree on."""
-        if self._revision != self._roster.revision:
-            self._revision = self._roster.revision
-            self._ranked = self._rank(self._region)
         count = math.ceil(self.engines / ENGINES_A_HOST)
-        return self._ranked[: max(count, LEAST_ASKING_HOSTS)]
+        return self.order(self._region)[: max(count, LEAST_ASKING_HOSTS)]
 
     def asks(self) -> bool:
         """Tell whether this host is one of them."""
@@ -74,11 +73,27 @@
 
         Those of an endpoint that is asked once are drawn from all hosts.
         """
-        return self._host in self._rank(endpoint)[:LEAST_ASKING_HOSTS]
+        return self._host in self.order(endpoint)[:LEAST_ASKING_HOSTS]
+
+    def is_first(self, endpoint: ids.EndpointId) -> bool:
+        """Tell whether this host alone does what is done for an endpoint."""
+        return self.order(endpoint)[0] == self._host
+
+    def order(self, key: str) -> list[str]:
+        """Return the region's hosts, this one too, in a key's order.
 
-    def _rank(self, key: str) -> list[str]:
-        near = {record.host for record in self._usable()}
-        return routing.rendezvous(key, {*near, self._host})
+        Every host of the region draws the same, if it knows the same
+        others. Kept until one comes or goes.
+        """
+        if self._revision != self._roster.revision:
+            self._revision = self._roster.revision
+            self._orders.clear()
+        found = self._orders.get(key)
+        if found is None:
+            near = {record.host for record in self._usable()}
+            found = routing.rendezvous(key, {*near, self._host})
+            self._orders[key] = found
+        return found
 
     def _usable(self) -> list[attending.HostRecord]:
         return self._roster.usable(self._region)
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -120,14 +120,11 @@
 
         Of control hosts it is known which stand in this region.
         """
-        record = self.roster.record(host)
-        if record is not None:
-            return locations.Location(record.region, record.data_centre)
         if host in self._near:
             return locations.Location(
                 self._record.region, ids.DataCentreId(host)
             )
-        return None
+        return self.roster.location_of(host)
 
     @property
     def awake(self) -> bool:
@@ -282,7 +279,7 @@
         if answer.hosts is not None:
             self._take_hosts(session, answer.hosts)
         self._near.update(answer.near)
-        if answer.delta.confirmed or answer.delta.leader is not None:
+        if answer.led:
             session.led_ms = self._clock.mono_ms()
         session.life = answer.life
         self._serve_if_sure(answer)
@@ -313,7 +310,7 @@
         """
         if self._replica.serving or not self._replica.current.index:
             return
-        if answer.delta.confirmed:
+        if answer.confirmed:
             self._serve(confirmed=True)
             return
         if all(session.life for session in self._sessions):
--- a/wrenspoke/coordination/membership/directory.py
+++ b/wrenspoke/coordination/membership/directory.py
@@ -40,7 +40,7 @@
             'directory_elsewhere',
             region=region,
             regions=sorted({record.region for record in usable}),
-            known=len(known.records()),
+            known=len(known.hosts()),
         )
     near = [record for record in usable if record.data_centre == data_centre]
     chosen = near if len(near) > 1 else usable
--- a/wrenspoke/coordination/membership/exchanges.py
+++ b/wrenspoke/coordination/membership/exchanges.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import typing
 
 import structlog
 
@@ -38,6 +39,9 @@
 # Some intervals: who stood in this region that long ago still does.
 NEAR_LATELY_MS = 3_000
 
+# What is held of an endpoint or a host: when it was heard, and by whom.
+Known = typing.TypeVar('Known', registry.Registered, roster.Known)
+
 
 @dataclasses.dataclass
 class Told:
@@ -159,25 +163,41 @@
         # What came by way of a third was learned up to an interval later.
         since_ms = told.at_ms - INTERVAL_MS
         heard = {*told.heard, host}
-        now_ms = self._clock.mono_ms()
-        renewed = [
-            attending.Renewal(
-                found.said.endpoint,
-                found.said.number,
-                max(now_ms - found.heard_ms, 0),
-            )
-            for found in self._endpoints.renewed(
-                since_ms, told.endpoints_revision, heard
-            )
-        ]
+        endpoints = _renewed(
+            self._endpoints.held.values(),
+            since_ms,
+            told.endpoints_revision,
+            heard,
+        )
+        hosts = _renewed(
+            self._hosts.known(), since_ms, told.hosts_revision, heard
+        )
         return attending.Exchange(
             self._endpoints.after(told.endpoints_revision),
             self._hosts.after(told.hosts_revision),
-            renewed,
-            self._hosts.renewed(since_ms, told.hosts_revision, heard),
+            [
+                attending.Renewal(
+                    found.said.endpoint,
+                    found.said.number,
+                    self._age_ms(found.heard_ms),
+                )
+                for found in endpoints
+            ],
+            [
+                attending.Renewal(
+                    found.record.host,
+                    found.record.number,
+                    self._age_ms(found.heard_ms),
+                    roster.life_of(found.record),
+                )
+                for found in hosts
+            ],
             self._region,
         )
 
+    def _age_ms(self, heard_ms: int) -> int:
+        return max(self._clock.mono_ms() - heard_ms, 0)
+
     async def _wait(self, urgent: asyncio.Event, asked_ms: int) -> None:
         left_ms = asked_ms + INTERVAL_MS - self._clock.mono_ms()
         try:
@@ -192,14 +212,13 @@
     ) -> attending.Exchanged:
         self._group.hear(sender)
         self._regions[sender] = message.region
-        revision = self._endpoints.revision
-        hosts_changed = False
+        before = (self._endpoints.revision, self._hosts.revision)
         for said in message.endpoints:
             self._endpoints.take(said, sender)
         for record in message.hosts.found:
-            hosts_changed |= self._hosts.take(record, sender)
+            self._hosts.take(record, sender)
         for host in message.hosts.lost:
-            hosts_changed |= self._hosts.take_lost(host)
+            self._hosts.take_lost(host)
         unknown = False
         for renewal in message.renewed_endpoints:
             unknown |= not self._endpoints.renew(
@@ -210,11 +229,29 @@
             )
         for renewal in message.renewed_hosts:
             unknown |= not self._hosts.renew(renewal, sender)
-        if self._endpoints.revision != revision:
+        if self._endpoints.revision != before[0]:
             self._changed()
-            self.tell_soon()
-        elif hosts_changed:
+        if (self._endpoints.revision, self._hosts.revision) != before:
             self.tell_soon()
         return attending.Exchanged(
             self._life, self._group.lately(HEARD_LATELY_MS), unknown
         )
+
+
+def _renewed(
+    known: collections.abc.Iterable[Known],
+    since_ms: int,
+    told_revision: int,
+    heard: set[ids.HostId],
+) -> list[Known]:
+    """Return who renewed since a time and has not changed since.
+
+    Left out is what came from the control hosts ``heard`` by who is told.
+    """
+    return [
+        found
+        for found in known
+        if found.heard_ms >= since_ms
+        and found.revision <= told_revision
+        and found.told_by not in heard
+    ]
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -18,7 +18,6 @@
 from wrenspoke.coordination.membership import roster
 from wrenspoke import ids
 from wrenspoke.protocol import attending
-from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
 from wrenspoke.state import locations
@@ -105,10 +104,7 @@
 
     def place_of(self, host: ids.HostId) -> locations.Location | None:
         """Return where an entry or control host stands, None if unknown."""
-        record = self.roster.record(host)
-        if record is not None:
-            return locations.Location(record.region, record.data_centre)
-        return self._exchanges.place_of(host)
+        return self.roster.location_of(host) or self._exchanges.place_of(host)
 
     # Endpoints.
 
@@ -186,22 +182,20 @@
         )
 
     def _attended(self, message: attending.Attend) -> attending.Attended:
-        known = message.life == self._life
-        delta = messages.ConfigurationDelta(self._replica.current.index)
-        delta.confirmed = self._voter.has_lease
-        delta.leader = self._voter.leader if self._voter.led else None
+        endpoints_revision = hosts_revision = 0
+        if message.life == self._life:
+            endpoints_revision = message.endpoints_revision
+            hosts_revision = message.hosts_revision
         hosts = None
-        if not known:
-            hosts = self.roster.after(0)
-        elif self.roster.revision > message.hosts_revision:
-            hosts = self.roster.after(message.hosts_revision)
-        after = message.endpoints_revision if known else 0
+        if self.roster.revision > hosts_revision:
+            hosts = self.roster.after(hosts_revision)
         return attending.Attended(
-            delta,
+            self._voter.has_lease,
+            self._voter.led,
             self._life,
             self.registry.revision,
             self.roster.revision,
-            self.registry.after(after),
+            self.registry.after(endpoints_revision),
             hosts,
             [self._group.host, *self._group.lately(HEARD_LATELY_MS)],
             self._exchanges.standing_in(message.record.region),
--- a/wrenspoke/coordination/membership/roster.py
+++ b/wrenspoke/coordination/membership/roster.py
@@ -15,6 +15,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke import ids
 from wrenspoke.protocol import attending
+from wrenspoke.state import locations
 
 logger = structlog.get_logger(__name__)
 
@@ -138,18 +139,13 @@
         self.drop(host)
         logger.warning('host_lost', peer=host)
 
-    def take_lost(self, host: ids.HostId) -> bool:
-        """Take the word of who heard a host; return whether it is lost.
-
-        It is kept where it was heard here since.
-        """
+    def take_lost(self, host: ids.HostId) -> None:
+        """Drop a host that who heard it lost, unless it was heard since."""
         known = self._known.get(host)
         if known is None:
-            return False
-        if self._clock.mono_ms() - known.heard_ms <= self._lease_ms:
-            return False
-        self._lose(host)
-        return True
+            return
+        if self._clock.mono_ms() - known.heard_ms > self._lease_ms:
+            self._lose(host)
 
     def _forget_lost(self, now_ms: int) -> None:
         for host, (revision, lost_ms) in list(self._lost.items()):
@@ -175,28 +171,6 @@
         ]
         return attending.HostChanges(found, lost)
 
-    def renewed(
-        self, since_ms: int, told_revision: int, heard: set[ids.HostId]
-    ) -> list[attending.Renewal]:
-        """Return who renewed since a time and has not changed since.
-
-        Left out is what came from the control hosts ``heard`` by who is
-        told.
-        """
-        now_ms = self._clock.mono_ms()
-        return [
-            attending.Renewal(
-                name,
-                known.record.number,
-                max(now_ms - known.heard_ms, 0),
-                life_of(known.record),
-            )
-            for name, known in self._known.items()
-            if known.heard_ms >= since_ms
-            and known.revision <= told_revision
-            and known.told_by not in heard
-        ]
-
     def _aged(self, known: Known) -> attending.HostRecord:
         age_ms = max(self._clock.mono_ms() - known.heard_ms, 0)
         return msgspec.structs.replace(known.record, age_ms=age_ms)
@@ -209,6 +183,10 @@
         """Return the names of every host, those that leave too."""
         return self._known.keys()
 
+    def known(self) -> collections.abc.Collection[Known]:
+        """Return every host as it is held, with who told of it."""
+        return self._known.values()
+
     def record(self, host: ids.HostId) -> attending.HostRecord | None:
         """Return what a host last told, None if it is not known."""
         known = self._known.get(host)
@@ -219,6 +197,13 @@
         record = self.record(host)
         return None if record is None else record.region
 
+    def location_of(self, host: ids.HostId) -> locations.Location | None:
+        """Return where a host said that it stands, None if unknown."""
+        record = self.record(host)
+        if record is None:
+            return None
+        return locations.Location(record.region, record.data_centre)
+
     def usable(
         self, region: ids.RegionId | None = None
     ) -> list[attending.HostRecord]:
--- a/wrenspoke/coordination/membership/views.py
+++ b/wrenspoke/coordination/membership/views.py
@@ -34,7 +34,7 @@
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
         self._heard: dict[ids.RegionId, Heard] = {}
-        # When each asking host last found that a region does not answer.
+        # When an asking host last found that a region does not answer.
         self._silent_ms: dict[ids.RegionId, int] = {}
 
     def note(self, status: attending.RegionStatus) -> None:
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -8,11 +8,11 @@
 import collections.abc
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import gauges
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import health
-from wrenspoke.coordination.serving import routing
 from wrenspoke.coordination.serving import warmth as warmths
 from wrenspoke import ids
 from wrenspoke import mechanisms
@@ -31,7 +31,7 @@
     def __init__(
         self,
         region: ids.RegionId,
-        host: ids.HostId,
+        asking: askers.Askers,
         regions: collections.abc.Mapping[ids.DataCentreId, ids.RegionId],
         attended: attendance.Attendance,
         held: replica.Replica,
@@ -42,7 +42,7 @@
         clock: clocks.Clock,
     ):
         self._region = region
-        self._host = host
+        self._askers = asking
         self._regions = regions
         self._attended = attended
         self._replica = held
@@ -143,7 +143,7 @@
         now_ms = self._clock.mono_ms()
         for found in every:
             name = found.said.endpoint
-            if not self.cold(found) or not self._warms(name):
+            if not self.cold(found) or not self._askers.is_first(name):
                 continue
             if self.set_aside(found.said.address):
                 continue
@@ -154,15 +154,6 @@
             return found
         return None
 
-    def _warms(self, endpoint: ids.EndpointId) -> bool:
-        """Tell whether this host is the one that uses a cold endpoint."""
-        hosts = [
-            record.host
-            for record in self._attended.roster.usable(self._region)
-        ]
-        hosts = sorted({*hosts, self._host})
-        return routing.rendezvous(endpoint, hosts)[0] == self._host
-
     def doubted(self, found: registry.Registered) -> bool:
         """Tell whether others should be used before an endpoint.
 
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -173,7 +173,7 @@
         )
         self._available = availability.Availability(
             node.region,
-            node.host,
+            self._askers,
             node.regions,
             self.attendance,
             self.replica,
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -82,14 +82,16 @@
 class Attended(msgspec.Struct, tag='attended'):
     """Answer an attending host with what it does not hold yet.
 
-    ``delta`` says how far the configuration has come, and ``news`` holds
-    the changes themselves, packed (see ``pack``): one packing serves every
-    host that asks for the same.
+    ``confirmed`` says that nothing accepted was newer when this was sent,
+    ``led`` that the control host leads or hears who does. ``news`` holds
+    changes of the configuration, packed (see ``pack``): one packing serves
+    every host that asks for the same.
     ``hosts`` is None where nothing changed; ``near`` names the control
     hosts that stand in the region of the one that asks.
     """
 
-    delta: messages.ConfigurationDelta
+    confirmed: bool
+    led: bool
     life: str
     endpoints_revision: int
     hosts_revision: int
--- a/wrenspoke/protocol/traffic.py
+++ b/wrenspoke/protocol/traffic.py
@@ -19,7 +19,8 @@
 logger = structlog.get_logger(__name__)
 
 UNREADABLE = 'unreadable'
-# Some twenty lines each time, for a table that is a minute old at the most.
+# Some twenty lines each time, for a table that misses the last half minute
+# of a host that loses power.
 LOG_INTERVAL_MS = 30_000
 
 
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -144,22 +144,6 @@
         self.take(said, told_by)
         return True
 
-    def renewed(
-        self, since_ms: int, told_revision: int, heard: set[ids.HostId]
-    ) -> list[Registered]:
-        """Return who renewed since a time and has not changed since.
-
-        Left out is what came from the control hosts ``heard`` by who is
-        told.
-        """
-        return [
-            found
-            for found in self.held.values()
-            if found.heard_ms >= since_ms
-            and found.revision <= told_revision
-            and found.told_by not in heard
-        ]
-
     def occupant(self, said: Registration) -> Registered | None:
         """Return who else renewed lately at a registration's address.
 
@@ -261,8 +245,6 @@
             if now_ms - found.heard_ms > FORGOTTEN_AFTER_MS:
                 del self.held[endpoint]
                 self._leave_address(found.said)
-                # Who keeps lists by the revision makes them anew.
-                self.revision += 1
 
     def _leave_address(self, said: Registration) -> None:
         there = self._at_address.get(said.address, set())
