Lend hosts the configuration for a time, by a leader's word

Cause: a host that once served goes on for ever by what it holds, also while it is frozen or cut off. Under keys that may be withdrawn that is no longer allowed: nothing may run a bounded time after the withdrawal was acknowledged, on any host.

A lease is counted from the last moment for which a leader's word is known. It rides on what is sent already: a control host's answer to the leader names a moment of its own clock, the next heartbeat of a leader with a lease gives it back, and the answer to an attending host says how old that moment is and for how long the question was held back. Only durations travel, so neither delays nor clocks that step make a lease longer.

Ruled out: the confirmation of the control host that is asked, by itself (it may be cut off from those that decide); a question of every host to the leader (58 more calls a second there).

Before: no lease. Not yet used by what serves. Documents of tables, which hold keys as they are, are no longer told to hosts that serve callers.

--- a/tests/attending_fleet.py
+++ b/tests/attending_fleet.py
@@ -61,6 +61,7 @@
     """Stand in for a voter that leads."""
 
     has_lease = led = True
+    confirmed_age_ms = 0
 
 
 class ControlHost:
--- a/tests/test_attending_fleet.py
+++ b/tests/test_attending_fleet.py
@@ -244,6 +244,7 @@
     """Stand in for a voter that is cut off from the leader."""
 
     has_lease = led = False
+    confirmed_age_ms = None
 
 
 @pytest.mark.parametrize('entries', SIZES)
--- a/wrenspoke/coordination/agreement/followers.py
+++ b/wrenspoke/coordination/agreement/followers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from wrenspoke import ids
+from wrenspoke.protocol import messages
 from wrenspoke.state import locations
 
 
@@ -11,7 +12,7 @@
 
     ``location`` is where it said that it stands.
     ``acked_ms`` is when the message was sent that it answered last, None
-    before the first one.
+    before the first one; ``moment`` the one that it told with its answer.
     """
 
     def __init__(self, next_index: int):
@@ -20,4 +21,5 @@
         self.incarnation: ids.Incarnation | None = None
         self.location: locations.Location | None = None
         self.acked_ms: int | None = None
+        self.moment: messages.Moment | None = None
         self.more = asyncio.Event()
--- a/wrenspoke/coordination/agreement/lead.py
+++ b/wrenspoke/coordination/agreement/lead.py
@@ -190,6 +190,7 @@
             self._group.storage.entries_from(
                 follower.next_index, BATCH_ENTRIES
             ),
+            follower.moment if self.has_lease else None,
         )
 
     def _note_answer(
@@ -209,6 +210,7 @@
             follower.match_index = 0
         follower.location = answer.location
         follower.acked_ms = sent_ms
+        follower.moment = answer.moment
         if not answer.matched:
             lower = min(follower.next_index - 1, answer.last_index)
             follower.next_index = max(1, lower)
--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -116,6 +116,10 @@
         self._canvassed_ms = self._heard_ms
         self._asking = False
         self._yields = False
+        self._life = ids.new_unique()
+        # For which moment a leader's word says that nothing newer was
+        # accepted than what is committed here.
+        self._confirmed_ms: int | None = None
         self._clearance = clearance.Clearance(
             kept, group, peers, limits, clock
         )
@@ -537,7 +541,12 @@
         self, matched: bool, last_index: int
     ) -> messages.AppendReply:
         return messages.AppendReply(
-            self.term, matched, last_index, self.incarnation, self.location
+            self.term,
+            matched,
+            last_index,
+            self.incarnation,
+            self.location,
+            messages.Moment(self._life, self.clock.mono_ms()),
         )
 
     @_needs_disk
@@ -556,8 +565,30 @@
         last = self._take(message.added)
         matched = max(previous + len(message.added), last)
         self.commit(min(message.commit, matched))
+        self._note_confirmed(message)
         return self._append_reply(True, matched)
 
+    def _note_confirmed(self, message: messages.Append) -> None:
+        """Note for which moment all is known here that was accepted."""
+        moment = message.confirmed
+        if moment is None or moment.life != self._life:
+            return
+        if self.commit_index >= message.commit:
+            self._confirmed_ms = max(self._confirmed_ms or 0, moment.at_ms)
+
+    @property
+    def confirmed_age_ms(self) -> int | None:
+        """Return how old the newest word is that nothing newer was accepted.
+
+        None without one. It rides on the leader's heartbeats, which give
+        back the moment of the last answer.
+        """
+        if self.has_lease:
+            return 0
+        if self._confirmed_ms is None:
+            return None
+        return self.clock.mono_ms() - self._confirmed_ms
+
     def _take(self, added: list[entries.LogEntry]) -> int:
         """Write what is new; drop what contradicts it."""
         kept = self.storage
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -15,6 +15,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import controls
+from wrenspoke.coordination.membership import lease as leases
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.membership import roster
 from wrenspoke import ids
@@ -85,12 +86,14 @@
         held: replica.Replica,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
+        lease: leases.ConfigurationLease | None = None,
     ):
         self._record = record
         self._group = group
         self._replica = held
         self._peers = peers
         self._clock = clock
+        self.lease = lease or leases.ConfigurationLease(None, clock)
         self._numbers = itertools.count(1)
         self._tasks = runtime.Tasks()
         self._sessions = [_Session() for _number in range(ATTENDED_COUNT)]
@@ -255,6 +258,7 @@
             session.hosts_revision,
             wait_ms,
         )
+        asked_ms = self._clock.mono_ms()
         try:
             answer = await self._peers.call(host, message, CALL_TIMEOUT_MS)
         except protocol_errors.ProtocolError:
@@ -264,6 +268,7 @@
         if session.host == host:
             try:
                 self._take(session, answer)
+                self._confirm(answer, asked_ms)
             except protocol_errors.ProtocolError as error:
                 logger.warning('answer_refused', peer=host, reason=str(error))
                 return False
@@ -286,6 +291,16 @@
         session.endpoints_revision = answer.endpoints_revision
         session.hosts_revision = answer.hosts_revision
 
+    def _confirm(self, answer: attending.Attended, asked_ms: int) -> None:
+        """Renew the lease by what an answer proves, and no more.
+
+        It was given no sooner than it was asked for and held back.
+        """
+        age_ms = answer.confirmed_age_ms
+        if age_ms is None or self._replica.current.index < answer.index:
+            return
+        self.lease.confirm(asked_ms + answer.held_ms - age_ms)
+
     def _take_hosts(
         self, session: _Session, changes: attending.HostChanges
     ) -> None:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -151,6 +151,7 @@
         if self.roster.take(message.record):
             self._exchanges.tell_soon()
         wait_ms = min(message.wait_ms, LONGEST_WAIT_MS)
+        asked_ms = self._clock.mono_ms()
         try:
             async with clocks.timeout_ms(wait_ms):
                 while not self._has_news_for(message):
@@ -159,8 +160,9 @@
                     await self._clock.sleep_ms(self._gather_ms(sender))
         except TimeoutError:
             pass
-        self._told_ms[sender] = self._clock.mono_ms()
-        return self._attended(message)
+        now_ms = self._clock.mono_ms()
+        self._told_ms[sender] = now_ms
+        return self._attended(message, now_ms - asked_ms)
 
     def _gather_ms(self, host: ids.HostId) -> int:
         """Return for how long what is new for a host is gathered."""
@@ -181,7 +183,9 @@
             or self._replica.current.index > message.index
         )
 
-    def _attended(self, message: attending.Attend) -> attending.Attended:
+    def _attended(
+        self, message: attending.Attend, held_ms: int
+    ) -> attending.Attended:
         endpoints_revision = hosts_revision = 0
         if message.life == self._life:
             endpoints_revision = message.endpoints_revision
@@ -200,6 +204,9 @@
             [self._group.host, *self._group.lately(HEARD_LATELY_MS)],
             self._exchanges.standing_in(message.record.region),
             self._news_after(message.index),
+            self._replica.current.index,
+            self._voter.confirmed_age_ms,
+            held_ms,
         )
 
     def _news_after(self, index: int) -> bytes:
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -7,6 +7,7 @@
 from wrenspoke import ids
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import messages
+from wrenspoke.state import configuration
 from wrenspoke.state import loads
 from wrenspoke.state import registry
 
@@ -85,7 +86,9 @@
     ``confirmed`` says that nothing accepted was newer when this was sent,
     ``led`` that the control host leads or hears who does. ``news`` holds
     changes of the configuration, packed (see ``pack``): one packing serves
-    every host that asks for the same.
+    every host that asks for the same. They lead up to ``index``, which was
+    the newest ``confirmed_age_ms`` before this was sent, by a leader's
+    word; None without one. The question was held back for ``held_ms``.
     ``hosts`` is None where nothing changed; ``near`` names the control
     hosts that stand in the region of the one that asks.
     """
@@ -100,14 +103,34 @@
     controls: list[ids.HostId]
     near: list[ids.HostId] = []
     news: bytes = b''
+    index: int = 0
+    confirmed_age_ms: int | None = None
+    held_ms: int = 0
 
 
 def pack(delta: messages.ConfigurationDelta) -> bytes:
     """Return the changes of a delta as bytes for ``Attended.news``."""
-    body = msgspec.msgpack.encode(delta)
+    body = msgspec.msgpack.encode(_without_documents(delta))
     return zlib.compress(body, COMPRESSION_LEVEL)
 
 
+def _without_documents(
+    delta: messages.ConfigurationDelta,
+) -> messages.ConfigurationDelta:
+    """Leave out what only control hosts need of tables of routes."""
+    whole = delta.whole
+    if whole is not None:
+        whole = msgspec.structs.replace(
+            whole, routes=whole.routes.without_document()
+        )
+    changes = []
+    for index, change in delta.changes:
+        if isinstance(change, configuration.SetRoutes):
+            change = configuration.SetRoutes(change.table.without_document())
+        changes.append((index, change))
+    return msgspec.structs.replace(delta, whole=whole, changes=changes)
+
+
 def unpack(news: bytes) -> messages.ConfigurationDelta:
     """Return the changes that were packed.
 
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -239,21 +239,38 @@
     refused: VoteRefusal | None = None
 
 
+class Moment(msgspec.Struct, array_like=True, frozen=True):
+    """Name a moment by a host's own monotonic clock, in one of its lives.
+
+    It means nothing to others, who give it back as it was.
+    """
+
+    life: str
+    at_ms: int
+
+
 class Append(msgspec.Struct, tag='append'):
-    """Send log entries, or just a heartbeat, from the leader."""
+    """Send log entries, or just a heartbeat, from the leader.
+
+    ``confirmed`` is a moment that the follower told before: nothing was
+    accepted up to then that goes beyond ``commit``. None from a leader
+    without a lease.
+    """
 
     term: int
     previous_index: int
     previous_term: int
     commit: int
     added: list[entries.LogEntry] = []
+    confirmed: Moment | None = None
 
 
 class AppendReply(msgspec.Struct, tag='append_reply'):
     """Answer an append.
 
     ``last_index`` is the highest index that is synced and equal to the
-    leader's if ``matched``; otherwise the next one to try from.
+    leader's if ``matched``; otherwise the next one to try from. ``moment``
+    is when this was sent.
     """
 
     term: int
@@ -261,6 +278,7 @@
     last_index: int
     incarnation: ids.Incarnation
     location: locations.Location | None = None
+    moment: Moment | None = None
 
 
 class Install(msgspec.Struct, tag='install'):
