Serve teams by their keys, under the lease

Cause: nothing read teams, keys or open routes. Callers' keys were passed on to engines, unknown keys were served, withdrawn ones went on, and homes of teams bound nothing.

`serving.access` takes the place of `serving.homes`: it says whose call it is and where it may go, at the arrival, at each try and as the body leaves. Unknown keys get 401, open routes need none, a host without a lease answers 503 with a Retry-After that grows with how long it has been without. The team's name is set whatever the caller says, the key never leaves the hosts, and a host that a call is passed to looks the key up itself. Homes of team and route both bind. A table in which teams share a key, or a name, is refused, naming them.

Ruled out: trusting the first host's word for a team (its table may be older than that of the second).

--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -68,6 +68,8 @@
         self.controls = []
         self.entries = []
         self.numbers = itertools.count(1)
+        # Of every entry host's settings.
+        self.changes = {}
 
     def node(self, ip, data_centre='north-hall', **changes):
         """Return the settings of one host."""
@@ -108,6 +110,7 @@
             entry=settings.EntryTimes(
                 **{'leave_delay_ms': 100, 'grace_ms': 2_000, **entry}
             ),
+            **self.changes,
         )
         made = entry_node.EntryNode(node, dialects.Dialect(), self.reports)
         await made.start()
@@ -128,14 +131,15 @@
             lambda: next((c for c in self.controls if c.voter.has_lease), None)
         )
 
-    async def put(self, *found, version=None, **service):
+    async def put(self, *found, version=None, teams=None, **service):
         """Put a table in force, and wait until every entry host has it."""
         leader = await self.leader()
         table = routes.RouteTable(
             version or next(self.numbers),
             found,
             {'s': routes.RoutedService('s', '/health', 10, **service)},
-            digest=repr(found),
+            digest=repr((found, teams)),
+            teams=teams,
         )
         decisions = direct.DirectDecisions(leader.voter, leader.clock)
         await decisions.replace_routes(table)
--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -50,6 +50,22 @@
     """Say that too few ledger hosts answered."""
 
 
+class DeniedError(CoordinationError):
+    """Be the base of why the configuration doesn't let a call be served."""
+
+
+class NoRouteError(DeniedError):
+    """Say that no route leads where a call wants to go."""
+
+
+class UnknownKeyError(DeniedError):
+    """Say that a call needs a key, and that no team holds the one shown."""
+
+
+class NoLeaseError(DeniedError):
+    """Say that this host can't know whether a key still holds."""
+
+
 class NotLeaderError(CoordinationError):
     """Say that this control host does not lead, and who may.
 
--- /dev/null
+++ b/wrenspoke/coordination/serving/access.py
@@ -0,0 +1,139 @@
+"""Who may be served, and where, by what is in force at that moment.
+
+A table of routes may change while a call is under way: between its
+arrival and the choice of a place, while a connection is made, between two
+tries. Whose call it is and where it may go is what holds as its body
+leaves; what was found at its arrival only finds a place to try.
+"""
+
+import dataclasses
+
+import msgspec
+
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.membership import lease as leases
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import roster
+from wrenspoke import ids
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.state import routes
+from wrenspoke.state import teams
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Say by which route a call may be served, and for which team.
+
+    The route's homes are those that the team allows as well. ``anyone``
+    says that there are no teams at all.
+    """
+
+    route: routes.Route
+    team: teams.Team | None = None
+    anyone: bool = False
+
+    @property
+    def urgency(self) -> tuple[int, int]:
+        """Return how urgent the call is, lower first: team, then route."""
+        priority = self.route.priority
+        if self.team is None or self.team.priority is None:
+            return priority, priority
+        return self.team.priority, priority
+
+
+class Access:
+    """Look calls up in the table that is in force now."""
+
+    def __init__(
+        self,
+        held: replica.Replica,
+        known: roster.Roster,
+        lease: leases.ConfigurationLease,
+    ):
+        self._replica = held
+        self._roster = known
+        self._lease = lease
+        self._routes = routes.RouteIndex(routes.RouteTable())
+        self._teams: teams.TeamIndex | None = None
+
+    def permit(self, call: dialects.Call) -> Permit:
+        """Return what a call may do.
+
+        :raises NoRouteError: there is no route for it
+        :raises UnknownKeyError: it needs a key that a team holds
+        :raises NoLeaseError: whether its key still holds is not known here
+        """
+        self._look_again()
+        route = self._routes.find(call.host, call.path)
+        if route is None:
+            raise errors.NoRouteError(f'no route for {call.path}')
+        return self._permit_by(call, route)
+
+    def _permit_by(self, call: dialects.Call, route: routes.Route) -> Permit:
+        if self._teams is None:
+            return Permit(route, anyone=True)
+        team = self._teams.find(call.key)
+        if route.open:
+            if team is None or not self._lease.held:
+                return Permit(route)
+            return Permit(route.bound_to(team.homes), team)
+        if not self._lease.held:
+            raise errors.NoLeaseError('no lease on the configuration')
+        if team is None:
+            raise errors.UnknownKeyError('no team holds this key')
+        return Permit(route.bound_to(team.homes), team)
+
+    def _look_again(self) -> None:
+        table = self._replica.current.routes
+        if self._routes.table is table:
+            return
+        self._routes = routes.RouteIndex(table)
+        self._teams = None
+        if table.teams is not None:
+            self._teams = teams.TeamIndex(table.teams)
+
+    def renewed(self, call: dialects.Call, permit: Permit) -> Permit:
+        """Return a call's permit with the team and homes that hold now.
+
+        All else stays as it was when the call came, also where the route
+        was dropped since.
+
+        :raises UnknownKeyError: its key was withdrawn
+        :raises NoLeaseError: whether its key still holds is not known here
+        """
+        self._look_again()
+        route = self._routes.find(call.host, call.path) or permit.route
+        now = self._permit_by(call, route)
+        if now.route.homes == permit.route.homes and now.team == permit.team:
+            return permit
+        kept = msgspec.structs.replace(permit.route, homes=now.route.homes)
+        return dataclasses.replace(now, route=kept)
+
+    def may_enter(
+        self,
+        call: dialects.Call,
+        permit: Permit,
+        host: ids.HostId | None,
+        regions: tuple[ids.RegionId, ...],
+    ) -> bool:
+        """Tell whether a call may leave for some regions now.
+
+        ``regions`` are those that it is to go through and to. A host that
+        takes it must stand in one that is allowed by its own word, too.
+        """
+        try:
+            now = self.renewed(call, permit)
+        except errors.DeniedError:
+            return False
+        if _name_of(now.team) != _name_of(permit.team):
+            return False
+        entered = {*regions}
+        if host is not None:
+            told = self._roster.region_of(host)
+            if told is not None:
+                entered.add(told)
+        return all(now.route.allows(region) for region in entered)
+
+
+def _name_of(team: teams.Team | None) -> ids.TeamId | None:
+    return None if team is None else team.team
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -12,10 +12,11 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import choice
-from wrenspoke.coordination.serving import homes
 from wrenspoke.coordination.serving import placing
 from wrenspoke.coordination.serving import spending
 from wrenspoke.coordination.serving import tries
@@ -29,6 +30,7 @@
 
 logger = structlog.get_logger(__name__)
 
+UNAUTHORIZED = 401
 NOT_FOUND = 404
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -45,6 +47,14 @@
 START_RETRY_AFTER_MS = 1_000
 
 
+# What is said to a caller that the configuration does not let be served.
+_DENIALS = {
+    errors.NoRouteError: (NOT_FOUND, passing.Refusal.NO_ROUTE),
+    errors.UnknownKeyError: (UNAUTHORIZED, passing.Refusal.UNKNOWN_KEY),
+    errors.NoLeaseError: (UNAVAILABLE, passing.Refusal.NO_LEASE),
+}
+
+
 class PassThrough:
     """Serve passed-through calls on an entry host."""
 
@@ -56,7 +66,7 @@
         placed: placing.Placing,
         tried: tries.Tries,
         budget: spending.Spending,
-        kept_in: homes.Homes,
+        permitted: access.Access,
         switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
@@ -66,7 +76,7 @@
         self._placing = placed
         self._tries = tried
         self._spending = budget
-        self._homes = kept_in
+        self._access = permitted
         self._waits = mechanisms.Mechanism.WAITING_AT_START not in switched_off
         self._clock = clock
         self.in_flight = 0
@@ -128,22 +138,59 @@
         ):
             await self._refuse(call, reply, passing.Refusal.NO_CONFIGURATION)
             return None
-        route = self._homes.route_of(call)
-        if route is None:
-            logger.info(
-                'no_route',
-                request=call.request,
-                version=table.version,
-                path=call.path,
-            )
-            await reply.refuse(NOT_FOUND, passing.Refusal.NO_ROUTE)
+        try:
+            permit = await self._permit(call)
+        except errors.DeniedError as error:
+            await self._deny(call, reply, error)
             return None
-        service = table.service(self._service_of(route, hop))
-        left_ms = min(call.left_ms, route.timeout_ms)
+        service = table.service(self._service_of(permit.route, hop))
+        left_ms = min(call.left_ms, permit.route.timeout_ms)
         return works.Work(
-            call, route, service, call.arrived_ms + left_ms, reply, hop
+            call, permit, service, call.arrived_ms + left_ms, reply, hop
         )
 
+    async def _permit(self, call: dialects.Call) -> access.Permit:
+        """Return what a call may do.
+
+        A host that has just started is waited for; one that lost its
+        lease may be cut off for long, and callers find another one.
+
+        :raises DeniedError: it may not be served, or not here
+        """
+        try:
+            return self._access.permit(call)
+        except errors.NoLeaseError:
+            lease = self._attended.lease
+            if lease.ever_held or not self._waits:
+                raise
+        try:
+            async with clocks.timeout_ms(min(START_WAIT_MS, call.left_ms)):
+                await lease.granted.wait()
+        except TimeoutError:
+            pass
+        return self._access.permit(call)
+
+    async def _deny(
+        self,
+        call: dialects.Call,
+        reply: passing.Reply,
+        error: errors.DeniedError,
+    ) -> None:
+        """Refuse what the configuration does not let this host serve."""
+        status, reason = _DENIALS[type(error)]
+        logger.info(
+            'request_denied',
+            request=call.request,
+            reason=reason,
+            version=self._replica.current.routes.version,
+            path=call.path,
+        )
+        retry_after_ms = None
+        if status == UNAVAILABLE:
+            lease = self._attended.lease
+            retry_after_ms = placing.spread_ms(lease.return_in_ms())
+        await reply.refuse(status, reason, retry_after_ms)
+
     async def _refuse(
         self,
         call: dialects.Call,
@@ -212,6 +259,11 @@
         except placing.HopelessError as error:
             work.cause = work.cause or 'hopeless'
             work.retry_after_ms = error.retry_after_ms
+        except errors.DeniedError as error:
+            if not work.may_have_run:
+                await self._deny(work.call, work.reply, error)
+                return
+            work.cause = f'{work.cause} ({error})'
         except protocol_errors.CallerGoneError:
             logger.info('caller_gone', request=work.call.request)
             raise
@@ -220,7 +272,7 @@
     async def _try_all(self, work: works.Work) -> bool:
         """Try until it is answered; False when it is given up."""
         while self._left_ms(work) > tries.LEAST_LEFT_MS:
-            work.route = self._homes.renewed(work.call, work.route)
+            work.permit = self._access.renewed(work.call, work.permit)
             place = self._placing.next_place(work)
             if place is None:
                 work.cause = work.cause or 'no_endpoint'
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -17,15 +17,14 @@
 import structlog
 
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import choice
-from wrenspoke.coordination.serving import homes
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import passing
 from wrenspoke.protocol import traffic
 from wrenspoke.state import locations
-from wrenspoke.state import routes
 from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import web
 
@@ -144,11 +143,11 @@
         dialect: dialects.Dialect,
         endpoints: web.HttpClient,
         hosts: web.HttpClient,
-        kept_in: homes.Homes,
+        permitted: access.Access,
         sent: traffic.Traffic,
     ):
         self._dialect = dialect
-        self._homes = kept_in
+        self._access = permitted
         self._endpoints = endpoints
         self._hosts = hosts
         self._traffic = sent
@@ -157,7 +156,7 @@
     async def send(
         self,
         call: dialects.Call,
-        route: routes.Route,
+        permit: access.Permit,
         place: Place,
         left_ms: int,
         last_event: str | None,
@@ -168,13 +167,13 @@
         work on the other side.
 
         :raises NotSentError: no connection; nothing was sent
-        :raises HeldBackError: its homes have changed; nothing was sent
+        :raises HeldBackError: it may not go there now; nothing was sent
         :raises MaybeSentError: it may have been run
         """
         may_enter = functools.partial(
-            self._homes.may_enter, call, route, place.host, place.regions
+            self._access.may_enter, call, permit, place.host, place.regions
         )
-        fields = self._fields(call, route, place, left_ms, last_event)
+        fields = self._fields(call, permit, place, left_ms, last_event)
         body = call.body or None
         client = self._endpoints if place.host is None else self._hosts
         try:
@@ -212,7 +211,7 @@
     def _fields(
         self,
         call: dialects.Call,
-        route: routes.Route,
+        permit: access.Permit,
         place: Place,
         left_ms: int,
         last_event: str | None,
@@ -227,16 +226,31 @@
         if place.hop is not None:
             hop = msgspec.json.encode(place.hop).decode()
             fields.append((passing.HOP, hop))
-            return fields
+            # The host there looks the key up itself.
+            return fields + call.credentials
+        fields += self._on_behalf(call, permit)
         fields.append((dialect.endpoint, place.endpoint))
         if place.chosen is not None and place.chosen.source is not None:
             source = place.chosen.source.said
             fields.append((dialect.fetch_from, source.address))
         if call.parts:
-            urgency = min(max(route.priority, 0), URGENCIES - 1)
+            urgency = min(max(permit.urgency[0], 0), URGENCIES - 1)
             fields.append((dialect.priority, str(urgency)))
         return fields
 
+    def _on_behalf(
+        self, call: dialects.Call, permit: access.Permit
+    ) -> dialects.Fields:
+        """Return what tells an endpoint whose call it is.
+
+        Where there are teams that is a team's name, whatever the caller
+        says, and never the key. Where there are none, the caller's own
+        headers are passed on like all others.
+        """
+        if permit.team is not None:
+            return [(self._dialect.team, permit.team.team)]
+        return call.credentials if permit.anyone else []
+
     def _verdict(
         self,
         call: dialects.Call,
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -78,7 +78,7 @@
             async with self._watched(work, place):
                 async with self._sender.send(
                     work.call,
-                    work.route,
+                    work.permit,
                     place,
                     self._left_ms(work),
                     last_event,
@@ -171,8 +171,13 @@
         )
 
     def _held_back(self, work: works.Work, place: sending.Place) -> None:
-        """Note that a call's homes changed before its body had left."""
-        work.cause = f'{place.name}: not at home any more'
+        """Note that a call may not go there any more, and did not.
+
+        Where another team holds its key now, the place is as good as it
+        was.
+        """
+        work.tried.discard(place.name)
+        work.cause = f'{place.name}: may not go there any more'
         logger.warning(
             'held_back',
             request=work.call.request,
@@ -233,7 +238,10 @@
     async def _take_refusal(
         self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
-        """Take the word of a host elsewhere that could not serve it."""
+        """Take the word of a host elsewhere that could not serve it.
+
+        :raises UnknownKeyError: by its configuration, which is no older
+        """
         work.cause = f'{place.name}: {answer.refused}'
         if answer.status == UNAVAILABLE:
             work.unrun += 1
@@ -241,6 +249,8 @@
             work.sent -= 1
         if answer.refused in (passing.Refusal.UNSENT, passing.Refusal.BUSY):
             work.regions_out.add(place.region)
+        if answer.refused == passing.Refusal.UNKNOWN_KEY:
+            raise errors.UnknownKeyError(work.cause)
         if answer.refused == passing.Refusal.BUSY:
             self._regions.note_told(
                 place.region, work.service.service, answer.retry_after_ms
--- a/wrenspoke/coordination/serving/work.py
+++ b/wrenspoke/coordination/serving/work.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import events
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
@@ -23,7 +24,7 @@
     """Hold how far serving one call has come."""
 
     call: dialects.Call
-    route: routes.Route
+    permit: access.Permit
     service: routes.RoutedService
     deadline_ms: int
     reply: passing.Reply
@@ -41,6 +42,11 @@
     kept: KeptAnswer | None = None
     tracker: events.EventTracker | None = None
 
+    @property
+    def route(self) -> routes.Route:
+        """Return the call's route, with the homes that its team allows."""
+        return self.permit.route
+
     def note_piece(self, now_ms: int) -> None:
         """Note that a piece of the answer goes to the caller."""
         if self.last_piece_ms is not None:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -13,15 +13,16 @@
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import controls
 from wrenspoke.coordination.membership import gauges
+from wrenspoke.coordination.membership import lease
 from wrenspoke.coordination.membership import partners
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.membership import views
+from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import choice
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
-from wrenspoke.coordination.serving import homes
 from wrenspoke.coordination.serving import passthrough
 from wrenspoke.coordination.serving import placing
 from wrenspoke.coordination.serving import regions
@@ -62,12 +63,16 @@
             node.host, node.seed_hosts, self.clock
         )
         self.replica = replica.Replica()
+        self.lease = lease.ConfigurationLease(
+            node.withdrawn_keys_ms, self.clock
+        )
         self.attendance = attendance.Attendance(
             self._record(),
             self.group,
             self.replica,
             self.peers,
             self.clock,
+            self.lease,
         )
         self._traffic.tell_places(self.attendance.place_of)
         self._client = web.HttpClient(
@@ -195,7 +200,9 @@
             node.switched_off,
             self.clock,
         )
-        kept_in = homes.Homes(self.replica, self.attendance.roster)
+        permitted = access.Access(
+            self.replica, self.attendance.roster, self.lease
+        )
         self.passthrough = passthrough.PassThrough(
             self.replica,
             self.attendance,
@@ -214,7 +221,7 @@
                     dialect,
                     self._client,
                     self._hosts_client,
-                    kept_in,
+                    permitted,
                     self._traffic,
                 ),
                 self.attendance,
@@ -226,7 +233,7 @@
                 self.clock,
             ),
             self.spending,
-            kept_in,
+            permitted,
             node.switched_off,
             self.clock,
         )
--- a/wrenspoke/ids.py
+++ b/wrenspoke/ids.py
@@ -14,6 +14,7 @@
 RequestId = typing.NewType('RequestId', str)
 ServiceId = typing.NewType('ServiceId', str)
 SessionId = typing.NewType('SessionId', str)
+TeamId = typing.NewType('TeamId', str)
 
 UNIQUE_BYTES = 8
 
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -112,6 +112,8 @@
     hosts. ``regions`` tells the region of each data centre. ``seeds`` are
     control addresses to begin with, ``first_start`` is true only at the
     first start of all. Addresses that are null are not listened to.
+    ``withdrawn_keys_ms`` after a key was withdrawn it runs nothing on any
+    host, not even on one that is cut off; null lets those go on.
     """
 
     cluster: str
@@ -129,6 +131,7 @@
     directory_address: Address | None = None
     data_folder: str | None = None
     directory_ttl_ms: Positive = 2_000
+    withdrawn_keys_ms: Positive | None = None
     control: ControlTimes = ControlTimes()
     entry: EntryTimes = EntryTimes()
     retries: RetryTimes = RetryTimes()
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -51,6 +51,8 @@
     it keeps of the prompt.
     A health answer names its endpoint by ``instance`` and tells by
     ``warmup_ms`` how much longer it bears few requests only.
+    ``authorization`` holds a team's key behind the word ``scheme``;
+    ``team`` tells endpoints whose call it is.
     ``reserved`` headers are never passed on from callers.
     """
 
@@ -66,6 +68,9 @@
     instance: str = 'Wrenspoke-Instance'
     warmup_ms: str = 'Wrenspoke-Warmup-Ms'
     fetch_from: str = 'Wrenspoke-Fetch-From'
+    authorization: str = 'Authorization'
+    scheme: str = 'Bearer'
+    team: str = 'Wrenspoke-Team'
     reserved: tuple[str, ...] = ()
 
     def kept_back(self) -> frozenset[str]:
@@ -76,9 +81,13 @@
             self.priority,
             self.fetch_from,
         )
-        names = (*own, *self.reserved)
+        names = (*own, *self.credentials(), *self.reserved)
         return CONNECTION_FIELDS | {name.lower() for name in names}
 
+    def credentials(self) -> tuple[str, str]:
+        """Return the headers that say on whose behalf a call is made."""
+        return (self.authorization, self.team)
+
 
 class PromptPart(msgspec.Struct, frozen=True, array_like=True):
     """Name a part of a prompt and say how many tokens it has."""
@@ -90,7 +99,8 @@
 class Call(msgspec.Struct):
     """Hold one request that is to be passed through.
 
-    ``fields`` are the headers to be passed on, in their order.
+    ``fields`` are the headers to be passed on, in their order, without
+    ``credentials``: the caller's word on its team. ``key`` is its team's.
     """
 
     request: ids.RequestId
@@ -106,6 +116,13 @@
     tokens_out: int = 0
     tokens_expected: int = 0
     last_event: str | None = None
+    credentials: Fields = []
+    key: str = ''
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that the call may need, 0 if it says none."""
+        return self.tokens_in + self.tokens_out
 
     @property
     def path(self) -> str:
@@ -120,6 +137,7 @@
         self._dialect = dialect
         self._default_deadline_ms = default_deadline_ms
         self._kept_back = dialect.kept_back()
+        self._credentials = {name.lower() for name in dialect.credentials()}
 
     def read(
         self,
@@ -161,6 +179,12 @@
             tokens_out=self._tokens(found)[1],
             tokens_expected=self._tokens_expected(found),
             last_event=found.get(self._dialect.last_event.lower()),
+            credentials=[
+                item
+                for item in fields
+                if item[0].lower() in self._credentials - named
+            ],
+            key=self._key(found),
         )
 
     def _single(self) -> frozenset[str]:
@@ -177,6 +201,14 @@
             )
         return ids.RequestId(value)
 
+    def _key(self, found: dict[str, str]) -> str:
+        """Return the key that a caller shows, empty if it shows none."""
+        text = found.get(self._dialect.authorization.lower(), '')
+        scheme, _, key = text.strip().partition(' ')
+        if scheme.lower() != self._dialect.scheme.lower():
+            return ''
+        return key.strip()
+
     def _left_ms(self, found: dict[str, str]) -> int:
         name = self._dialect.deadline_ms
         value = found.get(name.lower())
--- a/wrenspoke/protocol/passing.py
+++ b/wrenspoke/protocol/passing.py
@@ -38,6 +38,8 @@
 
     NO_ROUTE = 'no_route'
     NO_CONFIGURATION = 'no_configuration'
+    NO_LEASE = 'no_lease'
+    UNKNOWN_KEY = 'unknown_key'
     LEAVING = 'leaving'
     BUSY = 'busy'
     UNSENT = 'unsent'
@@ -51,6 +53,8 @@
         Refusal.BUSY,
         Refusal.UNSENT,
         Refusal.NO_CONFIGURATION,
+        Refusal.NO_LEASE,
+        Refusal.UNKNOWN_KEY,
         Refusal.LEAVING,
     ]
 )
--- a/wrenspoke/state/routes.py
+++ b/wrenspoke/state/routes.py
@@ -12,11 +12,14 @@
 
 from wrenspoke import ids
 from wrenspoke.state import errors
+from wrenspoke.state import teams as state_teams
 
 
 BITS_PER_BYTE = 8
 # What a link of one megabit a second carries in a millisecond.
 BITS_PER_MS_OF_MBPS = 1_000
+# Homes of what no region may serve; a name that no region has.
+NOWHERE = (ids.RegionId(''),)
 
 
 class RouteKind(enum.Enum):
@@ -40,7 +43,8 @@
     ``target_ms`` is the time in which an answer has its full worth (of a
     stream: its first event), ``pause_target_ms`` the longest pause
     between two events that keeps a stream in time. Without ``homes``
-    every region may serve it. Priority 0 is the most urgent.
+    every region may serve it. Priority 0 is the most urgent. An ``open``
+    route serves callers without a key, too.
     """
 
     name: str
@@ -56,6 +60,7 @@
     resumable: bool = False
     pause_target_ms: int | None = None
     homes: tuple[ids.RegionId, ...] = ()
+    open: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -68,6 +73,18 @@
         """Tell whether endpoints of a region may serve it."""
         return not self.homes or region in self.homes
 
+    def bound_to(self, homes: tuple[ids.RegionId, ...]) -> 'Route':
+        """Return the route as it is for a team that has homes.
+
+        Both bind: what is left is where both may be served.
+        """
+        if not homes:
+            return self
+        both = homes
+        if self.homes:
+            both = tuple(home for home in self.homes if home in homes)
+        return msgspec.structs.replace(self, homes=both or NOWHERE)
+
 
 class Batch(msgspec.Struct, frozen=True):
     """Say what an engine's memory holds and how it works in batches.
@@ -118,8 +135,9 @@
 class RouteTable(msgspec.Struct, frozen=True):
     """Hold all routes at one version.
 
-    ``document`` is what the operator sent, given back as it was;
-    ``digest`` tells whether two documents say the same.
+    ``document`` is what the operator sent, given back as it was; only
+    control hosts hold it. ``digest`` tells whether two documents say the
+    same. With ``teams`` callers need a key.
     """
 
     version: int = 0
@@ -128,11 +146,19 @@
     limits: CallerLimits = CallerLimits()
     document: bytes = b''
     digest: str = ''
+    teams: state_teams.TeamTable | None = None
 
     def service(self, service: ids.ServiceId) -> RoutedService | None:
         """Return a service, None if the table has none of that name."""
         return self.services.get(service)
 
+    def without_document(self) -> 'RouteTable':
+        """Return what hosts need that serve callers.
+
+        The document is as large as all else, and holds keys as they are.
+        """
+        return msgspec.structs.replace(self, document=b'')
+
 
 def digest_of(document: typing.Any) -> str:
     """Return a digest that ignores white space and the order of fields."""
@@ -159,6 +185,8 @@
                 f'by {places[place]}'
             )
         places[place] = route.name
+    if table.teams is not None:
+        state_teams.check(table.teams)
 
 
 def _check_route(table: RouteTable, route: Route) -> None:
