Let engines start again under their names, and bound what they may say

Cause: `Registry.take` and `renew` held a name that was gone for gone for ever, and a lower number for late. An engine may start again under its id now, and counts anew; it was never used again. Heartbeats were not bounded (slots, numbers, durations), and a service or zone that there is none of was taken.

Registrations are ordered by birth, then number. Renewals, leaves and what an entry host withdraws name the life they are of. What was learned of an endpoint ends with its life: prefixes, backlog, pace, loads, health.

Ruled out: names made of id and birth (logs and the directory of engines would no longer say the engine's own name).

After: green, with 300 drawn heartbeats and 300 drawn configurations.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,9 +7,11 @@
 import sys
 
 import aiohttp
+import hypothesis
 import pytest
 
 from tests import nodes
+from tests import test_registry
 from wrenspoke import node as settings
 from wrenspoke.state import errors
 from wrenspoke.state import registry
@@ -141,6 +143,11 @@
         routes.check(decoder.decode(INVALID[name]))
 
 
+def heartbeat(body, endpoint='i-1'):
+    """Return what a heartbeat says, in a system of one zone and service."""
+    return registrations.decode(endpoint, body, {'hall'}, {'chat'})
+
+
 HEARTBEAT = {
     'service': 'chat',
     'address': '10.0.0.9:80',
@@ -166,18 +173,117 @@
             registry.RegistrationState.DRAINING,
         ),
         ({'expiresInMs': 2100}, 'ends_in_ms', 2100),
+        ({'born': 1790000000000}, 'born_ms', 1790000000000),
     ],
 )
 def test_heartbeat_is_decoded(changes, field, value):
     body = json.dumps({**HEARTBEAT, **changes}).encode()
-    assert getattr(registrations.decode('i-1', body), field) == value
+    assert getattr(heartbeat(body), field) == value
 
 
 @pytest.mark.parametrize('left_out', ['service', 'address', 'zone', 'seq'])
 def test_heartbeat_without_a_field_names_it(left_out):
     body = {k: v for k, v in HEARTBEAT.items() if k != left_out}
     with pytest.raises(errors.InvalidChangeError, match=left_out):
-        registrations.decode('i-1', json.dumps(body).encode())
+        heartbeat(json.dumps(body).encode())
+
+
+WRONG = {
+    'no service': ({'service': ''}, 'service'),
+    'service of a number': ({'service': 5}, 'service'),
+    'unknown service': ({'service': 'other'}, 'service'),
+    'unknown zone': ({'zone': 'nowhere'}, 'zone'),
+    'unknown state': ({'state': 'asleep'}, 'state'),
+    'state of null': ({'state': None}, 'state'),
+    'address of a name': ({'address': 'host:80'}, 'address'),
+    'long address': ({'address': '1' * 5000}, 'address'),
+    'seq of text': ({'seq': '4'}, 'seq'),
+    'seq below 0': ({'seq': -1}, 'seq'),
+    'huge seq': ({'seq': 10**30}, 'seq'),
+    'seq of a fraction': ({'seq': 4.5}, 'seq'),
+    'huge slots': ({'slots': 10**12}, 'slots'),
+    'warm-up below 0': ({'warmupLeftMs': -1}, 'warmupLeftMs'),
+    'huge warm-up': ({'warmupLeftMs': 1e300}, 'warmupLeftMs'),
+    'huge end': ({'expiresInMs': 1e300}, 'expiresInMs'),
+    'born of text': ({'born': '1790000000000'}, 'born'),
+    'born of a fraction': ({'born': 1790000000000.5}, 'born'),
+    'born below 0': ({'born': -1}, 'born'),
+}
+
+
+@pytest.mark.parametrize('name', WRONG)
+def test_heartbeat_of_another_writer_names_the_field(name):
+    changes, field = WRONG[name]
+    with pytest.raises(errors.InvalidChangeError, match=field):
+        heartbeat(json.dumps({**HEARTBEAT, **changes}).encode())
+
+
+JSON_VALUES = hypothesis.strategies.recursive(
+    hypothesis.strategies.none()
+    | hypothesis.strategies.booleans()
+    | hypothesis.strategies.integers()
+    | hypothesis.strategies.floats()
+    | hypothesis.strategies.text(max_size=20),
+    lambda inner: (
+        hypothesis.strategies.lists(inner, max_size=3)
+        | hypothesis.strategies.dictionaries(
+            hypothesis.strategies.text(max_size=5), inner, max_size=3
+        )
+    ),
+    max_leaves=5,
+)
+
+
+@hypothesis.settings(
+    max_examples=300,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.differing_executors],
+)
+@hypothesis.given(
+    body=hypothesis.strategies.binary(max_size=60)
+    | hypothesis.strategies.builds(
+        lambda changes, cut: json.dumps({**HEARTBEAT, **changes}).encode()[
+            :cut
+        ],
+        hypothesis.strategies.dictionaries(
+            hypothesis.strategies.sampled_from([*HEARTBEAT, 'born', 'other']),
+            JSON_VALUES,
+            max_size=3,
+        ),
+        hypothesis.strategies.integers(1, 400),
+    )
+)
+def test_no_heartbeat_harms_what_is_known(body):
+    """Whatever comes is taken for what it says, or refused."""
+    held = registry.Registry(test_registry.FakeClock())
+    held.take(heartbeat(json.dumps(HEARTBEAT).encode(), 'i-true'))
+    try:
+        held.take(heartbeat(body, 'i-other'))
+    except errors.InvalidChangeError:
+        assert 'i-other' not in held.held
+    assert held.held['i-true'].takes_work
+
+
+@hypothesis.settings(max_examples=300, deadline=None)
+@hypothesis.given(
+    changes=hypothesis.strategies.dictionaries(
+        hypothesis.strategies.sampled_from(
+            ['version', 'routes', 'services', 'limits', 'tenants']
+        ),
+        JSON_VALUES,
+        min_size=1,
+        max_size=2,
+    ),
+    cut=hypothesis.strategies.integers(1, 2000),
+)
+def test_configuration_is_taken_whole_or_refused(changes, cut):
+    body = json.dumps({**json.loads(document()), **changes}).encode()[:cut]
+    try:
+        table = decoder.decode(body)
+        routes.check(table)
+    except errors.InvalidChangeError:
+        return
+    assert table.version >= 1
 
 
 def test_report_is_decoded():
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -269,3 +269,94 @@
     clock.now_ms += registry.FORGOTTEN_AFTER_MS + 1
     held.forget_old()
     assert not held.held and held.revision == revision
+
+
+BORN_MS = 1_790_000_000_000
+
+
+@pytest.mark.parametrize(
+    'before, later, takes_work, number',
+    [
+        ([said(9)], said(1, born_ms=BORN_MS), True, 1),
+        ([said(9, born_ms=BORN_MS)], said(1, born_ms=BORN_MS + 1), True, 1),
+        ([said(9, born_ms=BORN_MS)], said(99, born_ms=BORN_MS - 1), True, 9),
+        (
+            [said(9, born_ms=BORN_MS), said(10, GONE, born_ms=BORN_MS)],
+            said(1, born_ms=BORN_MS + 1),
+            True,
+            1,
+        ),
+        (
+            [said(9, born_ms=BORN_MS), said(10, GONE, born_ms=BORN_MS)],
+            said(99, born_ms=BORN_MS),
+            False,
+            10,
+        ),
+        (
+            [said(9, born_ms=BORN_MS), said(1, born_ms=BORN_MS + 1)],
+            said(10, GONE, born_ms=BORN_MS),
+            True,
+            1,
+        ),
+        (
+            [said(9, born_ms=BORN_MS), said(1, born_ms=BORN_MS + 1)],
+            said(2, GONE, born_ms=BORN_MS + 1),
+            False,
+            2,
+        ),
+        (
+            [said(9, DRAINING, born_ms=BORN_MS)],
+            said(1, born_ms=BORN_MS + 1),
+            True,
+            1,
+        ),
+    ],
+    ids=[
+        'first that tells a birth',
+        'reborn, counts from the start',
+        'late word of the life before',
+        'reborn after it was gone',
+        'late word of a life that is gone',
+        'late leave of the life before',
+        'leave of the new life',
+        'reborn while it drained',
+    ],
+)
+def test_birth_orders_before_numbers(before, later, takes_work, number):
+    held = registry.Registry(FakeClock())
+    for one in before:
+        held.take(one)
+    held.take(later)
+    found = held.held['e']
+    assert (found.takes_work, found.said.number) == (takes_work, number)
+
+
+def test_renewal_counts_for_its_life_only():
+    held = registry.Registry(FakeClock())
+    held.take(said(5, born_ms=BORN_MS))
+    assert held.renew('e', 6, 0, 'other', BORN_MS)
+    assert held.held['e'].said.number == 6
+    assert held.renew('e', 99, 0, 'other', BORN_MS - 1)
+    assert held.held['e'].said.number == 6
+    # Of a life that is not known here all is to be told.
+    assert not held.renew('e', 1, 0, 'other', BORN_MS + 1)
+
+
+def test_who_learned_of_an_endpoint_is_told_that_it_began_anew():
+    held = registry.Registry(FakeClock())
+    heard = []
+    held.tell_reborn(heard.append)
+    held.take(said(5, born_ms=BORN_MS))
+    held.take(said(6, born_ms=BORN_MS))
+    assert heard == []
+    held.take(said(1, born_ms=BORN_MS + 1))
+    assert [before.number for before in heard] == [6]
+
+
+def test_leave_that_names_a_life_ends_no_other():
+    held = registry.Registry(FakeClock())
+    held.take(said(1, born_ms=BORN_MS))
+    assert not held.take(held.withdraw('e', BORN_MS - 1))
+    assert held.held['e'].takes_work
+    assert held.take(held.withdraw('e', BORN_MS))
+    assert not held.held['e'].takes_work
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -163,16 +163,22 @@
         ]
         await asyncio.gather(*calls)
 
-    def withdraw(self, endpoint: ids.EndpointId) -> None:
-        """Take an endpoint for gone, and tell the control hosts so."""
-        if not self.registry.take(self.registry.withdraw(endpoint)):
+    def withdraw(self, endpoint: ids.EndpointId, born_ms: int) -> None:
+        """Take an endpoint for gone, and tell the control hosts so.
+
+        ``born_ms`` names the life that was found to have ended.
+        """
+        gone = self.registry.withdraw(endpoint, born_ms)
+        if not self.registry.take(gone):
             return
         logger.info('endpoint_gone', endpoint=endpoint)
         for session in self._sessions:
             if session.host is None:
                 continue
             self._tasks.start(
-                self._peers.tell(session.host, attending.Withdraw(endpoint)),
+                self._peers.tell(
+                    session.host, attending.Withdraw(endpoint, born_ms)
+                ),
                 fatal=False,
             )
 
--- a/wrenspoke/coordination/membership/exchanges.py
+++ b/wrenspoke/coordination/membership/exchanges.py
@@ -180,6 +180,7 @@
                     found.said.endpoint,
                     found.said.number,
                     self._age_ms(found.heard_ms),
+                    found.said.born_ms,
                 )
                 for found in endpoints
             ],
@@ -226,6 +227,7 @@
                 renewal.number,
                 renewal.age_ms,
                 sender,
+                renewal.life,
             )
         for renewal in message.renewed_hosts:
             unknown |= not self._hosts.renew(renewal, sender)
--- a/wrenspoke/coordination/membership/gauges.py
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -240,6 +240,11 @@
                 self._heard(found.said.address, asked_ms)
         self._forget()
 
+    def forget(self, endpoint: ids.EndpointId) -> None:
+        """Forget an engine's load, as it began anew."""
+        self._held.pop(endpoint, None)
+        self._first_seen_ms.pop(endpoint, None)
+
     def _forget(self) -> None:
         for known in (self._held, self._first_seen_ms):
             for endpoint in list(known):
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -134,14 +134,16 @@
             )
             self._announce()
 
-    def withdraw(self, endpoint: ids.EndpointId) -> None:
-        """Take note that an endpoint leaves."""
-        self.register(self.registry.withdraw(endpoint))
+    def withdraw(
+        self, endpoint: ids.EndpointId, born_ms: int | None = None
+    ) -> None:
+        """Take note that an endpoint leaves, in one of its lives."""
+        self.register(self.registry.withdraw(endpoint, born_ms))
 
     async def _hear_withdrawn(
         self, _sender: ids.HostId, message: attending.Withdraw
     ) -> None:
-        self.withdraw(message.endpoint)
+        self.withdraw(message.endpoint, message.born_ms)
 
     # Entry hosts.
 
--- a/wrenspoke/coordination/serving/health.py
+++ b/wrenspoke/coordination/serving/health.py
@@ -97,6 +97,10 @@
         if asked_ms >= found.aside_since_ms:
             self.succeeded(place)
 
+    def forget(self, place: str) -> None:
+        """Forget how a place did, as another life began there."""
+        self._standings.pop(place, None)
+
     def keep_only(self, places: set[str]) -> None:
         """Forget places that are gone."""
         for place in list(self._standings):
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -199,8 +199,10 @@
         if answer.verdict is sending.Verdict.NOT_HERE:
             work.was_not_run()
             work.cause = 'not here any more'
-            # A name is never used again: nothing of it will come back.
-            self._attended.withdraw(place.endpoint)
+            # Nothing of this life of it will come back.
+            self._attended.withdraw(
+                place.endpoint, place.chosen.found.said.born_ms
+            )
             return False
         if answer.verdict is sending.Verdict.NOT_RUN:
             work.was_not_run()
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -38,6 +38,7 @@
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import passing
 from wrenspoke import runtime
+from wrenspoke.state import registry
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -163,6 +164,14 @@
         )
         self._estimator = estimate.Estimator(self._gauges, self.clock)
 
+    def _forget_life(self, before: registry.Registration) -> None:
+        """Forget what was learned of an endpoint that began anew."""
+        others = set(self.attendance.registry.held) - {before.endpoint}
+        self._estimator.keep_only(others)
+        self._warmth.keep_only(others)
+        self._gauges.forget(before.endpoint)
+        self._health.forget(before.address)
+
     def _build_serving(self, dialect: dialects.Dialect) -> None:
         """Build what serves requests and what listens for them."""
         node = self.node
@@ -247,6 +256,7 @@
             ),
             self.clock,
         )
+        self.attendance.registry.tell_reborn(self._forget_life)
         self._callers = self._server(surface.handle_caller)
         self._hosts = self._server(surface.handle_host)
 
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -54,8 +54,8 @@
     """Say that a host or an endpoint lives on, unchanged.
 
     ``number`` is the one of what it last told, ``age_ms`` ago; ``life``
-    tells one life of a host from another, and is 0 for endpoints, whose
-    names are never used again.
+    tells one life from another: of a host a number of its own, of an
+    endpoint when it was born.
     """
 
     name: str
@@ -216,7 +216,9 @@
 class Withdraw(msgspec.Struct, tag='withdraw'):
     """Tell a control host that an endpoint is not there any more.
 
-    Another one answered at its address.
+    Another one answered at its address. ``born_ms`` names the life that
+    has ended.
     """
 
     endpoint: ids.EndpointId
+    born_ms: int = 0
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -1,19 +1,26 @@
 """Endpoints that register themselves: soft state with leases.
 
 A registration is renewed again and again and numbered by its endpoint,
-so that a late one is told from a new one. It is kept apart from the
-replicated log: any control host may take it, one without a majority too,
-and what all have heard is merged. Ages travel, never times of day.
+so that a late one is told from a new one. An endpoint may start again
+under its name: it then tells a later birth, counts from the start, and
+nothing holds of it that did before. It is kept apart from the replicated
+log: any control host may take it, one without a majority too, and what all
+have heard is merged. Ages travel, never times of day; a birth only orders
+the lives of one endpoint.
 """
 
+import collections.abc
 import dataclasses
 import enum
 
 import msgspec
+import structlog
 
 from wrenspoke import clock as clocks
 from wrenspoke import ids
 
+logger = structlog.get_logger(__name__)
+
 # An endpoint renews about every 1.2 s and may come seconds late; after
 # four renewals and some delay were missed, others are used before it.
 SILENT_AFTER_MS = 6_000
@@ -21,7 +28,7 @@
 # the time between two renewals (1.2 s) and most of their delays, no longer
 # than it takes until another may get the address (2 s).
 OCCUPIED_MS = 2_000
-# A name is never used again, so this only bounds memory.
+# Longer than any word of a life that ended is under way.
 FORGOTTEN_AFTER_MS = 120_000
 # Smaller moves of the end of a warm-up are not worth telling.
 WARMUP_STEP_MS = 400
@@ -38,8 +45,10 @@
 class Registration(msgspec.Struct, frozen=True, array_like=True):
     """State what an endpoint last said of itself.
 
-    ``number`` rises with each renewal. ``warmup_left_ms`` and
+    ``number`` rises with each renewal of one life. ``warmup_left_ms`` and
     ``ends_in_ms`` count from when it was said, ``age_ms`` ago.
+    ``born_ms`` is when the life began, by the endpoint's time of day; 0
+    where endpoints never start again under their names.
     """
 
     endpoint: ids.EndpointId
@@ -52,6 +61,7 @@
     warmup_left_ms: int = 0
     ends_in_ms: int | None = None
     age_ms: int = 0
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +88,9 @@
         return self.said.state is RegistrationState.READY
 
 
+Listener = collections.abc.Callable[[Registration], None]
+
+
 class Registry:
     """Merge what is heard of endpoints, and number the changes."""
 
@@ -85,20 +98,24 @@
         self._clock = clock
         self.held: dict[ids.EndpointId, Registered] = {}
         self._at_address: dict[str, set[ids.EndpointId]] = {}
+        self._told_reborn: list[Listener] = []
         self.revision = 0
 
+    def tell_reborn(self, listener: 'Listener') -> None:
+        """Call a listener with what an endpoint said before it began anew."""
+        self._told_reborn.append(listener)
+
     def take(
         self, said: Registration, told_by: ids.HostId | None = None
     ) -> bool:
         """Take what is newer; return whether it changes routing."""
         heard_ms = self._clock.mono_ms() - said.age_ms
         old = self.held.get(said.endpoint)
+        if old is not None and said.born_ms < old.said.born_ms:
+            return False
         self._at_address.setdefault(said.address, set()).add(said.endpoint)
-        if old is None:
-            self.revision += 1
-            self.held[said.endpoint] = Registered(
-                said, heard_ms, self.revision, told_by=told_by
-            )
+        if old is None or said.born_ms > old.said.born_ms:
+            self._begin_life(said, heard_ms, told_by)
             return True
         if old.said.state is RegistrationState.GONE:
             return False
@@ -120,20 +137,46 @@
             old.revision = self.revision
         return changed
 
+    def _begin_life(
+        self, said: Registration, heard_ms: int, told_by: ids.HostId | None
+    ) -> None:
+        """Hold a life of an endpoint that was not known before."""
+        before = self.held.get(said.endpoint)
+        self.revision += 1
+        self.held[said.endpoint] = Registered(
+            said, heard_ms, self.revision, told_by=told_by
+        )
+        if before is None:
+            return
+        logger.info(
+            'endpoint_reborn',
+            endpoint=said.endpoint,
+            born_ms=said.born_ms,
+            before_ms=before.said.born_ms,
+        )
+        if before.said.address != said.address:
+            self._leave_address(before.said)
+        for listener in self._told_reborn:
+            listener(before.said)
+
     def renew(
         self,
         endpoint: ids.EndpointId,
         number: int,
         age_ms: int,
         told_by: ids.HostId,
+        born_ms: int = 0,
     ) -> bool:
         """Take a renewal without change; return False if it is not known.
 
         The end of a warm-up stays where it was.
         """
         old = self.held.get(endpoint)
-        if old is None:
+        if old is None or old.said.born_ms < born_ms:
             return False
+        if old.said.born_ms > born_ms:
+            # Of a life that has ended: nothing of it is to be told again.
+            return True
         left_ms = old.said.warmup_left_ms
         if left_ms > 0:
             heard_ms = self._clock.mono_ms() - age_ms
@@ -179,9 +222,16 @@
                 others.append(found)
         return others
 
-    def withdraw(self, endpoint: ids.EndpointId) -> Registration:
-        """Return the last registration of an endpoint that leaves."""
+    def withdraw(
+        self, endpoint: ids.EndpointId, born_ms: int | None = None
+    ) -> Registration:
+        """Return the last registration of an endpoint that leaves.
+
+        ``born_ms`` names the life that ends, None the one that is known.
+        """
         old = self.held.get(endpoint)
+        if old is not None and born_ms not in (None, old.said.born_ms):
+            old = None
         if old is not None:
             return msgspec.structs.replace(
                 old.said,
@@ -197,6 +247,7 @@
             1,
             RegistrationState.GONE,
             0,
+            born_ms=born_ms or 0,
         )
 
     def mark_silent(self) -> bool:
