--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -9,7 +9,6 @@
 
 import argparse
 import concurrent.futures
-import dataclasses
 import os
 import pathlib
 import shutil
@@ -17,6 +16,9 @@
 import sys
 import tempfile
 
+from benches import switches
+from benches import switches_teams
+
 ROOT = pathlib.Path(__file__).parent.parent
 LEFT_OUT = shutil.ignore_patterns(
     '.venv', '.git', '__pycache__', '.hypothesis', '.pytest_cache'
@@ -24,19 +26,9 @@
 WAIT_S = '10'
 TIMEOUT_S = 100
 WORKERS = 3
-STATE = 'wrenspoke/state/'
-DECISIONS = 'wrenspoke/coordination/'
-
-
-@dataclasses.dataclass(frozen=True)
-class Switch:
-    """Say what to replace in which file, and which test must fail."""
-
-    name: str
-    file: str
-    old: str
-    new: str
-    test: str
+STATE = switches.STATE
+DECISIONS = switches.DECISIONS
+Switch = switches.Switch
 
 
 SWITCHES = [
@@ -478,7 +470,7 @@
         'a call keeps the homes of its arrival',
         DECISIONS + 'serving/passthrough.py',
         (
-            '            work.route = self._homes.renewed(work.call, work.route)\n'
+            '            work.permit = self._access.renewed(work.call, work.permit)\n'
         ),
         (''),
         (
@@ -564,9 +556,9 @@
     ),
     Switch(
         'a name that is gone is tried again',
-        DECISIONS + 'serving/tries.py',
-        ('            self._attended.withdraw(place.endpoint)\n'),
-        (''),
+        DECISIONS + 'membership/attendance.py',
+        ('        if not self.registry.take(gone):'),
+        ('        if True:'),
         (
             'tests/test_passing.py::test_endpoint_that_another_took_the_place_of_is_gone'
         ),
@@ -831,7 +823,7 @@
     names = parser.parse_args().name
     chosen = [
         switch
-        for switch in SWITCHES
+        for switch in [*SWITCHES, *switches_teams.SWITCHES]
         if not names or any(name in switch.name for name in names)
     ]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- /dev/null
+++ b/benches/switches_teams.py
@@ -0,0 +1,146 @@
+"""Rows of ``benches.switched_off``: keys, leases, limits and births."""
+
+from benches import switches
+
+STATE = switches.STATE
+DECISIONS = switches.DECISIONS
+Switch = switches.Switch
+
+SWITCHES = [
+    Switch(
+        'key shown to endpoints',
+        DECISIONS + 'serving/sending.py',
+        ('        fields += self._on_behalf(call, permit)\n'),
+        ('        fields += call.credentials\n'),
+        (
+            'tests/test_keys.py::test_endpoint_is_told_the_team_and_never_the_key'
+        ),
+    ),
+    Switch(
+        'unknown keys served',
+        DECISIONS + 'serving/access.py',
+        (
+            "        if team is None:\n            raise errors.UnknownKeyError('no team holds this key')\n"
+        ),
+        ('        if team is None:\n            return Permit(route)\n'),
+        (
+            'tests/test_keys.py::test_endpoint_is_told_the_team_and_never_the_key'
+        ),
+    ),
+    Switch(
+        'homes of teams bind nothing',
+        DECISIONS + 'serving/access.py',
+        ('        return Permit(route.bound_to(team.homes), team)\n\n'),
+        ('        return Permit(route, team)\n\n'),
+        ('tests/test_keys.py::test_homes_of_team_and_route_both_bind'),
+    ),
+    Switch(
+        'team not looked at as a body leaves',
+        DECISIONS + 'serving/access.py',
+        ('        if _name_of(now.team) != _name_of(permit.team):\n'),
+        ('        if False:\n'),
+        ('tests/test_keys.py::test_key_counts_as_its_body_leaves'),
+    ),
+    Switch(
+        'lease not looked at as a body leaves',
+        DECISIONS + 'serving/access.py',
+        ('        if not self._lease.held:\n            raise'),
+        ('        if False:\n            raise'),
+        (
+            'tests/test_keys.py::test_lease_that_ends_while_a_connection_is_made_sends_nothing'
+        ),
+    ),
+    Switch(
+        'lease counted from the answer',
+        DECISIONS + 'membership/attendance.py',
+        ('        self.lease.confirm(asked_ms + answer.held_ms - age_ms)\n'),
+        ('        self.lease.confirm(self._clock.mono_ms())\n'),
+        (
+            'tests/test_attendance.py::test_lease_counts_from_what_an_answer_proves'
+        ),
+    ),
+    Switch(
+        'moment of another life confirmed',
+        DECISIONS + 'agreement/voter.py',
+        ('        if moment is None or moment.life != self._life:\n'),
+        ('        if moment is None:\n'),
+        (
+            'tests/test_group.py::test_follower_confirms_moments_of_its_own_life_only'
+        ),
+    ),
+    Switch(
+        'moment confirmed before what it covers',
+        DECISIONS + 'agreement/voter.py',
+        ('        if self.commit_index >= message.commit:\n'),
+        ('        if True:\n'),
+        (
+            'tests/test_group.py::test_follower_confirms_what_it_has_applied_only'
+        ),
+    ),
+    Switch(
+        'leader without a lease confirms',
+        DECISIONS + 'agreement/lead.py',
+        ('            follower.moment if self.has_lease else None,\n'),
+        ('            follower.moment,\n'),
+        ('tests/test_group.py::test_leader_without_a_lease_confirms_nothing'),
+    ),
+    Switch(
+        'teams may share a key',
+        STATE + 'teams.py',
+        ('            if holder != team.team:\n'),
+        ('            if False:\n'),
+        ('tests/test_keys.py::test_teams_that_are_wrong_are_named'),
+    ),
+    Switch(
+        'late word of a life that ended taken',
+        STATE + 'registry.py',
+        (
+            '        if old is not None and said.born_ms < old.said.born_ms:\n            return False\n'
+        ),
+        (''),
+        ('tests/test_registry.py::test_birth_orders_before_numbers'),
+    ),
+    Switch(
+        'leave ends another life',
+        STATE + 'registry.py',
+        (
+            '        if old is not None and born_ms not in (None, old.said.born_ms):\n'
+        ),
+        ('        if False:\n'),
+        ('tests/test_registry.py::test_leave_that_names_a_life_ends_no_other'),
+    ),
+    Switch(
+        'lower share counts at once',
+        DECISIONS + 'limiting/allocator.py',
+        ('            max(share, held), asked.wanted,'),
+        ('            share, asked.wanted,'),
+        (
+            'tests/test_limits.py::test_lower_share_counts_once_its_lender_has_heard_of_it'
+        ),
+    ),
+    Switch(
+        'silent lender is forgotten at once',
+        DECISIONS + 'limiting/allocator.py',
+        ('            if part.until_ms <= now_ms:\n'),
+        ('            if part.until_ms <= now_ms + LEASE_KEPT_MS:\n'),
+        (
+            'tests/test_limits.py::test_silent_lender_keeps_its_share_for_its_lease'
+        ),
+    ),
+    Switch(
+        'new leader parts the whole',
+        DECISIONS + 'limiting/allocator.py',
+        ('        whole = 1.0 if settled else min(self._told, 1.0)\n'),
+        ('        whole = 1.0\n'),
+        (
+            'tests/test_limits.py::test_new_leader_parts_no_more_than_it_was_told_of'
+        ),
+    ),
+    Switch(
+        'given back twice',
+        DECISIONS + 'limiting/limiter.py',
+        ('        if taken is None or taken.given_back:\n'),
+        ('        if taken is None:\n'),
+        ('tests/test_limits.py::test_amount_is_given_back_once'),
+    ),
+]
--- a/tests/test_attendance.py
+++ b/tests/test_attendance.py
@@ -96,3 +96,60 @@
     assert waiting.cancelled() and not attended._replica.serving
     await hear(attended)
     await nodes.until(lambda: attended._replica.serving)
+
+
+@pytest.mark.parametrize(
+    'age_ms, held_ms, index, confirmed',
+    [(300, 0, 1, True), (300, 500, 1, True), (None, 0, 1, False)],
+    ids=['at once', 'held back', 'no word'],
+)
+async def test_lease_counts_from_what_an_answer_proves(
+    attended, monkeypatch, age_ms, held_ms, index, confirmed
+):
+    """It was given no sooner than it was asked for and held back."""
+    seen = []
+    monkeypatch.setattr(attended.lease, 'confirm', seen.append)
+    clock = StandingClock()
+    monkeypatch.setattr(attended, '_clock', clock)
+    call = attended._peers.call
+
+    async def call_late(*arguments):
+        found = await call(*arguments)
+        clock.now_ms += 900
+        found.index = index
+        found.confirmed_age_ms = age_ms
+        found.held_ms = held_ms
+        return found
+
+    monkeypatch.setattr(attended._peers, 'call', call_late)
+    asked_ms = clock.now_ms
+    await hear(attended)
+    assert seen == ([asked_ms + held_ms - age_ms] if confirmed else [])
+
+
+async def test_answer_that_was_not_taken_whole_renews_no_lease(
+    attended, monkeypatch
+):
+    """What it confirms goes beyond what is held here."""
+    seen = []
+    monkeypatch.setattr(attended.lease, 'confirm', seen.append)
+    call = attended._peers.call
+
+    async def call_ahead(*arguments):
+        found = await call(*arguments)
+        found.index = 2
+        found.confirmed_age_ms = 0
+        return found
+
+    monkeypatch.setattr(attended._peers, 'call', call_ahead)
+    await hear(attended)
+    assert seen == []
+
+
+class StandingClock(clocks.Clock):
+    """Stand still until told."""
+
+    now_ms = 50_000
+
+    def mono_ms(self):
+        return self.now_ms
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -208,3 +208,93 @@
     )
     group.run(play())
     assert not [asked for asked in lost if not asked.pre]
+
+
+def follower_of(leader, system):
+    """Return a host that follows."""
+    return next(host for host in system.running.values() if host is not leader)
+
+
+def append(voter, confirmed, ahead=0):
+    """Return a heartbeat that confirms a moment."""
+    kept = voter.storage
+    return messages.Append(
+        voter.term,
+        kept.last_index,
+        kept.last_term,
+        voter.commit_index + ahead,
+        confirmed=confirmed,
+    )
+
+
+def test_follower_confirms_moments_of_its_own_life_only():
+    """A restarted host's clock may have begun anew."""
+
+    async def play():
+        system = group.Group()
+        leader = await system.found()
+        voter = follower_of(leader, system).voter
+        await system.until(lambda: voter.confirmed_age_ms is not None)
+        known_ms = voter._confirmed_ms
+        later_ms = known_ms + 5_000
+        other = messages.Moment('another life', later_ms)
+        await voter._answer_append(leader.name, append(voter, other))
+        assert voter._confirmed_ms == known_ms
+        own = messages.Moment(voter._life, later_ms)
+        await voter._answer_append(leader.name, append(voter, own))
+        assert voter._confirmed_ms == later_ms
+        await system.close()
+
+    group.run(play())
+
+
+def test_follower_confirms_what_it_has_applied_only():
+    async def play():
+        system = group.Group()
+        leader = await system.found()
+        voter = follower_of(leader, system).voter
+        await system.until(lambda: voter.confirmed_age_ms is not None)
+        known_ms = voter._confirmed_ms
+        moment = messages.Moment(voter._life, known_ms + 5_000)
+        await voter._answer_append(leader.name, append(voter, moment, ahead=1))
+        assert voter._confirmed_ms == known_ms
+        await system.close()
+
+    group.run(play())
+
+
+def test_leader_without_a_lease_confirms_nothing():
+    """It is cut off, and others may have accepted something newer."""
+
+    async def play():
+        system = group.Group()
+        leader = await system.found()
+        follower = next(iter(leader.voter._lead._followers.values()))
+        await system.until(lambda: follower.moment is not None)
+        lead = leader.voter._lead
+        assert lead._message_for(follower).confirmed == follower.moment
+        system.network.cut_off(leader.name)
+        await system.until(lambda: not leader.voter.has_lease)
+        assert lead._message_for(follower).confirmed is None
+        await system.close()
+
+    group.run(play())
+
+
+def test_followers_know_of_a_moment_not_long_ago():
+    """It rides on heartbeats: two ways to a far region and an interval."""
+
+    async def play():
+        system = group.Group()
+        leader = await system.found()
+        await system.sleep_ms(2_000)
+        for host in system.running.values():
+            age_ms = host.voter.confirmed_age_ms
+            assert age_ms is not None and age_ms <= 800
+        await system.change()
+        system.network.cut_off(leader.name)
+        await system.sleep_ms(1_000)
+        assert leader.voter.confirmed_age_ms is None
+        await system.close()
+
+    group.run(play())
