Renew shares less often while nothing changes, and say when they settle

Cause: every lender asked the leader 2.5 times a second, changed or not, and a caller turned away after a new leader began was told to come back in 0.4 s although nothing could be parted for up to 4 s.

Shares that change by less than a tenth are renewed every 1.2 s; the leader says for how long older shares may still be held, which is the Retry-After then.

--- a/wrenspoke/coordination/limiting/allocator.py
+++ b/wrenspoke/coordination/limiting/allocator.py
@@ -158,7 +158,8 @@
         if not self._elected.has_lease:
             return messages.Refusal('does not lead')
         self.lead_since(self._elected.led_since_ms)
-        return limiting.SharesGranted(self.grant(sender, message.shares))
+        granted = self.grant(sender, message.shares)
+        return limiting.SharesGranted(granted, self.unsettled_ms)
 
     def lead_since(self, since_ms: int) -> None:
         """Begin anew, if this lead is another than the one before."""
@@ -168,6 +169,12 @@
         self._teams.clear()
         logger.info('limits_parted', since_ms=since_ms)
 
+    @property
+    def unsettled_ms(self) -> int:
+        """Return for how long older leaders' shares may still be held."""
+        ended_ms = self._since_ms + LEASE_KEPT_MS
+        return max(ended_ms - self._clock.mono_ms(), 0)
+
     def grant(
         self,
         lender: ids.HostId,
@@ -175,7 +182,7 @@
     ) -> list[limiting.ShareGranted]:
         """Return what a lender may go by from now on, of each team."""
         now_ms = self._clock.mono_ms()
-        settled = now_ms - self._since_ms > LEASE_KEPT_MS
+        settled = not self.unsettled_ms
         granted = []
         for asked in shares:
             parts = self._teams.get(asked.team)
--- a/wrenspoke/coordination/limiting/lender.py
+++ b/wrenspoke/coordination/limiting/lender.py
@@ -29,6 +29,8 @@
 # Ten times within a lease, and a share that grows by a peak that moves
 # within 2 s keeps up with it.
 RENEW_MS = 400
+# While nothing changes, a share is renewed three times within its lease.
+CALM_MS = 1_200
 # Some far round trips of 160 ms.
 CALL_TIMEOUT_MS = 800
 # A call waits for so long at the most, for its amount or for a larger share:
@@ -41,8 +43,9 @@
 # once and shrinks slowly.
 QUICK_MS = 1_500
 SLOW_MS = 4_000
-# A share is lowered once so much of it is not wanted.
+# A share is changed once a tenth of it is not wanted, or lacks.
 LOWERED_SHARE = 0.9
+RAISED_SHARE = 1.1
 # A region keeps enough for the largest call of late, for so long: that of a
 # team that calls seldom would else wait for the leader, 160 ms away.
 LARGEST_KEPT_MS = 10_000
@@ -157,6 +160,9 @@
         self._urgent = asyncio.Event()
         # Ends with the next round of questions that begins.
         self._round: asyncio.Future | None = None
+        self._renewed_ms = 0
+        # Until when older leaders' shares may still be held by others.
+        self._settled_ms = 0
         self._tasks = runtime.Tasks()
         peers.answers(limiting.AskAmount)(self._answer)
 
@@ -214,7 +220,8 @@
         held.fill(self._clock.mono_ms())
         wait_ms = held.wait_ms(amount_ms)
         if wait_ms is None:
-            return limiting.AmountGranted(False, RENEW_MS)
+            settled_ms = self._settled_ms - self._clock.mono_ms()
+            return limiting.AmountGranted(False, max(settled_ms, RENEW_MS))
         if wait_ms <= LONGEST_WAIT_MS:
             held.level_ms -= amount_ms
             return limiting.AmountGranted(True, math.ceil(wait_ms))
@@ -238,18 +245,27 @@
                     await self._urgent.wait()
             except TimeoutError:
                 pass
+            urgent = self._urgent.is_set()
             self._urgent.clear()
             begun, self._round = self._round, None
-            await self._ask()
+            await self._ask(urgent)
             if begun is not None and not begun.done():
                 begun.set_result(None)
 
-    async def _ask(self) -> None:
-        """Ask the leader for shares of all teams that call here."""
+    async def _ask(self, urgent: bool) -> None:
+        """Ask the leader for shares of all teams that call here.
+
+        While nothing changes that is done less often.
+        """
         asked_ms = self._clock.mono_ms()
-        shares = self._wanted(asked_ms)
         leader = self._leader()
-        if not shares or leader is None:
+        if leader is None:
+            return
+        calm = not urgent and asked_ms - self._renewed_ms < CALM_MS
+        if calm and not self._changes(asked_ms):
+            return
+        shares = self._wanted(asked_ms)
+        if not shares:
             return
         try:
             answer = await self._peers.call(
@@ -261,10 +277,22 @@
         if not isinstance(answer, limiting.SharesGranted):
             logger.info('shares_refused', peer=leader)
             return
+        self._renewed_ms = asked_ms
+        self._settled_ms = self._clock.mono_ms() + answer.unsettled_ms
         wanted = {asked.team: asked.wanted for asked in shares}
         for granted in answer.granted:
             self._take_share(granted, wanted[granted.team], asked_ms)
 
+    def _changes(self, now_ms: int) -> bool:
+        """Tell whether any share should be another."""
+        for held in self._held.values():
+            wanted = held.demand.wanted(held.depth_ms, now_ms)
+            if wanted < LOWERED_SHARE * held.share:
+                return True
+            if wanted > RAISED_SHARE * held.share:
+                return True
+        return False
+
     def _wanted(self, now_ms: int) -> list[limiting.ShareAsked]:
         """Return what to ask for; what is not wanted is held no longer."""
         shares = []
--- a/wrenspoke/protocol/limiting.py
+++ b/wrenspoke/protocol/limiting.py
@@ -36,9 +36,14 @@
 
 
 class SharesGranted(msgspec.Struct, tag='shares_granted'):
-    """Answer with what is held from now on, for as long as a lease."""
+    """Answer with what is held from now on, for as long as a lease.
+
+    For ``unsettled_ms`` shares that older leaders granted may still be
+    held, and less than the whole can be parted.
+    """
 
     granted: list[ShareGranted]
+    unsettled_ms: int = 0
 
 
 class AskAmount(msgspec.Struct, tag='ask_amount'):
