--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -11,8 +11,14 @@
 from tests import test_far
 from tests import test_homes
 from tests import test_passing
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import lease
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import access
+from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import passing
 from wrenspoke import runtime
+from wrenspoke.state import configuration
 from wrenspoke.state import errors
 from wrenspoke.state import routes
 from wrenspoke.state import teams
@@ -311,3 +317,57 @@
     assert held.find(KEY).team == 'a'
     assert held.find('') is None and held.find(OTHER_KEY) is None
     assert KEY not in repr(held.table)
+
+
+@pytest.mark.parametrize(
+    'of_teams, of_routes, urgencies',
+    [
+        ([], [0, 1, 2], {(None, 0): 0, (None, 1): 1, (None, 2): 2}),
+        ([], [0, 40], {(None, 40): 9}),
+        (
+            [2, 0],
+            [0, 1],
+            {(0, 0): 0, (0, 1): 1, (2, 0): 3, (2, 1): 4},
+        ),
+        (
+            list(range(8)),
+            [0, 1, 2],
+            {(0, 0): 0, (0, 2): 0, (1, 0): 1, (7, 2): 7},
+        ),
+    ],
+    ids=['routes alone', 'beyond the scale', 'teams first', 'many'],
+)
+def test_priority_of_a_team_goes_before_that_of_a_route(
+    of_teams, of_routes, urgencies
+):
+    teams_found = [
+        team(f't{priority}', f'k{priority}', priority=priority)
+        for priority in of_teams
+    ]
+    found = [
+        test_passing.route(prefix=f'/{priority}/', priority=priority)
+        for priority in of_routes
+    ]
+    held = replica.Replica()
+    lease_of = lease.ConfigurationLease(None, clocks.Clock())
+    permits = access.Access(held, None, lease_of)
+    held.current = configuration.Configuration(
+        index=1,
+        routes=routes.RouteTable(
+            1,
+            tuple(found),
+            teams=table(*teams_found) if of_teams else None,
+        ),
+    )
+    for (of_team, of_route), urgency in urgencies.items():
+        asked = dialects.Call(
+            'q',
+            'GET',
+            'h.example',
+            f'/{of_route}/x',
+            [],
+            0,
+            0,
+            key=f'k{of_team}',
+        )
+        assert permits.permit(asked).urgency == urgency
--- /dev/null
+++ b/tests/test_sent_calls.py
@@ -0,0 +1,143 @@
+"""Hosts of a region hear what others send, soon and at little cost.
+
+Pattern: a region's busy hour, four calls a second at each host, to one
+engine for every two hosts; counted in messages and bytes a host.
+"""
+
+import asyncio
+
+import pytest
+
+from tests import attending_fleet
+from tests import group
+from tests import test_registry
+from wrenspoke.coordination.membership import askers
+from wrenspoke.coordination.membership import roster
+from wrenspoke.coordination.serving import sent_calls
+from wrenspoke.protocol import dialect as dialects
+
+CALLS_PER_S = 4
+PLAYED_MS = 5_000
+PARTS = (dialects.PromptPart('a1b2c3d4', 6_300), dialects.PromptPart('x', 9))
+
+
+class TellingPeers(attending_fleet.CountingPeers):
+    """Carry what is told without an answer, and count it too."""
+
+    async def tell(self, host, message):
+        body = self._encoder.encode(message)
+        self._count(host, body)
+        asyncio.ensure_future(self._hand_over(host, body))
+        return len(body)
+
+    async def _hand_over(self, host, body):
+        if await self._network.travel(self.host, host):
+            there = self._network.hosts[host]
+            message = there._decoder.decode(body)
+            await there._answerers[type(message)](self.host, message)
+
+
+class Host:
+    """Tell of calls, and note when those of others were heard."""
+
+    def __init__(self, fleet, name):
+        self.peers = TellingPeers(name, fleet.network)
+        fleet.network.hosts[name] = self.peers
+        clock = group.LoopClock()
+        known = roster.Roster(10**9, clock)
+        for other in fleet.names:
+            known.take(test_registry.record(other, data_centre='hall'))
+        asking = askers.Askers('north', name, known, self.peers)
+        asking.engines = len(fleet.names) // 2
+        self.told = sent_calls.SentCalls(name, asking, self.peers, clock)
+        self.heard = []
+        self.told.listen(self.heard.append)
+        self.told.start()
+
+
+class Fleet:
+    """Hold the hosts of one region."""
+
+    def __init__(self, hosts):
+        self.network = group.Network(1, travel_ms=1, jitter_ms=1)
+        self.names = [f'10.1.{n // 200}.{n % 200}:1' for n in range(hosts)]
+        self.hosts = [Host(self, name) for name in self.names]
+
+    async def call(self):
+        """Let every host send calls at an even pace."""
+        calls = 0
+        interval_ms = 1_000 / CALLS_PER_S / len(self.hosts)
+        while calls * interval_ms < PLAYED_MS:
+            host = self.hosts[calls % len(self.hosts)]
+            engine = f'e{calls % (len(self.hosts) // 2)}'
+            host.told.note(engine, 100, PARTS)
+            calls += 1
+            await asyncio.sleep(interval_ms / 1_000)
+        await asyncio.sleep(1)
+        return calls
+
+    async def close(self):
+        for host in self.hosts:
+            await host.told.close()
+
+
+@pytest.mark.parametrize('hosts', [10, 20, 60, 200])
+def test_every_host_hears_of_each_call_of_others_once_and_soon(hosts):
+    async def play():
+        fleet = Fleet(hosts)
+        calls = await fleet.call()
+        for host in fleet.hosts:
+            own = calls / hosts
+            assert abs(len(host.heard) - (calls - own)) <= 1
+            ages_ms = [sent.age_ms for sent in host.heard]
+            interval_ms = min(
+                sent_calls.TELL_INTERVAL_MS
+                * host.told._askers.collectors_count,
+                sent_calls.LONGEST_INTERVAL_MS,
+            )
+            assert max(ages_ms) <= interval_ms + 20
+            assert host.heard[0].parts == [('a1b2c3d4', 6_300)]
+        await fleet.close()
+
+    group.run(play())
+
+
+@pytest.mark.parametrize('hosts', [10, 20, 60, 200])
+def test_no_host_sends_more_as_the_region_grows(hosts):
+    """Not counted: that one message grows with the region's calls."""
+
+    async def play():
+        fleet = Fleet(hosts)
+        await fleet.call()
+        for host in fleet.hosts:
+            sent = host.peers.sent
+            told = sent['TellSent'].messages + sent['TellRegion'].messages
+            # Its own calls, and a part of each of 40 tellings a second.
+            parts = 2 * 40 * hosts**0.5
+            assert told / (PLAYED_MS / 1_000) < CALLS_PER_S + parts
+        whole = sum(
+            host.peers.sent['TellRegion'].messages for host in fleet.hosts
+        )
+        assert whole / hosts / (PLAYED_MS / 1_000) < 45
+        await fleet.close()
+
+    group.run(play())
+
+
+def test_lost_collector_is_not_waited_for():
+    """Hosts that hear nothing go by reports, as before."""
+
+    async def play():
+        fleet = Fleet(10)
+        collector = fleet.hosts[0].told._askers.collector('e0')
+        fleet.network.cut_off(collector)
+        await fleet.call()
+        heard = [
+            len(host.heard)
+            for name, host in zip(fleet.names, fleet.hosts, strict=True)
+            if name != collector
+        ]
+        assert not any(heard)
+        await fleet.close()
+
+    group.run(play())
--- a/wrenspoke/coordination/serving/access.py
+++ b/wrenspoke/coordination/serving/access.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 import msgspec
 
@@ -19,26 +20,23 @@
 from wrenspoke.state import routes
 from wrenspoke.state import teams
 
+# Places on the scale of urgencies, 0 for the most urgent.
+URGENCIES = 10
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Permit:
     """Say by which route a call may be served, and for which team.
 
     The route's homes are those that the team allows as well. ``anyone``
-    says that there are no teams at all.
+    says that there are no teams at all. ``urgency`` is 0 for what is most
+    urgent and 9 for what is least.
     """
 
     route: routes.Route
     team: teams.Team | None = None
     anyone: bool = False
-
-    @property
-    def urgency(self) -> tuple[int, int]:
-        """Return how urgent the call is, lower first: team, then route."""
-        priority = self.route.priority
-        if self.team is None or self.team.priority is None:
-            return priority, priority
-        return self.team.priority, priority
+    urgency: int = 0
 
 
 class Access:
@@ -55,6 +53,7 @@
         self._lease = lease
         self._routes = routes.RouteIndex(routes.RouteTable())
         self._teams: teams.TeamIndex | None = None
+        self._urgencies: dict[tuple[int, int], int] = {}
 
     def permit(self, call: dialects.Call) -> Permit:
         """Return what a call may do.
@@ -71,17 +70,31 @@
 
     def _permit_by(self, call: dialects.Call, route: routes.Route) -> Permit:
         if self._teams is None:
-            return Permit(route, anyone=True)
+            return Permit(
+                route, anyone=True, urgency=self._urgency(route, None)
+            )
         team = self._teams.find(call.key)
         if route.open:
             if team is None or not self._lease.held:
-                return Permit(route)
-            return Permit(route.bound_to(team.homes), team)
+                return Permit(route, urgency=self._urgency(route, None))
+            return self._permit_of(team, route)
         if not self._lease.held:
             raise errors.NoLeaseError('no lease on the configuration')
         if team is None:
             raise errors.UnknownKeyError('no team holds this key')
-        return Permit(route.bound_to(team.homes), team)
+        return self._permit_of(team, route)
+
+    def _permit_of(self, team: teams.Team, route: routes.Route) -> Permit:
+        urgency = self._urgency(route, team)
+        return Permit(route.bound_to(team.homes), team, urgency=urgency)
+
+    def _urgency(self, route: routes.Route, team: teams.Team | None) -> int:
+        """Return a call's urgency: its team's goes before its route's.
+
+        A route that was dropped while its call was tried is ranked alone.
+        """
+        pair = _priorities(route, team)
+        return self._urgencies.get(pair, _on_scale(pair[0]))
 
     def _look_again(self) -> None:
         table = self._replica.current.routes
@@ -89,8 +102,17 @@
             return
         self._routes = routes.RouteIndex(table)
         self._teams = None
+        known: tuple[teams.Team | None, ...] = (None,)
         if table.teams is not None:
             self._teams = teams.TeamIndex(table.teams)
+            known += table.teams.teams
+        self._urgencies = _urgencies(
+            {
+                _priorities(route, team)
+                for route in table.routes
+                for team in known
+            }
+        )
 
     def limit_of(self, team: ids.TeamId) -> teams.TeamLimit | None:
         """Return a team's limit, None without one or without that team."""
@@ -143,5 +165,31 @@
         return all(now.route.allows(region) for region in entered)
 
 
+def _priorities(
+    route: routes.Route, team: teams.Team | None
+) -> tuple[int, int]:
+    """Return what a call is ranked by; a team may have no priority."""
+    if team is None or team.priority is None:
+        return route.priority, route.priority
+    return team.priority, route.priority
+
+
+def _on_scale(priority: int) -> int:
+    return min(max(priority, 0), URGENCIES - 1)
+
+
+def _urgencies(pairs: set[tuple[int, int]]) -> dict[tuple[int, int], int]:
+    """Give each pair of priorities a place on the scale of urgencies.
+
+    Where there are more pairs than places, neighbours share one. Without
+    teams' priorities an urgency is the route's priority, as far as it goes.
+    """
+    if all(team == route for team, route in pairs):
+        return {pair: _on_scale(pair[0]) for pair in pairs}
+    ranked = sorted(pairs)
+    step = max(math.ceil(len(ranked) / URGENCIES), 1)
+    return {pair: place // step for place, pair in enumerate(ranked)}
+
+
 def _name_of(team: teams.Team | None) -> ids.TeamId | None:
     return None if team is None else team.team
--- a/wrenspoke/coordination/serving/backlog.py
+++ b/wrenspoke/coordination/serving/backlog.py
@@ -24,7 +24,7 @@
 LENGTH_WEIGHT = 0.05
 # Other hosts of the region are heard while they tell of their calls; one
 # that is cut off from them soon is not.
-HEARD_LATELY_MS = 1_000
+HEARD_LATELY_MS = 500
 # What was sent so lately others have not told yet.
 TOLD_LAG_MS = 25
 # Reports count calls, and what was sent tells their tokens; either errs.
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -31,7 +31,6 @@
 logger = structlog.get_logger(__name__)
 
 MISDIRECTED = 421
-URGENCIES = 10
 # Kinds of traffic beside the messages on links: bodies, without heads.
 CALL, ANSWER = 'call_body', 'answer_body'
 
@@ -234,8 +233,7 @@
             source = place.chosen.source.said
             fields.append((dialect.fetch_from, source.address))
         if call.parts:
-            urgency = min(max(permit.urgency[0], 0), URGENCIES - 1)
-            fields.append((dialect.priority, str(urgency)))
+            fields.append((dialect.priority, str(permit.urgency)))
         return fields
 
     def _on_behalf(
