Let teams prove themselves by keys on wrenspoke's own way in

Cause: any caller there named its team itself, and was counted as it.

A key is drawn by the command, which prints it once with its digest; the digest alone is issued and withdrawn, by plan and confirm, and held. From the first key on every caller needs one; also once the last is withdrawn, as nobody would be proved otherwise. A digest that another team holds is refused, naming both.

Before: a caller that names team red is served as red. Left: no lease on that way in, so a host that is cut off goes on with what it holds, and limits there are still split by `serving.shares`.

--- a/wrenspoke/cli.py
+++ b/wrenspoke/cli.py
@@ -21,6 +21,7 @@
 from wrenspoke import report
 from wrenspoke import runtime
 from wrenspoke import settings
+from wrenspoke.state import teams
 
 OK = 0
 FAILED = 1
@@ -264,6 +265,33 @@
     return OK
 
 
+def parser_team_key(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``team-key``."""
+    parser.add_argument('file', type=pathlib.Path, help='settings file')
+    parser.add_argument(
+        '--of',
+        action='store_true',
+        help='tell the digest of the key on standard input, make none',
+    )
+
+
+@command(
+    'team-key', "make a team's key, or tell a key's digest", parser_team_key
+)
+async def run_team_key(arguments: argparse.Namespace) -> int:
+    """Print a key once, and its digest for ``plan issue-key``."""
+    deployment = settings.read(arguments.file)
+    key = sys.stdin.readline().strip() if arguments.of else teams.new_key()
+    if not key:
+        print('standard input: no key', file=sys.stderr)
+        return FAILED
+    if not arguments.of:
+        print(f'key: {key}')
+    digest = teams.digest_of(key, teams.secret_of(deployment.cluster))
+    print(f'digest: {digest.hex()}')
+    return OK
+
+
 def add_control(parser: argparse.ArgumentParser) -> None:
     """Add the arguments that say where control hosts are."""
     parser.add_argument(
@@ -309,6 +337,8 @@
     'change_rule': ['rule'],
     'drop_rule': ['name'],
     'change_limit': ['limit'],
+    'issue_key': ['team', 'digest'],
+    'withdraw_key': ['digest'],
     'add_endpoint': ['item'],
     'remove_endpoint': ['endpoint'],
 }
--- a/wrenspoke/coordination/serving/gateway.py
+++ b/wrenspoke/coordination/serving/gateway.py
@@ -26,6 +26,7 @@
 from wrenspoke.protocol import requests
 from wrenspoke import settings
 from wrenspoke.state import configuration
+from wrenspoke.state import teams
 
 logger = structlog.get_logger(__name__)
 
@@ -159,6 +160,7 @@
             raise self._bad_request(
                 'service', f'{head.service!r} is unknown here'
             )
+        head = self._with_team(head)
         self._check_team(head)
         head, key = self._with_rules(head)
         reply.request_id = head.request
@@ -212,6 +214,27 @@
             return None
         return self._nearest_with(head)
 
+    def _with_team(self, head: requests.RequestHead) -> requests.RequestHead:
+        """Return a request of the team that its key proves.
+
+        Until a key was issued callers name their teams themselves. A
+        forwarded request was proved where its caller sent it.
+        """
+        current = self._replica.current
+        if not current.proved or head.forwarded:
+            return head
+        secret = teams.secret_of(self._deployment.cluster)
+        team = current.keys.get(teams.digest_of(head.key, secret).hex())
+        if not head.key or team is None:
+            raise errors.EndedError(
+                outcomes.Ending(
+                    outcomes.Outcome.NOT_RUN,
+                    outcomes.Reason.UNKNOWN_KEY,
+                    'no team holds the key that was shown',
+                )
+            )
+        return msgspec.structs.replace(head, team=team, key='')
+
     def _check_team(self, head: requests.RequestHead) -> None:
         """Turn a request away that is over its team's limit.
 
--- a/wrenspoke/protocol/headers.py
+++ b/wrenspoke/protocol/headers.py
@@ -20,5 +20,8 @@
 RETRY_OWNED = 'Wrenspoke-Retry-Owned'
 SESSION = 'Wrenspoke-Session'
 TEAM = 'Wrenspoke-Team'
+# A team's key stands behind the scheme.
+AUTHORIZATION = 'Authorization'
+SCHEME = 'bearer'
 ECHO = 'X-Request-Id'
 FENCE = 'X-Fencing-Number'
--- a/wrenspoke/protocol/outcomes.py
+++ b/wrenspoke/protocol/outcomes.py
@@ -33,6 +33,7 @@
     REGION_UNREACHABLE = 'region_unreachable'
     STREAM_BROKEN = 'stream_broken'
     TEAM_LIMIT = 'team_limit'
+    UNKNOWN_KEY = 'unknown_key'
 
 
 class Ending(msgspec.Struct, frozen=True):
@@ -56,6 +57,7 @@
     Reason.CLAIM_REFUSED: 409,
     Reason.KEY_EXPIRED: 410,
     Reason.TEAM_LIMIT: 429,
+    Reason.UNKNOWN_KEY: 401,
 }
 
 
--- a/wrenspoke/protocol/requests.py
+++ b/wrenspoke/protocol/requests.py
@@ -44,7 +44,8 @@
 
     ``deadline_ms`` is on this host's monotonic clock. ``resend`` says
     that an earlier attempt may exist, as far as the caller let us know;
-    ``minted`` that the caller gave no id and this host made one.
+    ``minted`` that the caller gave no id and this host made one. ``key`` is
+    what the caller proves its team by; it goes no further than this host.
     """
 
     request: ids.RequestId
@@ -62,6 +63,7 @@
     priority: Priority = Priority.NORMAL
     session: ids.SessionId | None = None
     team: str = ''
+    key: str = ''
     model: str | None = None
     stream: bool = False
     last_event: int | None = None
@@ -139,6 +141,12 @@
             )
         return value == 'true'
 
+    def key(self) -> str:
+        """Return the key that a caller shows, empty if it shows none."""
+        text = self._found.get(headers.AUTHORIZATION, '').strip()
+        scheme, _, key = text.partition(' ')
+        return key.strip() if scheme.lower() == headers.SCHEME else ''
+
     def priority(self) -> Priority:
         """Return the priority, normal where there is none."""
         value = self._found.get(headers.PRIORITY, 'normal').upper()
--- a/wrenspoke/protocol/surface.py
+++ b/wrenspoke/protocol/surface.py
@@ -230,6 +230,7 @@
             priority=reader.priority(),
             session=reader.token(headers.SESSION) or None,
             team=reader.token(headers.TEAM),
+            key=reader.key(),
             last_event=reader.number(
                 headers.LAST_EVENT_ID, None, 0, EVENT_NUMBER_LIMIT
             ),
--- a/wrenspoke/state/configuration.py
+++ b/wrenspoke/state/configuration.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import re
 import typing
 
 import msgspec
@@ -13,6 +14,10 @@
 from wrenspoke import ids
 from wrenspoke.state import errors
 from wrenspoke.state import routes
+from wrenspoke.state import teams
+
+# How digests of keys are written down.
+DIGEST = re.compile(f'[0-9a-f]{{{2 * teams.DIGEST_BYTES}}}')
 
 
 class ServiceKind(enum.Enum):
@@ -99,13 +104,20 @@
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """Hold everything that operators decide; ``index`` grows only."""
+    """Hold everything that operators decide; ``index`` grows only.
+
+    ``keys`` tells the team of each key, by the key's digest. Until the
+    first one is issued callers name their teams themselves; from then on
+    they are ``proved``, also once no key is left.
+    """
 
     index: int = 0
     services: dict[ids.ServiceId, Service] = {}
     endpoints: dict[ids.EndpointId, Endpoint] = {}
     rules: dict[str, Rule] = {}
     limits: dict[str, TeamLimit] = {}
+    keys: dict[str, ids.TeamId] = {}
+    proved: bool = False
     routes: RouteTable = RouteTable()
     evacuated: tuple[ids.DataCentreId, ...] = ()
 
@@ -188,6 +200,19 @@
     limit: TeamLimit
 
 
+class IssueKey(msgspec.Struct, frozen=True, tag='issue_key'):
+    """Let a team call by a key, of which only the digest is told."""
+
+    team: ids.TeamId
+    digest: str
+
+
+class WithdrawKey(msgspec.Struct, frozen=True, tag='withdraw_key'):
+    """Let nobody call by a key any more."""
+
+    digest: str
+
+
 class SetRoutes(msgspec.Struct, frozen=True, tag='routes'):
     """Replace the table of routes by a newer one."""
 
@@ -217,6 +242,8 @@
     SetRule,
     RemoveRule,
     SetLimit,
+    IssueKey,
+    WithdrawKey,
     SetRoutes,
     SetEvacuation,
     SetAll,
@@ -345,6 +372,34 @@
     return {'limits': {**old.limits, change.limit.team: change.limit}}
 
 
+@_applies(IssueKey)
+def _issue_key(old: Configuration, change: IssueKey):
+    if not DIGEST.fullmatch(change.digest):
+        raise errors.InvalidChangeError(
+            f'digest: found {change.digest[:40]!r}; must be '
+            f'{2 * teams.DIGEST_BYTES} hexadecimal digits'
+        )
+    holder = old.keys.get(change.digest, change.team)
+    if holder != change.team:
+        raise errors.InvalidChangeError(
+            f'digest: team {holder} holds this key; team {change.team} '
+            'needs another'
+        )
+    keys = {**old.keys, change.digest: change.team}
+    return {'keys': keys, 'proved': True}
+
+
+@_applies(WithdrawKey)
+def _withdraw_key(old: Configuration, change: WithdrawKey):
+    if change.digest not in old.keys:
+        raise errors.UnknownItemError(
+            f'no team holds the key of digest {change.digest[:40]!r}'
+        )
+    keys = dict(old.keys)
+    del keys[change.digest]
+    return {'keys': keys}
+
+
 @_applies(SetRoutes)
 def _set_routes(old: Configuration, change: SetRoutes):
     if change.table.version <= old.routes.version:
--- a/wrenspoke/state/plans.py
+++ b/wrenspoke/state/plans.py
@@ -84,6 +84,19 @@
     limit: configuration.TeamLimit
 
 
+class IssueKey(msgspec.Struct, frozen=True, tag='issue_key'):
+    """Let a team call by a key, of which only the digest is told."""
+
+    team: ids.TeamId
+    digest: str
+
+
+class WithdrawKey(msgspec.Struct, frozen=True, tag='withdraw_key'):
+    """Let nobody call by a key any more."""
+
+    digest: str
+
+
 class AddEndpoint(msgspec.Struct, frozen=True, tag='add_endpoint'):
     """Add an endpoint."""
 
@@ -107,6 +120,8 @@
     ChangeRule,
     DropRule,
     ChangeLimit,
+    IssueKey,
+    WithdrawKey,
     AddEndpoint,
     RemoveEndpoint,
 ]
@@ -450,6 +465,24 @@
     )
 
 
+@_plans(IssueKey)
+def _plan_issue(intent: IssueKey, _current: configuration.Configuration):
+    return _Draft(
+        steps=[Change(configuration.IssueKey(intent.team, intent.digest))],
+        summary=f'let team {intent.team} call by another key',
+    )
+
+
+@_plans(WithdrawKey)
+def _plan_withdraw(intent: WithdrawKey, current: configuration.Configuration):
+    team = current.keys.get(intent.digest)
+    left = sum(holder == team for holder in current.keys.values()) - 1
+    return _Draft(
+        steps=[Change(configuration.WithdrawKey(intent.digest))],
+        summary=f'withdraw a key of team {team}, which has {left} left',
+    )
+
+
 @_plans(AddEndpoint)
 def _plan_add(intent: AddEndpoint, current: configuration.Configuration):
     name = intent.endpoint.endpoint
--- a/wrenspoke/state/teams.py
+++ b/wrenspoke/state/teams.py
@@ -17,6 +17,7 @@
 
 DIGEST_BYTES = 16
 SECRET_BYTES = 16
+KEY_BYTES = 24
 
 
 class LimitUnit(enum.Enum):
@@ -71,6 +72,20 @@
     return secrets.token_bytes(SECRET_BYTES)
 
 
+def secret_of(cluster: str) -> bytes:
+    """Return the secret of a deployment whose keys are drawn by ``new_key``.
+
+    Such keys can't be guessed; the secret keeps digests of one deployment
+    from saying anything in another.
+    """
+    return hashlib.blake2b(cluster.encode(), digest_size=SECRET_BYTES).digest()
+
+
+def new_key() -> str:
+    """Return a key that nobody has."""
+    return secrets.token_urlsafe(KEY_BYTES)
+
+
 def digest_of(key: str, secret: bytes) -> bytes:
     """Return what is held in place of a key."""
     return hashlib.blake2b(
