Tell a region's hosts which calls go to other regions

Cause: hosts of a region see the same offers of the others, each told every few hundred ms, and add only what they passed on themselves: while a small region peaks, all take the same offer until the next. What others pass on counts as own calls now, and so do the prefixes that it takes there.

Before: a call that another host passed on leaves an offer as it was.

--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -47,14 +47,30 @@
         return [HOST] if region == 'south' else []
 
 
-def known(said, index=1):
+class Told:
+    """Be what hosts of this region tell each other."""
+
+    def __init__(self):
+        self.noted = []
+        self.listener = None
+
+    def listen(self, listener):
+        self.listener = listener
+
+    def note(self, name, tokens, parts):
+        self.noted.append((name, tokens, parts))
+
+
+def known(said, index=1, told=None):
     """Return what is known of other regions, and the clock."""
     clock = test_registry.FakeClock()
     held = replica.Replica()
-    held.current = configuration.Configuration(index=index)
+    held.current = configuration.Configuration(
+        index=index, routes=routes.RouteTable(1, services={'s': SERVICE})
+    )
     found = Known(said)
     viewed = views.RegionViews(clock)
-    made = regions.Regions(found, found, viewed, held, clock)
+    made = regions.Regions(found, found, viewed, held, clock, told)
     return made, found, clock
 
 
@@ -99,6 +115,26 @@
     assert again.first_ms == pytest.approx(first_ms - 100 + 50)
 
 
+def test_calls_that_other_hosts_passed_on_count_as_own_ones():
+    """Hosts of one region that see the same offer don't all take it."""
+    told = Told()
+    made, _found, _clock = known(pong(), told=told)
+    other, _other_found, _other_clock = known(pong(), told=Told())
+    first_ms = made.offer('south', SERVICE, CALL, HOST).first_ms
+    other.note_passed('south', SERVICE, CALL)
+    [(name, tokens, parts)] = other._sent_calls.noted
+    shared = [(part.part, part.tokens) for part in parts[:-1]]
+    told.listener(attending.SentCall(1, name, tokens, 0, shared))
+    again = made.offer('south', SERVICE, CALL, HOST)
+    # Its shared part is kept there now, and waits at one of two engines.
+    assert again.first_ms == pytest.approx(first_ms - 80 + 50)
+    # What is sent to this region's engines says nothing of others.
+    told.listener(attending.SentCall(1, 'i-engine', 10**6, 0))
+    assert made.offer('south', SERVICE, CALL, HOST).first_ms == (
+        again.first_ms
+    )
+
+
 def test_what_a_region_said_when_it_turned_a_call_back_is_believed():
     made, _found, clock = known(pong())
     before = made.offer('south', SERVICE, CALL, HOST).first_ms
--- a/wrenspoke/coordination/serving/regions.py
+++ b/wrenspoke/coordination/serving/regions.py
@@ -1,9 +1,9 @@
 """What other regions offer for a call, by what their hosts last said.
 
 The hosts that were asked, by this one or by another of its region, say
-with each answer to a ping what a call would find there. What was passed on
-since then is added, and what a call was told when it was turned back goes
-before both.
+with each answer to a ping what a call would find there. What this region's
+hosts passed on since then is added, and what a call was told when it was
+turned back goes before both.
 """
 
 import collections
@@ -18,6 +18,7 @@
 from wrenspoke.coordination.membership import views
 from wrenspoke.coordination.serving import pace
 from wrenspoke.coordination.serving import prefixes
+from wrenspoke.coordination.serving import sent_calls
 from wrenspoke import ids
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
@@ -35,6 +36,9 @@
 LAG_MS = 800
 # Host time in which a call is taken over there, on both ways.
 HANDLING_MS = 6.0
+# Between a region and a service in the name of what is kept there; no
+# endpoint's name holds it, as it would end a path.
+MEMORY_SEPARATOR = '/'
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,7 +65,11 @@
         viewed: views.RegionViews,
         held: replica.Replica,
         clock: clocks.Clock,
+        told: sent_calls.SentCalls | None = None,
     ):
+        self._sent_calls = told
+        if told is not None:
+            told.listen(self._note_passed_by_another)
         self._reach = reached
         self._partners = near
         self._views = viewed
@@ -210,17 +218,31 @@
         service: routes.RoutedService,
         call: dialects.Call,
     ) -> None:
-        """Note that a call goes to a region."""
+        """Note that a call goes to a region, and tell this one's hosts."""
         unread = self._unread(region, service, call)
         passed = self._passed.setdefault(region, collections.deque())
         passed.append((self._clock.mono_ms(), unread))
         if service.batch is None:
             return
-        self._kept.note(
-            _memory_name(region, service.service),
-            service.batch.cache_tokens,
-            call.parts,
+        name = _memory_name(region, service.service)
+        self._kept.note(name, service.batch.cache_tokens, call.parts)
+        if self._sent_calls is not None:
+            self._sent_calls.note(name, unread, call.parts)
+
+    def _note_passed_by_another(self, sent: attending.SentCall) -> None:
+        """Note that another host of this region passed a call on."""
+        region, found, name = sent.endpoint.partition(MEMORY_SEPARATOR)
+        service = self._replica.current.routes.service(ids.ServiceId(name))
+        if not found or service is None or service.batch is None:
+            return
+        passed = self._passed.setdefault(
+            ids.RegionId(region), collections.deque()
+        )
+        passed.append((self._clock.mono_ms() - sent.age_ms, sent.tokens))
+        parts = tuple(
+            dialects.PromptPart(part, tokens) for part, tokens in sent.parts
         )
+        self._kept.note(sent.endpoint, service.batch.cache_tokens, parts)
 
     def note_told(
         self, region: ids.RegionId, service: ids.ServiceId, wait_ms: float
@@ -245,4 +267,4 @@
 def _memory_name(
     region: ids.RegionId, service: ids.ServiceId
 ) -> ids.EndpointId:
-    return ids.EndpointId(f'{region}/{service}')
+    return ids.EndpointId(f'{region}{MEMORY_SEPARATOR}{service}')
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -235,6 +235,7 @@
             self._views,
             self.replica,
             self.clock,
+            self._sent_calls,
         )
         self._available = availability.Availability(
             node.region,
