--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -63,3 +63,14 @@
 def test_usual_engine_is_taken_to_keep_the_shared_parts(usual, kept):
     known = prefixes.Prefixes()
     assert known.kept_tokens('e1', parts('a', 'b'), usual) == kept
+
+
+def test_what_is_made_takes_room_from_what_is_kept():
+    """Chats that nobody asks for again push prefixes out."""
+    known = prefixes.Prefixes()
+    known.note('e1', 5_000, parts('a'))
+    for _number in range(3):
+        known.note('e1', 5_000, (), own_tokens=1_200)
+    assert known.kept_tokens('e1', parts('a'), False) == 1_300
+    known.note('e1', 5_000, (), own_tokens=1_200)
+    assert known.kept_tokens('e1', parts('a'), False) == 0
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -94,6 +94,8 @@
             return Prospect(first_ms, first_ms)
         model = self.model(said.service)
         load = self._gauges.load(said.endpoint)
+        # Where others tell what they send, nothing needs to be supposed.
+        usual = usual and not self.backlog.hears_others
         kept = self.prefixes.kept_tokens(said.endpoint, call.parts, usual)
         unread = max(call.tokens_in - kept - moved_tokens, 0.0)
         token_ms = self._token_ms(said.endpoint, said.service)
@@ -145,7 +147,12 @@
         """
         if service.batch is None:
             return None
-        self.prefixes.note(endpoint, service.batch.cache_tokens, call.parts)
+        self.prefixes.note(
+            endpoint,
+            service.batch.cache_tokens,
+            call.parts,
+            call.tokens_expected,
+        )
         return self.backlog.sent(
             endpoint,
             prospect.unread_tokens,
@@ -168,7 +175,9 @@
         parts = tuple(
             dialects.PromptPart(part, tokens) for part, tokens in sent.parts
         )
-        self.prefixes.note(sent.endpoint, service.batch.cache_tokens, parts)
+        self.prefixes.note(
+            sent.endpoint, service.batch.cache_tokens, parts, sent.own_tokens
+        )
         self.backlog.sent_by_another(
             sent.endpoint,
             sent.tokens,
--- a/wrenspoke/coordination/serving/prefixes.py
+++ b/wrenspoke/coordination/serving/prefixes.py
@@ -1,9 +1,9 @@
 """Know which engine keeps which parts of prompts, without asking.
 
 What an engine keeps is remembered from what was sent there, least lately
-used first out, as engines do. Hosts tell each other nothing of it: they
-agree on one engine for a prefix, by rendezvous hashing, and take it to
-have what all of them send there.
+used first out, as engines do. Hosts of a region tell each other of it. While
+they hear nothing they agree on one engine for a prefix, by rendezvous
+hashing, and take it to have what all of them send there.
 """
 
 import collections
@@ -20,6 +20,8 @@
 # should hold: some were never read there, some gave way.
 USUAL_SHARE = 0.8
 KEPT_PARTS = 20_000
+# Begins the names of what is kept and asked for by nobody.
+OWN = ' '
 # Fewer tokens are read again sooner than a move of them begins: about the
 # time of one step of an engine.
 LEAST_MOVED_TOKENS = 256
@@ -41,6 +43,7 @@
             collections.OrderedDict()
         )
         self._tokens = 0
+        self._own_count = 0
 
     def kept_tokens(self, parts: Parts) -> int:
         """Return how many tokens from the start on are kept."""
@@ -51,12 +54,16 @@
             kept += part.tokens
         return kept
 
-    def note(self, parts: Parts) -> None:
-        """Note that a prompt was read, and forget the oldest for it."""
+    def note(self, parts: Parts, own_tokens: int = 0) -> None:
+        """Note that a prompt was read, and forget the oldest for it.
+
+        ``own_tokens`` are of nobody else's use, but take room.
+        """
         for part in parts:
-            old = self._parts.pop(part.part, 0)
-            self._parts[part.part] = part.tokens
-            self._tokens += part.tokens - old
+            self._keep(part.part, part.tokens)
+        if own_tokens:
+            self._own_count += 1
+            self._keep(f'{OWN}{self._own_count}', own_tokens)
         while self._parts and (
             self._tokens > self._capacity_tokens
             or len(self._parts) > KEPT_PARTS
@@ -64,6 +71,11 @@
             _part, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
 
+    def _keep(self, part: str, tokens: int) -> None:
+        old = self._parts.pop(part, 0)
+        self._parts[part] = tokens
+        self._tokens += tokens - old
+
 
 class Prefixes:
     """Hold what is known of every engine's kept parts."""
@@ -93,14 +105,22 @@
         return best
 
     def note(
-        self, endpoint: ids.EndpointId, capacity_tokens: int, parts: Parts
+        self,
+        endpoint: ids.EndpointId,
+        capacity_tokens: int,
+        parts: Parts,
+        own_tokens: int = 0,
     ) -> None:
-        """Note that an engine reads a prompt."""
+        """Note that an engine reads a prompt.
+
+        ``own_tokens`` are what it keeps besides: what it makes, and what of
+        a prompt was not named.
+        """
         memory = self._memories.get(endpoint)
         if memory is None:
             memory = PrefixMemory(capacity_tokens)
             self._memories[endpoint] = memory
-        memory.note(parts)
+        memory.note(parts, own_tokens)
 
     def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
         """Forget engines that are gone."""
--- a/wrenspoke/coordination/serving/sent_calls.py
+++ b/wrenspoke/coordination/serving/sent_calls.py
@@ -83,11 +83,12 @@
         endpoint: ids.EndpointId,
         tokens: float,
         parts: collections.abc.Sequence[dialects.PromptPart],
+        made_tokens: int = 0,
     ) -> None:
         """Note that this host sends a call to an engine.
 
         ``tokens`` are to be read there; of ``parts`` the last is the call's
-        own and tells others nothing.
+        own, of which others are told the size alone, with what is made.
         """
         if len(self._own) >= BATCH_LIMIT:
             return
@@ -97,6 +98,7 @@
             round(tokens),
             0,
             [(part.part, part.tokens) for part in parts[:-1]],
+            made_tokens + (parts[-1].tokens if parts else 0),
         )
         self._own.append((self._clock.mono_ms(), sent))
         self._more.set()
@@ -152,6 +154,7 @@
                 sent.tokens,
                 max(now_ms - sent_ms, 0),
                 sent.parts,
+                sent.own_tokens,
             )
             for sent_ms, sent in items
         ]
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -119,6 +119,7 @@
                 place.endpoint,
                 place.chosen.prospect.unread_tokens,
                 work.call.parts,
+                work.call.tokens_expected,
             )
 
     def _note_first(self, work: works.Work, place: sending.Place) -> None:
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -205,7 +205,8 @@
     """Tell of a call that a host sent to an engine ``age_ms`` ago.
 
     ``host`` is a short number of it. ``tokens`` of the prompt are to be
-    read there; ``parts`` are those that other prompts may have, too.
+    read there; ``parts`` are those that other prompts may have, too, and
+    ``own_tokens`` what else it leaves in the engine's memory.
     """
 
     host: int
@@ -213,6 +214,7 @@
     tokens: int
     age_ms: int
     parts: list[tuple[str, int]] = []
+    own_tokens: int = 0
 
 
 class TellSent(msgspec.Struct, tag='tell_sent'):
