Let a new leader part limits as soon as every lender was heard

Cause: a new leader knew nothing of what the one before had granted, and parted no more than it was told of for 4 s.

Who may be a lender stands in the replicated log, noted before anything is granted. A new leader is settled once each of them has said what it holds, be it nothing; who is silent is waited for until its lease has ended, and is left out once it has asked for nothing for 15 s. Hosts are told the term of the lead, so that each speaks up to a new one.

Ruled out: shorter leases (a leader is missing for 2.5 s), shares out of what is to spare (8% of a large team's limit for 4 s).

--- a/tests/attending_fleet.py
+++ b/tests/attending_fleet.py
@@ -63,6 +63,7 @@
     has_lease = led = True
     confirmed_age_ms = 0
     leader = None
+    term = 1
 
 
 class ControlHost:
--- a/tests/test_attending_fleet.py
+++ b/tests/test_attending_fleet.py
@@ -245,6 +245,7 @@
 
     has_lease = led = False
     confirmed_age_ms = leader = None
+    term = 1
 
 
 @pytest.mark.parametrize('entries', SIZES)
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -94,6 +94,7 @@
     async def close(self) -> None:
         """End every task and close every socket."""
         await self._tasks.close()
+        await self._allocator.close()
         await self.registrar.close()
         await self._kept_registry.close()
         await self.voter.close()
--- a/wrenspoke/coordination/limiting/allocator.py
+++ b/wrenspoke/coordination/limiting/allocator.py
@@ -8,19 +8,26 @@
 
 A leader that has just begun does not know what the one before had granted.
 It goes by what lenders say that they hold, and parts no more than that
-until every older lease has ended.
+until every lender has said so, or every older lease has ended. Who may be a
+lender stands in the replicated log. So a restart of all hosts, which then
+hold nothing, is over for limits as soon as they have said so.
 """
 
+import asyncio
 import dataclasses
 import typing
 
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
 from wrenspoke import ids
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+from wrenspoke.state import entries
+from wrenspoke.state import replicated
 
 logger = structlog.get_logger(__name__)
 
@@ -29,6 +36,11 @@
 SHARE_LEASE_MS = 4_000
 # Clocks run apart, a hundredth at most; a lender counts from its question.
 LEASE_KEPT_MS = int(SHARE_LEASE_MS * 1.02)
+# A host that has asked for nothing for so long is a lender no more: after a
+# change of leaders it would be waited for. Longer than a restart takes.
+FORGOTTEN_AFTER_MS = 15_000
+# Lenders that come at once, as at a start, are noted by one entry.
+GATHER_MS = 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,6 +148,13 @@
     def led_since_ms(self) -> int:
         """Return when the votes for this lead were asked for."""
 
+    @property
+    def state(self) -> replicated.ReplicatedState:
+        """Return what is committed."""
+
+    async def propose(self, entry: entries.Entry) -> replicated.Applied:
+        """Write an entry and wait until it is applied."""
+
 
 class Allocator:
     """Part the limits of all teams, for as long as this host leads."""
@@ -150,6 +169,11 @@
         self._clock = clock
         self._teams: dict[ids.TeamId, TeamParts] = {}
         self._since_ms: int | None = None
+        self._settled_early_ms: int | None = None
+        # When each host was last heard in this lead.
+        self._heard_ms: dict[ids.HostId, int] = {}
+        self._noting: asyncio.Task | None = None
+        self._tasks = runtime.Tasks()
         peers.answers(limiting.AskShares)(self._answer)
 
     async def _answer(
@@ -158,22 +182,75 @@
         if not self._elected.has_lease:
             return messages.Refusal('does not lead')
         self.lead_since(self._elected.led_since_ms)
+        self._heard_ms[sender] = self._clock.mono_ms()
+        if message.shares and not await self._is_noted(sender):
+            return messages.Refusal('not noted as a lender')
         granted = self.grant(sender, message.shares)
         return limiting.SharesGranted(granted, self.unsettled_ms)
 
+    async def close(self) -> None:
+        """End what is under way."""
+        await self._tasks.close()
+
+    async def _is_noted(self, lender: ids.HostId) -> bool:
+        """Have a lender noted in the log before it is granted anything."""
+        if lender in self._elected.state.lenders:
+            return True
+        if self._noting is None or self._noting.done():
+            self._noting = self._tasks.start(self._note(), fatal=False)
+        await asyncio.shield(self._noting)
+        return (
+            lender in self._elected.state.lenders and self._elected.has_lease
+        )
+
+    async def _note(self) -> None:
+        """Write who has asked of late; who has not is left out."""
+        await self._clock.sleep_ms(GATHER_MS)
+        now_ms = self._clock.mono_ms()
+        lately = {
+            host
+            for host, heard_ms in self._heard_ms.items()
+            if now_ms - heard_ms < FORGOTTEN_AFTER_MS
+        }
+        kept = set(self._elected.state.lenders)
+        if now_ms - self._since_ms > FORGOTTEN_AFTER_MS:
+            # Those have had the time to be heard in this lead.
+            kept &= lately
+        hosts = tuple(sorted(kept | lately))
+        try:
+            await self._elected.propose(entries.SetLenders(hosts))
+        except errors.NotLeaderError:
+            logger.info('lenders_not_noted', hosts=len(hosts))
+            return
+        logger.info('lenders_noted', hosts=len(hosts))
+
     def lead_since(self, since_ms: int) -> None:
         """Begin anew, if this lead is another than the one before."""
         if since_ms == self._since_ms:
             return
         self._since_ms = since_ms
+        self._settled_early_ms = None
+        self._heard_ms.clear()
         self._teams.clear()
         logger.info('limits_parted', since_ms=since_ms)
 
     @property
     def unsettled_ms(self) -> int:
-        """Return for how long older leaders' shares may still be held."""
+        """Return for how long shares may be held that are not known of."""
+        return max(self._settled_ms() - self._clock.mono_ms(), 0)
+
+    def _settled_ms(self) -> int:
+        """Return when all that lenders hold is known.
+
+        That is once every lender was heard, or older leases have ended.
+        """
         ended_ms = self._since_ms + LEASE_KEPT_MS
-        return max(ended_ms - self._clock.mono_ms(), 0)
+        if self._settled_early_ms is not None:
+            return min(self._settled_early_ms, ended_ms)
+        if all(host in self._heard_ms for host in self._elected.state.lenders):
+            self._settled_early_ms = self._clock.mono_ms()
+            return min(self._settled_early_ms, ended_ms)
+        return ended_ms
 
     def grant(
         self,
@@ -187,9 +264,8 @@
         for asked in shares:
             parts = self._teams.get(asked.team)
             if parts is None:
-                # What nobody held has grown since older leases had ended.
-                ended_ms = self._since_ms + LEASE_KEPT_MS
-                parts = TeamParts(min(now_ms, ended_ms))
+                # What nobody held has grown since that was known.
+                parts = TeamParts(min(now_ms, self._settled_ms()))
                 self._teams[asked.team] = parts
             granted.append(parts.grant(lender, asked, settled, now_ms))
         return granted
--- a/wrenspoke/coordination/limiting/lender.py
+++ b/wrenspoke/coordination/limiting/lender.py
@@ -16,6 +16,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.limiting import allocator
 from wrenspoke.coordination.limiting import bounds
+from wrenspoke.coordination.membership import attendance
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import limiting
@@ -146,7 +147,7 @@
         limit_of: collections.abc.Callable[
             [ids.TeamId], teams.TeamLimit | None
         ],
-        leader: collections.abc.Callable[[], ids.HostId | None],
+        leader: collections.abc.Callable[[], attendance.Lead | None],
         allowed: bounds.OvershootBounds,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
@@ -161,6 +162,8 @@
         # Ends with the next round of questions that begins.
         self._round: asyncio.Future | None = None
         self._renewed_ms = 0
+        # The lead that knows what is held here.
+        self._told: attendance.Lead | None = None
         # Until when older leaders' shares may still be held by others.
         self._settled_ms = 0
         self._tasks = runtime.Tasks()
@@ -255,28 +258,31 @@
     async def _ask(self, urgent: bool) -> None:
         """Ask the leader for shares of all teams that call here.
 
-        While nothing changes that is done less often.
+        While nothing changes that is done less often. A new leader is told
+        what is held, also if that is nothing: it waits for every lender.
         """
         asked_ms = self._clock.mono_ms()
-        leader = self._leader()
-        if leader is None:
+        lead = self._leader()
+        if lead is None:
             return
+        known = lead == self._told
         calm = not urgent and asked_ms - self._renewed_ms < CALM_MS
-        if calm and not self._changes(asked_ms):
+        if known and calm and not self._changes(asked_ms):
             return
         shares = self._wanted(asked_ms)
-        if not shares:
+        if known and not shares:
             return
         try:
             answer = await self._peers.call(
-                leader, limiting.AskShares(shares), CALL_TIMEOUT_MS
+                lead.host, limiting.AskShares(shares), CALL_TIMEOUT_MS
             )
         except protocol_errors.ProtocolError as error:
-            logger.info('shares_unanswered', peer=leader, reason=str(error))
+            logger.info('shares_unanswered', peer=lead.host, reason=str(error))
             return
         if not isinstance(answer, limiting.SharesGranted):
-            logger.info('shares_refused', peer=leader)
+            logger.info('shares_refused', peer=lead.host)
             return
+        self._told = lead
         self._renewed_ms = asked_ms
         self._settled_ms = self._clock.mono_ms() + answer.unsettled_ms
         wanted = {asked.team: asked.wanted for asked in shares}
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -76,6 +76,14 @@
         self.led_ms = now_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lead:
+    """Name a control host and the term in which it leads."""
+
+    host: ids.HostId
+    term: int
+
+
 class Attendance:
     """Attend at control hosts, and hold what they told."""
 
@@ -105,7 +113,7 @@
         self._waiting: asyncio.Task | None = None
         self.draining = False
         # The control host that leads, as told last.
-        self.leader: ids.HostId | None = None
+        self.lead: Lead | None = None
         self.registry = registry.Registry(clock)
         self.roster = roster.Roster(NEVER_LEASE_MS, clock)
         held.refreshable = True
@@ -294,7 +302,7 @@
         self._near.update(answer.near)
         if answer.led:
             session.led_ms = self._clock.mono_ms()
-            self.leader = answer.leader or self.leader
+            self._take_lead(answer)
         session.life = answer.life
         self._serve_if_sure(answer)
         session.endpoints_revision = answer.endpoints_revision
@@ -310,6 +318,13 @@
             return
         self.lease.confirm(asked_ms + answer.held_ms - age_ms)
 
+    def _take_lead(self, answer: attending.Attended) -> None:
+        """Note who leads; a control host that lags may name the one before."""
+        if answer.leader is None:
+            return
+        if self.lead is None or answer.term >= self.lead.term:
+            self.lead = Lead(answer.leader, answer.term)
+
     def _take_hosts(
         self, session: _Session, changes: attending.HostChanges
     ) -> None:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -210,6 +210,7 @@
             self._voter.confirmed_age_ms,
             held_ms,
             self._voter.leader,
+            self._voter.term,
         )
 
     def _news_after(self, index: int) -> bytes:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -196,7 +196,7 @@
         )
         self._lender = lender.Lender(
             self._access.limit_of,
-            lambda: self.attendance.leader,
+            lambda: self.attendance.lead,
             allowed,
             self.peers,
             self.clock,
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -89,7 +89,7 @@
     every host that asks for the same. They lead up to ``index``, which was
     the newest ``confirmed_age_ms`` before this was sent, by a leader's
     word; None without one. The question was held back for ``held_ms``.
-    ``leader`` is the control host that leads, as far as is known.
+    ``leader`` is the control host that leads in ``term``, as far as is known.
     ``hosts`` is None where nothing changed; ``near`` names the control
     hosts that stand in the region of the one that asks.
     """
@@ -108,6 +108,7 @@
     confirmed_age_ms: int | None = None
     held_ms: int = 0
     leader: ids.HostId | None = None
+    term: int = 0
 
 
 def pack(delta: messages.ConfigurationDelta) -> bytes:
--- a/wrenspoke/state/entries.py
+++ b/wrenspoke/state/entries.py
@@ -95,6 +95,16 @@
     evacuated: bool
 
 
+class SetLenders(msgspec.Struct, frozen=True, tag='lenders'):
+    """Say which entry hosts may hold shares of teams' limits.
+
+    None is granted one before an entry that names it is committed, so that
+    a new leader knows whom to hear from.
+    """
+
+    hosts: tuple[ids.HostId, ...]
+
+
 Entry = typing.Union[
     LeaderStart,
     SetVoters,
@@ -105,6 +115,7 @@
     EndStep,
     ReplaceRoutes,
     Evacuate,
+    SetLenders,
 ]
 
 
--- a/wrenspoke/state/replicated.py
+++ b/wrenspoke/state/replicated.py
@@ -63,6 +63,7 @@
     plans: Plans = {}
     answers: dict[ids.OperatorId, dict[int, KeptAnswer]] = {}
     last_load_ms: int = 0
+    lenders: tuple[ids.HostId, ...] = ()
 
     def apply(self, index: int, entry: entries.Entry) -> Applied:
         """Apply the entry at ``index``; the same on every voter."""
@@ -301,6 +302,12 @@
     return _put_in_force(state, index, change)
 
 
+@_applies(entries.SetLenders)
+def _set_lenders(state: ReplicatedState, _index: int, entry):
+    state.lenders = entry.hosts
+    return Applied()
+
+
 def _put_in_force(state: ReplicatedState, index: int, change: Change):
     state.configuration = configuration.apply(
         state.configuration, change, index
