Ask for a leader's word often while there is none

Cause: after a restart of all hosts attend with waits of 700 ms and report to a new leader every 400 ms; nothing is served under keys meanwhile. Hosts without a lease ask ten times a second, lenders that a leader does not know of as often. Costs 100 questions a second at each of six control hosts of 58, while there is no leader only.

--- a/wrenspoke/coordination/limiting/lender.py
+++ b/wrenspoke/coordination/limiting/lender.py
@@ -30,6 +30,8 @@
 # Ten times within a lease, and a share that grows by a peak that moves
 # within 2 s keeps up with it.
 RENEW_MS = 400
+# A leader that does not know what is held here waits for that.
+UNTOLD_MS = 100
 # While nothing changes, a share is renewed three times within its lease.
 CALM_MS = 1_200
 # Some far round trips of 160 ms.
@@ -243,8 +245,9 @@
 
     async def _run(self) -> None:
         while True:
+            told = self._leader() == self._told
             try:
-                async with clocks.timeout_ms(RENEW_MS):
+                async with clocks.timeout_ms(RENEW_MS if told else UNTOLD_MS):
                     await self._urgent.wait()
             except TimeoutError:
                 pass
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -32,6 +32,9 @@
 ATTENDED_COUNT = 2
 # Renews the lease of 2.5 s three times, so that two may be lost.
 WAIT_MS = 700
+# A host without a lease on its configuration serves nothing under keys; it
+# asks so often whether a leader was found.
+UNSURE_WAIT_MS = 100
 # The wait, a far region's round trip and a busy host's delay.
 CALL_TIMEOUT_MS = 1_500
 # Between two tries at control hosts that do not answer.
@@ -199,7 +202,8 @@
             if session.host is None:
                 await self._clock.sleep_ms(PAUSE_MS)
                 continue
-            if not await self._call(session, session.host, WAIT_MS):
+            wait_ms = WAIT_MS if self.lease.held else UNSURE_WAIT_MS
+            if not await self._call(session, session.host, wait_ms):
                 logger.warning('control_host_lost', peer=session.host)
             elif self._is_leaderless(session):
                 logger.info('control_host_left', peer=session.host)
