Admit more of a hot team, and let a share go that a moved peak left behind

Cause: of a team that asks for four times its limit in regions that peak in turn 0.91 of the limit was admitted, as a lender's share shrinks with a mean over 4 s while the peak moves within 2; and what windows may hold beyond the limit was used by levels alone.

Part of what is to spare raises the rate that all lenders admit together, a lender whose level is full asks by the quick mean of its demand, and of a team beyond its limit nobody is let wait for an amount.

--- a/wrenspoke/coordination/limiting/bounds.py
+++ b/wrenspoke/coordination/limiting/bounds.py
@@ -2,8 +2,9 @@
 
 In any window, over all hosts, a team may use what its limit allows, a part
 more, and a fixed amount more. Those two are what is to spare. They make
-room for levels that lenders keep in their regions, so that a call larger
-than a moment's refill finds its amount there, and for amounts that are
+room for a higher rate, as parts that follow the demand are never quite where
+it is; for levels that lenders keep in their regions, so that a call larger
+than a moment's refill finds its amount there; and for amounts that are
 given back and used a little later.
 """
 
@@ -14,8 +15,9 @@
 MS_PER_S = 1_000
 # Parts of what is to spare. The rest is left for calls that reach an
 # endpoint a little after they were admitted.
-KEPT_SHARE = 0.6
-GIVEN_BACK_SHARE = 0.25
+RATE_SHARE = 0.4
+KEPT_SHARE = 0.3
+GIVEN_BACK_SHARE = 0.15
 # A call that is refused by every place is given back within about this.
 LONGEST_GIVEN_BACK_MS = 1_000
 
@@ -36,17 +38,22 @@
         allowed = limit.rate_per_s * window_s + limit.burst
         return self.share * allowed + self.fixed
 
+    def rate_per_s(self, limit: teams.TeamLimit) -> float:
+        """Return the rate that all lenders of a team admit together."""
+        spare = RATE_SHARE * self.spare(limit)
+        return limit.rate_per_s + spare / self.window_ms * MS_PER_S
+
     def depth_ms(self, limit: teams.TeamLimit) -> float:
         """Return the most that all levels of a team hold together.
 
-        In milliseconds of the limit's rate: its burst, and a part of what
-        is to spare.
+        In milliseconds of the rate that is admitted: the limit's burst,
+        and a part of what is to spare.
         """
         kept = limit.burst + KEPT_SHARE * self.spare(limit)
-        return kept / limit.rate_per_s * MS_PER_S
+        return kept / self.rate_per_s(limit) * MS_PER_S
 
     def given_back_ms(self, limit: teams.TeamLimit) -> float:
         """Return for how long an amount that was given back may be used."""
         spare = GIVEN_BACK_SHARE * self.spare(limit)
-        spare_ms = spare / limit.rate_per_s * MS_PER_S
+        spare_ms = spare / self.rate_per_s(limit) * MS_PER_S
         return min(spare_ms, LONGEST_GIVEN_BACK_MS)
--- a/wrenspoke/coordination/limiting/lender.py
+++ b/wrenspoke/coordination/limiting/lender.py
@@ -49,6 +49,8 @@
 # A share is changed once a tenth of it is not wanted, or lacks.
 LOWERED_SHARE = 0.9
 RAISED_SHARE = 1.1
+# A level that is so full is not used up.
+FULL_SHARE = 0.9
 # A region keeps enough for the largest call of late, for so long: that of a
 # team that calls seldom would else wait for the leader, 160 ms away.
 LARGEST_KEPT_MS = 10_000
@@ -80,9 +82,14 @@
         self._fade(now_ms)
         return max(self._quick, self._slow)
 
-    def wanted(self, depth_ms: float, now_ms: int) -> float:
-        """Return the share that answers the demand."""
-        flow = HEADROOM * self.now(now_ms)
+    def wanted(self, depth_ms: float, now_ms: int, unused: bool) -> float:
+        """Return the share that answers the demand.
+
+        ``unused`` says that a level is full: what a peak that has moved on
+        left behind is wanted elsewhere.
+        """
+        highest = self.now(now_ms)
+        flow = HEADROOM * (self._quick if unused else highest)
         largest = LARGEST_MARGIN * self._largest_ms / max(depth_ms, 1.0)
         wanted = max(flow, min(largest, LARGEST_SHARE))
         return 0.0 if wanted < LEAST_DEMAND else min(wanted, 1.0)
@@ -121,6 +128,16 @@
         self.level_ms = min(self.level_ms, self.share * self.depth_ms)
         self.filled_ms = now_ms
 
+    @property
+    def unused(self) -> bool:
+        """Tell whether more is held than is used."""
+        full_ms = self.share * self.depth_ms
+        return self.share > 0 and self.level_ms >= FULL_SHARE * full_ms
+
+    def wanted(self, now_ms: int) -> float:
+        """Return the share that answers the demand."""
+        return self.demand.wanted(self.depth_ms, now_ms, self.unused)
+
     def lower(self, share: float) -> None:
         """Hold less, and keep the level that goes with the rest apart."""
         if share >= self.share:
@@ -191,7 +208,7 @@
         limit = self._limit_of(team)
         if limit is None:
             return limiting.AmountGranted(True, 0)
-        amount_ms = amount / limit.rate_per_s * MS_PER_S
+        amount_ms = amount / self._allowed.rate_per_s(limit) * MS_PER_S
         held = self._holding(team, limit)
         held.demand.note(amount_ms, self._clock.mono_ms())
         granted = self._try(held, amount_ms)
@@ -220,14 +237,16 @@
     def _try(self, held: Holding, amount_ms: float) -> limiting.AmountGranted:
         """Take an amount from the level if it is there, or soon will be.
 
-        Who comes later waits behind it.
+        Who comes later waits behind it. Of a team that asks for more than
+        its limit nobody waits: it would take as long for the next, and the
+        calls that find their amount at once are the most that can be served.
         """
         held.fill(self._clock.mono_ms())
         wait_ms = held.wait_ms(amount_ms)
         if wait_ms is None:
             settled_ms = self._settled_ms - self._clock.mono_ms()
             return limiting.AmountGranted(False, max(settled_ms, RENEW_MS))
-        if wait_ms <= LONGEST_WAIT_MS:
+        if not wait_ms or (wait_ms <= LONGEST_WAIT_MS and not held.short):
             held.level_ms -= amount_ms
             return limiting.AmountGranted(True, math.ceil(wait_ms))
         return limiting.AmountGranted(False, math.ceil(wait_ms))
@@ -295,7 +314,7 @@
     def _changes(self, now_ms: int) -> bool:
         """Tell whether any share should be another."""
         for held in self._held.values():
-            wanted = held.demand.wanted(held.depth_ms, now_ms)
+            wanted = held.wanted(now_ms)
             if wanted < LOWERED_SHARE * held.share:
                 return True
             if wanted > RAISED_SHARE * held.share:
@@ -312,7 +331,7 @@
                 continue
             held.depth_ms = self._allowed.depth_ms(limit)
             held.fill(now_ms)
-            wanted = held.demand.wanted(held.depth_ms, now_ms)
+            wanted = held.wanted(now_ms)
             if not wanted and not held.share:
                 del self._held[team]
                 continue
