Ask for shares by way of the control host near by

Cause: lenders called the leader themselves.

A control host that does not lead passes the question on, once, over the link that it has; so no link leaves a region for this. A caller that is turned away while a leader settles is told a second at most.

--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -35,6 +35,7 @@
 
     def __init__(self, state):
         self.has_lease = False
+        self.leader = None
         self.led_since_ms = 0
         self.state = state
 
@@ -151,17 +152,19 @@
         """Let one control host lead, and no other."""
         for voter in self.voters.values():
             voter.has_lease = False
+            voter.leader = name
         self.leader = name
         self._term += 1
         if name is not None:
             self.voters[name].has_lease = True
             self.voters[name].led_since_ms = group.LoopClock().mono_ms()
 
-    def lead_of(self, _host):
-        """Return who leads, as hosts are told."""
+    def lead_of(self, host):
+        """Return who leads, as hosts are told by the control host near by."""
         if self.leader is None:
             return None
-        return attendance.Lead(self.leader, self._term)
+        near = f'10.{region_of(host.name)}.250.1:1'
+        return attendance.Lead(self.leader, self._term, near)
 
     def start_host(self, name):
         self.hosts[name] = self.make(self, name)
--- a/wrenspoke/coordination/limiting/allocator.py
+++ b/wrenspoke/coordination/limiting/allocator.py
@@ -22,6 +22,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
 from wrenspoke import ids
+from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
@@ -41,6 +42,8 @@
 FORGOTTEN_AFTER_MS = 15_000
 # Lenders that come at once, as at a start, are noted by one entry.
 GATHER_MS = 20
+# Two far ways and a commit among far regions.
+PASS_TIMEOUT_MS = 600
 
 
 @dataclasses.dataclass(slots=True)
@@ -144,6 +147,10 @@
     def has_lease(self) -> bool:
         """Tell whether no other host can be leader now."""
 
+    @property
+    def leader(self) -> ids.HostId | None:
+        """Return who leads, as far as is known."""
+
     @property
     def led_since_ms(self) -> int:
         """Return when the votes for this lead were asked for."""
@@ -166,6 +173,7 @@
         clock: clocks.Clock,
     ):
         self._elected = elected
+        self._peers = peers
         self._clock = clock
         self._teams: dict[ids.TeamId, TeamParts] = {}
         self._since_ms: int | None = None
@@ -180,14 +188,30 @@
         self, sender: ids.HostId, message: limiting.AskShares
     ) -> limiting.SharesGranted | messages.Refusal:
         if not self._elected.has_lease:
-            return messages.Refusal('does not lead')
+            return await self._pass_on(sender, message)
+        lender = message.lender or sender
         self.lead_since(self._elected.led_since_ms)
-        self._heard_ms[sender] = self._clock.mono_ms()
-        if message.shares and not await self._is_noted(sender):
+        self._heard_ms[lender] = self._clock.mono_ms()
+        if message.shares and not await self._is_noted(lender):
             return messages.Refusal('not noted as a lender')
-        granted = self.grant(sender, message.shares)
+        granted = self.grant(lender, message.shares)
         return limiting.SharesGranted(granted, self.unsettled_ms)
 
+    async def _pass_on(
+        self, sender: ids.HostId, message: limiting.AskShares
+    ) -> limiting.SharesGranted | messages.Refusal:
+        """Ask the control host that leads, once."""
+        leader = self._elected.leader
+        if leader is None or message.lender is not None:
+            return messages.Refusal('no leader is known')
+        passed = limiting.AskShares(message.shares, sender)
+        try:
+            answer = await self._peers.call(leader, passed, PASS_TIMEOUT_MS)
+        except protocol_errors.ProtocolError as error:
+            logger.info('not_passed_on', peer=leader, reason=str(error))
+            return messages.Refusal('the leader gave no answer')
+        return answer
+
     async def close(self) -> None:
         """End what is under way."""
         await self._tasks.close()
--- a/wrenspoke/coordination/limiting/lender.py
+++ b/wrenspoke/coordination/limiting/lender.py
@@ -1,9 +1,9 @@
 """An entry host lends out its region's part of some teams' limits.
 
 Each team has one lender in a region, drawn by rendezvous hashing. It asks
-the control host that leads for a share by what the region's hosts ask of
-it, lowers its share by itself as that falls, and admits calls from a level
-that the share fills.
+for a share by what the region's hosts ask of it, at a control host near by,
+which asks the one that leads. It lowers its share by itself as that falls,
+and admits calls from a level that the share fills.
 """
 
 import asyncio
@@ -32,6 +32,8 @@
 RENEW_MS = 400
 # A leader that does not know what is held here waits for that.
 UNTOLD_MS = 100
+# A leader that has begun has mostly heard every lender after so long.
+SETTLING_MS = 1_000
 # While nothing changes, a share is renewed three times within its lease.
 CALM_MS = 1_200
 # Some far round trips of 160 ms.
@@ -166,13 +168,13 @@
         limit_of: collections.abc.Callable[
             [ids.TeamId], teams.TeamLimit | None
         ],
-        leader: collections.abc.Callable[[], attendance.Lead | None],
+        lead: collections.abc.Callable[[], attendance.Lead | None],
         allowed: bounds.OvershootBounds,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
     ):
         self._limit_of = limit_of
-        self._leader = leader
+        self._lead = lead
         self._allowed = allowed
         self._peers = peers
         self._clock = clock
@@ -245,7 +247,8 @@
         wait_ms = held.wait_ms(amount_ms)
         if wait_ms is None:
             settled_ms = self._settled_ms - self._clock.mono_ms()
-            return limiting.AmountGranted(False, max(settled_ms, RENEW_MS))
+            wait_ms = min(max(settled_ms, RENEW_MS), SETTLING_MS)
+            return limiting.AmountGranted(False, wait_ms)
         if not wait_ms or (wait_ms <= LONGEST_WAIT_MS and not held.short):
             held.level_ms -= amount_ms
             return limiting.AmountGranted(True, math.ceil(wait_ms))
@@ -264,7 +267,7 @@
 
     async def _run(self) -> None:
         while True:
-            told = self._leader() == self._told
+            told = self._lead() == self._told
             try:
                 async with clocks.timeout_ms(RENEW_MS if told else UNTOLD_MS):
                     await self._urgent.wait()
@@ -284,7 +287,7 @@
         what is held, also if that is nothing: it waits for every lender.
         """
         asked_ms = self._clock.mono_ms()
-        lead = self._leader()
+        lead = self._lead()
         if lead is None:
             return
         known = lead == self._told
@@ -296,13 +299,15 @@
             return
         try:
             answer = await self._peers.call(
-                lead.host, limiting.AskShares(shares), CALL_TIMEOUT_MS
+                lead.asked, limiting.AskShares(shares), CALL_TIMEOUT_MS
             )
         except protocol_errors.ProtocolError as error:
-            logger.info('shares_unanswered', peer=lead.host, reason=str(error))
+            logger.info(
+                'shares_unanswered', peer=lead.asked, reason=str(error)
+            )
             return
         if not isinstance(answer, limiting.SharesGranted):
-            logger.info('shares_refused', peer=lead.host)
+            logger.info('shares_refused', peer=lead.asked)
             return
         self._told = lead
         self._renewed_ms = asked_ms
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -81,10 +81,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lead:
-    """Name a control host and the term in which it leads."""
+    """Name a lead by its host and term, and who is asked for it here.
+
+    Leads are the same whoever is asked.
+    """
 
     host: ids.HostId
     term: int
+    asked: ids.HostId = dataclasses.field(compare=False)
 
 
 class Attendance:
@@ -306,7 +310,7 @@
         self._near.update(answer.near)
         if answer.led:
             session.led_ms = self._clock.mono_ms()
-            self._take_lead(answer)
+            self._take_lead(session.host, answer)
         session.life = answer.life
         self._serve_if_sure(answer)
         session.endpoints_revision = answer.endpoints_revision
@@ -322,12 +326,14 @@
             return
         self.lease.confirm(asked_ms + answer.held_ms - age_ms)
 
-    def _take_lead(self, answer: attending.Attended) -> None:
+    def _take_lead(
+        self, asked: ids.HostId, answer: attending.Attended
+    ) -> None:
         """Note who leads; a control host that lags may name the one before."""
         if answer.leader is None:
             return
         if self.lead is None or answer.term >= self.lead.term:
-            self.lead = Lead(answer.leader, answer.term)
+            self.lead = Lead(answer.leader, answer.term, asked)
 
     def _take_hosts(
         self, session: _Session, changes: attending.HostChanges
--- a/wrenspoke/protocol/limiting.py
+++ b/wrenspoke/protocol/limiting.py
@@ -30,9 +30,14 @@
 
 
 class AskShares(msgspec.Struct, tag='ask_shares'):
-    """Ask the control host that leads for shares of teams' limits."""
+    """Ask for shares of teams' limits.
+
+    A control host that does not lead passes it on to the one that does,
+    with the name of the ``lender``.
+    """
 
     shares: list[ShareAsked]
+    lender: ids.HostId | None = None
 
 
 class SharesGranted(msgspec.Struct, tag='shares_granted'):
