Make connections to their end, also for callers that have left

Cause: where a call is cancelled in the moment in which its socket becomes a connection, uvloop (0.22.1) closes the socket's number and aiohttp (3.14.5) drops the socket object, which closes the same number again when it is collected. By then another connection or link may have it: its owner then holds a number that the system gives away once more.

Ruled out: closing the number a third time ourselves; finalizers of sockets can't be kept from it but by keeping the socket.

Before: the new test finds another file's number closed. After: the connection is made to its end apart from the call, and closed if nobody waits for it. Left: the connector's own time-out may strike in that same moment.

--- /dev/null
+++ b/tests/test_connecting.py
@@ -0,0 +1,139 @@
+"""Calls that are cancelled as their connection is made harm no other."""
+
+import asyncio
+import gc
+import os
+
+import aiohappyeyeballs
+import pytest
+import uvloop
+
+from wrenspoke import runtime
+from wrenspoke.transport import errors
+from wrenspoke.transport import web
+
+CONNECT_TIMEOUT_MS = 5_000
+
+
+@pytest.fixture(scope='module')
+def event_loop_policy():
+    """Run on the loop that daemons run on."""
+    os.environ[runtime.URING_VARIABLE] = '0'
+    return uvloop.EventLoopPolicy()
+
+
+@pytest.fixture
+async def address():
+    """Accept connections and say nothing on them."""
+    opened = []
+
+    async def accept(_reader, writer):
+        opened.append(writer)
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    yield f'127.0.0.1:{port}'
+    for writer in opened:
+        writer.close()
+    server.close()
+
+
+async def test_number_of_a_dropped_socket_is_closed_once(address, monkeypatch):
+    """Its number may be another's by the time it is collected."""
+    start = aiohappyeyeballs.start_connection
+    client = web.HttpClient(CONNECT_TIMEOUT_MS)
+    seen = {}
+
+    async def ask():
+        async with client.pass_on('GET', address, '/', [], None):
+            pass
+
+    async def cancel_next(*arguments, **named):
+        made = await start(*arguments, **named)
+        seen['number'] = made.fileno()
+        asyncio.get_running_loop().call_soon(seen['asking'].cancel)
+        return made
+
+    monkeypatch.setattr(aiohappyeyeballs, 'start_connection', cancel_next)
+    seen['asking'] = asking = asyncio.ensure_future(ask())
+    kept = None
+    try:
+        await asking
+    except asyncio.CancelledError as error:
+        # Its traceback holds the socket, as that of a logged failure does.
+        kept = error
+    await asyncio.sleep(0.01)
+    taken = [os.open(os.devnull, os.O_RDONLY)]
+    while taken[-1] < seen['number']:
+        taken.append(os.open(os.devnull, os.O_RDONLY))
+    del kept, asking
+    seen.clear()
+    for _round in range(2):
+        await asyncio.sleep(0.01)
+        gc.collect()
+    for number in taken:
+        os.fstat(number)
+        os.close(number)
+    await client.close()
+
+
+async def test_connection_that_nobody_waits_for_is_closed(
+    address, monkeypatch
+):
+    start = aiohappyeyeballs.start_connection
+    client = web.HttpClient(CONNECT_TIMEOUT_MS)
+    go_on = asyncio.Event()
+
+    async def start_late(*arguments, **named):
+        made = await start(*arguments, **named)
+        await go_on.wait()
+        return made
+
+    monkeypatch.setattr(aiohappyeyeballs, 'start_connection', start_late)
+    loop = asyncio.get_running_loop()
+    create = loop.create_connection
+    made = []
+
+    async def note(*arguments, **named):
+        found = await create(*arguments, **named)
+        made.append(found[0])
+        return found
+
+    connector = client._pooled.connector
+    monkeypatch.setattr(connector, '_loop', _Loop(loop, note), raising=True)
+
+    async def ask():
+        async with client.pass_on('GET', address, '/', [], None):
+            pass
+
+    asking = asyncio.ensure_future(ask())
+    await asyncio.sleep(0.05)
+    asking.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await asking
+    go_on.set()
+    async with asyncio.timeout(30):
+        while not (made and made[0].is_closing()):
+            await asyncio.sleep(0.01)
+    monkeypatch.undo()
+    await client.close()
+
+
+class _Loop:
+    """Be a loop that makes connections in another way."""
+
+    def __init__(self, loop, create):
+        self._wrapped = loop
+        self.create_connection = create
+
+    def __getattr__(self, name):
+        return getattr(self._wrapped, name)
+
+
+async def test_connection_that_is_refused_is_told_as_not_sent():
+    client = web.HttpClient(CONNECT_TIMEOUT_MS)
+    [port] = web.free_ports(1)
+    with pytest.raises(errors.NotSentError):
+        async with client.pass_on('GET', f'127.0.0.1:{port}', '/', [], None):
+            pass
+    await client.close()
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -10,6 +10,7 @@
 import random
 import socket
 import tempfile
+import typing
 
 import aiohttp
 from aiohttp import client_proto
@@ -79,6 +80,37 @@
             payload.set_exception(aiohttp.ClientPayloadError(repr(error)))
 
 
+class _WaryConnector(aiohttp.TCPConnector):
+    """Make a connection to its end, also for a caller that has left.
+
+    Where a call is cancelled in the moment in which its socket becomes a
+    connection, uvloop closes the socket's number and aiohttp (3.14.5) drops
+    the socket, which closes the number again once it is collected: by then
+    another connection may have it. Seen on days of many cancelled calls as
+    a call whose time-out does nothing, and as a process that ends.
+    """
+
+    async def _wrap_create_connection(
+        self, *arguments: typing.Any, **named: typing.Any
+    ) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
+        making = asyncio.ensure_future(
+            super()._wrap_create_connection(*arguments, **named)
+        )
+        try:
+            return await asyncio.shield(making)
+        except asyncio.CancelledError:
+            making.add_done_callback(_close_unused)
+            raise
+
+
+def _close_unused(made: asyncio.Future) -> None:
+    """Close a connection that nobody waits for any more."""
+    if made.cancelled() or made.exception() is not None:
+        return
+    transport, _protocol = made.result()
+    transport.abort()
+
+
 class _GuardedBody(aiohttp.BytesPayload):
     """Leave only if it still may, at the moment of the first byte.
 
@@ -127,7 +159,7 @@
         idle = {}
         if not force_close:
             idle['keepalive_timeout'] = self._idle_timeout_s
-        connector = aiohttp.TCPConnector(
+        connector = _WaryConnector(
             limit=0,
             limit_per_host=0 if force_close else POOL_PER_HOST,
             force_close=force_close,
