Give a connection up only while its socket has not connected

Cause: the connector's own time-out could still strike in the moment in which a socket becomes a connection, and a connection that was made to its end for nobody held its socket for as long as the system tries.

The time-out stands outside now. A socket that has not connected is given up at once, as before; one that has is made a connection and closed.

--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -122,14 +122,47 @@
 class _Loop:
     """Be a loop that makes connections in another way."""
 
-    def __init__(self, loop, create):
+    def __init__(self, loop, create, connect=None):
         self._wrapped = loop
         self.create_connection = create
+        self.sock_connect = connect or loop.sock_connect
 
     def __getattr__(self, name):
         return getattr(self._wrapped, name)
 
 
+async def test_connection_that_takes_too_long_is_given_up(
+    address, monkeypatch
+):
+    """Its socket, which has not connected, is closed at once."""
+    client = web.HttpClient(connect_timeout_ms=50)
+    loop = asyncio.get_running_loop()
+    opened = []
+
+    async def never(made, _address):
+        opened.append(made)
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(
+        aiohappyeyeballs.impl.asyncio,
+        'get_running_loop',
+        lambda: _Loop(loop, loop.create_connection, never),
+    )
+    monkeypatch.setattr(
+        client._pooled.connector,
+        '_loop',
+        _Loop(loop, loop.create_connection, never),
+    )
+    with pytest.raises(errors.NotSentError):
+        async with client.pass_on('GET', address, '/', [], None):
+            pass
+    monkeypatch.undo()
+    async with asyncio.timeout(30):
+        while opened[0].fileno() != -1:
+            await asyncio.sleep(0.01)
+    await client.close()
+
+
 async def test_connection_that_is_refused_is_told_as_not_sent():
     client = web.HttpClient(CONNECT_TIMEOUT_MS)
     [port] = web.free_ports(1)
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import contextvars
 import fcntl
 import functools
 import os
@@ -81,28 +82,57 @@
 
 
 class _WaryConnector(aiohttp.TCPConnector):
-    """Make a connection to its end, also for a caller that has left.
+    """Let nothing cancel a socket as it becomes a connection.
 
-    Where a call is cancelled in the moment in which its socket becomes a
-    connection, uvloop closes the socket's number and aiohttp (3.14.5) drops
-    the socket, which closes the number again once it is collected: by then
-    another connection may have it. Seen on days of many cancelled calls as
-    a call whose time-out does nothing, and as a process that ends.
+    Where that happens, uvloop (0.22.1) closes the socket's number and
+    aiohttp (3.14.5) drops the socket, which closes the number again once it
+    is collected: by then another connection may have it, and a caller is
+    given another's answer. Seen on days of many cancelled calls.
+
+    A socket that has connected is made a connection to its end; if nobody
+    waits for it any more it is closed then.
     """
 
     async def _wrap_create_connection(
-        self, *arguments: typing.Any, **named: typing.Any
+        self,
+        *arguments: typing.Any,
+        timeout: aiohttp.ClientTimeout,
+        **named: typing.Any,
     ) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
+        opened: list[socket.socket] = []
+        noted = _OPENED.set(opened)
         making = asyncio.ensure_future(
-            super()._wrap_create_connection(*arguments, **named)
+            super()._wrap_create_connection(
+                *arguments,
+                timeout=aiohttp.ClientTimeout(total=None),
+                **named,
+            )
         )
+        _OPENED.reset(noted)
         try:
-            return await asyncio.shield(making)
-        except asyncio.CancelledError:
+            async with asyncio.timeout(timeout.sock_connect):
+                return await asyncio.shield(making)
+        except (asyncio.CancelledError, TimeoutError):
             making.add_done_callback(_close_unused)
+            if not any(_is_connected(one) for one in opened):
+                making.cancel()
             raise
 
 
+# The sockets that the connecting task has opened.
+_OPENED: contextvars.ContextVar[list[socket.socket]] = contextvars.ContextVar(
+    'opened'
+)
+
+
+def _is_connected(opened: socket.socket) -> bool:
+    try:
+        opened.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def _close_unused(made: asyncio.Future) -> None:
     """Close a connection that nobody waits for any more."""
     if made.cancelled() or made.exception() is not None:
@@ -268,6 +298,7 @@
     made = socket.socket(family, kind, protocol)
     made.setblocking(False)
     probe(made)
+    _OPENED.get([]).append(made)
     return made
 
 
