Look at a call without a body as it is given its connection

Cause: only a body tells when it leaves, so that a call without one was looked at before there was a connection, up to 0.7 s before its first byte left: under a key that was withdrawn meanwhile, or for homes that changed.

Every call is looked at as it is given its connection, which is handed back unused where it may not leave; a body asks once more. Row `head` of the test fails on the code before.

--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -243,8 +243,9 @@
         assert f'{passing.REFUSED}: no_lease'.lower().encode() in head
 
 
+@pytest.mark.parametrize('with_body', [False, True], ids=['head', 'body'])
 async def test_lease_that_ends_while_a_connection_is_made_sends_nothing(
-    system, monkeypatch
+    system, monkeypatch, with_body
 ):
     await put(system, test_passing.route(), [team('a', KEY)])
     endpoint = await system.add('e', 'north-hall')
@@ -259,7 +260,8 @@
         return made
 
     monkeypatch.setattr(connector, '_create_connection', connect_late)
-    got = await endpoints.ask(system.north, call_with_body())
+    sent = call_with_body() if with_body else call()
+    got = await endpoints.ask(system.north, sent)
     assert got.startswith(b'HTTP/1.1 503 ')
     assert endpoint.requests == []
 
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import connector as connectors
 from aiohttp import web
 import multidict
 import yarl
@@ -91,8 +92,20 @@
 
     A socket that has connected is made a connection to its end; if nobody
     waits for it any more it is closed then.
+
+    And let a request that may not leave any more have no connection.
     """
 
+    async def connect(
+        self, *arguments: typing.Any, **named: typing.Any
+    ) -> connectors.Connection:
+        found = await super().connect(*arguments, **named)
+        may_leave = _MAY_LEAVE.get()
+        if may_leave is not None and not may_leave():
+            found.release()
+            raise errors.HeldBackError('it may not leave any more')
+        return found
+
     async def _wrap_create_connection(
         self,
         *arguments: typing.Any,
@@ -119,6 +132,10 @@
             raise
 
 
+# Asked as a request is given its connection; a body asks once more.
+_MAY_LEAVE: contextvars.ContextVar[
+    collections.abc.Callable[[], bool] | None
+] = contextvars.ContextVar('may_leave', default=None)
 # The sockets that the connecting task has opened.
 _OPENED: contextvars.ContextVar[list[socket.socket]] = contextvars.ContextVar(
     'opened'
@@ -256,18 +273,15 @@
 
         ``target`` is the path and query of the request line, ``fields``
         all headers but those of the connection. ``may_leave`` is asked as
-        the first byte is about to leave, without a body before there is a
-        connection.
+        the first byte is about to leave.
 
         :raises HeldBackError: it said no
         """
         url = yarl.URL(f'http://{address}{target}', encoded=True)
         guarded = None
-        if may_leave is not None:
-            if body:
-                body = guarded = _GuardedBody(body, may_leave)
-            elif not may_leave():
-                raise errors.HeldBackError('it may not leave any more')
+        if may_leave is not None and body:
+            body = guarded = _GuardedBody(body, may_leave)
+        asked = _MAY_LEAVE.set(may_leave)
         try:
             response = await self._pooled.request(
                 method,
@@ -281,6 +295,8 @@
             if guarded is not None and guarded.held_back:
                 raise errors.HeldBackError(repr(error)) from error
             raise errors.MaybeSentError(repr(error)) from error
+        finally:
+            _MAY_LEAVE.reset(asked)
         try:
             yield response
         finally:
