Part a limit by demand beyond the whole, too

Cause: what a lender could use was cut at the whole limit, so that of a team at four times its limit the region that peaks and one that has peaked asked for the same, and a calm one was admitted all of it.

--- a/wrenspoke/coordination/limiting/lender.py
+++ b/wrenspoke/coordination/limiting/lender.py
@@ -94,7 +94,7 @@
         flow = HEADROOM * (self._quick if unused else highest)
         largest = LARGEST_MARGIN * self._largest_ms / max(depth_ms, 1.0)
         wanted = max(flow, min(largest, LARGEST_SHARE))
-        return 0.0 if wanted < LEAST_DEMAND else min(wanted, 1.0)
+        return 0.0 if wanted < LEAST_DEMAND else wanted
 
     def _fade(self, now_ms: int) -> None:
         passed_ms = now_ms - self._noted_ms
