--- /dev/null
+++ b/wrenspoke/transport/connecting.py
@@ -0,0 +1,121 @@
+"""Make connections, and let none be harmed by a caller that leaves."""
+
+import asyncio
+import collections.abc
+import contextvars
+import socket
+import typing
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import connector as connectors
+
+from wrenspoke.transport import errors
+
+# A peer without power says nothing, and a connection may fall silent while
+# new ones work. Probes after a second of silence and one second later find
+# that out within three; a peer that lives answers them whatever its
+# program does. A second is the least that the system lets one state.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
+# What is not acknowledged for so long is lost: many times the 110 ms of a
+# far round trip, and four resends of a packet in the system's doubling
+# steps from 200 ms.
+USER_TIMEOUT_MS = 3_000
+
+
+class WaryConnector(aiohttp.TCPConnector):
+    """Let nothing cancel a socket as it becomes a connection.
+
+    Where that happens, uvloop (0.22.1) closes the socket's number and
+    aiohttp (3.14.5) drops the socket, which closes the number again once it
+    is collected: by then another connection may have it, and a caller is
+    given another's answer. Seen on days of many cancelled calls.
+
+    A socket that has connected is made a connection to its end; if nobody
+    waits for it any more it is closed then.
+
+    And let a request that may not leave any more have no connection.
+    """
+
+    async def connect(
+        self, *arguments: typing.Any, **named: typing.Any
+    ) -> connectors.Connection:
+        found = await super().connect(*arguments, **named)
+        may_leave = MAY_LEAVE.get()
+        if may_leave is not None and not may_leave():
+            found.release()
+            raise errors.HeldBackError('it may not leave any more')
+        return found
+
+    async def _wrap_create_connection(
+        self,
+        *arguments: typing.Any,
+        timeout: aiohttp.ClientTimeout,
+        **named: typing.Any,
+    ) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
+        opened: list[socket.socket] = []
+        noted = _OPENED.set(opened)
+        making = asyncio.ensure_future(
+            super()._wrap_create_connection(
+                *arguments,
+                timeout=aiohttp.ClientTimeout(total=None),
+                **named,
+            )
+        )
+        _OPENED.reset(noted)
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                return await asyncio.shield(making)
+        except (asyncio.CancelledError, TimeoutError):
+            making.add_done_callback(_close_unused)
+            if not any(_is_connected(one) for one in opened):
+                making.cancel()
+            raise
+
+
+# Asked as a request is given its connection; a body asks once more.
+MAY_LEAVE: contextvars.ContextVar[
+    collections.abc.Callable[[], bool] | None
+] = contextvars.ContextVar('may_leave', default=None)
+# The sockets that the connecting task has opened.
+_OPENED: contextvars.ContextVar[list[socket.socket]] = contextvars.ContextVar(
+    'opened'
+)
+
+
+def _is_connected(opened: socket.socket) -> bool:
+    try:
+        opened.getpeername()
+    except OSError:
+        return False
+    return True
+
+
+def _close_unused(made: asyncio.Future) -> None:
+    """Close a connection that nobody waits for any more."""
+    if made.cancelled() or made.exception() is not None:
+        return
+    transport, _protocol = made.result()
+    transport.abort()
+
+
+def probing_socket(address: tuple) -> socket.socket:
+    """Return a socket that notices a peer that is no longer there."""
+    family, kind, protocol, _name, _address = address
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    probe(made)
+    _OPENED.get([]).append(made)
+    return made
+
+
+def probe(opened: socket.socket) -> None:
+    """Let the system find out when the other end is gone."""
+    tcp = socket.IPPROTO_TCP
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
+    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import contextvars
 import fcntl
 import functools
 import os
@@ -11,15 +10,14 @@
 import random
 import socket
 import tempfile
-import typing
 
 import aiohttp
 from aiohttp import client_proto
-from aiohttp import connector as connectors
 from aiohttp import web
 import multidict
 import yarl
 
+from wrenspoke.transport import connecting
 from wrenspoke.transport import errors
 
 POOL_PER_HOST = 256
@@ -32,17 +30,6 @@
 ADDED_FIELDS = frozenset(
     ['Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type']
 )
-# A peer without power says nothing, and a connection may fall silent while
-# new ones work. Probes after a second of silence and one second later find
-# that out within three; a peer that lives answers them whatever its
-# program does. A second is the least that the system lets one state.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 2
-# What is not acknowledged for so long is lost: many times the 110 ms of a
-# far round trip, and four resends of a packet in the system's doubling
-# steps from 200 ms.
-USER_TIMEOUT_MS = 3_000
 PORT_RANGE = range(10_000, 32_000)
 _GIVEN_PORTS: set[int] = set()
 # Held open for as long as the process lives.
@@ -82,82 +69,6 @@
             payload.set_exception(aiohttp.ClientPayloadError(repr(error)))
 
 
-class _WaryConnector(aiohttp.TCPConnector):
-    """Let nothing cancel a socket as it becomes a connection.
-
-    Where that happens, uvloop (0.22.1) closes the socket's number and
-    aiohttp (3.14.5) drops the socket, which closes the number again once it
-    is collected: by then another connection may have it, and a caller is
-    given another's answer. Seen on days of many cancelled calls.
-
-    A socket that has connected is made a connection to its end; if nobody
-    waits for it any more it is closed then.
-
-    And let a request that may not leave any more have no connection.
-    """
-
-    async def connect(
-        self, *arguments: typing.Any, **named: typing.Any
-    ) -> connectors.Connection:
-        found = await super().connect(*arguments, **named)
-        may_leave = _MAY_LEAVE.get()
-        if may_leave is not None and not may_leave():
-            found.release()
-            raise errors.HeldBackError('it may not leave any more')
-        return found
-
-    async def _wrap_create_connection(
-        self,
-        *arguments: typing.Any,
-        timeout: aiohttp.ClientTimeout,
-        **named: typing.Any,
-    ) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
-        opened: list[socket.socket] = []
-        noted = _OPENED.set(opened)
-        making = asyncio.ensure_future(
-            super()._wrap_create_connection(
-                *arguments,
-                timeout=aiohttp.ClientTimeout(total=None),
-                **named,
-            )
-        )
-        _OPENED.reset(noted)
-        try:
-            async with asyncio.timeout(timeout.sock_connect):
-                return await asyncio.shield(making)
-        except (asyncio.CancelledError, TimeoutError):
-            making.add_done_callback(_close_unused)
-            if not any(_is_connected(one) for one in opened):
-                making.cancel()
-            raise
-
-
-# Asked as a request is given its connection; a body asks once more.
-_MAY_LEAVE: contextvars.ContextVar[
-    collections.abc.Callable[[], bool] | None
-] = contextvars.ContextVar('may_leave', default=None)
-# The sockets that the connecting task has opened.
-_OPENED: contextvars.ContextVar[list[socket.socket]] = contextvars.ContextVar(
-    'opened'
-)
-
-
-def _is_connected(opened: socket.socket) -> bool:
-    try:
-        opened.getpeername()
-    except OSError:
-        return False
-    return True
-
-
-def _close_unused(made: asyncio.Future) -> None:
-    """Close a connection that nobody waits for any more."""
-    if made.cancelled() or made.exception() is not None:
-        return
-    transport, _protocol = made.result()
-    transport.abort()
-
-
 class _GuardedBody(aiohttp.BytesPayload):
     """Leave only if it still may, at the moment of the first byte.
 
@@ -206,11 +117,11 @@
         idle = {}
         if not force_close:
             idle['keepalive_timeout'] = self._idle_timeout_s
-        connector = _WaryConnector(
+        connector = connecting.WaryConnector(
             limit=0,
             limit_per_host=0 if force_close else POOL_PER_HOST,
             force_close=force_close,
-            socket_factory=_probing_socket,
+            socket_factory=connecting.probing_socket,
             **idle,
         )
         connector._factory = functools.partial(
@@ -281,7 +192,7 @@
         guarded = None
         if may_leave is not None and body:
             body = guarded = _GuardedBody(body, may_leave)
-        asked = _MAY_LEAVE.set(may_leave)
+        asked = connecting.MAY_LEAVE.set(may_leave)
         try:
             response = await self._pooled.request(
                 method,
@@ -296,7 +207,7 @@
                 raise errors.HeldBackError(repr(error)) from error
             raise errors.MaybeSentError(repr(error)) from error
         finally:
-            _MAY_LEAVE.reset(asked)
+            connecting.MAY_LEAVE.reset(asked)
         try:
             yield response
         finally:
@@ -308,36 +219,16 @@
         await self._fresh.close()
 
 
-def _probing_socket(address: tuple) -> socket.socket:
-    """Return a socket that notices a peer that is no longer there."""
-    family, kind, protocol, _name, _address = address
-    made = socket.socket(family, kind, protocol)
-    made.setblocking(False)
-    probe(made)
-    _OPENED.get([]).append(made)
-    return made
-
-
 def _listening_socket(ip: str, port: int) -> socket.socket:
     """Return a socket whose accepted connections probe their peers too."""
     made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     made.setblocking(False)
     made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    probe(made)
+    connecting.probe(made)
     made.bind((ip, port))
     return made
 
 
-def probe(opened: socket.socket) -> None:
-    """Let the system find out when the other end is gone."""
-    tcp = socket.IPPROTO_TCP
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
 async def _once_only(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
