Let a question for shares that was held up change nothing

Cause: found by reading. A lender that got no answer in time asks again, perhaps by way of another control host; the first question may come later and says what was held before. The leader then counted less than the lender went by, until its next question, and could part the rest to another.

Questions are numbered within a life of the lender; a late one is refused. Before: the new test finds the second lender granted more than was left.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,6 +7,8 @@
 tokens over the limit in any 8 s.
 """
 
+import itertools
+
 import pytest
 
 from tests import group
@@ -249,9 +251,13 @@
     group.run(run())
 
 
+NUMBERS = itertools.count(1)
+
+
 def heard(allocated, host, *shares):
     """Let a lender ask, and return what comes of it."""
-    return allocated._answer(host, limiting.AskShares(list(shares)))
+    message = limiting.AskShares(list(shares), 'life', next(NUMBERS))
+    return allocated._answer(host, message)
 
 
 async def leading(lenders=()):
@@ -335,3 +341,25 @@
         await allocated.close()
 
     group.run(run())
+
+
+def test_question_that_was_held_up_changes_nothing():
+    """It says what its lender held before it was granted more."""
+
+    async def run():
+        allocated, _voter = await leading(['a', 'b'])
+        await heard(allocated, 'b')
+        held_up = heard(allocated, 'a', asked(0.0, 0.9))
+        granted = await heard(allocated, 'a', asked(0.0, 0.9))
+        assert granted.granted[0].share == pytest.approx(0.9)
+        assert not isinstance(await held_up, limiting.SharesGranted)
+        granted = await heard(allocated, 'b', asked(0.0, 0.9))
+        assert granted.granted[0].share == pytest.approx(0.1)
+        # Another life of the lender counts from the start.
+        again = limiting.AskShares([asked(0.0, 0.5)], 'later life', 1)
+        assert isinstance(
+            await allocated._answer('a', again), limiting.SharesGranted
+        )
+        await allocated.close()
+
+    group.run(run())
--- a/wrenspoke/coordination/limiting/allocator.py
+++ b/wrenspoke/coordination/limiting/allocator.py
@@ -17,6 +17,7 @@
 import dataclasses
 import typing
 
+import msgspec
 import structlog
 
 from wrenspoke import clock as clocks
@@ -180,6 +181,8 @@
         self._settled_early_ms: int | None = None
         # When each host was last heard in this lead.
         self._heard_ms: dict[ids.HostId, int] = {}
+        # The life and number of each host's last question in this lead.
+        self._asked: dict[ids.HostId, tuple[str, int]] = {}
         self._noting: asyncio.Task | None = None
         self._tasks = runtime.Tasks()
         peers.answers(limiting.AskShares)(self._answer)
@@ -191,12 +194,24 @@
             return await self._pass_on(sender, message)
         lender = message.lender or sender
         self.lead_since(self._elected.led_since_ms)
+        if self._is_late(lender, message):
+            return messages.Refusal('a later question was answered')
         self._heard_ms[lender] = self._clock.mono_ms()
         if message.shares and not await self._is_noted(lender):
             return messages.Refusal('not noted as a lender')
         granted = self.grant(lender, message.shares)
         return limiting.SharesGranted(granted, self.unsettled_ms)
 
+    def _is_late(
+        self, lender: ids.HostId, message: limiting.AskShares
+    ) -> bool:
+        """Tell whether a lender has asked again since it asked this."""
+        life, number = self._asked.get(lender, ('', 0))
+        if life == message.life and message.number <= number:
+            return True
+        self._asked[lender] = (message.life, message.number)
+        return False
+
     async def _pass_on(
         self, sender: ids.HostId, message: limiting.AskShares
     ) -> limiting.SharesGranted | messages.Refusal:
@@ -204,7 +219,7 @@
         leader = self._elected.leader
         if leader is None or message.lender is not None:
             return messages.Refusal('no leader is known')
-        passed = limiting.AskShares(message.shares, sender)
+        passed = msgspec.structs.replace(message, lender=sender)
         try:
             answer = await self._peers.call(leader, passed, PASS_TIMEOUT_MS)
         except protocol_errors.ProtocolError as error:
@@ -255,6 +270,7 @@
         self._since_ms = since_ms
         self._settled_early_ms = None
         self._heard_ms.clear()
+        self._asked.clear()
         self._teams.clear()
         logger.info('limits_parted', since_ms=since_ms)
 
--- a/wrenspoke/coordination/limiting/lender.py
+++ b/wrenspoke/coordination/limiting/lender.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import itertools
 import math
 
 import structlog
@@ -178,6 +179,8 @@
         self._allowed = allowed
         self._peers = peers
         self._clock = clock
+        self._life = ids.new_unique()
+        self._numbers = itertools.count(1)
         self._held: dict[ids.TeamId, Holding] = {}
         self._urgent = asyncio.Event()
         # Ends with the next round of questions that begins.
@@ -299,7 +302,9 @@
             return
         try:
             answer = await self._peers.call(
-                lead.asked, limiting.AskShares(shares), CALL_TIMEOUT_MS
+                lead.asked,
+                limiting.AskShares(shares, self._life, next(self._numbers)),
+                CALL_TIMEOUT_MS,
             )
         except protocol_errors.ProtocolError as error:
             logger.info(
--- a/wrenspoke/protocol/limiting.py
+++ b/wrenspoke/protocol/limiting.py
@@ -33,10 +33,14 @@
     """Ask for shares of teams' limits.
 
     A control host that does not lead passes it on to the one that does,
-    with the name of the ``lender``.
+    with the name of the ``lender``. ``number`` rises within one ``life`` of
+    the lender: a question that was held up on its way says what the lender
+    held then.
     """
 
     shares: list[ShareAsked]
+    life: str = ''
+    number: int = 0
     lender: ids.HostId | None = None
 
 
