Take a call's service from the table that its permit is by

Cause: a call may wait for a lease or its amount now, and its service was looked up in the table of before; where that had changed to other services the host answered 500 of aiohttp's own, "Server got itself in trouble".

Found by reading; the new test gets that 500 on the code before.

--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 
+import msgspec
 import pytest
 import uvloop
 
@@ -266,6 +267,41 @@
     assert endpoint.requests == []
 
 
+async def test_call_that_waited_goes_by_the_table_of_its_permit(
+    system, monkeypatch
+):
+    """The table changes to other services while a lease is waited for."""
+    await put(system, test_passing.route(), [team('a', KEY)])
+    endpoint = await system.add('e', 'north-hall', service='later')
+    north = system.entries[0]
+    wait = north.passthrough._permit
+
+    async def wait_long(asked):
+        held = north.replica.current.routes
+        [found] = held.routes
+        newer = routes.RouteTable(
+            held.version + 1,
+            (
+                msgspec.structs.replace(
+                    found, targets=(routes.Target('later'),)
+                ),
+            ),
+            {'later': routes.RoutedService('later', '/health', 10)},
+            digest='newer',
+            teams=held.teams,
+        )
+        leader = await system.leader()
+        await leader.decisions.replace_routes(newer)
+        await nodes.until(
+            lambda: north.replica.current.routes.version == newer.version
+        )
+        return await wait(asked)
+
+    monkeypatch.setattr(north.passthrough, '_permit', wait_long)
+    got = await endpoints.ask(system.north, call())
+    assert got.endswith(b'whole') and len(endpoint.requests) == 1
+
+
 async def test_lease_is_renewed_by_what_is_sent_already(tmp_path):
     """A host far from the leader holds one without any call of its own."""
     async with nodes.running(tmp_path, controls=3, entries=0) as running:
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -155,12 +155,14 @@
         except errors.DeniedError as error:
             await self._deny(call, reply, error)
             return None
+        # Of the table that the permit is by, which may be a newer one.
+        table = self._replica.current.routes
+        service = table.service(self._service_of(permit.route, hop))
         try:
             taken = await self._take(call, permit, hop)
         except limiters.OverLimitError as error:
             await self._refuse_over_limit(call, reply, error)
             return None
-        service = table.service(self._service_of(permit.route, hop))
         left_ms = min(call.left_ms, permit.route.timeout_ms)
         return works.Work(
             call,
