Use the kept order of a region's hosts to find a team's lender

Cause: a read of the whole change found three things written again. The limiter ordered all hosts of its region anew for every call of a limited team, though Askers keeps that order for each key until a host comes or goes; the parts of a told call were turned into a prompt's in two places; a told call was copied field by field to change its age.

Ruled out: another order. Both drew from the usable hosts of the region and this one, by the same hash; the roster's revision rises whenever one of them comes, goes or drains.

The 111 tests of limits, of told calls and of offers pass with their assertions as they were; the stand-in fleet of the limits' tests orders its hosts itself.

--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -17,6 +17,7 @@
 from wrenspoke.coordination.limiting import lender
 from wrenspoke.coordination.limiting import limiter
 from wrenspoke.coordination.membership import attendance
+from wrenspoke.coordination.serving import routing
 from wrenspoke.state import replicated
 from wrenspoke.state import teams
 
@@ -91,7 +92,7 @@
         )
         self.limiter = limiter.Limiter(
             name,
-            lambda: fleet.near(name),
+            lambda key: fleet.order(key, name),
             self.lender,
             ALLOWED,
             self.peers,
@@ -173,10 +174,11 @@
         await self.hosts[name].close()
         self.start_host(name)
 
-    def near(self, name):
-        """Return the hosts of a host's region."""
+    def order(self, key, name):
+        """Return the hosts of a host's region in a key's order."""
         region = region_of(name)
-        return [one for one in self.hosts if region_of(one) == region]
+        near = {one for one in self.hosts if region_of(one) == region}
+        return routing.rendezvous(key, {*near, name})
 
     async def wait_ms(self, delay_ms):
         await asyncio.sleep(delay_ms / MS_PER_S)
--- a/wrenspoke/coordination/limiting/limiter.py
+++ b/wrenspoke/coordination/limiting/limiter.py
@@ -14,7 +14,6 @@
 from wrenspoke.coordination.limiting import allocator
 from wrenspoke.coordination.limiting import bounds
 from wrenspoke.coordination.limiting import lender as lenders
-from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import limiting
@@ -30,6 +29,8 @@
 LEFT_ALONE_MS = allocator.SHARE_LEASE_MS
 # Lenders that are asked for one call; the last is this host itself.
 LENDERS_TRIED = 2
+# The region's hosts, this one too, in the order that all draw for a key.
+Order = collections.abc.Callable[[str], list[str]]
 
 
 class OverLimitError(errors.CoordinationError):
@@ -57,14 +58,14 @@
     def __init__(
         self,
         host: ids.HostId,
-        hosts: collections.abc.Callable[[], list[ids.HostId]],
+        order: Order,
         lender: lenders.Lender,
         allowed: bounds.OvershootBounds,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
     ):
         self._host = host
-        self._hosts = hosts
+        self._order = order
         self._lender = lender
         self._allowed = allowed
         self._peers = peers
@@ -110,11 +111,15 @@
 
     def _lenders_of(self, team: ids.TeamId) -> list[ids.HostId]:
         """Return the hosts to ask for a team, the region's first."""
-        order = routing.rendezvous(team, {*self._hosts(), self._host})
-        answering = [
-            ids.HostId(host) for host in order if not self._is_silent(host)
-        ]
-        return answering[:LENDERS_TRIED]
+        answering: list[ids.HostId] = []
+        for name in self._order(team):
+            host = ids.HostId(name)
+            if self._is_silent(host):
+                continue
+            answering.append(host)
+            if len(answering) == LENDERS_TRIED:
+                break
+        return answering
 
     def _is_silent(self, host: ids.HostId) -> bool:
         silent_ms = self._silent_ms.get(host)
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -15,6 +15,7 @@
 from wrenspoke.coordination.serving import pace
 from wrenspoke.coordination.serving import prefixes
 from wrenspoke.coordination.serving import reading
+from wrenspoke.coordination.serving import sent_calls
 from wrenspoke import ids
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
@@ -172,9 +173,7 @@
         """Note a call that another host of the region sent to an engine."""
         if service.batch is None:
             return
-        parts = tuple(
-            dialects.PromptPart(part, tokens) for part, tokens in sent.parts
-        )
+        parts = sent_calls.prompt_parts(sent)
         self.prefixes.note(
             sent.endpoint, service.batch.cache_tokens, parts, sent.own_tokens
         )
--- a/wrenspoke/coordination/serving/regions.py
+++ b/wrenspoke/coordination/serving/regions.py
@@ -239,9 +239,7 @@
             ids.RegionId(region), collections.deque()
         )
         passed.append((self._clock.mono_ms() - sent.age_ms, sent.tokens))
-        parts = tuple(
-            dialects.PromptPart(part, tokens) for part, tokens in sent.parts
-        )
+        parts = sent_calls.prompt_parts(sent)
         self._kept.note(sent.endpoint, service.batch.cache_tokens, parts)
 
     def note_told(
--- a/wrenspoke/coordination/serving/sent_calls.py
+++ b/wrenspoke/coordination/serving/sent_calls.py
@@ -15,6 +15,7 @@
 import collections.abc
 import zlib
 
+import msgspec
 import structlog
 
 from wrenspoke import clock as clocks
@@ -148,14 +149,7 @@
     ) -> list[attending.SentCall]:
         now_ms = self._clock.mono_ms()
         return [
-            attending.SentCall(
-                sent.host,
-                sent.endpoint,
-                sent.tokens,
-                max(now_ms - sent_ms, 0),
-                sent.parts,
-                sent.own_tokens,
-            )
+            msgspec.structs.replace(sent, age_ms=max(now_ms - sent_ms, 0))
             for sent_ms, sent in items
         ]
 
@@ -170,6 +164,15 @@
                 listener(sent)
 
 
+def prompt_parts(
+    sent: attending.SentCall,
+) -> tuple[dialects.PromptPart, ...]:
+    """Return what other prompts may share with a call, as calls hold it."""
+    return tuple(
+        dialects.PromptPart(part, tokens) for part, tokens in sent.parts
+    )
+
+
 def short_name(host: ids.HostId) -> int:
     """Return a short number by which a host knows its own calls again."""
     return zlib.crc32(host.encode())
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -203,18 +203,13 @@
         )
         self._limiter = limiter.Limiter(
             node.host,
-            self._near_hosts,
+            self._askers.order,
             self._lender,
             allowed,
             self.peers,
             self.clock,
         )
 
-    def _near_hosts(self) -> list[ids.HostId]:
-        """Return the entry hosts of this region that take calls."""
-        near = self.attendance.roster.usable(self.node.region)
-        return [record.host for record in near]
-
     def _forget_life(self, before: registry.Registration) -> None:
         """Forget what was learned of an endpoint that began anew."""
         others = set(self.attendance.registry.held) - {before.endpoint}
