Name what a request asks for in the log, and whether its endpoint ended

Cause: in the incident nothing in the log says that two requests had the same content, and a run that broke off looks the same whether its endpoint ended or an answer was lost.

Ruled out: the request's headers, as the caller chooses them anew; the caller's address, as it may come from any.

--- /dev/null
+++ b/wrenspoke/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end the endpoints that run them."""
--- /dev/null
+++ b/wrenspoke/coordination/quarantine/runs.py
@@ -0,0 +1,91 @@
+"""Watch runs at endpoints, and find those under which an endpoint ended.
+
+A connection that breaks says little: an answer may have been lost, or the
+way to the endpoint cut. An endpoint has ended if connections to it are
+refused right after. All calls that it ran break at that moment, so one look
+serves for all of them.
+"""
+
+import asyncio
+import dataclasses
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke import ids
+from wrenspoke.transport import reachable
+
+logger = structlog.get_logger(__name__)
+
+# Endpoints are near: a connection takes a millisecond or two. A call waits
+# for this look before it is sent again.
+LOOK_TIMEOUT_MS = 50
+# All calls of an endpoint that ends break within some milliseconds; one
+# that is back takes seconds to start.
+SAME_END_MS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Name a request that an endpoint was sent, and when."""
+
+    digest: ids.RequestDigest
+    endpoint: ids.EndpointId
+    address: str
+    began_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Look:
+    """Hold what a look at an endpoint showed, or will show."""
+
+    began_ms: int
+    refused: asyncio.Future
+
+
+class RunWatch:
+    """Tell runs that ended their endpoint from runs that broke."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._looks: dict[ids.EndpointId, _Look] = {}
+
+    def began(
+        self,
+        digest: ids.RequestDigest,
+        endpoint: ids.EndpointId,
+        address: str,
+    ) -> Run:
+        """Note that an endpoint is sent a request."""
+        return Run(digest, endpoint, address, self._clock.mono_ms())
+
+    async def broke(self, run: Run) -> bool:
+        """Take a run that broke off; return whether its endpoint ended."""
+        ended = await self._has_ended(run)
+        logger.info(
+            'run_broke',
+            digest=run.digest,
+            endpoint=run.endpoint,
+            endpoint_ended=ended,
+            ran_ms=self._clock.mono_ms() - run.began_ms,
+        )
+        return ended
+
+    async def _has_ended(self, run: Run) -> bool:
+        look = self._looks.get(run.endpoint)
+        now_ms = self._clock.mono_ms()
+        if look is None or now_ms - look.began_ms > SAME_END_MS:
+            self._forget_looks(now_ms)
+            look = self._looks[run.endpoint] = _Look(
+                now_ms, asyncio.ensure_future(self._look(run.address))
+            )
+        # Who leaves must not take the look from the others that wait.
+        return await asyncio.shield(look.refused)
+
+    def _forget_looks(self, now_ms: int) -> None:
+        for endpoint, look in list(self._looks.items()):
+            if now_ms - look.began_ms > SAME_END_MS:
+                del self._looks[endpoint]
+
+    async def _look(self, address: str) -> bool:
+        return await reachable.is_refused(address, LOOK_TIMEOUT_MS)
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import enum
+import urllib.parse
 
 import aiohttp
 import structlog
@@ -16,6 +17,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.quarantine import runs
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import placement
 from wrenspoke import ids
@@ -219,6 +221,7 @@
         self._client = client
         self._clock = clock
         self._awake = awake
+        self._runs = runs.RunWatch(clock)
         self.sent = 0
 
     @contextlib.asynccontextmanager
@@ -235,6 +238,7 @@
         endpoint = self._checked(send)
         self.sent += send.purpose in WORK
         once = send.head is not None and send.head.once
+        run = self._run_of(send, endpoint)
         try:
             async with self._client.send(
                 send.method,
@@ -252,7 +256,25 @@
                 send.ticket.unsent()
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
+            await self._broke(run)
             raise errors.MaybeSentError(str(error)) from error
+        except errors.MaybeSentError:
+            await self._broke(run)
+            raise
+
+    def _run_of(
+        self, send: Send, endpoint: configuration.Endpoint
+    ) -> runs.Run | None:
+        """Return the run that a send begins, None where it gives no work."""
+        if send.head is None or send.purpose not in WORK:
+            return None
+        address = urllib.parse.urlsplit(endpoint.url).netloc
+        return self._runs.began(send.head.digest, send.endpoint, address)
+
+    async def _broke(self, run: runs.Run | None) -> None:
+        """Find out, before it may be sent again, what a run broke by."""
+        if run is not None:
+            await self._runs.broke(run)
 
     def _checked(self, send: Send) -> configuration.Endpoint:
         endpoint = self._replica.current.endpoints.get(send.endpoint)
--- a/wrenspoke/coordination/serving/gateway.py
+++ b/wrenspoke/coordination/serving/gateway.py
@@ -20,6 +20,7 @@
 from wrenspoke.coordination.serving import streams
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import outcomes
 from wrenspoke.protocol import replies
@@ -160,7 +161,7 @@
             raise self._bad_request(
                 'service', f'{head.service!r} is unknown here'
             )
-        head = self._with_team(head)
+        head = _with_digest(self._with_team(head), body)
         self._check_team(head)
         head, key = self._with_rules(head)
         reply.request_id = head.request
@@ -467,3 +468,18 @@
     if ending.reason in BY_LEDGER:
         return ending
     return msgspec.structs.replace(ending, outcome=outcomes.Outcome.UNKNOWN)
+
+
+def _with_digest(
+    head: requests.RequestHead, body: bytes
+) -> requests.RequestHead:
+    """Return a request with what names it; a forwarded one brings that.
+
+    The rest of a broken stream is asked for with another body.
+    """
+    if head.digest:
+        return head
+    digest = fingerprints.digest_of(
+        head.team, head.method, head.service, head.path, body
+    )
+    return msgspec.structs.replace(head, digest=digest)
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -26,6 +26,7 @@
 from wrenspoke import mechanisms
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import passing
 from wrenspoke.state import routes
 
@@ -155,6 +156,7 @@
         except errors.DeniedError as error:
             await self._deny(call, reply, error)
             return None
+        call.digest = _digest_of(call, permit)
         # Of the table that the permit is by, which may be a newer one.
         table = self._replica.current.routes
         service = table.service(self._service_of(permit.route, hop))
@@ -408,3 +410,15 @@
         while self.in_flight and self._clock.mono_ms() < end_ms:
             await asyncio.sleep(0.05)
         return self.in_flight == 0
+
+
+def _digest_of(
+    call: dialects.Call, permit: access.Permit
+) -> ids.RequestDigest:
+    """Return what a call asks for; a team may show another key each time."""
+    caller = repr(call.credentials)
+    if permit.team is not None:
+        caller = permit.team.team
+    return fingerprints.digest_of(
+        caller, call.method, call.host, call.target, call.body
+    )
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -17,6 +17,7 @@
 import structlog
 
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.quarantine import runs
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import choice
@@ -144,12 +145,14 @@
         hosts: web.HttpClient,
         permitted: access.Access,
         sent: traffic.Traffic,
+        watched: runs.RunWatch,
     ):
         self._dialect = dialect
         self._access = permitted
         self._endpoints = endpoints
         self._hosts = hosts
         self._traffic = sent
+        self._runs = watched
 
     @contextlib.asynccontextmanager
     async def send(
@@ -175,6 +178,9 @@
         fields = self._fields(call, permit, place, left_ms, last_event)
         body = call.body or None
         client = self._endpoints if place.host is None else self._hosts
+        run = None
+        if place.endpoint is not None:
+            run = self._runs.began(call.digest, place.endpoint, place.address)
         try:
             async with client.pass_on(
                 call.method,
@@ -195,7 +201,16 @@
         except transport_errors.NotSentError as error:
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
+            await self._broke(run)
             raise errors.MaybeSentError(str(error)) from error
+        except errors.MaybeSentError:
+            await self._broke(run)
+            raise
+
+    async def _broke(self, run: runs.Run | None) -> None:
+        """Find out, before it may be sent again, what a run broke by."""
+        if run is not None:
+            await self._runs.broke(run)
 
     def _note_traffic(
         self, call: dialects.Call, place: Place, answer: Answer
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -174,6 +174,7 @@
         logger.warning(
             'try_failed',
             request=work.call.request,
+            digest=work.call.digest,
             place=place.name,
             cause=cause,
             runs=work.runs,
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -21,6 +21,7 @@
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.membership import views
+from wrenspoke.coordination.quarantine import runs
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import choice
@@ -276,6 +277,7 @@
                     self._hosts_client,
                     self._access,
                     self._traffic,
+                    runs.RunWatch(self.clock),
                 ),
                 self.attendance,
                 self._choice,
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -101,6 +101,7 @@
 
     ``fields`` are the headers to be passed on, in their order, without
     ``credentials``: the caller's word on its team. ``key`` is its team's.
+    ``digest`` names what is asked for, whatever the request is called.
     """
 
     request: ids.RequestId
@@ -118,6 +119,7 @@
     last_event: str | None = None
     credentials: Fields = []
     key: str = ''
+    digest: ids.RequestDigest = ids.RequestDigest('')
 
     @property
     def tokens(self) -> int:
--- /dev/null
+++ b/wrenspoke/protocol/fingerprints.py
@@ -0,0 +1,34 @@
+"""Name a request by what it asks for, so that it is known again.
+
+A caller that asks again uses another request id, and may ask another host.
+What stays the same is who asks, the method, the target and the body.
+"""
+
+import hashlib
+
+from wrenspoke import ids
+
+# Nobody finds two requests of one digest by trying.
+DIGEST_BYTES = 16
+LENGTH_BYTES = 8
+
+
+def digest_of(
+    caller: str, method: str, host: str, target: str, body: bytes
+) -> ids.RequestDigest:
+    """Return a request's digest as hexadecimal digits.
+
+    ``caller`` is the team, or what the caller shows of itself, ``host`` the
+    name that it asks, ``target`` the path and query. Each part goes with its
+    length, so that no two requests run into one another.
+    """
+    made = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for text in (caller, method, host, target):
+        _add(made, text.encode('utf-8', 'surrogateescape'))
+    _add(made, body)
+    return ids.RequestDigest(made.hexdigest())
+
+
+def _add(made: hashlib.blake2b, part: bytes) -> None:
+    made.update(len(part).to_bytes(LENGTH_BYTES))
+    made.update(part)
--- a/wrenspoke/protocol/requests.py
+++ b/wrenspoke/protocol/requests.py
@@ -46,6 +46,7 @@
     that an earlier attempt may exist, as far as the caller let us know;
     ``minted`` that the caller gave no id and this host made one. ``key`` is
     what the caller proves its team by; it goes no further than this host.
+    ``digest`` names what is asked for, whatever the request is called.
     """
 
     request: ids.RequestId
@@ -69,6 +70,7 @@
     last_event: int | None = None
     content_type: str = 'application/json'
     path_of_hosts: tuple[ids.HostId, ...] = ()
+    digest: ids.RequestDigest = ids.RequestDigest('')
 
     @property
     def forwarded(self) -> bool:
--- a/wrenspoke/protocol/surface.py
+++ b/wrenspoke/protocol/surface.py
@@ -259,6 +259,7 @@
             priority=hop.priority,
             deadline_ms=now_ms + hop.left_ms,
             path_of_hosts=hop.path_of_hosts,
+            digest=hop.digest,
         )
 
 
