Show that one request ends engine after engine, by both ways in

Cause: nothing remembers what a request was beyond its own end at its own host. Hypothesis 1 holds: all ends are of one digest, and sends that are too late are first sends of new requests. Hypothesis 2 adds to it where a call may be repeated; hypothesis 3 is ruled out, as nothing else ends an engine here.

--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -38,11 +38,20 @@
         self.address = f'{ip}:{port}'
         return self
 
-    async def close(self):
+    def stop_listening(self):
+        """End as a process does: break all off, refuse new ones."""
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def listen_again(self):
+        """Be back at the same address."""
+        ip, _, port = self.address.rpartition(':')
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+
+    async def close(self):
+        self.stop_listening()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
--- /dev/null
+++ b/tests/test_fatal_requests.py
@@ -0,0 +1,148 @@
+"""An incident: one request ended engine after engine.
+
+Seen: a request under which three engines had ended was sent to six more, at
+other hosts and in two regions; each took the 10 to 39 calls beside it along.
+
+How: each time that it came it had another request id and came to another
+host. The engine broke its connections off, and connections to it were
+refused. Hosts took that for the engine's failure and sent the next one on.
+
+Cause: nothing remembered what a request was, beyond its own end at its own
+host. What is learned of a failure was kept by place and by route only.
+
+Proof: engines that end under one prompt, sent again and again by turns at
+hosts of two regions, one after the other. Before the repair each copy ends
+an engine or two, by both ways in.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tests import endpoints
+from tests import fleet
+from tests import nodes
+from tests import test_passing
+from wrenspoke.state import routes
+
+# What is allowed: three ends, and three sends more.
+SENDS_LIMIT = 6
+COPIES = 10
+FATAL = b'fatal prompt'
+FATAL_CHAT = {
+    'model': fleet.MODEL,
+    'messages': [{'role': 'user', 'content': FATAL.decode()}],
+}
+RESET = endpoints.ScriptedEndpoint.RESET
+
+
+class EndingEngine:
+    """End under a fatal body, as a process: no connection is left.
+
+    It is back, by the same address, once it is told to.
+    """
+
+    def __init__(self, ends):
+        self._ends = ends
+        self._endpoint = endpoints.ScriptedEndpoint(self._answer)
+        self.ended = False
+
+    @property
+    def address(self):
+        return self._endpoint.address
+
+    @property
+    def requests(self):
+        return self._endpoint.requests
+
+    async def start(self):
+        await self._endpoint.start()
+        return self
+
+    def _answer(self, sent, _number):
+        if FATAL not in sent:
+            yield test_passing.answer(sent)
+            return
+        self._ends.append(sent)
+        self.ended = True
+        self._endpoint.stop_listening()
+        yield RESET
+
+    async def come_back(self):
+        if self.ended:
+            self.ended = False
+            await self._endpoint.listen_again()
+
+    async def close(self):
+        await self._endpoint.close()
+
+
+@contextlib.asynccontextmanager
+async def passing_system(folder, kind=routes.RouteKind.REPEATABLE):
+    """Run two regions of two hosts and four engines each."""
+    ends, engines = [], []
+    async with nodes.running(folder, controls=3) as system:
+        await system.start_entry()
+        for _number in range(2):
+            await system.start_entry('south-hall')
+        for hall in ('north-hall', 'south-hall'):
+            for number in range(4):
+                engine = await EndingEngine(ends).start()
+                engines.append(engine)
+                await system.register(
+                    f'{hall}-{number}', engine, data_centre=hall
+                )
+        await system.put(test_passing.route(kind, attempts_limit=2))
+        system.ends, system.engines = ends, engines
+        yield system
+    for engine in engines:
+        await engine.close()
+
+
+async def ask(system, host, body, name):
+    """Return what a caller is answered by an entry host."""
+    sent = test_passing.request(
+        'POST /a/x HTTP/1.1',
+        [f'Content-Length: {len(body)}'],
+        body,
+        name,
+    )
+    address = system.entries[host].node.callers_address
+    return await endpoints.ask(address, sent)
+
+
+@pytest.mark.parametrize(
+    'kind', [routes.RouteKind.REPEATABLE, routes.RouteKind.ONCE]
+)
+async def test_request_that_ends_engines_is_not_sent_on_for_ever(
+    tmp_path, kind
+):
+    async with passing_system(tmp_path, kind) as system:
+        for number in range(COPIES):
+            await ask(system, number % 4, FATAL, f'fatal{number}')
+            await asyncio.gather(*(one.come_back() for one in system.engines))
+        assert len(system.ends) <= SENDS_LIMIT
+
+
+@pytest.mark.parametrize('controls', [0, 3])
+async def test_chat_that_ends_engines_is_not_sent_on_for_ever(
+    tmp_path, controls
+):
+    made = fleet.deployment(engines=4, controls=controls)
+    names = [
+        found['endpoint']
+        for found in made['endpoints']
+        if found['service'] == 'chat'
+    ]
+    async with fleet.running(tmp_path, made) as running:
+        for name in names:
+            await running.faults(
+                name, fatal_text=FATAL.decode(), back_after_ms=50
+            )
+        callers = [running.caller('north-1'), running.caller('south-1')]
+        for number in range(COPIES):
+            await callers[number % 2].chat(FATAL_CHAT)
+            await running.wait_standins()
+        ends = [(await running.runs(name))['ends'] for name in names]
+        assert sum(ends) <= SENDS_LIMIT
--- a/wrenspoke/standin/engine.py
+++ b/wrenspoke/standin/engine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import time
 
 from aiohttp import web
@@ -80,6 +81,9 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.tokens = 0
         self.cancels = 0
+        # What ends this engine for a while, and how often that was done.
+        self.end: collections.abc.Callable[[int], None] | None = None
+        self.ends = 0
         self._running = 0
         self._waiting = 0
         self._slots = asyncio.Semaphore(model.slots)
@@ -109,7 +113,8 @@
         return application
 
     async def _chat(self, request: web.Request) -> web.StreamResponse:
-        body = msgspec.json.decode(await request.read())
+        raw = await request.read()
+        body = msgspec.json.decode(raw)
         name = request.headers.get(headers.ECHO, '')
         if self.faults.status:
             return self._plain_status(name)
@@ -118,6 +123,7 @@
                 status=503, headers={headers.ECHO: name, 'Retry-After': '1'}
             )
         stream = self._begin(request, body, name)
+        self._end_if_fatal(raw)
         session = request.headers.get(headers.SESSION) or body.get('user')
         task = asyncio.get_running_loop().create_task(
             self._generate(stream, session)
@@ -128,6 +134,17 @@
             return await self._send_stream(request, stream, stream.first)
         return await self._send_whole(request, stream, task)
 
+    def _end_if_fatal(self, raw: bytes) -> None:
+        fatal = self.faults.fatal_text
+        if not fatal or fatal.encode() not in raw or self.end is None:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.faults.fatal_after_ms / 1000, self._end)
+
+    def _end(self) -> None:
+        self.ends += 1
+        self.end(self.faults.back_after_ms)
+
     def _plain_status(self, name: str) -> web.Response:
         return web.Response(
             status=self.faults.status,
@@ -367,6 +384,7 @@
                 'orders': self.orders,
                 'tokens': self.tokens,
                 'cancels': self.cancels,
+                'ends': self.ends,
             },
         )
 
--- a/wrenspoke/standin/faults.py
+++ b/wrenspoke/standin/faults.py
@@ -12,6 +12,8 @@
     with another request's id, ``close_after_read`` counts a request and
     closes, ``status`` answers with that status, ``slow_factor``
     stretches all times, ``delay_ms`` holds every answer back.
+    ``fatal_text`` in a body ends an engine ``fatal_after_ms`` after it began
+    to run it; it is back ``back_after_ms`` later.
     """
 
     break_after_events: int = 0
@@ -24,3 +26,6 @@
     slow_factor: float = 1.0
     delay_ms: int = 0
     redirect_to: str = ''
+    fatal_text: str = ''
+    fatal_after_ms: int = 50
+    back_after_ms: int = 2_000
--- a/wrenspoke/standin/main.py
+++ b/wrenspoke/standin/main.py
@@ -10,9 +10,9 @@
 from wrenspoke import runtime
 from wrenspoke import settings
 from wrenspoke.standin import engine
+from wrenspoke.standin import lives
 from wrenspoke.standin import plain
 from wrenspoke.state import configuration
-from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
 
@@ -38,7 +38,7 @@
     deployment: settings.Deployment,
     names: list[str],
     model: engine.EngineModel,
-) -> dict[str, web.HttpServer]:
+) -> dict[str, lives.Server]:
     """Start stand-ins; without names, for all endpoints."""
     servers = {}
     for endpoint in deployment.endpoints:
@@ -46,8 +46,8 @@
             continue
         address = urllib.parse.urlsplit(endpoint.url)
         standin = build(deployment, endpoint, model)
-        server = web.HttpServer(standin.application())
-        await server.start(address.hostname, address.port)
+        server = lives.Server(standin, address.hostname, address.port)
+        await server.start()
         servers[endpoint.endpoint] = server
     return servers
 
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -304,6 +304,15 @@
         """Stop listening and end what is left."""
         await self._runner.cleanup()
 
+    async def abort(self) -> None:
+        """Break every connection off, as the end of a process does."""
+        for site in list(self._runner.sites):
+            await site.stop()
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self.close()
+
 
 class PlainServer:
     """Serve a handler on one IP number and port, without routes.
