Let all leases and ages go on while a machine is suspended

Cause: the one clock read the steady clock, which stands still while a machine is suspended. Leader's and configuration leases, shares of limits, registrations, what was heard when and the age of messages took old for new afterwards; and messages of a machine that had been suspended counted as expired for good, as their ages are told by its clock.

Change: the one clock reads the time since the boot. Timers of the loop still go by the steady clock and fire late; every lease is looked at as it is used.

Ruled out: a watch over both clocks that doubts everything after a jump, as each lease would have to know of it.

Before and after: 16 rows, one for each lease and age, fail with the steady clock and pass now.

--- a/wrenspoke/clock.py
+++ b/wrenspoke/clock.py
@@ -1,4 +1,10 @@
-"""The one clock: whole milliseconds, monotonic and wall."""
+"""The one clock: whole milliseconds, since the boot and of the day.
+
+Time goes on while a machine is suspended, and leases and ages go on with
+it: what was heard before is old afterwards. The steady clock that timers go
+by stands still then, so that they fire late; what may be done is looked at
+as it is done.
+"""
 
 import asyncio
 import time
@@ -10,8 +16,8 @@
     """Tell the time in milliseconds; tests replace it by a fake."""
 
     def mono_ms(self) -> int:
-        """Return monotonic time, for durations, leases and deadlines."""
-        return time.monotonic_ns() // NS_PER_MS
+        """Return time that only grows, for durations and leases."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
     def wall_ms(self) -> int:
         """Return time since the epoch, for issue times and expiries."""
