Ask again whether a chat may leave as it is given its connection

Cause: the own interface looked before a connection was made, up to 0.4 s before the first byte; the passed-through way looks as the body leaves.

Change: its sends ask by the same means, once there is a connection. Each part of the quarantine has a row in benches.switched_off: 19 rows, all fail as they must (one survived at first; its test now looks at what others are told).

Before and after: a hold that comes while the connection is made: sent, not sent.

--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -17,6 +17,7 @@
 import tempfile
 
 from benches import switches
+from benches import switches_quarantine
 from benches import switches_teams
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -823,7 +824,11 @@
     names = parser.parse_args().name
     chosen = [
         switch
-        for switch in [*SWITCHES, *switches_teams.SWITCHES]
+        for switch in [
+            *SWITCHES,
+            *switches_teams.SWITCHES,
+            *switches_quarantine.SWITCHES,
+        ]
         if not names or any(name in switch.name for name in names)
     ]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- /dev/null
+++ b/benches/switches_quarantine.py
@@ -0,0 +1,146 @@
+"""Rows of ``benches.switched_off``: requests that end endpoints, suspension."""
+
+from benches import switches
+
+DECISIONS = switches.DECISIONS
+QUARANTINE = DECISIONS + 'quarantine/'
+Switch = switches.Switch
+FLEET = 'tests/test_quarantined_fleet.py'
+UNITS = 'tests/test_quarantine.py'
+
+SWITCHES = [
+    Switch(
+        'broken connections count as ends',
+        QUARANTINE + 'guard.py',
+        'if not await self._watch.broke(run) or not run.digest:',
+        'if not run.digest:',
+        f'{UNITS}::test_request_is_held_after_three_ends',
+    ),
+    Switch(
+        'ends that were told beforehand count',
+        QUARANTINE + 'guard.py',
+        'if self._good.lately(run.digest) or self._leaves(run.endpoint):',
+        'if self._good.lately(run.digest):',
+        f'{UNITS}::test_request_is_held_after_three_ends',
+    ),
+    Switch(
+        'good ends at the same host forgotten',
+        QUARANTINE + 'guard.py',
+        'if self._good.lately(run.digest) or self._leaves(run.endpoint):',
+        'if self._leaves(run.endpoint):',
+        f'{UNITS}::test_good_end_clears_what_was_held_against_it',
+    ),
+    Switch(
+        'good ends at other hosts not asked for',
+        QUARANTINE + 'guard.py',
+        'if self._good.lately(hold.digest)\n            ]',
+        'if False\n            ]',
+        f'{FLEET}::test_content_that_works_elsewhere_is_let_go',
+    ),
+    Switch(
+        'a look for each run',
+        QUARANTINE + 'runs.py',
+        'if look is None or now_ms - look.began_ms > SAME_END_MS:',
+        'if True:',
+        f'{UNITS}::test_one_look_serves_all_runs_of_an_endpoint',
+    ),
+    Switch(
+        'an end counts for each host that tells it',
+        QUARANTINE + 'ended_runs.py',
+        'if any(_is_same(end, endpoint, ended_ms) for end in ends):',
+        'if False:',
+        f'{UNITS}::test_an_end_is_counted_once',
+    ),
+    Switch(
+        'floods push out what ended more than one',
+        QUARANTINE + 'ended_runs.py',
+        'kept, limit = self._once, KEPT_ONCE',
+        'kept, limit = self._repeated, KEPT_REPEATED',
+        f'{UNITS}::test_flood_of_others_pushes_out_nothing_that_ended_more'
+        '_than_one',
+    ),
+    Switch(
+        'nobody told by control hosts',
+        QUARANTINE + 'gatherer.py',
+        '            self._tasks.start(self._tell(found), fatal=False)\n',
+        '',
+        f'{FLEET}::test_region_that_is_cut_off_holds_it_by_itself',
+    ),
+    Switch(
+        'nothing decided',
+        QUARANTINE + 'gatherer.py',
+        'if not self._elected.has_lease or self._deciding:',
+        'if True:',
+        f'{FLEET}::test_every_host_holds_it_within_a_part_of_a_second',
+    ),
+    Switch(
+        'what could not be told is dropped',
+        QUARANTINE + 'reports.py',
+        '            queue.ends.extendleft(reversed(ends))\n',
+        '',
+        f'{FLEET}::test_ends_on_both_sides_of_a_cut_add_up',
+    ),
+    Switch(
+        'control hosts that start are told nothing again',
+        QUARANTINE + 'reports.py',
+        'if answer.life != queue.life:',
+        'if False:',
+        f'{FLEET}::test_what_a_control_host_forgot_it_is_told_again',
+    ),
+    Switch(
+        'no trials',
+        QUARANTINE + 'gatherer.py',
+        'entered += self._due_for_trial(now_ms)',
+        'pass',
+        f'{FLEET}::test_trial_that_goes_well_ends_it',
+    ),
+    Switch(
+        'trials begin at nothing',
+        QUARANTINE + 'gatherer.py',
+        'before = 0 if decided is None else decided.ends',
+        'before = 0',
+        f'{FLEET}::test_trial_after_its_time_and_longer_after_another_end',
+    ),
+    Switch(
+        'holds stay after an operator ended them',
+        QUARANTINE + 'gatherer.py',
+        '            self._tasks.start(self._tell([], gone), fatal=False)\n',
+        '            pass\n',
+        f'{UNITS}::test_chat_is_served_again_once_an_operator_lets_it',
+    ),
+    Switch(
+        'passed-through calls do not ask',
+        DECISIONS + 'serving/passthrough.py',
+        'if held_ms is not None:',
+        'if False:',
+        f'{UNITS}::test_host_that_starts_holds_what_was_decided',
+    ),
+    Switch(
+        'passed-through bodies leave unasked',
+        DECISIONS + 'serving/sending.py',
+        'if self._guard.held_ms(call.digest) is not None:',
+        'if False:',
+        f'{UNITS}::test_word_that_comes_while_a_connection_is_made_is_in_time',
+    ),
+    Switch(
+        'chats do not ask',
+        DECISIONS + 'serving/dispatch.py',
+        'if send.purpose in WORK and context.held_ms is not None:',
+        'if False:',
+        'tests/test_dispatch.py',
+    ),
+    Switch(
+        'chats leave unasked',
+        DECISIONS + 'serving/dispatch.py',
+        'may_leave=lambda: self._held_ms(send) is None,',
+        'may_leave=None,',
+        f'{UNITS}::test_chat_that_waits_for_a_connection_is_held_back',
+    ),
+    Switch(
+        'time stands still with the machine',
+        'wrenspoke/clock.py',
+        'time.clock_gettime_ns(time.CLOCK_BOOTTIME)',
+        'time.monotonic_ns()',
+        'tests/test_suspended.py',
+    ),
+]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,18 +4,22 @@
 import contextlib
 import socket
 
+import msgspec
 import pytest
 
 from tests import endpoints
 from tests import fleet
 from tests import nodes
+from tests import test_dispatch
 from tests import test_fatal_requests
 from tests import test_passing
+from wrenspoke.coordination import errors as coordination_errors
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import ended_runs
 from wrenspoke.coordination.quarantine import good_ends
 from wrenspoke.coordination.quarantine import guard as guards
 from wrenspoke.coordination.quarantine import holds
+from wrenspoke.coordination.serving import dispatch
 from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import quarantining
@@ -24,6 +28,7 @@
 from wrenspoke.state import plans
 from wrenspoke.state import quarantine
 from wrenspoke.transport import reachable
+from wrenspoke.transport import web
 
 FATAL = test_fatal_requests.FATAL
 CALL = ('team', 'POST', 'h', '/a/x?q', b'body')
@@ -270,6 +275,8 @@
     assert host.told.clears == ['d']
     await host.end('e', 'f', 'g')
     assert host.guard.held_ms('d') is None
+    # Nor is it held against it elsewhere.
+    assert [endpoint for _digest, endpoint in host.told.ends] == ['a', 'b']
     host.clock.now_ms += good_ends.KEPT_MS
     await host.end('h', 'i', 'j')
     assert host.guard.held_ms('d') is not None
@@ -412,6 +419,92 @@
         assert endpoints.header(got, 'Wrenspoke-Refused') == 'quarantined'
 
 
+@pytest.mark.parametrize('body', [b'', b'body'])
+async def test_word_that_comes_while_a_connection_is_made_is_in_time(
+    tmp_path, monkeypatch, body
+):
+    async with test_fatal_requests.passing_system(tmp_path) as system:
+        host = system.entries[0]
+        connector = host._client._pooled.connector
+        connect = connector._create_connection
+        digest_of = fingerprints.digest_of
+        seen = []
+
+        def note(*arguments):
+            seen.append(digest_of(*arguments))
+            return seen[-1]
+
+        async def connect_late(*arguments):
+            made = await connect(*arguments)
+            host._guard._hold(quarantining.Hold(seen[-1], 3, 60_000))
+            return made
+
+        monkeypatch.setattr(fingerprints, 'digest_of', note)
+        monkeypatch.setattr(connector, '_create_connection', connect_late)
+        got = await test_fatal_requests.ask(system, 0, body, 'q')
+        assert endpoints.header(got, 'Wrenspoke-Refused') == 'quarantined'
+        assert not any(engine.requests for engine in system.engines)
+
+
+async def test_chat_that_waits_for_a_connection_is_held_back(tmp_path):
+    """By the own interface, too; what is no work still goes."""
+    held = []
+
+    class Guard(guards.Guard):
+        def held_ms(self, digest):
+            return 1_000 if held else None
+
+    clock = FakeClock()
+    engine = await endpoints.ScriptedEndpoint(
+        lambda sent, _number: [test_passing.answer(sent, extra=b'X-A: 1\r\n')]
+    ).start()
+    known = replica.Replica()
+    known.current = configuration.Configuration(
+        endpoints={
+            'e': configuration.Endpoint(
+                'e',
+                's',
+                'north',
+                'hall',
+                f'http://{engine.address}',
+                echoes_request_id=False,
+            )
+        }
+    )
+    known.serving = True
+    client = web.HttpClient(1_000)
+    guard = Guard(known, Told(), NoPeers(), lambda _name: False, clock)
+    dispatcher = dispatch.Dispatcher(
+        'h', 'north', known, client, clock, guard=guard
+    )
+    connect = client._pooled.connector._create_connection
+
+    async def connect_late(*arguments):
+        made = await connect(*arguments)
+        held.append(True)
+        return made
+
+    client._pooled.connector._create_connection = connect_late
+    head = test_dispatch.HEAD
+    head = msgspec.structs.replace(head, deadline_ms=clock.now_ms + 500)
+    slot = test_dispatch.slot(known.current.endpoints['e'])
+    work = dispatch.Send(
+        dispatch.Purpose.FIRST, 'e', 'GET', '/', None, head, slot
+    )
+    with pytest.raises(coordination_errors.NotSentError):
+        async with dispatcher.send(work):
+            pass
+    assert engine.requests == []
+    cancel = dispatch.Send(
+        dispatch.Purpose.CANCEL, 'e', 'GET', '/', None, head
+    )
+    async with dispatcher.send(cancel):
+        pass
+    assert len(engine.requests) == 1
+    await client.close()
+    await engine.close()
+
+
 async def test_chat_is_served_again_once_an_operator_lets_it(tmp_path):
     made = fleet.deployment(engines=4, controls=3)
     names = [
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -257,6 +257,7 @@
                 self._headers(send),
                 send.body,
                 fresh=once,
+                may_leave=lambda: self._held_ms(send) is None,
             ) as response:
                 self._refuse_overload(send, response)
                 self._refuse_crossed(send, endpoint, response)
@@ -287,8 +288,11 @@
         return self._guard.began(send.head.digest, send.endpoint, address)
 
     def _held_ms(self, send: Send) -> int | None:
+        """Return for how long endpoints are sent no such work."""
         if self._guard is None or send.head is None:
             return None
+        if send.purpose not in WORK:
+            return None
         return self._guard.held_ms(send.head.digest)
 
     async def _broke(self, run: runs.Run | None) -> None:
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -143,16 +143,20 @@
         headers: collections.abc.Mapping[str, str],
         body: bytes | None = None,
         fresh: bool = False,
+        may_leave: collections.abc.Callable[[], bool] | None = None,
     ) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
         """Send one request and yield its answer once the head is here.
 
         Leaving the block before the body has been read closes the
-        connection, which cancels the work on the other side.
+        connection, which cancels the work on the other side. ``may_leave``
+        is asked once there is a connection.
 
         :raises NotSentError: no connection was made
+        :raises HeldBackError: it may not leave any more
         :raises MaybeSentError: the connection ended before the head came
         """
         session = self._fresh if fresh else self._pooled
+        asked = connecting.MAY_LEAVE.set(may_leave)
         try:
             response = await session.request(
                 method,
@@ -165,6 +169,8 @@
             raise errors.NotSentError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise errors.MaybeSentError(repr(error)) from error
+        finally:
+            connecting.MAY_LEAVE.reset(asked)
         try:
             yield response
         finally:
