--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -1,8 +1,8 @@
 """A control host's part in agreement: elections and the replicated log.
 
 The rules are Raft's (Ongaro and Ousterhout, 2014), with pre-votes, a
-leader's lease in monotonic time and changes of one voter at a time. What
-differs is how a lost disk comes back. Every disk has an incarnation; a
+leader's lease in time since the boot and changes of one voter at a time.
+What differs is how a lost disk comes back. Every disk has an incarnation; a
 vote counts under the incarnation that was admitted. A new disk learns
 without a vote, and the leader admits it by two committed changes (the old
 incarnation out, the new one in) once it has caught up and synced. A disk
--- a/wrenspoke/coordination/quarantine/ended_runs.py
+++ b/wrenspoke/coordination/quarantine/ended_runs.py
@@ -22,9 +22,10 @@
 # Callers that ask again do so within seconds or minutes.
 KEPT_MS = 600_000
 # What ends under once is many, as all that an endpoint ran has it, and says
-# little; what it pushes out is older and says no more. 0.6 KB each.
+# little; what it pushes out is older and says no more. 0.4 KB each.
 KEPT_ONCE = 3_000
-# More than once is rare, and only ends of endpoints make such an entry.
+# More than once is rare, and only ends of endpoints make such an entry;
+# 0.7 KB each.
 KEPT_REPEATED = 1_000
 
 End = tuple[ids.EndpointId, int]
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -240,7 +240,7 @@
 
 
 class Moment(msgspec.Struct, array_like=True, frozen=True):
-    """Name a moment by a host's own monotonic clock, in one of its lives.
+    """Name a moment by a host's own clock, in one of its lives.
 
     It means nothing to others, who give it back as it was.
     """
--- a/wrenspoke/protocol/requests.py
+++ b/wrenspoke/protocol/requests.py
@@ -42,9 +42,9 @@
 class RequestHead(msgspec.Struct, frozen=True):
     """Hold everything about a request but its body.
 
-    ``deadline_ms`` is on this host's monotonic clock. ``resend`` says
-    that an earlier attempt may exist, as far as the caller let us know;
-    ``minted`` that the caller gave no id and this host made one. ``key`` is
+    ``deadline_ms`` is on this host's clock. ``resend`` says that an
+    earlier attempt may exist, as far as the caller let us know; ``minted``
+    that the caller gave no id and this host made one. ``key`` is
     what the caller proves its team by; it goes no further than this host.
     ``digest`` names what is asked for, whatever the request is called.
     """
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -3,7 +3,7 @@
 ZeroMQ keeps messages for a peer that is cut off and delivers them minutes
 later. Links therefore queue nothing for an absent peer, and every message
 carries its cluster, its sender's epoch and how long it is good for. Its
-age is told by the sender's monotonic clock against the quickest message
+age is told by the sender's clock against the quickest message
 of that sender and epoch: times of day may jump.
 
 Where hosts find each other at run time there are no keys; a host is then
