--- /dev/null
+++ b/benches/fatal_prompt.py
@@ -0,0 +1,85 @@
+"""Send a prompt that ends engines again and again, beside ordinary ones.
+
+    python -m benches.fatal_prompt [--controls N]
+
+Two regions of an entry host and four engines each. The prompt ends an engine
+50 ms after it began to run it; the engine is back 2 s later. It comes 14 times
+in 14 s by turns at both hosts, beside 56 prompts of their own and 56 that say
+the same. Prints how many engines ended and how each kind was answered.
+"""
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import tempfile
+
+from tests import fleet
+
+FATAL = 'fatal prompt'
+FATAL_AFTER_MS = 50
+BACK_AFTER_MS = 2_000
+INTERVAL_S = 0.25
+PROMPTS = 56
+# Of the ordinary prompts, beside every so manieth the other one comes.
+FATAL_EVERY = 4
+
+
+def chat(text: str) -> dict:
+    """Return the body of a prompt."""
+    message = {'role': 'user', 'content': text}
+    return {'model': fleet.MODEL, 'messages': [message]}
+
+
+async def play(controls: int, folder: pathlib.Path) -> None:
+    """Run the hosts, send the prompts and print what became of them."""
+    made = fleet.deployment(engines=4, controls=controls)
+    engines = [
+        found['endpoint']
+        for found in made['endpoints']
+        if found['service'] == 'chat'
+    ]
+    ended: dict[str, collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+    async with fleet.running(folder, made) as running:
+        for engine in engines:
+            await running.faults(
+                engine,
+                fatal_text=FATAL,
+                fatal_after_ms=FATAL_AFTER_MS,
+                back_after_ms=BACK_AFTER_MS,
+            )
+        callers = [running.caller('north-1'), running.caller('south-1')]
+
+        async def ask(kind: str, number: int, text: str) -> None:
+            found = await callers[number % 2].chat(chat(text))
+            ended[kind][f'{found.outcome} {found.reason}'.strip()] += 1
+
+        async with asyncio.TaskGroup() as asked:
+            for number in range(PROMPTS):
+                turn, rest = divmod(number, FATAL_EVERY)
+                if not rest:
+                    asked.create_task(ask('fatal', turn, FATAL))
+                text = f'ordinary {number}'
+                asked.create_task(ask('ordinary', number, text))
+                asked.create_task(ask('same', number, 'the same'))
+                await asyncio.sleep(INTERVAL_S)
+        await running.wait_standins()
+        ends = [(await running.runs(engine))['ends'] for engine in engines]
+    print(f'engines ended: {sum(ends)}')
+    for kind, counts in sorted(ended.items()):
+        print(f'{kind}: {dict(counts)}')
+
+
+def main() -> None:
+    """Parse arguments and play."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--controls', type=int, default=3)
+    controls = parser.parse_args().controls
+    with tempfile.TemporaryDirectory() as name:
+        asyncio.run(play(controls, pathlib.Path(name)))
+
+
+if __name__ == '__main__':
+    main()
