Tell all hosts again where a request ends endpoints without a leader

Cause: a region that is cut off holds such a request by its control host's word for a minute. The host that ended an endpoint after that was told again, the others were not, and each of them ended one: 30 ends in four minutes at ten hosts (read in the code, shown by a test that failed first).

Change: the word is given again. What was forgotten before anybody could decide on it is not decided any more. The module that reports is named after what it holds.

--- a/benches/switches_quarantine.py
+++ b/benches/switches_quarantine.py
@@ -66,6 +66,14 @@
         '',
         f'{FLEET}::test_region_that_is_cut_off_holds_it_by_itself',
     ),
+    Switch(
+        'nobody told again',
+        QUARANTINE + 'gatherer.py',
+        'now_ms - told_ms < TOLD_AGAIN_MS',
+        'True',
+        f'{FLEET}::test_region_that_is_cut_off_for_long_tries_it_once_a'
+        '_minute',
+    ),
     Switch(
         'nothing decided',
         QUARANTINE + 'gatherer.py',
@@ -82,14 +90,14 @@
     ),
     Switch(
         'what could not be told is dropped',
-        QUARANTINE + 'reports.py',
+        QUARANTINE + 'reporter.py',
         '            queue.ends.extendleft(reversed(ends))\n',
         '',
         f'{FLEET}::test_ends_on_both_sides_of_a_cut_add_up',
     ),
     Switch(
         'control hosts that start are told nothing again',
-        QUARANTINE + 'reports.py',
+        QUARANTINE + 'reporter.py',
         'if answer.life != queue.life:',
         'if False:',
         f'{FLEET}::test_what_a_control_host_forgot_it_is_told_again',
--- a/tests/test_quarantined_fleet.py
+++ b/tests/test_quarantined_fleet.py
@@ -99,6 +99,26 @@
     test()
 
 
+def test_region_that_is_cut_off_for_long_tries_it_once_a_minute():
+    """And not once at each of its hosts."""
+
+    @played
+    async def test():
+        fleet = await quarantined_fleet.Fleet(30).start()
+        fleet.cut_region(2)
+        cut_off = [h for h in fleet.hosts.values() if h.region == 2]
+        await end_three(fleet, cut_off[:3])
+        minutes, sent = 4, 0
+        for number in range(minutes * 60):
+            await fleet.wait_ms(1_000)
+            host = cut_off[number % len(cut_off)]
+            sent += await host.send(FATAL, next(fleet.endpoints))
+        assert minutes - 1 <= sent <= 2 * minutes
+        await fleet.close()
+
+    test()
+
+
 def test_ends_on_both_sides_of_a_cut_add_up():
     @played
     async def test():
--- a/wrenspoke/coordination/quarantine/gatherer.py
+++ b/wrenspoke/coordination/quarantine/gatherer.py
@@ -37,6 +37,9 @@
 # before it is decided. It is held meanwhile.
 OBJECTION_MS = 350
 CALL_TIMEOUT_MS = 1_000
+# Without a leader holds end by themselves: who ends one more endpoint then
+# has all others told again, or each of them would end one.
+TOLD_AGAIN_MS = holds.UNDECIDED_HOLD_MS // 2
 
 # Returns the entry hosts of this region, or of all.
 Hosts = collections.abc.Callable[[bool], list[ids.HostId]]
@@ -71,7 +74,8 @@
         self._clock = clock
         self._life = ids.new_unique()
         self._ended = ended_runs.EndedRuns(clock)
-        # Requests found to end endpoints and not decided on, with since when.
+        # Requests found to end endpoints and not decided on, with when entry
+        # hosts were told.
         self._fatal_ms: dict[ids.RequestDigest, int] = {}
         # Those in quarantine that came to a good end.
         self._cleared: set[ids.RequestDigest] = set()
@@ -116,7 +120,10 @@
             return False
         self._ended.note(end.digest, end.endpoint, now_ms - end.age_ms)
         ends = self._ends(end.digest)
-        if ends < ended_runs.FATAL_ENDS or end.digest in self._fatal_ms:
+        if ends < ended_runs.FATAL_ENDS:
+            return False
+        told_ms = self._fatal_ms.get(end.digest)
+        if told_ms is not None and now_ms - told_ms < TOLD_AGAIN_MS:
             return False
         logger.warning(
             'request_ends_endpoints',
@@ -219,6 +226,10 @@
                 self._ended.clear(before.digest)
                 gone.append(before.digest)
         self._cleared &= now.keys()
+        for digest in list(self._fatal_ms):
+            if self._ends(digest) < ended_runs.FATAL_ENDS:
+                # Forgotten before anybody could decide on it.
+                del self._fatal_ms[digest]
         if gone:
             self._tasks.start(self._tell([], gone), fatal=False)
 
@@ -236,8 +247,8 @@
         now_ms = self._clock.mono_ms()
         entered = [
             quarantine.Quarantined(digest, self._ends(digest))
-            for digest, since_ms in self._fatal_ms.items()
-            if now_ms - since_ms >= OBJECTION_MS
+            for digest, told_ms in self._fatal_ms.items()
+            if now_ms - told_ms >= OBJECTION_MS
         ]
         entered += self._due_for_trial(now_ms)
         if not entered and not self._cleared:
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -16,7 +16,7 @@
 from wrenspoke.coordination.quarantine import ended_runs
 from wrenspoke.coordination.quarantine import good_ends
 from wrenspoke.coordination.quarantine import holds
-from wrenspoke.coordination.quarantine import reports
+from wrenspoke.coordination.quarantine import reporter as reporters
 from wrenspoke.coordination.quarantine import runs
 from wrenspoke import ids
 from wrenspoke.protocol import peers as peer_calls
@@ -40,7 +40,7 @@
     def __init__(
         self,
         held: replica.Replica,
-        reporter: reports.Reporter,
+        reporter: reporters.Reporter,
         peers: peer_calls.Peers,
         leaves: Leaves,
         clock: clocks.Clock,
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -22,7 +22,7 @@
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.membership import views
 from wrenspoke.coordination.quarantine import guard
-from wrenspoke.coordination.quarantine import reports as ends_reports
+from wrenspoke.coordination.quarantine import reporter
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import choice
@@ -217,7 +217,7 @@
         """Build what holds back requests that end endpoints."""
         self._guard = guard.Guard(
             self.replica,
-            ends_reports.Reporter(self.group.others, self.peers, self.clock),
+            reporter.Reporter(self.group.others, self.peers, self.clock),
             self.peers,
             self._leaves,
             self.clock,
