Look again at an endpoint that lived, and wait longer than a call does

Cause: two ways in which an end is missed, found by reading. A look that found an endpoint alive served for half a second: beside lost answers, three a second at each endpoint, most ends would not be looked at. And a look was given up after 50 ms: behind a full link, or with its packet lost, it says nothing.

Change: only refused connections, and looks under way, serve for others. A call waits 50 ms as before; the look goes on up to 1.5 s and counts then, also if its caller has left.

Before and after: a lost answer, then an end at the same endpoint: not counted, counted. A look that takes long: not counted, counted.

--- a/benches/switches_quarantine.py
+++ b/benches/switches_quarantine.py
@@ -40,10 +40,17 @@
     Switch(
         'a look for each run',
         QUARANTINE + 'runs.py',
-        'if look is None or now_ms - look.began_ms > SAME_END_MS:',
+        'if look is None or not look.serves(now_ms):',
         'if True:',
         f'{UNITS}::test_one_look_serves_all_runs_of_an_endpoint',
     ),
+    Switch(
+        'an endpoint that lived is taken to live on',
+        QUARANTINE + 'runs.py',
+        'return not self.refused.done() or self.refused.result()',
+        'return True',
+        f'{UNITS}::test_endpoint_that_lived_is_looked_at_again',
+    ),
     Switch(
         'an end counts for each host that tells it',
         QUARANTINE + 'ended_runs.py',
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -268,6 +268,38 @@
     assert len(host.told.ends) == 20
 
 
+async def test_look_that_takes_long_counts_once_it_is_done(monkeypatch):
+    """The call is sent on meanwhile, or its caller has left."""
+    host = Host()
+    done = asyncio.Event()
+
+    async def look(_address, _timeout_ms):
+        await done.wait()
+        return True
+
+    monkeypatch.setattr(host.guard._watch, '_look', look)
+    monkeypatch.setattr(guards, 'LOOK_WAIT_MS', 1)
+    await host.end('a', 'b')
+    left = asyncio.ensure_future(host.end('c'))
+    await asyncio.sleep(0)
+    left.cancel()
+    assert host.told.ends == []
+    done.set()
+    while len(host.told.ends) < 3:
+        await asyncio.sleep(0)
+    assert host.guard.held_ms('d') is not None
+    await host.guard.close()
+
+
+async def test_endpoint_that_lived_is_looked_at_again():
+    """An answer was lost there a moment before it ended."""
+    host = Host(refused=False)
+    await host.guard.broke(host.guard.began('other', 'a', 'a:1'))
+    host.refused = True
+    await host.end('a', 'b', 'c')
+    assert host.guard.held_ms('d') is not None
+
+
 async def test_good_end_clears_what_was_held_against_it():
     host = Host()
     await host.end('a', 'b')
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -6,6 +6,7 @@
 what one of them or this host found counts until that is decided.
 """
 
+import asyncio
 import collections
 import collections.abc
 
@@ -21,13 +22,18 @@
 from wrenspoke import ids
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke.protocol import quarantining
+from wrenspoke import runtime
 from wrenspoke.state import quarantine
 from wrenspoke.transport import reachable
 
 logger = structlog.get_logger(__name__)
 
+# A call that broke off waits for so long to know by what, before it is sent
+# again: two dozen times what a look at an endpoint takes as a rule.
+LOOK_WAIT_MS = 50
 # A caller is told to come back no sooner.
 LEAST_WAIT_MS = 1_000
+MS_PER_S = 1_000
 # As many as are kept of what is decided.
 KEPT_LIMIT = quarantine.KEPT_LIMIT
 
@@ -60,6 +66,7 @@
         # Since when what was decided is known here.
         self._known_ms: dict[quarantine.Quarantined, int] = {}
         self._life = ids.new_unique()
+        self._tasks = runtime.Tasks()
         self.refused = 0
         reporter.tell_holds(self._hold)
         peers.answers(quarantining.HoldOff)(self._hear_holds)
@@ -67,6 +74,7 @@
 
     async def close(self) -> None:
         """Tell nobody any more."""
+        await self._tasks.close()
         await self._reporter.close()
 
     # What may be sent.
@@ -118,6 +126,15 @@
     async def broke(self, run: runs.Run) -> None:
         """Find out whether a run that broke off ended its endpoint.
 
+        It is found out and noted also where that takes longer than a call
+        waits for it, or its caller leaves.
+        """
+        noting = self._tasks.start(self._note_broken(run), fatal=False)
+        await asyncio.wait([noting], timeout=LOOK_WAIT_MS / MS_PER_S)
+
+    async def _note_broken(self, run: runs.Run) -> None:
+        """Count a run against its request, if its endpoint ended.
+
         A request that ran to a good end of late is not held for it, nor any
         whose endpoint was about to leave.
         """
--- a/wrenspoke/coordination/quarantine/runs.py
+++ b/wrenspoke/coordination/quarantine/runs.py
@@ -3,7 +3,8 @@
 A connection that breaks says little: an answer may have been lost, or the
 way to the endpoint cut. An endpoint has ended if connections to it are
 refused right after. All calls that it ran break at that moment, so one look
-serves for all of them.
+serves for all of them; that an endpoint lived says nothing of what breaks
+after the look.
 """
 
 import asyncio
@@ -18,9 +19,9 @@
 
 logger = structlog.get_logger(__name__)
 
-# Endpoints are near: a connection takes a millisecond or two. A call waits
-# for this look before it is sent again.
-LOOK_TIMEOUT_MS = 50
+# Endpoints are near: a connection takes a millisecond or two, but behind a
+# full link or after a packet was lost, which is sent again after a second.
+LOOK_TIMEOUT_MS = 1_500
 # All calls of an endpoint that ends break within some milliseconds; one
 # that is back takes seconds to start.
 SAME_END_MS = 500
@@ -47,6 +48,12 @@
     began_ms: int
     refused: asyncio.Future
 
+    def serves(self, now_ms: int) -> bool:
+        """Tell whether it shows what a run broke by that breaks now."""
+        if now_ms - self.began_ms > SAME_END_MS:
+            return False
+        return not self.refused.done() or self.refused.result()
+
 
 class RunWatch:
     """Tell runs that ended their endpoint from runs that broke."""
@@ -80,7 +87,7 @@
     async def _has_ended(self, run: Run) -> bool:
         look = self._looks.get(run.endpoint)
         now_ms = self._clock.mono_ms()
-        if look is None or now_ms - look.began_ms > SAME_END_MS:
+        if look is None or not look.serves(now_ms):
             self._forget_looks(now_ms)
             look = self._looks[run.endpoint] = _Look(
                 now_ms,
@@ -93,5 +100,5 @@
 
     def _forget_looks(self, now_ms: int) -> None:
         for endpoint, look in list(self._looks.items()):
-            if now_ms - look.began_ms > SAME_END_MS:
+            if not look.serves(now_ms):
                 del self._looks[endpoint]
