Watch sends to endpoints by one piece for both ways in

Cause: read once more, the change had the same wrapping twice: each sender began a run, caught two kinds of broken sends and told the guard; each way of sending over HTTP set and reset what is asked as a connection is given; and three places asked in three ways whether a request in quarantine is held.

Change: Guard.watching, connecting.asking and quarantine.held serve them. A method that nothing called is gone, a loop is a power, a constant that shared its name with another has its own.

--- a/wrenspoke/coordination/quarantine/ended_runs.py
+++ b/wrenspoke/coordination/quarantine/ended_runs.py
@@ -75,14 +75,6 @@
         """Return how many endpoints ended under a request."""
         return len(self._ends(digest))
 
-    def fatal(self) -> list[ids.RequestDigest]:
-        """Return the requests that are taken to end endpoints."""
-        return [
-            digest
-            for digest, ends in self._repeated.items()
-            if len(ends) >= FATAL_ENDS
-        ]
-
     def _ends(self, digest: ids.RequestDigest) -> list[End]:
         return self._once.get(digest) or self._repeated.get(digest) or []
 
--- a/wrenspoke/coordination/quarantine/gatherer.py
+++ b/wrenspoke/coordination/quarantine/gatherer.py
@@ -114,8 +114,7 @@
 
     def _note(self, end: quarantining.RunEnd, now_ms: int) -> bool:
         """Note an end; return whether it makes its request a fatal one."""
-        decided = self._decided(end.digest)
-        if decided is not None and not decided.on_probation:
+        if quarantine.held(self._quarantine, end.digest) is not None:
             # Sent before that was known.
             return False
         self._ended.note(end.digest, end.endpoint, now_ms - end.age_ms)
@@ -134,22 +133,21 @@
         self._fatal_ms[end.digest] = now_ms
         return True
 
-    def _decided(
-        self, digest: ids.RequestDigest
-    ) -> quarantine.Quarantined | None:
-        return self._replica.current.quarantine.get(digest)
+    @property
+    def _quarantine(self) -> quarantine.Quarantine:
+        """Return what is decided, as far as it is known here."""
+        return self._replica.current.quarantine
 
     def _ends(self, digest: ids.RequestDigest) -> int:
         """Return how many endpoints ended, those before a trial too."""
-        decided = self._decided(digest)
+        decided = self._quarantine.get(digest)
         before = 0 if decided is None else decided.ends
         return before + self._ended.count(digest)
 
     def _is_held(self, digest: ids.RequestDigest) -> bool:
-        decided = self._decided(digest)
-        if decided is not None and not decided.on_probation:
+        if digest in self._fatal_ms:
             return True
-        return digest in self._fatal_ms
+        return quarantine.held(self._quarantine, digest) is not None
 
     def _hold_of(self, digest: ids.RequestDigest) -> quarantining.Hold:
         ends = self._ends(digest)
@@ -161,7 +159,7 @@
         if self._fatal_ms.pop(digest, None) is not None:
             logger.info('request_cleared', digest=digest)
             self._tasks.start(self._tell([], [digest]), fatal=False)
-        if digest in self._replica.current.quarantine:
+        if digest in self._quarantine:
             self._cleared.add(digest)
 
     # Telling entry hosts.
@@ -209,7 +207,7 @@
 
     def _take_decisions(self) -> None:
         """Note what was decided since, and tell what was let go."""
-        now = self._replica.current.quarantine
+        now = self._quarantine
         for found in now.values():
             if found not in self._decided_ms:
                 self._decided_ms[found] = self._clock.mono_ms()
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -9,10 +9,12 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import ended_runs
 from wrenspoke.coordination.quarantine import good_ends
@@ -24,6 +26,7 @@
 from wrenspoke.protocol import quarantining
 from wrenspoke import runtime
 from wrenspoke.state import quarantine
+from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import reachable
 
 logger = structlog.get_logger(__name__)
@@ -82,8 +85,8 @@
     def held_ms(self, digest: ids.RequestDigest) -> int | None:
         """Return for how long a request is held, None if it may be sent."""
         now_ms = self._clock.mono_ms()
-        decided = self._replica.current.quarantine.get(digest)
-        if decided is not None and not decided.on_probation:
+        decided = quarantine.held(self._replica.current.quarantine, digest)
+        if decided is not None:
             # It is let go by who decided, and no sooner.
             left_ms = self._decided_until_ms(decided) - now_ms
             return max(left_ms, LEAST_WAIT_MS)
@@ -105,6 +108,25 @@
 
     # How runs end.
 
+    @contextlib.asynccontextmanager
+    async def watching(
+        self,
+        digest: ids.RequestDigest,
+        endpoint: ids.EndpointId,
+        address: str,
+    ) -> collections.abc.AsyncIterator[runs.Run]:
+        """Watch what an endpoint is sent for as long as the block lasts.
+
+        Where it broke off, it is found out by what before it may be sent
+        again.
+        """
+        run = self.began(digest, endpoint, address)
+        try:
+            yield run
+        except (errors.MaybeSentError, transport_errors.MaybeSentError):
+            await self.broke(run)
+            raise
+
     def began(
         self,
         digest: ids.RequestDigest,
--- a/wrenspoke/coordination/quarantine/holds.py
+++ b/wrenspoke/coordination/quarantine/holds.py
@@ -15,7 +15,5 @@
 
 def hold_ms(ends: int) -> int:
     """Return for how long a request is held after so many ends."""
-    hold = FIRST_HOLD_MS
-    for _more in range(ends - ended_runs.FATAL_ENDS):
-        hold = min(2 * hold, LONGEST_HOLD_MS)
-    return hold
+    trials = max(ends - ended_runs.FATAL_ENDS, 0)
+    return min(FIRST_HOLD_MS * 2**trials, LONGEST_HOLD_MS)
--- a/wrenspoke/coordination/quarantine/reporter.py
+++ b/wrenspoke/coordination/quarantine/reporter.py
@@ -3,8 +3,7 @@
 Every control host is told, so that whichever leads knows what all hosts of
 all regions have seen, also right after another led. Told to all entry hosts
 instead, an end under 16 calls at 200 hosts costs 3,184 messages and 258 KB,
-to six control hosts 96 and 8 KB, and is known 1 ms later
-(``python -m benches.fatal_requests``).
+to six control hosts 96 and 8 KB (``python -m benches.fatal_requests``).
 """
 
 import asyncio
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -18,7 +18,6 @@
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import guard as guards
-from wrenspoke.coordination.quarantine import runs
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import placement
 from wrenspoke import ids
@@ -249,16 +248,18 @@
         endpoint = self._checked(send)
         self.sent += send.purpose in WORK
         once = send.head is not None and send.head.once
-        run = self._run_of(send, endpoint)
         try:
-            async with self._client.send(
-                send.method,
-                endpoint.url + send.path,
-                self._headers(send),
-                send.body,
-                fresh=once,
-                may_leave=lambda: self._held_ms(send) is None,
-            ) as response:
+            async with (
+                self._watched(send, endpoint) as run,
+                self._client.send(
+                    send.method,
+                    endpoint.url + send.path,
+                    self._headers(send),
+                    send.body,
+                    fresh=once,
+                    may_leave=lambda: self._held_ms(send) is None,
+                ) as response,
+            ):
                 self._refuse_overload(send, response)
                 self._refuse_crossed(send, endpoint, response)
                 _refuse_endless(send, response)
@@ -270,36 +271,29 @@
                 send.ticket.unsent()
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
-            await self._broke(run)
             raise errors.MaybeSentError(str(error)) from error
-        except errors.MaybeSentError:
-            await self._broke(run)
-            raise
 
-    def _run_of(
-        self, send: Send, endpoint: configuration.Endpoint
-    ) -> runs.Run | None:
-        """Return the run that a send begins, None where it gives no work."""
+    def _is_guarded(self, send: Send) -> bool:
+        """Tell whether a send gives work that may end its endpoint."""
         if self._guard is None or send.head is None:
-            return None
-        if send.purpose not in WORK:
-            return None
+            return False
+        return send.purpose in WORK
+
+    def _watched(
+        self, send: Send, endpoint: configuration.Endpoint
+    ) -> contextlib.AbstractAsyncContextManager:
+        """Return what watches a send; nothing where it gives no work."""
+        if not self._is_guarded(send):
+            return contextlib.nullcontext()
         address = urllib.parse.urlsplit(endpoint.url).netloc
-        return self._guard.began(send.head.digest, send.endpoint, address)
+        return self._guard.watching(send.head.digest, send.endpoint, address)
 
     def _held_ms(self, send: Send) -> int | None:
         """Return for how long endpoints are sent no such work."""
-        if self._guard is None or send.head is None:
-            return None
-        if send.purpose not in WORK:
+        if not self._is_guarded(send):
             return None
         return self._guard.held_ms(send.head.digest)
 
-    async def _broke(self, run: runs.Run | None) -> None:
-        """Find out, before it may be sent again, what a run broke by."""
-        if run is not None:
-            await self._guard.broke(run)
-
     def _checked(self, send: Send) -> configuration.Endpoint:
         endpoint = self._replica.current.endpoints.get(send.endpoint)
         if endpoint is None:
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -448,9 +448,10 @@
     call: dialects.Call, permit: access.Permit
 ) -> ids.RequestDigest:
     """Return what a call asks for; a team may show another key each time."""
-    caller = repr(call.credentials)
     if permit.team is not None:
         caller = permit.team.team
+    else:
+        caller = repr(call.credentials)
     return fingerprints.digest_of(
         caller, call.method, call.host, call.target, call.body
     )
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -19,7 +19,6 @@
 
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.quarantine import guard as guards
-from wrenspoke.coordination.quarantine import runs
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import choice
@@ -178,18 +177,23 @@
         fields = self._fields(call, permit, place, left_ms, last_event)
         body = call.body or None
         client = self._endpoints if place.host is None else self._hosts
-        run = None
+        watched = contextlib.nullcontext()
         if place.endpoint is not None:
-            run = self._guard.began(call.digest, place.endpoint, place.address)
+            watched = self._guard.watching(
+                call.digest, place.endpoint, place.address
+            )
         try:
-            async with client.pass_on(
-                call.method,
-                place.address,
-                call.target,
-                fields,
-                body,
-                may_leave,
-            ) as response:
+            async with (
+                watched as run,
+                client.pass_on(
+                    call.method,
+                    place.address,
+                    call.target,
+                    fields,
+                    body,
+                    may_leave,
+                ) as response,
+            ):
                 verdict = self._verdict(call, place, response)
                 answer = Answer(response, verdict, place.host is not None)
                 try:
@@ -203,11 +207,7 @@
         except transport_errors.NotSentError as error:
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
-            await self._broke(run)
             raise errors.MaybeSentError(str(error)) from error
-        except errors.MaybeSentError:
-            await self._broke(run)
-            raise
 
     def _may_leave(
         self, call: dialects.Call, permit: access.Permit, place: Place
@@ -217,11 +217,6 @@
             return False
         return self._access.may_enter(call, permit, place.host, place.regions)
 
-    async def _broke(self, run: runs.Run | None) -> None:
-        """Find out, before it may be sent again, what a run broke by."""
-        if run is not None:
-            await self._guard.broke(run)
-
     def _note_traffic(
         self, call: dialects.Call, place: Place, answer: Answer
     ) -> None:
--- a/wrenspoke/state/quarantine.py
+++ b/wrenspoke/state/quarantine.py
@@ -24,6 +24,16 @@
 Quarantine = dict[ids.RequestDigest, Quarantined]
 
 
+def held(
+    all_known: Quarantine, digest: ids.RequestDigest
+) -> Quarantined | None:
+    """Return what says that a request is not to be sent, None if it may."""
+    found = all_known.get(digest)
+    if found is None or found.on_probation:
+        return None
+    return found
+
+
 def changed(
     old: Quarantine,
     entered: tuple[Quarantined, ...],
--- a/wrenspoke/transport/connecting.py
+++ b/wrenspoke/transport/connecting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import contextvars
 import socket
 import typing
@@ -43,7 +44,7 @@
         self, *arguments: typing.Any, **named: typing.Any
     ) -> connectors.Connection:
         found = await super().connect(*arguments, **named)
-        may_leave = MAY_LEAVE.get()
+        may_leave = _MAY_LEAVE.get()
         if may_leave is not None and not may_leave():
             found.release()
             raise errors.HeldBackError('it may not leave any more')
@@ -76,7 +77,7 @@
 
 
 # Asked as a request is given its connection; a body asks once more.
-MAY_LEAVE: contextvars.ContextVar[
+_MAY_LEAVE: contextvars.ContextVar[
     collections.abc.Callable[[], bool] | None
 ] = contextvars.ContextVar('may_leave', default=None)
 # The sockets that the connecting task has opened.
@@ -85,6 +86,18 @@
 )
 
 
+@contextlib.contextmanager
+def asking(
+    may_leave: collections.abc.Callable[[], bool] | None,
+) -> collections.abc.Iterator[None]:
+    """Have what is sent within the block leave only if it still may."""
+    asked = _MAY_LEAVE.set(may_leave)
+    try:
+        yield
+    finally:
+        _MAY_LEAVE.reset(asked)
+
+
 def _is_connected(opened: socket.socket) -> bool:
     try:
         opened.getpeername()
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -156,21 +156,19 @@
         :raises MaybeSentError: the connection ended before the head came
         """
         session = self._fresh if fresh else self._pooled
-        asked = connecting.MAY_LEAVE.set(may_leave)
         try:
-            response = await session.request(
-                method,
-                url,
-                headers=headers,
-                data=body,
-                allow_redirects=False,
-            )
+            with connecting.asking(may_leave):
+                response = await session.request(
+                    method,
+                    url,
+                    headers=headers,
+                    data=body,
+                    allow_redirects=False,
+                )
         except aiohttp.InvalidURL as error:
             raise errors.NotSentError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise errors.MaybeSentError(repr(error)) from error
-        finally:
-            connecting.MAY_LEAVE.reset(asked)
         try:
             yield response
         finally:
@@ -198,22 +196,20 @@
         guarded = None
         if may_leave is not None and body:
             body = guarded = _GuardedBody(body, may_leave)
-        asked = connecting.MAY_LEAVE.set(may_leave)
         try:
-            response = await self._pooled.request(
-                method,
-                url,
-                headers=multidict.CIMultiDict(fields),
-                skip_auto_headers=ADDED_FIELDS,
-                data=body,
-                allow_redirects=False,
-            )
+            with connecting.asking(may_leave):
+                response = await self._pooled.request(
+                    method,
+                    url,
+                    headers=multidict.CIMultiDict(fields),
+                    skip_auto_headers=ADDED_FIELDS,
+                    data=body,
+                    allow_redirects=False,
+                )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if guarded is not None and guarded.held_back:
                 raise errors.HeldBackError(repr(error)) from error
             raise errors.MaybeSentError(repr(error)) from error
-        finally:
-            connecting.MAY_LEAVE.reset(asked)
         try:
             yield response
         finally:
