Let tests of requests that end engines share their set-up

Cause: engines were listed and told to end in three places alike, two tests of confirmed moments began alike, and nine tests wrapped a function in a function to play it in time of its own.

Change: Fleet.engine_faults and engine_ends, confirmed_follower, a decorator on the tests themselves. test_switches checks that every row finds its text; it fails for that row before the row was mended.

--- a/benches/fatal_prompt.py
+++ b/benches/fatal_prompt.py
@@ -34,22 +34,15 @@
 async def play(controls: int, folder: pathlib.Path) -> None:
     """Run the hosts, send the prompts and print what became of them."""
     made = fleet.deployment(engines=4, controls=controls)
-    engines = [
-        found['endpoint']
-        for found in made['endpoints']
-        if found['service'] == 'chat'
-    ]
     ended: dict[str, collections.Counter] = collections.defaultdict(
         collections.Counter
     )
     async with fleet.running(folder, made) as running:
-        for engine in engines:
-            await running.faults(
-                engine,
-                fatal_text=FATAL,
-                fatal_after_ms=FATAL_AFTER_MS,
-                back_after_ms=BACK_AFTER_MS,
-            )
+        await running.engine_faults(
+            fatal_text=FATAL,
+            fatal_after_ms=FATAL_AFTER_MS,
+            back_after_ms=BACK_AFTER_MS,
+        )
         callers = [running.caller('north-1'), running.caller('south-1')]
 
         async def ask(kind: str, number: int, text: str) -> None:
@@ -66,8 +59,8 @@
                 asked.create_task(ask('same', number, 'the same'))
                 await asyncio.sleep(INTERVAL_S)
         await running.wait_standins()
-        ends = [(await running.runs(engine))['ends'] for engine in engines]
-    print(f'engines ended: {sum(ends)}')
+        ends = await running.engine_ends()
+    print(f'engines ended: {ends}')
     for kind, counts in sorted(ended.items()):
         print(f'{kind}: {dict(counts)}')
 
--- a/benches/switches_hosts.py
+++ b/benches/switches_hosts.py
@@ -455,8 +455,10 @@
     Switch(
         'homes not looked at as a body leaves',
         DECISIONS + 'serving/sending.py',
-        ('                may_enter,\n'),
-        (''),
+        (
+            'return self._access.may_enter(call, permit, place.host, place.regions)'
+        ),
+        ('return True'),
         (
             'tests/test_homes.py::test_homes_are_looked_at_again_once_there_is_a_connection'
         ),
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -382,6 +382,24 @@
         """Make a stand-in misbehave."""
         await self._standin(endpoint, 'POST', '/faults', fields)
 
+    def engines(self) -> list[str]:
+        """Return the names of the engines."""
+        return [
+            endpoint.endpoint
+            for endpoint in self.settings.endpoints
+            if endpoint.service == 'chat'
+        ]
+
+    async def engine_faults(self, **fields) -> None:
+        """Make every engine misbehave; without fields, none any more."""
+        for engine in self.engines():
+            await self.faults(engine, **fields)
+
+    async def engine_ends(self) -> int:
+        """Return how often engines have ended under what they were sent."""
+        answers = [await self.runs(engine) for engine in self.engines()]
+        return sum(answer['ends'] for answer in answers)
+
     async def runs(self, endpoint: str) -> dict:
         """Return what a stand-in has run."""
         return await self._standin(endpoint, 'GET', '/runs', None)
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -133,19 +133,12 @@
     tmp_path, controls
 ):
     made = fleet.deployment(engines=4, controls=controls)
-    names = [
-        found['endpoint']
-        for found in made['endpoints']
-        if found['service'] == 'chat'
-    ]
     async with fleet.running(tmp_path, made) as running:
-        for name in names:
-            await running.faults(
-                name, fatal_text=FATAL.decode(), back_after_ms=50
-            )
+        await running.engine_faults(
+            fatal_text=FATAL.decode(), back_after_ms=50
+        )
         callers = [running.caller('north-1'), running.caller('south-1')]
         for number in range(COPIES):
             await callers[number % 2].chat(FATAL_CHAT)
             await running.wait_standins()
-        ends = [(await running.runs(name))['ends'] for name in names]
-        assert sum(ends) <= SENDS_LIMIT
+        assert await running.engine_ends() <= SENDS_LIMIT
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -227,15 +227,20 @@
     )
 
 
+async def confirmed_follower(system):
+    """Return a leader, a follower's voter and the moment it confirmed."""
+    leader = await system.found()
+    voter = follower_of(leader, system).voter
+    await system.until(lambda: voter.confirmed_age_ms is not None)
+    return leader, voter, voter._confirmed_ms
+
+
 def test_follower_confirms_moments_of_its_own_life_only():
     """A restarted host's clock may have begun anew."""
 
     async def play():
         system = group.Group()
-        leader = await system.found()
-        voter = follower_of(leader, system).voter
-        await system.until(lambda: voter.confirmed_age_ms is not None)
-        known_ms = voter._confirmed_ms
+        leader, voter, known_ms = await confirmed_follower(system)
         later_ms = known_ms + 5_000
         other = messages.Moment('another life', later_ms)
         await voter._answer_append(leader.name, append(voter, other))
@@ -251,10 +256,7 @@
 def test_follower_confirms_what_it_has_applied_only():
     async def play():
         system = group.Group()
-        leader = await system.found()
-        voter = follower_of(leader, system).voter
-        await system.until(lambda: voter.confirmed_age_ms is not None)
-        known_ms = voter._confirmed_ms
+        leader, voter, known_ms = await confirmed_follower(system)
         moment = messages.Moment(voter._life, known_ms + 5_000)
         await voter._answer_append(leader.name, append(voter, moment, ahead=1))
         assert voter._confirmed_ms == known_ms
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -539,16 +539,10 @@
 
 async def test_chat_is_served_again_once_an_operator_lets_it(tmp_path):
     made = fleet.deployment(engines=4, controls=3)
-    names = [
-        found['endpoint']
-        for found in made['endpoints']
-        if found['service'] == 'chat'
-    ]
     async with fleet.running(tmp_path, made) as running:
-        for name in names:
-            await running.faults(
-                name, fatal_text=FATAL.decode(), back_after_ms=50
-            )
+        await running.engine_faults(
+            fatal_text=FATAL.decode(), back_after_ms=50
+        )
         caller = running.caller('north-1')
         chat = test_fatal_requests.FATAL_CHAT
 
@@ -567,8 +561,7 @@
             return answer.body['quarantine']
 
         [digest] = await fleet.until(listed, 'a decision')
-        for name in names:
-            await running.faults(name)
+        await running.engine_faults()
         intent = {'type': 'clear_quarantine', 'digest': digest}
         planned = await operator.plan(1, intent)
         plan = planned.body['answer']['plan']
--- a/tests/test_quarantined_fleet.py
+++ b/tests/test_quarantined_fleet.py
@@ -6,6 +6,7 @@
 ``WRENSPOKE_SOAK_SEEDS=300``.
 """
 
+import functools
 import os
 
 import pytest
@@ -26,13 +27,12 @@
 
 
 def played(test):
-    """Run a test's fleet in time of its own."""
+    """Run a test in time of its own."""
 
+    @functools.wraps(test)
     def run(*arguments, **named):
         group.run(test(*arguments, **named))
 
-    run.__name__ = test.__name__
-    run.__doc__ = test.__doc__
     return run
 
 
@@ -43,22 +43,19 @@
 
 
 @pytest.mark.parametrize('count', [20, 60, 200])
-def test_every_host_holds_it_within_a_part_of_a_second(count):
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(count).start()
-        await end_three(fleet)
-        await fleet.wait_ms(500)
-        assert len(fleet.held_by(FATAL)) == count
-        await fleet.wait_ms(1_500)
-        # Decided, so that it holds on hosts that start now, too.
-        assert FATAL in fleet.state.configuration.quarantine
-        await fleet.restart_host(fleet.names[0])
-        await fleet.wait_ms(500)
-        assert len(fleet.held_by(FATAL)) == count
-        await fleet.close()
-
-    test()
+@played
+async def test_every_host_holds_it_within_a_part_of_a_second(count):
+    fleet = await quarantined_fleet.Fleet(count).start()
+    await end_three(fleet)
+    await fleet.wait_ms(500)
+    assert len(fleet.held_by(FATAL)) == count
+    await fleet.wait_ms(1_500)
+    # Decided, so that it holds on hosts that start now, too.
+    assert FATAL in fleet.state.configuration.quarantine
+    await fleet.restart_host(fleet.names[0])
+    await fleet.wait_ms(500)
+    assert len(fleet.held_by(FATAL)) == count
+    await fleet.close()
 
 
 def test_word_of_ends_does_not_grow_with_the_hosts():
@@ -78,133 +75,110 @@
     assert counts[0] == counts[1] == 3 * quarantined_fleet.CONTROLS
 
 
-def test_region_that_is_cut_off_holds_it_by_itself():
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(12).start()
-        fleet.cut_region(2)
-        cut_off = [h for h in fleet.hosts.values() if h.region == 2]
-        await end_three(fleet, cut_off[:3])
-        await fleet.wait_ms(200)
-        held = fleet.held_by(FATAL)
-        assert sorted(held) == sorted(host.name for host in cut_off)
-        assert FATAL not in fleet.state.configuration.quarantine
-        # Both sides learn of each other's once they can.
-        fleet.heal()
-        await fleet.wait_ms(CONTACT_MS)
-        assert FATAL in fleet.state.configuration.quarantine
-        assert len(fleet.held_by(FATAL)) == 12
-        await fleet.close()
-
-    test()
-
-
-def test_region_that_is_cut_off_for_long_tries_it_once_a_minute():
+@played
+async def test_region_that_is_cut_off_holds_it_by_itself():
+    fleet = await quarantined_fleet.Fleet(12).start()
+    fleet.cut_region(2)
+    cut_off = [h for h in fleet.hosts.values() if h.region == 2]
+    await end_three(fleet, cut_off[:3])
+    await fleet.wait_ms(200)
+    held = fleet.held_by(FATAL)
+    assert sorted(held) == sorted(host.name for host in cut_off)
+    assert FATAL not in fleet.state.configuration.quarantine
+    # Both sides learn of each other's once they can.
+    fleet.heal()
+    await fleet.wait_ms(CONTACT_MS)
+    assert FATAL in fleet.state.configuration.quarantine
+    assert len(fleet.held_by(FATAL)) == 12
+    await fleet.close()
+
+
+@played
+async def test_region_that_is_cut_off_for_long_tries_it_once_a_minute():
     """And not once at each of its hosts."""
-
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(30).start()
-        fleet.cut_region(2)
-        cut_off = [h for h in fleet.hosts.values() if h.region == 2]
-        await end_three(fleet, cut_off[:3])
-        minutes, sent = 4, 0
-        for number in range(minutes * 60):
-            await fleet.wait_ms(1_000)
-            host = cut_off[number % len(cut_off)]
-            sent += await host.send(FATAL, next(fleet.endpoints))
-        assert minutes - 1 <= sent <= 2 * minutes
-        await fleet.close()
-
-    test()
-
-
-def test_ends_on_both_sides_of_a_cut_add_up():
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(12).start()
-        fleet.cut_region(2)
-        hosts = list(fleet.hosts.values())
-        await end_three(fleet, [hosts[0], hosts[2], hosts[5]])
-        await fleet.wait_ms(1_000)
-        assert not fleet.held_by(FATAL)
-        fleet.heal()
-        await fleet.wait_ms(CONTACT_MS)
-        assert len(fleet.held_by(FATAL)) == 12
-        await fleet.close()
-
-    test()
-
-
-def test_what_a_control_host_forgot_it_is_told_again():
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(6).start()
-        one, other = list(fleet.hosts.values())[:2]
-        await one.send(FATAL, next(fleet.endpoints))
-        await one.send(FATAL, next(fleet.endpoints))
-        await fleet.wait_ms(500)
-        for name in list(fleet.controls):
-            await fleet.restart_control(name)
-        await one.send(FATAL, next(fleet.endpoints))
+    fleet = await quarantined_fleet.Fleet(30).start()
+    fleet.cut_region(2)
+    cut_off = [h for h in fleet.hosts.values() if h.region == 2]
+    await end_three(fleet, cut_off[:3])
+    minutes, sent = 4, 0
+    for number in range(minutes * 60):
         await fleet.wait_ms(1_000)
-        assert len(fleet.held_by(FATAL)) == 6
-        await fleet.close()
-
-    test()
-
-
-def test_content_that_works_elsewhere_is_let_go():
+        host = cut_off[number % len(cut_off)]
+        sent += await host.send(FATAL, next(fleet.endpoints))
+    assert minutes - 1 <= sent <= 2 * minutes
+    await fleet.close()
+
+
+@played
+async def test_ends_on_both_sides_of_a_cut_add_up():
+    fleet = await quarantined_fleet.Fleet(12).start()
+    fleet.cut_region(2)
+    hosts = list(fleet.hosts.values())
+    await end_three(fleet, [hosts[0], hosts[2], hosts[5]])
+    await fleet.wait_ms(1_000)
+    assert not fleet.held_by(FATAL)
+    fleet.heal()
+    await fleet.wait_ms(CONTACT_MS)
+    assert len(fleet.held_by(FATAL)) == 12
+    await fleet.close()
+
+
+@played
+async def test_what_a_control_host_forgot_it_is_told_again():
+    fleet = await quarantined_fleet.Fleet(6).start()
+    one, other = list(fleet.hosts.values())[:2]
+    await one.send(FATAL, next(fleet.endpoints))
+    await one.send(FATAL, next(fleet.endpoints))
+    await fleet.wait_ms(500)
+    for name in list(fleet.controls):
+        await fleet.restart_control(name)
+    await one.send(FATAL, next(fleet.endpoints))
+    await fleet.wait_ms(1_000)
+    assert len(fleet.held_by(FATAL)) == 6
+    await fleet.close()
+
+
+@played
+async def test_content_that_works_elsewhere_is_let_go():
     """It is common; three of the many that ran it ended by themselves."""
-
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(9).start()
-        hosts = list(fleet.hosts.values())
-        await hosts[8].send(FATAL, 'good', fatal=False)
-        await end_three(fleet, hosts[:3])
-        await fleet.wait_ms(1_000)
-        assert not fleet.held_by(FATAL)
-        await fleet.wait_ms(2_000)
-        assert FATAL not in fleet.state.configuration.quarantine
-        await fleet.close()
-
-    test()
-
-
-def test_trial_after_its_time_and_longer_after_another_end():
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(6).start()
-        await end_three(fleet)
-        await fleet.wait_ms(holds.hold_ms(ended_runs.FATAL_ENDS) + 3_000)
-        assert not fleet.held_by(FATAL)
-        host = list(fleet.hosts.values())[4]
-        assert await host.send(FATAL, next(fleet.endpoints))
-        await fleet.wait_ms(500)
-        assert len(fleet.held_by(FATAL)) == 6
-        await fleet.wait_ms(1_000)
-        [decided] = fleet.state.configuration.quarantine.values()
-        assert decided.ends == ended_runs.FATAL_ENDS + 1
-        assert host.guard.held_ms(FATAL) > holds.FIRST_HOLD_MS
-        await fleet.close()
-
-    test()
-
-
-def test_trial_that_goes_well_ends_it():
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(6).start()
-        await end_three(fleet)
-        await fleet.wait_ms(holds.hold_ms(ended_runs.FATAL_ENDS) + 3_000)
-        host = list(fleet.hosts.values())[4]
-        assert await host.send(FATAL, 'mended', fatal=False)
-        await fleet.wait_ms(2 * gatherer.LOOK_INTERVAL_MS + 1_000)
-        assert not fleet.state.configuration.quarantine
-        await fleet.close()
-
-    test()
+    fleet = await quarantined_fleet.Fleet(9).start()
+    hosts = list(fleet.hosts.values())
+    await hosts[8].send(FATAL, 'good', fatal=False)
+    await end_three(fleet, hosts[:3])
+    await fleet.wait_ms(1_000)
+    assert not fleet.held_by(FATAL)
+    await fleet.wait_ms(2_000)
+    assert FATAL not in fleet.state.configuration.quarantine
+    await fleet.close()
+
+
+@played
+async def test_trial_after_its_time_and_longer_after_another_end():
+    fleet = await quarantined_fleet.Fleet(6).start()
+    await end_three(fleet)
+    await fleet.wait_ms(holds.hold_ms(ended_runs.FATAL_ENDS) + 3_000)
+    assert not fleet.held_by(FATAL)
+    host = list(fleet.hosts.values())[4]
+    assert await host.send(FATAL, next(fleet.endpoints))
+    await fleet.wait_ms(500)
+    assert len(fleet.held_by(FATAL)) == 6
+    await fleet.wait_ms(1_000)
+    [decided] = fleet.state.configuration.quarantine.values()
+    assert decided.ends == ended_runs.FATAL_ENDS + 1
+    assert host.guard.held_ms(FATAL) > holds.FIRST_HOLD_MS
+    await fleet.close()
+
+
+@played
+async def test_trial_that_goes_well_ends_it():
+    fleet = await quarantined_fleet.Fleet(6).start()
+    await end_three(fleet)
+    await fleet.wait_ms(holds.hold_ms(ended_runs.FATAL_ENDS) + 3_000)
+    host = list(fleet.hosts.values())[4]
+    assert await host.send(FATAL, 'mended', fatal=False)
+    await fleet.wait_ms(2 * gatherer.LOOK_INTERVAL_MS + 1_000)
+    assert not fleet.state.configuration.quarantine
+    await fleet.close()
 
 
 class Series:
@@ -330,14 +304,11 @@
 
 
 @pytest.mark.parametrize('seed', range(SEEDS))
-def test_few_are_sent_late_whatever_happens_beside(seed):
-    @played
-    async def test():
-        fleet = await quarantined_fleet.Fleet(18, seed).start()
-        series = Series(fleet)
-        # One trial falls into it, and none after that.
-        await series.play(2 * holds.FIRST_HOLD_MS)
-        assert series.late <= LATE_LIMIT, series.ends_ms
-        await fleet.close()
-
-    test()
+@played
+async def test_few_are_sent_late_whatever_happens_beside(seed):
+    fleet = await quarantined_fleet.Fleet(18, seed).start()
+    series = Series(fleet)
+    # One trial falls into it, and none after that.
+    await series.play(2 * holds.FIRST_HOLD_MS)
+    assert series.late <= LATE_LIMIT, series.ends_ms
+    await fleet.close()
--- /dev/null
+++ b/tests/test_switches.py
@@ -0,0 +1,21 @@
+"""Each row of ``benches.switched_off`` still finds what it replaces."""
+
+import pathlib
+
+import pytest
+
+from benches import switches_hosts
+from benches import switches_quarantine
+from benches import switches_teams
+
+ROOT = pathlib.Path(__file__).parent.parent
+ROWS = [
+    *switches_hosts.SWITCHES,
+    *switches_quarantine.SWITCHES,
+    *switches_teams.SWITCHES,
+]
+
+
+@pytest.mark.parametrize('row', ROWS, ids=lambda row: row.name)
+def test_row_finds_its_text(row):
+    assert row.old in (ROOT / row.file).read_text()
