Log what an endpoint says of how much it takes, as it changes

Change: both senders read the header from an answer's head, whatever becomes of the answer, and log a line as a limit is first named, changes, ends or can't be read (bounded: one until it can be read again). Nothing is decided by it yet. Stand-in engines can name a limit and tell when requests came.

--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -16,6 +16,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import stated as stated_limits
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import guard as guards
 from wrenspoke.coordination.serving import bodies
@@ -224,6 +225,7 @@
         clock: clocks.Clock,
         awake: collections.abc.Callable[[], bool] = lambda: True,
         guard: guards.Guard | None = None,
+        stated: stated_limits.StatedLimits | None = None,
     ):
         self._host = host
         self._region = region
@@ -232,6 +234,7 @@
         self._clock = clock
         self._awake = awake
         self._guard = guard
+        self._stated = stated
         self.sent = 0
 
     @contextlib.asynccontextmanager
@@ -260,6 +263,7 @@
                     may_leave=lambda: self._held_ms(send) is None,
                 ) as response,
             ):
+                self._note_limit(send, response)
                 self._refuse_overload(send, response)
                 self._refuse_crossed(send, endpoint, response)
                 _refuse_endless(send, response)
@@ -273,6 +277,14 @@
         except transport_errors.MaybeSentError as error:
             raise errors.MaybeSentError(str(error)) from error
 
+    def _note_limit(
+        self, send: Send, response: aiohttp.ClientResponse
+    ) -> None:
+        """Note what an endpoint says of how much it takes."""
+        if self._stated is not None and send.purpose in WORK:
+            texts = response.headers.getall(headers.LIMIT, [])
+            self._stated.heard(send.endpoint, texts)
+
     def _is_guarded(self, send: Send) -> bool:
         """Tell whether a send gives work that may end its endpoint."""
         if self._guard is None or send.head is None:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -18,6 +18,7 @@
 import structlog
 
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import stated as stated_limits
 from wrenspoke.coordination.quarantine import guard as guards
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import bodies
@@ -147,6 +148,7 @@
         permitted: access.Access,
         sent: traffic.Traffic,
         guard: guards.Guard,
+        stated: stated_limits.StatedLimits,
     ):
         self._dialect = dialect
         self._access = permitted
@@ -154,6 +156,7 @@
         self._hosts = hosts
         self._traffic = sent
         self._guard = guard
+        self._stated = stated
 
     @contextlib.asynccontextmanager
     async def send(
@@ -194,6 +197,7 @@
                     may_leave,
                 ) as response,
             ):
+                self._note_limit(place, response)
                 verdict = self._verdict(call, place, response)
                 answer = Answer(response, verdict, place.host is not None)
                 try:
@@ -217,6 +221,14 @@
             return False
         return self._access.may_enter(call, permit, place.host, place.regions)
 
+    def _note_limit(
+        self, place: Place, response: aiohttp.ClientResponse
+    ) -> None:
+        """Note what an endpoint says of how much it takes."""
+        if place.endpoint is not None:
+            texts = response.headers.getall(self._dialect.limit, [])
+            self._stated.heard(place.endpoint, texts)
+
     def _note_traffic(
         self, call: dialects.Call, place: Place, answer: Answer
     ) -> None:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -12,6 +12,7 @@
 from wrenspoke.coordination.limiting import bounds
 from wrenspoke.coordination.limiting import lender
 from wrenspoke.coordination.limiting import limiter
+from wrenspoke.coordination.limiting import stated
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import controls
@@ -297,6 +298,7 @@
                     self._access,
                     self._traffic,
                     self._guard,
+                    stated.StatedLimits(),
                 ),
                 self.attendance,
                 self._choice,
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -7,6 +7,7 @@
 
 from wrenspoke import arguments
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import stated
 from wrenspoke.coordination.membership import leaving
 from wrenspoke.coordination.membership import loads
 from wrenspoke.coordination.membership import members
@@ -153,6 +154,7 @@
             self._clock,
             lambda: self.members.awake,
             self._guard,
+            stated.StatedLimits(),
         )
         self._poller = polls.LoadPoller(
             self._settings,
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -13,6 +13,7 @@
 
 from wrenspoke import ids
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import headers
 
 # Headers that belong to one connection, by RFC 9110, and those by which
 # the body is framed, which each connection states anew.
@@ -51,6 +52,8 @@
     it keeps of the prompt.
     A health answer names its endpoint by ``instance`` and tells by
     ``warmup_ms`` how much longer it bears few requests only.
+    In answers ``limit`` names the requests a second that an endpoint takes
+    from all hosts together.
     ``authorization`` holds a team's key behind the word ``scheme``;
     ``team`` tells endpoints whose call it is.
     ``reserved`` headers are never passed on from callers.
@@ -68,6 +71,7 @@
     instance: str = 'Wrenspoke-Instance'
     warmup_ms: str = 'Wrenspoke-Warmup-Ms'
     fetch_from: str = 'Wrenspoke-Fetch-From'
+    limit: str = headers.LIMIT
     authorization: str = 'Authorization'
     scheme: str = 'Bearer'
     team: str = 'Wrenspoke-Team'
--- a/wrenspoke/protocol/errors.py
+++ b/wrenspoke/protocol/errors.py
@@ -36,3 +36,7 @@
         super().__init__(f'{host} gave no answer')
         self.host = host
         self.sent = sent
+
+
+class MalformedRateError(ProtocolError):
+    """Say that an endpoint's word on its rate can't be read, and why."""
--- a/wrenspoke/protocol/headers.py
+++ b/wrenspoke/protocol/headers.py
@@ -10,6 +10,8 @@
 HOP = 'Wrenspoke-Hop'
 HOST = 'Wrenspoke-Host'
 LAST_EVENT_ID = 'Last-Event-ID'
+# An endpoint in need says how many requests a second it takes from all hosts.
+LIMIT = 'Server-Limit'
 ONCE = 'Wrenspoke-Once'
 OUTCOME = 'Wrenspoke-Outcome'
 PRIORITY = 'Wrenspoke-Priority'
--- a/wrenspoke/standin/engine.py
+++ b/wrenspoke/standin/engine.py
@@ -22,6 +22,7 @@
 logger = structlog.get_logger(__name__)
 
 KEPT_STREAMS = 2_048
+KEPT_ARRIVALS = 4_096
 RESUME_GRACE_S = 2.0
 DEFAULT_TOKENS = 16
 
@@ -84,6 +85,9 @@
         # What ends this engine for a while, and how often that was done.
         self.end: collections.abc.Callable[[int], None] | None = None
         self.ends = 0
+        self._arrivals_s: collections.deque[float] = collections.deque(
+            maxlen=KEPT_ARRIVALS
+        )
         self._running = 0
         self._waiting = 0
         self._slots = asyncio.Semaphore(model.slots)
@@ -101,6 +105,7 @@
     def application(self) -> web.Application:
         """Return the application to be served."""
         application = web.Application(client_max_size=64 * 1024 * 1024)
+        application.on_response_prepare.append(self._name_limit)
         router = application.router
         router.add_post('/v1/chat/completions', self._chat)
         router.add_get('/v1/streams/{request}', self._resume)
@@ -112,8 +117,15 @@
         router.add_post('/faults', self._set_faults)
         return application
 
+    async def _name_limit(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.faults.limit_text:
+            response.headers[headers.LIMIT] = self.faults.limit_text
+
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         raw = await request.read()
+        self._arrivals_s.append(time.monotonic())
         body = msgspec.json.decode(raw)
         name = request.headers.get(headers.ECHO, '')
         if self.faults.status:
@@ -297,6 +309,7 @@
         return request.headers.get(headers.ECHO, '')
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
+        self._arrivals_s.append(time.monotonic())
         stream = self._streams.get(request.match_info['request'])
         if stream is None or self._abandoned(stream):
             return web.Response(
@@ -385,6 +398,7 @@
                 'tokens': self.tokens,
                 'cancels': self.cancels,
                 'ends': self.ends,
+                'arrivals_s': list(self._arrivals_s),
             },
         )
 
--- a/wrenspoke/standin/faults.py
+++ b/wrenspoke/standin/faults.py
@@ -12,6 +12,7 @@
     with another request's id, ``close_after_read`` counts a request and
     closes, ``status`` answers with that status, ``slow_factor``
     stretches all times, ``delay_ms`` holds every answer back.
+    ``limit_text`` is named in each answer as the engine's limit.
     ``fatal_text`` in a body ends an engine ``fatal_after_ms`` after it began
     to run it; it is back ``back_after_ms`` later.
     """
@@ -26,6 +27,7 @@
     slow_factor: float = 1.0
     delay_ms: int = 0
     redirect_to: str = ''
+    limit_text: str = ''
     fatal_text: str = ''
     fatal_after_ms: int = 50
     back_after_ms: int = 2_000
