Part what the limiter of teams does into pieces that others can use

Cause: an engine's limit wants to be one more whole that is parted by the piece that exists, but finding the host of a region that lends, leaving out those that fall silent, and an amount that fills up at a limit's rate stood within what is known of teams.

Change: limiting.lenders and limiting.levels; Limiter and Holding use them.

--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -130,7 +130,9 @@
 
 
 def share_of_a_limit(clock):
-    held = lender.Holding(lender.Demand(clock.mono_ms()), clock.mono_ms())
+    held = lender.Holding(
+        clock.mono_ms(), demand=lender.Demand(clock.mono_ms())
+    )
     held.share = 1.0
     held.until_ms = clock.mono_ms() + allocator.SHARE_LEASE_MS
 
--- a/wrenspoke/coordination/limiting/lender.py
+++ b/wrenspoke/coordination/limiting/lender.py
@@ -17,6 +17,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.limiting import allocator
 from wrenspoke.coordination.limiting import bounds
+from wrenspoke.coordination.limiting import levels
 from wrenspoke.coordination.membership import attendance
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
@@ -105,37 +106,21 @@
         self._largest_ms *= math.exp(-passed_ms / LARGEST_KEPT_MS)
 
 
-@dataclasses.dataclass(slots=True)
-class Holding:
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Holding(levels.Level):
     """Hold this lender's share of one team's limit, and its level.
 
-    Amounts are milliseconds of the limit's rate. ``short`` says that the
-    last answer granted less than was wanted.
+    ``short`` says that the last answer granted less than was wanted.
     """
 
     demand: Demand
-    filled_ms: int
-    depth_ms: float = 0.0
-    share: float = 0.0
-    until_ms: int = 0
-    level_ms: float = 0.0
     returned_ms: float = 0.0
     short: bool = False
 
-    def fill(self, now_ms: int) -> None:
-        """Let the level grow, or end with the lease."""
-        if now_ms >= self.until_ms:
-            self.share = 0.0
-            self.level_ms = min(self.level_ms, 0.0)
-        self.level_ms += self.share * (now_ms - self.filled_ms)
-        self.level_ms = min(self.level_ms, self.share * self.depth_ms)
-        self.filled_ms = now_ms
-
     @property
     def unused(self) -> bool:
         """Tell whether more is held than is used."""
-        full_ms = self.share * self.depth_ms
-        return self.share > 0 and self.level_ms >= FULL_SHARE * full_ms
+        return self.share > 0 and self.level_ms >= FULL_SHARE * self.full_ms
 
     def wanted(self, now_ms: int) -> float:
         """Return the share that answers the demand."""
@@ -151,15 +136,6 @@
             self.level_ms = rest_ms
         self.share = share
 
-    def wait_ms(self, amount_ms: float) -> float | None:
-        """Return when the level holds an amount, None if it never does."""
-        lacking_ms = amount_ms - self.level_ms
-        if lacking_ms <= 0:
-            return 0.0
-        if self.share <= 0:
-            return None
-        return lacking_ms / self.share
-
 
 class Lender:
     """Admit calls of teams by shares of their limits."""
@@ -235,7 +211,7 @@
         now_ms = self._clock.mono_ms()
         held = self._held.get(team)
         if held is None:
-            held = self._held[team] = Holding(Demand(now_ms), now_ms)
+            held = self._held[team] = Holding(now_ms, demand=Demand(now_ms))
         held.depth_ms = self._allowed.depth_ms(limit)
         return held
 
--- /dev/null
+++ b/wrenspoke/coordination/limiting/levels.py
@@ -0,0 +1,46 @@
+"""An amount that fills up at the rate of a limit, or of a share of it."""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(slots=True)
+class Level:
+    """Hold a share of a limit, and the amount that it has filled up.
+
+    Amounts are milliseconds of the limit's rate.
+    """
+
+    filled_ms: int
+    depth_ms: float = 0.0
+    share: float = 0.0
+    until_ms: float = 0
+    level_ms: float = 0.0
+
+    def fill(self, now_ms: int) -> None:
+        """Let the level grow, or end with the lease."""
+        if now_ms >= self.until_ms:
+            self.share = 0.0
+            self.level_ms = min(self.level_ms, 0.0)
+        self.level_ms += self.share * (now_ms - self.filled_ms)
+        self.level_ms = min(self.level_ms, self.full_ms)
+        self.filled_ms = now_ms
+
+    @property
+    def full_ms(self) -> float:
+        """Return the most that it holds."""
+        return self.share * self.depth_ms
+
+    def wait_ms(self, amount_ms: float) -> float | None:
+        """Return when the level holds an amount, None if it never does."""
+        lacking_ms = amount_ms - self.level_ms
+        if lacking_ms <= 0:
+            return 0.0
+        if self.share <= 0:
+            return None
+        return lacking_ms / self.share
+
+
+def endless(now_ms: int) -> Level:
+    """Return an empty level that holds all of a limit, for good."""
+    return Level(now_ms, share=1.0, until_ms=math.inf)
--- a/wrenspoke/coordination/limiting/limiter.py
+++ b/wrenspoke/coordination/limiting/limiter.py
@@ -4,24 +4,19 @@
 work is done for it. What was taken and ran nothing is given back, once.
 """
 
-import collections.abc
 import dataclasses
 
-import structlog
-
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.limiting import allocator
 from wrenspoke.coordination.limiting import bounds
-from wrenspoke.coordination.limiting import lender as lenders
+from wrenspoke.coordination.limiting import lender as lending
+from wrenspoke.coordination.limiting import lenders
 from wrenspoke import ids
-from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke.state import teams
 
-logger = structlog.get_logger(__name__)
-
 # Beyond what a lender waits itself: a way within the region and a busy host.
 ANSWER_MARGIN_MS = 150
 # A lender that gave no answer is left alone until its shares have ended:
@@ -29,8 +24,6 @@
 LEFT_ALONE_MS = allocator.SHARE_LEASE_MS
 # Lenders that are asked for one call; the last is this host itself.
 LENDERS_TRIED = 2
-# The region's hosts, this one too, in the order that all draw for a key.
-Order = collections.abc.Callable[[str], list[str]]
 
 
 class OverLimitError(errors.CoordinationError):
@@ -58,19 +51,17 @@
     def __init__(
         self,
         host: ids.HostId,
-        order: Order,
-        lender: lenders.Lender,
+        order: lenders.Order,
+        lender: lending.Lender,
         allowed: bounds.OvershootBounds,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
     ):
         self._host = host
-        self._order = order
+        self._lenders = lenders.Lenders(order, LEFT_ALONE_MS, peers, clock)
         self._lender = lender
         self._allowed = allowed
-        self._peers = peers
         self._clock = clock
-        self._silent_ms: dict[ids.HostId, int] = {}
         self._given_back: dict[ids.TeamId, list[Taken]] = {}
 
     async def take(self, team: teams.Team, tokens: int) -> Taken | None:
@@ -95,41 +86,15 @@
         self, team: ids.TeamId, amount: float
     ) -> limiting.AmountGranted:
         message = limiting.AskAmount(team, amount)
-        timeout_ms = lenders.LONGEST_WAIT_MS + ANSWER_MARGIN_MS
-        for host in self._lenders_of(team):
+        timeout_ms = lending.LONGEST_WAIT_MS + ANSWER_MARGIN_MS
+        for host in self._lenders.answering(team, LENDERS_TRIED):
             if host == self._host:
                 break
-            try:
-                answer = await self._peers.call(host, message, timeout_ms)
-            except protocol_errors.ProtocolError as error:
-                self._silent_ms[host] = self._clock.mono_ms()
-                logger.info('lender_silent', peer=host, reason=str(error))
-                continue
+            answer = await self._lenders.ask(host, message, timeout_ms)
             if isinstance(answer, limiting.AmountGranted):
                 return answer
         return await self._lender.take(team, amount)
 
-    def _lenders_of(self, team: ids.TeamId) -> list[ids.HostId]:
-        """Return the hosts to ask for a team, the region's first."""
-        answering: list[ids.HostId] = []
-        for name in self._order(team):
-            host = ids.HostId(name)
-            if self._is_silent(host):
-                continue
-            answering.append(host)
-            if len(answering) == LENDERS_TRIED:
-                break
-        return answering
-
-    def _is_silent(self, host: ids.HostId) -> bool:
-        silent_ms = self._silent_ms.get(host)
-        if silent_ms is None:
-            return False
-        if self._clock.mono_ms() - silent_ms < LEFT_ALONE_MS:
-            return True
-        del self._silent_ms[host]
-        return False
-
     def _take_given_back(
         self, team: teams.Team, amount: float, now_ms: int
     ) -> bool:
