Give metrics again on entry hosts

Callers of GET /metrics saw 500 since requests are held in quarantine. Cause: two gauges were set that the table of metrics did not name (KeyError); no test asked for metrics. Found as a test of a gauge for limits failed.

Change: the table names them. tests/test_metrics.py asks an entry host, and holds the table against the page for operators; both tests fail on the code before and pass now.

--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,26 @@
+"""Metrics are given, and each is one that the pages name."""
+
+import pathlib
+import re
+
+import aiohttp
+
+from tests import fleet
+from wrenspoke import metrics
+
+PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'OPERATIONS.md'
+ROW = re.compile(r'^\| `(wrenspoke_\w+)` \|', re.MULTILINE)
+
+
+def test_every_metric_is_on_the_page():
+    assert set(ROW.findall(PAGE.read_text())) == set(metrics.NAMES)
+
+
+async def test_entry_host_gives_its_metrics(tmp_path):
+    made = fleet.deployment(regions=('north',))
+    async with fleet.running(tmp_path, made) as running:
+        async with aiohttp.ClientSession() as session:
+            async with session.get(running.url('north-1') + '/metrics') as got:
+                assert got.status == 200
+                text = await got.text()
+    assert 'wrenspoke_requests_in_quarantine{' in text
--- a/wrenspoke/metrics.py
+++ b/wrenspoke/metrics.py
@@ -12,6 +12,12 @@
     'wrenspoke_endpoint_sends_total': 'sends of work to endpoints',
     'wrenspoke_retries_spent_total': 'retries taken from the budget',
     'wrenspoke_retries_denied_total': 'retries the budget did not allow',
+    'wrenspoke_quarantine_refused_total': (
+        'requests turned away as endpoints ended under them'
+    ),
+    'wrenspoke_requests_in_quarantine': (
+        'requests that are in quarantine, trials too'
+    ),
     'wrenspoke_configuration_index': 'index of the configuration in force',
     'wrenspoke_serving': '1 while this host serves callers',
     'wrenspoke_draining': '1 while this host is leaving',
