--- /dev/null
+++ b/benches/endpoint_limits.py
@@ -0,0 +1,189 @@
+"""Compare ways to keep what hosts send to an engine within what it names.
+
+    python -m benches.endpoint_limits [--seeds N]
+
+Calls come for 30 s to hosts of one region with three engines, in time of
+their own (``tests.stated_fleet``); one engine names a limit, or all do. Each
+row is a size and a limit, each column a way: the most that any 4 s held over
+what is allowed, which part of the limits was used, what was refused of all
+calls, messages a second over all hosts, and how long a call took until it
+was sent or refused, median and 99 of 100.
+"""
+
+import argparse
+import statistics
+
+import structlog
+import tqdm
+
+from tests import group
+from tests import stated_fleet
+from tests import test_stated_fleet
+from wrenspoke.coordination.limiting import endpoint_lender
+from wrenspoke.coordination.serving import shares
+
+MS_PER_S = 1_000
+RENEW_MS = 500
+SETTLED_MS = test_stated_fleet.SETTLED_MS
+PLAY_MS = test_stated_fleet.PLAY_MS
+WAYS = {}
+
+
+def way(name):
+    """Return a decorator that adds a way under a name."""
+
+    def register(made):
+        WAYS[name] = made
+        return made
+
+    return register
+
+
+way('leave for each call')(stated_fleet.AskingHost)
+
+
+class Admission:
+    """Be a leave that this host gave itself."""
+
+    def __init__(self, host, engine):
+        self._host = host
+        self._engine = engine
+
+    def may_leave(self):
+        return True
+
+    def heard(self, texts, _proved):
+        rate_per_s = float(texts[0]) if texts else None
+        # The best case: all hosts know at once.
+        for host in self._host.fleet.hosts.values():
+            host.rates[self._engine.life] = rate_per_s
+
+
+@way('equal parts')
+class EqualParts:
+    """Give each host an equal part of each limit."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.clock = group.LoopClock()
+        self.peers = stated_fleet.Peers(name, fleet.network)
+        self.frozen = False
+        self.told_ms = {}
+        self.rates = {}
+        self.buckets = {}
+        self.alone_until_ms = {}
+
+    def wants(self, engine):
+        until_ms = self.alone_until_ms.get(engine.life, 0)
+        return self.clock.mono_ms() >= until_ms
+
+    def part_per_s(self, engine, rate_per_s):
+        """Return how much of an engine's limit this host may send."""
+        return rate_per_s / len(self.fleet.names)
+
+    async def admit(self, engine, _rank=0):
+        rate_per_s = self.rates.get(engine.life)
+        if rate_per_s is None:
+            return Admission(self, engine)
+        now_ms = self.clock.mono_ms()
+        bucket = self.buckets.get(engine.life)
+        if bucket is None:
+            bucket = shares.Bucket(0.0, 1.0, 0.0, now_ms)
+            self.buckets[engine.life] = bucket
+        rate_per_s = max(rate_per_s, endpoint_lender.LEAST_RATE_PER_S)
+        bucket.asked += 1
+        bucket.rate_per_s = self.part_per_s(engine, rate_per_s)
+        wait_ms = bucket.take(now_ms)
+        if not wait_ms:
+            return Admission(self, engine)
+        self.alone_until_ms[engine.life] = now_ms + min(wait_ms, MS_PER_S)
+        return None
+
+    async def close(self):
+        await self.peers.close()
+
+
+@way('parts leased by demand')
+class LeasedParts(EqualParts):
+    """Lease parts of a limit from one host, by what callers want here."""
+
+    def __init__(self, fleet, name):
+        super().__init__(fleet, name)
+        self.lender = shares.Lender(self.clock)
+        self.leased = {}
+        self.renewed_ms = {}
+
+    def part_per_s(self, engine, rate_per_s):
+        now_ms = self.clock.mono_ms()
+        renewed_ms = self.renewed_ms.get(engine.life, -RENEW_MS)
+        if now_ms - renewed_ms >= RENEW_MS:
+            bucket = self.buckets[engine.life]
+            wanted_per_s = bucket.asked / (now_ms - renewed_ms) * MS_PER_S
+            bucket.asked = 0
+            self.renewed_ms[engine.life] = now_ms
+            self.leased[engine.life] = self._lease(
+                engine, wanted_per_s, rate_per_s
+            )
+        return self.leased[engine.life]
+
+    def _lease(self, engine, wanted_per_s, rate_per_s):
+        lender = self.fleet.hosts[self.fleet.names[0]].lender
+        # A question and its answer.
+        self.peers.sent['leases'].messages += 2
+        return lender.grant(
+            engine.life.endpoint, self.name, wanted_per_s, rate_per_s
+        )
+
+
+def play(made, hosts, rate_per_s, limited, seed):
+    """Return what one way does at one size."""
+    fleet = test_stated_fleet.play(
+        hosts, rate_per_s, limited=limited, seed=seed, make=made
+    )
+    engines = fleet.engines[:limited]
+    took_ms = sorted(one.took_ms for one in fleet.called)
+    return (
+        max(engine.overrun() for engine in engines),
+        statistics.mean(
+            engine.used_share(SETTLED_MS, PLAY_MS) for engine in engines
+        ),
+        fleet.refused_share(SETTLED_MS),
+        fleet.messages_sent() / PLAY_MS * MS_PER_S,
+        took_ms[len(took_ms) // 2],
+        took_ms[len(took_ms) * 99 // 100],
+    )
+
+
+def main() -> None:
+    """Print a row for each size and limit."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=3)
+    seeds = range(parser.parse_args().seeds)
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(50)
+    )
+    cases = [
+        (hosts, rate_per_s, limited, name)
+        for limited in (1, 3)
+        for hosts in (20, 60, 200)
+        for rate_per_s in (1.2, 3.3, 10)
+        for name in WAYS
+    ]
+    for hosts, rate_per_s, limited, name in tqdm.tqdm(cases, disable=None):
+        found = [
+            play(WAYS[name], hosts, rate_per_s, limited, seed)
+            for seed in seeds
+        ]
+        means = [statistics.mean(column) for column in zip(*found)]
+        most = max(column[0] for column in found)
+        tqdm.tqdm.write(
+            f'{limited} limited, {hosts:3} hosts, {rate_per_s:4} a second, '
+            f'{name:22}: most {most:.2f}, used {means[1]:.2f}, '
+            f'refused {means[2]:.3f}, messages/s {means[3]:.0f}, '
+            f'ms {means[4]:.0f} and {means[5]:.0f}'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -18,6 +18,7 @@
 
 from benches import switches
 from benches import switches_hosts
+from benches import switches_limits
 from benches import switches_quarantine
 from benches import switches_teams
 
@@ -84,6 +85,7 @@
             *switches_hosts.SWITCHES,
             *switches_teams.SWITCHES,
             *switches_quarantine.SWITCHES,
+            *switches_limits.SWITCHES,
         ]
         if not names or any(name in switch.name for name in names)
     ]
--- a/benches/switches_hosts.py
+++ b/benches/switches_hosts.py
@@ -99,7 +99,7 @@
     Switch(
         'crossed answers taken',
         DECISIONS + 'serving/dispatch.py',
-        ('        if echoed == send.name:\n            return\n'),
+        ('        if _is_own(send, endpoint, response):\n            return\n'),
         ('        return\n'),
         ('tests/test_endpoints.py -k another'),
     ),
--- /dev/null
+++ b/benches/switches_limits.py
@@ -0,0 +1,113 @@
+"""Rows of ``benches.switched_off``: limits that endpoints name."""
+
+from benches import switches
+
+DECISIONS = switches.DECISIONS
+LIMITING = DECISIONS + 'limiting/'
+SERVING = DECISIONS + 'serving/'
+INCIDENT = 'tests/test_endpoint_limits.py'
+FLEET = 'tests/test_stated_fleet.py'
+UNITS = 'tests/test_stated_limits.py'
+Switch = switches.Switch
+
+SWITCHES = [
+    Switch(
+        'limits of passed calls unread',
+        SERVING + 'sending.py',
+        'place.admission.heard(texts, proved)',
+        'pass',
+        f'{INCIDENT}::test_passed_calls_keep_to_what_an_engine_says',
+    ),
+    Switch(
+        'limits of chats unread',
+        SERVING + 'dispatch.py',
+        'admission.heard(texts, _is_own(send, endpoint, response))',
+        'pass',
+        f'{INCIDENT}::test_chats_keep_to_what_an_engine_says',
+    ),
+    Switch(
+        'leave not looked at as a call leaves',
+        SERVING + 'sending.py',
+        'if place.endpoint is not None and not place.admission.may_leave():',
+        'if False:',
+        f'{INCIDENT}::test_leave_that_ended_on_the_way_sends_nothing',
+    ),
+    Switch(
+        'limited endpoints offered to other regions',
+        SERVING + 'choice.py',
+        'found = unlimited or found',
+        'pass',
+        f'{INCIDENT}::test_offers_leave_out_what_names_a_limit',
+    ),
+    Switch(
+        'callers come back together',
+        SERVING + 'choice.py',
+        'return max(min(waits_ms), line.join(urgency, sum(shares)))',
+        'return min(waits_ms)',
+        f'{INCIDENT}::test_what_no_engine_takes_is_refused_at_once',
+    ),
+    Switch(
+        'the urgent wait for what an endpoint refuses',
+        SERVING + 'placement.py',
+        'if urgent and not all(map(self._is_limited, endpoints)):',
+        'if urgent:',
+        f'{INCIDENT}::test_chat_that_is_urgent_is_refused_if_it_can_not_be_'
+        'served',
+    ),
+    Switch(
+        'every host lends',
+        LIMITING + 'endpoint_limits.py',
+        'if host == self._host:\n                return self._lender.take',
+        'if True:\n                return self._lender.take',
+        f'{FLEET}::test_limit_is_kept_and_used',
+    ),
+    Switch(
+        'part of a region lends all',
+        LIMITING + 'endpoint_lender.py',
+        'return hosts / self._most_hosts',
+        'return 1.0',
+        f'{FLEET}::test_mishaps_take_no_engine_over_its_limit -k halves',
+    ),
+    Switch(
+        'who stands in lends all',
+        LIMITING + 'endpoint_lender.py',
+        'STANDING_IN_SHARE = 0.4',
+        'STANDING_IN_SHARE = 1.0',
+        f'{FLEET}::test_mishaps_take_no_engine_over_its_limit -k hide',
+    ),
+    Switch(
+        'older answers end a limit',
+        LIMITING + 'endpoint_lender.py',
+        'return grant.number > lent.named',
+        'return True',
+        f'{UNITS}::test_older_answer_ends_no_limit',
+    ),
+    Switch(
+        'leave not kept for the urgent',
+        LIMITING + 'endpoint_lender.py',
+        'if not lacking_ms and lent.keeps_for_others(rank, now_ms):',
+        'if False:',
+        f'{FLEET}::test_urgent_calls_go_first_where_all_engines_are_limited',
+    ),
+    Switch(
+        'limits told once',
+        LIMITING + 'endpoint_lender.py',
+        'for limit in self._stated.in_force():',
+        'for limit in []:',
+        f'{FLEET}::test_host_that_starts_knows_within_moments',
+    ),
+    Switch(
+        'ends of limits told once',
+        LIMITING + 'endpoint_lender.py',
+        'ENDS_RETOLD_MS = 10_000',
+        'ENDS_RETOLD_MS = 0',
+        f'{FLEET}::test_end_of_a_limit_reaches_who_missed_the_word',
+    ),
+    Switch(
+        'limits of a life kept for the next',
+        LIMITING + 'stated.py',
+        'if found is None or found.life != life:',
+        'if found is None:',
+        f'{UNITS}::test_newest_limit_of_a_life_counts',
+    ),
+]
--- /dev/null
+++ b/tests/stated_fleet.py
@@ -0,0 +1,351 @@
+"""Entry hosts of a region before engines that name limits, in own time.
+
+Calls come to hosts at random and choose among engines at random; engines
+name their limits as they answer. When requests reach an engine is noted with
+who sent them, so that any window over all hosts can be looked at.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+
+from tests import attending_fleet
+from tests import group
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_limits
+from wrenspoke.coordination.membership import askers
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import limiting
+
+MS_PER_S = 1_000
+REGION = 'north'
+# What hosts of the users' platform are held to.
+WINDOW_MS = 4_000
+OVERSHOOT = 1.5
+SLACK = 5
+CONTACT_MS = 6_000
+TOLD_MS = 500
+# A host that is lost leaves the roster after its lease.
+ROSTER_MS = 3_000
+# Engines that one call asks for, as a call that is passed through.
+TRIES = 8
+LEFT_SHARE = 0.05
+SLOW_CONNECTION_SHARE = 0.02
+
+
+@dataclasses.dataclass
+class Arrival:
+    """Hold when a request reached an engine, and whether it counts."""
+
+    at_ms: int
+    host: str
+    told: bool
+
+
+class Engine:
+    """Be an engine that names the rate it takes, once it has one."""
+
+    def __init__(self, name):
+        self.life = limiting.EndpointLife(name)
+        # The rates that were named, with since when.
+        self.rates = [(0, None)]
+        self.arrivals = []
+
+    def name_rate(self, rate_per_s):
+        self.rates.append((group.LoopClock().mono_ms(), rate_per_s))
+
+    @property
+    def texts(self):
+        """Return what the head of an answer names now."""
+        _since_ms, rate_per_s = self.rates[-1]
+        return [] if rate_per_s is None else [str(rate_per_s)]
+
+    def allowed(self, begun_ms):
+        """Return what a window may hold; None where that is any."""
+        end_ms = begun_ms + WINDOW_MS
+        total = SLACK
+        ends = [since_ms for since_ms, _rate in self.rates[1:]] + [10**9]
+        for (since_ms, rate_per_s), until_ms in zip(self.rates, ends):
+            lasted_ms = min(until_ms, end_ms) - max(since_ms, begun_ms)
+            if lasted_ms <= 0:
+                continue
+            if rate_per_s is None:
+                return None
+            total += OVERSHOOT * rate_per_s * lasted_ms / MS_PER_S
+        return total
+
+    def overrun(self, told_only=False):
+        """Return the worst of what windows held against what they may.
+
+        The platform counts hosts that were told; here all count, but where
+        a mishap kept news from some.
+        """
+        named_ms = [at_ms for at_ms, rate in self.rates if rate is not None]
+        counted = [
+            one.at_ms for one in self.arrivals if one.told or not told_only
+        ]
+        worst = 0.0
+        window = collections.deque()
+        for at_ms in sorted(counted):
+            if at_ms < named_ms[0] + CONTACT_MS:
+                continue
+            window.append(at_ms)
+            while window[0] < at_ms - WINDOW_MS:
+                window.popleft()
+            allowed = self.allowed(at_ms - WINDOW_MS)
+            if allowed is not None:
+                worst = max(worst, len(window) / allowed)
+        return worst
+
+    def used_share(self, since_ms, until_ms):
+        """Return which part of its limit an engine was sent."""
+        _since_ms, rate_per_s = self.rates[-1]
+        got = sum(since_ms <= one.at_ms < until_ms for one in self.arrivals)
+        return got / (rate_per_s * (until_ms - since_ms) / MS_PER_S)
+
+
+class Peers(attending_fleet.CountingPeers):
+    """Tell other hosts, too, and lose messages as a test says."""
+
+    async def tell(self, host, message):
+        body = self._encoder.encode(message)
+        self._count(host, body)
+        task = asyncio.ensure_future(self._deliver(host, body))
+        self._answering.add(task)
+        task.add_done_callback(self._answering.discard)
+        return len(body)
+
+    async def _deliver(self, host, body):
+        if not await self._network.travel(self.host, host):
+            return
+        there = self._network.hosts.get(host)
+        if there is not None and not there.ended:
+            await there.hear(self.host, body)
+
+    async def hear(self, sender, body):
+        """Take a message that has no answer."""
+        message = self._decoder.decode(body)
+        await self._answerers[type(message)](sender, message)
+
+
+class LossyNetwork(group.Network):
+    """Lose a part of all messages."""
+
+    lost_share = 0.0
+
+    async def travel(self, one, other):
+        arrived = await super().travel(one, other)
+        return arrived and self._random.random() >= self.lost_share
+
+
+class Roster:
+    """Know the hosts of the region, as one host sees them."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    @property
+    def revision(self):
+        return (self._fleet.revision, self._name)
+
+    def usable(self, _region):
+        return self._fleet.seen_by(self._name)
+
+
+class AskingHost:
+    """Be an entry host that asks for leave as the product does."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.clock = group.LoopClock()
+        self.peers = Peers(name, fleet.network)
+        fleet.network.hosts[name] = self.peers
+        self.frozen = False
+        # When this host first passed on an answer that names a limit.
+        self.told_ms = {}
+        self.askers = askers.Askers(
+            REGION, name, Roster(fleet, name), self.peers
+        )
+        self.limits = endpoint_limits.EndpointLimits(
+            name,
+            self.askers.order,
+            lambda _life: True,
+            self._tell,
+            self.peers,
+            self.clock,
+        )
+        self.askers.listen(
+            lambda message: self.limits.take_told(message.limits)
+        )
+        self.limits.start()
+
+    async def _tell(self, limits):
+        await self.askers.tell(attending.TellRegion(limits=limits))
+
+    def wants(self, engine):
+        """Tell whether a call may choose an engine now."""
+        return not self.limits.left_alone_ms(engine.life)
+
+    async def admit(self, engine, rank=10):
+        try:
+            return await self.limits.admit(engine.life, rank)
+        except errors.EndpointLimitError:
+            return None
+
+    async def close(self):
+        await self.peers.close()
+        await self.limits.close()
+
+
+@dataclasses.dataclass
+class Called:
+    """Hold what became of one call."""
+
+    at_ms: int
+    served: bool
+    took_ms: int
+    engine: str = ''
+    rank: int = 10
+
+
+class Fleet:
+    """Hold the hosts and engines of a region, and the calls there."""
+
+    def __init__(self, hosts, engines=3, seed=1, make=AskingHost):
+        self.random = random.Random(seed)
+        self.network = LossyNetwork(seed, travel_ms=1, jitter_ms=1)
+        self.make = make
+        self.engines = [Engine(f'e{number}') for number in range(engines)]
+        self.names = [f'10.0.{n // 200}.{n % 200}:1' for n in range(hosts)]
+        self.hosts = {}
+        self.revision = 0
+        # Hosts that others have not seen for long, by who sees them not.
+        self._lost = set()
+        self.called = []
+        self._under_way = set()
+        for name in self.names:
+            self.hosts[name] = make(self, name)
+
+    def seen_by(self, name):
+        """Return the records of the other hosts that a host knows of."""
+        return [
+            attending.HostRecord(
+                other, REGION, f'{REGION}-hall', '', '', '', 0, False
+            )
+            for other in self.names
+            if other != name and (name, other) not in self._lost
+        ]
+
+    def lose(self, one, other):
+        """Let two hosts miss each other on their rosters."""
+        self._lost |= {(one, other), (other, one)}
+        self.revision += 1
+
+    def find_all(self):
+        """Let every host be on every roster again."""
+        self._lost.clear()
+        self.revision += 1
+
+    async def wait_ms(self, delay_ms):
+        await asyncio.sleep(delay_ms / MS_PER_S)
+
+    async def restart_host(self, name):
+        await self.hosts[name].close()
+        self.hosts[name] = self.make(self, name)
+
+    async def call(self, calls_per_s, for_ms, rank_of=lambda: 10):
+        """Let calls come to hosts that run."""
+        end_ms = group.LoopClock().mono_ms() + for_ms
+        while group.LoopClock().mono_ms() < end_ms:
+            await asyncio.sleep(self.random.expovariate(calls_per_s))
+            host = self.hosts[self.random.choice(self.names)]
+            if host.frozen:
+                continue
+            self._start(self._serve(host, rank_of()))
+
+    def _start(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._under_way.add(task)
+        task.add_done_callback(self._under_way.discard)
+
+    async def _serve(self, host, rank):
+        asked_ms = group.LoopClock().mono_ms()
+        engine = await self._send(host, rank)
+        now_ms = group.LoopClock().mono_ms()
+        self.called.append(
+            Called(
+                asked_ms,
+                engine is not None,
+                now_ms - asked_ms,
+                '' if engine is None else engine.life.endpoint,
+                rank,
+            )
+        )
+
+    async def _send(self, host, rank):
+        """Send a call to an engine that takes it; None where none does."""
+        for _number in range(TRIES):
+            open_to = [one for one in self.engines if host.wants(one)]
+            if not open_to:
+                return None
+            engine = self.random.choice(open_to)
+            admission = await host.admit(engine, rank)
+            if admission is None:
+                continue
+            await self._connect()
+            if not admission.may_leave():
+                continue
+            now_ms = group.LoopClock().mono_ms()
+            told_ms = host.told_ms.get(engine.life, now_ms)
+            told = now_ms - told_ms >= TOLD_MS
+            engine.arrivals.append(Arrival(now_ms, host.name, told))
+            self._start(self._answer(host, engine, admission))
+            return engine
+        return None
+
+    async def _connect(self):
+        slow = self.random.random() < SLOW_CONNECTION_SHARE
+        await self.wait_ms(300 if slow else self.random.uniform(0, 3))
+
+    async def _answer(self, host, engine, admission):
+        """Bring an answer's head, unless its caller leaves before."""
+        await self.wait_ms(min(self.random.lognormvariate(5, 1), 4_000))
+        texts = engine.texts
+        await self.wait_ms(self.random.uniform(1, 4))
+        if self.random.random() < LEFT_SHARE:
+            return
+        if texts:
+            now_ms = group.LoopClock().mono_ms()
+            host.told_ms.setdefault(engine.life, now_ms)
+        admission.heard(texts, True)
+
+    def refused_share(self, since_ms=0):
+        """Return the part of the calls that no engine took."""
+        found = [one for one in self.called if one.at_ms >= since_ms]
+        return sum(not one.served for one in found) / max(len(found), 1)
+
+    def messages_sent(self):
+        """Return how many messages all hosts have sent."""
+        return sum(
+            counted.messages
+            for host in self.hosts.values()
+            for key, counted in host.peers.sent.items()
+            if isinstance(key, str)
+        )
+
+    async def close(self):
+        while self._under_way:
+            await asyncio.wait(self._under_way)
+        for host in self.hosts.values():
+            await host.close()
+
+
+def unlimited(clock):
+    """Return what keeps to limits where no endpoint names any."""
+    peers = group.Peers('h', group.Network(1))
+    return endpoint_limits.EndpointLimits(
+        'h', lambda _key: ['h'], lambda _life: True, None, peers, clock
+    )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -24,6 +24,7 @@
     'deadline',
     'endpoint_state',
     'limits',
+    'endpoint_limit',
     'claim',
 ]
 
@@ -103,6 +104,12 @@
     ('no place', {}, {'slot': None}, {}, 'limits'),
     ('place given back', {}, {'slot': slot(is_open=False)}, {}, 'limits'),
     ('place elsewhere', {}, {'slot': slot(OTHER)}, {}, 'limits'),
+    ('no leave of its endpoint', {}, {}, {'admitted': False},
+     'endpoint_limit'),
+    ('resumed without leave', {}, {'purpose': RESUME}, {'admitted': False},
+     'endpoint_limit'),
+    ('load poll without leave', {}, {'purpose': LOAD}, {'admitted': False},
+     None),
     ('once without claim', {'once': True}, {}, {}, 'claim'),
     ('once with claim', {'once': True}, {'ticket': ticket()}, {}, None),
     ('claim of another', {'once': True}, {'ticket': ticket('r2')}, {},
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -21,10 +21,13 @@
 import itertools
 import time
 
+import aiohttp
+
 from tests import endpoints
 from tests import fleet
 from tests import nodes
 from tests import test_passing
+from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.protocol import headers
 from wrenspoke.state import routes
 
@@ -177,3 +180,167 @@
         most = most_in_a_window(found['arrivals_s'], since_s)
         assert most <= allowed(float(LIMIT))
         assert most >= 0.5 * float(LIMIT) * WINDOW_S
+
+
+async def hear_limits(system, host=0):
+    """Ask until every engine of a system has named its limit to a host."""
+    entry = system.entries[host]
+    named = [one for one in system.engines if one.text is not None]
+
+    async def is_known():
+        await system.ask(host, 'hear')
+        return len(entry._endpoint_limits.in_force()) == len(named)
+
+    await fleet.until(is_known, 'limits')
+
+
+async def hear_rate(system, rate_per_s):
+    """Ask a host until it knows the rate that an engine names."""
+    limits = system.entries[0]._endpoint_limits
+
+    async def is_known():
+        await system.ask(0, 'hear')
+        return any(one.rate_per_s == rate_per_s for one in limits.in_force())
+
+    await fleet.until(is_known, 'a rate')
+
+
+def retry_after_s(answer):
+    """Return when a caller is told to come back."""
+    return float(endpoints.header(answer, 'Retry-After'))
+
+
+async def test_what_no_engine_takes_is_refused_at_once(tmp_path):
+    """It was not run, and its caller is told when to come back."""
+    async with passing_system(tmp_path) as system:
+        for engine in system.engines:
+            engine.text = '0.5'
+        await hear_limits(system)
+        ran = sum(len(engine.arrivals_s) for engine in system.engines)
+        answers = await asyncio.gather(
+            *(system.ask(0, f'q{number}') for number in range(30))
+        )
+        refused = [one for one in answers if b' 503 ' in one.split(b'\r\n')[0]]
+        ran = sum(len(engine.arrivals_s) for engine in system.engines) - ran
+        assert len(refused) + ran == 30
+        assert len(refused) >= 24
+        # Half a request a second of three engines, by a host of three.
+        waits_s = sorted(map(retry_after_s, refused))
+        assert waits_s[0] > 0
+        assert waits_s[-1] > waits_s[0] + 5
+        assert waits_s[-1] <= 15
+
+
+async def test_leave_that_ended_on_the_way_sends_nothing(
+    tmp_path, monkeypatch
+):
+    """As while a connection took long; another engine serves the call."""
+    async with passing_system(tmp_path) as system:
+        limited = system.engines[0]
+        limited.text = '1000'
+        await hear_rate(system, 1000)
+        monkeypatch.setattr(endpoint_limits, 'GRANT_MS', -1)
+        sent = len(limited.arrivals_s)
+        for number in range(12):
+            answer = await system.ask(0, number)
+            assert answer.endswith(b'whole')
+        assert len(limited.arrivals_s) == sent
+
+
+async def test_offers_leave_out_what_names_a_limit(tmp_path):
+    """Other regions' calls go to engines that take what comes."""
+    async with passing_system(tmp_path) as system:
+        await hear_limits(system)
+        [offer] = system.entries[0]._choice.offers()
+        assert offer.endpoints == 2
+        for engine in system.engines:
+            engine.text = '1000'
+        await hear_limits(system)
+        [offer] = system.entries[0]._choice.offers()
+        assert offer.endpoints > 0
+
+
+async def test_what_is_no_rate_is_served_by_all_the_same(tmp_path):
+    async with passing_system(tmp_path) as system:
+        for text in ('', 'nan', '-3', '1e9', 'x, 2', '9' * 400, '1.2\t;'):
+            system.engines[0].text = text
+            for number in range(6):
+                answer = await system.ask(0, number)
+                assert answer.endswith(b'whole')
+            assert system.entries[0]._endpoint_limits.in_force() == []
+
+
+async def test_engine_that_names_no_limit_any_more_gets_its_part(tmp_path):
+    async with passing_system(tmp_path) as system:
+        await hear_limits(system)
+        engine = system.engines[0]
+        engine.text = None
+        entries = system.entries
+
+        async def is_over():
+            await system.ask(0, 'over')
+            return not any(e._endpoint_limits.in_force() for e in entries)
+
+        await fleet.until(is_over, 'the end of the limit')
+        sent = len(engine.arrivals_s)
+        await asyncio.gather(*(system.ask(n % 3, n) for n in range(30)))
+        assert len(engine.arrivals_s) - sent >= 4
+
+
+async def test_chat_that_is_urgent_is_refused_if_it_can_not_be_served(
+    tmp_path,
+):
+    """Not by what is reckoned, but by what the engine says."""
+    made = fleet.deployment(regions=('north',), entries=1, engines=1)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+        await running.faults('north-chat-1', limit_text='0')
+        assert (await caller.chat(CHAT)).outcome == 'whole'
+        urgent = {
+            headers.PRIORITY: 'high',
+            headers.DEADLINE_MS: '1500',
+        }
+        found = await caller.chat(CHAT, urgent)
+        assert (found.outcome, found.reason) == ('not_run', 'overload')
+        assert b'would wait past its deadline' in found.body
+        assert int(found.headers[headers.RETRY_AFTER]) >= 1
+
+
+async def test_broken_chat_is_resumed_at_an_engine_with_a_limit(tmp_path):
+    """The rest of a stream counts as a request, and goes first."""
+    made = fleet.deployment(regions=('north',), entries=1, engines=1)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+        await running.faults('north-chat-1', limit_text='2')
+        assert (await caller.chat(CHAT)).outcome == 'whole'
+        await running.faults(
+            'north-chat-1',
+            limit_text='2',
+            break_after_events=3,
+            break_times=1,
+        )
+        found = await caller.chat({**CHAT, 'max_tokens': 8, 'stream': True})
+        assert found.outcome == 'whole'
+        runs = await running.runs('north-chat-1')
+        assert len(runs['arrivals_s']) == 3
+
+
+async def test_limits_are_shown_to_people_on_call(tmp_path):
+    made = fleet.deployment(regions=('north',), entries=1, engines=1)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+        await running.faults('north-chat-1', limit_text='0.5')
+        await asyncio.gather(*(caller.chat(CHAT) for _number in range(4)))
+        await asyncio.gather(*(caller.chat(CHAT) for _number in range(4)))
+        async with aiohttp.ClientSession() as session:
+            async with session.get(running.url('north-1') + '/metrics') as got:
+                text = await got.text()
+                assert got.status == 200
+        [rate] = [
+            line
+            for line in text.splitlines()
+            if line.startswith('wrenspoke_endpoint_limit_per_s{')
+        ]
+        assert 'endpoint="north-chat-1"' in rate
+        assert rate.endswith(' 0.5')
+        assert 'wrenspoke_endpoint_limit_refused_total{' in text
--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests import stated_fleet
 from tests import test_registry
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import askers
@@ -194,6 +195,7 @@
         health.Health(clock),
         None,
         gauged,
+        stated_fleet.unlimited(clock),
         frozenset(),
         clock,
     )
--- /dev/null
+++ b/tests/test_stated_fleet.py
@@ -0,0 +1,299 @@
+"""Limits that engines name, over all hosts: kept, used, and found out anew.
+
+In any 4 s an engine gets no more than one and a half times what it names and
+5 requests. Below that bound its limit is to be used for what it is.
+"""
+
+import collections
+import itertools
+
+import pytest
+
+from tests import group
+from tests import stated_fleet
+from wrenspoke.coordination.limiting import endpoint_lender
+
+CALLS_PER_S = 40
+NAMED_MS = 1_000
+PLAY_MS = 30_000
+SETTLED_MS = 8_000
+
+
+def play(
+    hosts=9,
+    rate_per_s=1.2,
+    mishap=None,
+    limited=1,
+    calls_per_s=CALLS_PER_S,
+    seed=1,
+    make=stated_fleet.AskingHost,
+    rank_of=lambda: 10,
+):
+    """Return a fleet whose first engines named a limit for a while."""
+    held = {}
+
+    async def run():
+        fleet = stated_fleet.Fleet(hosts, seed=seed, make=make)
+
+        async def happen():
+            await fleet.wait_ms(NAMED_MS)
+            for engine in fleet.engines[:limited]:
+                engine.name_rate(rate_per_s)
+            if mishap is not None:
+                await fleet.wait_ms(SETTLED_MS)
+                await mishap(fleet)
+
+        calls = fleet.call(calls_per_s, PLAY_MS, rank_of)
+        await group.asyncio.gather(calls, happen())
+        await fleet.close()
+        held['fleet'] = fleet
+
+    group.run(run())
+    return held['fleet']
+
+
+RATES = [0, 0.01, 0.5, 1.2, 3.3, 10]
+
+
+@pytest.mark.parametrize('rate_per_s', RATES)
+@pytest.mark.parametrize('hosts', [1, 3, 20, 60, 200])
+def test_limit_is_kept_and_used(hosts, rate_per_s):
+    fleet = play(hosts, rate_per_s)
+    engine = fleet.engines[0]
+    assert engine.overrun() <= 1.0
+    # The others have room.
+    assert fleet.refused_share() == 0.0
+    if rate_per_s >= endpoint_lender.LEAST_RATE_PER_S:
+        assert engine.used_share(SETTLED_MS, PLAY_MS) >= 0.8
+    # Two for a leave, one for its answer's head, and each second a word to
+    # every host.
+    sent = fleet.messages_sent() / PLAY_MS * stated_fleet.MS_PER_S
+    assert sent <= 6 * (rate_per_s + hosts + 1)
+
+
+def lose_lender(fleet):
+    """The host that lends is killed, and stays away."""
+
+    async def happen():
+        name = lender_of(fleet)
+        fleet.hosts[name].frozen = True
+        fleet.network.cut_off(name)
+        await fleet.wait_ms(stated_fleet.ROSTER_MS)
+        for other in fleet.names:
+            fleet.lose(name, other)
+
+    return happen()
+
+
+def freeze_lender(fleet):
+    """The host that lends stops for a while and goes on, three times."""
+
+    async def happen():
+        for _number in range(3):
+            name = lender_of(fleet)
+            fleet.hosts[name].frozen = True
+            fleet.network.cut_off(name)
+            await fleet.wait_ms(2_500)
+            fleet.network.heal()
+            fleet.hosts[name].frozen = False
+            await fleet.wait_ms(2_500)
+
+    return happen()
+
+
+def restart_lender(fleet):
+    async def happen():
+        for _number in range(3):
+            await fleet.restart_host(lender_of(fleet))
+            await fleet.wait_ms(3_000)
+
+    return happen()
+
+
+def restart_all(fleet):
+    async def happen():
+        for name in list(fleet.names):
+            await fleet.restart_host(name)
+
+    return happen()
+
+
+def come_and_go(fleet):
+    """Who lends changes every second, and hosts learn of it one by one."""
+
+    async def happen():
+        for _number in range(8):
+            name = lender_of(fleet)
+            for other in fleet.names:
+                fleet.lose(name, other)
+                await fleet.wait_ms(100)
+            fleet.find_all()
+            await fleet.wait_ms(500)
+
+    return happen()
+
+
+def lose_messages(fleet):
+    async def happen():
+        fleet.network.lost_share = 0.2
+        await fleet.wait_ms(10_000)
+        fleet.network.lost_share = 0.0
+
+    return happen()
+
+
+def cut_in_halves(fleet):
+    """Both halves reach the engine, and know nothing of each other."""
+
+    async def happen():
+        half = fleet.names[::2]
+        pairs = [(a, b) for a in half for b in fleet.names if b not in half]
+        for one, other in pairs:
+            fleet.network.cut(one, other)
+        await fleet.wait_ms(stated_fleet.ROSTER_MS)
+        for one, other in pairs:
+            fleet.lose(one, other)
+        await fleet.wait_ms(5_000)
+        fleet.network.heal()
+        fleet.find_all()
+
+    return happen()
+
+
+def hide_lender_from_half(fleet):
+    """Half of the hosts can't ask the one that lends, which lives on."""
+
+    async def happen():
+        name = lender_of(fleet)
+        others = [other for other in fleet.names if other != name]
+        for other in others[::2]:
+            fleet.network.cut(name, other)
+        await fleet.wait_ms(10_000)
+        fleet.network.heal()
+
+    return happen()
+
+
+def lender_of(fleet):
+    """Return the host that most take for the lender of the first engine."""
+    life = fleet.engines[0].life
+    name = fleet.names[0]
+    return fleet.hosts[name].askers.order(life.endpoint)[0]
+
+
+KEPT = [lose_lender, freeze_lender, restart_lender, come_and_go]
+KEPT += [lose_messages, restart_all, cut_in_halves, hide_lender_from_half]
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('rate_per_s', [0, 1.2, 3.3, 10])
+@pytest.mark.parametrize('mishap', KEPT, ids=lambda one: one.__name__)
+def test_mishaps_take_no_engine_over_its_limit(mishap, rate_per_s, seed):
+    fleet = play(9, rate_per_s, mishap, seed=seed)
+    engine = fleet.engines[0]
+    # Hosts that begin with nothing count once they have heard for themselves.
+    assert engine.overrun(told_only=mishap is restart_all) <= 1.0
+    assert fleet.refused_share() == 0.0
+    if rate_per_s:
+        assert engine.used_share(SETTLED_MS, PLAY_MS) >= 0.5
+
+
+def change_to(*rates_per_s):
+    """Return a mishap: the engine names other rates, one after the other."""
+
+    def begin(fleet):
+        async def happen():
+            for rate_per_s in rates_per_s:
+                fleet.engines[0].name_rate(rate_per_s)
+                await fleet.wait_ms(7_000)
+
+        return happen()
+
+    return begin
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize(
+    'rates_per_s',
+    [(0.6,), (5,), (0, 3.3), (3.3, 0.6, 10), (None, 1.2), (None, None)],
+    ids=repr,
+)
+def test_limit_that_changes_is_kept(rates_per_s, seed):
+    fleet = play(9, 2.4, change_to(*rates_per_s), seed=seed)
+    engine = fleet.engines[0]
+    assert engine.overrun() <= 1.0
+    assert fleet.refused_share() == 0.0
+    last = rates_per_s[-1]
+    known = {
+        host.limits.rate_per_s(engine.life) for host in fleet.hosts.values()
+    }
+    assert known == {last}
+    if last is not None:
+        assert engine.used_share(PLAY_MS - 5_000, PLAY_MS) >= 0.7
+
+
+@pytest.mark.parametrize('rate_per_s, most_ms', [(0, 9_000), (1.2, 7_000)])
+def test_end_of_a_limit_is_found_out_by_all(rate_per_s, most_ms):
+    """The first answer after it tells; a trial each four seconds brings one.
+
+    Heads of answers from before may still name the limit; they come within
+    four seconds.
+    """
+    fleet = play(20, rate_per_s, change_to(None))
+    engine = fleet.engines[0]
+    since_ms, _rate = engine.rates[-1]
+    after = [one for one in engine.arrivals if one.at_ms > since_ms + most_ms]
+    took_ms = PLAY_MS - since_ms - most_ms
+    third = CALLS_PER_S / 3 * took_ms / stated_fleet.MS_PER_S
+    assert len(after) >= 0.7 * third
+
+
+def test_urgent_calls_go_first_where_all_engines_are_limited():
+    """Of calls that want six times what there is the urgent are served."""
+    ranks = itertools.cycle([0, 10, 10, 10])
+    fleet = play(
+        9, 3.3, limited=3, calls_per_s=60, rank_of=lambda: next(ranks)
+    )
+    served = collections.Counter()
+    asked = collections.Counter()
+    for one in fleet.called:
+        if one.at_ms > SETTLED_MS:
+            asked[one.rank] += 1
+            served[one.rank] += one.served
+    urgent, others = (served[rank] / asked[rank] for rank in (0, 10))
+    assert urgent > 3 * others
+    for engine in fleet.engines:
+        assert engine.overrun() <= 1.0
+        assert engine.used_share(SETTLED_MS, PLAY_MS) >= 0.8
+    # Nobody waits.
+    assert max(one.took_ms for one in fleet.called if not one.served) < 1_000
+
+
+def test_end_of_a_limit_reaches_who_missed_the_word():
+    """Also a host that no call comes to."""
+
+    async def end_unheard(fleet):
+        host = fleet.hosts[fleet.names[-1]]
+        host.frozen = True
+        fleet.network.cut_off(host.name)
+        fleet.engines[0].name_rate(None)
+        await fleet.wait_ms(7_000)
+        fleet.network.heal()
+        await fleet.wait_ms(1_200)
+        assert host.limits.rate_per_s(fleet.engines[0].life) is None
+
+    play(9, 1.2, end_unheard)
+
+
+def test_host_that_starts_knows_within_moments():
+    """A newcomer and one that thaws are told again, each second."""
+
+    async def restart(fleet):
+        await fleet.restart_host(fleet.names[-1])
+        host = fleet.hosts[fleet.names[-1]]
+        # No call comes to it: it hears nothing for itself.
+        host.frozen = True
+        await fleet.wait_ms(1_200)
+        assert host.limits.rate_per_s(fleet.engines[0].life) == 1.2
+
+    play(9, 1.2, restart)
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -2,11 +2,17 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 import structlog.testing
 
+from tests import test_registry
+from wrenspoke.coordination.limiting import endpoint_lender
+from wrenspoke.coordination.limiting import lenders as region_lenders
 from wrenspoke.coordination.limiting import stated
+from wrenspoke.coordination.serving import return_line
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import limiting
 from wrenspoke.protocol import rates
 
 
@@ -50,11 +56,22 @@
     assert rate_per_s is None or 0 <= rate_per_s <= rates.HIGHEST_PER_S
 
 
+LIFE = limiting.EndpointLife('e', 5)
+
+
+def limit(rate_per_s, version=1, life=LIFE):
+    """Return a limit that another host tells of."""
+    return limiting.EndpointLimit(life, version, rate_per_s)
+
+
 def test_each_change_of_a_limit_has_one_line():
     known = stated.StatedLimits()
     with structlog.testing.capture_logs() as lines:
         for texts in ([], ['1.2'], ['1.2'], ['x'], ['x'], ['3'], [], []):
-            known.heard('e', texts)
+            try:
+                known.change(LIFE, known.read(LIFE, texts))
+            except errors.MalformedRateError:
+                continue
     told = [(line['event'], line.get('rate_per_s')) for line in lines]
     assert told == [
         ('endpoint_limit_named', 1.2),
@@ -63,3 +80,142 @@
         ('endpoint_limit_named', None),
     ]
     assert lines[1]['field'] == 'Server-Limit'
+
+
+@pytest.mark.parametrize(
+    'told, rate_per_s',
+    [
+        ([limit(1.2)], 1.2),
+        ([limit(1.2), limit(3, version=2)], 3),
+        ([limit(3, version=2), limit(1.2)], 3),
+        ([limit(1.2), limit(None, version=2)], None),
+        ([limit(None, version=2), limit(1.2)], None),
+        ([limit(3), limit(1.2)], 1.2),
+        ([limit(1.2), limit(3)], 1.2),
+        ([limit(1.2), limit(None)], 1.2),
+        ([limit(1.2, 9, limiting.EndpointLife('e', 4))], None),
+        ([limit(2, 1), limit(1.2, 9, limiting.EndpointLife('e', 4))], 2),
+        ([limit(1.2, 9, limiting.EndpointLife('e', 6)), limit(2, 10)], None),
+    ],
+    ids=[
+        'told',
+        'newer',
+        'older',
+        'ended',
+        'named before its end',
+        'lower of two',
+        'higher of two',
+        'named and ended at once',
+        'of an earlier life',
+        'of an earlier life late',
+        'of a later life',
+    ],
+)
+def test_newest_limit_of_a_life_counts(told, rate_per_s):
+    known = stated.StatedLimits()
+    for one in told:
+        known.merge(one)
+    assert known.rate_per_s(LIFE) == rate_per_s
+
+
+def test_what_is_gone_is_forgotten():
+    known = stated.StatedLimits()
+    known.merge(limit(1.2))
+    known.keep_only(lambda life: life != LIFE)
+    assert known.in_force() == []
+
+
+class Peers:
+    """Take who answers what, and keep what is told."""
+
+    def __init__(self):
+        self.told = []
+
+    def answers(self, _kind):
+        return lambda answerer: answerer
+
+
+def lender(clock, known):
+    """Return what lends limits on the only host of a region."""
+
+    async def tell(_limits):
+        return
+
+    lenders = region_lenders.Lenders(lambda _key: ['h'], 0, Peers(), clock)
+    return endpoint_lender.EndpointLender(
+        'h', lenders, known, tell, Peers(), clock
+    )
+
+
+def test_older_answer_ends_no_limit():
+    """It ends by an answer whose request left after it was last named."""
+    clock = test_registry.FakeClock()
+    known = stated.StatedLimits()
+    lends = lender(clock, known)
+    lends.hear(limiting.EndpointLimit(LIFE), 1.2, None)
+    grants = []
+    for _number in range(3):
+        clock.now_ms += 1_000
+        grants.append(lends.take(known.limit_of(LIFE), 0).grant)
+    # The second's answer came first and names it still.
+    lends.hear(known.limit_of(LIFE), 1.2, grants[1])
+    for older in (None, grants[0], grants[2]):
+        lends.hear(known.limit_of(LIFE), None, older)
+        lends.hear(known.limit_of(LIFE), 5.0, older)
+        assert known.rate_per_s(LIFE) == 1.2
+    clock.now_ms += 1_000
+    newer = lends.take(known.limit_of(LIFE), 0).grant
+    stranger = msgspec.structs.replace(newer, life='another')
+    lends.hear(known.limit_of(LIFE), None, stranger)
+    assert known.rate_per_s(LIFE) == 1.2
+    lends.hear(known.limit_of(LIFE), 5.0, newer)
+    assert known.rate_per_s(LIFE) == 5.0
+    clock.now_ms += 1_000
+    newest = lends.take(known.limit_of(LIFE), 0).grant
+    lends.hear(known.limit_of(LIFE), None, newest)
+    assert known.rate_per_s(LIFE) is None
+    assert lends.take(known.limit_of(LIFE), 0).grant is None
+
+
+def test_lower_limit_counts_whenever_it_is_heard():
+    clock = test_registry.FakeClock()
+    known = stated.StatedLimits()
+    lends = lender(clock, known)
+    lends.hear(limiting.EndpointLimit(LIFE), 4.0, None)
+    lends.hear(known.limit_of(LIFE), 1.0, None)
+    assert known.rate_per_s(LIFE) == 1.0
+    clock.now_ms += 10_000
+    taken = [lends.take(known.limit_of(LIFE), 0) for _number in range(5)]
+    assert [one.grant is not None for one in taken] == [True] + 4 * [False]
+    assert 0 < taken[1].wait_ms <= 1_000
+
+
+def test_leave_is_kept_for_the_more_urgent_for_a_moment():
+    clock = test_registry.FakeClock()
+    known = stated.StatedLimits()
+    lends = lender(clock, known)
+    lends.hear(limiting.EndpointLimit(LIFE), 2.0, None)
+    now = known.limit_of(LIFE)
+    assert lends.take(now, 2).grant is None
+    clock.now_ms += 500
+    assert lends.take(now, 5).grant is None
+    assert lends.take(now, 2).grant is not None
+    # Nobody more urgent wants it any more.
+    clock.now_ms += 500
+    assert lends.take(now, 5).grant is not None
+    # One that does not come back keeps it until the level is full.
+    assert lends.take(now, 2).grant is None
+    clock.now_ms += 500 + endpoint_lender.SPARE_MS
+    assert lends.take(now, 5).grant is not None
+
+
+def test_callers_that_are_turned_away_come_back_one_by_one():
+    clock = test_registry.FakeClock()
+    line = return_line.ReturnLine(clock)
+    assert [line.join(5, 2.0) for _number in range(3)] == [500, 1_000, 1_500]
+    # The more urgent goes before them, the less urgent behind.
+    assert line.join(1, 2.0) == 500
+    assert line.join(9, 2.0) == 2_500
+    clock.now_ms += 2_500
+    assert line.join(9, 2.0) == 500
+    assert line.join(9, 0.001) == return_line.LONGEST_RETURN_MS
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -5,12 +5,14 @@
 import pytest
 
 from benches import switches_hosts
+from benches import switches_limits
 from benches import switches_quarantine
 from benches import switches_teams
 
 ROOT = pathlib.Path(__file__).parent.parent
 ROWS = [
     *switches_hosts.SWITCHES,
+    *switches_limits.SWITCHES,
     *switches_quarantine.SWITCHES,
     *switches_teams.SWITCHES,
 ]
--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -1,6 +1,7 @@
 """The errors of the coordination layer."""
 
 from wrenspoke import errors
+from wrenspoke import ids
 from wrenspoke.protocol import outcomes
 
 
@@ -25,6 +26,17 @@
         self.detail = detail
 
 
+class EndpointLimitError(SendRefusedError):
+    """Say that an endpoint takes no more now, by its own word."""
+
+    def __init__(self, endpoint: ids.EndpointId, wait_ms: int):
+        super().__init__(
+            'endpoint_limit', f'{endpoint} takes no more for {wait_ms} ms'
+        )
+        self.endpoint = endpoint
+        self.wait_ms = wait_ms
+
+
 class QuarantinedError(CoordinationError):
     """Say that no endpoint is sent a request, as some ended under it."""
 
--- /dev/null
+++ b/wrenspoke/coordination/limiting/endpoint_lender.py
@@ -0,0 +1,268 @@
+"""Lend an endpoint's limit out, call by call, on one host of its region.
+
+Endpoints take requests from hosts of their own region alone, so one host,
+drawn for each endpoint, holds the whole limit, and what all hosts send is
+bound by one level. It parts nothing beforehand: what an endpoint in need
+takes is less than one request a second for each host.
+
+Answers overtake each other. An answer was surely given after another if its
+request got its leave after that other one was heard of here.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import math
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import lenders as region_lenders
+from wrenspoke.coordination.limiting import levels
+from wrenspoke.coordination.limiting import stated as stated_limits
+from wrenspoke import ids
+from wrenspoke.protocol import limiting
+from wrenspoke.protocol import peers as peer_calls
+from wrenspoke import runtime
+
+MS_PER_S = 1_000
+# An endpoint that takes nothing is tried so often, as only its answer tells
+# that it takes requests again.
+LEAST_RATE_PER_S = 0.25
+# What has not been used is kept for so long beyond one request: calls do not
+# come as evenly as the level fills.
+SPARE_MS = 250
+# Where the host that lends is silent to some, the next in order lends them a
+# part: others may still hear the first, and the sum of both is bearable. It
+# lends all once the first is no longer known as a host of the region.
+STANDING_IN_SHARE = 0.4
+# For so long after a region's hosts have become fewer each lends no more than
+# the part that it still sees: they may be cut from the others, which lend too.
+FEWER_KEPT_MS = 60_000
+# A host looks again after so long, however low the limit is.
+LONGEST_WAIT_MS = 1_000
+# What is kept for a more urgent call that was turned away goes to others once
+# it has not come back for so long.
+KEPT_FOR_MS = 1_000
+# Told again to hosts that started, thawed, or missed a word.
+RETELL_MS = 1_000
+# The end of a limit is told again for so long, as each word may be lost.
+ENDS_RETOLD_MS = 10_000
+GATHER_MS = 4
+
+Tell = collections.abc.Callable[
+    [list[limiting.EndpointLimit]], collections.abc.Awaitable[None]
+]
+
+
+@dataclasses.dataclass(slots=True)
+class _Lent:
+    """Hold what is lent out of one endpoint's limit.
+
+    ``granted`` is the number of the last leave, ``named`` that of the last
+    one when the endpoint last named a limit.
+    """
+
+    life: limiting.EndpointLife
+    level: levels.Level
+    granted: int = 0
+    named: int = 0
+    turned_away_ms: dict[int, int] = dataclasses.field(default_factory=dict)
+
+    def keeps_for_others(self, rank: int, now_ms: int) -> bool:
+        """Tell whether a more urgent call was turned away of late."""
+        return any(
+            other < rank and now_ms - turned_away_ms < KEPT_FOR_MS
+            for other, turned_away_ms in self.turned_away_ms.items()
+        )
+
+
+class EndpointLender:
+    """Lend limits out, and decide which word on them is the newest."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        lenders: region_lenders.Lenders,
+        stated: stated_limits.StatedLimits,
+        tell: Tell,
+        peers: peer_calls.Peers,
+        clock: clocks.Clock,
+    ):
+        self._host = host
+        self._lenders = lenders
+        self._stated = stated
+        self._tell = tell
+        self._peers = peers
+        self._clock = clock
+        self._life = ids.new_unique()
+        self._lent: dict[ids.EndpointId, _Lent] = {}
+        # How many hosts the region had at its most, and when that was seen.
+        self._most_hosts = 0
+        self._most_ms = clock.mono_ms()
+        # What changed, and until when it is told.
+        self._changed: dict[limiting.EndpointLife, int] = {}
+        self._news = asyncio.Event()
+        self._tasks = runtime.Tasks()
+        peers.answers(limiting.AskSend)(self._answer)
+        peers.answers(limiting.LimitHeard)(self._hear)
+
+    def start(self) -> None:
+        """Begin to tell the region's hosts of limits."""
+        self._tasks.start(self._run())
+
+    async def close(self) -> None:
+        """End every task."""
+        await self._tasks.close()
+
+    # Leaves.
+
+    async def _answer(
+        self, _sender: ids.HostId, message: limiting.AskSend
+    ) -> limiting.SendAnswered:
+        return self.take(message.known, message.rank)
+
+    def take(
+        self, known: limiting.EndpointLimit, rank: int
+    ) -> limiting.SendAnswered:
+        """Answer whether a request may be sent to an endpoint now."""
+        self._take_over(known)
+        limit = self._stated.limit_of(known.life)
+        if limit.rate_per_s is None:
+            return limiting.SendAnswered(limit)
+        lent = self._lent_of(limit)
+        wait_ms = self._wait_ms(lent, rank, _amount_ms(limit.rate_per_s))
+        if wait_ms:
+            return limiting.SendAnswered(limit, wait_ms=wait_ms)
+        lent.granted += 1
+        grant = limiting.GrantName(self._host, self._life, lent.granted)
+        return limiting.SendAnswered(limit, grant)
+
+    def _wait_ms(self, lent: _Lent, rank: int, amount_ms: float) -> int:
+        """Take what one request needs; return 0, or how long it lacks."""
+        level = lent.level
+        now_ms = self._clock.mono_ms()
+        lacking_ms = level.wait_ms(amount_ms)
+        if not lacking_ms and lent.keeps_for_others(rank, now_ms):
+            lacking_ms = level.wait_ms(level.full_ms)
+        if not lacking_ms:
+            level.level_ms -= amount_ms
+            lent.turned_away_ms.pop(rank, None)
+            return 0
+        lent.turned_away_ms[rank] = now_ms
+        return math.ceil(min(lacking_ms, LONGEST_WAIT_MS))
+
+    def _lent_of(self, limit: limiting.EndpointLimit) -> _Lent:
+        now_ms = self._clock.mono_ms()
+        lent = self._lent.get(limit.life.endpoint)
+        if lent is None or lent.life != limit.life:
+            # Empty: another host may have lent what came before.
+            lent = _Lent(limit.life, levels.endless(now_ms))
+            self._lent[limit.life.endpoint] = lent
+        share = self._share(limit.life.endpoint)
+        lent.level.fill(now_ms)
+        lent.level.share = share
+        amount_ms = _amount_ms(limit.rate_per_s)
+        # A part of the limit holds a whole request all the same.
+        lent.level.depth_ms = (amount_ms + SPARE_MS * share) / share
+        return lent
+
+    def _share(self, endpoint: ids.EndpointId) -> float:
+        """Return which part of a limit this host may lend out."""
+        order = self._lenders.all_of(endpoint)
+        share = self._seen_share(len(order))
+        if order[0] != self._host:
+            share *= STANDING_IN_SHARE
+        return share
+
+    def _seen_share(self, hosts: int) -> float:
+        """Return which part of the region's hosts can be seen from here."""
+        now_ms = self._clock.mono_ms()
+        if hosts >= self._most_hosts or (
+            now_ms - self._most_ms > FEWER_KEPT_MS
+        ):
+            self._most_hosts, self._most_ms = hosts, now_ms
+        return hosts / self._most_hosts
+
+    # What endpoints say.
+
+    async def _hear(
+        self, _sender: ids.HostId, message: limiting.LimitHeard
+    ) -> None:
+        self.hear(message.known, message.rate_per_s, message.grant)
+
+    def hear(
+        self,
+        known: limiting.EndpointLimit,
+        rate_per_s: float | None,
+        grant: limiting.GrantName | None,
+    ) -> None:
+        """Take what an endpoint's answer named, if nothing newer is known."""
+        self._take_over(known)
+        life = known.life
+        if rate_per_s is not None and self._stated.lower(life, rate_per_s):
+            self._tell_soon(life)
+        limit = self._stated.limit_of(life)
+        if limit.rate_per_s is None:
+            return
+        lent = self._lent_of(limit)
+        if rate_per_s == limit.rate_per_s:
+            lent.named = lent.granted
+            return
+        if not self._is_newest(grant, lent):
+            return
+        lent.named = lent.granted
+        self._stated.change(life, rate_per_s)
+        self._tell_soon(life)
+
+    def _is_newest(
+        self, grant: limiting.GrantName | None, lent: _Lent
+    ) -> bool:
+        """Tell whether an answer came after all that named a limit."""
+        if grant is None or grant.life != self._life:
+            return False
+        return grant.number > lent.named
+
+    def _take_over(self, known: limiting.EndpointLimit) -> None:
+        if self._stated.merge(known):
+            self._tell_soon(known.life)
+
+    # What the region is told.
+
+    def _tell_soon(self, life: limiting.EndpointLife) -> None:
+        self._changed[life] = self._clock.mono_ms() + ENDS_RETOLD_MS
+        self._news.set()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                async with clocks.timeout_ms(RETELL_MS):
+                    await self._news.wait()
+                await self._clock.sleep_ms(GATHER_MS)
+            except TimeoutError:
+                self._seen_share(len(self._lenders.all_of(self._host)))
+            self._news.clear()
+            told = self._told()
+            if told:
+                await self._tell(told)
+
+    def _told(self) -> list[limiting.EndpointLimit]:
+        """Return what changed, and what this host goes on to lend out."""
+        now_ms = self._clock.mono_ms()
+        for life, until_ms in list(self._changed.items()):
+            if now_ms > until_ms:
+                del self._changed[life]
+        lives = set(self._changed)
+        for limit in self._stated.in_force():
+            if self._lenders.all_of(limit.life.endpoint)[0] == self._host:
+                lives.add(limit.life)
+        return [self._stated.limit_of(life) for life in lives]
+
+    def keep_only(self, exists: stated_limits.Exists) -> None:
+        """Forget endpoints that are gone, and lives that have ended."""
+        for endpoint, lent in list(self._lent.items()):
+            if not exists(lent.life):
+                del self._lent[endpoint]
+
+
+def _amount_ms(rate_per_s: float) -> float:
+    """Return how much of a limit one request is, in time."""
+    return MS_PER_S / max(rate_per_s, LEAST_RATE_PER_S)
--- a/wrenspoke/coordination/limiting/lenders.py
+++ b/wrenspoke/coordination/limiting/lenders.py
@@ -1,7 +1,6 @@
 """Ask the host of this region that lends a limit out, or the next one."""
 
 import collections.abc
-import dataclasses
 
 import structlog
 
@@ -16,14 +15,6 @@
 Order = collections.abc.Callable[[str], list[str]]
 
 
-@dataclasses.dataclass(slots=True)
-class _Silence:
-    """Say since when a host gives no answer, and when it last gave none."""
-
-    since_ms: int
-    noticed_ms: int
-
-
 class Lenders:
     """Know who lends for each key, and which of them answer."""
 
@@ -38,7 +29,8 @@
         self._left_alone_ms = left_alone_ms
         self._peers = peers
         self._clock = clock
-        self._silences: dict[ids.HostId, _Silence] = {}
+        # When each host that is left alone gave no answer.
+        self._silent_ms: dict[ids.HostId, int] = {}
 
     def all_of(self, key: str) -> list[ids.HostId]:
         """Return the region's hosts in a key's order."""
@@ -56,32 +48,21 @@
         return found
 
     def _is_left_alone(self, host: ids.HostId) -> bool:
-        silence = self._silences.get(host)
-        if silence is None:
+        silent_ms = self._silent_ms.get(host)
+        if silent_ms is None:
             return False
-        return self._clock.mono_ms() - silence.noticed_ms < self._left_alone_ms
-
-    def silent_ms(self, host: ids.HostId) -> int:
-        """Return for how long a host has answered nothing, 0 if it does."""
-        silence = self._silences.get(host)
-        if silence is None:
-            return 0
-        return self._clock.mono_ms() - silence.since_ms
+        if self._clock.mono_ms() - silent_ms < self._left_alone_ms:
+            return True
+        del self._silent_ms[host]
+        return False
 
     async def ask(
         self, host: ids.HostId, message: peer_calls.Message, timeout_ms: float
     ) -> peer_calls.Message | None:
         """Return a host's answer, None where it gives none."""
         try:
-            answer = await self._peers.call(host, message, timeout_ms)
+            return await self._peers.call(host, message, timeout_ms)
         except protocol_errors.ProtocolError as error:
-            self._note_silence(host)
+            self._silent_ms[host] = self._clock.mono_ms()
             logger.info('lender_silent', peer=host, reason=str(error))
             return None
-        self._silences.pop(host, None)
-        return answer
-
-    def _note_silence(self, host: ids.HostId) -> None:
-        now_ms = self._clock.mono_ms()
-        silence = self._silences.setdefault(host, _Silence(now_ms, now_ms))
-        silence.noticed_ms = now_ms
--- a/wrenspoke/coordination/limiting/stated.py
+++ b/wrenspoke/coordination/limiting/stated.py
@@ -1,57 +1,134 @@
-"""Know how many requests a second endpoints take, by their own word."""
+"""Know how many requests a second endpoints take, by their own word.
+
+Hosts tell each other of each change. A host that hears of a limit, or of a
+lower one, takes it at once; a higher one, or its end, is decided by who
+lends the limit, as only that one can tell which answer is the newest.
+"""
 
 import collections.abc
+import math
 
 import structlog
 
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import headers
+from wrenspoke.protocol import limiting
 from wrenspoke.protocol import rates
 
 logger = structlog.get_logger(__name__)
 
+Exists = collections.abc.Callable[[limiting.EndpointLife], bool]
+
 
 class StatedLimits:
-    """Hold what endpoints' answers name, and log each change."""
+    """Hold the newest limit of each endpoint, and log each change."""
 
     def __init__(self):
-        self._rates: dict[ids.EndpointId, float] = {}
+        self._limits: dict[ids.EndpointId, limiting.EndpointLimit] = {}
         # Whose last word could not be read: one line tells of all that follow.
         self._unreadable: set[ids.EndpointId] = set()
 
-    def heard(
-        self, endpoint: ids.EndpointId, texts: collections.abc.Sequence[str]
-    ) -> None:
-        """Note what an answer's head names."""
+    def limit_of(self, life: limiting.EndpointLife) -> limiting.EndpointLimit:
+        """Return what is known of an endpoint's limit in this life of it."""
+        found = self._limits.get(life.endpoint)
+        if found is None or found.life != life:
+            return limiting.EndpointLimit(life)
+        return found
+
+    def rate_per_s(self, life: limiting.EndpointLife) -> float | None:
+        """Return the requests a second that it takes, None for any."""
+        return self.limit_of(life).rate_per_s
+
+    def in_force(self) -> list[limiting.EndpointLimit]:
+        """Return the limits that endpoints go on naming."""
+        return [
+            limit
+            for limit in self._limits.values()
+            if limit.rate_per_s is not None
+        ]
+
+    def read(
+        self,
+        life: limiting.EndpointLife,
+        texts: collections.abc.Sequence[str],
+    ) -> float | None:
+        """Return the rate that an answer's head names, None for none.
+
+        :raises MalformedRateError: it can't be read, and says nothing
+        """
         try:
             rate_per_s = rates.read(texts)
         except protocol_errors.MalformedRateError as error:
-            self._log_unreadable(endpoint, error)
-            return
-        self._unreadable.discard(endpoint)
-        before_per_s = self._rates.pop(endpoint, None)
-        if rate_per_s is not None:
-            self._rates[endpoint] = rate_per_s
-        if rate_per_s != before_per_s:
+            if life.endpoint not in self._unreadable:
+                self._unreadable.add(life.endpoint)
+                logger.warning(
+                    'endpoint_limit_unreadable',
+                    endpoint=life.endpoint,
+                    field=headers.LIMIT,
+                    problem=str(error),
+                )
+            raise
+        self._unreadable.discard(life.endpoint)
+        return rate_per_s
+
+    def lower(self, life: limiting.EndpointLife, rate_per_s: float) -> bool:
+        """Take a rate that was named, unless a lower one is known."""
+        known = self.limit_of(life)
+        if known.rate_per_s is not None and known.rate_per_s <= rate_per_s:
+            return False
+        return self.change(life, rate_per_s)
+
+    def change(
+        self, life: limiting.EndpointLife, rate_per_s: float | None
+    ) -> bool:
+        """Take a rate as newer than what is known; False if it is the same."""
+        known = self.limit_of(life)
+        if rate_per_s == known.rate_per_s:
+            return False
+        return self.merge(
+            limiting.EndpointLimit(life, known.version + 1, rate_per_s)
+        )
+
+    def merge(self, limit: limiting.EndpointLimit) -> bool:
+        """Take what another host knows, if it is newer; tell whether it was.
+
+        Where two hosts changed the same at once the lower rate counts.
+        """
+        known = self._limits.get(limit.life.endpoint)
+        if known is not None and _age(limit) <= _age(known):
+            return False
+        if known is None and not limit.version:
+            return False
+        self._limits[limit.life.endpoint] = limit
+        self._log_change(limit, known)
+        return True
+
+    def _log_change(
+        self,
+        limit: limiting.EndpointLimit,
+        known: limiting.EndpointLimit | None,
+    ) -> None:
+        before_per_s = None if known is None else known.rate_per_s
+        if limit.rate_per_s != before_per_s:
             logger.info(
                 'endpoint_limit_named',
-                endpoint=endpoint,
-                rate_per_s=rate_per_s,
+                endpoint=limit.life.endpoint,
+                rate_per_s=limit.rate_per_s,
                 before_per_s=before_per_s,
+                version=limit.version,
             )
 
-    def _log_unreadable(
-        self,
-        endpoint: ids.EndpointId,
-        error: protocol_errors.MalformedRateError,
-    ) -> None:
-        if endpoint in self._unreadable:
-            return
-        self._unreadable.add(endpoint)
-        logger.warning(
-            'endpoint_limit_unreadable',
-            endpoint=endpoint,
-            field=headers.LIMIT,
-            problem=str(error),
-        )
+    def keep_only(self, exists: Exists) -> None:
+        """Forget endpoints that are gone, and lives that have ended."""
+        for endpoint, limit in list(self._limits.items()):
+            if not exists(limit.life):
+                del self._limits[endpoint]
+        self._unreadable.intersection_update(self._limits)
+
+
+def _age(limit: limiting.EndpointLimit) -> tuple[int, int, float]:
+    """Return what orders limits of one endpoint; the highest is newest."""
+    rate_per_s = limit.rate_per_s
+    lowness = -math.inf if rate_per_s is None else -rate_per_s
+    return (limit.life.born_ms, limit.version, lowness)
--- a/wrenspoke/coordination/membership/askers.py
+++ b/wrenspoke/coordination/membership/askers.py
@@ -7,10 +7,10 @@
 
 import collections.abc
 import math
+import typing
 
 import msgspec
 
-from wrenspoke.coordination.membership import roster
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import attending
@@ -24,6 +24,22 @@
 Listener = collections.abc.Callable[[attending.TellRegion], None]
 
 
+class KnownHost(typing.Protocol):
+    """Be what is needed of a host to tell it something."""
+
+    host: ids.HostId
+    data_centre: ids.DataCentreId
+
+
+class KnownHosts(typing.Protocol):
+    """Know the entry hosts of regions; ``revision`` differs with them."""
+
+    revision: collections.abc.Hashable
+
+    def usable(self, region: ids.RegionId) -> list[KnownHost]:
+        """Return the hosts of a region that should be used."""
+
+
 class Askers:
     """Draw the asking hosts of a region, and tell what they heard."""
 
@@ -31,7 +47,7 @@
         self,
         region: ids.RegionId,
         host: ids.HostId,
-        known: roster.Roster,
+        known: KnownHosts,
         peers: peer_calls.Peers,
     ):
         self._region = region
@@ -41,7 +57,7 @@
         # The order of the region's hosts for each key, as of a revision of
         # the roster.
         self._orders: dict[str, list[str]] = {}
-        self._revision = -1
+        self._revision: collections.abc.Hashable = None
         self._listeners: list[Listener] = []
         # Of the region, as its hosts last counted them.
         self.engines = 0
@@ -107,7 +123,7 @@
             self._orders[key] = found
         return found
 
-    def _usable(self) -> list[attending.HostRecord]:
+    def _usable(self) -> list[KnownHost]:
         return self._roster.usable(self._region)
 
     async def tell(self, message: attending.TellRegion) -> None:
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -8,6 +8,7 @@
 import collections.abc
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import gauges
@@ -16,6 +17,7 @@
 from wrenspoke.coordination.serving import warmth as warmths
 from wrenspoke import ids
 from wrenspoke import mechanisms
+from wrenspoke.protocol import limiting
 from wrenspoke.state import registry
 from wrenspoke.state import routes
 
@@ -38,6 +40,7 @@
         noted: health.Health,
         warmth: warmths.Warmth,
         known: gauges.Gauges,
+        limits: endpoint_limits.EndpointLimits,
         switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
@@ -49,6 +52,7 @@
         self._health = noted
         self._warmth = warmth
         self._gauges = known
+        self._limits = limits
         self._switched_off = switched_off
         self._clock = clock
         self._evacuated: set[ids.DataCentreId] = set()
@@ -109,13 +113,25 @@
     def sound(
         self, service: ids.ServiceId, region: ids.RegionId
     ) -> list[registry.Registered]:
-        """Return the warm endpoints that are not set aside."""
+        """Return the warm endpoints that take work now."""
         return [
             found
             for found in self.warm(service, region)
-            if not self.doubted(found)
+            if not self.doubted(found) and not self.spent_ms(found)
         ]
 
+    def is_limited(self, found: registry.Registered) -> bool:
+        """Tell whether an endpoint names a limit."""
+        return self._limits.rate_per_s(_life_of(found)) is not None
+
+    def share_per_s(self, found: registry.Registered) -> float | None:
+        """Return this host's part of an endpoint's limit, None without."""
+        return self._limits.share_per_s(_life_of(found))
+
+    def spent_ms(self, found: registry.Registered) -> int:
+        """Return for how long an endpoint takes no more, by its limit."""
+        return self._limits.left_alone_ms(_life_of(found))
+
     def cold(self, found: registry.Registered) -> bool:
         """Tell whether an endpoint bears a few requests only."""
         if found.warm_ms > self._clock.mono_ms():
@@ -173,3 +189,7 @@
 
     def _on(self, mechanism: mechanisms.Mechanism) -> bool:
         return mechanism not in self._switched_off
+
+
+def _life_of(found: registry.Registered) -> limiting.EndpointLife:
+    return limiting.EndpointLife(found.said.endpoint, found.said.born_ms)
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -18,6 +18,7 @@
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import health
 from wrenspoke.coordination.serving import prefixes
+from wrenspoke.coordination.serving import return_line
 from wrenspoke.coordination.serving import samples
 from wrenspoke import ids
 from wrenspoke import mechanisms
@@ -88,6 +89,7 @@
         self._switched_off = switched_off
         self._clock = clock
         self._random = random.Random()
+        self._lines: dict[ids.ServiceId, return_line.ReturnLine] = {}
         self.in_flight: dict[ids.EndpointId, int] = {}
 
     def regions_for(self, route: routes.Route) -> list[ids.RegionId]:
@@ -115,6 +117,7 @@
             found
             for found in self._available.usable(service.service, self._region)
             if found.said.endpoint not in excluded
+            and not self._available.spent_ms(found)
         ]
         warm = [found for found in every if not self._available.cold(found)]
         sound = [found for found in warm if not self._available.doubted(found)]
@@ -253,20 +256,35 @@
         self._random.shuffle(regions)
         return regions
 
-    def usable_in_ms(self, service: routes.RoutedService) -> float | None:
-        """Return when an endpoint here takes calls again, if that is known.
+    def return_in_ms(
+        self, service: routes.RoutedService, urgency: int
+    ) -> float | None:
+        """Return when a call that was turned away should come back.
 
-        That is once one that is cold has warmed up, or one that was set
-        aside is tried again.
+        That is once an endpoint here takes calls again: one that is cold
+        has warmed up, one that was set aside is tried again, one that named
+        a limit takes more. Where all name limits those that were turned
+        away come one behind the other. None if nothing tells.
         """
         now_ms = self._clock.mono_ms()
+        usable = self._available.usable(service.service, self._region)
         waits_ms = []
-        for found in self._available.usable(service.service, self._region):
+        for found in usable:
             until_ms = self._health.aside_until_ms(found.said.address)
-            wait_ms = max(found.warm_ms, until_ms) - now_ms
+            wait_ms = max(
+                found.warm_ms - now_ms,
+                until_ms - now_ms,
+                self._available.spent_ms(found),
+            )
             if wait_ms > 0:
                 waits_ms.append(wait_ms)
-        return min(waits_ms, default=None)
+        shares = [self._available.share_per_s(found) for found in usable]
+        if not waits_ms or None in shares:
+            return min(waits_ms, default=None)
+        line = self._lines.setdefault(
+            service.service, return_line.ReturnLine(self._clock)
+        )
+        return max(min(waits_ms), line.join(urgency, sum(shares)))
 
     def free_places(self, service: routes.RoutedService) -> int:
         """Return the places of a service here that are known to be free."""
@@ -285,6 +303,11 @@
         found = self._available.sound(service.service, self._region)
         if not found:
             return None
+        # What an endpoint in need takes is left to its own region.
+        unlimited = [
+            one for one in found if not self._available.is_limited(one)
+        ]
+        found = unlimited or found
         name, best = min(
             (
                 (
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -16,13 +16,14 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
-from wrenspoke.coordination.limiting import stated as stated_limits
+from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import guard as guards
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import placement
 from wrenspoke import ids
 from wrenspoke.protocol import headers
+from wrenspoke.protocol import limiting
 from wrenspoke.protocol import requests
 from wrenspoke.state import configuration
 from wrenspoke.transport import errors as transport_errors
@@ -104,6 +105,7 @@
     takes_work: bool
     current: bool
     held_ms: int | None = None
+    admitted: bool = True
 
 
 Check = collections.abc.Callable[[Send, Context], str | None]
@@ -189,6 +191,14 @@
     return None
 
 
+@check('endpoint_limit')
+def check_endpoint_limit(send: Send, context: Context) -> str | None:
+    """Send no work beyond what the endpoint says that it takes."""
+    if send.purpose in WORK and not context.admitted:
+        return 'no leave was got'
+    return None
+
+
 @check('claim')
 def check_claim(send: Send, _context: Context) -> str | None:
     """Let a once-only request through once, by its claim."""
@@ -225,7 +235,7 @@
         clock: clocks.Clock,
         awake: collections.abc.Callable[[], bool] = lambda: True,
         guard: guards.Guard | None = None,
-        stated: stated_limits.StatedLimits | None = None,
+        limits: endpoint_limits.EndpointLimits | None = None,
     ):
         self._host = host
         self._region = region
@@ -234,7 +244,7 @@
         self._clock = clock
         self._awake = awake
         self._guard = guard
-        self._stated = stated
+        self._limits = limits
         self.sent = 0
 
     @contextlib.asynccontextmanager
@@ -243,12 +253,14 @@
 
         Leaving the block early cancels the work at the endpoint.
 
+        :raises EndpointLimitError: the endpoint takes no more now
         :raises SendRefusedError: a check failed; nothing was sent
         :raises NotSentError: no connection; nothing was sent
         :raises OverloadedError: the endpoint turned it away unrun
         :raises MaybeSentError: it may have been run
         """
-        endpoint = self._checked(send)
+        admission = await self._admitted(send)
+        endpoint = self._checked(send, admission)
         self.sent += send.purpose in WORK
         once = send.head is not None and send.head.once
         try:
@@ -260,10 +272,10 @@
                     self._headers(send),
                     send.body,
                     fresh=once,
-                    may_leave=lambda: self._held_ms(send) is None,
+                    may_leave=lambda: self._may_leave(send, admission),
                 ) as response,
             ):
-                self._note_limit(send, response)
+                self._note_limit(send, endpoint, admission, response)
                 self._refuse_overload(send, response)
                 self._refuse_crossed(send, endpoint, response)
                 _refuse_endless(send, response)
@@ -273,17 +285,52 @@
         except transport_errors.NotSentError as error:
             if send.ticket is not None:
                 send.ticket.unsent()
+            if admission is not None and not admission.may_leave():
+                # It says nothing of the endpoint: the leave has ended.
+                raise errors.EndpointLimitError(send.endpoint, 0) from error
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
             raise errors.MaybeSentError(str(error)) from error
 
+    async def _admitted(self, send: Send) -> endpoint_limits.Admission | None:
+        """Get leave to give an endpoint work, None for all else.
+
+        A stream that the endpoint has begun goes before all others.
+
+        :raises EndpointLimitError: it takes no more now
+        """
+        if self._limits is None or send.purpose not in WORK:
+            return None
+        rank = endpoint_limits.FIRST_RANK
+        if send.purpose is not Purpose.RESUME and send.head is not None:
+            urgency = requests.Priority.HIGH - send.head.priority
+            rank = endpoint_limits.rank(urgency, kept=False)
+        life = limiting.EndpointLife(send.endpoint)
+        return await self._limits.admit(life, rank)
+
+    def _may_leave(
+        self, send: Send, admission: endpoint_limits.Admission | None
+    ) -> bool:
+        """Tell, as the first byte is about to leave, whether it still may."""
+        if self._held_ms(send) is not None:
+            return False
+        return admission is None or admission.may_leave()
+
     def _note_limit(
-        self, send: Send, response: aiohttp.ClientResponse
+        self,
+        send: Send,
+        endpoint: configuration.Endpoint,
+        admission: endpoint_limits.Admission | None,
+        response: aiohttp.ClientResponse,
     ) -> None:
-        """Note what an endpoint says of how much it takes."""
-        if self._stated is not None and send.purpose in WORK:
-            texts = response.headers.getall(headers.LIMIT, [])
-            self._stated.heard(send.endpoint, texts)
+        """Note what an endpoint says of how much it takes.
+
+        It counts whatever becomes of the answer.
+        """
+        if admission is None:
+            return
+        texts = response.headers.getall(headers.LIMIT, [])
+        admission.heard(texts, _is_own(send, endpoint, response))
 
     def _is_guarded(self, send: Send) -> bool:
         """Tell whether a send gives work that may end its endpoint."""
@@ -306,7 +353,9 @@
             return None
         return self._guard.held_ms(send.head.digest)
 
-    def _checked(self, send: Send) -> configuration.Endpoint:
+    def _checked(
+        self, send: Send, admission: endpoint_limits.Admission | None
+    ) -> configuration.Endpoint:
         endpoint = self._replica.current.endpoints.get(send.endpoint)
         if endpoint is None:
             raise errors.SendRefusedError('endpoint_state', 'is gone')
@@ -318,6 +367,7 @@
             takes_work=self._replica.takes_work(endpoint),
             current=self._replica.serving and self._awake(),
             held_ms=self._held_ms(send),
+            admitted=admission is None or admission.may_leave(),
         )
         for name, function in CHECKS.items():
             detail = function(send, context)
@@ -358,20 +408,28 @@
         endpoint: configuration.Endpoint,
         response: aiohttp.ClientResponse,
     ) -> None:
-        if not endpoint.echoes_request_id:
-            return
-        echoed = response.headers.get(headers.ECHO)
-        if echoed == send.name:
+        if _is_own(send, endpoint, response):
             return
         logger.warning(
             'answer_crossed',
             endpoint=send.endpoint,
             expected=send.name,
-            found=echoed,
+            found=response.headers.get(headers.ECHO),
         )
         raise errors.MaybeSentError("answer is another request's")
 
 
+def _is_own(
+    send: Send,
+    endpoint: configuration.Endpoint,
+    response: aiohttp.ClientResponse,
+) -> bool:
+    """Tell whether an answer is to what was sent."""
+    if not endpoint.echoes_request_id:
+        return True
+    return response.headers.get(headers.ECHO) == send.name
+
+
 def _refuse_endless(send: Send, response: aiohttp.ClientResponse) -> None:
     """Refuse a body whose end can't be told from a broken connection."""
     if send.method == 'HEAD' or response.status in BODILESS_STATUSES:
--- a/wrenspoke/coordination/serving/local.py
+++ b/wrenspoke/coordination/serving/local.py
@@ -112,6 +112,15 @@
 
         :raises EndedError: there is no next try
         """
+        if isinstance(error, errors.EndpointLimitError):
+            # Others take it; the placer leaves this one alone meanwhile.
+            self._decisions.note(
+                'over_endpoint_limit',
+                self._head.request,
+                endpoint=endpoint,
+                wait_ms=error.wait_ms,
+            )
+            return
         refused = isinstance(error, errors.SendRefusedError)
         if refused and error.check == 'configuration' and self._looks:
             self._looks -= 1
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -41,6 +41,9 @@
 GATEWAY_TIMEOUT = 504
 # Sends that reached no endpoint, or that it refused unrun.
 UNRUN_LIMIT = 4
+# Endpoints that are asked for one call, where each takes no more: two dozen
+# milliseconds. What was asked in vain is left alone by the next calls.
+OVER_LIMIT_TRIES = 8
 # A host that lags waits for the configuration that the first went by.
 CATCH_UP_MS = 600
 # Where nothing tells when an endpoint is back: some pings of other regions.
@@ -373,6 +376,12 @@
             if place is None:
                 work.cause = work.cause or 'no_endpoint'
                 return False
+            # Before the budget of repeats, which a call that is not sent
+            # leaves as it is.
+            if not await self._tries.admit(work, place):
+                if work.over_limit >= OVER_LIMIT_TRIES:
+                    return False
+                continue
             if work.sent and not self._spending.spend(work.service.service):
                 work.cause = f'{work.cause} (no retry left)'
                 return False
@@ -430,9 +439,10 @@
 
         Callers that are sent away together are spread.
         """
-        known_ms = self._choice.usable_in_ms(work.service)
-        wait_ms = RETRY_AFTER_MS if known_ms is None else known_ms
-        return placing.spread_ms(wait_ms)
+        known_ms = self._choice.return_in_ms(work.service, work.permit.urgency)
+        if known_ms is None:
+            known_ms = work.told_return_ms or RETRY_AFTER_MS
+        return placing.spread_ms(known_ms)
 
     async def drain(self, timeout_ms: int) -> bool:
         """Take nothing new and wait; True if all of it ended."""
--- a/wrenspoke/coordination/serving/placement.py
+++ b/wrenspoke/coordination/serving/placement.py
@@ -10,12 +10,14 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import loads
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import decisions
 from wrenspoke.coordination.serving import limits
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
+from wrenspoke.protocol import limiting
 from wrenspoke.protocol import outcomes
 from wrenspoke.protocol import requests
 from wrenspoke import settings
@@ -23,6 +25,7 @@
 
 RECHECK_MS = 250
 NEVER = float('inf')
+MS_PER_S = 1_000
 
 
 class Slot:
@@ -73,6 +76,10 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
+    def ahead(self, head: requests.RequestHead) -> int:
+        """Return how many of those that wait go before a request."""
+        return sum(waiter.rank <= -head.priority for waiter in self._waiters)
+
     def enter(self, head: requests.RequestHead) -> _Waiter | None:
         """Add a request; None when those that wait go before it."""
         self._number += 1
@@ -115,6 +122,7 @@
         held: replica.Replica,
         load_table: loads.Loads,
         limit_table: limits.Limits,
+        stated: endpoint_limits.EndpointLimits,
         noted: decisions.Decisions,
         clock: clocks.Clock,
     ):
@@ -123,6 +131,7 @@
         self._replica = held
         self._loads = load_table
         self._limits = limit_table
+        self._stated = stated
         self._decisions = noted
         self._clock = clock
         self._queues: dict[ids.ServiceId, Queue] = {}
@@ -243,7 +252,7 @@
         for place, item in enumerate(ranked):
             endpoint = item.endpoint
             limit = self._limits.of(endpoint.endpoint, endpoint.slots)
-            if not limit.free:
+            if not limit.free or self._spent_ms(endpoint.endpoint):
                 continue
             self._decisions.note(
                 'placed',
@@ -267,8 +276,13 @@
     ) -> None:
         left_ms = head.deadline_ms - self._clock.mono_ms()
         endpoints = [item.endpoint for item in ranked]
-        wait_ms = self._wait_ms(endpoints, len(queue) + 1)
-        if wait_ms <= left_ms or head.priority is requests.Priority.HIGH:
+        wait_ms = self._wait_ms(endpoints, queue.ahead(head) + 1)
+        if wait_ms <= left_ms:
+            return
+        # The most urgent wait where it is reckoned that they are late, and
+        # not where endpoints say so themselves.
+        urgent = head.priority is requests.Priority.HIGH
+        if urgent and not all(map(self._is_limited, endpoints)):
             return
         raise self._overload(ranked, queue, 'would wait past its deadline')
 
@@ -281,9 +295,23 @@
         for endpoint in endpoints:
             limit = self._limits.of(endpoint.endpoint, endpoint.slots)
             hold_ms = self._loads.speed(endpoint.endpoint).hold_ms
-            per_ms += limit.limit / max(hold_ms, 1.0)
+            own_per_ms = limit.limit / max(hold_ms, 1.0)
+            stated_per_s = self._stated.share_per_s(
+                _life_of(endpoint.endpoint)
+            )
+            if stated_per_s is not None:
+                own_per_ms = min(own_per_ms, stated_per_s / MS_PER_S)
+            per_ms += own_per_ms
         return waiting / per_ms if per_ms else 0.0
 
+    def _is_limited(self, endpoint: configuration.Endpoint) -> bool:
+        life = _life_of(endpoint.endpoint)
+        return self._stated.rate_per_s(life) is not None
+
+    def _spent_ms(self, endpoint: ids.EndpointId) -> int:
+        """Return for how long an endpoint takes no more, by its limit."""
+        return self._stated.left_alone_ms(_life_of(endpoint))
+
     def _overload(
         self,
         ranked: typing.Sequence[routing.Ranked],
@@ -311,8 +339,13 @@
         left_ms = head.deadline_ms - self._clock.mono_ms()
         if left_ms <= 0:
             raise self._overload(ranked, queue, 'deadline passed waiting')
+        spent_ms = [self._spent_ms(item.endpoint.endpoint) for item in ranked]
+        soonest_ms = min(
+            (wait_ms for wait_ms in spent_ms if wait_ms), default=0
+        )
+        recheck_ms = min(left_ms, soonest_ms or RECHECK_MS, RECHECK_MS)
         try:
-            async with clocks.timeout_ms(min(left_ms, RECHECK_MS)):
+            async with clocks.timeout_ms(recheck_ms):
                 kept = await asyncio.shield(waiter.woken)
         except TimeoutError:
             return
@@ -324,3 +357,8 @@
         if queue is None:
             queue = self._queues[service] = Queue(self._settings.queue_limit)
         return queue
+
+
+def _life_of(endpoint: ids.EndpointId) -> limiting.EndpointLife:
+    """Return the one life that endpoints with a configured name have."""
+    return limiting.EndpointLife(endpoint)
--- /dev/null
+++ b/wrenspoke/coordination/serving/return_line.py
@@ -0,0 +1,33 @@
+"""Tell callers that are turned away when to come back, one by one."""
+
+from wrenspoke import clock as clocks
+
+MS_PER_S = 1_000
+# Longer than callers wait, as a rule; what is reckoned for later is a guess.
+LONGEST_RETURN_MS = 10_000
+
+
+class ReturnLine:
+    """Hold when callers that were turned away are to come back.
+
+    The more urgent come before those that are less, whoever came first.
+    """
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        # When each comes back, and how urgent its call is.
+        self._due: list[tuple[float, int]] = []
+
+    def join(self, urgency: int, rate_per_s: float) -> float:
+        """Return how long a caller is to stay away.
+
+        ``rate_per_s`` is what can be served of those that come back.
+        """
+        now_ms = self._clock.mono_ms()
+        self._due = [entry for entry in self._due if entry[0] > now_ms]
+        ahead = sum(other <= urgency for _due_ms, other in self._due)
+        wait_ms = (ahead + 1) * MS_PER_S / rate_per_s
+        if wait_ms >= LONGEST_RETURN_MS:
+            return LONGEST_RETURN_MS
+        self._due.append((now_ms + wait_ms, urgency))
+        return wait_ms
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -18,13 +18,14 @@
 import structlog
 
 from wrenspoke.coordination import errors
-from wrenspoke.coordination.limiting import stated as stated_limits
+from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.quarantine import guard as guards
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import choice
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import limiting
 from wrenspoke.protocol import passing
 from wrenspoke.protocol import traffic
 from wrenspoke.state import locations
@@ -64,6 +65,14 @@
     sent_ms: int = 0
     answered: bool = False
     reading: int | None = None
+    admission: endpoint_limits.Admission | None = None
+
+    @property
+    def life(self) -> limiting.EndpointLife:
+        """Return which life of the endpoint was chosen."""
+        return limiting.EndpointLife(
+            self.endpoint, self.chosen.found.said.born_ms
+        )
 
     @property
     def expected_ms(self) -> int | None:
@@ -148,7 +157,7 @@
         permitted: access.Access,
         sent: traffic.Traffic,
         guard: guards.Guard,
-        stated: stated_limits.StatedLimits,
+        limits: endpoint_limits.EndpointLimits,
     ):
         self._dialect = dialect
         self._access = permitted
@@ -156,7 +165,15 @@
         self._hosts = hosts
         self._traffic = sent
         self._guard = guard
-        self._stated = stated
+        self._limits = limits
+
+    async def admit(self, place: Place, rank: int) -> None:
+        """Get leave to send to a place, where its endpoint names a limit.
+
+        :raises EndpointLimitError: it takes no more now
+        """
+        if place.endpoint is not None:
+            place.admission = await self._limits.admit(place.life, rank)
 
     @contextlib.asynccontextmanager
     async def send(
@@ -197,7 +214,7 @@
                     may_leave,
                 ) as response,
             ):
-                self._note_limit(place, response)
+                self._note_limit(call, place, response)
                 verdict = self._verdict(call, place, response)
                 answer = Answer(response, verdict, place.host is not None)
                 try:
@@ -219,15 +236,26 @@
         """Tell, as the first byte is about to leave, whether it still may."""
         if self._guard.held_ms(call.digest) is not None:
             return False
+        if place.endpoint is not None and not place.admission.may_leave():
+            return False
         return self._access.may_enter(call, permit, place.host, place.regions)
 
     def _note_limit(
-        self, place: Place, response: aiohttp.ClientResponse
+        self,
+        call: dialects.Call,
+        place: Place,
+        response: aiohttp.ClientResponse,
     ) -> None:
-        """Note what an endpoint says of how much it takes."""
-        if place.endpoint is not None:
-            texts = response.headers.getall(self._dialect.limit, [])
-            self._stated.heard(place.endpoint, texts)
+        """Note what an endpoint says of how much it takes.
+
+        It counts whatever becomes of the answer.
+        """
+        if place.endpoint is None:
+            return
+        texts = response.headers.getall(self._dialect.limit, [])
+        echoed = response.headers.get(self._dialect.request)
+        proved = echoed == call.request and response.status != MISDIRECTED
+        place.admission.heard(texts, proved)
 
     def _note_traffic(
         self, call: dialects.Call, place: Place, answer: Answer
--- a/wrenspoke/coordination/serving/streams.py
+++ b/wrenspoke/coordination/serving/streams.py
@@ -315,7 +315,9 @@
             if slot is None:
                 continue
             try:
-                await self._resume(head, slot, transcript, reply, tries)
+                await self._resume_once_taken(
+                    head, slot, transcript, reply, tries
+                )
                 return slot.endpoint.endpoint
             except (errors.SendRefusedError, errors.NotSentError):
                 continue
@@ -330,6 +332,26 @@
             'no engine holds this stream any more; ask anew',
         )
 
+    async def _resume_once_taken(
+        self,
+        head: requests.RequestHead,
+        slot: placement.Slot,
+        transcript: Transcript,
+        reply: replies.Reply,
+        tries: local.Tries,
+    ) -> None:
+        """Resume at an endpoint as soon as its limit lets it.
+
+        No other one has the stream, and it goes before all that begin.
+        """
+        while True:
+            tries.check_deadline()
+            try:
+                await self._resume(head, slot, transcript, reply, tries)
+                return
+            except errors.EndpointLimitError as error:
+                await self._server.clock.sleep_ms(error.wait_ms)
+
     def _cancel(self, send: dispatch.Send) -> None:
         """Tell the engine that nobody waits for this stream."""
         self._cancels.start(self._send_cancel(send), fatal=False)
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -13,6 +13,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import reach
 from wrenspoke.coordination.serving import choice
@@ -104,6 +105,23 @@
                 del counts[place.name]
         return False
 
+    async def admit(self, work: works.Work, place: sending.Place) -> bool:
+        """Get leave to send there; False where the endpoint takes no more."""
+        try:
+            await self._sender.admit(place, _rank(work, place))
+        except errors.EndpointLimitError as error:
+            work.over_limit += 1
+            work.cause = str(error)
+            logger.info(
+                'over_endpoint_limit',
+                request=work.call.request,
+                route=work.route.name,
+                endpoint=error.endpoint,
+                wait_ms=error.wait_ms,
+            )
+            return False
+        return True
+
     def _left_ms(self, work: works.Work) -> int:
         return work.deadline_ms - self._clock.mono_ms()
 
@@ -185,9 +203,10 @@
         """Note that a call may not go there any more, and did not.
 
         Where another team holds its key now, the place is as good as it
-        was.
+        was; one whose leave ended on the way may end it again.
         """
-        work.tried.discard(place.name)
+        if place.admission is None or place.admission.may_leave():
+            work.tried.discard(place.name)
         work.cause = f'{place.name}: may not go there any more'
         logger.warning(
             'held_back',
@@ -261,6 +280,8 @@
             work.unrun += 1
         if answer.refused in passing.NOTHING_SENT:
             work.sent -= 1
+        if answer.refused is passing.Refusal.UNSENT:
+            work.told_return_ms = int(answer.retry_after_ms) or None
         if answer.refused in (passing.Refusal.UNSENT, passing.Refusal.BUSY):
             work.regions_out.add(place.region)
         if answer.refused == passing.Refusal.UNKNOWN_KEY:
@@ -393,3 +414,14 @@
         if work.first_at_ms is None or work.first_at_ms < place.sent_ms:
             return None
         return work.first_at_ms - place.sent_ms
+
+
+def _rank(work: works.Work, place: sending.Place) -> int:
+    """Return a call's place among those that want the same endpoint.
+
+    A stream that another endpoint began goes first.
+    """
+    if work.tracker is not None or place.chosen is None:
+        return endpoint_limits.FIRST_RANK
+    kept = place.chosen.prospect.unread_tokens < work.call.tokens_in
+    return endpoint_limits.rank(work.permit.urgency, kept)
--- a/wrenspoke/coordination/serving/warmth.py
+++ b/wrenspoke/coordination/serving/warmth.py
@@ -12,11 +12,14 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import replica
 from wrenspoke import ids
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import limiting
 from wrenspoke import runtime
 from wrenspoke.state import registry
 from wrenspoke.transport import errors as transport_errors
@@ -42,12 +45,14 @@
         held: replica.Replica,
         dialect: dialects.Dialect,
         client: web.HttpClient,
+        limits: endpoint_limits.EndpointLimits,
         clock: clocks.Clock,
     ):
         self._askers = asking
         self._replica = held
         self._dialect = dialect
         self._client = client
+        self._limits = limits
         self._clock = clock
         # From when on an endpoint is warm, and when that was heard.
         self._warm_ms: dict[ids.EndpointId, tuple[int, int]] = {}
@@ -101,13 +106,29 @@
         service = self._replica.current.routes.service(said.service)
         if service is None:
             return None
+        life = limiting.EndpointLife(said.endpoint, said.born_ms)
         try:
             async with clocks.timeout_ms(ANSWER_TIMEOUT_MS):
+                # A look takes a slot, as a request does.
+                admission = await self._limits.admit(
+                    life, endpoint_limits.LAST_RANK
+                )
                 async with self._client.pass_on(
-                    'GET', said.address, service.health_path, [], None
+                    'GET',
+                    said.address,
+                    service.health_path,
+                    [],
+                    None,
+                    admission.may_leave,
                 ) as response:
+                    texts = response.headers.getall(self._dialect.limit, [])
+                    admission.heard(texts, proved=False)
                     await web.read_whole(response, BODY_LIMIT_BYTES)
-        except (TimeoutError, transport_errors.TransportError) as error:
+        except (
+            TimeoutError,
+            errors.EndpointLimitError,
+            transport_errors.TransportError,
+        ) as error:
             logger.info(
                 'warmth_unknown', endpoint=said.endpoint, cause=repr(error)
             )
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -10,9 +10,9 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.limiting import bounds
+from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.limiting import lender
 from wrenspoke.coordination.limiting import limiter
-from wrenspoke.coordination.limiting import stated
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import controls
@@ -43,6 +43,7 @@
 from wrenspoke import node_peers
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import passing
 from wrenspoke import runtime
@@ -214,6 +215,26 @@
             self.clock,
         )
 
+        self._endpoint_limits = endpoint_limits.EndpointLimits(
+            node.host,
+            self._askers.order,
+            self._lives,
+            self._tell_limits,
+            self.peers,
+            self.clock,
+        )
+        self._askers.listen(
+            lambda message: self._endpoint_limits.take_told(message.limits)
+        )
+
+    def _lives(self, life: limiting.EndpointLife) -> bool:
+        """Tell whether an endpoint is known, and in that life of it."""
+        found = self.attendance.registry.held.get(life.endpoint)
+        return found is not None and found.said.born_ms == life.born_ms
+
+    async def _tell_limits(self, limits: list[limiting.EndpointLimit]) -> None:
+        await self._askers.tell(attending.TellRegion(limits=limits))
+
     def _build_guard(self) -> None:
         """Build what holds back requests that end endpoints."""
         self._guard = guard.Guard(
@@ -243,7 +264,12 @@
         """Build what serves requests and what listens for them."""
         node = self.node
         self._warmth = warmth.Warmth(
-            self._askers, self.replica, dialect, self._client, self.clock
+            self._askers,
+            self.replica,
+            dialect,
+            self._client,
+            self._endpoint_limits,
+            self.clock,
         )
         self._regions = regions.Regions(
             self._reach,
@@ -262,6 +288,7 @@
             self._health,
             self._warmth,
             self._gauges,
+            self._endpoint_limits,
             node.switched_off,
             self.clock,
         )
@@ -298,7 +325,7 @@
                     self._access,
                     self._traffic,
                     self._guard,
-                    stated.StatedLimits(),
+                    self._endpoint_limits,
                 ),
                 self.attendance,
                 self._choice,
@@ -342,6 +369,7 @@
         await self.peers.links.start(node.ip, node.link_port)
         self.attendance.start()
         self._lender.start()
+        self._endpoint_limits.start()
         self._gauges.start()
         if self._sent_calls is not None:
             self._sent_calls.start()
@@ -395,6 +423,7 @@
         await asyncio.gather(self._callers.close(), self._hosts.close())
         await self._tasks.close()
         await self._lender.close()
+        await self._endpoint_limits.close()
         await self._guard.close()
         if self._sent_calls is not None:
             await self._sent_calls.close()
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -7,9 +7,11 @@
 
 from wrenspoke import arguments
 from wrenspoke import clock as clocks
-from wrenspoke.coordination.limiting import stated
+from wrenspoke.coordination.limiting import endpoint_limits
+from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import leaving
 from wrenspoke.coordination.membership import loads
+from wrenspoke.coordination.membership import member_roster
 from wrenspoke.coordination.membership import members
 from wrenspoke.coordination.membership import polls
 from wrenspoke.coordination.membership import pulls
@@ -31,7 +33,9 @@
 from wrenspoke import ids
 from wrenspoke import keys
 from wrenspoke import metrics
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import hops
+from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke.protocol import surface
@@ -71,6 +75,7 @@
         self.loads = loads.Loads(self._clock)
         self._limits = limits.Limits(self._clock)
         self._build_membership()
+        self._build_limits()
         self._build_guard()
         self._build_serving()
         self._build_ledger()
@@ -119,6 +124,29 @@
             self._clock,
         )
 
+    def _build_limits(self) -> None:
+        """Build what keeps to what endpoints say that they take."""
+        self._askers = askers.Askers(
+            self._region,
+            self._host,
+            member_roster.MemberRoster(self._deployment, self.members),
+            self.peers,
+        )
+        self._endpoint_limits = endpoint_limits.EndpointLimits(
+            self._host,
+            self._askers.order,
+            lambda life: life.endpoint in self.replica.current.endpoints,
+            self._tell_limits,
+            self.peers,
+            self._clock,
+        )
+        self._askers.listen(
+            lambda message: self._endpoint_limits.take_told(message.limits)
+        )
+
+    async def _tell_limits(self, limits: list[limiting.EndpointLimit]) -> None:
+        await self._askers.tell(attending.TellRegion(limits=limits))
+
     def _build_guard(self) -> None:
         """Build what holds back requests that end endpoints.
 
@@ -154,7 +182,7 @@
             self._clock,
             lambda: self.members.awake,
             self._guard,
-            stated.StatedLimits(),
+            self._endpoint_limits,
         )
         self._poller = polls.LoadPoller(
             self._settings,
@@ -173,6 +201,7 @@
             self.replica,
             self.loads,
             self._limits,
+            self._endpoint_limits,
             self.decisions,
             self._clock,
         )
@@ -265,6 +294,7 @@
         self._poller.start()
         self._leaving.start()
         self._shares.start()
+        self._endpoint_limits.start()
         await self._web.start(ip, self._own.http_port)
         logger.info('started', ip=ip, http_port=self._own.http_port)
 
@@ -286,6 +316,18 @@
         put('wrenspoke_retries_denied_total', status['retries_denied'])
         put('wrenspoke_quarantine_refused_total', status['quarantine_refused'])
         put('wrenspoke_requests_in_quarantine', status['in_quarantine'])
+        for limit in self._endpoint_limits.in_force():
+            put(
+                'wrenspoke_endpoint_limit_per_s',
+                limit.rate_per_s,
+                endpoint=limit.life.endpoint,
+            )
+        for endpoint, count in self._endpoint_limits.refused.items():
+            put(
+                'wrenspoke_endpoint_limit_refused_total',
+                count,
+                endpoint=endpoint,
+            )
         put('wrenspoke_configuration_index', status['index'])
         put('wrenspoke_serving', status['serving'])
         put('wrenspoke_draining', status['draining'])
@@ -312,6 +354,7 @@
         """End every task and close every socket."""
         await self._web.close()
         await self._shares.close()
+        await self._endpoint_limits.close()
         await self._reach.close()
         await self._leaving.close()
         await self._poller.close()
--- a/wrenspoke/metrics.py
+++ b/wrenspoke/metrics.py
@@ -12,6 +12,12 @@
     'wrenspoke_endpoint_sends_total': 'sends of work to endpoints',
     'wrenspoke_retries_spent_total': 'retries taken from the budget',
     'wrenspoke_retries_denied_total': 'retries the budget did not allow',
+    'wrenspoke_endpoint_limit_per_s': (
+        'requests a second an endpoint says that it takes'
+    ),
+    'wrenspoke_endpoint_limit_refused_total': (
+        'times an endpoint took no more, by its limit'
+    ),
     'wrenspoke_quarantine_refused_total': (
         'requests turned away as endpoints ended under them'
     ),
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -6,6 +6,7 @@
 
 from wrenspoke import ids
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.state import configuration
 from wrenspoke.state import loads
@@ -228,7 +229,8 @@
     """Tell the entry hosts of the region what one of them found out.
 
     That is what engines reported, what other regions offer, which
-    endpoints that were taken back are warm, and what hosts sent to engines.
+    endpoints that were taken back are warm, what hosts sent to engines, and
+    what endpoints say that they take.
     Who gets it tells the hosts of ``pass_on``.
     """
 
@@ -237,6 +239,7 @@
     warm: list[WarmupStatus] = []
     sent: list[SentCall] = []
     pass_on: list[ids.HostId] = []
+    limits: list[limiting.EndpointLimit] = []
 
 
 class Withdraw(msgspec.Struct, tag='withdraw'):
--- a/wrenspoke/protocol/limiting.py
+++ b/wrenspoke/protocol/limiting.py
@@ -70,3 +70,65 @@
 
     granted: bool
     wait_ms: int
+
+
+class EndpointLife(msgspec.Struct, array_like=True, frozen=True):
+    """Name one life of an endpoint; ``born_ms`` is 0 where it has but one."""
+
+    endpoint: ids.EndpointId
+    born_ms: int = 0
+
+
+class EndpointLimit(msgspec.Struct, array_like=True, frozen=True):
+    """Tell how many requests a second an endpoint takes, by its own word.
+
+    ``rate_per_s`` is None where it takes what comes. Of two of one life the
+    higher ``version`` is newer.
+    """
+
+    life: EndpointLife
+    version: int = 0
+    rate_per_s: float | None = None
+
+
+class GrantName(msgspec.Struct, array_like=True, frozen=True):
+    """Name a leave to send: the lender, its life, and a rising number."""
+
+    lender: ids.HostId
+    life: str
+    number: int
+
+
+class AskSend(msgspec.Struct, tag='ask_send'):
+    """Ask who lends an endpoint's limit whether a request may be sent.
+
+    ``known`` is what the asking host knows of the limit. The lowest
+    ``rank`` goes first.
+    """
+
+    known: EndpointLimit
+    rank: int
+
+
+class SendAnswered(msgspec.Struct, tag='send_answered'):
+    """Answer whether it may, with what is known of the limit.
+
+    ``grant`` is None where it may not, nor is worth asking again before
+    ``wait_ms``, and where there is no limit any more.
+    """
+
+    known: EndpointLimit
+    grant: GrantName | None = None
+    wait_ms: int = 0
+
+
+class LimitHeard(msgspec.Struct, tag='limit_heard'):
+    """Tell a lender which rate an endpoint's answer named, None if none.
+
+    ``known`` is what the host knows of the limit after it, ``grant`` the
+    leave under which the request was sent; None if that was without.
+    """
+
+    known: EndpointLimit
+    rate_per_s: float | None
+    grant: GrantName | None = None
