--- a/benches/endpoint_limits.py
+++ b/benches/endpoint_limits.py
@@ -7,7 +7,8 @@
 row is a size and a limit, each column a way: the most that any 4 s held over
 what is allowed, which part of the limits was used, what was refused of all
 calls, messages a second over all hosts, and how long a call took until it
-was sent or refused, median and 99 of 100.
+was sent or refused, median and 99 of 100. Below: how long after the end of a
+limit all hosts knew of it.
 """
 
 import argparse
@@ -24,6 +25,7 @@
 
 MS_PER_S = 1_000
 RENEW_MS = 500
+LOOK_MS = 5
 SETTLED_MS = test_stated_fleet.SETTLED_MS
 PLAY_MS = test_stated_fleet.PLAY_MS
 WAYS = {}
@@ -155,6 +157,25 @@
     )
 
 
+def found_out_ms(hosts, rate_per_s, seed):
+    """Return when all hosts know that a limit has ended."""
+    found = []
+
+    async def end(fleet):
+        engine = fleet.engines[0]
+        engine.name_rate(None)
+        ended_ms = group.LoopClock().mono_ms()
+        while any(
+            host.limits.rate_per_s(engine.life) is not None
+            for host in fleet.hosts.values()
+        ):
+            await fleet.wait_ms(LOOK_MS)
+        found.append(group.LoopClock().mono_ms() - ended_ms)
+
+    test_stated_fleet.play(hosts, rate_per_s, end, seed=seed)
+    return found[0]
+
+
 def main() -> None:
     """Print a row for each size and limit."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -183,6 +204,13 @@
             f'refused {means[2]:.3f}, messages/s {means[3]:.0f}, '
             f'ms {means[4]:.0f} and {means[5]:.0f}'
         )
+    for hosts in (20, 60, 200):
+        for rate_per_s in (0, 1.2, 3.3, 10):
+            took_ms = [found_out_ms(hosts, rate_per_s, seed) for seed in seeds]
+            tqdm.tqdm.write(
+                f'{hosts:3} hosts, {rate_per_s:4} a second: end known after '
+                f'{min(took_ms)} to {max(took_ms)} ms'
+            )
 
 
 if __name__ == '__main__':
