--- /dev/null
+++ b/tests/test_thawed_links.py
@@ -0,0 +1,149 @@
+"""A host that stood still while others went on sending, and gave it up.
+
+Seen: an entry host that had stood still for some seconds ended by itself 11
+ms after it went on: ``Assertion failed: !_io_error`` in libzmq.
+
+How: what others had sent meanwhile was more than its socket takes in at once,
+so libzmq stopped reading the link; the link was reset, which it noted; then
+its heartbeat was due, as it had been for seconds, and was to be sent there.
+
+Cause: the side that listens sent heartbeats of its own. A link that is not
+read may have ended, and libzmq (4.3.5) allows no heartbeat on it then.
+
+Proof: a receiver that stands still while it is sent more than it takes in,
+and whose link is reset before it goes on.
+"""
+
+import asyncio
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+
+from tests import endpoints
+from tests import nodes
+from wrenspoke import clock as clocks
+from wrenspoke.transport import links
+from wrenspoke.transport import web
+
+ROUNDS = 3
+HEARTBEAT_MS = 100
+# More than a socket takes in at once, by far.
+MESSAGES = 400
+BUSY_S = 0.01
+RECEIVER = f"""
+import asyncio
+import sys
+import time
+
+from wrenspoke import clock
+from wrenspoke.transport import links
+
+
+async def answer(_sender, body):
+    if body != b'?':
+        # It is behind with all that it has to do.
+        time.sleep({BUSY_S})
+    return b'here'
+
+
+async def main():
+    identity = links.Identity('test', sys.argv[1])
+    silence = links.Silence({HEARTBEAT_MS}, {10 * HEARTBEAT_MS})
+    made = links.Links(identity, [], clock.Clock(), answer, silence)
+    ip, _, port = sys.argv[1].rpartition(':')
+    await made.start(ip, int(port))
+    print('ready', flush=True)
+    await asyncio.Event().wait()
+
+
+asyncio.run(main())
+"""
+
+
+class ResettingRelay:
+    """Pass bytes on to a receiver, and reset its connections when told."""
+
+    def __init__(self, port):
+        self._port = port
+        self._writers = set()
+        self.passed_bytes = 0
+
+    async def start(self, port):
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
+
+    async def _serve(self, reader, writer):
+        there = await asyncio.open_connection('127.0.0.1', self._port)
+        self._writers.add(there[1])
+        await asyncio.gather(
+            self._pass_on(reader, there[1]), self._pass_on(there[0], writer)
+        )
+
+    async def _pass_on(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+                self.passed_bytes += len(data)
+        writer.close()
+
+    def reset(self):
+        for writer in self._writers:
+            opened = writer.get_extra_info('socket')
+            opened.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, endpoints.LINGER_0
+            )
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def close(self):
+        self.reset()
+        self._server.close()
+
+
+async def flood(sender, receiver, relay):
+    """Tell a receiver that stands still more than it takes in."""
+    sent = 0
+    begun_bytes = relay.passed_bytes
+    for _number in range(MESSAGES):
+        sent += await sender.tell(receiver, b'x' * 50)
+        await asyncio.sleep(0.001)
+    await nodes.until(lambda: relay.passed_bytes - begun_bytes >= sent)
+
+
+async def test_host_that_thaws_outlives_what_it_was_sent():
+    port, relay_port, sender_port = web.free_ports(3)
+    relay = ResettingRelay(port)
+    await relay.start(relay_port)
+    receiver = subprocess.Popen(
+        [sys.executable, '-c', RECEIVER, f'127.0.0.1:{port}'],
+        stdout=subprocess.PIPE,
+    )
+    identity = links.Identity('test', f'127.0.0.1:{sender_port}')
+
+    async def ignore(_sender, _body):
+        return None
+
+    sender = links.Links(identity, [], clocks.Clock(), ignore)
+    name = f'127.0.0.1:{relay_port}'
+    try:
+        assert receiver.stdout.readline() == b'ready\n'
+        for _round in range(ROUNDS):
+            assert await sender.call(name, b'?', 20_000) == b'here'
+            receiver.send_signal(signal.SIGSTOP)
+            await flood(sender, name, relay)
+            relay.reset()
+            # Its heartbeats are due by then.
+            await asyncio.sleep(5 * HEARTBEAT_MS / 1000)
+            receiver.send_signal(signal.SIGCONT)
+            # Some heartbeats while it is still behind.
+            await asyncio.sleep(5 * HEARTBEAT_MS / 1000)
+            assert receiver.poll() is None
+    finally:
+        receiver.kill()
+        receiver.wait()
+        await sender.close()
+        await relay.close()
