--- a/wrenspoke/coordination/limiting/allocator.py
+++ b/wrenspoke/coordination/limiting/allocator.py
@@ -33,8 +33,8 @@
 
 logger = structlog.get_logger(__name__)
 
-# Longer than a leader is missing after it is lost (2.5 s in 99 of 100), and
-# than two questions that were lost before.
+# Longer than a leader is missing after it is lost, and than two questions that
+# were lost before.
 SHARE_LEASE_MS = 4_000
 # Clocks run apart, a hundredth at most; a lender counts from its question.
 LEASE_KEPT_MS = int(SHARE_LEASE_MS * 1.02)
--- a/wrenspoke/coordination/quarantine/ended_runs.py
+++ b/wrenspoke/coordination/quarantine/ended_runs.py
@@ -10,11 +10,9 @@
 from wrenspoke import clock as clocks
 from wrenspoke import ids
 
-# Under so many a request is taken to be what ends endpoints. With two, where
-# endpoints end by themselves, 58 and 105 calls of 10,000 are refused that
-# did nothing, with three none; beside requests that do end them 4 are, and
-# with four none, but one endpoint more ends under every second of these
-# (``python -m benches.fatal_requests``).
+# Under so many a request is taken to be what ends endpoints. Fewer would hold
+# back what did nothing, where endpoints end by themselves; with each more one
+# endpoint more ends under a request that does end them.
 FATAL_ENDS = 3
 # All calls of an endpoint break within some milliseconds, and are told from
 # one region; the endpoint is not back sooner.
--- a/wrenspoke/coordination/quarantine/reporter.py
+++ b/wrenspoke/coordination/quarantine/reporter.py
@@ -1,9 +1,8 @@
 """Tell who gathers them of endpoints that ended under requests.
 
 Every control host is told, so that whichever leads knows what all hosts of
-all regions have seen, also right after another led. Told to all entry hosts
-instead, an end under 16 calls at 200 hosts costs 3,184 messages and 258 KB,
-to six control hosts 96 and 8 KB (``python -m benches.fatal_requests``).
+all regions have seen, also right after another led. Those are few, however
+many entry hosts there are.
 """
 
 import asyncio
--- a/wrenspoke/coordination/serving/samples.py
+++ b/wrenspoke/coordination/serving/samples.py
@@ -10,10 +10,9 @@
 from wrenspoke import ids
 from wrenspoke.state import registry
 
-# Under a millisecond a call. Calls wait no longer for it than noise from 20 to
-# 200 hosts (tests/test_crowds.py): reports are some hundred ms old, so the
-# best of many is little better than the best of these. With 8 they wait up to
-# 16% longer in regions of about 12 engines, where hosts know them better.
+# Few enough to weigh for each call, however many there are: reports are some
+# hundred ms old, so the best of many is little better than the best of these.
+# Fewer make calls wait in small regions, where hosts know engines better.
 SAMPLED_COUNT = 16
 
 
--- a/wrenspoke/coordination/serving/sent_calls.py
+++ b/wrenspoke/coordination/serving/sent_calls.py
@@ -2,10 +2,8 @@
 
 Engines report their load some hundred ms late, and a region's hosts share
 them. By its own calls and reports alone a host of many chooses little
-better than by chance: simulated, 20 hosts at nine tenths of what 14 engines
-read let calls wait for 223 ms in the mean, and 95 ms where each hears of
-the others' calls within 25 ms (``tests/test_crowds.py``). It also hears
-which prefixes engines have read.
+better than by chance, so hosts tell each other of their calls. They also
+hear which prefixes engines have read.
 
 Each host tells one collecting host at once, which tells all others a few
 times a second, by way of some of them.
--- a/wrenspoke/transport/connecting.py
+++ b/wrenspoke/transport/connecting.py
@@ -32,7 +32,7 @@
     Where that happens, uvloop (0.22.1) closes the socket's number and
     aiohttp (3.14.5) drops the socket, which closes the number again once it
     is collected: by then another connection may have it, and a caller is
-    given another's answer. Seen on days of many cancelled calls.
+    given another's answer.
 
     A socket that has connected is made a connection to its end; if nobody
     waits for it any more it is closed then.
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -95,7 +95,7 @@
     """Send HTTP requests without redirects or silent repeats.
 
     aiohttp sends an idempotent request again by itself when a connection
-    drops, a new connection too (seen with 3.14.5). ``_once_only`` stands
+    drops, a new connection too (3.14.5). ``_once_only`` stands
     between and keeps the failure from its sight. ``fresh`` requests go
     over a connection of their own besides, as a reused one may have been
     closed by the other side a moment ago.
