Say in fewer steps when an endpoint is left alone

Cause: read anew, the asking for leave set one wait in three places and left an endpoint alone again that was left alone already; and a function shared its name with what it is given.

Change: one place leaves an endpoint alone and returns the error.

Behaviour is as it was: 351 tests of limits, links, switches and layers pass.

--- a/wrenspoke/coordination/limiting/endpoint_limits.py
+++ b/wrenspoke/coordination/limiting/endpoint_limits.py
@@ -37,7 +37,7 @@
 LAST_RANK = 1_000
 
 
-def rank(urgency: int, kept: bool) -> int:
+def rank_of(urgency: int, kept: bool) -> int:
     """Return a call's place among those that want leave; 0 goes first."""
     return urgency * RANKS_AN_URGENCY + (not kept)
 
@@ -123,22 +123,19 @@
         """
         if self.rate_per_s(life) is None:
             return Admission(self, life)
-        wait_ms = self.left_alone_ms(life)
+        left_alone_ms = self.left_alone_ms(life)
+        if left_alone_ms:
+            raise self._over(life, left_alone_ms)
         asked_ms = self._clock.mono_ms()
-        answer = None
-        if not wait_ms:
-            answer = await self._ask(life, rank)
-            wait_ms = UNKNOWN_WAIT_MS
-        if answer is not None:
-            self._stated.merge(answer.known)
-            if answer.grant is not None:
-                until_ms = asked_ms + GRANT_MS
-                return Admission(self, life, answer.grant, until_ms)
-            if self.rate_per_s(life) is None:
-                return Admission(self, life)
-            wait_ms = answer.wait_ms
-        self._leave_alone(life, wait_ms)
-        raise errors.EndpointLimitError(life.endpoint, wait_ms)
+        answer = await self._ask(life, rank)
+        if answer is None:
+            raise self._over(life, UNKNOWN_WAIT_MS)
+        self._stated.merge(answer.known)
+        if answer.grant is not None:
+            return Admission(self, life, answer.grant, asked_ms + GRANT_MS)
+        if self.rate_per_s(life) is None:
+            return Admission(self, life)
+        raise self._over(life, answer.wait_ms)
 
     async def _ask(
         self, life: limiting.EndpointLife, rank: int
@@ -155,9 +152,13 @@
                 return answer
         return None
 
-    def _leave_alone(self, life: limiting.EndpointLife, wait_ms: int) -> None:
+    def _over(
+        self, life: limiting.EndpointLife, wait_ms: int
+    ) -> errors.EndpointLimitError:
+        """Leave an endpoint alone; return what tells its callers so."""
         self.refused[life.endpoint] += 1
         self._alone_until_ms[life] = self._clock.mono_ms() + wait_ms
+        return errors.EndpointLimitError(life.endpoint, wait_ms)
 
     def may_leave(
         self, life: limiting.EndpointLife, until_ms: int | None
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -304,7 +304,7 @@
         rank = endpoint_limits.FIRST_RANK
         if send.purpose is not Purpose.RESUME and send.head is not None:
             urgency = requests.Priority.HIGH - send.head.priority
-            rank = endpoint_limits.rank(urgency, kept=False)
+            rank = endpoint_limits.rank_of(urgency, kept=False)
         life = limiting.EndpointLife(send.endpoint)
         return await self._limits.admit(life, rank)
 
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -424,4 +424,4 @@
     if work.tracker is not None or place.chosen is None:
         return endpoint_limits.FIRST_RANK
     kept = place.chosen.prospect.unread_tokens < work.call.tokens_in
-    return endpoint_limits.rank(work.permit.urgency, kept)
+    return endpoint_limits.rank_of(work.permit.urgency, kept)
