--- a/tests/test_stated_fleet.py
+++ b/tests/test_stated_fleet.py
@@ -6,6 +6,7 @@
 
 import collections
 import itertools
+import os
 
 import pytest
 
@@ -297,3 +298,28 @@
         assert host.limits.rate_per_s(fleet.engines[0].life) == 1.2
 
     play(9, 1.2, restart)
+
+
+SOAK_SEEDS = int(os.environ.get('WRENSPOKE_SOAK_SEEDS', 12))
+SERIES_MS = 12_000
+
+
+def drawn_series(fleet):
+    """Let mishaps and other rates come at any moment, over each other."""
+    drawn = fleet.random
+
+    async def begin(happens):
+        await fleet.wait_ms(drawn.uniform(0, SERIES_MS))
+        await happens(fleet)
+
+    kinds = [*KEPT, change_to(drawn.choice(RATES)), change_to(None, 1.2)]
+    chosen = [drawn.choice(kinds) for _number in range(4)]
+    return group.asyncio.gather(*map(begin, chosen))
+
+
+@pytest.mark.parametrize('seed', range(SOAK_SEEDS))
+def test_drawn_series_take_no_engine_over_its_limit(seed):
+    rate_per_s = RATES[seed % len(RATES)]
+    fleet = play(9, rate_per_s, drawn_series, seed=seed)
+    assert fleet.engines[0].overrun(told_only=True) <= 1.0
+    assert fleet.refused_share() == 0.0
