--- a/tests/test_stated_fleet.py
+++ b/tests/test_stated_fleet.py
@@ -290,6 +290,8 @@
     """A newcomer and one that thaws are told again, each second."""
 
     async def restart(fleet):
+        # Nothing has changed for long.
+        await fleet.wait_ms(endpoint_lender.ENDS_RETOLD_MS)
         await fleet.restart_host(fleet.names[-1])
         host = fleet.hosts[fleet.names[-1]]
         # No call comes to it: it hears nothing for itself.
