--- a/benches/endpoint_limits.py
+++ b/benches/endpoint_limits.py
@@ -44,17 +44,17 @@
 way('leave for each call')(stated_fleet.AskingHost)
 
 
-class Admission:
+class SendPermit:
     """Be a leave that this host gave itself."""
 
     def __init__(self, host, engine):
         self._host = host
         self._engine = engine
 
-    def may_leave(self):
+    def is_valid(self):
         return True
 
-    def heard(self, texts, _proved):
+    def on_response(self, texts, _proved):
         rate_per_s = float(texts[0]) if texts else None
         # The best case: all hosts know at once.
         for host in self._host.fleet.hosts.values():
@@ -87,7 +87,7 @@
     async def admit(self, engine, _rank=0):
         rate_per_s = self.rates.get(engine.life)
         if rate_per_s is None:
-            return Admission(self, engine)
+            return SendPermit(self, engine)
         now_ms = self.clock.mono_ms()
         bucket = self.buckets.get(engine.life)
         if bucket is None:
@@ -98,7 +98,7 @@
         bucket.rate_per_s = self.part_per_s(engine, rate_per_s)
         wait_ms = bucket.take(now_ms)
         if not wait_ms:
-            return Admission(self, engine)
+            return SendPermit(self, engine)
         self.alone_until_ms[engine.life] = now_ms + min(wait_ms, MS_PER_S)
         return None
 
--- a/benches/switches_limits.py
+++ b/benches/switches_limits.py
@@ -14,21 +14,21 @@
     Switch(
         'limits of passed calls unread',
         SERVING + 'sending.py',
-        'place.admission.heard(texts, proved)',
+        'place.send_permit.on_response(texts, proved)',
         'pass',
         f'{INCIDENT}::test_passed_calls_keep_to_what_an_engine_says',
     ),
     Switch(
         'limits of chats unread',
         SERVING + 'dispatch.py',
-        'admission.heard(texts, _is_own(send, endpoint, response))',
+        'send_permit.on_response(texts, _is_own(send, endpoint, response))',
         'pass',
         f'{INCIDENT}::test_chats_keep_to_what_an_engine_says',
     ),
     Switch(
         'leave not looked at as a call leaves',
         SERVING + 'sending.py',
-        'if place.endpoint is not None and not place.admission.may_leave():',
+        'if place.endpoint is not None and not place.send_permit.is_valid():',
         'if False:',
         f'{INCIDENT}::test_leave_that_ended_on_the_way_sends_nothing',
     ),
@@ -92,7 +92,7 @@
     Switch(
         'limits told once',
         LIMITING + 'endpoint_lender.py',
-        'for limit in self._stated.in_force():',
+        'for limit in self._stated.active():',
         'for limit in []:',
         f'{FLEET}::test_host_that_starts_knows_within_moments',
     ),
@@ -105,7 +105,7 @@
     ),
     Switch(
         'limits of a life kept for the next',
-        LIMITING + 'stated.py',
+        LIMITING + 'advertised_limits.py',
         'if found is None or found.life != life:',
         'if found is None:',
         f'{UNITS}::test_newest_limit_of_a_life_counts',
--- a/tests/stated_fleet.py
+++ b/tests/stated_fleet.py
@@ -177,9 +177,7 @@
             self.peers,
             self.clock,
         )
-        self.askers.listen(
-            lambda message: self.limits.take_told(message.limits)
-        )
+        self.askers.listen(lambda message: self.limits.merge(message.limits))
         self.limits.start()
 
     async def _tell(self, limits):
@@ -187,7 +185,7 @@
 
     def wants(self, engine):
         """Tell whether a call may choose an engine now."""
-        return not self.limits.left_alone_ms(engine.life)
+        return not self.limits.backoff_remaining_ms(engine.life)
 
     async def admit(self, engine, rank=10):
         try:
@@ -292,17 +290,17 @@
             if not open_to:
                 return None
             engine = self.random.choice(open_to)
-            admission = await host.admit(engine, rank)
-            if admission is None:
+            send_permit = await host.admit(engine, rank)
+            if send_permit is None:
                 continue
             await self._connect()
-            if not admission.may_leave():
+            if not send_permit.is_valid():
                 continue
             now_ms = group.LoopClock().mono_ms()
             told_ms = host.told_ms.get(engine.life, now_ms)
             told = now_ms - told_ms >= TOLD_MS
             engine.arrivals.append(Arrival(now_ms, host.name, told))
-            self._start(self._answer(host, engine, admission))
+            self._start(self._answer(host, engine, send_permit))
             return engine
         return None
 
@@ -310,7 +308,7 @@
         slow = self.random.random() < SLOW_CONNECTION_SHARE
         await self.wait_ms(300 if slow else self.random.uniform(0, 3))
 
-    async def _answer(self, host, engine, admission):
+    async def _answer(self, host, engine, send_permit):
         """Bring an answer's head, unless its caller leaves before."""
         await self.wait_ms(min(self.random.lognormvariate(5, 1), 4_000))
         texts = engine.texts
@@ -320,7 +318,7 @@
         if texts:
             now_ms = group.LoopClock().mono_ms()
             host.told_ms.setdefault(engine.life, now_ms)
-        admission.heard(texts, True)
+        send_permit.on_response(texts, True)
 
     def refused_share(self, since_ms=0):
         """Return the part of the calls that no engine took."""
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -189,7 +189,7 @@
 
     async def is_known():
         await system.ask(host, 'hear')
-        return len(entry._endpoint_limits.in_force()) == len(named)
+        return len(entry._endpoint_limits.active()) == len(named)
 
     await fleet.until(is_known, 'limits')
 
@@ -200,7 +200,7 @@
 
     async def is_known():
         await system.ask(0, 'hear')
-        return any(one.rate_per_s == rate_per_s for one in limits.in_force())
+        return any(one.rate_per_s == rate_per_s for one in limits.active())
 
     await fleet.until(is_known, 'a rate')
 
@@ -267,7 +267,7 @@
             for number in range(6):
                 answer = await system.ask(0, number)
                 assert answer.endswith(b'whole')
-            assert system.entries[0]._endpoint_limits.in_force() == []
+            assert system.entries[0]._endpoint_limits.active() == []
 
 
 async def test_engine_that_names_no_limit_any_more_gets_its_part(tmp_path):
@@ -279,7 +279,7 @@
 
         async def is_over():
             await system.ask(0, 'over')
-            return not any(e._endpoint_limits.in_force() for e in entries)
+            return not any(e._endpoint_limits.active() for e in entries)
 
         await fleet.until(is_over, 'the end of the limit')
         sent = len(engine.arrivals_s)
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -7,9 +7,9 @@
 import structlog.testing
 
 from tests import test_registry
+from wrenspoke.coordination.limiting import advertised_limits
 from wrenspoke.coordination.limiting import endpoint_lender
 from wrenspoke.coordination.limiting import lenders as region_lenders
-from wrenspoke.coordination.limiting import stated
 from wrenspoke.coordination.serving import return_line
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import limiting
@@ -65,7 +65,7 @@
 
 
 def test_each_change_of_a_limit_has_one_line():
-    known = stated.StatedLimits()
+    known = advertised_limits.AdvertisedLimits()
     with structlog.testing.capture_logs() as lines:
         for texts in ([], ['1.2'], ['1.2'], ['x'], ['x'], ['3'], [], []):
             try:
@@ -112,17 +112,17 @@
     ],
 )
 def test_newest_limit_of_a_life_counts(told, rate_per_s):
-    known = stated.StatedLimits()
+    known = advertised_limits.AdvertisedLimits()
     for one in told:
         known.merge(one)
     assert known.rate_per_s(LIFE) == rate_per_s
 
 
 def test_what_is_gone_is_forgotten():
-    known = stated.StatedLimits()
+    known = advertised_limits.AdvertisedLimits()
     known.merge(limit(1.2))
     known.keep_only(lambda life: life != LIFE)
-    assert known.in_force() == []
+    assert known.active() == []
 
 
 class Peers:
@@ -150,7 +150,7 @@
 def test_older_answer_ends_no_limit():
     """It ends by an answer whose request left after it was last named."""
     clock = test_registry.FakeClock()
-    known = stated.StatedLimits()
+    known = advertised_limits.AdvertisedLimits()
     lends = lender(clock, known)
     lends.hear(limiting.EndpointLimit(LIFE), 1.2, None)
     grants = []
@@ -179,7 +179,7 @@
 
 def test_lower_limit_counts_whenever_it_is_heard():
     clock = test_registry.FakeClock()
-    known = stated.StatedLimits()
+    known = advertised_limits.AdvertisedLimits()
     lends = lender(clock, known)
     lends.hear(limiting.EndpointLimit(LIFE), 4.0, None)
     lends.hear(known.limit_of(LIFE), 1.0, None)
@@ -192,7 +192,7 @@
 
 def test_leave_is_kept_for_the_more_urgent_for_a_moment():
     clock = test_registry.FakeClock()
-    known = stated.StatedLimits()
+    known = advertised_limits.AdvertisedLimits()
     lends = lender(clock, known)
     lends.hear(limiting.EndpointLimit(LIFE), 2.0, None)
     now = known.limit_of(LIFE)
--- a/wrenspoke/coordination/limiting/stated.py
+++ b/wrenspoke/coordination/limiting/advertised_limits.py
@@ -1,8 +1,8 @@
-"""Know how many requests a second endpoints take, by their own word.
+"""Track the request rates that endpoints advertise in responses.
 
-Hosts tell each other of each change. A host that hears of a limit, or of a
-lower one, takes it at once; a higher one, or its end, is decided by who
-lends the limit, as only that one can tell which answer is the newest.
+Hosts gossip each change. A new or lower limit is applied at once; a higher
+one, or its end, is decided by the host that owns the limit's bucket, as only
+that one can tell which response is the newest.
 """
 
 import collections.abc
@@ -21,27 +21,27 @@
 Exists = collections.abc.Callable[[limiting.EndpointLife], bool]
 
 
-class StatedLimits:
+class AdvertisedLimits:
     """Hold the newest limit of each endpoint, and log each change."""
 
     def __init__(self):
         self._limits: dict[ids.EndpointId, limiting.EndpointLimit] = {}
-        # Whose last word could not be read: one line tells of all that follow.
+        # Endpoints whose last value was malformed; logged once.
         self._unreadable: set[ids.EndpointId] = set()
 
     def limit_of(self, life: limiting.EndpointLife) -> limiting.EndpointLimit:
-        """Return what is known of an endpoint's limit in this life of it."""
+        """Return the known limit of one life of an endpoint."""
         found = self._limits.get(life.endpoint)
         if found is None or found.life != life:
             return limiting.EndpointLimit(life)
         return found
 
     def rate_per_s(self, life: limiting.EndpointLife) -> float | None:
-        """Return the requests a second that it takes, None for any."""
+        """Return the limit in requests a second, None without."""
         return self.limit_of(life).rate_per_s
 
-    def in_force(self) -> list[limiting.EndpointLimit]:
-        """Return the limits that endpoints go on naming."""
+    def active(self) -> list[limiting.EndpointLimit]:
+        """Return the limits that endpoints currently advertise."""
         return [
             limit
             for limit in self._limits.values()
@@ -53,9 +53,9 @@
         life: limiting.EndpointLife,
         texts: collections.abc.Sequence[str],
     ) -> float | None:
-        """Return the rate that an answer's head names, None for none.
+        """Return the rate that response headers advertise, None without.
 
-        :raises MalformedRateError: it can't be read, and says nothing
+        :raises MalformedRateError: a value is malformed, and is ignored
         """
         try:
             rate_per_s = rates.read(texts)
@@ -73,7 +73,7 @@
         return rate_per_s
 
     def lower(self, life: limiting.EndpointLife, rate_per_s: float) -> bool:
-        """Take a rate that was named, unless a lower one is known."""
+        """Apply an advertised rate, unless a lower one is known."""
         known = self.limit_of(life)
         if known.rate_per_s is not None and known.rate_per_s <= rate_per_s:
             return False
@@ -82,7 +82,7 @@
     def change(
         self, life: limiting.EndpointLife, rate_per_s: float | None
     ) -> bool:
-        """Take a rate as newer than what is known; False if it is the same."""
+        """Apply a rate as the newest; return False if it is unchanged."""
         known = self.limit_of(life)
         if rate_per_s == known.rate_per_s:
             return False
@@ -91,9 +91,9 @@
         )
 
     def merge(self, limit: limiting.EndpointLimit) -> bool:
-        """Take what another host knows, if it is newer; tell whether it was.
+        """Merge a limit received from another host; return if it was newer.
 
-        Where two hosts changed the same at once the lower rate counts.
+        Of two limits of one version the lower rate wins.
         """
         known = self._limits.get(limit.life.endpoint)
         if known is not None and _age(limit) <= _age(known):
@@ -120,7 +120,7 @@
             )
 
     def keep_only(self, exists: Exists) -> None:
-        """Forget endpoints that are gone, and lives that have ended."""
+        """Drop state of endpoints that no longer exist."""
         for endpoint, limit in list(self._limits.items()):
             if not exists(limit.life):
                 del self._limits[endpoint]
@@ -128,7 +128,7 @@
 
 
 def _age(limit: limiting.EndpointLimit) -> tuple[int, int, float]:
-    """Return what orders limits of one endpoint; the highest is newest."""
+    """Return the sort key of limits of one endpoint; the highest wins."""
     rate_per_s = limit.rate_per_s
     lowness = -math.inf if rate_per_s is None else -rate_per_s
     return (limit.life.born_ms, limit.version, lowness)
--- a/wrenspoke/coordination/limiting/endpoint_lender.py
+++ b/wrenspoke/coordination/limiting/endpoint_lender.py
@@ -15,9 +15,9 @@
 import math
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import advertised_limits
 from wrenspoke.coordination.limiting import lenders as region_lenders
 from wrenspoke.coordination.limiting import levels
-from wrenspoke.coordination.limiting import stated as stated_limits
 from wrenspoke import ids
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import peers as peer_calls
@@ -82,7 +82,7 @@
         self,
         host: ids.HostId,
         lenders: region_lenders.Lenders,
-        stated: stated_limits.StatedLimits,
+        stated: advertised_limits.AdvertisedLimits,
         tell: Tell,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
@@ -251,12 +251,12 @@
             if now_ms > until_ms:
                 del self._changed[life]
         lives = set(self._changed)
-        for limit in self._stated.in_force():
+        for limit in self._stated.active():
             if self._lenders.all_of(limit.life.endpoint)[0] == self._host:
                 lives.add(limit.life)
         return [self._stated.limit_of(life) for life in lives]
 
-    def keep_only(self, exists: stated_limits.Exists) -> None:
+    def keep_only(self, exists: advertised_limits.Exists) -> None:
         """Forget endpoints that are gone, and lives that have ended."""
         for endpoint, lent in list(self._lent.items()):
             if not exists(lent.life):
--- a/wrenspoke/coordination/limiting/endpoint_limits.py
+++ b/wrenspoke/coordination/limiting/endpoint_limits.py
@@ -1,9 +1,9 @@
-"""What every way to an endpoint asks: does it take one more request now?
+"""Keep requests within the rates that endpoints advertise.
 
-An endpoint that names no limit takes what comes. Of one that does, each
-request needs leave from the host that lends its limit out, and leaves
-within moments of it. Where there is none the endpoint is left alone until
-there may be.
+An endpoint without an advertised limit takes any request. For one with a
+limit, each request needs a permit from the host that owns the endpoint's
+token bucket, and must be sent shortly after the permit was granted. A host
+that gets no permit backs off from the endpoint until there may be one.
 """
 
 import collections
@@ -11,9 +11,9 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import advertised_limits
 from wrenspoke.coordination.limiting import endpoint_lender
 from wrenspoke.coordination.limiting import lenders as region_lenders
-from wrenspoke.coordination.limiting import stated as stated_limits
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import limiting
@@ -22,12 +22,12 @@
 
 # A way within the region and a busy host.
 ASK_TIMEOUT_MS = 150
-# A lender that gave no answer is left alone for so long; others lend a part.
+# A silent owner is not asked again for so long; others grant a part.
 SILENT_LEFT_ALONE_MS = 1_000
-# Calls go elsewhere while the next lender is found.
+# Calls go elsewhere while the next owner is found.
 UNKNOWN_WAIT_MS = 50
-# A leave is good for the time of a new connection, and no longer: what
-# arrives later would come beside what is lent then.
+# A permit lasts for the time of a new connection: a request that arrives
+# later would add to the permits granted by then.
 GRANT_MS = 500
 # Calls of one urgency come one behind the other: first those whose prompt
 # the endpoint keeps.
@@ -38,18 +38,18 @@
 
 
 def rank_of(urgency: int, kept: bool) -> int:
-    """Return a call's place among those that want leave; 0 goes first."""
+    """Return a call's rank among those that want a permit; 0 goes first."""
     return urgency * RANKS_AN_URGENCY + (not kept)
 
 
 class EndpointLimits:
-    """Admit requests to endpoints, and hear what their answers name."""
+    """Grant permits to send, and track the limits in responses."""
 
     def __init__(
         self,
         host: ids.HostId,
         order: region_lenders.Order,
-        exists: stated_limits.Exists,
+        exists: advertised_limits.Exists,
         tell: endpoint_lender.Tell,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
@@ -61,11 +61,11 @@
         self._lenders = region_lenders.Lenders(
             order, SILENT_LEFT_ALONE_MS, peers, clock
         )
-        self._stated = stated_limits.StatedLimits()
+        self._stated = advertised_limits.AdvertisedLimits()
         self._lender = endpoint_lender.EndpointLender(
             host, self._lenders, self._stated, tell, peers, clock
         )
-        self._alone_until_ms: dict[limiting.EndpointLife, int] = {}
+        self._backoff_until_ms: dict[limiting.EndpointLife, int] = {}
         # How often each endpoint took no more.
         self.refused: collections.Counter[ids.EndpointId] = (
             collections.Counter()
@@ -73,9 +73,9 @@
         self._tasks = runtime.Tasks()
 
     def start(self) -> None:
-        """Begin to tell other hosts of limits."""
+        """Begin to gossip limits to other hosts."""
         self._lender.start()
-        self._tasks.start(self._keep_house())
+        self._tasks.start(self._evict_stale())
 
     async def close(self) -> None:
         """End every task."""
@@ -85,62 +85,62 @@
     # What is known.
 
     def rate_per_s(self, life: limiting.EndpointLife) -> float | None:
-        """Return the requests a second an endpoint takes, None for any."""
+        """Return an endpoint's limit in requests a second, None without."""
         return self._stated.rate_per_s(life)
 
     def share_per_s(self, life: limiting.EndpointLife) -> float | None:
-        """Return an equal host's part of that, None for any."""
+        """Return an equal host's share of the limit, None without."""
         rate_per_s = self.rate_per_s(life)
         if rate_per_s is None:
             return None
         taken_per_s = max(rate_per_s, endpoint_lender.LEAST_RATE_PER_S)
         return taken_per_s / len(self._lenders.all_of(life.endpoint))
 
-    def in_force(self) -> list[limiting.EndpointLimit]:
-        """Return the limits that endpoints go on naming."""
-        return self._stated.in_force()
+    def active(self) -> list[limiting.EndpointLimit]:
+        """Return the limits that endpoints currently advertise."""
+        return self._stated.active()
 
-    def left_alone_ms(self, life: limiting.EndpointLife) -> int:
-        """Return for how long it is not worth asking for an endpoint."""
-        until_ms = self._alone_until_ms.get(life)
+    def backoff_remaining_ms(self, life: limiting.EndpointLife) -> int:
+        """Return the remaining backoff, in milliseconds."""
+        until_ms = self._backoff_until_ms.get(life)
         if until_ms is None or self.rate_per_s(life) is None:
             return 0
         return max(until_ms - self._clock.mono_ms(), 0)
 
-    def take_told(self, told: list[limiting.EndpointLimit]) -> None:
-        """Take what another host of the region knows."""
-        for limit in told:
+    def merge(self, received: list[limiting.EndpointLimit]) -> None:
+        """Merge limits received from another host."""
+        for limit in received:
             self._stated.merge(limit)
 
     # Requests.
 
     async def admit(
         self, life: limiting.EndpointLife, rank: int
-    ) -> 'Admission':
-        """Return leave to send one request to an endpoint.
+    ) -> 'SendPermit':
+        """Return a permit to send one request to an endpoint.
 
-        :raises EndpointLimitError: it takes no more now
+        :raises EndpointLimitError: the limit is used up for now
         """
         if self.rate_per_s(life) is None:
-            return Admission(self, life)
-        left_alone_ms = self.left_alone_ms(life)
-        if left_alone_ms:
-            raise self._over(life, left_alone_ms)
+            return SendPermit(self, life)
+        remaining_ms = self.backoff_remaining_ms(life)
+        if remaining_ms:
+            raise self._limit_exceeded(life, remaining_ms)
         asked_ms = self._clock.mono_ms()
         answer = await self._ask(life, rank)
         if answer is None:
-            raise self._over(life, UNKNOWN_WAIT_MS)
+            raise self._limit_exceeded(life, UNKNOWN_WAIT_MS)
         self._stated.merge(answer.known)
         if answer.grant is not None:
-            return Admission(self, life, answer.grant, asked_ms + GRANT_MS)
+            return SendPermit(self, life, answer.grant, asked_ms + GRANT_MS)
         if self.rate_per_s(life) is None:
-            return Admission(self, life)
-        raise self._over(life, answer.wait_ms)
+            return SendPermit(self, life)
+        raise self._limit_exceeded(life, answer.wait_ms)
 
     async def _ask(
         self, life: limiting.EndpointLife, rank: int
     ) -> limiting.SendAnswered | None:
-        """Ask the first host that lends this limit and answers."""
+        """Ask the first responsive host that owns this limit's bucket."""
         known = self._stated.limit_of(life)
         for host in self._lenders.answering(life.endpoint, 1):
             if host == self._host:
@@ -152,21 +152,20 @@
                 return answer
         return None
 
-    def _over(
+    def _limit_exceeded(
         self, life: limiting.EndpointLife, wait_ms: int
     ) -> errors.EndpointLimitError:
-        """Leave an endpoint alone; return what tells its callers so."""
+        """Start a backoff and return the error to raise."""
         self.refused[life.endpoint] += 1
-        self._alone_until_ms[life] = self._clock.mono_ms() + wait_ms
+        self._backoff_until_ms[life] = self._clock.mono_ms() + wait_ms
         return errors.EndpointLimitError(life.endpoint, wait_ms)
 
-    def may_leave(
+    def is_valid(
         self, life: limiting.EndpointLife, until_ms: int | None
     ) -> bool:
-        """Tell, as a request leaves, whether its leave is still good.
+        """Return whether a permit is still valid at send time.
 
-        One that was admitted without, before the limit was heard of, has
-        none.
+        One that was issued before the limit became known is not.
         """
         if self.rate_per_s(life) is None:
             return True
@@ -174,17 +173,17 @@
 
     # Answers.
 
-    def heard(
+    def on_response(
         self,
         life: limiting.EndpointLife,
         texts: collections.abc.Sequence[str],
         grant: limiting.GrantName | None,
         proved: bool,
     ) -> None:
-        """Take what an answer's head names, or that it names nothing.
+        """Update the endpoint's limit from a response header.
 
-        ``proved`` says that the head is the endpoint's own, to this
-        request; else that it names nothing says nothing.
+        ``proved`` says that the response is the endpoint's own, to this
+        request; otherwise a missing header means nothing.
         """
         try:
             rate_per_s = self._stated.read(life, texts)
@@ -206,20 +205,20 @@
         )
         self._tasks.start(self._peers.tell(lender, message), fatal=False)
 
-    async def _keep_house(self) -> None:
-        """Forget endpoints that are gone, and lives that have ended."""
+    async def _evict_stale(self) -> None:
+        """Drop state of endpoints that no longer exist."""
         while True:
             await self._clock.sleep_ms(HOUSE_INTERVAL_MS)
             self._stated.keep_only(self._exists)
             self._lender.keep_only(self._exists)
-            for life in list(self._alone_until_ms):
+            for life in list(self._backoff_until_ms):
                 if not self._exists(life):
-                    del self._alone_until_ms[life]
+                    del self._backoff_until_ms[life]
                     self.refused.pop(life.endpoint, None)
 
 
-class Admission:
-    """Be the leave of one request to one endpoint."""
+class SendPermit:
+    """A permit to send one request to an endpoint."""
 
     def __init__(
         self,
@@ -233,12 +232,12 @@
         self._grant = grant
         self._until_ms = until_ms
 
-    def may_leave(self) -> bool:
-        """Tell, as the request leaves, whether the leave is still good."""
-        return self._limits.may_leave(self._life, self._until_ms)
+    def is_valid(self) -> bool:
+        """Return whether the permit is still valid at send time."""
+        return self._limits.is_valid(self._life, self._until_ms)
 
-    def heard(
+    def on_response(
         self, texts: collections.abc.Sequence[str], proved: bool
     ) -> None:
-        """Take what the head of the answer names."""
-        self._limits.heard(self._life, texts, self._grant, proved)
+        """Update the endpoint's limit from a response header."""
+        self._limits.on_response(self._life, texts, self._grant, proved)
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -130,7 +130,7 @@
 
     def spent_ms(self, found: registry.Registered) -> int:
         """Return for how long an endpoint takes no more, by its limit."""
-        return self._limits.left_alone_ms(_life_of(found))
+        return self._limits.backoff_remaining_ms(_life_of(found))
 
     def cold(self, found: registry.Registered) -> bool:
         """Tell whether an endpoint bears a few requests only."""
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -259,8 +259,8 @@
         :raises OverloadedError: the endpoint turned it away unrun
         :raises MaybeSentError: it may have been run
         """
-        admission = await self._admitted(send)
-        endpoint = self._checked(send, admission)
+        send_permit = await self._admitted(send)
+        endpoint = self._checked(send, send_permit)
         self.sent += send.purpose in WORK
         once = send.head is not None and send.head.once
         try:
@@ -272,10 +272,10 @@
                     self._headers(send),
                     send.body,
                     fresh=once,
-                    may_leave=lambda: self._may_leave(send, admission),
+                    may_leave=lambda: self._may_leave(send, send_permit),
                 ) as response,
             ):
-                self._note_limit(send, endpoint, admission, response)
+                self._note_limit(send, endpoint, send_permit, response)
                 self._refuse_overload(send, response)
                 self._refuse_crossed(send, endpoint, response)
                 _refuse_endless(send, response)
@@ -285,15 +285,15 @@
         except transport_errors.NotSentError as error:
             if send.ticket is not None:
                 send.ticket.unsent()
-            if admission is not None and not admission.may_leave():
+            if send_permit is not None and not send_permit.is_valid():
                 # It says nothing of the endpoint: the leave has ended.
                 raise errors.EndpointLimitError(send.endpoint, 0) from error
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
             raise errors.MaybeSentError(str(error)) from error
 
-    async def _admitted(self, send: Send) -> endpoint_limits.Admission | None:
-        """Get leave to give an endpoint work, None for all else.
+    async def _admitted(self, send: Send) -> endpoint_limits.SendPermit | None:
+        """Acquire a permit to give an endpoint work, None for all else.
 
         A stream that the endpoint has begun goes before all others.
 
@@ -309,28 +309,28 @@
         return await self._limits.admit(life, rank)
 
     def _may_leave(
-        self, send: Send, admission: endpoint_limits.Admission | None
+        self, send: Send, send_permit: endpoint_limits.SendPermit | None
     ) -> bool:
         """Tell, as the first byte is about to leave, whether it still may."""
         if self._held_ms(send) is not None:
             return False
-        return admission is None or admission.may_leave()
+        return send_permit is None or send_permit.is_valid()
 
     def _note_limit(
         self,
         send: Send,
         endpoint: configuration.Endpoint,
-        admission: endpoint_limits.Admission | None,
+        send_permit: endpoint_limits.SendPermit | None,
         response: aiohttp.ClientResponse,
     ) -> None:
         """Note what an endpoint says of how much it takes.
 
         It counts whatever becomes of the answer.
         """
-        if admission is None:
+        if send_permit is None:
             return
         texts = response.headers.getall(headers.LIMIT, [])
-        admission.heard(texts, _is_own(send, endpoint, response))
+        send_permit.on_response(texts, _is_own(send, endpoint, response))
 
     def _is_guarded(self, send: Send) -> bool:
         """Tell whether a send gives work that may end its endpoint."""
@@ -354,7 +354,7 @@
         return self._guard.held_ms(send.head.digest)
 
     def _checked(
-        self, send: Send, admission: endpoint_limits.Admission | None
+        self, send: Send, send_permit: endpoint_limits.SendPermit | None
     ) -> configuration.Endpoint:
         endpoint = self._replica.current.endpoints.get(send.endpoint)
         if endpoint is None:
@@ -367,7 +367,7 @@
             takes_work=self._replica.takes_work(endpoint),
             current=self._replica.serving and self._awake(),
             held_ms=self._held_ms(send),
-            admitted=admission is None or admission.may_leave(),
+            admitted=send_permit is None or send_permit.is_valid(),
         )
         for name, function in CHECKS.items():
             detail = function(send, context)
--- a/wrenspoke/coordination/serving/placement.py
+++ b/wrenspoke/coordination/serving/placement.py
@@ -310,7 +310,7 @@
 
     def _spent_ms(self, endpoint: ids.EndpointId) -> int:
         """Return for how long an endpoint takes no more, by its limit."""
-        return self._stated.left_alone_ms(_life_of(endpoint))
+        return self._stated.backoff_remaining_ms(_life_of(endpoint))
 
     def _overload(
         self,
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -65,7 +65,7 @@
     sent_ms: int = 0
     answered: bool = False
     reading: int | None = None
-    admission: endpoint_limits.Admission | None = None
+    send_permit: endpoint_limits.SendPermit | None = None
 
     @property
     def life(self) -> limiting.EndpointLife:
@@ -168,12 +168,12 @@
         self._limits = limits
 
     async def admit(self, place: Place, rank: int) -> None:
-        """Get leave to send to a place, where its endpoint names a limit.
+        """Acquire a permit to send to a place's endpoint.
 
-        :raises EndpointLimitError: it takes no more now
+        :raises EndpointLimitError: its limit is used up for now
         """
         if place.endpoint is not None:
-            place.admission = await self._limits.admit(place.life, rank)
+            place.send_permit = await self._limits.admit(place.life, rank)
 
     @contextlib.asynccontextmanager
     async def send(
@@ -236,7 +236,7 @@
         """Tell, as the first byte is about to leave, whether it still may."""
         if self._guard.held_ms(call.digest) is not None:
             return False
-        if place.endpoint is not None and not place.admission.may_leave():
+        if place.endpoint is not None and not place.send_permit.is_valid():
             return False
         return self._access.may_enter(call, permit, place.host, place.regions)
 
@@ -255,7 +255,7 @@
         texts = response.headers.getall(self._dialect.limit, [])
         echoed = response.headers.get(self._dialect.request)
         proved = echoed == call.request and response.status != MISDIRECTED
-        place.admission.heard(texts, proved)
+        place.send_permit.on_response(texts, proved)
 
     def _note_traffic(
         self, call: dialects.Call, place: Place, answer: Answer
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -106,7 +106,7 @@
         return False
 
     async def admit(self, work: works.Work, place: sending.Place) -> bool:
-        """Get leave to send there; False where the endpoint takes no more."""
+        """Acquire a permit to send; False where the endpoint takes no more."""
         try:
             await self._sender.admit(place, _rank(work, place))
         except errors.EndpointLimitError as error:
@@ -202,10 +202,10 @@
     def _held_back(self, work: works.Work, place: sending.Place) -> None:
         """Note that a call may not go there any more, and did not.
 
-        Where another team holds its key now, the place is as good as it
-        was; one whose leave ended on the way may end it again.
+        Where another team holds its key now, the place may be tried again;
+        not where the permit expired on the way.
         """
-        if place.admission is None or place.admission.may_leave():
+        if place.send_permit is None or place.send_permit.is_valid():
             work.tried.discard(place.name)
         work.cause = f'{place.name}: may not go there any more'
         logger.warning(
--- a/wrenspoke/coordination/serving/warmth.py
+++ b/wrenspoke/coordination/serving/warmth.py
@@ -110,7 +110,7 @@
         try:
             async with clocks.timeout_ms(ANSWER_TIMEOUT_MS):
                 # A look takes a slot, as a request does.
-                admission = await self._limits.admit(
+                send_permit = await self._limits.admit(
                     life, endpoint_limits.LAST_RANK
                 )
                 async with self._client.pass_on(
@@ -119,10 +119,10 @@
                     service.health_path,
                     [],
                     None,
-                    admission.may_leave,
+                    send_permit.may_leave,
                 ) as response:
                     texts = response.headers.getall(self._dialect.limit, [])
-                    admission.heard(texts, proved=False)
+                    send_permit.on_response(texts, proved=False)
                     await web.read_whole(response, BODY_LIMIT_BYTES)
         except (
             TimeoutError,
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -224,7 +224,7 @@
             self.clock,
         )
         self._askers.listen(
-            lambda message: self._endpoint_limits.take_told(message.limits)
+            lambda message: self._endpoint_limits.merge(message.limits)
         )
 
     def _lives(self, life: limiting.EndpointLife) -> bool:
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -141,7 +141,7 @@
             self._clock,
         )
         self._askers.listen(
-            lambda message: self._endpoint_limits.take_told(message.limits)
+            lambda message: self._endpoint_limits.merge(message.limits)
         )
 
     async def _tell_limits(self, limits: list[limiting.EndpointLimit]) -> None:
@@ -316,7 +316,7 @@
         put('wrenspoke_retries_denied_total', status['retries_denied'])
         put('wrenspoke_quarantine_refused_total', status['quarantine_refused'])
         put('wrenspoke_requests_in_quarantine', status['in_quarantine'])
-        for limit in self._endpoint_limits.in_force():
+        for limit in self._endpoint_limits.active():
             put(
                 'wrenspoke_endpoint_limit_per_s',
                 limit.rate_per_s,
