Read and log what an endpoint says of itself in its answers

EndpointGate is the one check before a request to an endpoint; it wraps the limits that stand. Seconds may be fractions or an HTTP date, which counts from the response's own Date; malformed values say nothing and are logged once. Stand-in engines can refuse with a time and say that they leave.

--- a/benches/switches_limits.py
+++ b/benches/switches_limits.py
@@ -14,14 +14,14 @@
     Switch(
         'limits of passed calls unread',
         SERVING + 'sending.py',
-        'place.send_permit.on_response(texts, proved)',
+        'self._note_advertised(call, place, response)',
         'pass',
         f'{INCIDENT}::test_passed_calls_keep_to_what_an_engine_says',
     ),
     Switch(
         'limits of chats unread',
         SERVING + 'dispatch.py',
-        'send_permit.on_response(texts, _is_own(send, endpoint, response))',
+        'self._note_advertised(send, endpoint, send_permit, response)',
         'pass',
         f'{INCIDENT}::test_chats_keep_to_what_an_engine_says',
     ),
--- a/tests/stated_fleet.py
+++ b/tests/stated_fleet.py
@@ -13,6 +13,7 @@
 from tests import attending_fleet
 from tests import group
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import askers
 from wrenspoke.protocol import attending
@@ -342,8 +343,9 @@
 
 
 def unlimited(clock):
-    """Return what keeps to limits where no endpoint names any."""
+    """Return a gate to endpoints that advertise nothing."""
     peers = group.Peers('h', group.Network(1))
-    return endpoint_limits.EndpointLimits(
+    limits = endpoint_limits.EndpointLimits(
         'h', lambda _key: ['h'], lambda _life: True, None, peers, clock
     )
+    return endpoint_gate.EndpointGate(limits, clock)
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -8,7 +8,7 @@
 import collections.abc
 
 from wrenspoke import clock as clocks
-from wrenspoke.coordination.limiting import endpoint_limits
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import gauges
@@ -40,7 +40,7 @@
         noted: health.Health,
         warmth: warmths.Warmth,
         known: gauges.Gauges,
-        limits: endpoint_limits.EndpointLimits,
+        gate: endpoint_gate.EndpointGate,
         switched_off: collections.abc.Set[mechanisms.Mechanism],
         clock: clocks.Clock,
     ):
@@ -52,7 +52,7 @@
         self._health = noted
         self._warmth = warmth
         self._gauges = known
-        self._limits = limits
+        self._gate = gate
         self._switched_off = switched_off
         self._clock = clock
         self._evacuated: set[ids.DataCentreId] = set()
@@ -122,15 +122,15 @@
 
     def is_limited(self, found: registry.Registered) -> bool:
         """Tell whether an endpoint names a limit."""
-        return self._limits.rate_per_s(_life_of(found)) is not None
+        return self._gate.limits.rate_per_s(_life_of(found)) is not None
 
     def share_per_s(self, found: registry.Registered) -> float | None:
         """Return this host's part of an endpoint's limit, None without."""
-        return self._limits.share_per_s(_life_of(found))
+        return self._gate.limits.share_per_s(_life_of(found))
 
     def spent_ms(self, found: registry.Registered) -> int:
         """Return for how long an endpoint takes no more, by its limit."""
-        return self._limits.backoff_remaining_ms(_life_of(found))
+        return self._gate.backoff_remaining_ms(_life_of(found))
 
     def cold(self, found: registry.Registered) -> bool:
         """Tell whether an endpoint bears a few requests only."""
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -16,12 +16,15 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import guard as guards
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import placement
 from wrenspoke import ids
+from wrenspoke.protocol import advertised
+from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import requests
@@ -36,6 +39,8 @@
 MS_PER_S = 1000
 DEFAULT_RETRY_AFTER_S = 1
 BODILESS_STATUSES = frozenset([204, 304])
+# Names the headers by which endpoints describe themselves.
+DIALECT = dialects.Dialect()
 
 
 class Purpose(enum.Enum):
@@ -235,7 +240,7 @@
         clock: clocks.Clock,
         awake: collections.abc.Callable[[], bool] = lambda: True,
         guard: guards.Guard | None = None,
-        limits: endpoint_limits.EndpointLimits | None = None,
+        gate: endpoint_gate.EndpointGate | None = None,
     ):
         self._host = host
         self._region = region
@@ -244,7 +249,7 @@
         self._clock = clock
         self._awake = awake
         self._guard = guard
-        self._limits = limits
+        self._gate = gate
         self.sent = 0
 
     @contextlib.asynccontextmanager
@@ -275,7 +280,7 @@
                     may_leave=lambda: self._may_leave(send, send_permit),
                 ) as response,
             ):
-                self._note_limit(send, endpoint, send_permit, response)
+                self._note_advertised(send, endpoint, send_permit, response)
                 self._refuse_overload(send, response)
                 self._refuse_crossed(send, endpoint, response)
                 _refuse_endless(send, response)
@@ -292,45 +297,49 @@
         except transport_errors.MaybeSentError as error:
             raise errors.MaybeSentError(str(error)) from error
 
-    async def _admitted(self, send: Send) -> endpoint_limits.SendPermit | None:
-        """Acquire a permit to give an endpoint work, None for all else.
+    async def _admitted(self, send: Send) -> endpoint_gate.GatePermit | None:
+        """Acquire a permit to send to an endpoint.
 
         A stream that the endpoint has begun goes before all others.
 
         :raises EndpointLimitError: it takes no more now
         """
-        if self._limits is None or send.purpose not in WORK:
+        if self._gate is None:
             return None
+        life = limiting.EndpointLife(send.endpoint)
+        if send.purpose not in WORK:
+            return self._gate.unlimited(life)
         rank = endpoint_limits.FIRST_RANK
         if send.purpose is not Purpose.RESUME and send.head is not None:
             urgency = requests.Priority.HIGH - send.head.priority
             rank = endpoint_limits.rank_of(urgency, kept=False)
-        life = limiting.EndpointLife(send.endpoint)
-        return await self._limits.admit(life, rank)
+        return await self._gate.acquire(life, rank)
 
     def _may_leave(
-        self, send: Send, send_permit: endpoint_limits.SendPermit | None
+        self, send: Send, send_permit: endpoint_gate.GatePermit | None
     ) -> bool:
         """Tell, as the first byte is about to leave, whether it still may."""
         if self._held_ms(send) is not None:
             return False
         return send_permit is None or send_permit.is_valid()
 
-    def _note_limit(
+    def _note_advertised(
         self,
         send: Send,
         endpoint: configuration.Endpoint,
-        send_permit: endpoint_limits.SendPermit | None,
+        send_permit: endpoint_gate.GatePermit | None,
         response: aiohttp.ClientResponse,
     ) -> None:
-        """Note what an endpoint says of how much it takes.
-
-        It counts whatever becomes of the answer.
-        """
+        """Note what an endpoint says of itself, whatever it answered."""
         if send_permit is None:
             return
-        texts = response.headers.getall(headers.LIMIT, [])
-        send_permit.on_response(texts, _is_own(send, endpoint, response))
+        echoed = send.name
+        if endpoint.echoes_request_id:
+            echoed = response.headers.get(headers.ECHO)
+        source = advertised.origin(response.status, send.name, echoed)
+        send_permit.on_response(
+            advertised.read(source, response.status, response.headers, DIALECT)
+        )
 
     def _is_guarded(self, send: Send) -> bool:
         """Tell whether a send gives work that may end its endpoint."""
@@ -354,7 +363,7 @@
         return self._guard.held_ms(send.head.digest)
 
     def _checked(
-        self, send: Send, send_permit: endpoint_limits.SendPermit | None
+        self, send: Send, send_permit: endpoint_gate.GatePermit | None
     ) -> configuration.Endpoint:
         endpoint = self._replica.current.endpoints.get(send.endpoint)
         if endpoint is None:
--- a/wrenspoke/coordination/serving/placement.py
+++ b/wrenspoke/coordination/serving/placement.py
@@ -10,7 +10,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
-from wrenspoke.coordination.limiting import endpoint_limits
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.membership import loads
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import decisions
@@ -122,7 +122,7 @@
         held: replica.Replica,
         load_table: loads.Loads,
         limit_table: limits.Limits,
-        stated: endpoint_limits.EndpointLimits,
+        gate: endpoint_gate.EndpointGate,
         noted: decisions.Decisions,
         clock: clocks.Clock,
     ):
@@ -131,7 +131,7 @@
         self._replica = held
         self._loads = load_table
         self._limits = limit_table
-        self._stated = stated
+        self._gate = gate
         self._decisions = noted
         self._clock = clock
         self._queues: dict[ids.ServiceId, Queue] = {}
@@ -296,7 +296,7 @@
             limit = self._limits.of(endpoint.endpoint, endpoint.slots)
             hold_ms = self._loads.speed(endpoint.endpoint).hold_ms
             own_per_ms = limit.limit / max(hold_ms, 1.0)
-            stated_per_s = self._stated.share_per_s(
+            stated_per_s = self._gate.limits.share_per_s(
                 _life_of(endpoint.endpoint)
             )
             if stated_per_s is not None:
@@ -306,11 +306,11 @@
 
     def _is_limited(self, endpoint: configuration.Endpoint) -> bool:
         life = _life_of(endpoint.endpoint)
-        return self._stated.rate_per_s(life) is not None
+        return self._gate.limits.rate_per_s(life) is not None
 
     def _spent_ms(self, endpoint: ids.EndpointId) -> int:
         """Return for how long an endpoint takes no more, by its limit."""
-        return self._stated.backoff_remaining_ms(_life_of(endpoint))
+        return self._gate.backoff_remaining_ms(_life_of(endpoint))
 
     def _overload(
         self,
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -18,12 +18,13 @@
 import structlog
 
 from wrenspoke.coordination import errors
-from wrenspoke.coordination.limiting import endpoint_limits
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.quarantine import guard as guards
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import bodies
 from wrenspoke.coordination.serving import choice
 from wrenspoke import ids
+from wrenspoke.protocol import advertised
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import passing
@@ -65,7 +66,7 @@
     sent_ms: int = 0
     answered: bool = False
     reading: int | None = None
-    send_permit: endpoint_limits.SendPermit | None = None
+    send_permit: endpoint_gate.GatePermit | None = None
 
     @property
     def life(self) -> limiting.EndpointLife:
@@ -157,7 +158,7 @@
         permitted: access.Access,
         sent: traffic.Traffic,
         guard: guards.Guard,
-        limits: endpoint_limits.EndpointLimits,
+        gate: endpoint_gate.EndpointGate,
     ):
         self._dialect = dialect
         self._access = permitted
@@ -165,7 +166,7 @@
         self._hosts = hosts
         self._traffic = sent
         self._guard = guard
-        self._limits = limits
+        self._gate = gate
 
     async def admit(self, place: Place, rank: int) -> None:
         """Acquire a permit to send to a place's endpoint.
@@ -173,7 +174,7 @@
         :raises EndpointLimitError: its limit is used up for now
         """
         if place.endpoint is not None:
-            place.send_permit = await self._limits.admit(place.life, rank)
+            place.send_permit = await self._gate.acquire(place.life, rank)
 
     @contextlib.asynccontextmanager
     async def send(
@@ -214,7 +215,7 @@
                     may_leave,
                 ) as response,
             ):
-                self._note_limit(call, place, response)
+                self._note_advertised(call, place, response)
                 verdict = self._verdict(call, place, response)
                 answer = Answer(response, verdict, place.host is not None)
                 try:
@@ -240,22 +241,22 @@
             return False
         return self._access.may_enter(call, permit, place.host, place.regions)
 
-    def _note_limit(
+    def _note_advertised(
         self,
         call: dialects.Call,
         place: Place,
         response: aiohttp.ClientResponse,
     ) -> None:
-        """Note what an endpoint says of how much it takes.
-
-        It counts whatever becomes of the answer.
-        """
+        """Note what an endpoint says of itself, whatever it answered."""
         if place.endpoint is None:
             return
-        texts = response.headers.getall(self._dialect.limit, [])
         echoed = response.headers.get(self._dialect.request)
-        proved = echoed == call.request and response.status != MISDIRECTED
-        place.send_permit.on_response(texts, proved)
+        source = advertised.origin(response.status, call.request, echoed)
+        place.send_permit.on_response(
+            advertised.read(
+                source, response.status, response.headers, self._dialect
+            )
+        )
 
     def _note_traffic(
         self, call: dialects.Call, place: Place, answer: Answer
--- a/wrenspoke/coordination/serving/warmth.py
+++ b/wrenspoke/coordination/serving/warmth.py
@@ -9,14 +9,17 @@
 import asyncio
 import collections.abc
 
+import aiohttp
 import structlog
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import replica
 from wrenspoke import ids
+from wrenspoke.protocol import advertised
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import limiting
@@ -45,14 +48,14 @@
         held: replica.Replica,
         dialect: dialects.Dialect,
         client: web.HttpClient,
-        limits: endpoint_limits.EndpointLimits,
+        gate: endpoint_gate.EndpointGate,
         clock: clocks.Clock,
     ):
         self._askers = asking
         self._replica = held
         self._dialect = dialect
         self._client = client
-        self._limits = limits
+        self._gate = gate
         self._clock = clock
         # From when on an endpoint is warm, and when that was heard.
         self._warm_ms: dict[ids.EndpointId, tuple[int, int]] = {}
@@ -110,7 +113,7 @@
         try:
             async with clocks.timeout_ms(ANSWER_TIMEOUT_MS):
                 # A look takes a slot, as a request does.
-                send_permit = await self._limits.admit(
+                send_permit = await self._gate.acquire(
                     life, endpoint_limits.LAST_RANK
                 )
                 async with self._client.pass_on(
@@ -119,10 +122,9 @@
                     service.health_path,
                     [],
                     None,
-                    send_permit.may_leave,
+                    send_permit.is_valid,
                 ) as response:
-                    texts = response.headers.getall(self._dialect.limit, [])
-                    send_permit.on_response(texts, proved=False)
+                    self._note_advertised(life, send_permit, response)
                     await web.read_whole(response, BODY_LIMIT_BYTES)
         except (
             TimeoutError,
@@ -151,6 +153,23 @@
         )
         return status
 
+    def _note_advertised(
+        self,
+        life: limiting.EndpointLife,
+        send_permit: endpoint_gate.GatePermit,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        """Note what an endpoint says of itself in a health answer."""
+        instance = response.headers.get(self._dialect.instance)
+        source = advertised.Origin.UNNAMED
+        if instance not in (None, life.endpoint):
+            source = advertised.Origin.FOREIGN
+        send_permit.on_response(
+            advertised.read(
+                source, response.status, response.headers, self._dialect
+            )
+        )
+
     def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
         """Forget endpoints that are gone."""
         for endpoint in list(self._warm_ms):
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -10,6 +10,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.limiting import bounds
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.limiting import lender
 from wrenspoke.coordination.limiting import limiter
@@ -226,6 +227,9 @@
         self._askers.listen(
             lambda message: self._endpoint_limits.merge(message.limits)
         )
+        self._gate = endpoint_gate.EndpointGate(
+            self._endpoint_limits, self.clock
+        )
 
     def _lives(self, life: limiting.EndpointLife) -> bool:
         """Tell whether an endpoint is known, and in that life of it."""
@@ -268,7 +272,7 @@
             self.replica,
             dialect,
             self._client,
-            self._endpoint_limits,
+            self._gate,
             self.clock,
         )
         self._regions = regions.Regions(
@@ -288,7 +292,7 @@
             self._health,
             self._warmth,
             self._gauges,
-            self._endpoint_limits,
+            self._gate,
             node.switched_off,
             self.clock,
         )
@@ -325,7 +329,7 @@
                     self._access,
                     self._traffic,
                     self._guard,
-                    self._endpoint_limits,
+                    self._gate,
                 ),
                 self.attendance,
                 self._choice,
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -7,6 +7,7 @@
 
 from wrenspoke import arguments
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import leaving
@@ -143,6 +144,9 @@
         self._askers.listen(
             lambda message: self._endpoint_limits.merge(message.limits)
         )
+        self._gate = endpoint_gate.EndpointGate(
+            self._endpoint_limits, self._clock
+        )
 
     async def _tell_limits(self, limits: list[limiting.EndpointLimit]) -> None:
         await self._askers.tell(attending.TellRegion(limits=limits))
@@ -182,7 +186,7 @@
             self._clock,
             lambda: self.members.awake,
             self._guard,
-            self._endpoint_limits,
+            self._gate,
         )
         self._poller = polls.LoadPoller(
             self._settings,
@@ -201,7 +205,7 @@
             self.replica,
             self.loads,
             self._limits,
-            self._endpoint_limits,
+            self._gate,
             self.decisions,
             self._clock,
         )
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -53,7 +53,8 @@
     A health answer names its endpoint by ``instance`` and tells by
     ``warmup_ms`` how much longer it bears few requests only.
     In answers ``limit`` names the requests a second that an endpoint takes
-    from all hosts together.
+    from all hosts together; ``leaving`` says that the endpoint is about to
+    end.
     ``authorization`` holds a team's key behind the word ``scheme``;
     ``team`` tells endpoints whose call it is.
     ``reserved`` headers are never passed on from callers.
@@ -72,6 +73,7 @@
     warmup_ms: str = 'Wrenspoke-Warmup-Ms'
     fetch_from: str = 'Wrenspoke-Fetch-From'
     limit: str = headers.LIMIT
+    leaving: str = headers.LEAVING
     authorization: str = 'Authorization'
     scheme: str = 'Bearer'
     team: str = 'Wrenspoke-Team'
--- a/wrenspoke/protocol/errors.py
+++ b/wrenspoke/protocol/errors.py
@@ -40,3 +40,11 @@
 
 class MalformedRateError(ProtocolError):
     """Say that an endpoint's word on its rate can't be read, and why."""
+
+
+class MalformedRetryAfterError(ProtocolError):
+    """Say that a ``Retry-After`` can't be read, and why."""
+
+
+class MalformedLeavingError(ProtocolError):
+    """Say that an endpoint's word that it leaves can't be read, and why."""
--- a/wrenspoke/protocol/headers.py
+++ b/wrenspoke/protocol/headers.py
@@ -10,8 +10,10 @@
 HOP = 'Wrenspoke-Hop'
 HOST = 'Wrenspoke-Host'
 LAST_EVENT_ID = 'Last-Event-ID'
-# An endpoint in need says how many requests a second it takes from all hosts.
+# Requests a second that an overloaded endpoint takes from all hosts.
 LIMIT = 'Server-Limit'
+# An endpoint that is about to end says so in all its responses.
+LEAVING = 'Server-Leaving'
 ONCE = 'Wrenspoke-Once'
 OUTCOME = 'Wrenspoke-Outcome'
 PRIORITY = 'Wrenspoke-Priority'
--- /dev/null
+++ b/wrenspoke/protocol/retry_after.py
@@ -0,0 +1,58 @@
+"""Read ``Retry-After``: decimal seconds or an HTTP date (RFC 9110)."""
+
+import collections.abc
+import datetime
+import email.utils
+import re
+
+from wrenspoke.protocol import errors
+
+SECONDS = re.compile(r'([0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12})\Z')
+DATE = re.compile(r'[A-Za-z]{3,9},')
+MS_PER_S = 1_000
+SHOWN_CHARS = 40
+
+
+def read_ms(
+    texts: collections.abc.Sequence[str], now_ms: int, date: str | None = None
+) -> int | None:
+    """Return the requested delay in milliseconds, None without one.
+
+    Of several values the longest counts. A date counts from ``date``, the
+    response's own, else from ``now_ms`` of the time of day.
+
+    :raises MalformedRetryAfterError: a value is neither
+    """
+    delays_ms = [
+        delay_ms for text in texts for delay_ms in _read(text, now_ms, date)
+    ]
+    return max(delays_ms, default=None)
+
+
+def _read(text: str, now_ms: int, date: str | None) -> list[int]:
+    text = text.strip()
+    if DATE.match(text):
+        sent_ms = now_ms if date is None else _date_ms(date)
+        return [max(_date_ms(text) - sent_ms, 0)]
+    delays_ms = []
+    for part in text.split(','):
+        if not SECONDS.match(part.strip()):
+            raise _malformed(text)
+        delays_ms.append(round(float(part) * MS_PER_S))
+    return delays_ms
+
+
+def _date_ms(text: str) -> int:
+    try:
+        found = email.utils.parsedate_to_datetime(text)
+    except (ValueError, IndexError, TypeError, OverflowError) as error:
+        raise _malformed(text) from error
+    if found.tzinfo is None:
+        found = found.replace(tzinfo=datetime.UTC)
+    return round(found.timestamp() * MS_PER_S)
+
+
+def _malformed(text: str) -> errors.MalformedRetryAfterError:
+    return errors.MalformedRetryAfterError(
+        f'{text[:SHOWN_CHARS]!r} is neither seconds nor an HTTP date'
+    )
--- a/wrenspoke/standin/engine.py
+++ b/wrenspoke/standin/engine.py
@@ -67,6 +67,14 @@
     return [f'{seed}-{number} ' for number in range(count)]
 
 
+def _unavailable(name: str, retry_after: str) -> web.Response:
+    """Return the answer by which an engine turns a chat away."""
+    return web.Response(
+        status=503,
+        headers={headers.ECHO: name, headers.RETRY_AFTER: retry_after},
+    )
+
+
 class Engine:
     """Serve one engine's HTTP surface."""
 
@@ -105,7 +113,7 @@
     def application(self) -> web.Application:
         """Return the application to be served."""
         application = web.Application(client_max_size=64 * 1024 * 1024)
-        application.on_response_prepare.append(self._name_limit)
+        application.on_response_prepare.append(self._advertise)
         router = application.router
         router.add_post('/v1/chat/completions', self._chat)
         router.add_get('/v1/streams/{request}', self._resume)
@@ -117,11 +125,13 @@
         router.add_post('/faults', self._set_faults)
         return application
 
-    async def _name_limit(
+    async def _advertise(
         self, _request: web.Request, response: web.StreamResponse
     ) -> None:
         if self.faults.limit_text:
             response.headers[headers.LIMIT] = self.faults.limit_text
+        if self.faults.leaving_text:
+            response.headers[headers.LEAVING] = self.faults.leaving_text
 
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         raw = await request.read()
@@ -130,10 +140,10 @@
         name = request.headers.get(headers.ECHO, '')
         if self.faults.status:
             return self._plain_status(name)
+        if self.faults.retry_after_text:
+            return _unavailable(name, self.faults.retry_after_text)
         if self._waiting >= self.model.queue_limit:
-            return web.Response(
-                status=503, headers={headers.ECHO: name, 'Retry-After': '1'}
-            )
+            return _unavailable(name, '1')
         stream = self._begin(request, body, name)
         self._end_if_fatal(raw)
         session = request.headers.get(headers.SESSION) or body.get('user')
--- a/wrenspoke/standin/faults.py
+++ b/wrenspoke/standin/faults.py
@@ -12,7 +12,9 @@
     with another request's id, ``close_after_read`` counts a request and
     closes, ``status`` answers with that status, ``slow_factor``
     stretches all times, ``delay_ms`` holds every answer back.
-    ``limit_text`` is named in each answer as the engine's limit.
+    ``limit_text`` is advertised in each answer as the engine's limit, and
+    ``leaving_text`` that it leaves. With ``retry_after_text`` each chat gets
+    503 with that ``Retry-After``.
     ``fatal_text`` in a body ends an engine ``fatal_after_ms`` after it began
     to run it; it is back ``back_after_ms`` later.
     """
@@ -28,6 +30,8 @@
     delay_ms: int = 0
     redirect_to: str = ''
     limit_text: str = ''
+    leaving_text: str = ''
+    retry_after_text: str = ''
     fatal_text: str = ''
     fatal_after_ms: int = 50
     back_after_ms: int = 2_000
