Show that an engine's rest and leave are not kept, by both ways in

Symptom: three entry hosts, three engines, 40 calls a second by turns; the first engine answers 503 with Retry-After: 3.

--- /dev/null
+++ b/tests/test_endpoint_backoffs.py
@@ -0,0 +1,194 @@
+"""An incident: an engine that asked for rest was sent more than before.
+
+Seen: engines answered 503 with ``Retry-After: 3`` and ran nothing. The hosts
+that were told sent them up to 15 requests in those 3 s; two are allowed. A
+tenth of all callers was turned away beside engines that had room.
+
+How: an engine that turns requests away is quick and has nothing in flight,
+so that it was ranked first; each refused request was repeated elsewhere until
+the retry budget was spent, and then refused to its caller.
+
+Cause: the time in an engine's answer was read by one interface for an error
+message and by the other not at all; nothing about the engine was remembered.
+
+Proof: engines that refuse, or say that they leave, beside others that have
+room, asked by turns at all hosts of a region. Before the repair they get more
+requests than the others, through both interfaces.
+"""
+
+import asyncio
+import collections
+import contextlib
+import time
+
+from tests import endpoints
+from tests import fleet
+from tests import nodes
+from tests import test_endpoint_limits
+from tests import test_passing
+from wrenspoke.protocol import headers
+from wrenspoke.state import routes
+
+REST_S = 3.0
+# A host may send for so long after it was refused, and two requests later.
+GRACE_S = 0.5
+SENDS_LIMIT = 2
+# A host may send for so long after an engine said that it leaves.
+DRAIN_S = 4.0
+HOST = 'X-Host'
+CHAT = test_endpoint_limits.CHAT
+
+
+def most_sent_in_a_rest(arrivals, rest_s=REST_S):
+    """Return the most requests one host sent in the rest of any refusal.
+
+    ``arrivals`` are the host and the time of each refused request.
+    """
+    times_s = collections.defaultdict(list)
+    for host, at_s in arrivals:
+        times_s[host].append(at_s)
+    return max(
+        (
+            sum(at_s + GRACE_S < later_s < at_s + rest_s for later_s in found)
+            for found in times_s.values()
+            for at_s in found
+        ),
+        default=0,
+    )
+
+
+class AdvertisingEngine:
+    """An engine that refuses or leaves when told to."""
+
+    def __init__(self):
+        self.retry_after = None
+        self.leaving = None
+        self.status = '503 Service Unavailable'
+        # The host and time of each request, and whether it was refused.
+        self.arrivals = []
+        self._endpoint = endpoints.ScriptedEndpoint(self._answer)
+
+    @property
+    def address(self):
+        return self._endpoint.address
+
+    async def start(self):
+        await self._endpoint.start()
+        return self
+
+    def _answer(self, sent, _number):
+        refused = self.retry_after is not None
+        host = endpoints.header(sent, HOST)
+        self.arrivals.append((host, time.monotonic(), refused))
+        extra = b''
+        if self.leaving is not None:
+            extra += f'{headers.LEAVING}: {self.leaving}\r\n'.encode()
+        if refused:
+            for text in [self.retry_after]:
+                extra += f'{headers.RETRY_AFTER}: {text}\r\n'.encode()
+            extra += b'Wrenspoke-Not-Run: 1\r\n'
+            yield test_passing.answer(
+                sent, status=self.status, body=b'', extra=extra
+            )
+            return
+        yield test_passing.answer(sent, extra=extra)
+
+    def refused(self):
+        """Return the host and time of each refused request."""
+        return [
+            (host, at_s) for host, at_s, refused in self.arrivals if refused
+        ]
+
+    async def close(self):
+        await self._endpoint.close()
+
+
+@contextlib.asynccontextmanager
+async def passing_system(folder, entries=3, engines=3):
+    """Run a region of some hosts and engines."""
+    made = []
+    async with nodes.running(folder, entries=entries) as system:
+        for number in range(engines):
+            engine = await AdvertisingEngine().start()
+            made.append(engine)
+            await system.register(f'e{number}', engine)
+        await system.put(test_passing.route(routes.RouteKind.REPEATABLE))
+        system.engines = made
+
+        async def ask(host, number, **changes):
+            sent = test_passing.request(
+                request_id=f'q{number}',
+                headers=[f'{HOST}: {host}'],
+                **changes,
+            )
+            address = system.entries[host].node.callers_address
+            return await endpoints.ask(address, sent)
+
+        system.ask = ask
+        yield system
+    for engine in made:
+        await engine.close()
+
+
+async def test_passed_calls_leave_a_resting_engine_alone(tmp_path):
+    async with passing_system(tmp_path) as system:
+        engine = system.engines[0]
+        engine.retry_after = '3'
+        answers = await test_endpoint_limits.press(system.ask, 3, 2 * REST_S)
+        assert engine.refused()
+        assert most_sent_in_a_rest(engine.refused()) <= SENDS_LIMIT
+        assert all(answer.endswith(b'whole') for answer in answers)
+        # Its service is in full use of it soon after.
+        engine.retry_after = None
+        await asyncio.sleep(REST_S)
+        begun_s = time.monotonic()
+        await test_endpoint_limits.press(system.ask, 3, 2.0)
+        served = sum(at_s >= begun_s for _host, at_s, _ in engine.arrivals)
+        assert served >= 10
+
+
+async def test_chats_leave_a_resting_engine_alone(tmp_path):
+    made = fleet.deployment(regions=('north',), entries=1, engines=3)
+    async with fleet.running(tmp_path, made) as running:
+        engine = 'north-chat-1'
+        caller = running.caller('north-1')
+
+        async def ask(_host, _number):
+            return await caller.chat(CHAT)
+
+        # What each engine can do is known, and none is preferred for it.
+        await test_endpoint_limits.press(ask, 1, 1.0)
+        await running.faults(engine, retry_after_text='3')
+        since_s = time.monotonic()
+        answers = await test_endpoint_limits.press(ask, 1, 2 * REST_S)
+        found = await running.runs(engine)
+        refused = [
+            ('north-1', at_s) for at_s in found['arrivals_s'] if at_s > since_s
+        ]
+        assert refused
+        assert most_sent_in_a_rest(refused) <= SENDS_LIMIT
+        assert {answer.outcome for answer in answers} == {'whole'}
+
+
+async def test_passed_calls_leave_an_engine_that_leaves(tmp_path):
+    """It says so in its answers alone, and goes on to serve."""
+    async with passing_system(tmp_path) as system:
+        engine = system.engines[0]
+        engine.leaving = '1'
+        told_s = {}
+
+        async def ask(host, number):
+            answer = await system.ask(host, number)
+            if headers.LEAVING.encode() in answer:
+                told_s.setdefault(str(host), time.monotonic())
+            return answer
+
+        answers = await test_endpoint_limits.press(ask, 3, DRAIN_S + 2)
+        assert told_s
+        late = [
+            (host, at_s)
+            for host, at_s, _refused in engine.arrivals
+            if host in told_s and at_s > told_s[host] + DRAIN_S
+        ]
+        assert late == []
+        assert all(answer.endswith(b'whole') for answer in answers)
