--- /dev/null
+++ b/tests/backoff_fleet.py
@@ -0,0 +1,179 @@
+"""Entry hosts of a region before engines that refuse requests with a time.
+
+Simulated time. Calls come to hosts at random and choose at random among the
+engines that their host does not back off from; a refused call is sent to
+another engine.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+from tests import group
+from tests import stated_fleet
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_backoffs
+from wrenspoke.protocol import attending
+from wrenspoke.protocol import limiting
+
+MS_PER_S = 1_000
+# What hosts of the users' platform are held to.
+GRACE_MS = 500
+SENDS_LIMIT = 2
+TRIES = 4
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request at an engine, and the backoff that it got, if any."""
+
+    at_ms: int
+    host: str
+    backoff_ms: int
+
+
+class Engine:
+    """An engine that refuses requests as its ``refuses`` says."""
+
+    def __init__(self, name):
+        self.life = limiting.EndpointLife(name)
+        self.arrivals = []
+        self.backoff_ms = 3_000
+        self.refuses = lambda host: False
+
+    def arrive(self, host):
+        """Take a request; return the backoff it is refused with, or 0."""
+        backoff_ms = self.backoff_ms if self.refuses(host) else 0
+        now_ms = group.LoopClock().mono_ms()
+        self.arrivals.append(Arrival(now_ms, host, backoff_ms))
+        return backoff_ms
+
+    def refused(self):
+        """Return how many requests were refused."""
+        return sum(one.backoff_ms > 0 for one in self.arrivals)
+
+    def count(self, since_ms, until_ms):
+        """Return how many requests came in some time."""
+        return sum(since_ms <= one.at_ms < until_ms for one in self.arrivals)
+
+    def most_in_a_backoff(self, excused=lambda host, since_ms, at_ms: False):
+        """Return the most requests that one host sent within a backoff."""
+        by_host = collections.defaultdict(list)
+        for one in self.arrivals:
+            by_host[one.host].append(one)
+        worst = 0
+        for host, found in by_host.items():
+            for number, first in enumerate(found):
+                if not first.backoff_ms:
+                    continue
+                since_ms = first.at_ms
+                sent = sum(
+                    since_ms + GRACE_MS
+                    < later.at_ms
+                    < since_ms + first.backoff_ms
+                    and not excused(host, since_ms, later.at_ms)
+                    for later in found[number + 1 :]
+                )
+                worst = max(worst, sent)
+        return worst
+
+
+class BackoffHost(stated_fleet.AskingHost):
+    """An entry host that backs off as the product does."""
+
+    def __init__(self, fleet, name):
+        super().__init__(fleet, name)
+        self.backoffs = endpoint_backoffs.EndpointBackoffs(
+            name,
+            self.askers.order,
+            lambda _life: True,
+            self._tell_backoffs,
+            self.clock,
+        )
+        self.askers.listen(
+            lambda message: self.backoffs.merge(message.backoffs)
+        )
+        self.backoffs.start()
+
+    async def _tell_backoffs(self, backoffs):
+        await self.askers.tell(attending.TellRegion(backoffs=backoffs))
+
+    def wants(self, engine):
+        return not self.backoffs.remaining_ms(engine.life)
+
+    async def close(self):
+        await self.backoffs.close()
+        await super().close()
+
+
+class AloneHost(BackoffHost):
+    """A host that learns of backoffs by itself alone."""
+
+    async def _tell_backoffs(self, backoffs):
+        pass
+
+
+class AgreeingHost(BackoffHost):
+    """A host that backs off as soon as another one was refused."""
+
+    def __init__(self, fleet, name):
+        super().__init__(fleet, name)
+        self.backoffs.agreeing_hosts = 1
+
+
+class Fleet(stated_fleet.Fleet):
+    """The hosts and engines of a region, and the calls there."""
+
+    def __init__(self, hosts, engines=4, seed=1, make=BackoffHost):
+        super().__init__(hosts, 0, seed, make)
+        self.engines = [Engine(f'e{number}') for number in range(engines)]
+        self.refusals = 0
+        self.restarted_ms = {}
+
+    async def _send(self, host, rank):
+        """Send a call until an engine serves it; None where none does."""
+        tried = set()
+        for _number in range(TRIES):
+            open_to = [
+                one
+                for one in self.engines
+                if one.life not in tried and host.wants(one)
+            ]
+            if not open_to:
+                return None
+            engine = self.random.choice(open_to)
+            tried.add(engine.life)
+            try:
+                host.backoffs.acquire(engine.life)
+            except errors.EndpointBackoffError:
+                continue
+            acquired_ms = host.clock.mono_ms()
+            await self._connect()
+            if host.frozen or host.backoffs.own_remaining_ms(engine.life):
+                continue
+            backoff_ms = engine.arrive(host.name)
+            if not backoff_ms:
+                self._start(self._serve_answer(host, engine, acquired_ms))
+                return engine
+            await self.wait_ms(self.random.uniform(1, 4))
+            host.backoffs.on_response(engine.life, backoff_ms, acquired_ms)
+            self.refusals += 1
+        return None
+
+    async def _serve_answer(self, host, engine, acquired_ms):
+        await self.wait_ms(min(self.random.lognormvariate(5, 1), 4_000))
+        host.backoffs.on_response(engine.life, 0, acquired_ms)
+
+
+def play(happen, hosts, calls_per_s, for_ms, seed=1, make=BackoffHost):
+    """Return a fleet after calls came while something happened."""
+    held = {}
+
+    async def run():
+        fleet = Fleet(hosts, seed=seed, make=make)
+        await asyncio.gather(fleet.call(calls_per_s, for_ms), happen(fleet))
+        await fleet.close()
+        held['fleet'] = fleet
+
+    group.run(run())
+    return held['fleet']
--- a/tests/stated_fleet.py
+++ b/tests/stated_fleet.py
@@ -345,7 +345,6 @@
 def unlimited(clock):
     """Return a gate to endpoints that advertise nothing."""
     peers = group.Peers('h', group.Network(1))
-    limits = endpoint_limits.EndpointLimits(
+    return endpoint_gate.EndpointGate(
         'h', lambda _key: ['h'], lambda _life: True, None, peers, clock
     )
-    return endpoint_gate.EndpointGate(limits, clock)
--- a/tests/test_advertised.py
+++ b/tests/test_advertised.py
@@ -10,6 +10,7 @@
 
 from tests import stated_fleet
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import endpoint_backoffs
 from wrenspoke.protocol import advertised
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors
@@ -188,4 +189,8 @@
             retry_after=tuple(delays),
             leaving=tuple(leavings),
         ),
+        NOW_MS,
+        work=True,
     )
+    longest_ms = endpoint_backoffs.LONGEST_BACKOFF_MS
+    assert 0 <= gate.remaining_ms(LIFE) <= longest_ms
--- /dev/null
+++ b/tests/test_backoff_fleet.py
@@ -0,0 +1,186 @@
+"""Engines that refuse with a time, before hosts of a region; simulated time.
+
+No host may send more than two requests within the time that it was told, but
+for the first half second of it. Engines are used again soon after, and those
+that refuse one host alone go on serving the others.
+"""
+
+import itertools
+import os
+
+import pytest
+
+from tests import backoff_fleet
+
+BEGUN_MS = 4_000
+ENDED_MS = 14_000
+PLAY_MS = 22_000
+SIZES = [(1, 20), (3, 40), (20, 80), (60, 240), (200, 800)]
+
+
+def refusing(refuses, engines=1, mishap=None):
+    """Return what lets some engines refuse requests for 10 s."""
+
+    async def happen(fleet):
+        await fleet.wait_ms(BEGUN_MS)
+        for engine in fleet.engines[:engines]:
+            engine.refuses = lambda host: refuses(fleet, host)
+        if mishap is not None:
+            await mishap(fleet)
+        now_ms = backoff_fleet.group.LoopClock().mono_ms()
+        await fleet.wait_ms(ENDED_MS - now_ms)
+        for engine in fleet.engines:
+            engine.refuses = lambda host: False
+
+    return happen
+
+
+def all_hosts(_fleet, _host):
+    return True
+
+
+def first_host(fleet, host):
+    return host == fleet.names[0]
+
+
+def some_requests(fleet, _host):
+    return fleet.random.random() < 0.3
+
+
+def worst(fleet):
+    return max(engine.most_in_a_backoff() for engine in fleet.engines)
+
+
+@pytest.mark.parametrize('refuses', [all_hosts, first_host, some_requests])
+@pytest.mark.parametrize('hosts, calls_per_s', SIZES)
+def test_resting_engine_is_left_alone(hosts, calls_per_s, refuses):
+    fleet = backoff_fleet.play(refusing(refuses), hosts, calls_per_s, PLAY_MS)
+    assert worst(fleet) <= backoff_fleet.SENDS_LIMIT
+    # Three other engines have room.
+    assert fleet.refused_share() == 0
+    engine = fleet.engines[0]
+    fair = calls_per_s / len(fleet.engines)
+    # In use again once the last time that it named is over.
+    assert engine.count(ENDED_MS + 4_000, PLAY_MS) >= 0.6 * fair * 4
+
+
+@pytest.mark.parametrize('hosts, calls_per_s', SIZES[1:])
+def test_engine_that_refuses_one_host_serves_the_others(hosts, calls_per_s):
+    fleet = backoff_fleet.play(
+        refusing(first_host), hosts, calls_per_s, PLAY_MS
+    )
+    others = (hosts - 1) / hosts
+    expected = others * calls_per_s / 4 * (ENDED_MS - BEGUN_MS) / 1_000
+    assert fleet.engines[0].count(BEGUN_MS, ENDED_MS) >= 0.7 * expected
+
+
+@pytest.mark.parametrize('hosts, calls_per_s', SIZES[2:])
+def test_hosts_of_a_large_region_learn_from_each_other(hosts, calls_per_s):
+    """Each alone is refused once a rest: three times in 10 s and more."""
+    fleet = backoff_fleet.play(
+        refusing(all_hosts), hosts, calls_per_s, PLAY_MS
+    )
+    assert fleet.refusals <= hosts
+
+
+@pytest.mark.parametrize('hosts, calls_per_s', SIZES)
+def test_all_engines_rest_and_return(hosts, calls_per_s):
+    fleet = backoff_fleet.play(
+        refusing(all_hosts, engines=4), hosts, calls_per_s, PLAY_MS
+    )
+    assert worst(fleet) <= backoff_fleet.SENDS_LIMIT
+    late = [one for one in fleet.called if one.at_ms >= ENDED_MS + 4_500]
+    assert sum(one.served for one in late) >= 0.9 * len(late)
+
+
+async def lose_messages(fleet):
+    fleet.network.lost_share = 0.3
+    await fleet.wait_ms(8_000)
+    fleet.network.lost_share = 0.0
+
+
+async def freeze_hosts(fleet):
+    for number in range(3):
+        name = fleet.names[number % len(fleet.names)]
+        fleet.hosts[name].frozen = True
+        fleet.network.cut_off(name)
+        await fleet.wait_ms(2_000)
+        fleet.network.heal()
+        fleet.hosts[name].frozen = False
+
+
+async def restart_hosts(fleet):
+    for name in fleet.names[:5]:
+        fleet.restarted_ms.setdefault(name, []).append(
+            backoff_fleet.group.LoopClock().mono_ms()
+        )
+        await fleet.restart_host(name)
+        await fleet.wait_ms(1_000)
+
+
+async def change_roster(fleet):
+    for number in range(8):
+        name = fleet.names[number % len(fleet.names)]
+        for other in fleet.names:
+            fleet.lose(name, other)
+            await fleet.wait_ms(50)
+        fleet.find_all()
+        await fleet.wait_ms(300)
+
+
+async def change_times(fleet):
+    """Engines name other times, and refuse by turns."""
+    for number, backoff_ms in enumerate((5_000, 700, 100, 60_000, 1_500)):
+        engine = fleet.engines[number % len(fleet.engines)]
+        engine.backoff_ms = backoff_ms
+        engine.refuses = lambda host: fleet.random.random() < 0.7
+        await fleet.wait_ms(1_200)
+
+
+MISHAPS = [
+    lose_messages,
+    freeze_hosts,
+    restart_hosts,
+    change_roster,
+    change_times,
+]
+
+
+def check(fleet):
+    """A restart excuses a host: it has forgotten what it was told."""
+
+    def restarted(host, since_ms, at_ms):
+        found = fleet.restarted_ms.get(host, [])
+        return any(since_ms <= one <= at_ms for one in found)
+
+    found = max(
+        engine.most_in_a_backoff(restarted) for engine in fleet.engines
+    )
+    assert found <= backoff_fleet.SENDS_LIMIT
+
+
+@pytest.mark.parametrize('refuses', [all_hosts, some_requests])
+@pytest.mark.parametrize('mishap', MISHAPS)
+def test_mishaps_let_nothing_through(mishap, refuses):
+    happen = refusing(refuses, mishap=mishap)
+    check(backoff_fleet.play(happen, 9, 60, PLAY_MS))
+
+
+SEEDS = int(os.environ.get('WRENSPOKE_SOAK_SEEDS', 4))
+
+
+@pytest.mark.parametrize('seed', range(SEEDS))
+def test_mishaps_over_each_other_let_nothing_through(seed):
+    pairs = list(itertools.permutations(MISHAPS, 3))
+    chosen = pairs[seed * 7 % len(pairs)]
+
+    async def mishap(fleet):
+        tasks = []
+        for one in chosen:
+            tasks.append(backoff_fleet.asyncio.ensure_future(one(fleet)))
+            await fleet.wait_ms(fleet.random.uniform(0, 3_000))
+        await backoff_fleet.asyncio.gather(*tasks)
+
+    refuses = (all_hosts, some_requests, first_host)[seed % 3]
+    happen = refusing(refuses, engines=1 + seed % 4, mishap=mishap)
+    check(backoff_fleet.play(happen, 6, 60, PLAY_MS, seed))
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -189,14 +189,14 @@
 
     async def is_known():
         await system.ask(host, 'hear')
-        return len(entry._endpoint_limits.active()) == len(named)
+        return len(entry._gate.limits.active()) == len(named)
 
     await fleet.until(is_known, 'limits')
 
 
 async def hear_rate(system, rate_per_s):
     """Ask a host until it knows the rate that an engine names."""
-    limits = system.entries[0]._endpoint_limits
+    limits = system.entries[0]._gate.limits
 
     async def is_known():
         await system.ask(0, 'hear')
@@ -267,7 +267,7 @@
             for number in range(6):
                 answer = await system.ask(0, number)
                 assert answer.endswith(b'whole')
-            assert system.entries[0]._endpoint_limits.active() == []
+            assert system.entries[0]._gate.limits.active() == []
 
 
 async def test_engine_that_names_no_limit_any_more_gets_its_part(tmp_path):
@@ -279,7 +279,7 @@
 
         async def is_over():
             await system.ask(0, 'over')
-            return not any(e._endpoint_limits.active() for e in entries)
+            return not any(e._gate.limits.active() for e in entries)
 
         await fleet.until(is_over, 'the end of the limit')
         sent = len(engine.arrivals_s)
--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -15,6 +15,7 @@
 from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import health
 from wrenspoke.protocol import attending
+from wrenspoke.protocol import dialect as dialects
 from wrenspoke.state import configuration
 from wrenspoke.state import registry
 from wrenspoke.state import routes
@@ -81,6 +82,8 @@
         None,
         None,
         lambda _address, _asked_ms: None,
+        stated_fleet.unlimited(clocks.Clock()),
+        dialects.Dialect(),
         clocks.Clock(),
     )
 
--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -26,15 +26,31 @@
         self.detail = detail
 
 
-class EndpointLimitError(SendRefusedError):
-    """Say that an endpoint takes no more now, by its own word."""
+class EndpointBusyError(SendRefusedError):
+    """Be the base of why an endpoint is sent nothing for now."""
+
+    def __init__(
+        self, check: str, endpoint: ids.EndpointId, problem: str, wait_ms: int
+    ):
+        super().__init__(check, f'{endpoint} {problem} for {wait_ms} ms')
+        self.endpoint = endpoint
+        self.wait_ms = wait_ms
+
+
+class EndpointLimitError(EndpointBusyError):
+    """Say that an endpoint's advertised limit is used up."""
+
+    def __init__(self, endpoint: ids.EndpointId, wait_ms: int):
+        super().__init__('endpoint_limit', endpoint, 'takes no more', wait_ms)
+
+
+class EndpointBackoffError(EndpointBusyError):
+    """Say that this host backs off from an endpoint."""
 
     def __init__(self, endpoint: ids.EndpointId, wait_ms: int):
         super().__init__(
-            'endpoint_limit', f'{endpoint} takes no more for {wait_ms} ms'
+            'endpoint_backoff', endpoint, 'asked for backoff', wait_ms
         )
-        self.endpoint = endpoint
-        self.wait_ms = wait_ms
 
 
 class QuarantinedError(CoordinationError):
--- /dev/null
+++ b/wrenspoke/coordination/limiting/endpoint_backoffs.py
@@ -0,0 +1,360 @@
+"""Back off from endpoints that refuse requests and name a time.
+
+A host sends nothing to an endpoint before the time is over that the endpoint
+named to it. The refusal is gossiped within the region. One host's refusal
+does not bind the others, as the endpoint may have room for them; once two
+hosts were refused and none was served in between, the others back off too,
+and one of them probes at intervals. Hosts return one after another, each
+with one request first and more as these are served.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+
+import structlog
+
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke import ids
+from wrenspoke.protocol import limiting
+from wrenspoke import runtime
+
+logger = structlog.get_logger(__name__)
+
+# Bounds what a single response can do to an endpoint's use; an endpoint that
+# needs longer says so again.
+LONGEST_BACKOFF_MS = 60_000
+# So many hosts have to be refused before the others back off.
+AGREEING_HOSTS = 2
+# The pause before a probe doubles with each that is refused, up to this share
+# of the advertised backoff.
+PROBE_SHARE = 0.25
+FIRST_PROBE_MS = 100
+# Hosts whose backoffs end together return over this time.
+RETURN_SPREAD_MS = 1_000
+# A host that returns is back to normal after so many responses.
+RAMP_RESPONSES = 8
+# A request without a response by then no longer holds up the ramp.
+RESPONSE_TIMEOUT_MS = 1_000
+RAMP_WAIT_MS = 50
+# Responses to requests in flight extend a backoff by less than this, which
+# is not worth gossiping.
+LEAST_EXTENSION_MS = 500
+GATHER_MS = 4
+EVICT_INTERVAL_MS = 1_000
+IDLE_KEPT_MS = 10_000
+
+Order = collections.abc.Callable[[str], list[str]]
+Exists = collections.abc.Callable[[limiting.EndpointLife], bool]
+Tell = collections.abc.Callable[
+    [list[limiting.EndpointBackoff]], collections.abc.Awaitable[None]
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Ramp:
+    """Requests in flight and responses of a host that returns."""
+
+    in_flight: int = 0
+    responses: int = 0
+    sent_ms: int = 0
+
+    def is_full(self, now_ms: int) -> bool:
+        """Return whether a response has to come before the next request."""
+        if now_ms - self.sent_ms >= RESPONSE_TIMEOUT_MS:
+            self.in_flight = 0
+        return self.in_flight > self.responses
+
+    @property
+    def done(self) -> bool:
+        """Return whether the host is back to normal."""
+        return self.responses >= RAMP_RESPONSES
+
+    def sent(self, now_ms: int) -> None:
+        """Count a request."""
+        self.in_flight += 1
+        self.sent_ms = now_ms
+
+    def answered(self) -> None:
+        """Count a response."""
+        self.in_flight = max(self.in_flight - 1, 0)
+        self.responses += 1
+
+
+@dataclasses.dataclass(slots=True)
+class Backoff:
+    """What is known of one endpoint that refused requests.
+
+    Nothing is sent before ``until_ms``, which the endpoint named to this
+    host, and only probes before ``resume_ms``. ``refused_ms`` is when the
+    last refusal became known, ``others`` until when other hosts back off, and
+    ``ramp`` is None while this host has not backed off.
+    ``unserved`` says that this host was refused and not served since.
+    """
+
+    life: limiting.EndpointLife
+    until_ms: int = 0
+    resume_ms: int = 0
+    refused_ms: int = 0
+    probe_interval_ms: int = 0
+    told_until_ms: int = 0
+    unserved: bool = False
+    others: dict[ids.HostId, int] = dataclasses.field(default_factory=dict)
+    ramp: Ramp | None = None
+
+    def refusing(self, now_ms: int) -> set[ids.HostId]:
+        """Return the other hosts that back off."""
+        for host, until_ms in list(self.others.items()):
+            if until_ms <= now_ms:
+                del self.others[host]
+        return set(self.others)
+
+    def idle(self, now_ms: int) -> bool:
+        """Return whether nothing of it matters any more."""
+        if now_ms < max(self.until_ms, self.resume_ms):
+            return False
+        if self.refusing(now_ms):
+            return False
+        if self.ramp is None or self.ramp.done:
+            return True
+        return now_ms - self.resume_ms > IDLE_KEPT_MS
+
+
+class EndpointBackoffs:
+    """Hold the backoffs that endpoints asked for, and gossip them."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        order: Order,
+        exists: Exists,
+        tell: Tell,
+        clock: clocks.Clock,
+    ):
+        self._host = host
+        self._order = order
+        self._exists = exists
+        self._tell = tell
+        self._clock = clock
+        self._held: dict[ids.EndpointId, Backoff] = {}
+        self._news: list[limiting.EndpointBackoff] = []
+        self._has_news = asyncio.Event()
+        self.agreeing_hosts = AGREEING_HOSTS
+        self._tasks = runtime.Tasks()
+        # Requests that each endpoint refused with a time.
+        self.refused: collections.Counter[ids.EndpointId] = (
+            collections.Counter()
+        )
+
+    def start(self) -> None:
+        """Begin to gossip backoffs to other hosts."""
+        self._tasks.start(self._run())
+        self._tasks.start(self._evict())
+
+    async def close(self) -> None:
+        """End every task."""
+        await self._tasks.close()
+
+    # What is known.
+
+    def own_remaining_ms(self, life: limiting.EndpointLife) -> int:
+        """Return the rest of the time that was named to this host, in ms."""
+        found = self._find(life)
+        if found is None:
+            return 0
+        return max(found.until_ms - self._clock.mono_ms(), 0)
+
+    def remaining_ms(self, life: limiting.EndpointLife) -> int:
+        """Return the remaining backoff, in milliseconds."""
+        found = self._find(life)
+        if found is None:
+            return 0
+        now_ms = self._clock.mono_ms()
+        if now_ms < found.until_ms:
+            return found.until_ms - now_ms
+        full = found.ramp is not None and found.ramp.is_full(now_ms)
+        if now_ms >= found.resume_ms:
+            return RAMP_WAIT_MS if full else 0
+        if full or not found.refusing(now_ms):
+            return found.resume_ms - now_ms
+        probe_ms = self._next_probe_ms(found, now_ms)
+        return max(min(found.resume_ms, probe_ms) - now_ms, 0)
+
+    def active(self) -> list[tuple[ids.EndpointId, int]]:
+        """Return the endpoints this host backs off from, and for how long."""
+        remaining = [
+            (endpoint, self.own_remaining_ms(found.life))
+            for endpoint, found in self._held.items()
+        ]
+        return [item for item in remaining if item[1]]
+
+    def _find(self, life: limiting.EndpointLife) -> Backoff | None:
+        found = self._held.get(life.endpoint)
+        return found if found is not None and found.life == life else None
+
+    def _next_probe_ms(self, found: Backoff, now_ms: int) -> int:
+        """Return when this host may probe an endpoint.
+
+        The hosts that were not refused take turns, in an order on which all
+        agree; who gets no requests leaves the turn to the next.
+        """
+        refusing = found.refusing(now_ms)
+        hosts = [
+            host
+            for host in self._order(found.life.endpoint)
+            if host not in refusing
+        ]
+        place = hosts.index(self._host)
+        return found.refused_ms + (place + 1) * found.probe_interval_ms
+
+    # Requests.
+
+    def acquire(self, life: limiting.EndpointLife) -> None:
+        """Count a request that is about to be sent.
+
+        :raises EndpointBackoffError: this host backs off
+        """
+        remaining_ms = self.remaining_ms(life)
+        if remaining_ms:
+            raise errors.EndpointBackoffError(life.endpoint, remaining_ms)
+        found = self._find(life)
+        if found is not None and found.ramp is not None:
+            found.ramp.sent(self._clock.mono_ms())
+
+    def on_response(
+        self, life: limiting.EndpointLife, backoff_ms: int, sent_ms: int
+    ) -> None:
+        """Take a response to a request that was sent at some time.
+
+        ``backoff_ms`` is 0 where the endpoint asks for none.
+        """
+        if backoff_ms:
+            self._refuse(life, backoff_ms)
+            return
+        found = self._find(life)
+        # A response to an older request says nothing of now.
+        if found is None or sent_ms < found.refused_ms:
+            return
+        now_ms = self._clock.mono_ms()
+        probed = found.unserved or now_ms < found.resume_ms
+        self._resume(found)
+        if probed:
+            logger.info('endpoint_serves_again', endpoint=life.endpoint)
+            self._gossip(found.life, 0)
+        if found.ramp is not None:
+            found.ramp.answered()
+        if found.idle(now_ms):
+            del self._held[life.endpoint]
+
+    def _refuse(self, life: limiting.EndpointLife, backoff_ms: int) -> None:
+        """Begin or extend this host's own backoff.
+
+        A shorter time in a later response does not shorten what the
+        endpoint named before, and neither does one that it served.
+        """
+        now_ms = self._clock.mono_ms()
+        self.refused[life.endpoint] += 1
+        found = self._hold(life)
+        kept_ms = min(backoff_ms, LONGEST_BACKOFF_MS)
+        if not found.unserved or now_ms >= found.until_ms:
+            logger.warning(
+                'endpoint_backoff_started',
+                endpoint=life.endpoint,
+                advertised_ms=backoff_ms,
+                backoff_ms=kept_ms,
+            )
+        found.unserved = True
+        found.until_ms = max(found.until_ms, now_ms + kept_ms)
+        self._back_off(found, found.until_ms, kept_ms)
+        if self._is_news(found, now_ms):
+            found.told_until_ms = found.until_ms
+            self._gossip(life, found.until_ms - now_ms)
+
+    def _is_news(self, found: Backoff, now_ms: int) -> bool:
+        """Return whether other hosts don't know as much of a refusal."""
+        if len(found.refusing(now_ms)) < self.agreeing_hosts:
+            known_ms = found.told_until_ms
+        else:
+            known_ms = max(found.told_until_ms, *found.others.values())
+        return found.until_ms - known_ms >= LEAST_EXTENSION_MS
+
+    def _back_off(
+        self, found: Backoff, until_ms: int, backoff_ms: int
+    ) -> None:
+        """Set when this host returns; hosts follow one another."""
+        now_ms = self._clock.mono_ms()
+        if not found.probe_interval_ms:
+            found.probe_interval_ms = FIRST_PROBE_MS
+        elif now_ms - found.refused_ms >= FIRST_PROBE_MS:
+            longest_ms = max(round(PROBE_SHARE * backoff_ms), FIRST_PROBE_MS)
+            doubled_ms = 2 * found.probe_interval_ms
+            found.probe_interval_ms = min(doubled_ms, longest_ms)
+        found.refused_ms = now_ms
+        found.ramp = Ramp()
+        order = self._order(found.life.endpoint)
+        share = order.index(self._host) / len(order)
+        spread_ms = share * min(RETURN_SPREAD_MS, PROBE_SHARE * backoff_ms)
+        resume_ms = until_ms + round(spread_ms)
+        found.resume_ms = max(found.resume_ms, resume_ms)
+
+    def _resume(self, found: Backoff) -> None:
+        """End what other hosts' refusals said; this host's own time stays."""
+        found.unserved = False
+        found.probe_interval_ms = 0
+        found.others.clear()
+        found.resume_ms = max(found.until_ms, self._clock.mono_ms())
+
+    def _hold(self, life: limiting.EndpointLife) -> Backoff:
+        found = self._find(life)
+        if found is None:
+            found = self._held[life.endpoint] = Backoff(life)
+        return found
+
+    # Gossip.
+
+    def merge(self, received: list[limiting.EndpointBackoff]) -> None:
+        """Merge backoffs received from other hosts of the region."""
+        for notice in received:
+            if notice.host != self._host and self._exists(notice.life):
+                self._merge(notice)
+
+    def _merge(self, notice: limiting.EndpointBackoff) -> None:
+        if not notice.left_ms:
+            found = self._find(notice.life)
+            if found is not None:
+                self._resume(found)
+            return
+        now_ms = self._clock.mono_ms()
+        found = self._hold(notice.life)
+        left_ms = min(notice.left_ms, LONGEST_BACKOFF_MS)
+        found.others[notice.host] = now_ms + left_ms
+        refused = len(found.refusing(now_ms)) + found.unserved
+        if refused >= self.agreeing_hosts:
+            self._back_off(found, now_ms + left_ms, left_ms)
+        found.refused_ms = now_ms
+
+    def _gossip(self, life: limiting.EndpointLife, left_ms: int) -> None:
+        self._news.append(limiting.EndpointBackoff(life, self._host, left_ms))
+        self._has_news.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._has_news.wait()
+            await self._clock.sleep_ms(GATHER_MS)
+            self._has_news.clear()
+            news, self._news = self._news, []
+            await self._tell(news)
+
+    async def _evict(self) -> None:
+        """Drop state of endpoints that no longer exist or are used again."""
+        while True:
+            await self._clock.sleep_ms(EVICT_INTERVAL_MS)
+            now_ms = self._clock.mono_ms()
+            for endpoint, found in list(self._held.items()):
+                if not self._exists(found.life):
+                    del self._held[endpoint]
+                    self.refused.pop(endpoint, None)
+                elif found.idle(now_ms):
+                    del self._held[endpoint]
--- a/wrenspoke/coordination/limiting/endpoint_gate.py
+++ b/wrenspoke/coordination/limiting/endpoint_gate.py
@@ -6,61 +6,129 @@
 of the response back.
 """
 
+import collections.abc
+
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_backoffs
 from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke import ids
 from wrenspoke.protocol import advertised
+from wrenspoke.protocol import attending
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import limiting
+from wrenspoke.protocol import peers as peer_calls
 
 logger = structlog.get_logger(__name__)
 
+Exists = collections.abc.Callable[[limiting.EndpointLife], bool]
+TellRegion = collections.abc.Callable[
+    [attending.TellRegion], collections.abc.Awaitable[None]
+]
+
 
 class EndpointGate:
     """Grant permits to send, and track what responses advertise."""
 
     def __init__(
-        self, limits: endpoint_limits.EndpointLimits, clock: clocks.Clock
+        self,
+        host: ids.HostId,
+        order: endpoint_backoffs.Order,
+        exists: Exists,
+        tell: TellRegion,
+        peers: peer_calls.Peers,
+        clock: clocks.Clock,
     ):
-        self.limits = limits
+        async def tell_limits(limits: list[limiting.EndpointLimit]) -> None:
+            await tell(attending.TellRegion(limits=limits))
+
+        async def tell_backoffs(
+            backoffs: list[limiting.EndpointBackoff],
+        ) -> None:
+            await tell(attending.TellRegion(backoffs=backoffs))
+
         self._clock = clock
+        self.limits = endpoint_limits.EndpointLimits(
+            host, order, exists, tell_limits, peers, clock
+        )
+        self.backoffs = endpoint_backoffs.EndpointBackoffs(
+            host, order, exists, tell_backoffs, clock
+        )
         # Endpoints whose last value of a header was malformed; logged once.
         self._malformed: set[tuple[ids.EndpointId, str]] = set()
 
-    def backoff_remaining_ms(self, life: limiting.EndpointLife) -> int:
-        """Return the remaining backoff, in milliseconds."""
-        return self.limits.backoff_remaining_ms(life)
+    def start(self) -> None:
+        """Begin to gossip what endpoints advertise."""
+        self.limits.start()
+        self.backoffs.start()
+
+    async def close(self) -> None:
+        """End every task."""
+        await self.limits.close()
+        await self.backoffs.close()
+
+    def merge(self, message: attending.TellRegion) -> None:
+        """Merge what another host of the region learned."""
+        self.limits.merge(message.limits)
+        self.backoffs.merge(message.backoffs)
+
+    def remaining_ms(self, life: limiting.EndpointLife) -> int:
+        """Return for how long an endpoint is sent nothing more, in ms."""
+        return max(
+            self.limits.backoff_remaining_ms(life),
+            self.backoffs.remaining_ms(life),
+        )
 
     async def acquire(
-        self, life: limiting.EndpointLife, rank: int
+        self, life: limiting.EndpointLife, rank: int, continues: bool = False
     ) -> 'GatePermit':
         """Return a permit to send one request to an endpoint.
 
-        :raises EndpointLimitError: its limit is used up for now
+        What ``continues`` a stream may go to an endpoint that leaves.
+
+        :raises EndpointBusyError: it is sent nothing more for now
+        """
+        remaining_ms = self.backoffs.remaining_ms(life)
+        if remaining_ms:
+            raise errors.EndpointBackoffError(life.endpoint, remaining_ms)
+        limit = await self.limits.admit(life, rank)
+        # Others may have been sent, or refused, while the limit was asked.
+        self.backoffs.acquire(life)
+        return GatePermit(self, life, self._clock.mono_ms(), limit, continues)
+
+    def acquire_poll(self, life: limiting.EndpointLife) -> 'GatePermit':
+        """Return a permit for a request that takes no slot.
+
+        :raises EndpointBackoffError: the endpoint wants nothing for now
         """
-        return GatePermit(self, life, await self.limits.admit(life, rank))
+        remaining_ms = self.backoffs.own_remaining_ms(life)
+        if remaining_ms:
+            raise errors.EndpointBackoffError(life.endpoint, remaining_ms)
+        return self.unchecked(life)
 
-    def unlimited(self, life: limiting.EndpointLife) -> 'GatePermit':
-        """Return a permit for what takes no slot of an endpoint."""
-        return GatePermit(self, life)
+    def unchecked(self, life: limiting.EndpointLife) -> 'GatePermit':
+        """Return a permit to end or direct what an endpoint already does."""
+        return GatePermit(self, life, self._clock.mono_ms())
 
     def on_response(
-        self, life: limiting.EndpointLife, head: advertised.Advertised
+        self,
+        life: limiting.EndpointLife,
+        head: advertised.Advertised,
+        sent_ms: int,
+        work: bool,
     ) -> None:
-        """Update an endpoint's state from the head of a response."""
+        """Update an endpoint's state from the head of a response.
+
+        Only a response to ``work`` shows that the endpoint serves again.
+        """
         if not head.own:
             return
         backoff_ms = self._backoff_ms(life, head)
-        if backoff_ms:
-            logger.info(
-                'endpoint_backoff_advertised',
-                endpoint=life.endpoint,
-                status=head.status,
-                backoff_ms=backoff_ms,
-            )
+        if backoff_ms or (work and head.status not in advertised.UNAVAILABLE):
+            self.backoffs.on_response(life, backoff_ms, sent_ms)
         if self._is_leaving(life, head):
             logger.info('endpoint_leaving_advertised', endpoint=life.endpoint)
 
@@ -104,25 +172,42 @@
 
 
 class GatePermit:
-    """A permit to send one request to an endpoint."""
+    """A permit to send one request to an endpoint.
+
+    ``limit`` is None where the request takes no slot.
+    """
 
     def __init__(
         self,
         gate: EndpointGate,
         life: limiting.EndpointLife,
+        acquired_ms: int,
         limit: endpoint_limits.SendPermit | None = None,
+        continues: bool = False,
     ):
         self._gate = gate
         self._life = life
+        self._acquired_ms = acquired_ms
         self._limit = limit
+        self._continues = continues
 
     def is_valid(self) -> bool:
-        """Return whether the permit is still valid at send time."""
-        return self._limit is None or self._limit.is_valid()
+        """Return whether the permit is still valid at send time.
+
+        The endpoint may have asked for backoff, or said that it leaves,
+        while the request waited for a connection.
+        """
+        if self._limit is None:
+            return True
+        if self._gate.backoffs.own_remaining_ms(self._life):
+            return False
+        return self._limit.is_valid()
 
     def on_response(self, head: advertised.Advertised) -> None:
         """Update the endpoint's state from the head of the response."""
         if self._limit is not None:
             echoed = head.origin is advertised.Origin.ECHOED
             self._limit.on_response(head.limits, echoed)
-        self._gate.on_response(self._life, head)
+        self._gate.on_response(
+            self._life, head, self._acquired_ms, self._limit is not None
+        )
--- a/wrenspoke/coordination/membership/gauges.py
+++ b/wrenspoke/coordination/membership/gauges.py
@@ -15,6 +15,8 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import attendance
 from wrenspoke.coordination.membership import partners
@@ -22,7 +24,10 @@
 from wrenspoke.coordination.membership import views
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
+from wrenspoke.protocol import advertised
 from wrenspoke.protocol import attending
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import limiting
 from wrenspoke import runtime
 from wrenspoke.state import errors as state_errors
 from wrenspoke.state import loads
@@ -81,6 +86,8 @@
         near: partners.Partners,
         viewed: views.RegionViews,
         heard: collections.abc.Callable[[str, int], None],
+        gate: endpoint_gate.EndpointGate,
+        dialect: dialects.Dialect,
         clock: clocks.Clock,
     ):
         self._region = region
@@ -95,6 +102,8 @@
         self._partners = near
         self._views = viewed
         self._heard = heard
+        self._gate = gate
+        self._dialect = dialect
         self._clock = clock
         self._held: dict[ids.EndpointId, tuple[loads.EngineLoad, int]] = {}
         # When an engine of which no load is known was first looked at.
@@ -208,18 +217,29 @@
         self, found: registry.Registered
     ) -> loads.EngineLoad | None:
         said = found.said
+        life = limiting.EndpointLife(said.endpoint, said.born_ms)
         asked_ms = self._clock.mono_ms()
         try:
+            poll_permit = self._gate.acquire_poll(life)
             async with clocks.timeout_ms(REPORT_TIMEOUT_MS):
                 async with self._client.pass_on(
                     'GET', said.address, self._reader.path, [], None
                 ) as response:
+                    poll_permit.on_response(
+                        advertised.read(
+                            advertised.origin(response.status, '', None),
+                            response.status,
+                            response.headers,
+                            self._dialect,
+                        )
+                    )
                     body = await web.read_whole(response, REPORT_LIMIT_BYTES)
             load = self._reader.read(said.endpoint, body)
         except (
             TimeoutError,
             transport_errors.TransportError,
             state_errors.InvalidChangeError,
+            errors.EndpointBackoffError,
         ) as error:
             logger.debug(
                 'no_report', endpoint=said.endpoint, cause=repr(error)
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -129,8 +129,12 @@
         return self._gate.limits.share_per_s(_life_of(found))
 
     def spent_ms(self, found: registry.Registered) -> int:
-        """Return for how long an endpoint takes no more, by its limit."""
-        return self._gate.backoff_remaining_ms(_life_of(found))
+        """Return for how long an endpoint is sent nothing more, in ms."""
+        return self._gate.remaining_ms(_life_of(found))
+
+    def backs_off(self, found: registry.Registered) -> bool:
+        """Return whether this host backs off from an endpoint."""
+        return self._gate.backoffs.remaining_ms(_life_of(found)) > 0
 
     def cold(self, found: registry.Registered) -> bool:
         """Tell whether an endpoint bears a few requests only."""
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -286,6 +286,11 @@
         )
         return max(min(waits_ms), line.join(urgency, sum(shares)))
 
+    def backs_off(self, service: routes.RoutedService) -> bool:
+        """Return whether every endpoint of a service asked for backoff."""
+        usable = self._available.usable(service.service, self._region)
+        return bool(usable) and all(map(self._available.backs_off, usable))
+
     def free_places(self, service: routes.RoutedService) -> int:
         """Return the places of a service here that are known to be free."""
         return sum(
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -198,9 +198,9 @@
 
 @check('endpoint_limit')
 def check_endpoint_limit(send: Send, context: Context) -> str | None:
-    """Send no work beyond what the endpoint says that it takes."""
+    """Send no work without a permit that is still valid."""
     if send.purpose in WORK and not context.admitted:
-        return 'no leave was got'
+        return 'no valid permit'
     return None
 
 
@@ -258,7 +258,7 @@
 
         Leaving the block early cancels the work at the endpoint.
 
-        :raises EndpointLimitError: the endpoint takes no more now
+        :raises EndpointBusyError: the endpoint is sent nothing more for now
         :raises SendRefusedError: a check failed; nothing was sent
         :raises NotSentError: no connection; nothing was sent
         :raises OverloadedError: the endpoint turned it away unrun
@@ -291,8 +291,8 @@
             if send.ticket is not None:
                 send.ticket.unsent()
             if send_permit is not None and not send_permit.is_valid():
-                # It says nothing of the endpoint: the leave has ended.
-                raise errors.EndpointLimitError(send.endpoint, 0) from error
+                # It says nothing of the endpoint: the permit has ended.
+                raise errors.EndpointBackoffError(send.endpoint, 0) from error
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
             raise errors.MaybeSentError(str(error)) from error
@@ -302,18 +302,22 @@
 
         A stream that the endpoint has begun goes before all others.
 
-        :raises EndpointLimitError: it takes no more now
+        :raises EndpointBusyError: it is sent nothing more for now
         """
         if self._gate is None:
             return None
         life = limiting.EndpointLife(send.endpoint)
+        if send.purpose is Purpose.LOAD:
+            return self._gate.acquire_poll(life)
         if send.purpose not in WORK:
-            return self._gate.unlimited(life)
+            return self._gate.unchecked(life)
         rank = endpoint_limits.FIRST_RANK
         if send.purpose is not Purpose.RESUME and send.head is not None:
             urgency = requests.Priority.HIGH - send.head.priority
             rank = endpoint_limits.rank_of(urgency, kept=False)
-        return await self._gate.acquire(life, rank)
+        return await self._gate.acquire(
+            life, rank, continues=send.purpose is Purpose.RESUME
+        )
 
     def _may_leave(
         self, send: Send, send_permit: endpoint_gate.GatePermit | None
--- a/wrenspoke/coordination/serving/local.py
+++ b/wrenspoke/coordination/serving/local.py
@@ -112,7 +112,7 @@
 
         :raises EndedError: there is no next try
         """
-        if isinstance(error, errors.EndpointLimitError):
+        if isinstance(error, errors.EndpointBusyError):
             # Others take it; the placer leaves this one alone meanwhile.
             self._decisions.note(
                 'over_endpoint_limit',
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -20,6 +20,7 @@
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import choice
 from wrenspoke.coordination.serving import placing
+from wrenspoke.coordination.serving import return_line
 from wrenspoke.coordination.serving import spending
 from wrenspoke.coordination.serving import tries
 from wrenspoke.coordination.serving import work as works
@@ -216,7 +217,7 @@
         await reply.refuse(
             TOO_MANY_REQUESTS,
             passing.Refusal.OVER_LIMIT,
-            placing.spread_ms(error.wait_ms),
+            return_line.spread_ms(error.wait_ms),
         )
 
     async def _permit(self, call: dialects.Call) -> access.Permit:
@@ -258,7 +259,7 @@
         retry_after_ms = None
         if status == UNAVAILABLE:
             lease = self._attended.lease
-            retry_after_ms = placing.spread_ms(lease.return_in_ms())
+            retry_after_ms = return_line.spread_ms(lease.return_in_ms())
         await reply.refuse(status, reason, retry_after_ms)
 
     async def _refuse(
@@ -442,7 +443,10 @@
         known_ms = self._choice.return_in_ms(work.service, work.permit.urgency)
         if known_ms is None:
             known_ms = work.told_return_ms or RETRY_AFTER_MS
-        return placing.spread_ms(known_ms)
+        urgency = 0
+        if self._choice.backs_off(work.service):
+            urgency = work.permit.urgency
+        return return_line.spread_ms(known_ms, urgency)
 
     async def drain(self, timeout_ms: int) -> bool:
         """Take nothing new and wait; True if all of it ended."""
--- a/wrenspoke/coordination/serving/placement.py
+++ b/wrenspoke/coordination/serving/placement.py
@@ -15,6 +15,7 @@
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import decisions
 from wrenspoke.coordination.serving import limits
+from wrenspoke.coordination.serving import return_line
 from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import limiting
@@ -276,6 +277,7 @@
     ) -> None:
         left_ms = head.deadline_ms - self._clock.mono_ms()
         endpoints = [item.endpoint for item in ranked]
+        self._refuse_backing_off(head, endpoints)
         wait_ms = self._wait_ms(endpoints, queue.ahead(head) + 1)
         if wait_ms <= left_ms:
             return
@@ -286,6 +288,31 @@
             return
         raise self._overload(ranked, queue, 'would wait past its deadline')
 
+    def _refuse_backing_off(
+        self,
+        head: requests.RequestHead,
+        endpoints: typing.Sequence[configuration.Endpoint],
+    ) -> None:
+        """Refuse at once what every endpoint asked to be spared.
+
+        The urgent are told to come back before the others.
+        """
+        remaining_ms = [
+            self._gate.backoffs.remaining_ms(_life_of(endpoint.endpoint))
+            for endpoint in endpoints
+        ]
+        if not all(remaining_ms):
+            return
+        urgency = requests.Priority.HIGH - head.priority
+        raise errors.EndedError(
+            outcomes.Ending(
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.OVERLOAD,
+                'every endpoint asked for backoff',
+                return_line.spread_ms(min(remaining_ms), urgency),
+            )
+        )
+
     def _wait_ms(
         self,
         endpoints: typing.Sequence[configuration.Endpoint],
@@ -309,8 +336,8 @@
         return self._gate.limits.rate_per_s(life) is not None
 
     def _spent_ms(self, endpoint: ids.EndpointId) -> int:
-        """Return for how long an endpoint takes no more, by its limit."""
-        return self._gate.backoff_remaining_ms(_life_of(endpoint))
+        """Return for how long an endpoint is sent nothing more, in ms."""
+        return self._gate.remaining_ms(_life_of(endpoint))
 
     def _overload(
         self,
--- a/wrenspoke/coordination/serving/placing.py
+++ b/wrenspoke/coordination/serving/placing.py
@@ -7,7 +7,6 @@
 """
 
 import collections.abc
-import random
 
 import msgspec
 import structlog
@@ -18,6 +17,7 @@
 from wrenspoke.coordination.serving import choice
 from wrenspoke.coordination.serving import costs
 from wrenspoke.coordination.serving import regions
+from wrenspoke.coordination.serving import return_line
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import work as works
 from wrenspoke import ids
@@ -34,16 +34,9 @@
 FAR_KB_MS = 3.0
 # What any call is worth that stays: a host more that may fail on its way.
 FAR_MS = 20.0
-# Callers that are turned away come back spread over this much longer.
-RETRY_SPREAD = 0.5
 LEAST_RETRY_AFTER_MS = 100
 
 
-def spread_ms(wait_ms: float) -> int:
-    """Return a wait by which callers that are sent away come back apart."""
-    return int(wait_ms * random.uniform(1.0, 1.0 + RETRY_SPREAD))
-
-
 class BusyError(errors.CoordinationError):
     """Say that the host that passed a call on can do better itself."""
 
@@ -144,7 +137,7 @@
             end_ms=round(end_ms),
             left_ms=round(bounds.deadline_left_ms),
         )
-        retry_after_ms = spread_ms(first_ms - work.route.target_ms)
+        retry_after_ms = return_line.spread_ms(first_ms - work.route.target_ms)
         raise HopelessError(
             first_ms, max(retry_after_ms, LEAST_RETRY_AFTER_MS)
         )
--- a/wrenspoke/coordination/serving/return_line.py
+++ b/wrenspoke/coordination/serving/return_line.py
@@ -1,10 +1,25 @@
 """Tell callers that are turned away when to come back, one by one."""
 
+import random
+
 from wrenspoke import clock as clocks
 
 MS_PER_S = 1_000
 # Longer than callers wait, as a rule; what is reckoned for later is a guess.
 LONGEST_RETURN_MS = 10_000
+# Callers that are turned away come back spread over this much longer.
+RETRY_SPREAD = 0.5
+# Beyond it the times would be longer than callers wait.
+MOST_STEPS = 3
+
+
+def spread_ms(wait_ms: float, urgency: int = 0) -> int:
+    """Return a wait that spreads callers; 0 is the most urgent.
+
+    The waits of each urgency begin where those of the one before end.
+    """
+    step = (1.0 + RETRY_SPREAD) ** min(urgency, MOST_STEPS)
+    return int(wait_ms * step * random.uniform(1.0, 1.0 + RETRY_SPREAD))
 
 
 class ReturnLine:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -171,7 +171,7 @@
     async def admit(self, place: Place, rank: int) -> None:
         """Acquire a permit to send to a place's endpoint.
 
-        :raises EndpointLimitError: its limit is used up for now
+        :raises EndpointBusyError: it is sent nothing more for now
         """
         if place.endpoint is not None:
             place.send_permit = await self._gate.acquire(place.life, rank)
--- a/wrenspoke/coordination/serving/streams.py
+++ b/wrenspoke/coordination/serving/streams.py
@@ -349,7 +349,7 @@
             try:
                 await self._resume(head, slot, transcript, reply, tries)
                 return
-            except errors.EndpointLimitError as error:
+            except errors.EndpointBusyError as error:
                 await self._server.clock.sleep_ms(error.wait_ms)
 
     def _cancel(self, send: dispatch.Send) -> None:
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -109,7 +109,7 @@
         """Acquire a permit to send; False where the endpoint takes no more."""
         try:
             await self._sender.admit(place, _rank(work, place))
-        except errors.EndpointLimitError as error:
+        except errors.EndpointBusyError as error:
             work.over_limit += 1
             work.cause = str(error)
             logger.info(
--- a/wrenspoke/coordination/serving/warmth.py
+++ b/wrenspoke/coordination/serving/warmth.py
@@ -128,7 +128,7 @@
                     await web.read_whole(response, BODY_LIMIT_BYTES)
         except (
             TimeoutError,
-            errors.EndpointLimitError,
+            errors.EndpointBusyError,
             transport_errors.TransportError,
         ) as error:
             logger.info(
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -11,7 +11,6 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.limiting import bounds
 from wrenspoke.coordination.limiting import endpoint_gate
-from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.limiting import lender
 from wrenspoke.coordination.limiting import limiter
 from wrenspoke.coordination.membership import askers
@@ -124,7 +123,7 @@
         )
         self._build_limits()
         self._build_guard()
-        self._build_gauges(reports)
+        self._build_gauges(reports, dialect)
         self._build_serving(dialect)
 
     def _record(self) -> attending.HostRecord:
@@ -157,7 +156,9 @@
         if record is not None:
             self._health.heard(record.passing_address, asked_ms)
 
-    def _build_gauges(self, reports: gauges.ReportReader) -> None:
+    def _build_gauges(
+        self, reports: gauges.ReportReader, dialect: dialects.Dialect
+    ) -> None:
         """Build what knows how loaded engines are."""
         node = self.node
         self._health = health.Health(self.clock)
@@ -175,6 +176,8 @@
             self._partners,
             self._views,
             self._health.heard,
+            self._gate,
+            dialect,
             self.clock,
         )
         self._estimator = estimate.Estimator(self._gauges, self.clock)
@@ -215,30 +218,21 @@
             self.peers,
             self.clock,
         )
-
-        self._endpoint_limits = endpoint_limits.EndpointLimits(
+        self._gate = endpoint_gate.EndpointGate(
             node.host,
             self._askers.order,
             self._lives,
-            self._tell_limits,
+            self._askers.tell,
             self.peers,
             self.clock,
         )
-        self._askers.listen(
-            lambda message: self._endpoint_limits.merge(message.limits)
-        )
-        self._gate = endpoint_gate.EndpointGate(
-            self._endpoint_limits, self.clock
-        )
+        self._askers.listen(self._gate.merge)
 
     def _lives(self, life: limiting.EndpointLife) -> bool:
         """Tell whether an endpoint is known, and in that life of it."""
         found = self.attendance.registry.held.get(life.endpoint)
         return found is not None and found.said.born_ms == life.born_ms
 
-    async def _tell_limits(self, limits: list[limiting.EndpointLimit]) -> None:
-        await self._askers.tell(attending.TellRegion(limits=limits))
-
     def _build_guard(self) -> None:
         """Build what holds back requests that end endpoints."""
         self._guard = guard.Guard(
@@ -373,7 +367,7 @@
         await self.peers.links.start(node.ip, node.link_port)
         self.attendance.start()
         self._lender.start()
-        self._endpoint_limits.start()
+        self._gate.start()
         self._gauges.start()
         if self._sent_calls is not None:
             self._sent_calls.start()
@@ -427,7 +421,7 @@
         await asyncio.gather(self._callers.close(), self._hosts.close())
         await self._tasks.close()
         await self._lender.close()
-        await self._endpoint_limits.close()
+        await self._gate.close()
         await self._guard.close()
         if self._sent_calls is not None:
             await self._sent_calls.close()
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -8,7 +8,6 @@
 from wrenspoke import arguments
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.limiting import endpoint_gate
-from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import askers
 from wrenspoke.coordination.membership import leaving
 from wrenspoke.coordination.membership import loads
@@ -34,9 +33,7 @@
 from wrenspoke import ids
 from wrenspoke import keys
 from wrenspoke import metrics
-from wrenspoke.protocol import attending
 from wrenspoke.protocol import hops
-from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke.protocol import surface
@@ -44,6 +41,8 @@
 from wrenspoke import settings
 from wrenspoke.transport import web
 
+MS_PER_S = 1_000
+
 logger = structlog.get_logger(__name__)
 
 
@@ -133,23 +132,15 @@
             member_roster.MemberRoster(self._deployment, self.members),
             self.peers,
         )
-        self._endpoint_limits = endpoint_limits.EndpointLimits(
+        self._gate = endpoint_gate.EndpointGate(
             self._host,
             self._askers.order,
             lambda life: life.endpoint in self.replica.current.endpoints,
-            self._tell_limits,
+            self._askers.tell,
             self.peers,
             self._clock,
         )
-        self._askers.listen(
-            lambda message: self._endpoint_limits.merge(message.limits)
-        )
-        self._gate = endpoint_gate.EndpointGate(
-            self._endpoint_limits, self._clock
-        )
-
-    async def _tell_limits(self, limits: list[limiting.EndpointLimit]) -> None:
-        await self._askers.tell(attending.TellRegion(limits=limits))
+        self._askers.listen(self._gate.merge)
 
     def _build_guard(self) -> None:
         """Build what holds back requests that end endpoints.
@@ -298,7 +289,7 @@
         self._poller.start()
         self._leaving.start()
         self._shares.start()
-        self._endpoint_limits.start()
+        self._gate.start()
         await self._web.start(ip, self._own.http_port)
         logger.info('started', ip=ip, http_port=self._own.http_port)
 
@@ -320,18 +311,31 @@
         put('wrenspoke_retries_denied_total', status['retries_denied'])
         put('wrenspoke_quarantine_refused_total', status['quarantine_refused'])
         put('wrenspoke_requests_in_quarantine', status['in_quarantine'])
-        for limit in self._endpoint_limits.active():
+        limits, backoffs = self._gate.limits, self._gate.backoffs
+        for limit in limits.active():
             put(
                 'wrenspoke_endpoint_limit_per_s',
                 limit.rate_per_s,
                 endpoint=limit.life.endpoint,
             )
-        for endpoint, count in self._endpoint_limits.refused.items():
+        for endpoint, count in limits.refused.items():
             put(
                 'wrenspoke_endpoint_limit_refused_total',
                 count,
                 endpoint=endpoint,
             )
+        for endpoint, remaining_ms in backoffs.active():
+            put(
+                'wrenspoke_endpoint_backoff_s',
+                remaining_ms / MS_PER_S,
+                endpoint=endpoint,
+            )
+        for endpoint, count in backoffs.refused.items():
+            put(
+                'wrenspoke_endpoint_backoff_refused_total',
+                count,
+                endpoint=endpoint,
+            )
         put('wrenspoke_configuration_index', status['index'])
         put('wrenspoke_serving', status['serving'])
         put('wrenspoke_draining', status['draining'])
@@ -358,7 +362,7 @@
         """End every task and close every socket."""
         await self._web.close()
         await self._shares.close()
-        await self._endpoint_limits.close()
+        await self._gate.close()
         await self._reach.close()
         await self._leaving.close()
         await self._poller.close()
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -230,7 +230,7 @@
 
     That is what engines reported, what other regions offer, which
     endpoints that were taken back are warm, what hosts sent to engines, and
-    what endpoints say that they take.
+    what endpoints advertise: limits and backoffs.
     Who gets it tells the hosts of ``pass_on``.
     """
 
@@ -240,6 +240,7 @@
     sent: list[SentCall] = []
     pass_on: list[ids.HostId] = []
     limits: list[limiting.EndpointLimit] = []
+    backoffs: list[limiting.EndpointBackoff] = []
 
 
 class Withdraw(msgspec.Struct, tag='withdraw'):
--- a/wrenspoke/protocol/limiting.py
+++ b/wrenspoke/protocol/limiting.py
@@ -91,6 +91,18 @@
     rate_per_s: float | None = None
 
 
+class EndpointBackoff(msgspec.Struct, array_like=True, frozen=True):
+    """Gossip that an endpoint refused a host's request, or serves again.
+
+    ``left_ms`` is the rest of the time that it named; 0 if it has served a
+    request of the host since.
+    """
+
+    life: EndpointLife
+    host: ids.HostId
+    left_ms: int
+
+
 class GrantName(msgspec.Struct, array_like=True, frozen=True):
     """Name a leave to send: the lender, its life, and a rising number."""
 
