Send an endpoint that says that it leaves no new work

Requests that clients sent long after an engine had said in its answers that it leaves still reached it, from the hosts that had passed those answers on.

Cause: that it leaves was read from its registration alone; what its answers say was passed on to the caller and read by nobody.

A mark for the life of the endpoint, set by any answer (of calls, reports, warm-up checks), told to the region at once and to the control hosts, which keep it beside the registration: a later report that calls the endpoint ready does not undo it, and a life that begins anew begins without. It is looked at as an endpoint is chosen and as the first byte leaves; a stream that the endpoint has begun may be resumed there. Endpoints with configured names start again under them: theirs ends 60 s after the last answer that said so, which load polls go on to read.

--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -5,6 +5,7 @@
 from tests import test_health
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.limiting import endpoint_backoffs
+from wrenspoke.coordination.limiting import leaving_endpoints
 from wrenspoke.protocol import limiting
 
 LIFE = limiting.EndpointLife('e', 1)
@@ -193,3 +194,29 @@
             clock.now_ms += held.remaining_ms(LIFE)
         returned_ms.append(clock.now_ms)
     assert returned_ms == [4_000, 4_250, 4_500, 4_750]
+
+
+@pytest.mark.parametrize('kept_ms, leaving', [(None, True), (1_000, False)])
+def test_leave_holds_for_a_life(clock, kept_ms, leaving):
+    """Endpoints with configured names may come back under them."""
+    marks = leaving_endpoints.LeavingEndpoints(
+        lambda life: life == LIFE, None, kept_ms, clock
+    )
+    heard = []
+    marks.listen(heard.append)
+    marks.mark(LIFE)
+    marks.mark(LIFE)
+    assert heard == [LIFE]
+    assert marks.is_leaving(LIFE)
+    assert not marks.is_leaving(NEXT_LIFE)
+    clock.now_ms = 1_000
+    assert marks.is_leaving(LIFE) is leaving
+
+
+def test_leave_that_others_heard_counts(clock):
+    marks = leaving_endpoints.LeavingEndpoints(
+        lambda life: life == LIFE, None, None, clock
+    )
+    marks.merge([LIFE, NEXT_LIFE])
+    assert marks.is_leaving(LIFE)
+    assert not marks.is_leaving(NEXT_LIFE)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -360,3 +360,26 @@
     assert held.held['e'].takes_work
     assert held.take(held.withdraw('e', BORN_MS))
     assert not held.held['e'].takes_work
+
+
+def test_leave_outlives_reports_that_call_an_endpoint_ready():
+    """For good in that life, also by what other hosts hold of it."""
+    known = registry.Registry(FakeClock())
+    known.take(said(number=1))
+    assert known.mark_leaving('e', 0)
+    assert not known.mark_leaving('e', 0)
+    [found] = known.held.values()
+    assert not found.takes_work
+    for number in (1, 2, 9):
+        known.take(said(number=number))
+        assert not found.takes_work
+    [told] = known.after(0)
+    other = registry.Registry(FakeClock())
+    other.take(said(number=20))
+    assert other.take(told)
+    [heard] = other.held.values()
+    assert not heard.takes_work
+    other.take(said(number=21, born_ms=5))
+    [reborn] = other.held.values()
+    assert reborn.takes_work
+    assert not other.mark_leaving('e', 0)
--- a/wrenspoke/coordination/limiting/endpoint_gate.py
+++ b/wrenspoke/coordination/limiting/endpoint_gate.py
@@ -14,6 +14,7 @@
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.limiting import endpoint_backoffs
 from wrenspoke.coordination.limiting import endpoint_limits
+from wrenspoke.coordination.limiting import leaving_endpoints
 from wrenspoke import ids
 from wrenspoke.protocol import advertised
 from wrenspoke.protocol import attending
@@ -41,6 +42,7 @@
         tell: TellRegion,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
+        leaving_kept_ms: int | None = None,
     ):
         async def tell_limits(limits: list[limiting.EndpointLimit]) -> None:
             await tell(attending.TellRegion(limits=limits))
@@ -50,6 +52,9 @@
         ) -> None:
             await tell(attending.TellRegion(backoffs=backoffs))
 
+        async def tell_leaving(lives: list[limiting.EndpointLife]) -> None:
+            await tell(attending.TellRegion(leaving=lives))
+
         self._clock = clock
         self.limits = endpoint_limits.EndpointLimits(
             host, order, exists, tell_limits, peers, clock
@@ -57,6 +62,9 @@
         self.backoffs = endpoint_backoffs.EndpointBackoffs(
             host, order, exists, tell_backoffs, clock
         )
+        self.leaving = leaving_endpoints.LeavingEndpoints(
+            exists, tell_leaving, leaving_kept_ms, clock
+        )
         # Endpoints whose last value of a header was malformed; logged once.
         self._malformed: set[tuple[ids.EndpointId, str]] = set()
 
@@ -64,16 +72,19 @@
         """Begin to gossip what endpoints advertise."""
         self.limits.start()
         self.backoffs.start()
+        self.leaving.start()
 
     async def close(self) -> None:
         """End every task."""
         await self.limits.close()
         await self.backoffs.close()
+        await self.leaving.close()
 
     def merge(self, message: attending.TellRegion) -> None:
         """Merge what another host of the region learned."""
         self.limits.merge(message.limits)
         self.backoffs.merge(message.backoffs)
+        self.leaving.merge(message.leaving)
 
     def remaining_ms(self, life: limiting.EndpointLife) -> int:
         """Return for how long an endpoint is sent nothing more, in ms."""
@@ -130,7 +141,7 @@
         if backoff_ms or (work and head.status not in advertised.UNAVAILABLE):
             self.backoffs.on_response(life, backoff_ms, sent_ms)
         if self._is_leaving(life, head):
-            logger.info('endpoint_leaving_advertised', endpoint=life.endpoint)
+            self.leaving.mark(life)
 
     def _backoff_ms(
         self, life: limiting.EndpointLife, head: advertised.Advertised
@@ -201,6 +212,9 @@
             return True
         if self._gate.backoffs.own_remaining_ms(self._life):
             return False
+        leaving = self._gate.leaving.is_leaving(self._life)
+        if leaving and not self._continues:
+            return False
         return self._limit.is_valid()
 
     def on_response(self, head: advertised.Advertised) -> None:
--- a/wrenspoke/coordination/membership/attendance.py
+++ b/wrenspoke/coordination/membership/attendance.py
@@ -189,14 +189,22 @@
         if not self.registry.take(gone):
             return
         logger.info('endpoint_gone', endpoint=endpoint)
+        self._tell_sessions(attending.Withdraw(endpoint, born_ms))
+
+    def mark_leaving(self, endpoint: ids.EndpointId, born_ms: int) -> None:
+        """Take an endpoint for leaving, and tell the control hosts so."""
+        if self.registry.mark_leaving(endpoint, born_ms):
+            self._tell_sessions(attending.EndpointLeaves(endpoint, born_ms))
+
+    def _tell_sessions(
+        self, message: attending.Withdraw | attending.EndpointLeaves
+    ) -> None:
+        """Tell the control hosts that this host attends at."""
         for session in self._sessions:
             if session.host is None:
                 continue
             self._tasks.start(
-                self._peers.tell(
-                    session.host, attending.Withdraw(endpoint, born_ms)
-                ),
-                fatal=False,
+                self._peers.tell(session.host, message), fatal=False
             )
 
     async def _attend(self, session: _Session) -> None:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -85,6 +85,7 @@
         )
         peers.answers(attending.Attend)(self._answer_attend)
         peers.answers(attending.Withdraw)(self._hear_withdrawn)
+        peers.answers(attending.EndpointLeaves)(self._hear_leaving)
 
     @property
     def settled(self) -> bool:
@@ -145,6 +146,13 @@
     ) -> None:
         self.withdraw(message.endpoint, message.born_ms)
 
+    async def _hear_leaving(
+        self, _sender: ids.HostId, message: attending.EndpointLeaves
+    ) -> None:
+        if self.registry.mark_leaving(message.endpoint, message.born_ms):
+            logger.info('endpoint_leaving', endpoint=message.endpoint)
+            self._announce()
+
     # Entry hosts.
 
     async def _answer_attend(
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -68,6 +68,7 @@
             found
             for found in self._attended.registry.held.values()
             if found.takes_work
+            and not self._gate.leaving.is_leaving(_life_of(found))
             and found.said.service == service
             and self._regions.get(found.said.data_centre) == region
             and found.said.data_centre not in self._evacuated
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -377,7 +377,7 @@
             region=self._region,
             now_ms=self._clock.mono_ms(),
             endpoint=endpoint,
-            takes_work=self._replica.takes_work(endpoint),
+            takes_work=self._takes_work(endpoint),
             current=self._replica.serving and self._awake(),
             held_ms=self._held_ms(send),
             admitted=send_permit is None or send_permit.is_valid(),
@@ -389,6 +389,12 @@
             raise errors.SendRefusedError(name, detail)
         return endpoint
 
+    def _takes_work(self, endpoint: configuration.Endpoint) -> bool:
+        if not self._replica.takes_work(endpoint):
+            return False
+        life = limiting.EndpointLife(endpoint.endpoint)
+        return self._gate is None or not self._gate.leaving.is_leaving(life)
+
     def _headers(self, send: Send) -> dict[str, str]:
         sent = {headers.ECHO: send.name, **send.extra}
         if send.head is None:
--- a/wrenspoke/coordination/serving/placement.py
+++ b/wrenspoke/coordination/serving/placement.py
@@ -180,6 +180,7 @@
             for endpoint in self._replica.active(head.service, self._region)
             if (head.model is None or head.model in endpoint.models)
             and not self._loads.is_down(endpoint.endpoint)
+            and not self._gate.leaving.is_leaving(_life_of(endpoint.endpoint))
         ]
 
     def take(self, endpoint: ids.EndpointId) -> Slot | None:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -227,6 +227,11 @@
             self.clock,
         )
         self._askers.listen(self._gate.merge)
+        self._gate.leaving.listen(
+            lambda life: self.attendance.mark_leaving(
+                life.endpoint, life.born_ms
+            )
+        )
 
     def _lives(self, life: limiting.EndpointLife) -> bool:
         """Tell whether an endpoint is known, and in that life of it."""
@@ -248,7 +253,7 @@
         found = self.attendance.registry.held.get(endpoint)
         if found is None:
             return False
-        return found.said.state is not registry.RegistrationState.READY
+        return not found.takes_work
 
     def _forget_life(self, before: registry.Registration) -> None:
         """Forget what was learned of an endpoint that began anew."""
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -42,6 +42,9 @@
 from wrenspoke.transport import web
 
 MS_PER_S = 1_000
+# Nothing tells the lives of endpoints with configured names apart: one that
+# said that it leaves is tried again after it can have started anew.
+LEAVING_KEPT_MS = 60_000
 
 logger = structlog.get_logger(__name__)
 
@@ -139,6 +142,7 @@
             self._askers.tell,
             self.peers,
             self._clock,
+            LEAVING_KEPT_MS,
         )
         self._askers.listen(self._gate.merge)
 
@@ -336,6 +340,8 @@
                 count,
                 endpoint=endpoint,
             )
+        for endpoint in self._gate.leaving.active():
+            put('wrenspoke_endpoint_leaving', 1, endpoint=endpoint)
         put('wrenspoke_configuration_index', status['index'])
         put('wrenspoke_serving', status['serving'])
         put('wrenspoke_draining', status['draining'])
--- a/wrenspoke/protocol/attending.py
+++ b/wrenspoke/protocol/attending.py
@@ -230,7 +230,7 @@
 
     That is what engines reported, what other regions offer, which
     endpoints that were taken back are warm, what hosts sent to engines, and
-    what endpoints advertise: limits and backoffs.
+    what endpoints advertise: limits, backoffs, and that they leave.
     Who gets it tells the hosts of ``pass_on``.
     """
 
@@ -241,6 +241,17 @@
     pass_on: list[ids.HostId] = []
     limits: list[limiting.EndpointLimit] = []
     backoffs: list[limiting.EndpointBackoff] = []
+    leaving: list[limiting.EndpointLife] = []
+
+
+class EndpointLeaves(msgspec.Struct, tag='endpoint_leaves'):
+    """Tell a control host that an endpoint says in answers that it leaves.
+
+    ``born_ms`` names the life that is about to end.
+    """
+
+    endpoint: ids.EndpointId
+    born_ms: int = 0
 
 
 class Withdraw(msgspec.Struct, tag='withdraw'):
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -29,6 +29,7 @@
     attending.TellRegion,
     attending.TellSent,
     attending.Withdraw,
+    attending.EndpointLeaves,
     limiting.AskShares,
     limiting.SharesGranted,
     limiting.AskAmount,
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -48,7 +48,8 @@
     ``number`` rises with each renewal of one life. ``warmup_left_ms`` and
     ``ends_in_ms`` count from when it was said, ``age_ms`` ago.
     ``born_ms`` is when the life began, by the endpoint's time of day; 0
-    where endpoints never start again under their names.
+    where endpoints never start again under their names. ``leaving`` says
+    that the endpoint was heard to leave, by its answers to requests.
     """
 
     endpoint: ids.EndpointId
@@ -62,6 +63,7 @@
     ends_in_ms: int | None = None
     age_ms: int = 0
     born_ms: int = 0
+    leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,7 +87,10 @@
     @property
     def takes_work(self) -> bool:
         """Tell whether it may be given new work."""
-        return self.said.state is RegistrationState.READY
+        return (
+            self.said.state is RegistrationState.READY
+            and not self.said.leaving
+        )
 
 
 Listener = collections.abc.Callable[[Registration], None]
@@ -126,7 +131,10 @@
         elif said.number <= old.said.number:
             # The same again, from who noticed that no newer one comes.
             old.silent |= said.age_ms > SILENT_AFTER_MS
-            return False
+            return said.leaving and self._mark(old)
+        if old.said.leaving:
+            # Reports may still call it ready; it leaves all the same.
+            said = msgspec.structs.replace(said, leaving=True)
         changed = old.silent or _differs(old, said, heard_ms)
         old.said = said
         old.heard_ms = heard_ms
@@ -159,6 +167,24 @@
         for listener in self._told_reborn:
             listener(before.said)
 
+    def mark_leaving(self, endpoint: ids.EndpointId, born_ms: int) -> bool:
+        """Note that an endpoint leaves in one of its lives, for good.
+
+        Return whether that changes routing.
+        """
+        old = self.held.get(endpoint)
+        if old is None or old.said.born_ms != born_ms:
+            return False
+        return self._mark(old)
+
+    def _mark(self, old: Registered) -> bool:
+        if old.said.leaving or old.said.state is RegistrationState.GONE:
+            return False
+        old.said = msgspec.structs.replace(old.said, leaving=True)
+        self.revision += 1
+        old.revision = self.revision
+        return True
+
     def renew(
         self,
         endpoint: ids.EndpointId,
@@ -306,11 +332,12 @@
 
 def _differs(old: Registered, said: Registration, heard_ms: int) -> bool:
     was = old.said
-    if (was.state, was.address, was.slots, was.service) != (
+    if (was.state, was.address, was.slots, was.service, was.leaving) != (
         said.state,
         said.address,
         said.slots,
         said.service,
+        said.leaving,
     ):
         return True
     if was.ends_in_ms != said.ends_in_ms:
