Read whole numbers of others by one reader, in ASCII digits

Callers of the chat interface got 500 (lost) where an engine refused with Retry-After: a superscript two: str.isdigit takes it and int() raises. A caller's own deadline, tokens or key of that kind, or one of 5,000 digits, ended its call in the same way.

Cause: ten places checked isdigit and called int. protocol.numerals reads whole and decimal numbers for all of them; links, a layer below, ask isascii too.

--- a/tests/test_endpoint_backoffs.py
+++ b/tests/test_endpoint_backoffs.py
@@ -192,3 +192,13 @@
         ]
         assert late == []
         assert all(answer.endswith(b'whole') for answer in answers)
+
+
+async def test_chat_is_served_whatever_time_an_engine_names(tmp_path):
+    made = fleet.deployment(regions=('north',), entries=1, engines=2)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+        for text in ('\u00b2', '-1', 'nan', 'soon', '9' * 400, 'Mon, 1'):
+            await running.faults('north-chat-1', retry_after_text=text)
+            for _number in range(4):
+                assert (await caller.chat(CHAT)).outcome == 'whole'
--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -76,10 +76,9 @@
 class OverloadedError(CoordinationError):
     """Say that an endpoint turned the request away unrun."""
 
-    def __init__(self, status: int, retry_after_ms: int):
+    def __init__(self, status: int):
         super().__init__(f'endpoint answered {status}')
         self.status = status
-        self.retry_after_ms = retry_after_ms
 
 
 class LedgerUnreachableError(CoordinationError):
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -36,8 +36,6 @@
 
 MAX_HOPS = 1
 OVERLOAD_STATUSES = frozenset([429, 503])
-MS_PER_S = 1000
-DEFAULT_RETRY_AFTER_S = 1
 BODILESS_STATUSES = frozenset([204, 304])
 # Names the headers by which endpoints describe themselves.
 DIALECT = dialects.Dialect()
@@ -417,9 +415,7 @@
             # An endpoint's word that it was busy does not prove that a
             # once-only request was not run; the caller gets the answer.
             return
-        text = response.headers.get(headers.RETRY_AFTER, '')
-        wait_s = int(text) if text.isdigit() else DEFAULT_RETRY_AFTER_S
-        raise errors.OverloadedError(response.status, wait_s * MS_PER_S)
+        raise errors.OverloadedError(response.status)
 
     def _refuse_crossed(
         self,
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -27,6 +27,7 @@
 from wrenspoke.protocol import advertised
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import limiting
+from wrenspoke.protocol import numerals
 from wrenspoke.protocol import passing
 from wrenspoke.protocol import traffic
 from wrenspoke.state import locations
@@ -123,10 +124,8 @@
 
 def _retry_after_ms(fields: collections.abc.Mapping[str, str]) -> float:
     """Return how long a host says that a call would wait, 0 if not."""
-    try:
-        return float(fields.get('Retry-After', 0)) * passing.MS_PER_S
-    except ValueError:
-        return 0.0
+    found_s = numerals.decimal(fields.get('Retry-After', ''))
+    return 0.0 if found_s is None else found_s * passing.MS_PER_S
 
 
 def _runs(text: str | None) -> int:
@@ -134,7 +133,8 @@
 
     Where it says nothing, one is taken to have run it.
     """
-    return int(text) if text is not None and text.isdigit() else 1
+    found = None if text is None else numerals.whole(text)
+    return 1 if found is None else found
 
 
 def _refusal(text: str | None) -> passing.Refusal | None:
--- a/wrenspoke/coordination/serving/warmth.py
+++ b/wrenspoke/coordination/serving/warmth.py
@@ -23,6 +23,7 @@
 from wrenspoke.protocol import attending
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import limiting
+from wrenspoke.protocol import numerals
 from wrenspoke import runtime
 from wrenspoke.state import registry
 from wrenspoke.transport import errors as transport_errors
@@ -145,7 +146,7 @@
             )
             return None
         text = response.headers.get(self._dialect.warmup_ms, '0')
-        left_ms = float(text) if text.replace('.', '', 1).isdigit() else 0.0
+        left_ms = numerals.decimal(text) or 0.0
         status = attending.WarmupStatus(said.endpoint, int(left_ms))
         self._note(status)
         logger.info(
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -14,6 +14,7 @@
 from wrenspoke import ids
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import headers
+from wrenspoke.protocol import numerals
 
 # Headers that belong to one connection, by RFC 9110, and those by which
 # the body is framed, which each connection states anew.
@@ -222,12 +223,13 @@
         value = found.get(name.lower())
         if value is None:
             return self._default_deadline_ms
-        if not value.isdigit() or int(value) > DEADLINE_LIMIT_MS:
+        left_ms = numerals.whole(value)
+        if left_ms is None or left_ms > DEADLINE_LIMIT_MS:
             raise errors.BadRequestError(
                 name,
                 f'found {value!r}; must be 0 to {DEADLINE_LIMIT_MS} ms',
             )
-        return int(value)
+        return left_ms
 
     def _parts(self, found: dict[str, str]) -> tuple[PromptPart, ...]:
         """Return the prompt's parts; none where they can't be read.
@@ -238,24 +240,28 @@
         parts = []
         for item in text.split(',')[:PARTS_LIMIT]:
             name, _, tokens = item.strip().partition(':')
-            if name and tokens.isdigit():
-                parts.append(PromptPart(name, int(tokens)))
+            count = numerals.whole(tokens)
+            if name and count is not None:
+                parts.append(PromptPart(name, count))
         return tuple(parts)
 
     def _tokens_expected(self, found: dict[str, str]) -> int:
         """Return how many tokens should come: the hint, else the most."""
-        hint = found.get(self._dialect.length_hint.lower(), '').strip()
+        text = found.get(self._dialect.length_hint.lower(), '')
+        hint = numerals.whole(text.strip())
         most = self._tokens(found)[1]
-        if not hint.isdigit():
+        if hint is None:
             return most
-        return min(int(hint), most) if most else int(hint)
+        return min(hint, most) if most else hint
 
     def _tokens(self, found: dict[str, str]) -> tuple[int, int]:
         text = found.get(self._dialect.tokens.lower(), '')
-        tokens_in, _, tokens_out = text.partition(',')
-        if tokens_in.strip().isdigit() and tokens_out.strip().isdigit():
-            return int(tokens_in), int(tokens_out)
-        return 0, 0
+        before, _, behind = text.partition(',')
+        tokens_in = numerals.whole(before.strip())
+        tokens_out = numerals.whole(behind.strip())
+        if tokens_in is None or tokens_out is None:
+            return 0, 0
+        return tokens_in, tokens_out
 
 
 def _connection_options(text: str) -> frozenset[str]:
--- a/wrenspoke/protocol/rates.py
+++ b/wrenspoke/protocol/rates.py
@@ -1,11 +1,10 @@
 """Read how many requests a second an endpoint says that it takes."""
 
 import collections.abc
-import re
 
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import numerals
 
-RATE = re.compile(r'([0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12})\Z')
 # More is as good as no limit, and keeps what is reckoned with it finite.
 HIGHEST_PER_S = 1_000_000.0
 
@@ -24,8 +23,9 @@
 
 
 def _read_one(text: str) -> float:
-    if not RATE.match(text):
+    rate_per_s = numerals.decimal(text)
+    if rate_per_s is None:
         raise errors.MalformedRateError(
             f'found {text[:40]!r}; must be a decimal number of 0 or more'
         )
-    return min(float(text), HIGHEST_PER_S)
+    return min(rate_per_s, HIGHEST_PER_S)
--- a/wrenspoke/protocol/requests.py
+++ b/wrenspoke/protocol/requests.py
@@ -8,6 +8,7 @@
 from wrenspoke import ids
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import headers
+from wrenspoke.protocol import numerals
 
 MAX_TOKEN_CHARS = 200
 ONCE_KEY_PARTS = 3
@@ -84,13 +85,16 @@
     :raises BadRequestError: it is not ``REGION:ISSUED_MS:UNIQUE``
     """
     parts = text.split(':')
-    if len(parts) != ONCE_KEY_PARTS or not parts[1].isdigit():
+    issued_ms = None
+    if len(parts) == ONCE_KEY_PARTS:
+        issued_ms = numerals.whole(parts[1])
+    if issued_ms is None:
         raise errors.BadRequestError(
             headers.REQUEST,
             f'found {text!r}; a request that may not be repeated needs '
             'REGION:ISSUED_MS:UNIQUE',
         )
-    return OnceKey(ids.RegionId(parts[0]), int(parts[1]), parts[2])
+    return OnceKey(ids.RegionId(parts[0]), issued_ms, parts[2])
 
 
 def new_once_key(region: str, issued_ms: int) -> OnceKey:
@@ -125,14 +129,14 @@
         value = self._found.get(name)
         if value is None:
             return default
-        digits = value.isascii() and value.isdigit() and len(value) < 16
-        if not digits or not low <= int(value) <= high:
+        found = numerals.whole(value)
+        if found is None or not low <= found <= high:
             raise errors.BadRequestError(
                 name,
                 f'found {value[:40]!r}; a whole number from {low} to '
                 f'{high} is allowed',
             )
-        return int(value)
+        return found
 
     def flag(self, name: str) -> bool:
         """Return whether a header says true."""
--- a/wrenspoke/protocol/retry_after.py
+++ b/wrenspoke/protocol/retry_after.py
@@ -6,8 +6,8 @@
 import re
 
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import numerals
 
-SECONDS = re.compile(r'([0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12})\Z')
 DATE = re.compile(r'[A-Za-z]{3,9},')
 MS_PER_S = 1_000
 SHOWN_CHARS = 40
@@ -36,9 +36,10 @@
         return [max(_date_ms(text) - sent_ms, 0)]
     delays_ms = []
     for part in text.split(','):
-        if not SECONDS.match(part.strip()):
+        delay_s = numerals.decimal(part.strip())
+        if delay_s is None:
             raise _malformed(text)
-        delays_ms.append(round(float(part) * MS_PER_S))
+        delays_ms.append(round(delay_s * MS_PER_S))
     return delays_ms
 
 
--- a/wrenspoke/protocol/sse.py
+++ b/wrenspoke/protocol/sse.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import numerals
 
 DONE = '[DONE]'
 EVENT_LIMIT_BYTES = 1024 * 1024
@@ -63,8 +64,8 @@
             data.append(value)
         elif field == 'event':
             name = value
-        elif field == 'id' and value.isdigit():
-            number = int(value)
+        elif field == 'id':
+            number = numerals.whole(value)
     if not data and not name:
         return None
     return SseEvent(data='\n'.join(data), event=name, number=number)
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -238,7 +238,8 @@
         if peer is not None:
             return peer
         ip, _, port = host.rpartition(':')
-        if self._identity.keyed or not ip or not port.isdigit():
+        digits = port.isascii() and port.isdigit()
+        if self._identity.keyed or not ip or not digits:
             raise errors.NotSentError(f'unknown host {host}')
         return Peer(host, ip, int(port))
 
