Spend no retry on a refusal whose endpoint is spared afterwards

Chats got 503 beside engines with room once the retry budget was empty: each refusal by an engine cost one of ten.

Cause: the budget, which is there against load that feeds itself, counted a refused request like a failed one. It was not run, and its endpoint is sent nothing more for a while, so that its retry makes no further refusals. The attempts of a call stay bounded. On routes of registered endpoints the budget is spent as before: there refused arrivals count against it.

A resumed stream no longer waits for an endpoint past its own deadline.

--- a/tests/test_endpoint_backoffs.py
+++ b/tests/test_endpoint_backoffs.py
@@ -202,3 +202,84 @@
             await running.faults('north-chat-1', retry_after_text=text)
             for _number in range(4):
                 assert (await caller.chat(CHAT)).outcome == 'whole'
+
+
+async def test_refused_chat_costs_no_retry_where_its_engine_is_spared(
+    tmp_path,
+):
+    made = fleet.deployment(
+        regions=('north',),
+        entries=1,
+        engines=4,
+        entry={'retry_burst': 1, 'retry_ratio': 0.0},
+    )
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+
+        async def ask(_host, _number):
+            return await caller.chat(CHAT)
+
+        await test_endpoint_limits.press(ask, 1, 1.0)
+        refusing = ['north-chat-1', 'north-chat-2']
+        for engine in refusing:
+            await running.faults(engine, retry_after_text='5')
+        answers = await test_endpoint_limits.press(ask, 1, 2.0)
+        assert {answer.outcome for answer in answers} == {'whole'}
+
+
+async def test_call_is_refused_at_once_where_all_engines_rest(tmp_path):
+    """It was not run, and may come back as the first rest ends."""
+    async with passing_system(tmp_path) as system:
+        for engine, text in zip(system.engines, ('9', '5', '7')):
+            engine.retry_after = text
+        await asyncio.gather(*(system.ask(0, n) for n in range(9)))
+        sent = sum(len(engine.arrivals) for engine in system.engines)
+        begun_s = time.monotonic()
+        answers = [await system.ask(0, f'late{n}') for n in range(5)]
+        took_s = time.monotonic() - begun_s
+        for answer in answers:
+            assert answer.startswith(b'HTTP/1.1 503')
+            wait_s = test_endpoint_limits.retry_after_s(answer)
+            assert 5 - took_s - 1 <= wait_s <= 1.5 * 5
+        after = sum(len(engine.arrivals) for engine in system.engines)
+        assert after == sent
+
+
+async def test_chat_is_refused_at_once_where_all_engines_rest(tmp_path):
+    made = fleet.deployment(regions=('north',), entries=1, engines=2)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+        await running.engine_faults(retry_after_text='5')
+        for _number in range(3):
+            await caller.chat(CHAT)
+        waits_s = {}
+        for priority in ('high', 'normal', 'low'):
+            begun_s = time.monotonic()
+            found = await caller.chat(CHAT, {headers.PRIORITY: priority})
+            waits_s[priority] = int(found.headers[headers.RETRY_AFTER])
+            assert (found.outcome, found.reason) == ('not_run', 'overload')
+            # Far from the deadline of 8 s that the caller has.
+            assert time.monotonic() - begun_s < 4
+        assert waits_s['high'] <= waits_s['normal'] <= waits_s['low']
+
+
+async def test_streams_end_well_at_an_engine_that_begins_to_leave(tmp_path):
+    made = fleet.deployment(regions=('north',), entries=1, engines=2)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+        body = {**CHAT, 'max_tokens': 60, 'stream': True}
+        streams = [asyncio.ensure_future(caller.chat(body)) for _ in range(6)]
+        await asyncio.sleep(0.1)
+        await running.faults('north-chat-1', leaving_text='1')
+        assert {(await one).outcome for one in streams} == {'whole'}
+
+        async def is_known():
+            """A poll of its load brings the word."""
+            return 'endpoint_leaving ' in running.log('north-1')
+
+        await fleet.until(is_known, 'the leave')
+        before = await running.runs('north-chat-1')
+        for _number in range(12):
+            assert (await caller.chat(CHAT)).outcome == 'whole'
+        after = await running.runs('north-chat-1')
+        assert after['runs'] == before['runs']
--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -74,11 +74,15 @@
 
 
 class OverloadedError(CoordinationError):
-    """Say that an endpoint turned the request away unrun."""
+    """Say that an endpoint turned the request away unrun.
 
-    def __init__(self, status: int):
+    ``backs_off`` says that this host sends it nothing for a while.
+    """
+
+    def __init__(self, status: int, backs_off: bool):
         super().__init__(f'endpoint answered {status}')
         self.status = status
+        self.backs_off = backs_off
 
 
 class LedgerUnreachableError(CoordinationError):
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -415,7 +415,11 @@
             # An endpoint's word that it was busy does not prove that a
             # once-only request was not run; the caller gets the answer.
             return
-        raise errors.OverloadedError(response.status)
+        life = limiting.EndpointLife(send.endpoint)
+        backs_off = self._gate is not None and bool(
+            self._gate.backoffs.own_remaining_ms(life)
+        )
+        raise errors.OverloadedError(response.status, backs_off)
 
     def _refuse_crossed(
         self,
--- a/wrenspoke/coordination/serving/local.py
+++ b/wrenspoke/coordination/serving/local.py
@@ -142,10 +142,9 @@
             self._end_if_hopeless(error)
         sent = isinstance(error, errors.MaybeSentError)
         self.may_have_run |= sent
-        free = isinstance(
-            error, (errors.NotSentError, errors.SendRefusedError)
+        allowed = self.count < self._limit and (
+            _is_free(error) or self._budget.spend()
         )
-        allowed = self.count < self._limit and (free or self._budget.spend())
         self._decisions.note(
             'try_failed',
             self._head.request,
@@ -177,6 +176,17 @@
         )
 
 
+def _is_free(error: errors.CoordinationError) -> bool:
+    """Return whether a retry adds no load to endpoints.
+
+    A refused request was not run, and where its endpoint is sent nothing
+    more for a while its retry makes no further refusals.
+    """
+    if isinstance(error, errors.OverloadedError):
+        return error.backs_off
+    return isinstance(error, (errors.NotSentError, errors.SendRefusedError))
+
+
 class LocalServer:
     """Get whole answers from this region's endpoints."""
 
--- a/wrenspoke/coordination/serving/streams.py
+++ b/wrenspoke/coordination/serving/streams.py
@@ -350,6 +350,9 @@
                 await self._resume(head, slot, transcript, reply, tries)
                 return
             except errors.EndpointBusyError as error:
+                now_ms = self._server.clock.mono_ms()
+                if now_ms + error.wait_ms >= head.deadline_ms:
+                    raise
                 await self._server.clock.sleep_ms(error.wait_ms)
 
     def _cancel(self, send: dispatch.Send) -> None:
