Let no late response of an ended life replace the next life's backoff

An endpoint that starts again under its name is held by its new life; a refusal of the life before, read late, took that life's place, so that the new one would have been sent requests in the time that it asked for. Found by reading, before it was seen.

Cause: state was kept by the endpoint's name and the last response won. Responses of lives that are not known any more are counted and say nothing.

Evidence: test_next_life_of_an_endpoint_begins_without fails before and passes now. How many hosts have to agree is an argument, for comparisons.

--- a/tests/backoff_fleet.py
+++ b/tests/backoff_fleet.py
@@ -81,6 +81,8 @@
 class BackoffHost(stated_fleet.AskingHost):
     """An entry host that backs off as the product does."""
 
+    agreeing_hosts = endpoint_backoffs.AGREEING_HOSTS
+
     def __init__(self, fleet, name):
         super().__init__(fleet, name)
         self.backoffs = endpoint_backoffs.EndpointBackoffs(
@@ -89,6 +91,7 @@
             lambda _life: True,
             self._tell_backoffs,
             self.clock,
+            self.agreeing_hosts,
         )
         self.askers.listen(
             lambda message: self.backoffs.merge(message.backoffs)
@@ -113,12 +116,10 @@
         pass
 
 
-class AgreeingHost(BackoffHost):
+class FirstWordHost(BackoffHost):
     """A host that backs off as soon as another one was refused."""
 
-    def __init__(self, fleet, name):
-        super().__init__(fleet, name)
-        self.backoffs.agreeing_hosts = 1
+    agreeing_hosts = 1
 
 
 class Fleet(stated_fleet.Fleet):
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -77,11 +77,18 @@
         assert held.own_remaining_ms(LIFE) == 2_800
 
 
-def test_next_life_of_an_endpoint_begins_without(held):
+def test_next_life_of_an_endpoint_begins_without(clock):
+    known = [LIFE]
+    held = backoffs_of('h0', clock, known)
     held.on_response(LIFE, 3_000, 0)
     assert held.remaining_ms(NEXT_LIFE) == 0
     held.acquire(NEXT_LIFE)
     assert held.remaining_ms(LIFE) > 0
+    known[:] = [NEXT_LIFE]
+    held.on_response(NEXT_LIFE, 3_000, 0)
+    # A response of the life before comes late.
+    held.on_response(LIFE, 9_000, 0)
+    assert held.remaining_ms(NEXT_LIFE) == 3_000
 
 
 @pytest.mark.parametrize(
--- a/wrenspoke/coordination/limiting/endpoint_backoffs.py
+++ b/wrenspoke/coordination/limiting/endpoint_backoffs.py
@@ -132,7 +132,9 @@
         exists: Exists,
         tell: Tell,
         clock: clocks.Clock,
+        agreeing_hosts: int = AGREEING_HOSTS,
     ):
+        self._agreeing_hosts = agreeing_hosts
         self._host = host
         self._order = order
         self._exists = exists
@@ -141,7 +143,6 @@
         self._held: dict[ids.EndpointId, Backoff] = {}
         self._news: list[limiting.EndpointBackoff] = []
         self._has_news = asyncio.Event()
-        self.agreeing_hosts = AGREEING_HOSTS
         self._tasks = runtime.Tasks()
         # Requests that each endpoint refused with a time.
         self.refused: collections.Counter[ids.EndpointId] = (
@@ -254,8 +255,11 @@
         A shorter time in a later response does not shorten what the
         endpoint named before, and neither does one that it served.
         """
-        now_ms = self._clock.mono_ms()
         self.refused[life.endpoint] += 1
+        if not self._exists(life):
+            # A late response of a life that has ended since.
+            return
+        now_ms = self._clock.mono_ms()
         found = self._hold(life)
         kept_ms = min(backoff_ms, LONGEST_BACKOFF_MS)
         if not found.unserved or now_ms >= found.until_ms:
@@ -274,7 +278,7 @@
 
     def _is_news(self, found: Backoff, now_ms: int) -> bool:
         """Return whether other hosts don't know as much of a refusal."""
-        if len(found.refusing(now_ms)) < self.agreeing_hosts:
+        if len(found.refusing(now_ms)) < self._agreeing_hosts:
             known_ms = found.told_until_ms
         else:
             known_ms = max(found.told_until_ms, *found.others.values())
@@ -331,7 +335,7 @@
         left_ms = min(notice.left_ms, LONGEST_BACKOFF_MS)
         found.others[notice.host] = now_ms + left_ms
         refused = len(found.refusing(now_ms)) + found.unserved
-        if refused >= self.agreeing_hosts:
+        if refused >= self._agreeing_hosts:
             self._back_off(found, now_ms + left_ms, left_ms)
         found.refused_ms = now_ms
 
