--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -17,6 +17,7 @@
 import tempfile
 
 from benches import switches
+from benches import switches_backoffs
 from benches import switches_hosts
 from benches import switches_limits
 from benches import switches_quarantine
@@ -86,6 +87,7 @@
             *switches_teams.SWITCHES,
             *switches_quarantine.SWITCHES,
             *switches_limits.SWITCHES,
+            *switches_backoffs.SWITCHES,
         ]
         if not names or any(name in switch.name for name in names)
     ]
--- /dev/null
+++ b/benches/switches_backoffs.py
@@ -0,0 +1,166 @@
+"""Rows of ``benches.switched_off``: backoffs and leaves of endpoints."""
+
+from benches import switches
+
+DECISIONS = switches.DECISIONS
+LIMITING = DECISIONS + 'limiting/'
+SERVING = DECISIONS + 'serving/'
+BACKOFFS = LIMITING + 'endpoint_backoffs.py'
+GATE = LIMITING + 'endpoint_gate.py'
+INCIDENT = 'tests/test_endpoint_backoffs.py'
+FLEET = 'tests/test_backoff_fleet.py'
+UNITS = 'tests/test_backoffs.py'
+PERMITS = 'tests/test_endpoint_gate.py'
+REGISTRY = 'tests/test_registry.py'
+Switch = switches.Switch
+
+SWITCHES = [
+    Switch(
+        'backoffs unread',
+        GATE,
+        'self.backoffs.on_response(life, backoff_ms, sent_ms)',
+        'pass',
+        f'{INCIDENT}::test_passed_calls_leave_a_resting_engine_alone',
+    ),
+    Switch(
+        'backoffs of chats not asked for',
+        SERVING + 'placement.py',
+        'return self._gate.remaining_ms(_life_of(endpoint))',
+        'return 0',
+        f'{INCIDENT}::test_chat_is_refused_at_once_where_all_engines_rest',
+    ),
+    Switch(
+        'leaves unread',
+        GATE,
+        'self.leaving.mark(life)',
+        'pass',
+        f'{INCIDENT}::test_passed_calls_leave_an_engine_that_leaves',
+    ),
+    Switch(
+        'leaves of chats not asked for',
+        SERVING + 'placement.py',
+        'and not self._gate.leaving.is_leaving(_life_of(endpoint.endpoint))',
+        '',
+        f'{INCIDENT}::test_streams_end_well_at_an_engine_that_begins_to_leave',
+    ),
+    Switch(
+        'permits valid in a backoff',
+        GATE,
+        'if self._gate.backoffs.own_remaining_ms(self._life):',
+        'if False:',
+        f'{PERMITS}::test_permit_ends_with_what_comes_before_it_is_used',
+    ),
+    Switch(
+        'permits valid at what leaves',
+        GATE,
+        'if leaving and not self._continues:',
+        'if False:',
+        f'{PERMITS}::test_permit_ends_with_what_comes_before_it_is_used',
+    ),
+    Switch(
+        'polls in a backoff',
+        GATE,
+        'remaining_ms = self.backoffs.own_remaining_ms(life)',
+        'remaining_ms = 0',
+        f'{PERMITS}::test_resting_endpoint_gets_no_permits',
+    ),
+    Switch(
+        'polls show that an endpoint serves',
+        GATE,
+        'if backoff_ms or (work and head',
+        'if backoff_ms or (head',
+        f'{PERMITS}::test_poll_does_not_show_that_an_endpoint_serves',
+    ),
+    Switch(
+        'shorter times win',
+        BACKOFFS,
+        'max(found.until_ms, now_ms + kept_ms)',
+        'now_ms + kept_ms',
+        f'{UNITS}::test_nothing_is_sent_before_the_latest_time',
+    ),
+    Switch(
+        'backoffs without an end',
+        BACKOFFS,
+        'LONGEST_BACKOFF_MS = 60_000',
+        'LONGEST_BACKOFF_MS = 6_000_000',
+        f'{UNITS}::test_nothing_is_sent_before_the_latest_time',
+    ),
+    Switch(
+        'backoffs of an ended life',
+        BACKOFFS,
+        'if not self._exists(life):',
+        'if False:',
+        f'{UNITS}::test_next_life_of_an_endpoint_begins_without',
+    ),
+    Switch(
+        'one refusal binds all hosts',
+        BACKOFFS,
+        'AGREEING_HOSTS = 2',
+        'AGREEING_HOSTS = 1',
+        f'{UNITS}::test_others_refusals_count_once_two_agree',
+    ),
+    Switch(
+        'refusals kept to oneself',
+        BACKOFFS,
+        'self._gossip(life, found.until_ms - now_ms)',
+        'pass',
+        f'{FLEET}::test_hosts_of_a_large_region_learn_from_each_other',
+    ),
+    Switch(
+        'all hosts probe',
+        BACKOFFS,
+        'place = hosts.index(self._host)',
+        'place = 0',
+        f'{UNITS}::test_one_host_probes_at_a_time',
+    ),
+    Switch(
+        'probes as often as before',
+        BACKOFFS,
+        'doubled_ms = 2 * found.probe_interval_ms',
+        'doubled_ms = found.probe_interval_ms',
+        f'{UNITS}::test_refused_probes_become_rarer',
+    ),
+    Switch(
+        'hosts return with all requests',
+        BACKOFFS,
+        'return self.in_flight > self.responses',
+        'return False',
+        f'{UNITS}::test_host_returns_with_one_request_and_then_more',
+    ),
+    Switch(
+        'hosts return together',
+        BACKOFFS,
+        'share = order.index(self._host) / len(order)',
+        'share = 0',
+        f'{UNITS}::test_hosts_return_one_after_another',
+    ),
+    Switch(
+        'callers return in any order',
+        SERVING + 'return_line.py',
+        'step = (1.0 + RETRY_SPREAD) ** min(urgency, MOST_STEPS)',
+        'step = 1.0',
+        f'{PERMITS}::test_callers_return_by_urgency',
+    ),
+    Switch(
+        'calls wait where all engines rest',
+        SERVING + 'placement.py',
+        'self._refuse_backing_off(head, endpoints)',
+        'pass',
+        f'{INCIDENT}::test_chat_is_refused_at_once_where_all_engines_rest',
+    ),
+    Switch(
+        'refusals spend retries',
+        SERVING + 'local.py',
+        'return error.backs_off',
+        'return False',
+        f'{INCIDENT}::test_refused_chat_costs_no_retry_where_its_engine_is_'
+        'spared',
+    ),
+    Switch(
+        'reports undo a leave',
+        'wrenspoke/state/registry.py',
+        'said = msgspec.structs.replace(said, leaving=True)',
+        'pass',
+        f'{REGISTRY}::test_leave_outlives_reports_that_call_an_endpoint_ready',
+    ),
+]
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -49,7 +49,7 @@
         ([(0, 3_000), (3_500, 1_000)], 4_500),
         ([(0, 1)], 1),
         # One response must not shut an endpoint out for an hour.
-        ([(0, 3_600_000)], endpoint_backoffs.LONGEST_BACKOFF_MS),
+        ([(0, 3_600_000)], 60_000),
     ],
 )
 def test_nothing_is_sent_before_the_latest_time(
--- /dev/null
+++ b/tests/test_endpoint_gate.py
@@ -0,0 +1,141 @@
+"""A permit to send: when it is granted, and whether it is still valid."""
+
+import pytest
+
+from tests import group
+from tests import test_health
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import endpoint_gate
+from wrenspoke.coordination.serving import return_line
+from wrenspoke.protocol import advertised
+from wrenspoke.protocol import limiting
+
+LIFE = limiting.EndpointLife('e')
+RANK = 10
+ECHOED = advertised.Origin.ECHOED
+UNNAMED = advertised.Origin.UNNAMED
+FOREIGN = advertised.Origin.FOREIGN
+
+
+class FakeClock(test_health.FakeClock):
+    """Stand still until told, also by the time of day."""
+
+    def wall_ms(self):
+        return self.now_ms
+
+
+@pytest.fixture
+def clock():
+    return FakeClock()
+
+
+@pytest.fixture
+def gate(clock):
+    peers = group.Peers('h', group.Network(1))
+    return endpoint_gate.EndpointGate(
+        'h', lambda _key: ['h'], lambda _life: True, None, peers, clock
+    )
+
+
+def refusal(origin=ECHOED, status=503, **fields):
+    return advertised.Advertised(origin, status, retry_after=('3',), **fields)
+
+
+def served(origin=ECHOED, **fields):
+    return advertised.Advertised(origin, 200, **fields)
+
+
+LEAVES = served(leaving=('1',))
+
+
+@pytest.mark.parametrize(
+    'head, continues, valid',
+    [
+        (refusal(), False, False),
+        (refusal(), True, False),
+        (refusal(UNNAMED), False, False),
+        (refusal(FOREIGN), False, True),
+        (refusal(status=429), False, False),
+        (refusal(status=500), False, True),
+        (LEAVES, False, False),
+        # It goes on with what the endpoint has begun.
+        (LEAVES, True, True),
+        (served(FOREIGN, leaving=('1',)), False, True),
+        (served(), False, True),
+        # Neither refused with a time, nor served.
+        (advertised.Advertised(ECHOED, 503), False, True),
+    ],
+)
+async def test_permit_ends_with_what_comes_before_it_is_used(
+    gate, head, continues, valid
+):
+    """As while its request waits for a connection."""
+    answered = await gate.acquire(LIFE, RANK)
+    waiting = await gate.acquire(LIFE, RANK, continues)
+    assert waiting.is_valid()
+    answered.on_response(head)
+    assert waiting.is_valid() is valid
+
+
+async def test_resting_endpoint_gets_no_permits(gate, clock):
+    (await gate.acquire(LIFE, RANK)).on_response(refusal())
+    assert gate.remaining_ms(LIFE) == 3_000
+    with pytest.raises(errors.EndpointBackoffError, match='e asked for'):
+        await gate.acquire(LIFE, RANK)
+    with pytest.raises(errors.EndpointBackoffError):
+        gate.acquire_poll(LIFE)
+    # What ends work there is welcome.
+    assert gate.unchecked(LIFE).is_valid()
+    clock.now_ms = 3_000
+    assert gate.acquire_poll(LIFE).is_valid()
+    assert (await gate.acquire(LIFE, RANK)).is_valid()
+
+
+async def test_poll_does_not_show_that_an_endpoint_serves(gate, clock):
+    (await gate.acquire(LIFE, RANK)).on_response(refusal())
+    clock.now_ms = 3_000
+    (await gate.acquire(LIFE, RANK)).is_valid()
+    gate.acquire_poll(LIFE).on_response(served(UNNAMED))
+    assert gate.remaining_ms(LIFE) > 0
+
+
+async def test_poll_brings_a_backoff_and_a_leave(gate):
+    poll = gate.acquire_poll(LIFE)
+    poll.on_response(refusal(UNNAMED, leaving=('1',)))
+    assert gate.remaining_ms(LIFE) == 3_000
+    assert gate.leaving.is_leaving(LIFE)
+
+
+async def test_limit_and_backoff_of_one_answer_both_count(gate, clock):
+    permit = await gate.acquire(LIFE, RANK)
+    permit.on_response(refusal(limits=('0.5',)))
+    assert gate.limits.rate_per_s(LIFE) == 0.5
+    assert gate.remaining_ms(LIFE) == 3_000
+
+
+async def test_malformed_values_are_logged_once(gate, capsys):
+    permit = await gate.acquire(LIFE, RANK)
+    for _number in range(3):
+        permit.on_response(
+            advertised.Advertised(
+                ECHOED, 503, retry_after=('soon',), leaving=('yes',)
+            )
+        )
+    lines = [
+        line
+        for line in capsys.readouterr().out.splitlines()
+        if 'endpoint_header_malformed' in line
+    ]
+    assert len(lines) == 2
+    assert "'soon' is neither seconds nor an HTTP date" in lines[0]
+    assert 'Server-Leaving' in lines[1]
+    assert gate.remaining_ms(LIFE) == 0
+
+
+@pytest.mark.parametrize('urgency', range(3))
+def test_callers_return_by_urgency(urgency):
+    """Those of one urgency are all back before the next begin."""
+    waits_ms = [return_line.spread_ms(1_000, urgency) for _ in range(200)]
+    later_ms = [return_line.spread_ms(1_000, urgency + 1) for _ in range(200)]
+    assert max(waits_ms) <= min(later_ms)
+    assert max(waits_ms) > min(waits_ms)
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -241,7 +241,7 @@
         await hear_rate(system, 1000)
         monkeypatch.setattr(endpoint_limits, 'GRANT_MS', -1)
         sent = len(limited.arrivals_s)
-        for number in range(12):
+        for number in range(40):
             answer = await system.ask(0, number)
             assert answer.endswith(b'whole')
         assert len(limited.arrivals_s) == sent
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from benches import switches_backoffs
 from benches import switches_hosts
 from benches import switches_limits
 from benches import switches_quarantine
@@ -11,6 +12,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 ROWS = [
+    *switches_backoffs.SWITCHES,
     *switches_hosts.SWITCHES,
     *switches_limits.SWITCHES,
     *switches_quarantine.SWITCHES,
