--- a/wrenspoke/coordination/limiting/endpoint_lender.py
+++ b/wrenspoke/coordination/limiting/endpoint_lender.py
@@ -1,12 +1,12 @@
-"""Lend an endpoint's limit out, call by call, on one host of its region.
+"""Grant permits from an endpoint's token bucket, on one host of its region.
 
-Endpoints take requests from hosts of their own region alone, so one host,
-drawn for each endpoint, holds the whole limit, and what all hosts send is
-bound by one level. It parts nothing beforehand: what an endpoint in need
-takes is less than one request a second for each host.
+Endpoints accept requests from hosts of their own region only. One host, the
+owner, holds the bucket for each endpoint, so that a single level bounds what
+all hosts send. Nothing is shared out beforehand: an overloaded endpoint takes
+less than one request a second for each host.
 
-Answers overtake each other. An answer was surely given after another if its
-request got its leave after that other one was heard of here.
+Responses overtake each other. A response is known to be newer than another
+if its request got its permit after the other response was seen here.
 """
 
 import asyncio
@@ -24,27 +24,27 @@
 from wrenspoke import runtime
 
 MS_PER_S = 1_000
-# An endpoint that takes nothing is tried so often, as only its answer tells
-# that it takes requests again.
+# An endpoint with a limit of 0 is probed at this rate, as only a response
+# tells that the limit has changed.
 LEAST_RATE_PER_S = 0.25
-# What has not been used is kept for so long beyond one request: calls do not
-# come as evenly as the level fills.
+# Unused tokens are kept for so long beyond one request, as requests do not
+# arrive as evenly as the bucket fills.
 SPARE_MS = 250
-# Where the host that lends is silent to some, the next in order lends them a
-# part: others may still hear the first, and the sum of both is bearable. It
-# lends all once the first is no longer known as a host of the region.
+# Where the owner does not respond to some hosts, the next in order grants
+# them a part: others may still reach the owner. It grants all once the owner
+# has left the roster.
 STANDING_IN_SHARE = 0.4
-# For so long after a region's hosts have become fewer each lends no more than
-# the part that it still sees: they may be cut from the others, which lend too.
+# For so long after hosts have left the roster an owner grants no more than the
+# part of the region that it still sees: a partition may have an owner too.
 FEWER_KEPT_MS = 60_000
-# A host looks again after so long, however low the limit is.
+# A host asks again after so long, however low the limit is.
 LONGEST_WAIT_MS = 1_000
-# What is kept for a more urgent call that was turned away goes to others once
-# it has not come back for so long.
+# Tokens are reserved for a more urgent call that was refused, until it has not
+# come back for so long.
 KEPT_FOR_MS = 1_000
-# Told again to hosts that started, thawed, or missed a word.
+# Gossiped again to hosts that started, resumed or missed an update.
 RETELL_MS = 1_000
-# The end of a limit is told again for so long, as each word may be lost.
+# The end of a limit is gossiped again for so long, as messages may be lost.
 ENDS_RETOLD_MS = 10_000
 GATHER_MS = 4
 
@@ -55,10 +55,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Lent:
-    """Hold what is lent out of one endpoint's limit.
+    """The token bucket of one endpoint.
 
-    ``granted`` is the number of the last leave, ``named`` that of the last
-    one when the endpoint last named a limit.
+    ``granted`` is the number of the last permit, ``named`` that of the last
+    permit when the endpoint last advertised a limit.
     """
 
     life: limiting.EndpointLife
@@ -68,7 +68,7 @@
     turned_away_ms: dict[int, int] = dataclasses.field(default_factory=dict)
 
     def keeps_for_others(self, rank: int, now_ms: int) -> bool:
-        """Tell whether a more urgent call was turned away of late."""
+        """Return whether a higher-priority call was refused recently."""
         return any(
             other < rank and now_ms - turned_away_ms < KEPT_FOR_MS
             for other, turned_away_ms in self.turned_away_ms.items()
@@ -76,7 +76,7 @@
 
 
 class EndpointLender:
-    """Lend limits out, and decide which word on them is the newest."""
+    """Grant permits, and decide which advertised limit is the newest."""
 
     def __init__(
         self,
@@ -95,10 +95,10 @@
         self._clock = clock
         self._life = ids.new_unique()
         self._lent: dict[ids.EndpointId, _Lent] = {}
-        # How many hosts the region had at its most, and when that was seen.
+        # The largest number of hosts seen of late, and when.
         self._most_hosts = 0
         self._most_ms = clock.mono_ms()
-        # What changed, and until when it is told.
+        # Limits that changed, and until when they are gossiped.
         self._changed: dict[limiting.EndpointLife, int] = {}
         self._news = asyncio.Event()
         self._tasks = runtime.Tasks()
@@ -106,14 +106,14 @@
         peers.answers(limiting.LimitHeard)(self._hear)
 
     def start(self) -> None:
-        """Begin to tell the region's hosts of limits."""
+        """Begin to gossip limits within the region."""
         self._tasks.start(self._run())
 
     async def close(self) -> None:
         """End every task."""
         await self._tasks.close()
 
-    # Leaves.
+    # Permits.
 
     async def _answer(
         self, _sender: ids.HostId, message: limiting.AskSend
@@ -123,7 +123,7 @@
     def take(
         self, known: limiting.EndpointLimit, rank: int
     ) -> limiting.SendAnswered:
-        """Answer whether a request may be sent to an endpoint now."""
+        """Return a permit for a request, or when to ask again."""
         self._take_over(known)
         limit = self._stated.limit_of(known.life)
         if limit.rate_per_s is None:
@@ -137,7 +137,7 @@
         return limiting.SendAnswered(limit, grant)
 
     def _wait_ms(self, lent: _Lent, rank: int, amount_ms: float) -> int:
-        """Take what one request needs; return 0, or how long it lacks."""
+        """Take one request's tokens; return 0, or the wait in milliseconds."""
         level = lent.level
         now_ms = self._clock.mono_ms()
         lacking_ms = level.wait_ms(amount_ms)
@@ -154,19 +154,19 @@
         now_ms = self._clock.mono_ms()
         lent = self._lent.get(limit.life.endpoint)
         if lent is None or lent.life != limit.life:
-            # Empty: another host may have lent what came before.
+            # Empty: another host may have granted permits before.
             lent = _Lent(limit.life, levels.endless(now_ms))
             self._lent[limit.life.endpoint] = lent
         share = self._share(limit.life.endpoint)
         lent.level.fill(now_ms)
         lent.level.share = share
         amount_ms = _amount_ms(limit.rate_per_s)
-        # A part of the limit holds a whole request all the same.
+        # A part of the limit still holds one whole request.
         lent.level.depth_ms = (amount_ms + SPARE_MS * share) / share
         return lent
 
     def _share(self, endpoint: ids.EndpointId) -> float:
-        """Return which part of a limit this host may lend out."""
+        """Return the part of a limit that this host may grant."""
         order = self._lenders.all_of(endpoint)
         share = self._seen_share(len(order))
         if order[0] != self._host:
@@ -174,7 +174,7 @@
         return share
 
     def _seen_share(self, hosts: int) -> float:
-        """Return which part of the region's hosts can be seen from here."""
+        """Return the part of the region's hosts that is on the roster."""
         now_ms = self._clock.mono_ms()
         if hosts >= self._most_hosts or (
             now_ms - self._most_ms > FEWER_KEPT_MS
@@ -182,7 +182,7 @@
             self._most_hosts, self._most_ms = hosts, now_ms
         return hosts / self._most_hosts
 
-    # What endpoints say.
+    # Advertised limits.
 
     async def _hear(
         self, _sender: ids.HostId, message: limiting.LimitHeard
@@ -195,7 +195,7 @@
         rate_per_s: float | None,
         grant: limiting.GrantName | None,
     ) -> None:
-        """Take what an endpoint's answer named, if nothing newer is known."""
+        """Apply an advertised limit, unless a newer one is known."""
         self._take_over(known)
         life = known.life
         if rate_per_s is not None and self._stated.lower(life, rate_per_s):
@@ -216,7 +216,7 @@
     def _is_newest(
         self, grant: limiting.GrantName | None, lent: _Lent
     ) -> bool:
-        """Tell whether an answer came after all that named a limit."""
+        """Return whether a response is newer than all that named a limit."""
         if grant is None or grant.life != self._life:
             return False
         return grant.number > lent.named
@@ -225,7 +225,7 @@
         if self._stated.merge(known):
             self._tell_soon(known.life)
 
-    # What the region is told.
+    # Gossip.
 
     def _tell_soon(self, life: limiting.EndpointLife) -> None:
         self._changed[life] = self._clock.mono_ms() + ENDS_RETOLD_MS
@@ -245,7 +245,7 @@
                 await self._tell(told)
 
     def _told(self) -> list[limiting.EndpointLimit]:
-        """Return what changed, and what this host goes on to lend out."""
+        """Return limits that changed, and those that this host owns."""
         now_ms = self._clock.mono_ms()
         for life, until_ms in list(self._changed.items()):
             if now_ms > until_ms:
@@ -257,12 +257,12 @@
         return [self._stated.limit_of(life) for life in lives]
 
     def keep_only(self, exists: advertised_limits.Exists) -> None:
-        """Forget endpoints that are gone, and lives that have ended."""
+        """Drop state of endpoints that no longer exist."""
         for endpoint, lent in list(self._lent.items()):
             if not exists(lent.life):
                 del self._lent[endpoint]
 
 
 def _amount_ms(rate_per_s: float) -> float:
-    """Return how much of a limit one request is, in time."""
+    """Return the tokens of one request, in milliseconds of the limit."""
     return MS_PER_S / max(rate_per_s, LEAST_RATE_PER_S)
--- a/wrenspoke/coordination/limiting/lenders.py
+++ b/wrenspoke/coordination/limiting/lenders.py
@@ -1,4 +1,4 @@
-"""Ask the host of this region that lends a limit out, or the next one."""
+"""Ask the host of this region that owns a limit, or the next one."""
 
 import collections.abc
 
@@ -11,12 +11,12 @@
 
 logger = structlog.get_logger(__name__)
 
-# The region's hosts, this one too, in the order that all draw for a key.
+# The region's hosts, this one too, in the order of a key.
 Order = collections.abc.Callable[[str], list[str]]
 
 
 class Lenders:
-    """Know who lends for each key, and which of them answer."""
+    """Track which hosts own each key, and which of them respond."""
 
     def __init__(
         self,
@@ -29,7 +29,7 @@
         self._left_alone_ms = left_alone_ms
         self._peers = peers
         self._clock = clock
-        # When each host that is left alone gave no answer.
+        # When each silent host gave no response.
         self._silent_ms: dict[ids.HostId, int] = {}
 
     def all_of(self, key: str) -> list[ids.HostId]:
@@ -37,7 +37,7 @@
         return [ids.HostId(name) for name in self._order(key)]
 
     def answering(self, key: str, count: int) -> list[ids.HostId]:
-        """Return the first of them that are not left alone."""
+        """Return the first of them that were not silent recently."""
         found: list[ids.HostId] = []
         for host in self.all_of(key):
             if self._is_left_alone(host):
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -1,9 +1,9 @@
-"""What every way to an endpoint asks: may this request be sent?
+"""Check before each send that a request is not in quarantine.
 
-A request under which endpoints end again and again is sent to none for a
-while. It is known by what it asks for, as it comes with another id, to
-another host, each time. What the control hosts decided counts on all hosts;
-what one of them or this host found counts until that is decided.
+A request that repeatedly crashes endpoints is not sent to any for a while.
+It is identified by a digest of its content, as it may come with another id
+to another host each time. Decisions of the control hosts apply on all hosts;
+until one is made, what this host or a control host found applies.
 """
 
 import asyncio
@@ -31,8 +31,7 @@
 
 logger = structlog.get_logger(__name__)
 
-# A call that broke off waits for so long to know by what, before it is sent
-# again: two dozen times what a look at an endpoint takes as a rule.
+# A call that broke off waits for so long to learn why before it is retried.
 LOOK_WAIT_MS = 50
 # A caller is told to come back no sooner.
 LEAST_WAIT_MS = 1_000
@@ -44,7 +43,7 @@
 
 
 class Guard:
-    """Note how runs end on this host, and hold requests back."""
+    """Track how runs end on this host, and hold requests back."""
 
     def __init__(
         self,
@@ -62,11 +61,11 @@
         self._watch = runs.RunWatch(clock, look)
         self._ended = ended_runs.EndedRuns(clock)
         self._good = good_ends.GoodEnds(clock)
-        # Until when requests are held that nobody has decided on.
+        # Until when requests are held that no decision exists on.
         self._undecided_ms: collections.OrderedDict[ids.RequestDigest, int] = (
             collections.OrderedDict()
         )
-        # Since when what was decided is known here.
+        # When this host learned of each decision.
         self._known_ms: dict[quarantine.Quarantined, int] = {}
         self._life = ids.new_unique()
         self._tasks = runtime.Tasks()
@@ -76,7 +75,7 @@
         peers.answers(quarantining.RunsEnded)(self._hear_ends)
 
     async def close(self) -> None:
-        """Tell nobody any more."""
+        """End every task."""
         await self._tasks.close()
         await self._reporter.close()
 
@@ -87,14 +86,14 @@
         now_ms = self._clock.mono_ms()
         decided = quarantine.held(self._replica.current.quarantine, digest)
         if decided is not None:
-            # It is let go by who decided, and no sooner.
+            # Only another decision releases it.
             left_ms = self._decided_until_ms(decided) - now_ms
             return max(left_ms, LEAST_WAIT_MS)
         left_ms = self._undecided_ms.get(digest, 0) - now_ms
         return max(left_ms, LEAST_WAIT_MS) if left_ms > 0 else None
 
     def refuse(self, digest: ids.RequestDigest) -> int | None:
-        """Return and count for how long a request is turned away."""
+        """Return for how long a request is refused, and count it."""
         held_ms = self.held_ms(digest)
         if held_ms is not None:
             self.refused += 1
@@ -115,10 +114,9 @@
         endpoint: ids.EndpointId,
         address: str,
     ) -> collections.abc.AsyncIterator[runs.Run]:
-        """Watch what an endpoint is sent for as long as the block lasts.
+        """Watch a run for as long as the block lasts.
 
-        Where it broke off, it is found out by what before it may be sent
-        again.
+        Where it broke off, the reason is looked for before a retry.
         """
         run = self.began(digest, endpoint, address)
         try:
@@ -133,11 +131,11 @@
         endpoint: ids.EndpointId,
         address: str,
     ) -> runs.Run:
-        """Note that an endpoint is sent a request."""
+        """Record that a request is sent to an endpoint."""
         return self._watch.began(digest, endpoint, address)
 
     def ended_well(self, run: runs.Run) -> None:
-        """Note that a run came to its end, and clear what it ran."""
+        """Record a run that ended well, and clear its request."""
         digest = run.digest
         self._good.note(digest)
         known = self._ended.clear(digest)
@@ -146,19 +144,19 @@
             self._reporter.cleared(digest)
 
     async def broke(self, run: runs.Run) -> None:
-        """Find out whether a run that broke off ended its endpoint.
+        """Check whether a run that broke off crashed its endpoint.
 
-        It is found out and noted also where that takes longer than a call
-        waits for it, or its caller leaves.
+        The check goes on if it takes longer than the call waits for it, or
+        if the caller leaves.
         """
         noting = self._tasks.start(self._note_broken(run), fatal=False)
         await asyncio.wait([noting], timeout=LOOK_WAIT_MS / MS_PER_S)
 
     async def _note_broken(self, run: runs.Run) -> None:
-        """Count a run against its request, if its endpoint ended.
+        """Count a run against its request, if its endpoint crashed.
 
-        A request that ran to a good end of late is not held for it, nor any
-        whose endpoint was about to leave.
+        Not if the request ended well elsewhere recently, or if the endpoint
+        was leaving.
         """
         if not await self._watch.broke(run) or not run.digest:
             return
@@ -184,7 +182,7 @@
     # What others say.
 
     def _hold(self, hold: quarantining.Hold) -> None:
-        """Hold a request until it is decided on."""
+        """Hold a request until there is a decision on it."""
         if self._good.lately(hold.digest):
             return
         if hold.digest not in self._undecided_ms:
--- a/wrenspoke/coordination/serving/health.py
+++ b/wrenspoke/coordination/serving/health.py
@@ -1,10 +1,10 @@
-"""What the outcomes of requests say about endpoints and hosts.
+"""Passive health checks: eject endpoints and hosts after failures.
 
-No probes are sent. What fails several times in a row is set aside for a
-while that doubles with each further episode; what else was under way there
-and fails too belongs to the same one. What can't be reached is used again
-as soon as it is heard of, whatever is left of the while. It is up to who
-chooses to use what is set aside where there is nothing else.
+No probes are sent. After several consecutive failures an address is ejected
+for a time that doubles with each further ejection; failures of requests that
+were in flight then do not count again. An unreachable address is used again
+as soon as it responds. Callers may still use ejected addresses where there
+are no others.
 """
 
 import dataclasses
@@ -15,7 +15,7 @@
 
 logger = structlog.get_logger(__name__)
 
-# One failure may be chance, a connection that fails is not.
+# A failed connection ejects at once.
 FAILURES_LIMIT = 3
 FIRST_PAUSE_MS = 500
 LONGEST_PAUSE_MS = 8_000
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Standing:
-    """Hold how the last requests to one place went."""
+    """The health of one address."""
 
     failures: int = 0
     pause_ms: int = 0
@@ -33,40 +33,40 @@
 
 
 class Health:
-    """Note how requests ended, by the address they were sent to."""
+    """Track outcomes of requests by address."""
 
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
         self._standings: dict[str, Standing] = {}
 
     def set_aside(self, place: str) -> bool:
-        """Tell whether a place should be left alone for now."""
+        """Return whether an address is ejected."""
         found = self._standings.get(place)
         if found is None:
             return False
         return self._clock.mono_ms() < found.aside_until_ms
 
     def aside_until_ms(self, place: str) -> int:
-        """Return until when a place is set aside, 0 if it never was."""
+        """Return until when an address is ejected, 0 if it never was."""
         found = self._standings.get(place)
         return 0 if found is None else found.aside_until_ms
 
     def succeeded(self, place: str) -> None:
-        """Note that a place answered as it should."""
+        """Record a successful request."""
         if self._standings.pop(place, Standing()).pause_ms:
             logger.info('place_recovered', place=place)
 
     def failed(
         self, place: str, cause: str, sent_ms: int, certain: bool = False
     ) -> None:
-        """Note that what was sent at some time failed.
+        """Record the failure of a request that was sent at some time.
 
-        ``certain`` says that the place can't be reached, for which one
+        ``certain`` says that the address can't be reached, for which one
         failure is enough.
         """
         found = self._standings.setdefault(place, Standing())
         if sent_ms < found.aside_since_ms:
-            # Under way when it was set aside: the same episode.
+            # In flight at the last ejection, which it was part of.
             return
         found.failures += 1
         if not certain and found.failures < FAILURES_LIMIT:
@@ -86,10 +86,10 @@
         )
 
     def heard(self, place: str, asked_ms: int) -> None:
-        """Note that a place answered something that was asked at a time.
+        """Record a response to a check that was sent at some time.
 
-        What can't be reached is back then; what answers badly may go on
-        to do so.
+        It ends the ejection of an unreachable address, and not one for bad
+        responses, which may go on.
         """
         found = self._standings.get(place)
         if found is None or not found.unreachable:
@@ -98,11 +98,11 @@
             self.succeeded(place)
 
     def forget(self, place: str) -> None:
-        """Forget how a place did, as another life began there."""
+        """Drop an address's state, as another process runs there now."""
         self._standings.pop(place, None)
 
     def keep_only(self, places: set[str]) -> None:
-        """Forget places that are gone."""
+        """Drop addresses that are not in use any more."""
         for place in list(self._standings):
             if place not in places:
                 del self._standings[place]
--- a/wrenspoke/coordination/serving/tries.py
+++ b/wrenspoke/coordination/serving/tries.py
@@ -1,8 +1,8 @@
-"""Make one try at serving a passed-through call.
+"""Make one attempt at serving a passed-through call.
 
-A call is sent to an endpoint or to a host elsewhere, once; what comes back
-is passed on, or kept back where another try is due. What it tells of the
-place, of its pace and of when first pieces come is learned on the way.
+A call is sent once, to an endpoint or to a host of another region. The
+response is passed on, or held back where another attempt is due. Health,
+pace and time to the first piece are learned from it.
 """
 
 import asyncio
@@ -34,15 +34,14 @@
 OK_STATUSES = range(200, 300)
 UNAVAILABLE = 503
 SERVER_ERRORS = range(500, 600)
-# An answer is held back whole up to here, so that one cut short can be
-# tried again; longer ones flow.
+# Responses up to this size are buffered, so that one cut short can be retried.
 WHOLE_LIMIT_BYTES = 8 * 1024 * 1024
-# What is left must be worth sending.
+# With less time left an attempt is not worth making.
 LEAST_LEFT_MS = 20
 
 
 class Tries:
-    """Send calls, and pass on or keep back what is answered."""
+    """Send calls, and pass responses on or hold them back."""
 
     def __init__(
         self,
@@ -75,7 +74,7 @@
         if work.tracker is not None and work.tracker.last_id is not None:
             last_event = work.tracker.last_id
         self._note_sent(work, place)
-        # From here on it may have run, until something says it has not.
+        # Counts as run until a response or error proves otherwise.
         work.sent += 1
         work.count_runs(1)
         try:
@@ -141,7 +140,7 @@
             )
 
     def _note_first(self, work: works.Work, place: sending.Place) -> None:
-        """Learn from how long the first piece of an answer took."""
+        """Record the time to the first piece of a response."""
         work.first_at_ms = self._clock.mono_ms()
         took_ms = work.first_at_ms - place.sent_ms
         if place.region is not None:
@@ -155,10 +154,10 @@
     async def _watched(
         self, work: works.Work, place: sending.Place
     ) -> collections.abc.AsyncIterator[None]:
-        """Give up on a host that falls silent, if another may be asked.
+        """Give up on a host that falls silent, if the call may be retried.
 
-        What may not run twice waits: the answer may come once a cut
-        has healed, and no other host may be asked for it.
+        A call that may not run twice waits: the response may come once a
+        partition has healed.
         """
         if place.host is None or not work.route.repeatable:
             yield
@@ -200,7 +199,7 @@
         )
 
     def _held_back(self, work: works.Work, place: sending.Place) -> None:
-        """Note that a call may not go there any more, and did not.
+        """Record that a send was rejected by a check at send time.
 
         Where another team holds its key now, the place may be tried again;
         not where the permit expired on the way.
@@ -220,7 +219,7 @@
     async def _take(
         self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
-        """Pass an answer on, or keep it back where another try is due."""
+        """Pass a response on, or hold it back where another attempt is due."""
         place.answered = True
         if work.kept is not None and answer.refused is None:
             self._repeats.note(work.route.name, answer.status in OK_STATUSES)
@@ -270,7 +269,7 @@
     async def _take_refusal(
         self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
-        """Take the word of a host elsewhere that could not serve it.
+        """Take the refusal of a host of another region.
 
         :raises UnknownKeyError: by its configuration, which is no older
         :raises QuarantinedError: it knows that endpoints ended under it
@@ -307,7 +306,7 @@
     async def _stream(
         self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> None:
-        """Pass a stream on; the first piece goes with the head."""
+        """Pass a stream on; the head is sent with the first piece."""
         tracker = events.EventTracker(whole_only=work.route.resumable)
         await self._pass_events(work, place, answer, tracker)
         await self._end_stream(work, place, answer, tracker)
@@ -319,7 +318,7 @@
         answer: sending.Answer,
         tracker: events.EventTracker,
     ) -> None:
-        """Pass on what comes, and learn the pace of the engine."""
+        """Pass events on, and record the engine's pace."""
         with self._paced(work, place) as paced:
             async for chunk in answer.chunks():
                 data = tracker.feed(chunk)
@@ -364,7 +363,7 @@
     async def _go_on(
         self, work: works.Work, place: sending.Place, answer: sending.Answer
     ) -> bool:
-        """Go on with a stream that another endpoint began."""
+        """Continue a stream that another endpoint began."""
         if answer.status not in OK_STATUSES:
             work.cause = f'not resumed: status {answer.status}'
             return False
@@ -417,7 +416,7 @@
 
 
 def _rank(work: works.Work, place: sending.Place) -> int:
-    """Return a call's place among those that want the same endpoint.
+    """Return a call's rank among those that want the same endpoint.
 
     A stream that another endpoint began goes first.
     """
