--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -278,6 +278,8 @@
             self._deployment.ledger.clock_skew_ms,
         )
         self._metrics = metrics.Metrics(self._host)
+        # Endpoints with gauges of backoffs and leaves.
+        self._shown: set[ids.EndpointId] = set()
         self.loads.on_first = self._metrics.observe_first_ms
         application = entry_surface.application()
         application.router.add_get('/metrics', self._show_metrics)
@@ -328,20 +330,13 @@
                 count,
                 endpoint=endpoint,
             )
-        for endpoint, remaining_ms in backoffs.active():
-            put(
-                'wrenspoke_endpoint_backoff_s',
-                remaining_ms / MS_PER_S,
-                endpoint=endpoint,
-            )
+        self._put_backoffs()
         for endpoint, count in backoffs.refused.items():
             put(
                 'wrenspoke_endpoint_backoff_refused_total',
                 count,
                 endpoint=endpoint,
             )
-        for endpoint in self._gate.leaving.active():
-            put('wrenspoke_endpoint_leaving', 1, endpoint=endpoint)
         put('wrenspoke_configuration_index', status['index'])
         put('wrenspoke_serving', status['serving'])
         put('wrenspoke_draining', status['draining'])
@@ -349,6 +344,25 @@
         put('wrenspoke_peers_usable', sum(status['peers'].values()))
         self._metrics.put_links(self.peers.links)
 
+    def _put_backoffs(self) -> None:
+        """Set the gauges of endpoints; those that ended go back to 0."""
+        seconds = {
+            endpoint: remaining_ms / MS_PER_S
+            for endpoint, remaining_ms in self._gate.backoffs.active()
+        }
+        leaving = set(self._gate.leaving.active())
+        self._shown |= {*seconds, *leaving}
+        for endpoint in self._shown:
+            backoff_s = seconds.get(endpoint, 0.0)
+            self._metrics.set(
+                'wrenspoke_endpoint_backoff_s', backoff_s, endpoint=endpoint
+            )
+            self._metrics.set(
+                'wrenspoke_endpoint_leaving',
+                int(endpoint in leaving),
+                endpoint=endpoint,
+            )
+
     async def drain(self) -> bool:
         """Let callers go elsewhere, then wait for what is in flight.
 
--- a/wrenspoke/metrics.py
+++ b/wrenspoke/metrics.py
@@ -18,6 +18,13 @@
     'wrenspoke_endpoint_limit_refused_total': (
         'times an endpoint took no more, by its limit'
     ),
+    'wrenspoke_endpoint_backoff_s': (
+        'remaining backoff from an endpoint, in seconds'
+    ),
+    'wrenspoke_endpoint_backoff_refused_total': (
+        'requests an endpoint refused with a time'
+    ),
+    'wrenspoke_endpoint_leaving': '1 while an endpoint is known to leave',
     'wrenspoke_quarantine_refused_total': (
         'requests turned away as endpoints ended under them'
     ),
