Let chats wait for an engine that is about to return

Chats got 503 while the only engine was coming back from a backoff: one is sent first, and the others, with 50 ms to wait, were refused. Those that stood in the queue as all engines began to rest waited for their deadlines; a call that the last engine had refused was told to come back in 1 s, whatever time the engine had named.

Cause: the refusal looked at whether any backoff was left, before the queue only, and not at endpoints that the call had tried.

--- a/benches/switches_backoffs.py
+++ b/benches/switches_backoffs.py
@@ -144,10 +144,17 @@
     Switch(
         'calls wait where all engines rest',
         SERVING + 'placement.py',
-        'self._refuse_backing_off(head, endpoints)',
-        'pass',
+        'if soonest_ms <= min(RECHECK_MS, left_ms):',
+        'if True:',
         f'{INCIDENT}::test_chat_is_refused_at_once_where_all_engines_rest',
     ),
+    Switch(
+        'calls refused where an engine is about to return',
+        SERVING + 'placement.py',
+        'if soonest_ms <= min(RECHECK_MS, left_ms):',
+        'if not soonest_ms:',
+        f'{INCIDENT}::test_chats_wait_for_an_engine_that_returns',
+    ),
     Switch(
         'refusals spend retries',
         SERVING + 'local.py',
--- a/tests/test_endpoint_backoffs.py
+++ b/tests/test_endpoint_backoffs.py
@@ -21,6 +21,8 @@
 import contextlib
 import time
 
+import aiohttp
+
 from tests import endpoints
 from tests import fleet
 from tests import nodes
@@ -283,3 +285,62 @@
             assert (await caller.chat(CHAT)).outcome == 'whole'
         after = await running.runs('north-chat-1')
         assert after['runs'] == before['runs']
+
+
+async def test_chats_wait_for_an_engine_that_returns(tmp_path):
+    """One is sent first, and the others a moment later."""
+    made = fleet.deployment(regions=('north',), entries=1, engines=1)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+        await running.engine_faults(retry_after_text='0.5')
+        assert (await caller.chat(CHAT)).outcome == 'not_run'
+        await running.engine_faults()
+        await asyncio.sleep(0.6)
+        answers = await asyncio.gather(*(caller.chat(CHAT) for _ in range(8)))
+        assert {answer.outcome for answer in answers} == {'whole'}
+
+
+async def test_chat_in_the_queue_is_refused_once_all_engines_rest(tmp_path):
+    made = fleet.deployment(regions=('north',), entries=1, engines=1)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+        long = {**CHAT, 'max_tokens': 30}
+        waiting = [asyncio.ensure_future(caller.chat(long)) for _ in range(24)]
+        await asyncio.sleep(0.3)
+        await running.engine_faults(retry_after_text='20')
+        found = await asyncio.gather(*waiting)
+        refused = [one for one in found if one.outcome != 'whole']
+        assert refused
+        for one in refused:
+            assert one.outcome == 'not_run'
+            assert int(one.headers[headers.RETRY_AFTER]) >= 10
+
+
+async def test_backoffs_and_leaves_are_shown_to_people_on_call(tmp_path):
+    made = fleet.deployment(regions=('north',), entries=1, engines=1)
+    async with fleet.running(tmp_path, made) as running:
+        caller = running.caller('north-1')
+
+        async def metrics():
+            async with aiohttp.ClientSession() as session:
+                url = running.url('north-1') + '/metrics'
+                async with session.get(url) as got:
+                    assert got.status == 200
+                    lines = (await got.text()).splitlines()
+            return {
+                line.partition('{')[0]: float(line.rpartition(' ')[2])
+                for line in lines
+                if 'endpoint="north-chat-1"' in line
+            }
+
+        await running.engine_faults(retry_after_text='1', leaving_text='1')
+        await caller.chat(CHAT)
+        found = await metrics()
+        assert 0 < found['wrenspoke_endpoint_backoff_s'] <= 1
+        assert found['wrenspoke_endpoint_backoff_refused_total'] == 1
+        assert found['wrenspoke_endpoint_leaving'] == 1
+
+        async def is_over():
+            return not (await metrics())['wrenspoke_endpoint_backoff_s']
+
+        await fleet.until(is_over, 'the end of the backoff')
--- a/wrenspoke/coordination/serving/placement.py
+++ b/wrenspoke/coordination/serving/placement.py
@@ -156,6 +156,9 @@
                 slot = self._first_free(head, ranked, queue, waiter)
                 if slot is not None:
                     return slot
+                self._refuse_backing_off(
+                    head, [item.endpoint for item in ranked]
+                )
                 if waiter is None:
                     self._refuse_hopeless(head, ranked, queue)
                 else:
@@ -223,11 +226,12 @@
         head: requests.RequestHead,
         excluded: collections.abc.Set[ids.EndpointId],
     ) -> list[routing.Ranked]:
+        every = self._candidates(head)
         candidates = [
-            endpoint
-            for endpoint in self._candidates(head)
-            if endpoint.endpoint not in excluded
+            endpoint for endpoint in every if endpoint.endpoint not in excluded
         ]
+        if every and not candidates:
+            self._refuse_backing_off(head, every)
         if not candidates:
             raise errors.EndedError(
                 outcomes.Ending(
@@ -278,7 +282,6 @@
     ) -> None:
         left_ms = head.deadline_ms - self._clock.mono_ms()
         endpoints = [item.endpoint for item in ranked]
-        self._refuse_backing_off(head, endpoints)
         wait_ms = self._wait_ms(endpoints, queue.ahead(head) + 1)
         if wait_ms <= left_ms:
             return
@@ -296,13 +299,15 @@
     ) -> None:
         """Refuse at once what every endpoint asked to be spared.
 
-        The urgent are told to come back before the others.
+        A request waits for an endpoint that is about to be used again. The
+        urgent are told to come back before the others.
         """
-        remaining_ms = [
+        soonest_ms = min(
             self._gate.backoffs.remaining_ms(_life_of(endpoint.endpoint))
             for endpoint in endpoints
-        ]
-        if not all(remaining_ms):
+        )
+        left_ms = head.deadline_ms - self._clock.mono_ms()
+        if soonest_ms <= min(RECHECK_MS, left_ms):
             return
         urgency = requests.Priority.HIGH - head.priority
         raise errors.EndedError(
@@ -310,7 +315,7 @@
                 outcomes.Outcome.NOT_RUN,
                 outcomes.Reason.OVERLOAD,
                 'every endpoint asked for backoff',
-                return_line.spread_ms(min(remaining_ms), urgency),
+                return_line.spread_ms(soonest_ms, urgency),
             )
         )
 
