--- a/tests/test_endpoint_backoffs.py
+++ b/tests/test_endpoint_backoffs.py
@@ -281,10 +281,14 @@
 
         await fleet.until(is_known, 'the leave')
         before = await running.runs('north-chat-1')
+        logged = len(running.log('north-1'))
         for _number in range(12):
             assert (await caller.chat(CHAT)).outcome == 'whole'
         after = await running.runs('north-chat-1')
         assert after['runs'] == before['runs']
+        # Nor is it chosen and refused by a later check.
+        for line in running.log('north-1')[logged:].splitlines():
+            assert 'event=placed' not in line or 'north-chat-1' not in line
 
 
 async def test_chats_wait_for_an_engine_that_returns(tmp_path):
