Gossip backoffs and leaves by one outbox, and name statuses once

EndpointBackoffs and LeavingEndpoints each gathered and sent their news by the same loop; Outbox serves both. The statuses of refusals and 421 stood in advertised beside their twins in dispatch and sending.

--- a/wrenspoke/coordination/limiting/endpoint_backoffs.py
+++ b/wrenspoke/coordination/limiting/endpoint_backoffs.py
@@ -8,7 +8,6 @@
 with one request first and more as these are served.
 """
 
-import asyncio
 import collections
 import collections.abc
 import dataclasses
@@ -17,6 +16,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
+from wrenspoke.coordination.limiting import outbox
 from wrenspoke import ids
 from wrenspoke.protocol import limiting
 from wrenspoke import runtime
@@ -42,7 +42,6 @@
 # Responses to requests in flight extend a backoff by less than this, which
 # is not worth gossiping.
 LEAST_EXTENSION_MS = 500
-GATHER_MS = 4
 EVICT_INTERVAL_MS = 1_000
 IDLE_KEPT_MS = 10_000
 
@@ -138,11 +137,9 @@
         self._host = host
         self._order = order
         self._exists = exists
-        self._tell = tell
+        self._outbox = outbox.Outbox(tell, clock)
         self._clock = clock
         self._held: dict[ids.EndpointId, Backoff] = {}
-        self._news: list[limiting.EndpointBackoff] = []
-        self._has_news = asyncio.Event()
         self._tasks = runtime.Tasks()
         # Requests that each endpoint refused with a time.
         self.refused: collections.Counter[ids.EndpointId] = (
@@ -151,7 +148,7 @@
 
     def start(self) -> None:
         """Begin to gossip backoffs to other hosts."""
-        self._tasks.start(self._run())
+        self._tasks.start(self._outbox.run())
         self._tasks.start(self._evict())
 
     async def close(self) -> None:
@@ -345,16 +342,7 @@
         found.refused_ms = now_ms
 
     def _gossip(self, life: limiting.EndpointLife, left_ms: int) -> None:
-        self._news.append(limiting.EndpointBackoff(life, self._host, left_ms))
-        self._has_news.set()
-
-    async def _run(self) -> None:
-        while True:
-            await self._has_news.wait()
-            await self._clock.sleep_ms(GATHER_MS)
-            self._has_news.clear()
-            news, self._news = self._news, []
-            await self._tell(news)
+        self._outbox.add(limiting.EndpointBackoff(life, self._host, left_ms))
 
     async def _evict(self) -> None:
         """Drop state of endpoints that no longer exist or are used again."""
--- a/wrenspoke/coordination/limiting/endpoint_gate.py
+++ b/wrenspoke/coordination/limiting/endpoint_gate.py
@@ -143,7 +143,7 @@
         if not head.own:
             return
         backoff_ms = self._backoff_ms(life, head)
-        if backoff_ms or (work and head.status not in advertised.UNAVAILABLE):
+        if backoff_ms or (work and head.status not in advertised.REFUSALS):
             self.backoffs.on_response(life, backoff_ms, sent_ms)
         if self._is_leaving(life, head):
             self.leaving.mark(life)
--- a/wrenspoke/coordination/limiting/leaving_endpoints.py
+++ b/wrenspoke/coordination/limiting/leaving_endpoints.py
@@ -6,12 +6,12 @@
 response that said so.
 """
 
-import asyncio
 import collections.abc
 
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import outbox
 from wrenspoke import ids
 from wrenspoke.protocol import limiting
 from wrenspoke import runtime
@@ -21,7 +21,6 @@
 EVICT_INTERVAL_MS = 1_000
 # A mark that ends is gossiped again when this part of its time is over.
 RETELL_SHARE = 0.25
-GATHER_MS = 4
 
 Exists = collections.abc.Callable[[limiting.EndpointLife], bool]
 Listener = collections.abc.Callable[[limiting.EndpointLife], None]
@@ -41,20 +40,18 @@
         clock: clocks.Clock,
     ):
         self._exists = exists
-        self._tell = tell
+        self._outbox = outbox.Outbox(tell, clock)
         self._kept_ms = kept_ms
         self._clock = clock
         # When each endpoint last said so, and when that was gossiped.
         self._marked_ms: dict[limiting.EndpointLife, int] = {}
         self._told_ms: dict[limiting.EndpointLife, int] = {}
         self._listeners: list[Listener] = []
-        self._news: list[limiting.EndpointLife] = []
-        self._has_news = asyncio.Event()
         self._tasks = runtime.Tasks()
 
     def start(self) -> None:
         """Begin to gossip leaves to other hosts."""
-        self._tasks.start(self._run())
+        self._tasks.start(self._outbox.run())
         self._tasks.start(self._evict())
 
     async def close(self) -> None:
@@ -91,8 +88,7 @@
         if not self._mark(life, now_ms) and not self._is_due(life, now_ms):
             return
         self._told_ms[life] = now_ms
-        self._news.append(life)
-        self._has_news.set()
+        self._outbox.add(life)
         for listener in self._listeners:
             listener(life)
 
@@ -119,14 +115,6 @@
         told_ms = self._told_ms.get(life, 0)
         return now_ms - told_ms >= RETELL_SHARE * self._kept_ms
 
-    async def _run(self) -> None:
-        while True:
-            await self._has_news.wait()
-            await self._clock.sleep_ms(GATHER_MS)
-            self._has_news.clear()
-            news, self._news = self._news, []
-            await self._tell(news)
-
     async def _evict(self) -> None:
         """Drop state of endpoints that no longer exist."""
         while True:
--- /dev/null
+++ b/wrenspoke/coordination/limiting/outbox.py
@@ -0,0 +1,41 @@
+"""Gossip items in batches: those of a moment go in one message."""
+
+import asyncio
+import collections.abc
+import typing
+
+from wrenspoke import clock as clocks
+
+GATHER_MS = 4
+
+Item = typing.TypeVar('Item')
+
+
+class Outbox(typing.Generic[Item]):
+    """Hold items until they are sent; ``run`` sends them."""
+
+    def __init__(
+        self,
+        tell: collections.abc.Callable[
+            [list[Item]], collections.abc.Awaitable[None]
+        ],
+        clock: clocks.Clock,
+    ):
+        self._tell = tell
+        self._clock = clock
+        self._items: list[Item] = []
+        self._has_items = asyncio.Event()
+
+    def add(self, item: Item) -> None:
+        """Send an item with the next batch."""
+        self._items.append(item)
+        self._has_items.set()
+
+    async def run(self) -> None:
+        """Send batches until cancelled."""
+        while True:
+            await self._has_items.wait()
+            await self._clock.sleep_ms(GATHER_MS)
+            self._has_items.clear()
+            items, self._items = self._items, []
+            await self._tell(items)
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -35,7 +35,6 @@
 logger = structlog.get_logger(__name__)
 
 MAX_HOPS = 1
-OVERLOAD_STATUSES = frozenset([429, 503])
 BODILESS_STATUSES = frozenset([204, 304])
 # Names the headers by which endpoints describe themselves.
 DIALECT = dialects.Dialect()
@@ -409,7 +408,7 @@
     def _refuse_overload(
         self, send: Send, response: aiohttp.ClientResponse
     ) -> None:
-        if response.status not in OVERLOAD_STATUSES:
+        if response.status not in advertised.REFUSALS:
             return
         if send.head is not None and send.head.once:
             # An endpoint's word that it was busy does not prove that a
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -36,7 +36,6 @@
 
 logger = structlog.get_logger(__name__)
 
-MISDIRECTED = 421
 # Kinds of traffic beside the messages on links: bodies, without heads.
 CALL, ANSWER = 'call_body', 'answer_body'
 
@@ -320,7 +319,10 @@
 
         :raises MaybeSentError: the answer belongs to another request
         """
-        if response.status == MISDIRECTED and place.endpoint is not None:
+        if (
+            response.status == advertised.MISDIRECTED
+            and place.endpoint is not None
+        ):
             return Verdict.NOT_HERE
         if self._dialect.not_run in response.headers:
             return Verdict.NOT_RUN
