--- a/tests/test_endpoint_backoffs.py
+++ b/tests/test_endpoint_backoffs.py
@@ -308,10 +308,18 @@
     made = fleet.deployment(regions=('north',), entries=1, engines=1)
     async with fleet.running(tmp_path, made) as running:
         caller = running.caller('north-1')
+        slow = {'slow_factor': 20.0}
+        await running.engine_faults(**slow)
         long = {**CHAT, 'max_tokens': 30}
         waiting = [asyncio.ensure_future(caller.chat(long)) for _ in range(24)]
-        await asyncio.sleep(0.3)
-        await running.engine_faults(retry_after_text='20')
+
+        async def is_full():
+            """The others stand in the queue."""
+            found = await running.runs('north-chat-1')
+            return len(found['arrivals_s']) >= 8
+
+        await fleet.until(is_full, 'a full engine')
+        await running.engine_faults(retry_after_text='20', **slow)
         found = await asyncio.gather(*waiting)
         refused = [one for one in found if one.outcome != 'whole']
         assert refused
