Drop counts of endpoints that are gone

A host kept a count for each endpoint that ever refused a request, and a mark for each that ever sent a malformed header: an endpoint that was used again before it went was not looked for any more. Each release brings new names.

Both are kept by the life of an endpoint and dropped with it. Found by reading the change; test_nothing_is_kept_of_endpoints_that_are_gone fails before (50 kept of 50) and passes now.

--- a/tests/test_endpoint_gate.py
+++ b/tests/test_endpoint_gate.py
@@ -139,3 +139,23 @@
     later_ms = [return_line.spread_ms(1_000, urgency + 1) for _ in range(200)]
     assert max(waits_ms) <= min(later_ms)
     assert max(waits_ms) > min(waits_ms)
+
+
+async def test_nothing_is_kept_of_endpoints_that_are_gone(clock):
+    """Each release brings new ones, for as long as a host lives."""
+    known = [LIFE]
+    peers = group.Peers('h', group.Network(1))
+    gate = endpoint_gate.EndpointGate(
+        'h', lambda _key: ['h'], known.__contains__, None, peers, clock
+    )
+    malformed = advertised.Advertised(ECHOED, 503, retry_after=('soon',))
+    for number in range(50):
+        life = limiting.EndpointLife(f'e{number}')
+        known[:] = [life]
+        permit = await gate.acquire(life, RANK)
+        permit.on_response(malformed)
+        permit.on_response(refusal())
+        clock.now_ms += 100_000
+        gate.backoffs.evict()
+    assert len(gate.backoffs.refused) <= 1
+    assert len(gate._malformed) <= 1
--- a/wrenspoke/coordination/limiting/endpoint_backoffs.py
+++ b/wrenspoke/coordination/limiting/endpoint_backoffs.py
@@ -142,14 +142,14 @@
         self._held: dict[ids.EndpointId, Backoff] = {}
         self._tasks = runtime.Tasks()
         # Requests that each endpoint refused with a time.
-        self.refused: collections.Counter[ids.EndpointId] = (
+        self.refused: collections.Counter[limiting.EndpointLife] = (
             collections.Counter()
         )
 
     def start(self) -> None:
         """Begin to gossip backoffs to other hosts."""
         self._tasks.start(self._outbox.run())
-        self._tasks.start(self._evict())
+        self._tasks.start(self._keep_evicting())
 
     async def close(self) -> None:
         """End every task."""
@@ -257,7 +257,7 @@
         A shorter time in a later response does not shorten what the
         endpoint named before, and neither does one that it served.
         """
-        self.refused[life.endpoint] += 1
+        self.refused[life] += 1
         if not self._exists(life):
             # A late response of a life that has ended since.
             return
@@ -344,14 +344,17 @@
     def _gossip(self, life: limiting.EndpointLife, left_ms: int) -> None:
         self._outbox.add(limiting.EndpointBackoff(life, self._host, left_ms))
 
-    async def _evict(self) -> None:
-        """Drop state of endpoints that no longer exist or are used again."""
+    async def _keep_evicting(self) -> None:
         while True:
             await self._clock.sleep_ms(EVICT_INTERVAL_MS)
-            now_ms = self._clock.mono_ms()
-            for endpoint, found in list(self._held.items()):
-                if not self._exists(found.life):
-                    del self._held[endpoint]
-                    self.refused.pop(endpoint, None)
-                elif found.idle(now_ms):
-                    del self._held[endpoint]
+            self.evict()
+
+    def evict(self) -> None:
+        """Drop state of endpoints that no longer exist or are used again."""
+        now_ms = self._clock.mono_ms()
+        for endpoint, found in list(self._held.items()):
+            if not self._exists(found.life) or found.idle(now_ms):
+                del self._held[endpoint]
+        for life in list(self.refused):
+            if not self._exists(life):
+                del self.refused[life]
--- a/wrenspoke/coordination/limiting/endpoint_gate.py
+++ b/wrenspoke/coordination/limiting/endpoint_gate.py
@@ -66,7 +66,8 @@
             exists, tell_leaving, leaving_kept_ms, clock
         )
         # Endpoints whose last value of a header was malformed; logged once.
-        self._malformed: set[tuple[ids.EndpointId, str]] = set()
+        self._malformed: set[tuple[limiting.EndpointLife, str]] = set()
+        self._exists = exists
 
     def start(self) -> None:
         """Begin to gossip what endpoints advertise."""
@@ -156,7 +157,7 @@
         except protocol_errors.MalformedRetryAfterError as error:
             self._log_malformed(life, headers.RETRY_AFTER, error)
             return 0
-        self._malformed.discard((life.endpoint, headers.RETRY_AFTER))
+        self._malformed.discard((life, headers.RETRY_AFTER))
         return backoff_ms
 
     def _is_leaving(
@@ -167,7 +168,7 @@
         except protocol_errors.MalformedLeavingError as error:
             self._log_malformed(life, headers.LEAVING, error)
             return False
-        self._malformed.discard((life.endpoint, headers.LEAVING))
+        self._malformed.discard((life, headers.LEAVING))
         return leaving
 
     def _log_malformed(
@@ -176,9 +177,12 @@
         field: str,
         error: protocol_errors.ProtocolError,
     ) -> None:
-        if (life.endpoint, field) in self._malformed:
+        if (life, field) in self._malformed:
             return
-        self._malformed.add((life.endpoint, field))
+        self._malformed = {
+            item for item in self._malformed if self._exists(item[0])
+        }
+        self._malformed.add((life, field))
         logger.warning(
             'endpoint_header_malformed',
             endpoint=life.endpoint,
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -331,11 +331,11 @@
                 endpoint=endpoint,
             )
         self._put_backoffs()
-        for endpoint, count in backoffs.refused.items():
+        for life, count in backoffs.refused.items():
             put(
                 'wrenspoke_endpoint_backoff_refused_total',
                 count,
-                endpoint=endpoint,
+                endpoint=life.endpoint,
             )
         put('wrenspoke_configuration_index', status['index'])
         put('wrenspoke_serving', status['serving'])
