Ask what endpoints advertise only if any did, for chats too

Behaviour is the same: 181 tests of the interface and of the rows of switched_off pass. Not measured.

--- a/wrenspoke/coordination/serving/placement.py
+++ b/wrenspoke/coordination/serving/placement.py
@@ -183,7 +183,7 @@
             for endpoint in self._replica.active(head.service, self._region)
             if (head.model is None or head.model in endpoint.models)
             and not self._loads.is_down(endpoint.endpoint)
-            and not self._gate.leaving.is_leaving(_life_of(endpoint.endpoint))
+            and not self._leaves(endpoint.endpoint)
         ]
 
     def take(self, endpoint: ids.EndpointId) -> Slot | None:
@@ -302,6 +302,8 @@
         A request waits for an endpoint that is about to be used again. The
         urgent are told to come back before the others.
         """
+        if self._gate.backoffs.is_idle:
+            return
         soonest_ms = min(
             self._gate.backoffs.remaining_ms(_life_of(endpoint.endpoint))
             for endpoint in endpoints
@@ -343,8 +345,15 @@
 
     def _spent_ms(self, endpoint: ids.EndpointId) -> int:
         """Return for how long an endpoint is sent nothing more, in ms."""
+        if self._gate.is_idle:
+            return 0
         return self._gate.remaining_ms(_life_of(endpoint))
 
+    def _leaves(self, endpoint: ids.EndpointId) -> bool:
+        """Return whether an endpoint said in an answer that it leaves."""
+        leaving = self._gate.leaving
+        return not leaving.is_idle and leaving.is_leaving(_life_of(endpoint))
+
     def _overload(
         self,
         ranked: typing.Sequence[routing.Ranked],
