--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -6,7 +6,7 @@
 
 
 class CoordinationError(errors.WrenspokeError):
-    """Be the base of what ends a decision."""
+    """Base of the errors of the coordination layer."""
 
 
 class EndedError(CoordinationError):
@@ -27,7 +27,7 @@
 
 
 class EndpointBusyError(SendRefusedError):
-    """Be the base of why an endpoint is sent nothing for now."""
+    """Base of the errors of endpoints that may not be sent to yet."""
 
     def __init__(
         self, check: str, endpoint: ids.EndpointId, problem: str, wait_ms: int
@@ -90,7 +90,7 @@
 
 
 class DeniedError(CoordinationError):
-    """Be the base of why the configuration doesn't let a call be served."""
+    """Base of the errors of calls that the configuration forbids."""
 
 
 class NoRouteError(DeniedError):
--- a/wrenspoke/coordination/limiting/allocator.py
+++ b/wrenspoke/coordination/limiting/allocator.py
@@ -142,7 +142,7 @@
 
 
 class Elected(typing.Protocol):
-    """Be what is needed of a voter to know whether it leads."""
+    """A voter that knows whether it leads."""
 
     @property
     def has_lease(self) -> bool:
--- a/wrenspoke/coordination/limiting/endpoint_lender.py
+++ b/wrenspoke/coordination/limiting/endpoint_lender.py
@@ -95,7 +95,7 @@
         self._clock = clock
         self._life = ids.new_unique()
         self._lent: dict[ids.EndpointId, _Lent] = {}
-        # The largest number of hosts seen of late, and when.
+        # The largest recent number of hosts, and when it was seen.
         self._most_hosts = 0
         self._most_ms = clock.mono_ms()
         # Limits that changed, and until when they are gossiped.
--- a/wrenspoke/coordination/membership/askers.py
+++ b/wrenspoke/coordination/membership/askers.py
@@ -25,7 +25,7 @@
 
 
 class KnownHost(typing.Protocol):
-    """Be what is needed of a host to tell it something."""
+    """A host that can be sent messages."""
 
     host: ids.HostId
     data_centre: ids.DataCentreId
--- a/wrenspoke/coordination/quarantine/ended_runs.py
+++ b/wrenspoke/coordination/quarantine/ended_runs.py
@@ -10,9 +10,8 @@
 from wrenspoke import clock as clocks
 from wrenspoke import ids
 
-# Under so many a request is taken to be what ends endpoints. Fewer would hold
-# back what did nothing, where endpoints end by themselves; with each more one
-# endpoint more ends under a request that does end them.
+# A request is quarantined after this many crashes. Fewer would also hold back
+# harmless requests that were running when an endpoint crashed by itself.
 FATAL_ENDS = 3
 # All calls of an endpoint break within some milliseconds, and are told from
 # one region; the endpoint is not back sooner.
--- a/wrenspoke/coordination/quarantine/gatherer.py
+++ b/wrenspoke/coordination/quarantine/gatherer.py
@@ -46,7 +46,7 @@
 
 
 class Elected(typing.Protocol):
-    """Be what is needed of a voter to have something decided."""
+    """A voter that can have an entry decided."""
 
     @property
     def has_lease(self) -> bool:
--- a/wrenspoke/coordination/serving/choice.py
+++ b/wrenspoke/coordination/serving/choice.py
@@ -308,7 +308,7 @@
         found = self._available.sound(service.service, self._region)
         if not found:
             return None
-        # What an endpoint in need takes is left to its own region.
+        # Endpoints with a limit are reserved for their own region.
         unlimited = [
             one for one in found if not self._available.is_limited(one)
         ]
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -36,7 +36,7 @@
 
 MAX_HOPS = 1
 BODILESS_STATUSES = frozenset([204, 304])
-# Names the headers by which endpoints describe themselves.
+# Header names in responses of configured endpoints.
 DIALECT = dialects.Dialect()
 
 
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -42,8 +42,8 @@
 GATEWAY_TIMEOUT = 504
 # Sends that reached no endpoint, or that it refused unrun.
 UNRUN_LIMIT = 4
-# Endpoints that are asked for one call, where each takes no more. What was
-# asked in vain is left alone by the next calls.
+# Permits that one call asks for, where each is denied. Each denial starts a
+# backoff, so that later calls do not ask the same endpoint.
 OVER_LIMIT_TRIES = 8
 # A host that lags waits for the configuration that the first went by.
 CATCH_UP_MS = 600
--- a/wrenspoke/errors.py
+++ b/wrenspoke/errors.py
@@ -2,4 +2,4 @@
 
 
 class WrenspokeError(Exception):
-    """Be the base of each layer's own errors."""
+    """Base of all errors of wrenspoke."""
--- a/wrenspoke/protocol/errors.py
+++ b/wrenspoke/protocol/errors.py
@@ -4,7 +4,7 @@
 
 
 class ProtocolError(errors.WrenspokeError):
-    """Be the base of what can be wrong with a message."""
+    """Base of the errors of messages."""
 
 
 class BadRequestError(ProtocolError):
--- a/wrenspoke/state/errors.py
+++ b/wrenspoke/state/errors.py
@@ -4,7 +4,7 @@
 
 
 class StateError(errors.WrenspokeError):
-    """Be the base of what can be wrong with remembered state."""
+    """Base of the errors of stored state."""
 
 
 class UnknownItemError(StateError):
--- a/wrenspoke/transport/errors.py
+++ b/wrenspoke/transport/errors.py
@@ -4,7 +4,7 @@
 
 
 class TransportError(errors.WrenspokeError):
-    """Be the base of what can go wrong below the protocol."""
+    """Base of the errors of the transport layer."""
 
 
 class NotSentError(TransportError):
