--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -88,6 +88,27 @@
         return True
 
 
+class ScriptedEngine:
+    """An engine whose ``_answer`` yields the pieces of each answer."""
+
+    def __init__(self):
+        self._endpoint = ScriptedEndpoint(self._answer)
+
+    @property
+    def address(self):
+        return self._endpoint.address
+
+    async def start(self):
+        await self._endpoint.start()
+        return self
+
+    def _answer(self, sent, number):
+        raise NotImplementedError
+
+    async def close(self):
+        await self._endpoint.close()
+
+
 class ResettingEndpoint:
     """Write an answer and reset the connection in one go, in a thread.
 
--- a/tests/test_endpoint_backoffs.py
+++ b/tests/test_endpoint_backoffs.py
@@ -59,24 +59,16 @@
     )
 
 
-class AdvertisingEngine:
+class AdvertisingEngine(endpoints.ScriptedEngine):
     """An engine that refuses or leaves when told to."""
 
     def __init__(self):
+        super().__init__()
         self.retry_after = None
         self.leaving = None
         self.status = '503 Service Unavailable'
         # The host and time of each request, and whether it was refused.
         self.arrivals = []
-        self._endpoint = endpoints.ScriptedEndpoint(self._answer)
-
-    @property
-    def address(self):
-        return self._endpoint.address
-
-    async def start(self):
-        await self._endpoint.start()
-        return self
 
     def _answer(self, sent, _number):
         refused = self.retry_after is not None
@@ -86,8 +78,7 @@
         if self.leaving is not None:
             extra += f'{headers.LEAVING}: {self.leaving}\r\n'.encode()
         if refused:
-            for text in [self.retry_after]:
-                extra += f'{headers.RETRY_AFTER}: {text}\r\n'.encode()
+            extra += f'{headers.RETRY_AFTER}: {self.retry_after}\r\n'.encode()
             extra += b'Wrenspoke-Not-Run: 1\r\n'
             yield test_passing.answer(
                 sent, status=self.status, body=b'', extra=extra
@@ -101,9 +92,6 @@
             (host, at_s) for host, at_s, refused in self.arrivals if refused
         ]
 
-    async def close(self):
-        await self._endpoint.close()
-
 
 @contextlib.asynccontextmanager
 async def passing_system(folder, entries=3, engines=3):
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -74,21 +74,13 @@
     return await asyncio.gather(*asked)
 
 
-class LimitedEngine:
+class LimitedEngine(endpoints.ScriptedEngine):
     """Name a limit in each answer, and note when requests arrive."""
 
     def __init__(self, text=None):
+        super().__init__()
         self.text = text
         self.arrivals_s = []
-        self._endpoint = endpoints.ScriptedEndpoint(self._answer)
-
-    @property
-    def address(self):
-        return self._endpoint.address
-
-    async def start(self):
-        await self._endpoint.start()
-        return self
 
     def _answer(self, sent, _number):
         self.arrivals_s.append(time.monotonic())
@@ -97,9 +89,6 @@
             extra = f'{headers.LIMIT}: {self.text}\r\n'.encode()
         yield test_passing.answer(sent, extra=extra)
 
-    async def close(self):
-        await self._endpoint.close()
-
 
 @contextlib.asynccontextmanager
 async def passing_system(folder):
