Log how an answer's body was framed and where it ended

`answered` now has `framing` (length, chunked or connection) and `partial_bytes`, the bytes after the last whole event. No behaviour changes.

--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -322,7 +322,7 @@
         if answer.status in OK_STATUSES:
             self._record_first_piece(context, destination)
         await context.reply.send_response(answer.status, answer.fields, body)
-        self._log_answered(context, destination, answer.status)
+        self._log_answered(context, destination, answer)
         return True
 
     async def _handle_refusal(
@@ -427,12 +427,13 @@
     ) -> None:
         if not context.reply.started:
             await context.reply.send_head(answer.status, answer.fields)
+        partial_bytes = tracker.partial_bytes
         remainder = tracker.take_remainder()
         if remainder:
             await context.reply.write(remainder)
         await context.reply.end()
         self._log_answered(
-            context, destination, answer.status, tracker.event_count
+            context, destination, answer, tracker.event_count, partial_bytes
         )
 
     async def _resume_stream(
@@ -461,8 +462,9 @@
         self,
         context: call_context.CallContext,
         destination: sending.Destination,
-        status: int,
+        answer: sending.UpstreamResponse,
         pieces: int = 1,
+        partial_bytes: int = 0,
     ) -> None:
         now_ms = self._clock.mono_ms()
         first_ms = (
@@ -473,7 +475,9 @@
             request=context.call.request,
             route=context.route.name,
             place=destination.name,
-            status=status,
+            status=answer.status,
+            framing=answer.framing.value,
+            partial_bytes=partial_bytes,
             first_ms=first_ms,
             target_ms=context.route.target_ms,
             whole_ms=now_ms - context.call.arrived_ms,
--- a/wrenspoke/coordination/serving/event_tracker.py
+++ b/wrenspoke/coordination/serving/event_tracker.py
@@ -22,6 +22,11 @@
         self.last_id: str | None = None
         self.event_count = 0
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the number of bytes received after the last whole event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those that may be forwarded."""
         self._buffer += data
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -110,6 +110,7 @@
         super().__init__(response)
         self.verdict = verdict
         self.status = response.status
+        self.framing = web.body_framing(response)
         self.fields = dialects.response_fields(response.raw_headers)
         self.refused = _parse_refusal(
             response.headers.get(passthrough_api.REFUSED_HEADER)
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import enum
 import fcntl
 import functools
 import os
@@ -246,6 +247,23 @@
         raise errors.MaybeSentError(repr(error)) from error
 
 
+class BodyFraming(enum.Enum):
+    """How the end of a response body is delimited (RFC 9112, 6.3)."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CONNECTION = 'connection'
+
+
+def body_framing(response: aiohttp.ClientResponse) -> BodyFraming:
+    """Return how the end of a response's body is delimited."""
+    if 'chunked' in response.headers.get('Transfer-Encoding', '').lower():
+        return BodyFraming.CHUNKED
+    if response.content_length is not None:
+        return BodyFraming.LENGTH
+    return BodyFraming.CONNECTION
+
+
 async def read_body(
     response: aiohttp.ClientResponse, limit_bytes: int
 ) -> bytes:
