Add failing tests of streams that end inside an event

The endpoint is scripted: a stream framed by its connection, by chunks or by its length ends inside an event, and the connection ends orderly.

--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -462,6 +462,108 @@
         assert len(count) == 1 and not got.endswith(END)
 
 
+def unframed(sent, *pieces, kind='text/event-stream'):
+    """Return a response that only the end of its connection delimits."""
+    head = (
+        f'HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\n'.encode()
+        + endpoints.echo_header(sent, ID)
+        + b'\r\n'
+    )
+    return [head, *pieces]
+
+
+FIRST_EVENT = b'id: 1\ndata: a\n\n'
+PARTIAL_EVENTS = {
+    'in a field': b'id: 2\nda',
+    'after a field': b'id: 2\ndata: b\n',
+    'in a field name': b'id',
+    'in the last line end': b'id: 2\r\ndata: b\r\n\r',
+}
+FRAMINGS = {
+    'connection': lambda sent, *pieces: [*unframed(sent, *pieces), CLOSE],
+    'chunks': lambda sent, *pieces: [*chunked(sent, *pieces), END],
+    'length': lambda sent, *pieces: [
+        answer(
+            sent,
+            b''.join(pieces),
+            extra=b'Content-Type: text/event-stream\r\n',
+        )
+    ],
+}
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('piece', PARTIAL_EVENTS)
+@pytest.mark.parametrize('whole', [b'', FIRST_EVENT], ids=['none', 'one'])
+async def test_stream_that_ends_inside_an_event_is_not_complete(
+    system, framing, piece, whole
+):
+    """Guards against truncated streams that reach callers as complete."""
+    await system.put(route(STREAM))
+    pieces = [part for part in (whole, PARTIAL_EVENTS[piece]) if part]
+    await system.add(
+        'e', lambda sent, _number: FRAMINGS[framing](sent, *pieces)
+    )
+    got = await system.ask(request())
+    assert not got.endswith(END), got
+    assert whole in got
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('piece', PARTIAL_EVENTS)
+@pytest.mark.parametrize('whole', [b'', FIRST_EVENT], ids=['none', 'one'])
+async def test_stream_that_ends_inside_an_event_is_resumed(
+    system, framing, piece, whole
+):
+    """Guards against truncated streams that are ended instead of resumed."""
+    await system.put(route(STREAM, resumable=True, attempts_limit=2))
+    count = []
+
+    def script(sent, _number):
+        count.append(sent)
+        if len(count) == 1:
+            pieces = [part for part in (whole, PARTIAL_EVENTS[piece]) if part]
+            return FRAMINGS[framing](sent, *pieces)
+        return [*chunked(sent, b'id: 2\ndata: b\n\n'), END]
+
+    await system.add('e1', script)
+    await system.add('e2', script)
+    got = await system.ask(request())
+    assert len(count) == 2
+    last = endpoints.header(count[1], 'Last-Event-ID')
+    assert last == ('1' if whole else None)
+    assert got.count(b'id: 2') == 1 and got.count(b'data: a') == len(whole[:1])
+    assert got.endswith(END)
+
+
+@pytest.mark.parametrize(
+    'last',
+    [
+        b'id: 2\ndata: b\n\n',
+        b'id: 2\r\ndata: b\r\n\r\n',
+        b'id: 2\rdata: b\r\r',
+        b'id: 2\ndata: b\n\r\n',
+        b'id: 2\r\ndata: b\r\n\n',
+        b'id: 2\ndata: b\n\n\n\r\n',
+        b'id: 2\ndata: b\n\n: end of stream\n',
+    ],
+    ids=['lf', 'crlf', 'cr', 'lf crlf', 'crlf lf', 'blank lines', 'comment'],
+)
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('resumable', [True, False])
+async def test_stream_that_ends_between_events_is_complete(
+    system, framing, last, resumable
+):
+    """Guards against whole streams that callers get as broken off."""
+    await system.put(route(STREAM, resumable=resumable, attempts_limit=2))
+    endpoint = await system.add(
+        'e', lambda sent, _number: FRAMINGS[framing](sent, FIRST_EVENT, last)
+    )
+    got = await system.ask(request())
+    assert len(endpoint.requests) == 1
+    assert got.endswith(END) and got.count(b'data: ') == 2
+
+
 @pytest.mark.parametrize(
     'state',
     [registry.RegistrationState.DRAINING, registry.RegistrationState.GONE],
