Treat a stream that ends inside an event as broken off

Cause: the end of a stream was taken from the transport alone. A body delimited by its connection ends at any FIN, also at that of a crashed process, and what the event tracker still held was written out as if it were the rest. A tracker that forwards bytes as they come couldn't even tell that it held a partial event.

Why it works: the protocol says that a stream which ends inside an event has been broken off, so the check is where every stream ends, for all framings and for first and resumed attempts alike. The failure goes the way of any other broken attempt: resumed, or aborted towards the caller.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -36,3 +36,34 @@
     assert tracker.last_id == '1'
     tracker.discard_partial()
     assert tracker.feed(b'id: 2\ndata: b\n\n') == b'id: 2\ndata: b\n\n'
+
+
+@pytest.mark.parametrize(
+    'data, is_inside',
+    [
+        (b'', False),
+        (b'id: 1\n\n', False),
+        (b'id: 1\r\n\r\n', False),
+        (b'id: 1\r\r', False),
+        (b'id: 1\n\r\n', False),
+        (b'id: 1\r\n\n', False),
+        (b'id: 1\n\n\n', False),
+        (b'id: 1\n\n: ping\n', False),
+        (b': ping\r\n', False),
+        (b'id: 1\n\n: pi', True),
+        (b'id: 1\n\nid', True),
+        (b'id: 1\n', True),
+        (b'id: 1\r\n\r', True),
+        (b'id: 1\n\n: ping\nid: 2\n', True),
+    ],
+)
+@pytest.mark.parametrize('whole_only', [True, False])
+@pytest.mark.parametrize('step_bytes', [1, 3, 100])
+def test_end_inside_an_event_is_detected(
+    data, is_inside, whole_only, step_bytes
+):
+    """Guards against truncated streams that are taken for whole ones."""
+    tracker = event_tracker.EventTracker(whole_only)
+    for start in range(0, len(data), step_bytes):
+        tracker.feed(data[start : start + step_bytes])
+    assert tracker.is_inside_event is is_inside
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -425,6 +425,15 @@
         answer: sending.UpstreamResponse,
         tracker: event_tracker.EventTracker,
     ) -> None:
+        """End a stream towards its caller.
+
+        :raises MaybeSentError: the endpoint ended it inside an event
+        """
+        if tracker.is_inside_event:
+            raise errors.MaybeSentError(
+                f'stream of {destination.name} ended inside an event, '
+                f'{tracker.partial_bytes} bytes after event {tracker.last_id}'
+            )
         if not context.reply.started:
             await context.reply.send_head(answer.status, answer.fields)
         partial_bytes = tracker.partial_bytes
--- a/wrenspoke/coordination/serving/event_tracker.py
+++ b/wrenspoke/coordination/serving/event_tracker.py
@@ -1,13 +1,18 @@
 """Track the server-sent events of a stream as its bytes are forwarded.
 
-An event ends with an empty line. A resumable stream is forwarded in whole
-events only: its endpoint may break off inside one, and the endpoint that
-resumes it starts after the last whole event.
+An event ends with an empty line; a stream that ends inside an event was
+broken off, however its body was framed. A resumable stream is forwarded in
+whole events only: its endpoint may break off inside one, and the endpoint
+that resumes it starts after the last whole event.
 """
 
 import re
 
-EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+# Line ends may be mixed. The carriage return of a last CRLF does not end an
+# event by itself, as its line feed may still come.
+EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r|\n\r\n')
+# What may stand between two events: empty lines and whole comment lines.
+BETWEEN_EVENTS = re.compile(rb'(?:[\r\n]|:[^\r\n]*[\r\n])*')
 ID_LINE = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
 # Streams with larger events are forwarded unbuffered.
 EVENT_BUFFER_LIMIT_BYTES = 1024 * 1024
@@ -43,6 +48,11 @@
         self._buffer = self._buffer[-EVENT_BUFFER_LIMIT_BYTES:]
         return data
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the bytes received so far end inside an event."""
+        return BETWEEN_EVENTS.fullmatch(self._buffer) is None
+
     def _record_event(self, event: bytes) -> None:
         self.event_count += 1
         found = ID_LINE.search(event)
