Treat a stream without length or bytes as broken off

What callers would see: an endpoint that crashes between the head and the first event of a stream that only its connection delimits looked like a whole, empty stream.

Nothing that such a body could say is lost: a stream whose end was declared stays as it is.

--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -564,6 +564,29 @@
     assert got.endswith(END) and got.count(b'data: ') == 2
 
 
+@pytest.mark.parametrize('resumable', [True, False])
+async def test_stream_without_any_event_or_length_is_not_complete(
+    system, resumable
+):
+    """Guards against crashes after the head that look like empty streams."""
+    await system.put(route(STREAM, resumable=resumable, attempts_limit=2))
+    count = []
+
+    def script(sent, _number):
+        count.append(sent)
+        if len(count) == 1:
+            return [*unframed(sent), CLOSE]
+        return [*chunked(sent, FIRST_EVENT), END]
+
+    await system.add('e1', script)
+    await system.add('e2', script)
+    got = await system.ask(request())
+    if resumable:
+        assert FIRST_EVENT in got and got.endswith(END)
+    else:
+        assert got.startswith(b'HTTP/1.1 502 ') and len(count) == 1
+
+
 @pytest.mark.parametrize(
     'state',
     [registry.RegistrationState.DRAINING, registry.RegistrationState.GONE],
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -28,6 +28,7 @@
 from wrenspoke.coordination.serving import sent_call_broadcast
 from wrenspoke.protocol import passthrough_api
 from wrenspoke.state import routes
+from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
 
@@ -427,8 +428,16 @@
     ) -> None:
         """End a stream towards its caller.
 
-        :raises MaybeSentError: the endpoint ended it inside an event
+        :raises MaybeSentError: the endpoint ended it inside an event, or
+            closed its connection before the first byte of a body that only
+            the connection delimits
         """
+        if answer.framing is web.BodyFraming.CONNECTION and (
+            not answer.bytes_read
+        ):
+            raise errors.MaybeSentError(
+                f'{destination.name} closed its connection before the body'
+            )
         if tracker.is_inside_event:
             raise errors.MaybeSentError(
                 f'stream of {destination.name} ended inside an event, '
