Reset the connections of HTTP/1.0 callers whose stream broke

What callers would see: a caller of HTTP/1.0 gets no chunks, and the abort of its connection closed it in order, so that a broken stream looked whole.

Evidence: row 1.0 of test_broken_stream_is_visibly_broken_for_every_caller failed on the code before (no reset), row 1.1 passed. The socket is now closed with a linger time of 0, which resets it.

--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -587,6 +587,26 @@
         assert got.startswith(b'HTTP/1.1 502 ') and len(count) == 1
 
 
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+async def test_broken_stream_is_visibly_broken_for_every_caller(
+    system, version
+):
+    """Guards against HTTP/1.0 callers that take a broken stream for whole.
+
+    They get no chunks, so that only a reset shows that the body is cut.
+    """
+    await system.put(route(STREAM))
+    await system.add(
+        'e',
+        lambda sent, _number: [*unframed(sent, FIRST_EVENT, b'id'), CLOSE],
+    )
+    got = await system.ask(request(f'GET /a/x HTTP/{version}'))
+    assert got.startswith(b'HTTP/1.1 200 ') or version == '1.0'
+    assert got.endswith(b'RESET') or (
+        version == '1.1' and not got.endswith(END)
+    )
+
+
 @pytest.mark.parametrize(
     'state',
     [registry.RegistrationState.DRAINING, registry.RegistrationState.GONE],
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import socket
+import struct
 import tempfile
 
 import aiohttp
@@ -32,6 +33,8 @@
     ['Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type']
 )
 PORT_RANGE = range(10_000, 32_000)
+# SO_LINGER value with which a closed socket is reset.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _ALLOCATED_PORTS: set[int] = set()
 # Descriptors of lock files, kept open until the process exits.
 _PORT_LOCKS: list[int] = []
@@ -379,9 +382,19 @@
 
 
 def abort(request: web.BaseRequest) -> None:
-    """Abort a caller's connection, so that its response is truncated."""
-    if request.transport is not None:
-        request.transport.abort()
+    """Abort a caller's connection, so that its response is truncated.
+
+    The connection is reset: to a caller of HTTP/1.0, whose response is
+    delimited by its connection, an orderly close would look complete.
+    """
+    transport = request.transport
+    if transport is None:
+        return
+    if request.version < aiohttp.HttpVersion11:
+        transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+    transport.abort()
 
 
 def free_ports(count: int) -> list[int]:
