--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -168,6 +168,7 @@
             changes.get('state', registry.RegistrationState.READY),
             next(self.numbers),
             changes.get('warmup_left_ms', 0),
+            build=changes.get('build', ''),
         )
         self.controls[0].registrar.register(registration)
         await until(
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -130,6 +130,7 @@
                 endpoint=registration.endpoint,
                 service=registration.service,
                 address=registration.address,
+                build=registration.build,
                 state=registration.state,
                 number=registration.number,
                 warmup_left_ms=registration.warmup_left_ms,
--- a/wrenspoke/coordination/serving/destinations.py
+++ b/wrenspoke/coordination/serving/destinations.py
@@ -191,6 +191,7 @@
             request=context.call.request,
             route=context.route.name,
             endpoint=registration.endpoint,
+            build=registration.build,
             first_ms=round(chosen.first_ms),
             expected_ms=round(chosen.estimate.first_ms),
             end_ms=round(chosen.estimate.end_ms),
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -318,6 +318,14 @@
         return context.deadline_ms - self._clock.mono_ms()
 
     async def _serve(self, context: call_context.CallContext) -> None:
+        if context.call.last_event is not None:
+            logger.info(
+                'stream_taken_up',
+                request=context.call.request,
+                resumes=context.call.resumes,
+                last_event=context.call.last_event,
+                forwarded=context.hop is not None,
+            )
         if context.hop is None:
             # Forwarded calls were counted by the first host.
             self._retry_budget.record_request(context.service.service)
--- a/wrenspoke/ids.py
+++ b/wrenspoke/ids.py
@@ -4,6 +4,8 @@
 import typing
 
 AttemptId = typing.NewType('AttemptId', str)
+# Version of the software that an endpoint runs; versions have no order.
+BuildId = typing.NewType('BuildId', str)
 DataCentreId = typing.NewType('DataCentreId', str)
 EndpointId = typing.NewType('EndpointId', str)
 HostId = typing.NewType('HostId', str)
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -49,6 +49,8 @@
     ``not_run`` in a response means that it did not run the request.
     ``tokens`` holds the prompt's tokens and the maximum number of output
     tokens, ``length_hint`` the number that the caller expects.
+    ``resumes`` is the id of the request that brought a stream's first event,
+    sent with ``last_event`` by a caller that resumes the stream.
     ``fetch_from`` is the address of an endpoint from which the prompt's
     cached prefix can be copied.
     A health response carries the endpoint's name in ``instance`` and its
@@ -69,6 +71,7 @@
     tokens: str = 'Wrenspoke-Tokens'
     length_hint: str = 'Wrenspoke-Length-Hint'
     last_event: str = 'Last-Event-ID'
+    resumes: str = 'Wrenspoke-Resumes'
     instance: str = 'Wrenspoke-Instance'
     warmup_ms: str = 'Wrenspoke-Warmup-Ms'
     fetch_from: str = 'Wrenspoke-Fetch-From'
@@ -123,6 +126,7 @@
     tokens_out: int = 0
     tokens_expected: int = 0
     last_event: str | None = None
+    resumes: ids.RequestId | None = None
     credentials: Fields = []
     key: str = ''
     digest: ids.RequestDigest = ids.RequestDigest('')
@@ -185,6 +189,7 @@
             tokens_out=self._tokens(values)[1],
             tokens_expected=self._tokens_expected(values),
             last_event=values.get(self._dialect.last_event.lower()),
+            resumes=self._resumes(values),
             credentials=[
                 item
                 for item in fields
@@ -207,6 +212,17 @@
             )
         return ids.RequestId(value)
 
+    def _resumes(self, values: dict[str, str]) -> ids.RequestId | None:
+        """Return the request that began a resumed stream, None if unknown.
+
+        An invalid id names no request: it is treated as unknown, so that
+        the stream is resumed if that is safe without it.
+        """
+        value = values.get(self._dialect.resumes.lower(), '')
+        if not REQUEST_ID_PATTERN.match(value):
+            return None
+        return ids.RequestId(value)
+
     def _key(self, values: dict[str, str]) -> str:
         """Return the key that the caller presents, empty if none."""
         text = values.get(self._dialect.authorization.lower(), '')
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -30,6 +30,7 @@
 ADDRESS_HOLD_MS = 2_000
 # Longer than any delayed message about an ended instance can take.
 ENTRY_TTL_MS = 120_000
+ROUTING_FIELDS = ('state', 'address', 'slots', 'service', 'leaving', 'build')
 # Smaller changes of the end of a warm-up are not gossiped.
 MIN_WARMUP_CHANGE_MS = 400
 
@@ -50,7 +51,8 @@
     report, ``age_ms`` ago. ``born_ms`` is the start time of the instance by
     the endpoint's wall clock; 0 where endpoints never restart under the
     same name. ``leaving`` is set once responses of the endpoint announced
-    that it leaves.
+    that it leaves. ``build`` belongs to the instance; endpoints that report
+    none form a build of their own.
     """
 
     endpoint: ids.EndpointId
@@ -65,6 +67,7 @@
     age_ms: int = 0
     born_ms: int = 0
     leaving: bool = False
+    build: ids.BuildId = ids.BuildId('')
 
 
 @dataclasses.dataclass(slots=True)
@@ -355,14 +358,9 @@
     old: EndpointEntry, said: Registration, reported_ms: int
 ) -> bool:
     was = old.registration
-    if (was.state, was.address, was.slots, was.service, was.leaving) != (
-        said.state,
-        said.address,
-        said.slots,
-        said.service,
-        said.leaving,
-    ):
-        return True
+    for field in ROUTING_FIELDS:
+        if getattr(was, field) != getattr(said, field):
+            return True
     if was.ends_in_ms != said.ends_in_ms:
         return True
     moved_ms = reported_ms + said.warmup_left_ms - old.warm_ms
