Let a test of engine loss wait until both engines have answered

Cause: the test waits for the entry host, not for the engines. If the second engine does not listen yet when the first is killed, the stream has nowhere to go on, which is reported correctly.

The test now waits until the host had chats answered by every engine. It also took the engine to kill from all lines after the last 'placed', where a failed load poll of the other engine could be read; it takes that line only.

--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -119,6 +119,24 @@
         assert result.text == WHOLE
 
 
+async def wait_engines(running, host):
+    """Wait until a host has chats of its own answered by every engine.
+
+    A request that finds an engine closed does not try it again later.
+    """
+    await running.wait_standins()
+    caller = running.caller(host)
+
+    async def all_answered():
+        results = await asyncio.gather(
+            *(caller.chat(CHAT) for _engine in running.engines())
+        )
+        answered = {result.headers.get(headers.ENDPOINT) for result in results}
+        return answered == set(running.engines())
+
+    await fleet.until(all_answered, 'every engine to answer')
+
+
 @pytest.mark.parametrize('loss', ['kill', 'freeze'])
 async def test_stream_survives_its_engine(tmp_path, loss):
     made = fleet.deployment(regions=('north',), engines=2, plains=0)
@@ -132,13 +150,15 @@
             )  # fmt: skip
         started_fleet.start_entry('north-1')
         await started_fleet.wait_serving()
+        await wait_engines(started_fleet, 'north-1')
         caller = started_fleet.caller('north-1')
         seen = []
         task = asyncio.create_task(caller.chat(CHAT, {}, seen.append))
         await fleet.until(lambda: len(seen) > 3, 'the stream to flow')
         log = started_fleet.log('north-1')
         used = 'north-chat-1'
-        if 'endpoint=north-chat-2' in log.split('event=placed')[-1]:
+        placed = log.split('event=placed')[-1].splitlines()[0]
+        if 'endpoint=north-chat-2' in placed:
             used = 'north-chat-2'
         getattr(started_fleet, loss)(used)
         result = await task
