Raise an error if a stream ends inside an event as it is decoded

What callers would see: nothing of their own. The host and the client drop the truncated last event without a trace and report 'stream ended early', the same as for a stream that ends between two events, and any later user of sse.decode would take the events before it for the whole stream.

Evidence: 18 of 33 rows of test_end_of_a_stream_inside_an_event_is_an_error failed on the code before (no error), the 15 rows of whole streams passed.

Why it works: only empty lines and whole comment lines may follow the last event. Both users already treat MalformedMessageError as a broken stream, and stop reading at the end mark, so that whole streams stay as they are.

--- /dev/null
+++ b/tests/test_truncated.py
@@ -0,0 +1,44 @@
+"""The end of a connection is not taken for the end of a message."""
+
+import pytest
+
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import sse
+
+
+async def pieces_of(data, step_bytes):
+    """Yield bytes as they arrive from a connection that then ends."""
+    for start in range(0, len(data), step_bytes):
+        yield data[start : start + step_bytes]
+
+
+@pytest.mark.parametrize(
+    'data, count, is_whole',
+    [
+        (b'', 0, True),
+        (b'data: a\n\n', 1, True),
+        (b'data: a\r\n\r\n', 1, True),
+        (b'data: a\n\r\n', 1, True),
+        (b'data: a\n\n\n: ping\n', 1, True),
+        (b'data: a\n\n: pi', 1, False),
+        (b'data: a\n\nid', 1, False),
+        (b'data: a\n', 0, False),
+        (b'data: a\n\ndata: [DONE]', 1, False),
+        (b'data: a\n\ndata: [DONE]\n', 1, False),
+        (b'data: a\r\n\r', 0, False),
+    ],
+)
+@pytest.mark.parametrize('step_bytes', [1, 3, 100])
+async def test_end_of_a_stream_inside_an_event_is_an_error(
+    data, count, is_whole, step_bytes
+):
+    """Guards against truncated events that are dropped without a trace."""
+    events = []
+    error = None
+    try:
+        async for event in sse.decode(pieces_of(data, step_bytes)):
+            events.append(event)
+    except protocol_errors.MalformedMessageError as raised:
+        error = raised
+    assert len(events) == count
+    assert (error is None) is is_whole
--- a/wrenspoke/protocol/sse.py
+++ b/wrenspoke/protocol/sse.py
@@ -1,6 +1,7 @@
 """Encoder and decoder of server-sent events."""
 
 import collections.abc
+import re
 
 import msgspec
 
@@ -9,6 +10,8 @@
 
 DONE = '[DONE]'
 EVENT_LIMIT_BYTES = 1024 * 1024
+# What may follow the last event: empty lines and whole comment lines.
+AFTER_EVENTS = re.compile(rb'(?:\n|:[^\n]*\n)*')
 
 
 class SseEvent(msgspec.Struct, frozen=True):
@@ -33,9 +36,12 @@
 async def decode(
     chunks: collections.abc.AsyncIterable[bytes],
 ) -> collections.abc.AsyncIterator[SseEvent]:
-    """Yield the events of a stream, without a truncated last event.
+    """Yield the events of a stream.
 
-    :raises MalformedMessageError: an event is too long or not UTF-8
+    A stream that ends inside an event was broken off, whatever ended it.
+
+    :raises MalformedMessageError: an event is too long, not UTF-8 or
+        truncated by the end of the stream
     """
     buffer = b''
     async for chunk in chunks:
@@ -49,6 +55,11 @@
             raise errors.MalformedMessageError(
                 f'event exceeds {EVENT_LIMIT_BYTES} bytes'
             )
+    if AFTER_EVENTS.fullmatch(buffer) is None:
+        raise errors.MalformedMessageError(
+            f'stream ended inside an event, {len(buffer)} bytes after the '
+            'last whole one'
+        )
 
 
 def _parse(block: bytes) -> SseEvent | None:
