Give responses that never have a body a framing of their own

What callers would see: HEAD on a streaming route, or a 204 there, from an endpoint that sends no length was answered 502 'closed its connection before the body', though there never is a body.

Evidence: both rows of test_response_without_a_body_is_not_taken_for_a_truncated_one failed on the code before with that 502. RFC 9112, 6.3 looks at the method and the status before any header, and so does body_framing now.

--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -2,9 +2,16 @@
 
 import pytest
 
+from tests import endpoints
+from tests import test_passing
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import sse
 
+CLOSE = endpoints.ScriptedEndpoint.CLOSE
+
+event_loop_policy = test_passing.event_loop_policy
+system = test_passing.system
+
 
 async def pieces_of(data, step_bytes):
     """Yield bytes as they arrive from a connection that then ends."""
@@ -42,3 +49,24 @@
         error = raised
     assert len(events) == count
     assert (error is None) is is_whole
+
+
+@pytest.mark.parametrize(
+    'method, status', [('HEAD', '200 OK'), ('GET', '204 No Content')]
+)
+async def test_response_without_a_body_is_not_taken_for_a_truncated_one(
+    system, method, status
+):
+    """Guards against bodies that are expected where there never is one."""
+    await system.put(test_passing.route(test_passing.STREAM))
+    head = f'HTTP/1.1 {status}\r\nContent-Type: text/event-stream\r\n'.encode()
+    endpoint = await system.add(
+        'e',
+        lambda sent, _number: [
+            head + endpoints.echo_header(sent, test_passing.ID) + b'\r\n',
+            CLOSE,
+        ],
+    )
+    got = await system.ask(test_passing.request(f'{method} /a/x HTTP/1.1'))
+    assert len(endpoint.requests) == 1
+    assert got.startswith(f'HTTP/1.1 {status}\r\n'.encode())
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -32,6 +32,7 @@
 AUTO_HEADERS = frozenset(
     ['Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type']
 )
+BODILESS_STATUSES = frozenset([204, 304])
 PORT_RANGE = range(10_000, 32_000)
 # SO_LINGER value with which a closed socket is reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -251,8 +252,12 @@
 
 
 class BodyFraming(enum.Enum):
-    """How the end of a response body is delimited (RFC 9112, 6.3)."""
+    """How the end of a response body is delimited (RFC 9112, 6.3).
 
+    ``NONE`` is that of responses that never have a body.
+    """
+
+    NONE = 'none'
     LENGTH = 'length'
     CHUNKED = 'chunked'
     CONNECTION = 'connection'
@@ -260,6 +265,8 @@
 
 def body_framing(response: aiohttp.ClientResponse) -> BodyFraming:
     """Return how the end of a response's body is delimited."""
+    if response.method == 'HEAD' or response.status in BODILESS_STATUSES:
+        return BodyFraming.NONE
     if 'chunked' in response.headers.get('Transfer-Encoding', '').lower():
         return BodyFraming.CHUNKED
     if response.content_length is not None:
