Test that truncated requests reach no endpoint

The same class on the side of callers: a connection that ends inside a request's body must not end the body.

--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -1,5 +1,7 @@
 """The end of a connection is not taken for the end of a message."""
 
+import asyncio
+
 import pytest
 
 from tests import endpoints
@@ -70,3 +72,34 @@
     got = await system.ask(test_passing.request(f'{method} /a/x HTTP/1.1'))
     assert len(endpoint.requests) == 1
     assert got.startswith(f'HTTP/1.1 {status}\r\n'.encode())
+
+
+@pytest.mark.parametrize(
+    'headers, body',
+    [
+        (['Content-Length: 10'], b'half'),
+        (['Content-Length: 10'], b''),
+        (['Transfer-Encoding: chunked'], b'4\r\nhalf\r\n'),
+        (['Transfer-Encoding: chunked'], b'4\r\nhalf\r\n0\r\n'),
+    ],
+    ids=['length', 'nothing', 'chunks', 'last chunk cut'],
+)
+async def test_truncated_request_reaches_no_endpoint(system, headers, body):
+    """Guards against requests that are run with a part of their body."""
+    await system.put(test_passing.route(test_passing.REPEATABLE))
+    endpoint = await system.add(
+        'e', lambda sent, _number: [test_passing.answer(sent)]
+    )
+    cut = test_passing.request('POST /a/x HTTP/1.1', headers, body)
+    address = system.entries[0].node.callers_address
+    ip, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(cut)
+    writer.write_eof()
+    got = await asyncio.wait_for(reader.read(), 10)
+    writer.close()
+    assert b' 200 ' not in got
+    await system.ask(test_passing.request(request_id='q2'))
+    assert [
+        endpoints.header(one, test_passing.ID) for one in endpoint.requests
+    ] == ['q2']
