Accept responses without length or chunks that show their end

What callers saw: an engine or service that answers with neither a length nor chunks, as the protocol allows, could not serve on the chat surface at all. Each of its answers was 'sent neither Content-Length nor chunked encoding', outcome unknown, with the work done.

The rule now, for a body that only its connection delimits: - a stream of a chat is whole if it has its end mark (as before); - the answer to a chat, and all content of a JSON type, has to be one JSON value, and not a bare number, of which any part is a number too; - an event stream of a service may not end inside an event; - other content ends with an orderly close, as RFC 9112 and the protocol say, unless there is none at all: then the endpoint may have crashed behind the head; - polls and orders decode their own answers, which are JSON objects. A reset is never an end. The check stays next to the endpoint: from there on the hosts declare the end. The docstring of ResponseBody.read_all promised an error for a body without a declared end that nothing raised; it now says what the class detects.

--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -9,9 +9,11 @@
 import contextlib
 import dataclasses
 import enum
+import re
 import urllib.parse
 
 import aiohttp
+import msgspec
 import structlog
 
 from wrenspoke import clock as clocks
@@ -20,6 +22,7 @@
 from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import guard as guards
+from wrenspoke.coordination.serving import event_tracker
 from wrenspoke.coordination.serving import placement
 from wrenspoke.coordination.serving import response_body
 from wrenspoke import ids
@@ -35,7 +38,9 @@
 logger = structlog.get_logger(__name__)
 
 MAX_HOPS = 1
-BODILESS_STATUSES = frozenset([204, 304])
+OK = 200
+EVENT_STREAM = 'text/event-stream'
+JSON_TYPE = re.compile(r'application/([^/]+\+)?json')
 # Header names in the responses of configured endpoints.
 DIALECT = dialects.Dialect()
 
@@ -219,11 +224,54 @@
 class EndpointResponse(response_body.ResponseBody):
     """Status and headers of an endpoint's response, and its body reader."""
 
-    def __init__(self, response: aiohttp.ClientResponse, name: str):
+    def __init__(self, response: aiohttp.ClientResponse, send: Send):
         super().__init__(response)
-        self.name = name
+        self.name = send.echo_id
         self.status = response.status
         self.headers = dict(response.headers)
+        self.framing = web.body_framing(response)
+        self._content_type = response.content_type
+        self._send = send
+
+    async def read_all(self, limit_bytes: int) -> bytes:
+        """Read and return the complete body.
+
+        A body that is delimited by its connection has to show its end in
+        its content, as a crashed endpoint may close its connections in order.
+
+        :raises MaybeSentError: it is truncated or exceeds ``limit_bytes``
+        """
+        body = await super().read_all(limit_bytes)
+        if self.framing is web.BodyFraming.CONNECTION:
+            self._verify_end(body)
+        return body
+
+    def _verify_end(self, body: bytes) -> None:
+        """Verify that the content of a body shows its end.
+
+        Content of which neither the type nor the request tells what its end
+        looks like ends with the connection, unless there is none.
+
+        :raises MaybeSentError: the body is truncated
+        """
+        head = self._send.head
+        if head is None:
+            # Polls and orders decode their own responses.
+            return
+        is_chat = head.kind is requests.RequestKind.CHAT and self.status == OK
+        if is_chat or JSON_TYPE.fullmatch(self._content_type):
+            is_whole = _is_whole_json(body)
+        elif self._content_type == EVENT_STREAM:
+            tracker = event_tracker.EventTracker(whole_only=True)
+            tracker.feed(body)
+            is_whole = bool(body) and not tracker.is_inside_event
+        else:
+            is_whole = bool(body)
+        if not is_whole:
+            raise errors.MaybeSentError(
+                f'{self._send.endpoint} closed its connection inside a '
+                f'{self._content_type} body, after {len(body)} bytes'
+            )
 
 
 class Dispatcher:
@@ -283,8 +331,7 @@
                 self._record_advertised(send, endpoint, send_permit, response)
                 self._raise_if_overloaded(send, response)
                 self._reject_mismatched_echo(send, endpoint, response)
-                _reject_unframed(send, response)
-                yield EndpointResponse(response, send.echo_id)
+                yield EndpointResponse(response, send)
             if run is not None:
                 self._guard.mark_succeeded(run)
         except transport_errors.NotSentError as error:
@@ -461,16 +508,11 @@
     return response.headers.get(headers.ECHOED_REQUEST_ID) == send.echo_id
 
 
-def _reject_unframed(send: Send, response: aiohttp.ClientResponse) -> None:
-    """Reject a body that is delimited by the end of the connection.
-
-    Its regular end can't be distinguished from a broken connection.
-    """
-    if send.method == 'HEAD' or response.status in BODILESS_STATUSES:
-        return
-    chunked = 'chunked' in response.headers.get('Transfer-Encoding', '')
-    if chunked or response.content_length is not None:
-        return
-    raise errors.MaybeSentError(
-        f'{send.endpoint} sent neither Content-Length nor chunked encoding'
-    )
+def _is_whole_json(body: bytes) -> bool:
+    """Return whether a body is one JSON value that can't be truncated."""
+    try:
+        value = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return False
+    # Of a number, any first digits are a number too.
+    return isinstance(value, bool) or not isinstance(value, (int, float))
--- a/wrenspoke/coordination/serving/response_body.py
+++ b/wrenspoke/coordination/serving/response_body.py
@@ -10,7 +10,12 @@
 
 
 class ResponseBody:
-    """Reads a body up to its declared end, buffered or streamed."""
+    """Reads a body up to its end, buffered or streamed.
+
+    A body with neither a length nor chunks ends with its connection. Of such
+    a body only a reset is detected here: a process that crashes may end its
+    connections in order.
+    """
 
     def __init__(self, response: aiohttp.ClientResponse):
         self._response = response
@@ -19,8 +24,7 @@
     async def read_all(self, limit_bytes: int) -> bytes:
         """Read and return the complete body.
 
-        :raises MaybeSentError: it is truncated, has no declared end or
-            exceeds ``limit_bytes``
+        :raises MaybeSentError: it is truncated or exceeds ``limit_bytes``
         """
         try:
             body = await web.read_body(self._response, limit_bytes)
