Ask another control host after a truncated answer to an operator

What operators saw: if a control host's answer lost its framing on the way (a proxy that speaks HTTP/1.0, say) and its connection ended early, nothing at all was shown as an empty answer with status 200, a part of a number as the number, and any other part ended the command with a DecodeError instead of going on to the next host.

Why it works: hosts declare the end of each body, so that one without is refused (read_declared_body) and an undecodable one counts as a failure of its host. Asking again is safe, as changes carry the operator's number.

--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -16,6 +16,7 @@
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import dispatch
 from wrenspoke.coordination.serving import streams
+from wrenspoke import operator as operators
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import requests
@@ -319,3 +320,45 @@
         await started.close()
         for scripted in engines:
             await scripted.close()
+
+
+def declared(sent, body, *lines):
+    """Return a response with a length, as hosts send it."""
+    head = [f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}', *lines]
+    return ['\r\n'.join(head).encode() + b'\r\n\r\n' + body]
+
+
+@contextlib.asynccontextmanager
+async def hosts_answering(*scripts):
+    """Run scripted hosts, and yield their URLs."""
+    started = [
+        await endpoints.ScriptedEndpoint(script).start() for script in scripts
+    ]
+    try:
+        yield [f'http://{one.address}' for one in started]
+    finally:
+        for one in started:
+            await one.close()
+
+
+# What the first host sends of an answer before its connection ends.
+CUT_ANSWERS = {
+    'nothing': b'',
+    'a part': b'{"hosts":[{"url":',
+    'a number': b'12',
+}
+
+
+@pytest.mark.parametrize('cut', CUT_ANSWERS)
+async def test_truncated_answer_to_an_operator_is_asked_for_again(cut):
+    """Guards against a part of an answer that is shown as the answer."""
+    async with hosts_answering(
+        lambda sent, _number: [*unframed(sent, JSON, CUT_ANSWERS[cut]), CLOSE],
+        lambda sent, _number: declared(sent, b'{"leader":"c2"}'),
+    ) as urls:
+        client = operators.OperatorClient(urls, 'token', 3_000)
+        try:
+            found = await client.show('/status')
+        finally:
+            await client.close()
+    assert (found.status, found.body) == (200, {'leader': 'c2'})
--- a/wrenspoke/operator.py
+++ b/wrenspoke/operator.py
@@ -86,6 +86,7 @@
                 except (
                     transport_errors.TransportError,
                     TimeoutError,
+                    msgspec.DecodeError,
                 ) as error:
                     problem = f'{url}: {error!r}'
                     continue
@@ -103,7 +104,7 @@
             async with self._client.send(
                 method, url, self._headers, data, new_connection=True
             ) as found:
-                raw = await web.read_body(found, ANSWER_LIMIT_BYTES)
+                raw = await web.read_declared_body(found, ANSWER_LIMIT_BYTES)
         body = msgspec.json.decode(raw) if raw else {}
         return operator_api.OperatorResponse(found.status, body)
 
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -296,6 +296,24 @@
     return b''.join(chunks)
 
 
+async def read_declared_body(
+    response: aiohttp.ClientResponse, limit_bytes: int
+) -> bytes:
+    """Return the complete body of a response of one of our hosts.
+
+    Hosts declare the end of each body. One that ends with its connection has
+    lost its framing on the way, and may be truncated.
+
+    :raises MaybeSentError: it is truncated, declares no end or exceeds
+        ``limit_bytes``
+    """
+    if body_framing(response) is BodyFraming.CONNECTION:
+        raise errors.MaybeSentError(
+            f'response with status {response.status} declares no end'
+        )
+    return await read_body(response, limit_bytes)
+
+
 async def read_chunks(
     response: aiohttp.ClientResponse,
 ) -> collections.abc.AsyncIterator[bytes]:
