Fail over from a truncated answer in the caller

What callers saw: an answer that lost its framing behind its host (a proxy that speaks HTTP/1.0, say) and ended early was 'whole', as its head says so. Such a directory ended refresh() with a DecodeError or TypeError instead of being fetched from the next host, a CallerError being what it promises.

Evidence: test_truncated_answer_to_a_caller_is_not_whole (result 'whole' with half of the body) and 3 of 3 rows of test_truncated_directory_is_fetched_from_another_host failed on the code before.

Why it works: hosts declare the end of each body; an answer without is 'lost', and the next host is asked under the same request id, as after any broken connection. Streams are unchanged: they have an end mark.

--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -11,6 +11,7 @@
 from tests import test_dispatch
 from tests import test_endpoints
 from tests import test_passing
+from wrenspoke import caller as callers
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors as coordination_errors
 from wrenspoke.coordination.membership import replica
@@ -362,3 +363,38 @@
         finally:
             await client.close()
     assert (found.status, found.body) == (200, {'leader': 'c2'})
+
+
+@pytest.mark.parametrize('cut', CUT_ANSWERS)
+async def test_truncated_directory_is_fetched_from_another_host(cut):
+    """Guards against a caller that gives up, or drops its hosts."""
+    async with hosts_answering(
+        lambda sent, _number: [*unframed(sent, JSON, CUT_ANSWERS[cut]), CLOSE],
+        lambda sent, _number: declared(sent, b'{"hosts":[{"url":"h2"}]}'),
+    ) as urls:
+        caller = callers.Caller(urls)
+        try:
+            assert await caller.refresh() == ['h2']
+        finally:
+            await caller.close()
+
+
+async def test_truncated_answer_to_a_caller_is_not_whole():
+    """Guards against answers whose framing was lost behind their host."""
+    outcome = f'{headers.OUTCOME}: whole'
+
+    def cut(sent, _number):
+        head, *pieces = unframed(sent, 'text/plain', b'lift')
+        head = head.replace(b'\r\n\r\n', f'\r\n{outcome}\r\n\r\n'.encode())
+        return [head, *pieces, CLOSE]
+
+    async with hosts_answering(
+        cut, lambda sent, _number: declared(sent, b'lift 3', outcome)
+    ) as urls:
+        caller = callers.Caller(urls)
+        try:
+            result = await caller.call('GET', 'records', '/map')
+        finally:
+            await caller.close()
+    assert (result.outcome, result.body) == ('whole', b'lift 3')
+    assert result.hosts == urls
--- a/wrenspoke/caller.py
+++ b/wrenspoke/caller.py
@@ -81,9 +81,14 @@
         for url in self._urls:
             try:
                 async with self.client.send('GET', url + path, {}) as found:
-                    body = await web.read_body(found, ANSWER_LIMIT_BYTES)
-                    return msgspec.json.decode(body)
-            except transport_errors.TransportError as error:
+                    body = await web.read_declared_body(
+                        found, ANSWER_LIMIT_BYTES
+                    )
+                return msgspec.json.decode(body)
+            except (
+                transport_errors.TransportError,
+                msgspec.DecodeError,
+            ) as error:
                 problems.append(f'{url}: {error}')
         raise CallerError('; '.join(problems))
 
@@ -188,7 +193,9 @@
             if found.status == OK and kind.startswith(EVENT_STREAM):
                 await self._read_stream(found, total, on_text, started_ms)
                 return
-            total.body = await web.read_body(found, ANSWER_LIMIT_BYTES)
+            total.body = await web.read_declared_body(
+                found, ANSWER_LIMIT_BYTES
+            )
             if total.first_ms is None:
                 total.first_ms = self._clock.mono_ms() - started_ms
             total.outcome = found.headers.get(headers.OUTCOME, 'lost')
