--- /dev/null
+++ b/tests/test_truncated.py
@@ -0,0 +1,400 @@
+"""The end of a connection is not taken for the end of a message."""
+
+import asyncio
+import contextlib
+
+import msgspec
+import pytest
+
+from tests import endpoints
+from tests import fleet
+from tests import test_dispatch
+from tests import test_endpoints
+from tests import test_passing
+from wrenspoke import caller as callers
+from wrenspoke import clock as clocks
+from wrenspoke.coordination import errors as coordination_errors
+from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import streams
+from wrenspoke import operator as operators
+from wrenspoke.protocol import errors as protocol_errors
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import requests
+from wrenspoke.protocol import sse
+from wrenspoke.standin import engine
+from wrenspoke.state import configuration
+from wrenspoke.transport import web
+
+CLOSE = endpoints.ScriptedEndpoint.CLOSE
+RESET = endpoints.ScriptedEndpoint.RESET
+
+event_loop_policy = test_passing.event_loop_policy
+system = test_passing.system
+
+
+async def pieces_of(data, step_bytes):
+    """Yield bytes as they arrive from a connection that then ends."""
+    for start in range(0, len(data), step_bytes):
+        yield data[start : start + step_bytes]
+
+
+@pytest.mark.parametrize(
+    'data, count, is_whole',
+    [
+        (b'', 0, True),
+        (b'data: a\n\n', 1, True),
+        (b'data: a\r\n\r\n', 1, True),
+        (b'data: a\n\r\n', 1, True),
+        (b'data: a\n\n\n: ping\n', 1, True),
+        (b'data: a\n\n: pi', 1, False),
+        (b'data: a\n\nid', 1, False),
+        (b'data: a\n', 0, False),
+        (b'data: a\n\ndata: [DONE]', 1, False),
+        (b'data: a\n\ndata: [DONE]\n', 1, False),
+        (b'data: a\r\n\r', 0, False),
+    ],
+)
+@pytest.mark.parametrize('step_bytes', [1, 3, 100])
+async def test_end_of_a_stream_inside_an_event_is_an_error(
+    data, count, is_whole, step_bytes
+):
+    """Guards against truncated events that are dropped without a trace."""
+    events = []
+    error = None
+    try:
+        async for event in sse.decode(pieces_of(data, step_bytes)):
+            events.append(event)
+    except protocol_errors.MalformedMessageError as raised:
+        error = raised
+    assert len(events) == count
+    assert (error is None) is is_whole
+
+
+@pytest.mark.parametrize(
+    'method, status', [('HEAD', '200 OK'), ('GET', '204 No Content')]
+)
+async def test_response_without_a_body_is_not_taken_for_a_truncated_one(
+    system, method, status
+):
+    """Guards against bodies that are expected where there never is one."""
+    await system.put(test_passing.route(test_passing.STREAM))
+    head = f'HTTP/1.1 {status}\r\nContent-Type: text/event-stream\r\n'.encode()
+    endpoint = await system.add(
+        'e',
+        lambda sent, _number: [
+            head + endpoints.echo_header(sent, test_passing.ID) + b'\r\n',
+            CLOSE,
+        ],
+    )
+    got = await system.ask(test_passing.request(f'{method} /a/x HTTP/1.1'))
+    assert len(endpoint.requests) == 1
+    assert got.startswith(f'HTTP/1.1 {status}\r\n'.encode())
+
+
+@pytest.mark.parametrize(
+    'sent, body',
+    [
+        (['Content-Length: 10'], b'half'),
+        (['Content-Length: 10'], b''),
+        (['Transfer-Encoding: chunked'], b'4\r\nhalf\r\n'),
+        (['Transfer-Encoding: chunked'], b'4\r\nhalf\r\n0\r\n'),
+    ],
+    ids=['length', 'nothing', 'chunks', 'last chunk cut'],
+)
+async def test_truncated_request_reaches_no_endpoint(system, sent, body):
+    """Guards against requests that are run with a part of their body."""
+    await system.put(test_passing.route(test_passing.REPEATABLE))
+    endpoint = await system.add(
+        'e', lambda sent, _number: [test_passing.answer(sent)]
+    )
+    cut = test_passing.request('POST /a/x HTTP/1.1', sent, body)
+    address = system.entries[0].node.callers_address
+    ip, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(cut)
+    writer.write_eof()
+    got = await asyncio.wait_for(reader.read(), 10)
+    writer.close()
+    assert b' 200 ' not in got
+    await system.ask(test_passing.request(request_id='q2'))
+    assert [
+        endpoints.header(one, test_passing.ID) for one in endpoint.requests
+    ] == ['q2']
+
+
+JSON = 'application/json'
+CHAT = requests.RequestKind.CHAT
+PLAIN = requests.RequestKind.PLAIN
+WHOLE = '{"choices":[{"message":{"content":"Ja, Grüße"}}]}'.encode()
+EVENT = b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'
+DONE = b'data: [DONE]\n\n'
+
+
+def unframed(sent, kind, *pieces, status='200 OK'):
+    """Return a response with neither a length nor chunks."""
+    head = (
+        f'HTTP/1.1 {status}\r\nContent-Type: {kind}\r\n'.encode()
+        + endpoints.echo_header(sent, headers.ECHOED_REQUEST_ID)
+        + b'\r\n'
+    )
+    return [head, *pieces]
+
+
+@contextlib.asynccontextmanager
+async def sent_to(script, kind=CHAT, method='POST'):
+    """Send work to a configured endpoint, and yield the response."""
+    engine = await endpoints.ScriptedEndpoint(script).start()
+    found = configuration.Endpoint(
+        'e', 's', 'north', 'hall', f'http://{engine.address}'
+    )
+    known = replica.Replica()
+    known.current = configuration.Configuration(endpoints={'e': found})
+    known.serving = True
+    client = web.HttpClient(1_000)
+    clock = clocks.Clock()
+    dispatcher = dispatch.Dispatcher('h', 'north', known, client, clock)
+    head = requests.RequestHead(
+        'r1', kind, method, '/', 's', clock.mono_ms() + 5_000
+    )
+    work = dispatch.Send(
+        dispatch.Purpose.FIRST,
+        'e',
+        method,
+        '/',
+        b'{}',
+        head,
+        test_dispatch.slot(found),
+    )
+    try:
+        async with dispatcher.send(work) as answer:
+            yield answer
+    finally:
+        await client.close()
+        await engine.close()
+
+
+# Kind of the request, status, content type, body, whether it is whole.
+UNFRAMED = [
+    (CHAT, '200 OK', JSON, WHOLE, True),
+    (CHAT, '200 OK', 'application/json; charset=utf-8', WHOLE + b'\n', True),
+    (CHAT, '200 OK', JSON, WHOLE[:-1], False),
+    (CHAT, '200 OK', JSON, WHOLE[:40], False),
+    (CHAT, '200 OK', JSON, b'', False),
+    (CHAT, '200 OK', JSON, b'12', False),
+    (CHAT, '200 OK', 'text/plain', b'Ja', False),
+    (CHAT, '500 Error', 'text/plain', b'fault', True),
+    (PLAIN, '200 OK', JSON, WHOLE, True),
+    (PLAIN, '200 OK', JSON, WHOLE[:-1], False),
+    (PLAIN, '200 OK', 'application/problem+json', WHOLE[:-1], False),
+    (PLAIN, '200 OK', 'text/event-stream', EVENT, True),
+    (PLAIN, '200 OK', 'text/event-stream', EVENT[:-1], False),
+    (PLAIN, '200 OK', 'text/plain', b'lift 3', True),
+    (PLAIN, '200 OK', 'text/plain', b'', False),
+    (PLAIN, '204 No Content', 'text/plain', b'', True),
+]
+
+
+@pytest.mark.parametrize(
+    'kind, status, content_type, body, is_whole',
+    UNFRAMED,
+    ids=[
+        f'{row[0].value} {row[1]} {row[2]} {len(row[3])}' for row in UNFRAMED
+    ],
+)
+async def test_response_without_length_is_whole_if_it_shows_its_end(
+    kind, status, content_type, body, is_whole
+):
+    """Guards against refusing such responses, and against taking them all."""
+    pieces = [body[:5], body[5:]] if body else []
+    try:
+        async with sent_to(
+            lambda sent, _number: [
+                *unframed(sent, content_type, *pieces, status=status),
+                CLOSE,
+            ],
+            kind,
+        ) as answer:
+            got = await answer.read_all(1_000)
+    except coordination_errors.MaybeSentError:
+        got = None
+    assert got == (body if is_whole else None)
+
+
+@pytest.mark.parametrize('kind', [CHAT, PLAIN])
+async def test_reset_response_without_length_is_not_whole(kind):
+    """Guards against resets behind bytes that look whole."""
+    with pytest.raises(coordination_errors.MaybeSentError):
+        async with sent_to(
+            lambda sent, _number: [*unframed(sent, JSON, WHOLE), RESET], kind
+        ) as answer:
+            await answer.read_all(1_000)
+
+
+class FakeReply:
+    """Counts the events of a stream."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def send_event(self, event):
+        self.sent.append(event)
+
+
+@pytest.mark.parametrize(
+    'pieces, count, is_whole',
+    [
+        ((EVENT, DONE), 2, True),
+        ((EVENT, EVENT[:9], EVENT[9:], DONE), 3, True),
+        ((DONE,), 1, True),
+        ((), 0, False),
+        ((EVENT,), 1, False),
+        ((EVENT, EVENT[:-1]), 1, False),
+        ((EVENT, DONE[:-1]), 1, False),
+        ((EVENT, DONE[:-2]), 1, False),
+    ],
+)
+async def test_stream_without_length_is_whole_if_it_has_its_end_mark(
+    pieces, count, is_whole
+):
+    transcript = streams.Transcript(b'{}', 0)
+    reply = FakeReply()
+    try:
+        async with sent_to(
+            lambda sent, _number: [
+                *unframed(sent, 'text/event-stream', *pieces),
+                CLOSE,
+            ]
+        ) as answer:
+            await streams.relay_events(
+                answer.chunks(), transcript, reply, 2_000, 2_000, lambda: None
+            )
+        ended = True
+    except coordination_errors.MaybeSentError:
+        ended = False
+    assert len(reply.sent) == count
+    assert (ended, transcript.finished) == (is_whole, is_whole)
+
+
+@pytest.mark.parametrize('is_stream', [True, False])
+async def test_engine_that_frames_by_its_connection_serves_chats(
+    tmp_path, is_stream
+):
+    """The whole way: caller, entry host, engine; the first answer is cut."""
+    made = fleet.deployment(regions=('north',), engines=2, plains=0)
+    started = fleet.Fleet(tmp_path, made)
+    words = ''.join(engine.answer_words(test_endpoints.MESSAGES, 16))
+    answered = []
+
+    def script(sent, _number):
+        if sent.startswith(b'GET /load '):
+            return [*unframed(sent, JSON, b'{"running":0,"waiting":0}'), CLOSE]
+        if not sent.startswith(b'POST '):
+            return [*unframed(sent, JSON, status='404 Not Found'), CLOSE]
+        answered.append(sent)
+        if b'continue_final_message' in sent:
+            return [*unframed(sent, 'text/event-stream', DONE), CLOSE]
+        kind = 'text/event-stream' if is_stream else JSON
+        delta = 'delta' if is_stream else 'message'
+        body = msgspec.json.encode({'choices': [{delta: {'content': words}}]})
+        if is_stream:
+            body = b'data: ' + body + b'\n\ndata: [DONE]\n\n'
+        cut = body[:-2] if len(answered) == 1 else body
+        return [*unframed(sent, kind, cut[:20], cut[20:]), CLOSE]
+
+    engines = []
+    try:
+        for found in made['endpoints']:
+            scripted = endpoints.ScriptedEndpoint(script)
+            scripted.address = found['url'].removeprefix('http://')
+            await scripted.listen_at_same_address()
+            engines.append(scripted)
+        started.start_entry('north-1')
+        await started.wait_serving()
+        chat = test_endpoints.chat_body(is_stream)
+        first = await started.caller('north-1').chat(chat)
+        second = await started.caller('north-1').chat(chat)
+        assert first.outcome == second.outcome == 'whole', (first, second)
+        assert first.text == second.text == words
+        assert len(answered) == 3
+    finally:
+        await started.close()
+        for scripted in engines:
+            await scripted.close()
+
+
+def declared(sent, body, *lines):
+    """Return a response with a length, as hosts send it."""
+    head = [f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}', *lines]
+    return ['\r\n'.join(head).encode() + b'\r\n\r\n' + body]
+
+
+@contextlib.asynccontextmanager
+async def hosts_answering(*scripts):
+    """Run scripted hosts, and yield their URLs."""
+    started = [
+        await endpoints.ScriptedEndpoint(script).start() for script in scripts
+    ]
+    try:
+        yield [f'http://{one.address}' for one in started]
+    finally:
+        for one in started:
+            await one.close()
+
+
+# What the first host sends of an answer before its connection ends.
+CUT_ANSWERS = {
+    'nothing': b'',
+    'a part': b'{"hosts":[{"url":',
+    'a number': b'12',
+}
+
+
+@pytest.mark.parametrize('cut', CUT_ANSWERS)
+async def test_truncated_answer_to_an_operator_is_asked_for_again(cut):
+    """Guards against a part of an answer that is shown as the answer."""
+    async with hosts_answering(
+        lambda sent, _number: [*unframed(sent, JSON, CUT_ANSWERS[cut]), CLOSE],
+        lambda sent, _number: declared(sent, b'{"leader":"c2"}'),
+    ) as urls:
+        client = operators.OperatorClient(urls, 'token', 3_000)
+        try:
+            found = await client.show('/status')
+        finally:
+            await client.close()
+    assert (found.status, found.body) == (200, {'leader': 'c2'})
+
+
+@pytest.mark.parametrize('cut', CUT_ANSWERS)
+async def test_truncated_directory_is_fetched_from_another_host(cut):
+    """Guards against a caller that gives up, or drops its hosts."""
+    async with hosts_answering(
+        lambda sent, _number: [*unframed(sent, JSON, CUT_ANSWERS[cut]), CLOSE],
+        lambda sent, _number: declared(sent, b'{"hosts":[{"url":"h2"}]}'),
+    ) as urls:
+        caller = callers.Caller(urls)
+        try:
+            assert await caller.refresh() == ['h2']
+        finally:
+            await caller.close()
+
+
+async def test_truncated_answer_to_a_caller_is_not_whole():
+    """Guards against answers whose framing was lost behind their host."""
+    outcome = f'{headers.OUTCOME}: whole'
+
+    def cut(sent, _number):
+        head, *pieces = unframed(sent, 'text/plain', b'lift')
+        head = head.replace(b'\r\n\r\n', f'\r\n{outcome}\r\n\r\n'.encode())
+        return [head, *pieces, CLOSE]
+
+    async with hosts_answering(
+        cut, lambda sent, _number: declared(sent, b'lift 3', outcome)
+    ) as urls:
+        caller = callers.Caller(urls)
+        try:
+            result = await caller.call('GET', 'records', '/map')
+        finally:
+            await caller.close()
+    assert (result.outcome, result.body) == ('whole', b'lift 3')
+    assert result.hosts == urls
