Detect the end of a stream inside a large event

What callers would see: of an event over 1 MiB of a resumable stream the first part is forwarded unbuffered, and the tracker then forgot that it was inside an event. A stream that ended there was framed as complete, or resumed before the event, so that parts of two runs were joined.

Cause: the state of the tracker was its buffer alone. It now remembers what it has forwarded of an event, and its id; such a stream is broken off, not resumed. An id behind a byte order mark or a lone carriage return was missed too, so that a stream went on too early.

--- a/wrenspoke/coordination/serving/call_context.py
+++ b/wrenspoke/coordination/serving/call_context.py
@@ -59,6 +59,14 @@
         """Return the call's route, restricted to its team's homes."""
         return self.permit.route
 
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether another endpoint may continue the response.
+
+        A part of an event that was forwarded can't be taken back.
+        """
+        return self.tracker is None or not self.tracker.has_forwarded_partial
+
     def record_piece(self, now_ms: int) -> None:
         """Record that a piece of the response is sent to the caller."""
         if self.last_piece_at_ms is not None:
--- a/wrenspoke/coordination/serving/event_tracker.py
+++ b/wrenspoke/coordination/serving/event_tracker.py
@@ -12,8 +12,10 @@
 # event by itself, as its line feed may still come.
 EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r|\n\r\n')
 # What may stand between two events: empty lines and whole comment lines.
-BETWEEN_EVENTS = re.compile(rb'(?:[\r\n]|:[^\r\n]*[\r\n])*')
-ID_LINE = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
+BETWEEN_EVENTS = re.compile(rb'(?:\xef\xbb\xbf)?(?:[\r\n]|:[^\r\n]*[\r\n])*')
+ID_LINE = re.compile(rb'(?:\A(?:\xef\xbb\xbf)?|[\r\n])id: ?([^\r\n]*)')
+# Bytes of a forwarded partial event that may begin its last line end.
+TAIL_BYTES = 3
 # Streams with larger events are forwarded unbuffered.
 EVENT_BUFFER_LIMIT_BYTES = 1024 * 1024
 
@@ -24,6 +26,8 @@
     def __init__(self, whole_only: bool):
         self._whole_only = whole_only
         self._buffer = b''
+        self._forwarded_bytes = 0
+        self._forwarded_id: str | None = None
         self.last_id: str | None = None
         self.event_count = 0
 
@@ -40,10 +44,16 @@
             self._record_event(self._buffer[end : found.end()])
             end = found.end()
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
-        if self._whole_only and len(self._buffer) <= EVENT_BUFFER_LIMIT_BYTES:
+        if end:
+            complete = complete[self._forwarded_bytes :]
+            self._forwarded_bytes = 0
+        if self._whole_only and (
+            len(self._buffer) <= EVENT_BUFFER_LIMIT_BYTES
+            and not self._forwarded_bytes
+        ):
             return complete
         if self._whole_only:
-            return complete + self._flush_buffer()
+            return complete + self._forward_partial()
         # Forwarded as received, but parsed in whole events.
         self._buffer = self._buffer[-EVENT_BUFFER_LIMIT_BYTES:]
         return data
@@ -51,12 +61,39 @@
     @property
     def is_inside_event(self) -> bool:
         """Return whether the bytes received so far end inside an event."""
-        return BETWEEN_EVENTS.fullmatch(self._buffer) is None
+        return (
+            self.has_forwarded_partial
+            or BETWEEN_EVENTS.fullmatch(self._buffer) is None
+        )
+
+    @property
+    def has_forwarded_partial(self) -> bool:
+        """Return whether a part of an event was forwarded.
+
+        Events over ``EVENT_BUFFER_LIMIT_BYTES`` are; until such an event is
+        whole, another endpoint would repeat it from its start.
+        """
+        return self._forwarded_bytes > 0
+
+    def _forward_partial(self) -> bytes:
+        """Return the unsent part of an event that is too large to buffer."""
+        data = self._buffer[self._forwarded_bytes :]
+        self._record_forwarded_id()
+        self._buffer = self._buffer[-TAIL_BYTES:]
+        self._forwarded_bytes = len(self._buffer)
+        return data
+
+    def _record_forwarded_id(self) -> None:
+        found = ID_LINE.search(self._buffer)
+        if found is not None and not self._forwarded_bytes:
+            self._forwarded_id = found.group(1).decode('utf-8', 'replace')
 
     def _record_event(self, event: bytes) -> None:
         self.event_count += 1
         found = ID_LINE.search(event)
-        if found is not None:
+        if self._forwarded_id is not None:
+            self.last_id, self._forwarded_id = self._forwarded_id, None
+        elif found is not None:
             self.last_id = found.group(1).decode('utf-8', 'replace')
 
     def _flush_buffer(self) -> bytes:
