Look for the last event in event streams only

Cause: the check assumed that what a stream route answers is a stream of events that can be read. It now asks the type and encoding of the answer; such an answer ends as its framing says, and can't continue a stream.

--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -438,7 +438,7 @@
             raise errors.MaybeSentError(
                 f'{destination.name} closed its connection before the body'
             )
-        if tracker.is_inside_event:
+        if answer.has_events and tracker.is_inside_event:
             raise errors.MaybeSentError(
                 f'stream of {destination.name} ended inside an event, '
                 f'{tracker.partial_bytes} bytes after event {tracker.last_id}'
@@ -464,6 +464,9 @@
         if answer.status not in OK_STATUSES:
             context.cause = f'not resumed: status {answer.status}'
             return False
+        if not answer.has_events:
+            context.cause = 'not resumed: the answer is no event stream'
+            return False
         logger.info(
             'stream_resumed',
             request=context.call.request,
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -36,6 +36,7 @@
 
 logger = structlog.get_logger(__name__)
 
+EVENT_STREAM = 'text/event-stream'
 # Traffic kinds for bodies, counted without heads, beside link messages.
 CALL, ANSWER = 'call_body', 'answer_body'
 
@@ -99,6 +100,8 @@
     """Head of a response, and the reader of its body.
 
     ``runs`` is how many endpoints a forwarding host used for the call.
+    ``has_events`` is whether the body is a readable event stream, whose
+    events show where it ends.
     """
 
     def __init__(
@@ -111,6 +114,11 @@
         self.verdict = verdict
         self.status = response.status
         self.framing = web.body_framing(response)
+        kind = response.headers.get('Content-Type', EVENT_STREAM)
+        self.has_events = (
+            kind.partition(';')[0].strip().lower() == EVENT_STREAM
+            and 'Content-Encoding' not in response.headers
+        )
         self.fields = dialects.response_fields(response.raw_headers)
         self.refused = _parse_refusal(
             response.headers.get(passthrough_api.REFUSED_HEADER)
