Reset HTTP/1.0 callers of streams that a stopping host cuts

What callers would see: the reset of a broken stream covered only streams that we gave up on. A host that stopped, or was killed, closed the socket in order, which ends the body of a caller without chunks.

Cause: the close mode was set at the abort, not for the time in which only the connection delimits the body. It is set with the head now, and set back once the body is complete, so that it holds for a kill as well (by reading; a SIGKILL was not run). Evidence: row first-1.0 of test_stream_of_a_host_that_stops_is_not_complete failed on the code before.

--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -102,6 +102,7 @@
         self._close = close
         self.response: web.StreamResponse | None = None
         self.status = 0
+        self._resets_on_close = False
         self.runs: int | None = None
 
     @property
@@ -128,6 +129,11 @@
         )
         if self._request.version == aiohttp.HttpVersion11:
             response.enable_chunked_encoding()
+        else:
+            # Only the connection delimits the body: until it is complete,
+            # an orderly close would look like its end.
+            transport.set_close_mode(self._request, transport.RESET_ON_CLOSE)
+            self._resets_on_close = True
         await self._prepare(response, status)
 
     async def _prepare(
@@ -157,6 +163,8 @@
     async def end(self) -> None:
         """Send the end of the body."""
         await self._write_eof(self.response)
+        if self._resets_on_close:
+            transport.set_close_mode(self._request, transport.ORDERLY_CLOSE)
 
     async def _write_eof(self, response: web.StreamResponse) -> None:
         try:
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -34,7 +34,8 @@
 )
 BODILESS_STATUSES = frozenset([204, 304])
 PORT_RANGE = range(10_000, 32_000)
-# SO_LINGER value with which a closed socket is reset.
+# SO_LINGER values with which a closed socket ends in order, or is reset.
+ORDERLY_CLOSE = struct.pack('ii', 0, 0)
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _ALLOCATED_PORTS: set[int] = set()
 # Descriptors of lock files, kept open until the process exits.
@@ -406,20 +407,21 @@
             await self._runner.cleanup()
 
 
-def abort(request: web.BaseRequest) -> None:
-    """Abort a caller's connection, so that its response is truncated.
+def set_close_mode(request: web.BaseRequest, linger: bytes) -> None:
+    """Set how a caller's socket is closed, also if this process is killed.
 
-    The connection is reset: to a caller of HTTP/1.0, whose response is
-    delimited by its connection, an orderly close would look complete.
+    ``linger`` is ``ORDERLY_CLOSE`` or ``RESET_ON_CLOSE``.
     """
-    transport = request.transport
-    if transport is None:
-        return
-    if request.version < aiohttp.HttpVersion11:
-        transport.get_extra_info('socket').setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+    if request.transport is not None:
+        request.transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger
         )
-    transport.abort()
+
+
+def abort(request: web.BaseRequest) -> None:
+    """Abort a caller's connection, so that its response is truncated."""
+    if request.transport is not None:
+        request.transport.abort()
 
 
 def free_ports(count: int) -> list[int]:
