Fail a body whose connection this side closes

Not reachable today, as servers stop before their clients do: a body that only its connection delimits was taken as complete when our own client closed the connection (connection_lost without an error).

--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -69,6 +69,11 @@
             self._fail_payload(exc)
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Fail a body that this side closes before its end."""
+        self._fail_payload(ConnectionAbortedError('connection closed'))
+        super().close()
+
     def _fail_payload(self, error: BaseException) -> None:
         payload = self._payload
         if payload is not None and not payload.is_eof():
