--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -32,8 +32,10 @@
 AUTO_HEADERS = frozenset(
     ['Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type']
 )
+BODILESS_STATUSES = frozenset([204, 304])
 PORT_RANGE = range(10_000, 32_000)
-# SO_LINGER value with which a closed socket is reset.
+# SO_LINGER values with which a closed socket ends in order, or is reset.
+ORDERLY_CLOSE = struct.pack('ii', 0, 0)
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _ALLOCATED_PORTS: set[int] = set()
 # Descriptors of lock files, kept open until the process exits.
@@ -67,6 +69,11 @@
             self._fail_payload(exc)
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Fail a body that this side closes before its end."""
+        self._fail_payload(ConnectionAbortedError('connection closed'))
+        super().close()
+
     def _fail_payload(self, error: BaseException) -> None:
         payload = self._payload
         if payload is not None and not payload.is_eof():
@@ -251,8 +258,12 @@
 
 
 class BodyFraming(enum.Enum):
-    """How the end of a response body is delimited (RFC 9112, 6.3)."""
+    """How the end of a response body is delimited (RFC 9112, 6.3).
+
+    ``NONE`` is that of responses that never have a body.
+    """
 
+    NONE = 'none'
     LENGTH = 'length'
     CHUNKED = 'chunked'
     CONNECTION = 'connection'
@@ -260,6 +271,8 @@
 
 def body_framing(response: aiohttp.ClientResponse) -> BodyFraming:
     """Return how the end of a response's body is delimited."""
+    if response.method == 'HEAD' or response.status in BODILESS_STATUSES:
+        return BodyFraming.NONE
     if 'chunked' in response.headers.get('Transfer-Encoding', '').lower():
         return BodyFraming.CHUNKED
     if response.content_length is not None:
@@ -289,6 +302,24 @@
     return b''.join(chunks)
 
 
+async def read_declared_body(
+    response: aiohttp.ClientResponse, limit_bytes: int
+) -> bytes:
+    """Return the complete body of a response of one of our hosts.
+
+    Hosts declare the end of each body. One that ends with its connection has
+    lost its framing on the way, and may be truncated.
+
+    :raises MaybeSentError: it is truncated, declares no end or exceeds
+        ``limit_bytes``
+    """
+    if body_framing(response) is BodyFraming.CONNECTION:
+        raise errors.MaybeSentError(
+            f'response with status {response.status} declares no end'
+        )
+    return await read_body(response, limit_bytes)
+
+
 async def read_chunks(
     response: aiohttp.ClientResponse,
 ) -> collections.abc.AsyncIterator[bytes]:
@@ -381,20 +412,21 @@
             await self._runner.cleanup()
 
 
-def abort(request: web.BaseRequest) -> None:
-    """Abort a caller's connection, so that its response is truncated.
+def set_close_mode(request: web.BaseRequest, linger: bytes) -> None:
+    """Set how a caller's socket is closed, also if this process is killed.
 
-    The connection is reset: to a caller of HTTP/1.0, whose response is
-    delimited by its connection, an orderly close would look complete.
+    ``linger`` is ``ORDERLY_CLOSE`` or ``RESET_ON_CLOSE``.
     """
-    transport = request.transport
-    if transport is None:
-        return
-    if request.version < aiohttp.HttpVersion11:
-        transport.get_extra_info('socket').setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+    if request.transport is not None:
+        request.transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger
         )
-    transport.abort()
+
+
+def abort(request: web.BaseRequest) -> None:
+    """Abort a caller's connection, so that its response is truncated."""
+    if request.transport is not None:
+        request.transport.abort()
 
 
 def free_ports(count: int) -> list[int]:
