Let a stand-in continue a stream with events

test_later_attempt_uses_the_homes_in_force_then[resume-*] failed since streams that end inside an event count as broken off: its second endpoint continued a stream with the text 'whole', which is no event, so that the call was sent once more. The stand-in now sends the last event; what the test asserts (the bodies that are forwarded, and their number) stays.

--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -92,11 +92,23 @@
     return head + event, b''
 
 
+def whole_answer(sent, _number):
+    """Return a whole answer."""
+    return [answer(sent)]
+
+
+def rest_of_stream(sent, _number):
+    """Return the last event of a stream."""
+    event = b'id: 2\ndata: b\n\n'
+    return [*test_passing.chunked(sent, event), test_passing.END]
+
+
 KINDS = {
-    'repeat': (routes.RouteKind.REPEATABLE, failure, {}),
+    'repeat': (routes.RouteKind.REPEATABLE, failure, whole_answer, {}),
     'resume': (
         routes.RouteKind.STREAM,
         broken_stream,
+        rest_of_stream,
         {'resumable': True},
     ),
 }
@@ -112,7 +124,7 @@
     system, kind, homes, tries, monkeypatch
 ):
     """The homes change while the first endpoint serves the call."""
-    route_kind, script, changes = KINDS[kind]
+    route_kind, script, second_script, changes = KINDS[kind]
 
     def route(**more):
         return test_passing.route(
@@ -122,7 +134,7 @@
     await system.put(route())
     first = await HoldingEndpoint(script).start()
     await system.register('e1', first)
-    there = await system.add('e2', 'south-hall')
+    there = await system.add('e2', 'south-hall', second_script)
     await test_far.wait_for_pongs(system)
     taken = record_forwarded_bodies(monkeypatch, *system.entries[1:])
     asked = start_request(system)
