Let a stream go on only at the build that began it

Cause: nothing in the system knew the build that began a stream. The rest of a stream was placed like a new request: by the same host after a failure, by a host of another region after a hop, and by any host after a take-up, whose `Resumes` nobody read.

The build is a part of a registration, so of one life of an endpoint. A call is bound to the build of its first event, and endpoints, regions and hops are chosen within it. The host that the caller is connected to stores it, as the request is sent, at itself, two hosts of its region drawn from the request's id, and by way of one host of another region at two hosts there; a take-up asks in that order. If none knows, one build that alone has been registered of late will do, unless this host's registry may be out of date or a region is unreachable. Else the take-up is refused with a true 503, as it is if the build is gone. A host that forwarded a call checks the build that the other one names.

--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -90,6 +90,24 @@
         self.backs_off = backs_off
 
 
+class ResumeRefusedError(CoordinationError):
+    """Base class of the errors of streams that can't be resumed."""
+
+
+class UnknownBuildError(ResumeRefusedError):
+    """No host knows which build began a stream, and several may have."""
+
+    def __init__(self, request: str | None):
+        super().__init__(f'build of the stream of {request!r} is unknown')
+
+
+class BuildGoneError(ResumeRefusedError):
+    """No endpoint of the build that began a stream takes requests."""
+
+    def __init__(self, build: str):
+        super().__init__(f'no endpoint of build {build!r} takes requests')
+
+
 class LedgerUnreachableError(CoordinationError):
     """Too few ledger hosts answered."""
 
--- a/wrenspoke/coordination/membership/discovery_client.py
+++ b/wrenspoke/coordination/membership/discovery_client.py
@@ -52,6 +52,9 @@
 CONFIRMATION_WAIT_MS = 200
 # Leases are expired by the control hosts alone.
 NO_EXPIRY_MS = 10**9
+# A few missed answers. Longer than ATTEND_WAIT_MS, the interval of answers
+# without changes.
+CURRENT_TTL_MS = 2_500
 # A control host without a leader for this long may be partitioned from the
 # majority; the second session then moves, the first one stays. Has to
 # exceed an election, since a move transfers the whole state again.
@@ -113,6 +116,8 @@
         self._tasks = runtime.Tasks()
         self._sessions = [_Session() for _number in range(SESSION_COUNT)]
         self._ticked_ms = clock.mono_ms()
+        # When a control host in contact with a leader last answered.
+        self._led_ms: int | None = None
         # Time of the last failure of each control host.
         self._failed_ms: dict[ids.HostId, int] = {}
         # Control hosts known to be in this region.
@@ -156,6 +161,16 @@
         age_ms = self._clock.mono_ms() - self._ticked_ms
         return age_ms <= PAUSE_THRESHOLD_MS
 
+    @property
+    def is_current(self) -> bool:
+        """Return whether the registry has the registrations of all regions.
+
+        That is while control hosts answer that are in contact with a leader.
+        """
+        if self._led_ms is None or not self.recently_ran:
+            return False
+        return self._clock.mono_ms() - self._led_ms <= CURRENT_TTL_MS
+
     async def _tick(self) -> None:
         while True:
             if not self.recently_ran:
@@ -331,7 +346,7 @@
             self._apply_host_changes(session, answer.hosts)
         self._local_controls.update(answer.near)
         if answer.led:
-            session.leader_seen_ms = self._clock.mono_ms()
+            self._led_ms = session.leader_seen_ms = self._clock.mono_ms()
             self._update_leader(session.host, answer)
         session.instance_id = answer.life
         self._serve_if_ready(answer)
--- a/wrenspoke/coordination/membership/remote_hosts.py
+++ b/wrenspoke/coordination/membership/remote_hosts.py
@@ -73,12 +73,12 @@
         is_poller = self._pollers.is_poller()
         return [
             record.host
-            for region in self._regions()
+            for region in self.regions()
             if is_poller or not self._views.has_view(region)
             for record in self.ranked_hosts(region)[:TARGETS_PER_REGION]
         ]
 
-    def _regions(self) -> list[ids.RegionId]:
+    def regions(self) -> list[ids.RegionId]:
         """Return the other regions that have usable hosts."""
         regions = {record.region for record in self._roster.usable()}
         regions.discard(self._region)
@@ -86,7 +86,7 @@
 
     def statuses(self) -> list[discovery_messages.RegionStatus]:
         """Return the recent status of other regions, from own pings."""
-        statuses = [self._region_status(region) for region in self._regions()]
+        statuses = [self._region_status(region) for region in self.regions()]
         return [status for status in statuses if status is not None]
 
     def _region_status(
@@ -108,9 +108,7 @@
     def unreachable_regions(self) -> list[ids.RegionId]:
         """Return the regions in which no known host answers."""
         return [
-            region
-            for region in self._regions()
-            if self._is_unreachable(region)
+            region for region in self.regions() if self._is_unreachable(region)
         ]
 
     def _is_unreachable(self, region: ids.RegionId) -> bool:
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -26,6 +26,8 @@
 from wrenspoke.coordination.serving import retry_outcomes
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import sent_call_broadcast
+from wrenspoke.coordination.serving import stream_builds
+from wrenspoke import ids
 from wrenspoke.protocol import passthrough_api
 from wrenspoke.state import routes
 from wrenspoke.transport import web
@@ -53,6 +55,7 @@
         pinger: host_pinger.HostPinger,
         estimator: estimate.Estimator,
         region_offers: remote_regions.RemoteRegions,
+        builds: stream_builds.StreamBuilds,
         clock: clocks.Clock,
         broadcaster: sent_call_broadcast.SentCallBroadcaster | None = None,
     ):
@@ -64,6 +67,7 @@
         self._pinger = pinger
         self._estimator = estimator
         self._remote_regions = region_offers
+        self._builds = builds
         self._retry_outcomes = retry_outcomes.RetryOutcomes()
         self._clock = clock
 
@@ -149,6 +153,7 @@
         destination.sent_ms = self._clock.mono_ms()
         if destination.chosen is None:
             return
+        self._record_build(context, destination.build)
         destination.prompt_number = self._estimator.record_sent(
             destination.endpoint,
             context.service,
@@ -166,6 +171,27 @@
                 context.call.tokens_expected,
             )
 
+    def _record_build(
+        self, context: call_context.CallContext, build: ids.BuildId | None
+    ) -> None:
+        """Record the build that begins or continues a resumable stream.
+
+        Forwarded calls are recorded by the first host, which the caller is
+        connected to.
+        """
+        call = context.call
+        if build is None or context.hop is not None:
+            return
+        if not context.route.resumable:
+            return
+        if not call.resumes_stream:
+            self._builds.record(
+                call.request, build, context.send_count + 1, context.route
+            )
+        elif call.resumes is not None:
+            # Hosts that have restarted since learn it again.
+            self._builds.record(call.resumes, build, 0, context.route)
+
     def _record_first_piece(
         self,
         context: call_context.CallContext,
@@ -312,6 +338,7 @@
                 return False
         else:
             self._outlier_detector.record_success(destination.address)
+        self._check_build(context, destination, answer)
         if context.tracker is not None:
             return await self._resume_stream(context, destination, answer)
         if context.route.kind is routes.RouteKind.STREAM and (
@@ -326,6 +353,38 @@
         self._log_answered(context, destination, answer)
         return True
 
+    def _check_build(
+        self,
+        context: call_context.CallContext,
+        destination: sending.Destination,
+        answer: sending.UpstreamResponse,
+    ) -> None:
+        """Check that the rest of a stream comes from the build that began it.
+
+        The host that forwarded the call is told the build.
+
+        :raises MaybeSentError: another host used an endpoint of another
+            build, or does not name the build
+        """
+        if answer.status not in OK_STATUSES:
+            return
+        build = _serving_build(destination, answer)
+        if context.hop is not None:
+            context.reply.build = build
+        if context.build in (None, build):
+            return
+        logger.warning(
+            'build_mismatch',
+            request=context.call.request,
+            place=destination.name,
+            expected=context.build,
+            found=build,
+        )
+        raise errors.MaybeSentError(
+            f'{destination.name} continues at build {build!r}, '
+            f'the stream began at {context.build!r}'
+        )
+
     async def _handle_refusal(
         self,
         context: call_context.CallContext,
@@ -398,12 +457,24 @@
                     continue
                 if not context.reply.started:
                     self._record_first_piece(context, destination)
+                    self._pin_build(context, destination, answer)
                     await context.reply.send_head(answer.status, answer.fields)
                     context.tracker = tracker
                 context.record_piece(self._clock.mono_ms())
                 recorder.record_piece()
                 await context.reply.write(data)
 
+    def _pin_build(
+        self,
+        context: call_context.CallContext,
+        destination: sending.Destination,
+        answer: sending.UpstreamResponse,
+    ) -> None:
+        """Bind a stream to the build that its first event comes from."""
+        context.build = _serving_build(destination, answer)
+        if destination.host is not None:
+            self._record_build(context, context.build)
+
     def _gap_recorder(
         self,
         context: call_context.CallContext,
@@ -527,6 +598,15 @@
         return context.first_piece_at_ms - destination.sent_ms
 
 
+def _serving_build(
+    destination: sending.Destination, answer: sending.UpstreamResponse
+) -> ids.BuildId | None:
+    """Return the build that serves a call, None if a host names none."""
+    if destination.host is not None:
+        return answer.build
+    return destination.build
+
+
 def _permit_rank(
     context: call_context.CallContext, destination: sending.Destination
 ) -> int:
@@ -534,7 +614,7 @@
 
     Streams to be resumed go first.
     """
-    if context.tracker is not None or destination.chosen is None:
+    if context.build is not None or destination.chosen is None:
         return endpoint_limits.FIRST_RANK
     is_cached = (
         destination.chosen.estimate.uncached_tokens < context.call.tokens_in
--- a/wrenspoke/coordination/serving/call_context.py
+++ b/wrenspoke/coordination/serving/call_context.py
@@ -25,7 +25,8 @@
     """State of serving one call, over all of its attempts.
 
     ``runs`` counts the endpoints that may have run it, ``send_count`` the
-    sends that may have reached one.
+    sends that may have reached one. ``build`` began the stream that the call
+    resumes, or is None if any build may serve it.
     """
 
     call: dialects.Call
@@ -53,6 +54,7 @@
     longest_pause_ms: int = 0
     retained_response: RetainedResponse | None = None
     tracker: event_tracker.EventTracker | None = None
+    build: ids.BuildId | None = None
 
     @property
     def route(self) -> routes.Route:
@@ -63,9 +65,14 @@
     def is_resumable(self) -> bool:
         """Return whether another endpoint may continue the response.
 
-        A part of an event that was forwarded can't be taken back.
+        A part of an event that was forwarded can't be taken back, and only
+        the build that began a stream may continue it.
         """
-        return self.tracker is None or not self.tracker.has_forwarded_partial
+        if self.tracker is None:
+            return True
+        if self.tracker.has_forwarded_partial:
+            return False
+        return self.build is not None
 
     def record_piece(self, now_ms: int) -> None:
         """Record that a piece of the response is sent to the caller."""
--- a/wrenspoke/coordination/serving/destinations.py
+++ b/wrenspoke/coordination/serving/destinations.py
@@ -176,6 +176,7 @@
             context.call,
             context.attempted,
             bounds,
+            context.build,
         )
 
     def _endpoint_destination(
@@ -222,6 +223,10 @@
         for region in self._selector.allowed_remote_regions(context.route):
             if region in context.refusing_regions:
                 continue
+            if not self._selector.has_build(
+                context.service.service, region, context.build
+            ):
+                continue
             host = self._selector.select_host(region, context.attempted)
             if host is None and self._is_enabled(
                 feature_flags.FeatureFlag.RELAYS
@@ -323,6 +328,7 @@
             context.runs_limit - context.runs,
             int(limit_ms),
             offer.region,
+            context.build,
         )
         return sending.Destination(
             offer.host.passing_address,
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -48,7 +48,8 @@
     ``can_start_now`` is whether the call would start without queueing, and
     ``has_affinity`` whether the prompt's prefix hashes to this endpoint. If
     ``source`` is set, the KV cache of ``moved_tokens`` prompt tokens can be
-    fetched from there instead of being computed.
+    fetched from there instead of being computed. ``build`` is kept, as the
+    registration may be replaced by that of the endpoint's next instance.
     """
 
     registered: registry.EndpointEntry
@@ -60,6 +61,10 @@
     cost_ms: float = 0.0
     source: registry.EndpointEntry | None = None
     moved_tokens: float = 0.0
+    build: ids.BuildId = ids.BuildId('')
+
+    def __post_init__(self) -> None:
+        self.build = self.registered.registration.build
 
 
 class EndpointSelector:
@@ -113,14 +118,19 @@
         call: dialects.Call,
         excluded: collections.abc.Container[ids.EndpointId],
         bounds: costs.LatencyBounds,
+        build: ids.BuildId | None = None,
     ) -> EndpointSelection | None:
-        """Return the cheapest local endpoint, or None if there is none."""
+        """Return the cheapest local endpoint, or None if there is none.
+
+        With ``build`` only endpoints of that build are candidates.
+        """
         admissible = [
             found
             for found in self._availability.usable_endpoints(
                 service.service, self._region
             )
             if found.registration.endpoint not in excluded
+            and build in (None, found.registration.build)
             and not self._availability.limit_wait_ms(found)
         ]
         warm = [
@@ -289,6 +299,23 @@
         self._random.shuffle(regions)
         return regions
 
+    def has_build(
+        self,
+        service: ids.ServiceId,
+        region: ids.RegionId,
+        build: ids.BuildId | None,
+    ) -> bool:
+        """Return whether a region has a usable endpoint of a build.
+
+        Any build will do if ``build`` is None.
+        """
+        if build is None:
+            return True
+        return any(
+            found.registration.build == build
+            for found in self._availability.usable_endpoints(service, region)
+        )
+
     def endpoint_retry_after_ms(
         self, service: routes.RoutedService, urgency: int
     ) -> float | None:
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -24,6 +24,7 @@
 from wrenspoke.coordination.serving import endpoint_selector
 from wrenspoke.coordination.serving import retry_schedule
 from wrenspoke.coordination.serving import shared_retry_budget
+from wrenspoke.coordination.serving import stream_builds
 from wrenspoke import feature_flags
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
@@ -54,6 +55,15 @@
 START_RETRY_AFTER_MS = 1_000
 
 
+# Reason and Retry-After in ms for callers whose stream can't be resumed. A
+# build that is gone does not come back; hosts that know a build may.
+_RESUME_REFUSALS = {
+    errors.UnknownBuildError: (
+        passthrough_api.Refusal.UNKNOWN_BUILD,
+        RETRY_AFTER_MS,
+    ),
+    errors.BuildGoneError: (passthrough_api.Refusal.BUILD_GONE, None),
+}
 # Status and reason for callers that may not be served.
 _DENIALS = {
     errors.NoRouteError: (NOT_FOUND, passthrough_api.Refusal.NO_ROUTE),
@@ -79,6 +89,7 @@
         access_control: access.AccessControl,
         limiter: limiters.Limiter,
         guard: guards.Guard,
+        builds: stream_builds.StreamBuilds,
         switched_off: collections.abc.Set[feature_flags.FeatureFlag],
         clock: clocks.Clock,
     ):
@@ -91,6 +102,7 @@
         self._access_control = access_control
         self._limiter = limiter
         self._guard = guard
+        self._builds = builds
         self._waits = (
             feature_flags.FeatureFlag.STARTUP_WAIT not in switched_off
         )
@@ -191,6 +203,7 @@
             reply,
             hop,
             reservation,
+            build=None if hop is None else hop.build,
         )
 
     async def _charge_team_limit(
@@ -318,7 +331,7 @@
         return context.deadline_ms - self._clock.mono_ms()
 
     async def _serve(self, context: call_context.CallContext) -> None:
-        if context.call.last_event is not None:
+        if context.call.resumes_stream:
             logger.info(
                 'stream_taken_up',
                 request=context.call.request,
@@ -348,6 +361,9 @@
                 UNAVAILABLE, passthrough_api.Refusal.BUSY, int(error.first_ms)
             )
             return
+        except errors.ResumeRefusedError as error:
+            await self._refuse_resume(context, error)
+            return
         except errors.QuarantinedError as error:
             if not context.may_have_run:
                 await self._refuse_quarantined(context, error)
@@ -384,11 +400,48 @@
             UNAVAILABLE, passthrough_api.Refusal.QUARANTINED, error.held_ms
         )
 
+    async def _find_build(self, context: call_context.CallContext) -> None:
+        """Bind a call that resumes a stream to the build that began it.
+
+        :raises UnknownBuildError: that build can't be known
+        :raises BuildGoneError: no endpoint of that build is left
+        """
+        call = context.call
+        if not call.resumes_stream or not context.route.resumable:
+            return
+        if context.hop is not None:
+            return
+        service = context.service.service
+        context.build = await self._builds.find(call.resumes, service)
+        if context.build is None:
+            raise errors.UnknownBuildError(call.resumes)
+        if self._builds.is_gone(service, context.build):
+            raise errors.BuildGoneError(context.build)
+
+    async def _refuse_resume(
+        self,
+        context: call_context.CallContext,
+        error: errors.ResumeRefusedError,
+    ) -> None:
+        """Refuse a call that resumes a stream; it was not sent."""
+        reason, retry_after_ms = _RESUME_REFUSALS[type(error)]
+        if retry_after_ms is not None:
+            retry_after_ms = retry_schedule.jittered_ms(retry_after_ms)
+        logger.info(
+            'resume_refused',
+            request=context.call.request,
+            resumes=context.call.resumes,
+            reason=str(error),
+        )
+        await context.reply.refuse(UNAVAILABLE, reason, retry_after_ms)
+
     async def _run_attempts(self, context: call_context.CallContext) -> bool:
         """Attempt a call until it is answered; False if it is given up on.
 
         :raises QuarantinedError: the request is quarantined
+        :raises ResumeRefusedError: it resumes a stream that can't go on
         """
+        await self._find_build(context)
         while self._left_ms(context) > attempts.MIN_TIME_LEFT_MS:
             held_ms = self._guard.refuse_if_held(context.call.digest)
             if held_ms is not None:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -39,6 +39,10 @@
 EVENT_STREAM = 'text/event-stream'
 # Traffic kinds for bodies, counted without heads, beside link messages.
 CALL, ANSWER = 'call_body', 'answer_body'
+# Headers that a forwarding host adds to a response.
+HOST_HEADERS = frozenset(
+    [passthrough_api.RUNS_HEADER, passthrough_api.BUILD_HEADER]
+)
 
 
 class Verdict(enum.Enum):
@@ -76,6 +80,13 @@
             self.endpoint, self.chosen.registered.registration.born_ms
         )
 
+    @property
+    def build(self) -> ids.BuildId | None:
+        """Return the selected endpoint's build, None for a host."""
+        if self.chosen is None:
+            return None
+        return self.chosen.build
+
     @property
     def expected_ms(self) -> int | None:
         """Return the estimated time to first piece in ms, None for a host."""
@@ -99,7 +110,8 @@
 class UpstreamResponse(response_body.ResponseBody):
     """Head of a response, and the reader of its body.
 
-    ``runs`` is how many endpoints a forwarding host used for the call.
+    ``runs`` is how many endpoints a forwarding host used for the call, and
+    ``build`` the build behind it, None if it names none.
     ``has_events`` is whether the body is a readable event stream, whose
     events show where it ends.
     """
@@ -125,14 +137,16 @@
         )
         self.retry_after_ms = _parse_retry_after_ms(response.headers)
         self.runs = 1
+        self.build: ids.BuildId | None = None
         if from_host:
             self.runs = _parse_runs(
                 response.headers.get(passthrough_api.RUNS_HEADER)
             )
+            build = response.headers.get(passthrough_api.BUILD_HEADER)
+            if build is not None:
+                self.build = passthrough_api.decode_build(build)
             self.fields = [
-                item
-                for item in self.fields
-                if item[0] != passthrough_api.RUNS_HEADER
+                item for item in self.fields if item[0] not in HOST_HEADERS
             ]
 
 
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -36,6 +36,7 @@
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import sent_call_broadcast
 from wrenspoke.coordination.serving import shared_retry_budget
+from wrenspoke.coordination.serving import stream_builds
 from wrenspoke.coordination.serving import warmup_probe
 from wrenspoke import feature_flags
 from wrenspoke import ids
@@ -122,6 +123,13 @@
         self._access = access.AccessControl(
             self.replica, self.discovery.roster, self.lease
         )
+        self._stream_builds = stream_builds.BuildStore(
+            node.host,
+            self._pollers.rendezvous_order,
+            self._remote_hosts,
+            self.peers,
+            self.clock,
+        )
         self._build_limits()
         self._build_guard()
         self._build_gauges(reports, dialect)
@@ -317,6 +325,9 @@
             node.switched_off,
             self.clock,
         )
+        builds = stream_builds.StreamBuilds(
+            self._stream_builds, self.discovery, self.clock
+        )
         self.passthrough = passthrough.PassThrough(
             self.replica,
             self.discovery,
@@ -346,6 +357,7 @@
                 self._pinger,
                 self._estimator,
                 self._remote_regions,
+                builds,
                 self.clock,
                 self._sent_calls,
             ),
@@ -353,6 +365,7 @@
             self._access,
             self._limiter,
             self._guard,
+            builds,
             node.switched_off,
             self.clock,
         )
@@ -385,6 +398,7 @@
         self.discovery.start()
         self._team_buckets.start()
         self._gate.start()
+        self._stream_builds.start()
         self._engine_loads.start()
         if self._sent_calls is not None:
             self._sent_calls.start()
@@ -443,6 +457,7 @@
         await self._tasks.close()
         await self._team_buckets.close()
         await self._gate.close()
+        await self._stream_builds.close()
         await self._guard.close()
         if self._sent_calls is not None:
             await self._sent_calls.close()
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -136,6 +136,11 @@
         """Return the maximum of prompt and output tokens, 0 if unknown."""
         return self.tokens_in + self.tokens_out
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller has received part of the stream."""
+        return bool(self.last_event)
+
     @property
     def path(self) -> str:
         """Return the path without the query."""
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -6,6 +6,7 @@
 
 import enum
 import typing
+import urllib.parse
 
 import aiohttp
 from aiohttp import web
@@ -26,6 +27,8 @@
 # Number of endpoints that may have run the request, for the host that
 # forwarded it.
 RUNS_HEADER = 'Wrenspoke-Runs'
+# Build of the endpoint that serves a stream, for the host that forwarded it.
+BUILD_HEADER = 'Wrenspoke-Build'
 EXPECT = 'Expect'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 MS_PER_S = 1000
@@ -46,6 +49,8 @@
     UNSENT = 'unsent'
     GAVE_UP = 'gave_up'
     QUARANTINED = 'quarantined'
+    UNKNOWN_BUILD = 'unknown_build'
+    BUILD_GONE = 'build_gone'
 
 
 # Refusals by a host that sent nothing to an endpoint: they don't consume the
@@ -71,7 +76,8 @@
     forwarded once, or twice through a third region. The receiver rejects it
     if its expected time to first byte exceeds ``limit_ms``, as the first host
     can serve it faster. With ``region`` the receiver forwards it to that
-    region, which the first host can't reach.
+    region, which the first host can't reach. ``build`` began the stream that
+    the request resumes; no other build may continue it.
     """
 
     host: ids.HostId
@@ -81,6 +87,7 @@
     attempts_left: int
     limit_ms: int | None = None
     region: ids.RegionId | None = None
+    build: ids.BuildId | None = None
 
 
 class PassthroughLimits(msgspec.Struct, frozen=True):
@@ -94,7 +101,8 @@
 class Reply:
     """Response to one request, sent at once or streamed.
 
-    ``runs`` is reported to the host that forwarded the request.
+    ``runs`` and ``build`` are reported to the host that forwarded the
+    request.
     """
 
     def __init__(self, request: web.BaseRequest, close: bool):
@@ -104,6 +112,7 @@
         self.status = 0
         self._resets_on_close = False
         self.runs: int | None = None
+        self.build: ids.BuildId | None = None
 
     @property
     def started(self) -> bool:
@@ -143,6 +152,8 @@
             response.force_close()
         if self.runs is not None:
             response.headers[RUNS_HEADER] = str(self.runs)
+        if self.build is not None:
+            response.headers[BUILD_HEADER] = encode_build(self.build)
         self.response = response
         self.status = status
         try:
@@ -310,6 +321,16 @@
         return b''.join(chunks)
 
 
+def encode_build(build: ids.BuildId) -> str:
+    """Return the value of ``BUILD_HEADER``; builds may hold any characters."""
+    return urllib.parse.quote(build, safe='')
+
+
+def decode_build(value: str) -> ids.BuildId:
+    """Return the build of a ``BUILD_HEADER`` that another host has sent."""
+    return ids.BuildId(urllib.parse.unquote(value))
+
+
 def _without_hop(
     raw: typing.Iterable[tuple[bytes, bytes]],
 ) -> list[tuple[bytes, bytes]]:
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -13,6 +13,7 @@
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import quarantining
+from wrenspoke.protocol import resuming
 from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import links
 
@@ -41,6 +42,10 @@
     quarantining.ReportCrashesReply,
     quarantining.UpdateHolds,
     quarantining.UpdateHoldsReply,
+    resuming.StoreBuilds,
+    resuming.StoreBuildsReply,
+    resuming.FindBuild,
+    resuming.FindBuildReply,
 ]
 MessageHandler = collections.abc.Callable[
     [ids.HostId, Message],
--- /dev/null
+++ b/wrenspoke/protocol/resuming.py
@@ -0,0 +1,51 @@
+"""Messages about the builds that began resumable streams."""
+
+import msgspec
+
+from wrenspoke import ids
+
+
+class StreamBuild(msgspec.Struct, array_like=True, frozen=True):
+    """Build of the endpoint that a stream's request was sent to.
+
+    ``request`` is the request that began the stream. Of two records of one
+    request the one with the higher ``number`` is newer. A record is kept for
+    ``ttl_ms``.
+    """
+
+    request: ids.RequestId
+    build: ids.BuildId
+    number: int
+    ttl_ms: int
+
+
+class StoreBuilds(msgspec.Struct, tag='store_builds'):
+    """Store the builds of streams.
+
+    With ``replicate`` the receiver also sends them to the hosts of its
+    region that keep them.
+    """
+
+    builds: list[StreamBuild]
+    replicate: bool = False
+
+
+class StoreBuildsReply(msgspec.Struct, tag='builds_stored'):
+    """Reply once the builds have been stored."""
+
+
+class FindBuild(msgspec.Struct, tag='find_build'):
+    """Ask for the build that began the stream of a request.
+
+    With ``search`` the receiver also asks the hosts of its region that keep
+    it.
+    """
+
+    request: ids.RequestId
+    search: bool = False
+
+
+class FindBuildReply(msgspec.Struct, tag='build_found'):
+    """Reply with the stored build, None if unknown."""
+
+    build: ids.BuildId | None = None
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -31,6 +31,8 @@
 # Longer than any delayed message about an ended instance can take.
 ENTRY_TTL_MS = 120_000
 ROUTING_FIELDS = ('state', 'address', 'slots', 'service', 'leaving', 'build')
+# Builds reported beyond this number replace the oldest.
+MAX_BUILDS_PER_SERVICE = 64
 # Smaller changes of the end of a warm-up are not gossiped.
 MIN_WARMUP_CHANGE_MS = 400
 
@@ -109,6 +111,8 @@
         self.entries: dict[ids.EndpointId, EndpointEntry] = {}
         self._by_address: dict[str, set[ids.EndpointId]] = {}
         self._restart_listeners: list[RestartListener] = []
+        # When each build of a service was last reported, ended ones too.
+        self._builds_seen_ms: dict[ids.ServiceId, dict[ids.BuildId, int]] = {}
         self.revision = 0
 
     def add_restart_listener(self, listener: 'RestartListener') -> None:
@@ -123,6 +127,7 @@
         old = self.entries.get(said.endpoint)
         if old is not None and said.born_ms < old.registration.born_ms:
             return False
+        self._record_build(said, reported_ms)
         self._by_address.setdefault(said.address, set()).add(said.endpoint)
         if old is None or said.born_ms > old.registration.born_ms:
             self._add_instance(said, reported_ms, relayed_by)
@@ -150,6 +155,30 @@
             old.revision = self.revision
         return changed
 
+    def _record_build(self, said: Registration, reported_ms: int) -> None:
+        seen_ms = self._builds_seen_ms.setdefault(said.service, {})
+        before_ms = seen_ms.pop(said.build, reported_ms)
+        seen_ms[said.build] = max(before_ms, reported_ms)
+        if len(seen_ms) > MAX_BUILDS_PER_SERVICE:
+            del seen_ms[next(iter(seen_ms))]
+
+    def recent_builds(self, service: ids.ServiceId) -> set[ids.BuildId]:
+        """Return the builds of a service that were registered recently.
+
+        That is now, or within ``ENTRY_TTL_MS``.
+        """
+        since_ms = self._clock.mono_ms() - ENTRY_TTL_MS
+        builds = {
+            build
+            for build, seen_ms in self._builds_seen_ms.get(service, {}).items()
+            if seen_ms >= since_ms
+        }
+        # Entry hosts receive changes only, not every renewal.
+        for found in self.entries.values():
+            if found.registration.service == service:
+                builds.add(found.registration.build)
+        return builds
+
     def _add_instance(
         self,
         said: Registration,
