--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -280,7 +280,11 @@
         )
         if holder.tokens - cached < prefix_index.MIN_TRANSFER_TOKENS:
             return
-        item.source = self._discovery.registry.entries.get(holder.endpoint)
+        source = self._discovery.registry.entries.get(holder.endpoint)
+        if source is None or source.registration.build != item.build:
+            # What two builds keep in memory may not fit together either.
+            return
+        item.source = source
         item.moved_tokens = holder.tokens - cached
 
     def estimate_spread(self, service: ids.ServiceId) -> float:
