Try another host after a truncated answer of another region

What callers would see: an answer of another region's host that lost its framing on the way and ended early was declared complete, with a length of our own and the outcome 'whole'.

Why it works: hosts declare the end of each body; one without is a failure of that host, and the next one gets the request marked as a resend.

--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import types
 
 import msgspec
 import pytest
@@ -16,12 +17,15 @@
 from wrenspoke.coordination import errors as coordination_errors
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import forwarding
 from wrenspoke.coordination.serving import streams
 from wrenspoke import operator as operators
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import headers
+from wrenspoke.protocol import hops
 from wrenspoke.protocol import requests
 from wrenspoke.protocol import sse
+from wrenspoke import settings
 from wrenspoke.standin import engine
 from wrenspoke.state import configuration
 from wrenspoke.transport import web
@@ -398,3 +402,70 @@
             await caller.close()
     assert (result.outcome, result.body) == ('whole', b'lift 3')
     assert result.hosts == urls
+
+
+class OneRegion:
+    """Members and reachability of a region whose hosts are all up."""
+
+    def __init__(self, hosts):
+        self._hosts = hosts
+        self.failed = []
+
+    def entry_hosts_in(self, _region):
+        return self._hosts
+
+    async def reachable(self, hosts):
+        return hosts
+
+    def watch_host(self, _host, _on_lost):
+        return contextlib.nullcontext()
+
+    def record_request_failure(self, host):
+        self.failed.append(host)
+
+
+class WholeReply:
+    """Records a response that is sent to the caller."""
+
+    started = False
+
+    async def send_response(self, status, _found, body, outcome):
+        self.sent = (status, body, outcome.value)
+
+
+async def test_truncated_answer_of_another_region_is_not_forwarded(tmp_path):
+    """Guards against answers whose framing was lost between regions."""
+    outcome = f'{headers.OUTCOME}: whole'
+
+    def cut(sent, _number):
+        head, *pieces = unframed(sent, 'text/plain', b'lift')
+        head = head.replace(b'\r\n\r\n', f'\r\n{outcome}\r\n\r\n'.encode())
+        return [head, *pieces, CLOSE]
+
+    made = fleet.deployment(regions=('south',), entries=2)
+    async with hosts_answering(
+        cut, lambda sent, _number: declared(sent, b'lift 3', outcome)
+    ) as urls:
+        for host, url in zip(made['hosts'], urls):
+            host['http_port'] = int(url.rpartition(':')[2])
+        region = OneRegion(['south-1', 'south-2'])
+        client = web.HttpClient(1_000)
+        clock = clocks.Clock()
+        forwarder = forwarding.Forwarder(
+            'north-1',
+            settings.parse(msgspec.json.encode(made)),
+            region,
+            region,
+            client,
+            hops.HopSigner('test', b'k' * 32),
+            types.SimpleNamespace(record=lambda *_values, **_fields: None),
+            clock,
+        )
+        head = requests.RequestHead(
+            'r1', PLAIN, 'GET', '/map', 'records', clock.mono_ms() + 5_000
+        )
+        reply = WholeReply()
+        await forwarder.forward(head, b'', 'south', reply)
+        await client.close()
+    assert reply.sent == (200, b'lift 3', 'whole')
+    assert region.failed == ['south-1']
--- a/wrenspoke/coordination/serving/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -175,7 +175,7 @@
             if response.status == 200 and kind.startswith(EVENT_STREAM):
                 await self._relay_stream(forward_state, response)
                 return
-            body = await web.read_body(
+            body = await web.read_declared_body(
                 response, self._settings.answer_limit_bytes
             )
             await self._relay_response(forward_state, response, body)
