--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -9,12 +9,17 @@
 
 from tests import endpoints
 from tests import fleet
+from tests import test_adapter
 from tests import test_dispatch
 from tests import test_endpoints
 from tests import test_passing
+from tests import test_storage
 from wrenspoke import caller as callers
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import execution
 from wrenspoke.coordination import errors as coordination_errors
+from wrenspoke.coordination.membership import host_list_poller
+from wrenspoke.coordination.membership import loads
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import dispatch
 from wrenspoke.coordination.serving import forwarding
@@ -28,6 +33,10 @@
 from wrenspoke import settings
 from wrenspoke.standin import engine
 from wrenspoke.state import configuration
+from wrenspoke.state import disk
+from wrenspoke.state import errors as state_errors
+from wrenspoke.state import storage
+from wrenspoke.transport import links
 from wrenspoke.transport import web
 
 CLOSE = endpoints.ScriptedEndpoint.CLOSE
@@ -469,3 +478,74 @@
         await client.close()
     assert reply.sent == (200, b'lift 3', 'whole')
     assert region.failed == ['south-1']
+
+
+# Decoders of the answers that hosts poll for, and a whole answer of each.
+POLLED = [
+    (
+        lambda body: test_adapter.reports.EngineReports().read('e', body),
+        b'{"queued":1,"running":12,"kvUsed":41000,"kvTotal":90000}',
+    ),
+    (
+        lambda body: msgspec.json.decode(body, type=loads.EngineLoad),
+        b'{"running":1,"waiting":0,"age_ms":5}',
+    ),
+    (
+        lambda body: msgspec.json.decode(body, type=execution.EngineState),
+        b'{"models":["m"],"fence":12,"running":12}',
+    ),
+    (
+        lambda body: msgspec.json.decode(body, type=host_list_poller.HostList),
+        b'{"hosts":[{"address":"10.0.0.1","state":"leaving"}]}',
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    'decode, whole', POLLED, ids=['report', 'load', 'state', 'host list']
+)
+def test_no_part_of_a_polled_answer_can_be_decoded(decode, whole):
+    """Pollers read answers up to a close: their decoders find the end."""
+    decode(whole)
+    for size_bytes in range(len(whole)):
+        with pytest.raises((msgspec.DecodeError, state_errors.StateError)):
+            decode(whole[:size_bytes])
+
+
+def test_no_part_of_a_link_message_can_be_decoded():
+    """Messages have a length, and their decoder finds the end as well."""
+    made = links.Links(links.Identity('test', 'h1'), [], clocks.Clock(), None)
+    frame = made._encode_envelope(1, b'body' * 1_000, 1_000)
+    assert made._decode_envelope(frame, None) is not None
+    for size_bytes in range(len(frame)):
+        assert made._decode_envelope(frame[:size_bytes], None) is None
+
+
+@pytest.mark.parametrize('count', [1, 3])
+def test_no_part_of_a_journal_record_is_read(tmp_path, count):
+    """Guards against a torn append that is taken for a shorter one."""
+    opened = disk.Disk(tmp_path)
+    kept = storage.Storage(opened)
+    kept.save_meta()
+    kept.append([test_storage.entry(1)])
+    first = opened.read(storage.LOG)
+    kept.append([test_storage.entry(2 + step) for step in range(count)])
+    whole = opened.read(storage.LOG)
+    for size_bytes in range(len(first), len(whole)):
+        opened.replace(storage.LOG, whole[:size_bytes])
+        assert storage.Storage(opened).last_index == 1
+        assert opened.read(storage.LOG) == first
+
+
+@pytest.mark.parametrize('name', [storage.META, storage.SNAPSHOT])
+def test_no_part_of_a_replaced_file_is_read(tmp_path, name):
+    opened = disk.Disk(tmp_path)
+    kept = storage.Storage(opened)
+    kept.save_meta()
+    kept.append([test_storage.entry(1)])
+    kept.save_snapshot(storage.Snapshot(1, 1, {}, b'state'))
+    whole = opened.read(name)
+    for size_bytes in range(len(whole)):
+        opened.replace(name, whole[:size_bytes])
+        with pytest.raises(state_errors.CorruptLogError):
+            storage.Storage(opened)
