Take the framing of a body from the last transfer coding

What callers would see: a response with 'Transfer-Encoding: chunked, gzip' or 'notchunked' has no chunks and is read up to the close of its connection, but counted as chunked: its end went unchecked, and the log said so too. Two header lines 'gzip' and 'chunked' counted as delimited by the connection though there are chunks.

Evidence: 4 of 9 rows of test_framing_is_that_by_which_the_body_is_read failed on the code before; each row compares the answer with how aiohttp reads the body.

--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -549,3 +549,36 @@
         opened.replace(name, whole[:size_bytes])
         with pytest.raises(state_errors.CorruptLogError):
             storage.Storage(opened)
+
+
+@pytest.mark.parametrize(
+    'lines, framing',
+    [
+        ([], 'connection'),
+        (['Content-Length: 14'], 'length'),
+        (['Transfer-Encoding: Chunked'], 'chunked'),
+        (['Transfer-Encoding: gzip, chunked'], 'chunked'),
+        (['Transfer-Encoding: gzip', 'Transfer-Encoding: chunked'], 'chunked'),
+        (['Transfer-Encoding: gzip'], 'connection'),
+        (['Transfer-Encoding: notchunked'], 'connection'),
+        (['Transfer-Encoding: chunked, gzip'], 'connection'),
+        (
+            ['Transfer-Encoding: chunked', 'Transfer-Encoding: gzip'],
+            'connection',
+        ),
+    ],
+    ids=lambda value: ' '.join(value) if isinstance(value, list) else value,
+)
+async def test_framing_is_that_by_which_the_body_is_read(lines, framing):
+    """Guards against bodies read up to a close that count as declared."""
+    body = b'4\r\nlift\r\n0\r\n\r\n'
+    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines]).encode() + b'\r\n\r\n'
+    async with hosts_answering(
+        lambda _sent, _number: [head + body, CLOSE]
+    ) as urls:
+        client = web.HttpClient(1_000)
+        async with client.send('GET', urls[0], {}) as response:
+            assert web.body_framing(response).value == framing
+            got = await web.read_body(response, 100)
+        await client.close()
+    assert got == (b'lift' if framing == 'chunked' else body)
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -267,7 +267,8 @@
     """Return how the end of a response's body is delimited."""
     if response.method == 'HEAD' or response.status in BODILESS_STATUSES:
         return BodyFraming.NONE
-    if 'chunked' in response.headers.get('Transfer-Encoding', '').lower():
+    codings = ','.join(response.headers.getall('Transfer-Encoding', []))
+    if codings.rpartition(',')[2].strip().lower() == 'chunked':
         return BodyFraming.CHUNKED
     if response.content_length is not None:
         return BodyFraming.LENGTH
