Find the truncated end of a large event of a plain service

What callers would see: an event stream of a plain service that only its connection delimits and that breaks off inside an event of more than 1 MiB passed as whole.

Cause: asks a tracker that holds back partial events; beyond its limit it releases them and then counts as being between two events. Evidence: the row of 1,048,581 bytes failed on the code before. The tracker that forwards bytes as they come keeps the last 1 MiB, so that its answer holds.

--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -202,6 +202,7 @@
     (PLAIN, '200 OK', 'application/problem+json', WHOLE[:-1], False),
     (PLAIN, '200 OK', 'text/event-stream', EVENT, True),
     (PLAIN, '200 OK', 'text/event-stream', EVENT[:-1], False),
+    (PLAIN, '200 OK', 'text/event-stream', b'data:' + bytes(1 << 20), False),
     (PLAIN, '200 OK', 'text/plain', b'lift 3', True),
     (PLAIN, '200 OK', 'text/plain', b'', False),
     (PLAIN, '204 No Content', 'text/plain', b'', True),
@@ -228,7 +229,7 @@
             ],
             kind,
         ) as answer:
-            got = await answer.read_all(1_000)
+            got = await answer.read_all(1 << 22)
     except coordination_errors.MaybeSentError:
         got = None
     assert got == (body if is_whole else None)
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -262,7 +262,7 @@
         if is_chat or JSON_TYPE.fullmatch(self._content_type):
             is_whole = _is_whole_json(body)
         elif self._content_type == EVENT_STREAM:
-            tracker = event_tracker.EventTracker(whole_only=True)
+            tracker = event_tracker.EventTracker(whole_only=False)
             tracker.feed(body)
             is_whole = bool(body) and not tracker.is_inside_event
         else:
