--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -2,28 +2,41 @@
 
 import asyncio
 import contextlib
+import types
 
 import msgspec
 import pytest
 
 from tests import endpoints
 from tests import fleet
+from tests import test_adapter
 from tests import test_dispatch
 from tests import test_endpoints
 from tests import test_passing
+from tests import test_storage
 from wrenspoke import caller as callers
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import execution
 from wrenspoke.coordination import errors as coordination_errors
+from wrenspoke.coordination.membership import host_list_poller
+from wrenspoke.coordination.membership import loads
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import dispatch
+from wrenspoke.coordination.serving import forwarding
 from wrenspoke.coordination.serving import streams
 from wrenspoke import operator as operators
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import headers
+from wrenspoke.protocol import hops
 from wrenspoke.protocol import requests
 from wrenspoke.protocol import sse
+from wrenspoke import settings
 from wrenspoke.standin import engine
 from wrenspoke.state import configuration
+from wrenspoke.state import disk
+from wrenspoke.state import errors as state_errors
+from wrenspoke.state import storage
+from wrenspoke.transport import links
 from wrenspoke.transport import web
 
 CLOSE = endpoints.ScriptedEndpoint.CLOSE
@@ -189,6 +202,7 @@
     (PLAIN, '200 OK', 'application/problem+json', WHOLE[:-1], False),
     (PLAIN, '200 OK', 'text/event-stream', EVENT, True),
     (PLAIN, '200 OK', 'text/event-stream', EVENT[:-1], False),
+    (PLAIN, '200 OK', 'text/event-stream', b'data:' + bytes(1 << 20), False),
     (PLAIN, '200 OK', 'text/plain', b'lift 3', True),
     (PLAIN, '200 OK', 'text/plain', b'', False),
     (PLAIN, '204 No Content', 'text/plain', b'', True),
@@ -215,7 +229,7 @@
             ],
             kind,
         ) as answer:
-            got = await answer.read_all(1_000)
+            got = await answer.read_all(1 << 22)
     except coordination_errors.MaybeSentError:
         got = None
     assert got == (body if is_whole else None)
@@ -398,3 +412,174 @@
             await caller.close()
     assert (result.outcome, result.body) == ('whole', b'lift 3')
     assert result.hosts == urls
+
+
+class OneRegion:
+    """Members and reachability of a region whose hosts are all up."""
+
+    def __init__(self, hosts):
+        self._hosts = hosts
+        self.failed = []
+
+    def entry_hosts_in(self, _region):
+        return self._hosts
+
+    async def reachable(self, hosts):
+        return hosts
+
+    def watch_host(self, _host, _on_lost):
+        return contextlib.nullcontext()
+
+    def record_request_failure(self, host):
+        self.failed.append(host)
+
+
+class WholeReply:
+    """Records a response that is sent to the caller."""
+
+    started = False
+
+    async def send_response(self, status, _found, body, outcome):
+        self.sent = (status, body, outcome.value)
+
+
+async def test_truncated_answer_of_another_region_is_not_forwarded(tmp_path):
+    """Guards against answers whose framing was lost between regions."""
+    outcome = f'{headers.OUTCOME}: whole'
+
+    def cut(sent, _number):
+        head, *pieces = unframed(sent, 'text/plain', b'lift')
+        head = head.replace(b'\r\n\r\n', f'\r\n{outcome}\r\n\r\n'.encode())
+        return [head, *pieces, CLOSE]
+
+    made = fleet.deployment(regions=('south',), entries=2)
+    async with hosts_answering(
+        cut, lambda sent, _number: declared(sent, b'lift 3', outcome)
+    ) as urls:
+        for host, url in zip(made['hosts'], urls):
+            host['http_port'] = int(url.rpartition(':')[2])
+        region = OneRegion(['south-1', 'south-2'])
+        client = web.HttpClient(1_000)
+        clock = clocks.Clock()
+        forwarder = forwarding.Forwarder(
+            'north-1',
+            settings.parse(msgspec.json.encode(made)),
+            region,
+            region,
+            client,
+            hops.HopSigner('test', b'k' * 32),
+            types.SimpleNamespace(record=lambda *_values, **_fields: None),
+            clock,
+        )
+        head = requests.RequestHead(
+            'r1', PLAIN, 'GET', '/map', 'records', clock.mono_ms() + 5_000
+        )
+        reply = WholeReply()
+        await forwarder.forward(head, b'', 'south', reply)
+        await client.close()
+    assert reply.sent == (200, b'lift 3', 'whole')
+    assert region.failed == ['south-1']
+
+
+# Decoders of the answers that hosts poll for, and a whole answer of each.
+POLLED = [
+    (
+        lambda body: test_adapter.reports.EngineReports().read('e', body),
+        b'{"queued":1,"running":12,"kvUsed":41000,"kvTotal":90000}',
+    ),
+    (
+        lambda body: msgspec.json.decode(body, type=loads.EngineLoad),
+        b'{"running":1,"waiting":0,"age_ms":5}',
+    ),
+    (
+        lambda body: msgspec.json.decode(body, type=execution.EngineState),
+        b'{"models":["m"],"fence":12,"running":12}',
+    ),
+    (
+        lambda body: msgspec.json.decode(body, type=host_list_poller.HostList),
+        b'{"hosts":[{"address":"10.0.0.1","state":"leaving"}]}',
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    'decode, whole', POLLED, ids=['report', 'load', 'state', 'host list']
+)
+def test_no_part_of_a_polled_answer_can_be_decoded(decode, whole):
+    """Pollers read answers up to a close: their decoders find the end."""
+    decode(whole)
+    for size_bytes in range(len(whole)):
+        with pytest.raises((msgspec.DecodeError, state_errors.StateError)):
+            decode(whole[:size_bytes])
+
+
+def test_no_part_of_a_link_message_can_be_decoded():
+    """Messages have a length, and their decoder finds the end as well."""
+    made = links.Links(links.Identity('test', 'h1'), [], clocks.Clock(), None)
+    frame = made._encode_envelope(1, b'body' * 1_000, 1_000)
+    assert made._decode_envelope(frame, None) is not None
+    for size_bytes in range(len(frame)):
+        assert made._decode_envelope(frame[:size_bytes], None) is None
+
+
+@pytest.mark.parametrize('count', [1, 3])
+def test_no_part_of_a_journal_record_is_read(tmp_path, count):
+    """Guards against a torn append that is taken for a shorter one."""
+    opened = disk.Disk(tmp_path)
+    kept = storage.Storage(opened)
+    kept.save_meta()
+    kept.append([test_storage.entry(1)])
+    first = opened.read(storage.LOG)
+    kept.append([test_storage.entry(2 + step) for step in range(count)])
+    whole = opened.read(storage.LOG)
+    for size_bytes in range(len(first), len(whole)):
+        opened.replace(storage.LOG, whole[:size_bytes])
+        assert storage.Storage(opened).last_index == 1
+        assert opened.read(storage.LOG) == first
+
+
+@pytest.mark.parametrize('name', [storage.META, storage.SNAPSHOT])
+def test_no_part_of_a_replaced_file_is_read(tmp_path, name):
+    opened = disk.Disk(tmp_path)
+    kept = storage.Storage(opened)
+    kept.save_meta()
+    kept.append([test_storage.entry(1)])
+    kept.save_snapshot(storage.Snapshot(1, 1, {}, b'state'))
+    whole = opened.read(name)
+    for size_bytes in range(len(whole)):
+        opened.replace(name, whole[:size_bytes])
+        with pytest.raises(state_errors.CorruptLogError):
+            storage.Storage(opened)
+
+
+@pytest.mark.parametrize(
+    'lines, framing',
+    [
+        ([], 'connection'),
+        (['Content-Length: 14'], 'length'),
+        (['Transfer-Encoding: Chunked'], 'chunked'),
+        (['Transfer-Encoding: gzip, chunked'], 'chunked'),
+        (['Transfer-Encoding: gzip', 'Transfer-Encoding: chunked'], 'chunked'),
+        (['Transfer-Encoding: gzip'], 'connection'),
+        (['Transfer-Encoding: notchunked'], 'connection'),
+        (['Transfer-Encoding: chunked, gzip'], 'connection'),
+        (
+            ['Transfer-Encoding: chunked', 'Transfer-Encoding: gzip'],
+            'connection',
+        ),
+    ],
+    ids=lambda value: ' '.join(value) if isinstance(value, list) else value,
+)
+async def test_framing_is_that_by_which_the_body_is_read(lines, framing):
+    """Guards against bodies read up to a close that count as declared."""
+    body = b'4\r\nlift\r\n0\r\n\r\n'
+    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines]).encode() + b'\r\n\r\n'
+    async with hosts_answering(
+        lambda _sent, _number: [head + body, CLOSE]
+    ) as urls:
+        client = web.HttpClient(1_000)
+        async with client.send('GET', urls[0], {}) as response:
+            assert web.body_framing(response).value == framing
+            got = await web.read_body(response, 100)
+        await client.close()
+    assert got == (b'lift' if framing == 'chunked' else body)
