--- a/wrenspoke/coordination/agreement/voter.py
+++ b/wrenspoke/coordination/agreement/voter.py
@@ -406,8 +406,10 @@
         Whether this host is a voter is up to the candidate, whose log may be
         newer: a voter that was just admitted may not have received that
         entry yet, and its vote may be needed to elect the leader that
-        replicates it. A disk without any voters in its log is refused, as
-        it may have lost its state since it was admitted.
+        replicates it. Otherwise a group of three that lost one voter and
+        was partitioned at that moment could never elect a leader again.
+        A disk without any voters in its log is refused, as it may have lost
+        its state since it was admitted.
         """
         if not self._rollback_check.passed:
             return messages.VoteRefusal.NOT_CLEARED
--- a/wrenspoke/coordination/limiting/endpoint_limits.py
+++ b/wrenspoke/coordination/limiting/endpoint_limits.py
@@ -25,7 +25,8 @@
 # An unresponsive owner is skipped for this long; the next host in order grants
 # a part of the limit.
 OWNER_RETRY_MS = 1_000
-# The backoff if no owner responds.
+# The backoff if no owner responds. Calls go to other endpoints until the next
+# owner is found.
 NO_OWNER_BACKOFF_MS = 50
 # Long enough for a new connection. A request that arrives later would add to
 # the permits granted by then.
--- a/wrenspoke/coordination/limiting/team_buckets.py
+++ b/wrenspoke/coordination/limiting/team_buckets.py
@@ -30,7 +30,8 @@
 logger = structlog.get_logger(__name__)
 
 MS_PER_S = 1_000
-# Several requests may be lost before a lease expires.
+# Ten renewals fit into a lease, so that several requests may be lost before it
+# expires.
 RENEW_INTERVAL_MS = 400
 # Used until a new leader has received a report from this host.
 NEW_LEADER_INTERVAL_MS = 100
@@ -41,7 +42,8 @@
 # Several round trips to a distant region.
 CALL_TIMEOUT_MS = 800
 # The longest that a call waits for tokens or for a larger share: two round
-# trips to a distant region. A call that needs longer is refused.
+# trips to a distant region, of up to 160 ms each. A call that needs longer is
+# refused.
 MAX_WAIT_MS = 350
 # Requested share over demand, so that rising demand is mostly covered.
 HEADROOM = 1.4
@@ -55,7 +57,8 @@
 # A bucket with a higher level than this counts as unused.
 NEARLY_FULL_SHARE = 0.9
 # The share covers the largest recent call too, as the next call of a team with
-# few calls would otherwise wait for a grant from the leader.
+# few calls would otherwise wait for a grant from the leader, which may be in a
+# distant region.
 LARGEST_CALL_DECAY_MS = 10_000
 LARGEST_CALL_MARGIN = 1.2
 # A large call must not take most of the limit from other regions.
--- a/wrenspoke/coordination/membership/control_sync.py
+++ b/wrenspoke/coordination/membership/control_sync.py
@@ -29,7 +29,8 @@
 
 # Renewals are sent at this interval; changes do not wait for it.
 SYNC_INTERVAL_MS = 1_000
-# A few inter-region round trips; the next exchange makes up for a lost one.
+# A few inter-region round trips of up to 160 ms; the next exchange makes up
+# for a lost one.
 EXCHANGE_TIMEOUT_MS = 800
 # Batches changes that arrive together, as after a mass restart.
 BATCH_DELAY_MS = 40
--- a/wrenspoke/coordination/membership/discovery_client.py
+++ b/wrenspoke/coordination/membership/discovery_client.py
@@ -47,8 +47,8 @@
 # Has to be a fraction of PAUSE_THRESHOLD_MS.
 TICK_MS = 250
 # How long a starting host waits for a leader's confirmation or the other
-# session's answer, an inter-region round trip. Without a leader the newest
-# configuration of both sessions is served.
+# session's answer: an inter-region round trip of up to 160 ms. Without a
+# leader the newest configuration of both sessions is served.
 CONFIRMATION_WAIT_MS = 200
 # Leases are expired by the control hosts alone.
 NO_EXPIRY_MS = 10**9
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -35,9 +35,11 @@
 EXPIRY_INTERVAL_MS = 1_000
 # Upper bound of a long poll. Has to be well below the call timeout of links.
 MAX_WAIT_MS = 2_000
-# Batches changes that arrive together, as after a mass restart.
+# Batches changes that arrive together, as after a mass restart. Short compared
+# with the seconds within which a change has to be in force on all hosts.
 BATCH_DELAY_MS = 40
-# Limits the answers to one host while many hosts start or leave.
+# Limits the answers to one host while many hosts start or leave, as there is a
+# new change every few ms then.
 MIN_UPDATE_INTERVAL_MS = 200
 # Has to exceed the exchange interval plus an inter-region round trip.
 CONTACT_WINDOW_MS = 3_000
--- a/wrenspoke/coordination/quarantine/crash_aggregator.py
+++ b/wrenspoke/coordination/quarantine/crash_aggregator.py
@@ -33,8 +33,9 @@
 
 # Holds last minutes, so expired ones need not be found faster.
 CHECK_INTERVAL_MS = 1_000
-# Two inter-region round trips: time for hosts that completed the request
-# recently to object before it is quarantined. It is held meanwhile.
+# Two inter-region round trips of up to 160 ms each: time for hosts that
+# completed the request recently to object before it is quarantined. It is held
+# meanwhile.
 OBJECTION_WINDOW_MS = 350
 CALL_TIMEOUT_MS = 1_000
 # Without a leader provisional holds expire. The next crash then renews the
--- a/wrenspoke/coordination/serving/backlog.py
+++ b/wrenspoke/coordination/serving/backlog.py
@@ -26,7 +26,8 @@
 PEER_REPORT_TIMEOUT_MS = 500
 # Peers' calls of the last few ms have not been broadcast yet.
 PEER_REPORT_LAG_MS = 25
-# Weight of the reported estimate, which counts calls instead of tokens.
+# Weight of the reported estimate, which counts calls instead of tokens. Both
+# estimates are inexact.
 REPORTED_WEIGHT = 0.25
 INITIAL_PROMPT_TOKENS = 1_000.0
 
--- a/wrenspoke/coordination/serving/concurrency_limits.py
+++ b/wrenspoke/coordination/serving/concurrency_limits.py
@@ -17,7 +17,8 @@
 
     The limit increases additively while it is in use, and decreases
     multiplicatively when the endpoint rejects work. While the endpoint
-    reports queued work it decreases too, but not below the endpoint's slots.
+    reports queued work it decreases too, but not below the endpoint's slots:
+    more requests would only wait longer.
     """
 
     def __init__(self, slots: int, clock: clocks.Clock):
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -49,7 +49,8 @@
 CATCH_UP_MS = 600
 # Retry-After where no endpoint gives a time.
 RETRY_AFTER_MS = 500
-# How long calls wait for a starting host to get its configuration and lease.
+# How long calls wait for a starting host to get its configuration and lease. A
+# rejected call would be late when its caller retries it.
 START_WAIT_MS = 1_000
 START_RETRY_AFTER_MS = 1_000
 
--- a/wrenspoke/coordination/serving/prefix_index.py
+++ b/wrenspoke/coordination/serving/prefix_index.py
@@ -16,7 +16,8 @@
 
 Parts = tuple[dialects.PromptPart, ...]
 
-# Share of a prompt's shared parts that its affinity engine is assumed to hold.
+# Share of a prompt's shared parts that its affinity engine is assumed to hold:
+# some were never computed there, others have been evicted.
 AFFINITY_CACHED_SHARE = 0.8
 MAX_CACHED_PARTS = 20_000
 # Marks cache entries that no other prompt can match.
--- a/wrenspoke/coordination/serving/remote_regions.py
+++ b/wrenspoke/coordination/serving/remote_regions.py
@@ -24,12 +24,15 @@
 from wrenspoke.protocol import messages
 from wrenspoke.state import routes
 
-# Expected time to the first piece from a region without reported offers.
+# Expected time to the first piece from a region without reported offers: an
+# inter-region round trip of up to 160 ms, and some processing there.
 DEFAULT_FIRST_MS = 250.0
-# How long the wait reported by a busy region applies.
+# How long the wait reported by a busy region applies: two ping intervals by
+# default, after which newer offers have arrived.
 BUSY_WAIT_TTL_MS = 800
 # A host that has not reported this host's configuration index for so long
-# gets no calls, as it would refuse them.
+# gets no calls, as it would refuse them. Leaves time for a
+# change to reach every host and for the next ping to report it.
 CONFIGURATION_LAG_LIMIT_MS = 800
 # Time that the hosts need to forward a call and its response.
 FORWARDING_OVERHEAD_MS = 6.0
--- a/wrenspoke/coordination/serving/retry_outcomes.py
+++ b/wrenspoke/coordination/serving/retry_outcomes.py
@@ -13,7 +13,8 @@
 MIN_SUCCESS_RATE = 0.1
 # Success rate of a route without outcomes.
 INITIAL_SUCCESS_RATE = 0.8
-# Weight of a new outcome in the moving average.
+# Weight of a new outcome in the moving average. About a dozen failed retries
+# in a row bring a route without outcomes below the minimum.
 SMOOTHING_WEIGHT = 0.15
 # Share of the retries below the minimum that are made to detect a change.
 EXPLORATION_SHARE = 0.1
--- a/wrenspoke/coordination/serving/sent_call_broadcast.py
+++ b/wrenspoke/coordination/serving/sent_call_broadcast.py
@@ -28,11 +28,12 @@
 # Delay to batch calls into one message.
 BATCH_DELAY_MS = 4
 # Interval of a collecting host's broadcasts, times the number of collecting
-# hosts: bounds the messages that each host receives.
+# hosts: each host receives at most 40 messages per second, however many hosts
+# collect, until the interval reaches its upper bound.
 BROADCAST_INTERVAL_MS = 25
 # Upper bound of the interval, as older data is of little use.
 MAX_BROADCAST_INTERVAL_MS = 200
-# Calls queued beyond this number are dropped.
+# Calls queued beyond this number are dropped: they would be sent too late.
 BATCH_LIMIT = 2_000
 
 Listener = collections.abc.Callable[[discovery_messages.SentCall], None]
--- a/wrenspoke/coordination/serving/warmup_probe.py
+++ b/wrenspoke/coordination/serving/warmup_probe.py
@@ -32,7 +32,8 @@
 
 OK = 200
 # Other hosts' results that were received up to so long before this host
-# learned of the restored data centre are valid.
+# learned of the restored data centre are valid; the change takes about as long
+# to reach all hosts.
 EARLY_STATUS_MS = 1_000
 # Endpoints of the same region respond sooner unless overloaded.
 PROBE_TIMEOUT_MS = 400
--- a/wrenspoke/logstream.py
+++ b/wrenspoke/logstream.py
@@ -9,6 +9,7 @@
 import os
 import typing
 
+# Enough for a short pause of the reader without dropped lines.
 MAX_BUFFERED_BYTES = 256 * 1024
 WRITE_BYTES = 16 * 1024
 
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -48,6 +48,7 @@
     """
 
     beat_interval_ms: Positive = 200
+    # A round trip between distant regions takes up to 160 ms.
     election_timeout_ms: Positive = 1_000
     snapshot_entries: Positive = 500
     tolerated_losses: Losses | None = None
@@ -76,6 +77,7 @@
 
     connect_timeout_ms: Positive = 400
     endpoint_idle_ms: Positive = 4_000
+    # A round trip between distant regions takes up to 160 ms.
     far_connect_timeout_ms: Positive = 700
     host_idle_ms: Positive = 20_000
     caller_idle_ms: Positive = 30_000
--- a/wrenspoke/protocol/traffic.py
+++ b/wrenspoke/protocol/traffic.py
@@ -18,6 +18,7 @@
 logger = structlog.get_logger(__name__)
 
 UNREADABLE = 'unreadable'
+# A host that loses power loses the counts of at most this time.
 LOG_INTERVAL_MS = 30_000
 
 
--- a/wrenspoke/state/quarantine.py
+++ b/wrenspoke/state/quarantine.py
@@ -5,7 +5,7 @@
 from wrenspoke import ids
 
 # Beyond this entries on probation are evicted first, then the oldest. Every
-# host stores all entries.
+# host stores all entries. They are few, as each takes three crashes or more.
 MAX_QUARANTINED = 1_000
 
 
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -22,11 +22,12 @@
 logger = structlog.get_logger(__name__)
 
 # Endpoints renew about every 1.2 s, at times with seconds of delay. After
-# this time without a renewal other endpoints are preferred.
+# this time, four missed renewals and some delay, other endpoints are
+# preferred.
 RENEWAL_TIMEOUT_MS = 6_000
 # An endpoint that renewed within this time still owns its address. Longer
-# than the renewal interval, and no longer than the time until the address
-# may be reused (2 s).
+# than the renewal interval and most delays of a renewal, and no longer than
+# the time until the address may be reused (2 s).
 ADDRESS_HOLD_MS = 2_000
 # Longer than any delayed message about an ended instance can take.
 ENTRY_TTL_MS = 120_000
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -194,7 +194,8 @@
     def _index_electorates(self) -> None:
         """Index the entries that change the electorate.
 
-        The electorate is read on every heartbeat.
+        The electorate is read on every heartbeat, and the log may hold
+        hundreds of entries.
         """
         self._electorates = [
             (entry.index, entry.entry.electorate)
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -14,12 +14,14 @@
 from wrenspoke.transport import errors
 
 # TCP keepalive detects a dead peer or a black-holed connection within 3 s.
-# The peer's kernel answers the probes even while its process is stalled.
+# The peer's kernel answers the probes even while its process is stalled. The
+# socket options take whole seconds.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
 # Closes a connection whose sent data stays unacknowledged for this long;
-# leaves time for several TCP retransmissions.
+# leaves time for several TCP retransmissions, whose timeout is 200 ms or
+# more and doubles each time.
 USER_TIMEOUT_MS = 3_000
 
 
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -30,7 +30,7 @@
 
 SEND_HIGH_WATER_MARK = 64
 # High enough that libzmq keeps reading a link whose messages are not yet
-# handled.
+# handled. A long queue is cheap to drain: late messages have expired.
 # libzmq (4.3.5) aborts the process when a link is reset while reading from it
 # is paused and a heartbeat is due or buffered.
 RECEIVE_HIGH_WATER_MARK = 20_000
@@ -39,7 +39,8 @@
 ONEWAY_TTL_MS = 2000
 HEARTBEAT_IVL_MS = 2000
 HEARTBEAT_TIMEOUT_MS = 6000
-# Short, so that hosts that start together connect quickly.
+# Short, so that hosts that start together connect quickly. An absent host
+# costs about ten connection attempts per second.
 RECONNECT_MS = 30
 MAX_RECONNECT_MS = 100
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
