Test that caches of another build are not fetched

Row 'two builds' of test_prompt_cache_is_fetched_from_its_holder fails with the check of the build taken out of the selection (1 failed, 2 passed), and passes with it.

--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -306,17 +306,32 @@
         ]
 
 
-@pytest.mark.parametrize('moves', [True, False])
-async def test_prompt_cache_is_fetched_from_its_holder(tmp_path, moves):
-    """The engine that caches the prompt is full."""
+@pytest.mark.parametrize(
+    'moves, builds, is_fetched',
+    [
+        (True, ('v1', 'v1'), True),
+        (True, ('v1', 'v2'), False),
+        (False, ('v1', 'v1'), False),
+    ],
+    ids=['one build', 'two builds', 'no moves'],
+)
+async def test_prompt_cache_is_fetched_from_its_holder(
+    tmp_path, moves, builds, is_fetched
+):
+    """Guards against caches that another build of the software has filled.
+
+    The engine that caches the prompt is full.
+    """
     parts = 'Wrenspoke-Prompt-Parts: a:2000,b:1000,own:100'
     async with nodes.running(tmp_path, reports=nodes.Reports()) as system:
         batch = routes.Batch(8, 9_000, 1_000, 10_000.0, moves)
         await system.put(route(), batch=batch)
         made = {}
-        for name in ('e1', 'e2'):
+        for name, build in zip(('e1', 'e2'), builds, strict=True):
             engine = made[name] = ReportingEngine(b'0 1 9 90000')
-            await system.register(name, await engine.endpoint.start())
+            await system.register(
+                name, await engine.endpoint.start(), build=build
+            )
         gauges = system.entries[0]._engine_loads
         await nodes.until(lambda: gauges.load('e1') and gauges.load('e2'))
         asked = request(headers=['Wrenspoke-Tokens: 3100,10', parts])
@@ -329,7 +344,7 @@
         await endpoints.send_raw(address, asked)
         [second] = made[other].calls
         named = endpoints.header(second, 'Wrenspoke-Fetch-From')
-        expected = made[keeper].endpoint.address if moves else None
+        expected = made[keeper].endpoint.address if is_fetched else None
         assert named == expected
         first = made[keeper].calls[0]
         assert endpoints.header(first, 'Wrenspoke-Fetch-From') is None
