Don't refuse the rest of a stream for the length of the whole

What callers would see: a stream that they take up again is refused at once with 503, as its whole length would miss the deadline, though most of it was delivered before.

Cause: the estimate of a call's end takes the tokens of the whole answer. Evidence: row 'rest of a stream' of test_rest_of_a_stream_is_not_refused_for_the_whole failed on the code before; a new stream of that length is still refused. Only the refusal is left out: how much is left isn't known, so the choice of a destination still takes the whole length.

--- a/tests/test_far.py
+++ b/tests/test_far.py
@@ -438,3 +438,44 @@
             # The prefill time less the target, plus up to half as jitter.
             assert 90 <= wait_s <= 160
         await engine.endpoint.close()
+
+
+@pytest.mark.parametrize(
+    'headers, status',
+    [
+        ([], 503),
+        (['Last-Event-ID: 7', 'Wrenspoke-Resumes: q0'], 200),
+    ],
+    ids=['new stream', 'rest of a stream'],
+)
+async def test_rest_of_a_stream_is_not_refused_for_the_whole(
+    tmp_path, headers, status
+):
+    """Guards against refusals by the size of what was already delivered."""
+    event = b'id: 8\ndata: h\n\n'
+
+    def script(sent, _number):
+        if sent.startswith(b'GET /load '):
+            return [answer(sent, b'0 1 9 9000000')]
+        return [*test_passing.chunked(sent, event), test_passing.END]
+
+    async with nodes.running(tmp_path, reports=nodes.Reports()) as system:
+        batch = routes.Batch(8, 9_000_000)
+        resumable = test_passing.route(test_passing.STREAM, resumable=True)
+        await system.put(resumable, batch=batch)
+        engine = await endpoints.ScriptedEndpoint(script).start()
+        await system.register('e', engine)
+        gauges = system.entries[0]._engine_loads
+        await nodes.until(lambda: gauges.load('e'))
+        got = await endpoints.send_raw(
+            system.entries[0].node.callers_address,
+            request(
+                headers=[
+                    'Wrenspoke-Tokens: 100,2000000',
+                    'Wrenspoke-Deadline-Ms: 5000',
+                    *headers,
+                ]
+            ),
+        )
+        assert got.startswith(f'HTTP/1.1 {status} '.encode()), got
+        await engine.close()
--- a/wrenspoke/coordination/serving/destinations.py
+++ b/wrenspoke/coordination/serving/destinations.py
@@ -129,7 +129,8 @@
     ) -> None:
         """Refuse a call that would most likely miss its deadline.
 
-        A call that was sent before is not refused, as it may be resumed.
+        A call that was sent before is not refused, as it may be resumed; nor
+        is one that resumes a stream, as the estimate covers the whole stream.
         """
         spread = self._selector.estimate_spread(context.service.service)
         probability = costs.deadline_miss_probability(
@@ -137,6 +138,8 @@
         )
         if context.send_count or probability <= DEADLINE_MISS_LIMIT:
             return
+        if context.call.resumes_stream:
+            return
         if not self._is_enabled(feature_flags.FeatureFlag.DEADLINE_REJECTION):
             return
         logger.info(
