Don't cache the host order of every request

The order of a region's hosts is cached by key until the roster changes, for keys such as endpoints and teams. Found by the model of the design. Such keys get the order without the cache; test_order_of_unbounded_keys_is_not_cached.

--- a/tests/test_region_pollers.py
+++ b/tests/test_region_pollers.py
@@ -164,3 +164,13 @@
         for host, made in region.made.items():
             asked[number] += made.is_poller_of(f'e{number}')
     assert set(asked.values()) == {region_pollers.MIN_POLLERS}
+
+
+def test_order_of_unbounded_keys_is_not_cached():
+    """Guards against memory that grows with the requests served."""
+    pollers = next(iter(SimulatedRegion(7).made.values()))
+    expected = [pollers.rendezvous_order(f'r{n}') for n in range(3)]
+    for number in range(100):
+        order = pollers.compute_order(f'r{number}')
+        assert number >= len(expected) or order == expected[number]
+    assert len(pollers._order_cache) == len(expected)
--- a/wrenspoke/coordination/membership/region_pollers.py
+++ b/wrenspoke/coordination/membership/region_pollers.py
@@ -123,11 +123,17 @@
             self._order_cache.clear()
         found = self._order_cache.get(key)
         if found is None:
-            near = {record.host for record in self._usable_hosts()}
-            found = routing.rendezvous(key, {*near, self._host})
-            self._order_cache[key] = found
+            found = self._order_cache[key] = self.compute_order(key)
         return found
 
+    def compute_order(self, key: str) -> list[str]:
+        """Return the same as ``rendezvous_order``, without caching it.
+
+        For keys without bound, as those of requests.
+        """
+        near = {record.host for record in self._usable_hosts()}
+        return routing.rendezvous(key, {*near, self._host})
+
     def _usable_hosts(self) -> list[RosterHost]:
         return self._roster.usable(self._region)
 
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -125,7 +125,7 @@
         )
         self._stream_builds = stream_builds.BuildStore(
             node.host,
-            self._pollers.rendezvous_order,
+            self._pollers.compute_order,
             self._remote_hosts,
             self.peers,
             self.clock,
