Draw the region that stores a stream's build by its number of hosts

The draw depends on the request's id, so that the records of two attempts meet at the same hosts and the newer wins; test_other_regions_are_drawn_by_size_and_request.

--- a/tests/test_build_store.py
+++ b/tests/test_build_store.py
@@ -34,6 +34,9 @@
             for name in self._fleet.names[region]
         ]
 
+    def ranked_hosts(self, region):
+        return self.reachable(region)
+
     def unreachable_regions(self):
         return []
 
@@ -237,3 +240,22 @@
             records.store(resuming.StreamBuild('r', 'a', 0, TTL_MS))
 
     group.run(run())
+
+
+def test_other_regions_are_drawn_by_size_and_request():
+    """Guards against small regions that store most, and against two places.
+
+    Records of two attempts at one stream must meet, so that the newer wins.
+    """
+
+    async def run():
+        fleet = Fleet(1)
+        fleet.names['south'] = [f'south-{n}' for n in range(9)]
+        store = fleet.stores['north-0']
+        first = [store._draw_regions(f'r{n}')[0] for n in range(1_000)]
+        again = [store._draw_regions(f'r{n}')[0] for n in range(1_000)]
+        assert first == again
+        assert 850 <= first.count('south') <= 950
+        await fleet.close()
+
+    group.run(run())
--- a/wrenspoke/coordination/serving/stream_builds.py
+++ b/wrenspoke/coordination/serving/stream_builds.py
@@ -14,13 +14,13 @@
 import collections.abc
 import dataclasses
 import enum
+import random
 
 import structlog
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke.coordination.membership import remote_hosts
-from wrenspoke.coordination.serving import routing
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import peers as peer_calls
@@ -194,12 +194,11 @@
         self, builds: list[resuming.StreamBuild]
     ) -> None:
         """Send each build to one other region."""
-        regions = self._remotes.regions()
         batches: dict[tuple[str, ...], list[resuming.StreamBuild]] = {}
         for said in builds:
             hosts = []
-            for region in routing.rendezvous(said.request, regions):
-                hosts += self._remote_host_ids(ids.RegionId(region))
+            for region in self._draw_regions(said.request):
+                hosts += self._remote_host_ids(region)
             if hosts:
                 key = tuple(hosts[:MAX_STORE_ATTEMPTS])
                 batches.setdefault(key, []).append(said)
@@ -209,6 +208,19 @@
                 self._send_batch(hosts, message, FAR_TIMEOUT_MS), fatal=False
             )
 
+    def _draw_regions(self, request: ids.RequestId) -> list[ids.RegionId]:
+        """Return the other regions in an order drawn from a request's id.
+
+        It is the same for each record of a request. Regions are weighted by
+        their hosts, so that those of small regions store no more than others.
+        """
+        drawn = random.Random(request)
+        weighted = {}
+        for region in self._remotes.regions():
+            count = max(len(self._remotes.ranked_hosts(region)), 1)
+            weighted[region] = drawn.random() ** (1 / count)
+        return sorted(weighted, key=weighted.__getitem__, reverse=True)
+
     def _remote_host_ids(self, region: ids.RegionId) -> list[ids.HostId]:
         """Return the hosts of another region to store builds through."""
         found = self._remotes.reachable(region)
