Resume a stream at the service that began it

What callers would see: on a route with several services a stream that they take up again is drawn to one of them at random: 9 of 20 streams went on at another service's engine, or 7 of 20 were refused as their build was gone.

Cause: the service of a call was drawn anew for each attempt, and the build is one of a service. On resumable routes it is drawn by weight from the id of the request that began the stream, so that all hosts draw the same one. A change of the weights in mid-stream can still draw another. Evidence: test_stream_goes_on_at_its_service failed on the code before.

--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -447,3 +447,15 @@
         if not hosts:
             return None
         return self._random.choice(hosts[: remote_hosts.TARGETS_PER_REGION])
+
+
+def service_of_stream(
+    targets: tuple[routes.Target, ...], request: ids.RequestId
+) -> ids.ServiceId:
+    """Return the service of the stream that a request begins, by weight.
+
+    All hosts draw the same one.
+    """
+    weights = [target.weight for target in targets]
+    drawn = random.Random(request).choices(targets, weights)
+    return drawn[0].service
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -189,7 +189,7 @@
         call.digest = _digest_of(call, permit)
         # The permit may be based on a newer table than the one read above.
         table = self._replica.current.routes
-        service = table.service(self._select_service(permit.route, hop))
+        service = table.service(self._select_service(call, permit.route, hop))
         try:
             reservation = await self._charge_team_limit(call, permit, hop)
         except limiters.OverLimitError as error:
@@ -321,12 +321,21 @@
             return
 
     def _select_service(
-        self, route: routes.Route, hop: passthrough_api.Hop | None
+        self,
+        call: dialects.Call,
+        route: routes.Route,
+        hop: passthrough_api.Hop | None,
     ) -> ids.ServiceId:
+        """Return the service of a call, for a resumed stream the same one."""
         names = [target.service for target in route.targets]
         if hop is not None and hop.service in names:
             return hop.service
-        return self._selector.draw_service(route.targets)
+        if not route.resumable:
+            return self._selector.draw_service(route.targets)
+        began_as = call.request
+        if call.resumes_stream and call.resumes is not None:
+            began_as = call.resumes
+        return endpoint_selector.service_of_stream(route.targets, began_as)
 
     def _left_ms(self, context: call_context.CallContext) -> int:
         return context.deadline_ms - self._clock.mono_ms()
