Infer no build from a registry that has just begun

What callers would see: after a restart of all control hosts the first heartbeats made one build look like the only one, and 9 to 14 of 20 streams went on at it that another build had begun.

Cause: being in contact with a leader was taken for knowing every endpoint. A control host now says whether its registry is complete: at the first start of all, or once every endpoint has had the time to renew. Evidence: rows of test_restarted_system_does_not_guess_from_the_first_heartbeats failed on the code before. The test waits for the leader at the entry host, not for a current registry, which now comes later than the guess that it guards against.

--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -45,6 +45,7 @@
         log_storage = storage.Storage(
             disk.Disk(pathlib.Path(node.data_folder))
         )
+        is_new_disk = not (log_storage.last_index or log_storage.meta.boot)
         if node.first_start:
             bootstrap.bootstrap_seeds(log_storage, node.host, node.seed_hosts)
         self.voter = voter.Voter(
@@ -64,6 +65,7 @@
             self.replica,
             self.peers,
             self.clock,
+            node.first_start and is_new_disk,
         )
         self._traffic.set_location_lookup(self.registrar.host_location)
         self._registry_snapshot = registry_snapshot.RegistrySnapshot(
--- a/wrenspoke/coordination/membership/discovery_client.py
+++ b/wrenspoke/coordination/membership/discovery_client.py
@@ -116,8 +116,9 @@
         self._tasks = runtime.Tasks()
         self._sessions = [_Session() for _number in range(SESSION_COUNT)]
         self._ticked_ms = clock.mono_ms()
-        # When a control host in contact with a leader last answered.
-        self._led_ms: int | None = None
+        # When a control host last answered that is in contact with a leader
+        # and has a complete registry.
+        self._complete_ms: int | None = None
         # Time of the last failure of each control host.
         self._failed_ms: dict[ids.HostId, int] = {}
         # Control hosts known to be in this region.
@@ -165,11 +166,12 @@
     def is_current(self) -> bool:
         """Return whether the registry has the registrations of all regions.
 
-        That is while control hosts answer that are in contact with a leader.
+        That is while control hosts answer that are in contact with a leader
+        and have a complete registry.
         """
-        if self._led_ms is None or not self.recently_ran:
+        if self._complete_ms is None or not self.recently_ran:
             return False
-        return self._clock.mono_ms() - self._led_ms <= CURRENT_TTL_MS
+        return self._clock.mono_ms() - self._complete_ms <= CURRENT_TTL_MS
 
     async def _tick(self) -> None:
         while True:
@@ -346,7 +348,9 @@
             self._apply_host_changes(session, answer.hosts)
         self._local_controls.update(answer.near)
         if answer.led:
-            self._led_ms = session.leader_seen_ms = self._clock.mono_ms()
+            session.leader_seen_ms = self._clock.mono_ms()
+            if answer.complete:
+                self._complete_ms = session.leader_seen_ms
             self._update_leader(session.host, answer)
         session.instance_id = answer.life
         self._serve_if_ready(answer)
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -41,6 +41,9 @@
 # Limits the answers to one host while many hosts start or leave, as there is a
 # new change every few ms then.
 MIN_UPDATE_INTERVAL_MS = 200
+# By then every endpoint has renewed its registration at a restarted host, and
+# streams of endpoints that ended meanwhile broke too long ago to be resumed.
+COMPLETE_AFTER_MS = 10_000
 # Has to exceed the exchange interval plus an inter-region round trip.
 CONTACT_WINDOW_MS = 3_000
 
@@ -56,7 +59,9 @@
         config_replica: replica.Replica,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
+        first_start: bool = False,
     ):
+        self._first_start = first_start
         self._voter = local_voter
         self._group = group
         self._replica = config_replica
@@ -94,6 +99,16 @@
         """Return whether every live entry host has had time to renew."""
         return self._clock.mono_ms() - self._created_ms >= HOST_LEASE_MS
 
+    @property
+    def _is_complete(self) -> bool:
+        """Return whether every endpoint has had time to register here.
+
+        After a restart the registry lacks endpoints until they renew, unless
+        no endpoint can have registered before.
+        """
+        age_ms = self._clock.mono_ms() - self._created_ms
+        return self._first_start or age_ms >= COMPLETE_AFTER_MS
+
     def start(self) -> None:
         """Start the exchanges with other control hosts and the expiry."""
         self._tasks.start(self._expiry_loop())
@@ -224,6 +239,7 @@
             held_ms,
             self._voter.leader,
             self._voter.term,
+            self._is_complete,
         )
 
     def _packed_delta_since(self, index: int) -> bytes:
--- a/wrenspoke/protocol/discovery_messages.py
+++ b/wrenspoke/protocol/discovery_messages.py
@@ -92,7 +92,8 @@
     was sent; None if no leader did. ``held_ms`` is how long the control host
     delayed the reply. ``leader`` is the last known leader, in ``term``.
     ``hosts`` is None if no host changed. ``near`` lists the control hosts in
-    the region of the entry host.
+    the region of the entry host. ``complete`` is set if the registry has had
+    the time to receive a registration of every endpoint.
     """
 
     confirmed: bool
@@ -110,6 +111,7 @@
     held_ms: int = 0
     leader: ids.HostId | None = None
     term: int = 0
+    complete: bool = False
 
 
 def pack_delta(delta: messages.ConfigurationDelta) -> bytes:
