Let the newest record of a stream's build win at every host

What callers would see: streams that went on at the build of an attempt that had failed before the first event.

Beside it: all hosts that may hold a substitute's record are asked, and a build counts as gone only by a current registry.

--- a/benches/switches_streams.py
+++ b/benches/switches_streams.py
@@ -92,7 +92,7 @@
     Switch(
         'rest of a stream refused for the whole',
         SERVING + 'destinations.py',
-        'if context.call.resumes_stream:',
+        'if context.build is not None:',
         'if False:',
         'tests/test_far.py::test_rest_of_a_stream_is_not_refused_for_the_whole',
     ),
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -152,6 +152,9 @@
     ) -> None:
         destination.sent_ms = self._clock.mono_ms()
         if destination.chosen is None:
+            if context.build_records and context.build is None:
+                # The build of an earlier send no longer counts.
+                self._record_build(context, None)
             return
         self._record_build(context, destination.build)
         destination.prompt_number = self._estimator.record_sent(
@@ -180,15 +183,17 @@
         connected to.
         """
         call = context.call
-        if build is None or context.hop is not None:
-            return
-        if not context.route.resumable:
+        if context.hop is not None or not context.route.resumable:
             return
         if not call.resumes_stream:
+            context.build_records += 1
             self._builds.record(
-                call.request, build, context.send_count + 1, context.route
+                call.request,
+                build,
+                context.build_records,
+                context.route,
             )
-        elif call.resumes is not None:
+        elif call.resumes is not None and build is not None:
             # Hosts that have restarted since learn it again.
             self._builds.record(call.resumes, build, 0, context.route)
 
--- a/wrenspoke/coordination/serving/destinations.py
+++ b/wrenspoke/coordination/serving/destinations.py
@@ -138,7 +138,7 @@
         )
         if context.send_count or probability <= DEADLINE_MISS_LIMIT:
             return
-        if context.call.resumes_stream:
+        if context.build is not None:
             return
         if not self._is_enabled(feature_flags.FeatureFlag.DEADLINE_REJECTION):
             return
--- a/wrenspoke/coordination/serving/stream_builds.py
+++ b/wrenspoke/coordination/serving/stream_builds.py
@@ -32,9 +32,6 @@
 
 # Other hosts of a region that store a stream's build.
 KEEPERS_PER_REGION = 2
-# Hosts that are asked: the host that began the stream is not among its
-# keepers, and each keeper may have been down and have a substitute.
-ASKED_PER_REGION = 2 * KEEPERS_PER_REGION + 1
 # Batches the records of streams that begin at the same time.
 BATCH_DELAY_MS = 4
 NEAR_TIMEOUT_MS = 200
@@ -42,6 +39,11 @@
 FAR_TIMEOUT_MS = 1_000
 # Number of hosts tried for one copy.
 MAX_STORE_ATTEMPTS = 3
+# Hosts that are asked: the host that began the stream is not among its
+# keepers, and each keeper may have been down and have substitutes.
+ASKED_PER_REGION = KEEPERS_PER_REGION * MAX_STORE_ATTEMPTS + 1
+# How long to wait for a newer record once one is known.
+NEWER_RECORD_WAIT_MS = 200
 # Time after the end of a stream in which its caller may resume it. Resuming
 # renews the record.
 RESUME_WINDOW_MS = 10_000
@@ -50,6 +52,8 @@
 # Records that wait to be sent.
 MAX_QUEUED = 5_000
 
+MS_PER_S = 1000
+
 HostOrder = collections.abc.Callable[[str], list[str]]
 
 
@@ -66,9 +70,11 @@
 class _Record:
     """A stored build."""
 
-    build: ids.BuildId
+    build: ids.BuildId | None
     number: int
     expires_ms: int
+    # Whether this host sent the stream's request.
+    is_own: bool = False
 
 
 class BuildRecords:
@@ -83,25 +89,30 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def store(self, said: resuming.StreamBuild) -> None:
+    def store(self, said: resuming.StreamBuild, is_own: bool = False) -> None:
         """Store a build, unless a newer one is stored."""
         expires_ms = self._clock.mono_ms() + said.ttl_ms
         old = self._records.pop(said.request, None)
         if old is not None:
             expires_ms = max(expires_ms, old.expires_ms)
         if old is not None and old.number > said.number:
-            record = _Record(old.build, old.number, expires_ms)
+            record = _Record(old.build, old.number, expires_ms, old.is_own)
         else:
-            record = _Record(said.build, said.number, expires_ms)
+            record = _Record(said.build, said.number, expires_ms, is_own)
         self._records[said.request] = record
         self._evict()
 
     def find(self, request: ids.RequestId) -> ids.BuildId | None:
         """Return the build that began a request's stream, None if unknown."""
+        record = self.record_of(request)
+        return None if record is None else record.build
+
+    def record_of(self, request: ids.RequestId) -> _Record | None:
+        """Return the record of a request's stream, None if unknown."""
         record = self._records.get(request)
         if record is None or record.expires_ms <= self._clock.mono_ms():
             return None
-        return record.build
+        return record
 
     def _evict(self) -> None:
         """Drop expired records from the oldest on, and those over the limit.
@@ -159,7 +170,7 @@
 
     def store(self, said: resuming.StreamBuild) -> None:
         """Store a build here, and queue it for the other hosts."""
-        self.records.store(said)
+        self.records.store(said, is_own=bool(said.number))
         if len(self._queued) >= MAX_QUEUED:
             logger.warning('stream_build_not_sent', request=said.request)
             return
@@ -270,21 +281,37 @@
     async def _handle_find(
         self, _sender: ids.HostId, message: resuming.FindBuild
     ) -> resuming.FindBuildReply:
-        build = self.records.find(message.request)
-        if build is None and message.search:
-            build = await self.find_in_region(message.request)
-        return resuming.FindBuildReply(build)
+        if message.search:
+            return await self._find_newest_in_region(message.request)
+        return self._own_reply(message.request)
 
-    async def find_in_region(
+    def _own_reply(self, request: ids.RequestId) -> resuming.FindBuildReply:
+        record = self.records.record_of(request)
+        if record is None:
+            return resuming.FindBuildReply()
+        return resuming.FindBuildReply(record.build, record.number)
+
+    async def _find_newest_in_region(
         self, request: ids.RequestId
-    ) -> ids.BuildId | None:
-        """Ask the hosts of this region for a build, None if unknown."""
+    ) -> resuming.FindBuildReply:
+        own = self.records.record_of(request)
+        if own is not None and own.is_own:
+            return self._own_reply(request)
         order = self._order(request)[:ASKED_PER_REGION]
         hosts = [ids.HostId(host) for host in order if host != self._host]
         return await self._ask(
-            hosts, resuming.FindBuild(request), NEAR_TIMEOUT_MS
+            hosts,
+            resuming.FindBuild(request),
+            NEAR_TIMEOUT_MS,
+            self._own_reply(request),
         )
 
+    async def find_in_region(
+        self, request: ids.RequestId
+    ) -> ids.BuildId | None:
+        """Ask the hosts of this region for a build, None if unknown."""
+        return (await self._find_newest_in_region(request)).build
+
     async def find_in_other_regions(
         self, request: ids.RequestId
     ) -> ids.BuildId | None:
@@ -292,34 +319,64 @@
         hosts = []
         for region in self._remotes.regions():
             hosts += self._remote_host_ids(region)
-        return await self._ask(
-            hosts, resuming.FindBuild(request, search=True), FAR_TIMEOUT_MS
+        answer = await self._ask(
+            hosts,
+            resuming.FindBuild(request, search=True),
+            FAR_TIMEOUT_MS,
+            resuming.FindBuildReply(),
         )
+        return answer.build
 
     async def _ask(
         self,
         hosts: list[ids.HostId],
         message: resuming.FindBuild,
         timeout_ms: int,
-    ) -> ids.BuildId | None:
-        """Return the first build that one of several hosts knows."""
+        newest: resuming.FindBuildReply,
+    ) -> resuming.FindBuildReply:
+        """Return the newest record that this or one of several hosts knows.
+
+        A host may have missed the record of a later attempt.
+        """
         calls = [
             asyncio.ensure_future(self._call(host, message, timeout_ms))
             for host in hosts
         ]
         try:
-            for call in asyncio.as_completed(calls):
-                answer = await call
-                if not isinstance(answer, resuming.FindBuildReply):
-                    continue
-                if answer.build is not None:
-                    return answer.build
-            return None
+            waiting = set(calls)
+            while waiting:
+                wait_s = None
+                if newest.build is not None:
+                    wait_s = NEWER_RECORD_WAIT_MS / MS_PER_S
+                done, waiting = await asyncio.wait(
+                    waiting,
+                    timeout=wait_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    break
+                for call in done:
+                    newest = _newer(newest, call.result())
+            return newest
         finally:
             for call in calls:
                 call.cancel()
 
 
+def _newer(
+    known: resuming.FindBuildReply, answer: peer_calls.Message | None
+) -> resuming.FindBuildReply:
+    """Return the newer of a known record and an answer."""
+    if not isinstance(answer, resuming.FindBuildReply):
+        return known
+    if answer.build is None and not answer.number:
+        return known
+    is_known = known.build is not None or known.number
+    if is_known and known.number >= answer.number:
+        return known
+    return answer
+
+
 class StreamBuilds:
     """Decides at which build a stream may go on."""
 
@@ -336,7 +393,7 @@
     def record(
         self,
         request: ids.RequestId,
-        build: ids.BuildId,
+        build: ids.BuildId | None,
         number: int,
         route: routes.Route,
     ) -> None:
@@ -380,9 +437,13 @@
         service: ids.ServiceId,
     ) -> tuple[ids.BuildId | None, Source | None]:
         if request is not None:
-            build = self._store.records.find(request)
-            if build is not None:
-                return build, Source.LOCAL
+            record = self._store.records.record_of(request)
+            if (
+                record is not None
+                and record.is_own
+                and record.build is not None
+            ):
+                return record.build, Source.LOCAL
             build = await self._store.find_in_region(request)
             if build is not None:
                 return build, Source.REGION
@@ -410,7 +471,12 @@
         return next(iter(builds))
 
     def is_gone(self, service: ids.ServiceId, build: ids.BuildId) -> bool:
-        """Return whether no endpoint of a build takes requests any more."""
+        """Return whether no endpoint of a build takes requests any more.
+
+        Hosts that start may not have heard of all endpoints yet.
+        """
+        if not self._discovery.is_current:
+            return False
         return not any(
             found.takes_work
             and found.registration.service == service
--- a/wrenspoke/protocol/resuming.py
+++ b/wrenspoke/protocol/resuming.py
@@ -10,11 +10,12 @@
 
     ``request`` is the request that began the stream. Of two records of one
     request the one with the higher ``number`` is newer. A record is kept for
-    ``ttl_ms``.
+    ``ttl_ms``. ``build`` is None where a host of another region chooses it,
+    until that host has named it.
     """
 
     request: ids.RequestId
-    build: ids.BuildId
+    build: ids.BuildId | None
     number: int
     ttl_ms: int
 
@@ -49,3 +50,4 @@
     """Reply with the stored build, None if unknown."""
 
     build: ids.BuildId | None = None
+    number: int = 0
