--- a/wrenspoke/coordination/serving/stream_builds.py
+++ b/wrenspoke/coordination/serving/stream_builds.py
@@ -4,10 +4,11 @@
 build that began it. Its caller may resume it at any host, also after the
 host that began it has failed.
 
-The host that a caller is connected to stores the build as it sends the
-request, before the first event exists: at itself, at two hosts of its region
-in rendezvous order of the request, and through one host of another region at
-two hosts there. A host that resumes a stream asks its own region first.
+The host that a caller is connected to stores the build: as it sends the
+request to an endpoint, or with the first event if a host of another region
+chooses the endpoint. It stores it at itself, at two hosts of its region in
+rendezvous order of the request, and through one host of another region at two
+hosts there. A host that resumes a stream asks its own region first.
 """
 
 import asyncio
@@ -47,7 +48,7 @@
 # Time after the end of a stream in which its caller may resume it. Resuming
 # renews the record.
 RESUME_WINDOW_MS = 10_000
-# Records beyond this number replace those that expire first.
+# Records beyond this number replace the oldest.
 MAX_RECORDS = 50_000
 # Records that wait to be sent.
 MAX_QUEUED = 5_000
