--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -503,6 +503,41 @@
     return results
 
 
+async def wait_until_usable(system):
+    """Wait until the hosts use every engine again, after those that broke.
+
+    A host leaves an engine out for a while after some failures in a row, and
+    a region without any other offers nothing to the others meanwhile.
+    """
+    hosts = list(system.hosts.values())
+    addresses = [one._endpoint.address for one in system.engines.values()]
+    regions = {
+        nodes.REGIONS[one.data_centre] for one in system.engines.values()
+    }
+
+    def is_offered(host, region):
+        if region == host.node.region:
+            return True
+        record = host._selector.select_host(region, ())
+        if record is None:
+            return region not in {one.node.region for one in hosts}
+        status = host._remote_regions._latest_status(record)
+        return status is not None and bool(status.pong.offers)
+
+    await nodes.until(
+        lambda: (
+            not any(
+                host._outlier_detector.is_ejected(address)
+                for host in hosts
+                for address in addresses
+            )
+        )
+    )
+    await nodes.until(
+        lambda: all(is_offered(hosts[0], region) for region in regions)
+    )
+
+
 async def begin_streams(system, case):
     """Return streams that broke off; every build began one at least."""
     if not case.known:
@@ -514,6 +549,7 @@
     while len(streams) < STREAM_COUNT or (
         {system.build_of(stream) for stream in streams} < builds
     ):
+        await wait_until_usable(system)
         begun = [
             system.new_stream(case.breaks, case.stalls)
             for _number in range(BATCH)
