Record the build of a stream with its first event

What callers would see: streams that go on at the build of an attempt that had failed before the first event, if the host was cut off or killed before the record of the later attempt reached the others.

Cause: builds were recorded as a request is sent. Until its first event a stream may begin at any build, so that a record could be wrong, and newer ones had to find every place of the older. A record is now made once, before the first event is forwarded: it may be lost, which refuses the take-up, but it can't be of another attempt. The numbers, empty records and the wait for the newest answer are gone with it; two builds under one request id, as of two callers, are taken as unknown.

--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -152,11 +152,7 @@
     ) -> None:
         destination.sent_ms = self._clock.mono_ms()
         if destination.chosen is None:
-            if context.build_records and context.build is None:
-                # The build of an earlier send no longer counts.
-                self._record_build(context, None)
             return
-        self._record_build(context, destination.build)
         destination.prompt_number = self._estimator.record_sent(
             destination.endpoint,
             context.service,
@@ -174,29 +170,6 @@
                 context.call.tokens_expected,
             )
 
-    def _record_build(
-        self, context: call_context.CallContext, build: ids.BuildId | None
-    ) -> None:
-        """Record the build that begins or continues a resumable stream.
-
-        Forwarded calls are recorded by the first host, which the caller is
-        connected to.
-        """
-        call = context.call
-        if context.hop is not None or not context.route.resumable:
-            return
-        if not call.resumes_stream:
-            context.build_records += 1
-            self._builds.record(
-                call.request,
-                build,
-                context.build_records,
-                context.route,
-            )
-        elif call.resumes is not None and build is not None:
-            # Hosts that have restarted since learn it again.
-            self._builds.record(call.resumes, build, 0, context.route)
-
     def _record_first_piece(
         self,
         context: call_context.CallContext,
@@ -475,10 +448,20 @@
         destination: sending.Destination,
         answer: sending.UpstreamResponse,
     ) -> None:
-        """Bind a stream to the build that its first event comes from."""
+        """Bind a stream to the build that its first event comes from.
+
+        Until then it may begin at any build, so nothing is recorded before.
+        Forwarded calls are recorded by the first host, which the caller is
+        connected to.
+        """
+        call = context.call
         context.build = _serving_build(destination, answer)
-        if destination.host is not None:
-            self._record_build(context, context.build)
+        if context.build is None or context.hop is not None:
+            return
+        request = call.resumes if call.resumes_stream else call.request
+        if request is not None and context.route.resumable:
+            # A resumed stream is recorded again, for hosts that restarted.
+            self._builds.record(request, context.build, context.route)
 
     def _gap_recorder(
         self,
--- a/wrenspoke/coordination/serving/call_context.py
+++ b/wrenspoke/coordination/serving/call_context.py
@@ -39,8 +39,6 @@
     runs: int = 0
     unexecuted_sends: int = 0
     send_count: int = 0
-    # Builds recorded for the stream that the call begins.
-    build_records: int = 0
     refusing_regions: set[ids.RegionId] = dataclasses.field(
         default_factory=set
     )
--- a/wrenspoke/coordination/serving/stream_builds.py
+++ b/wrenspoke/coordination/serving/stream_builds.py
@@ -4,11 +4,12 @@
 build that began it. Its caller may resume it at any host, also after the
 host that began it has failed.
 
-The host that a caller is connected to stores the build: as it sends the
-request to an endpoint, or with the first event if a host of another region
-chooses the endpoint. It stores it at itself, at two hosts of its region in
-rendezvous order of the request, and through one host of another region at two
-hosts there. A host that resumes a stream asks its own region first.
+The host that a caller is connected to stores the build of a stream before it
+forwards the first event, and not earlier: a record can be lost with its hosts,
+and then the stream is not resumed, but it can't be of another attempt. It is
+stored at that host, at two hosts of its region in rendezvous order of the
+request, and through one host of another region at two hosts there. A host that
+resumes a stream asks its own region first.
 """
 
 import asyncio
@@ -33,8 +34,6 @@
 
 # Other hosts of a region that store a stream's build.
 KEEPERS_PER_REGION = 2
-# Batches the records of streams that begin at the same time.
-BATCH_DELAY_MS = 4
 NEAR_TIMEOUT_MS = 200
 # Several inter-region round trips.
 FAR_TIMEOUT_MS = 1_000
@@ -43,8 +42,6 @@
 # Hosts that are asked: the host that began the stream is not among its
 # keepers, and each keeper may have been down and have substitutes.
 ASKED_PER_REGION = KEEPERS_PER_REGION * MAX_STORE_ATTEMPTS + 1
-# How long to wait for a newer record once one is known.
-NEWER_RECORD_WAIT_MS = 200
 # Time after the end of a stream in which its caller may resume it. Resuming
 # renews the record.
 RESUME_WINDOW_MS = 10_000
@@ -53,8 +50,6 @@
 # Records that wait to be sent.
 MAX_QUEUED = 5_000
 
-MS_PER_S = 1000
-
 HostOrder = collections.abc.Callable[[str], list[str]]
 
 
@@ -69,13 +64,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Record:
-    """A stored build."""
+    """A stored build, None if two builds were stored for one request."""
 
     build: ids.BuildId | None
-    number: int
     expires_ms: int
-    # Whether this host sent the stream's request.
-    is_own: bool = False
 
 
 class BuildRecords:
@@ -90,30 +82,28 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def store(self, said: resuming.StreamBuild, is_own: bool = False) -> None:
-        """Store a build, unless a newer one is stored."""
+    def store(self, said: resuming.StreamBuild) -> None:
+        """Store a build.
+
+        Two callers may use one request id; neither build is known then.
+        """
         expires_ms = self._clock.mono_ms() + said.ttl_ms
+        build = said.build
         old = self._records.pop(said.request, None)
         if old is not None:
             expires_ms = max(expires_ms, old.expires_ms)
-        if old is not None and old.number > said.number:
-            record = _Record(old.build, old.number, expires_ms, old.is_own)
-        else:
-            record = _Record(said.build, said.number, expires_ms, is_own)
-        self._records[said.request] = record
+            if old.build != said.build:
+                logger.warning('stream_build_ambiguous', request=said.request)
+                build = None
+        self._records[said.request] = _Record(build, expires_ms)
         self._evict()
 
     def find(self, request: ids.RequestId) -> ids.BuildId | None:
         """Return the build that began a request's stream, None if unknown."""
-        record = self.record_of(request)
-        return None if record is None else record.build
-
-    def record_of(self, request: ids.RequestId) -> _Record | None:
-        """Return the record of a request's stream, None if unknown."""
         record = self._records.get(request)
         if record is None or record.expires_ms <= self._clock.mono_ms():
             return None
-        return record
+        return record.build
 
     def _evict(self) -> None:
         """Drop expired records from the oldest on, and those over the limit.
@@ -171,7 +161,7 @@
 
     def store(self, said: resuming.StreamBuild) -> None:
         """Store a build here, and queue it for the other hosts."""
-        self.records.store(said, is_own=bool(said.number))
+        self.records.store(said)
         if len(self._queued) >= MAX_QUEUED:
             logger.warning('stream_build_not_sent', request=said.request)
             return
@@ -181,7 +171,6 @@
     async def _send_queued(self) -> None:
         while True:
             await self._queue_added.wait()
-            await self._clock.sleep_ms(BATCH_DELAY_MS)
             self._queue_added.clear()
             builds, self._queued = self._queued, []
             self._send_to_region(builds)
@@ -223,8 +212,8 @@
     def _draw_regions(self, request: ids.RequestId) -> list[ids.RegionId]:
         """Return the other regions in an order drawn from a request's id.
 
-        It is the same for each record of a request. Regions are weighted by
-        their hosts, so that those of small regions store no more than others.
+        Regions are weighted by their hosts, so that those of small regions
+        store no more than others.
         """
         drawn = random.Random(request)
         weighted = {}
@@ -282,37 +271,21 @@
     async def _handle_find(
         self, _sender: ids.HostId, message: resuming.FindBuild
     ) -> resuming.FindBuildReply:
-        if message.search:
-            return await self._find_newest_in_region(message.request)
-        return self._own_reply(message.request)
-
-    def _own_reply(self, request: ids.RequestId) -> resuming.FindBuildReply:
-        record = self.records.record_of(request)
-        if record is None:
-            return resuming.FindBuildReply()
-        return resuming.FindBuildReply(record.build, record.number)
+        build = self.records.find(message.request)
+        if build is None and message.search:
+            build = await self.find_in_region(message.request)
+        return resuming.FindBuildReply(build)
 
-    async def _find_newest_in_region(
+    async def find_in_region(
         self, request: ids.RequestId
-    ) -> resuming.FindBuildReply:
-        own = self.records.record_of(request)
-        if own is not None and own.is_own:
-            return self._own_reply(request)
+    ) -> ids.BuildId | None:
+        """Ask the hosts of this region for a build, None if unknown."""
         order = self._order(request)[:ASKED_PER_REGION]
         hosts = [ids.HostId(host) for host in order if host != self._host]
         return await self._ask(
-            hosts,
-            resuming.FindBuild(request),
-            NEAR_TIMEOUT_MS,
-            self._own_reply(request),
+            hosts, resuming.FindBuild(request), NEAR_TIMEOUT_MS
         )
 
-    async def find_in_region(
-        self, request: ids.RequestId
-    ) -> ids.BuildId | None:
-        """Ask the hosts of this region for a build, None if unknown."""
-        return (await self._find_newest_in_region(request)).build
-
     async def find_in_other_regions(
         self, request: ids.RequestId
     ) -> ids.BuildId | None:
@@ -320,64 +293,34 @@
         hosts = []
         for region in self._remotes.regions():
             hosts += self._remote_host_ids(region)
-        answer = await self._ask(
-            hosts,
-            resuming.FindBuild(request, search=True),
-            FAR_TIMEOUT_MS,
-            resuming.FindBuildReply(),
+        return await self._ask(
+            hosts, resuming.FindBuild(request, search=True), FAR_TIMEOUT_MS
         )
-        return answer.build
 
     async def _ask(
         self,
         hosts: list[ids.HostId],
         message: resuming.FindBuild,
         timeout_ms: int,
-        newest: resuming.FindBuildReply,
-    ) -> resuming.FindBuildReply:
-        """Return the newest record that this or one of several hosts knows.
-
-        A host may have missed the record of a later attempt.
-        """
+    ) -> ids.BuildId | None:
+        """Return the first build that one of several hosts knows."""
         calls = [
             asyncio.ensure_future(self._call(host, message, timeout_ms))
             for host in hosts
         ]
         try:
-            waiting = set(calls)
-            while waiting:
-                wait_s = None
-                if newest.build is not None:
-                    wait_s = NEWER_RECORD_WAIT_MS / MS_PER_S
-                done, waiting = await asyncio.wait(
-                    waiting,
-                    timeout=wait_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                if not done:
-                    break
-                for call in done:
-                    newest = _newer(newest, call.result())
-            return newest
+            for call in asyncio.as_completed(calls):
+                answer = await call
+                if not isinstance(answer, resuming.FindBuildReply):
+                    continue
+                if answer.build is not None:
+                    return answer.build
+            return None
         finally:
             for call in calls:
                 call.cancel()
 
 
-def _newer(
-    known: resuming.FindBuildReply, answer: peer_calls.Message | None
-) -> resuming.FindBuildReply:
-    """Return the newer of a known record and an answer."""
-    if not isinstance(answer, resuming.FindBuildReply):
-        return known
-    if answer.build is None and not answer.number:
-        return known
-    is_known = known.build is not None or known.number
-    if is_known and known.number >= answer.number:
-        return known
-    return answer
-
-
 class StreamBuilds:
     """Decides at which build a stream may go on."""
 
@@ -394,18 +337,13 @@
     def record(
         self,
         request: ids.RequestId,
-        build: ids.BuildId | None,
-        number: int,
+        build: ids.BuildId,
         route: routes.Route,
     ) -> None:
-        """Record the build that a stream's request is sent to.
-
-        ``number`` is that of the attempt: until its first event has been
-        forwarded, a stream may still begin at another build.
-        """
+        """Record the build that a stream's first event comes from."""
         self._store.store(
             resuming.StreamBuild(
-                request, build, number, route.timeout_ms + RESUME_WINDOW_MS
+                request, build, route.timeout_ms + RESUME_WINDOW_MS
             )
         )
 
@@ -438,13 +376,9 @@
         service: ids.ServiceId,
     ) -> tuple[ids.BuildId | None, Source | None]:
         if request is not None:
-            record = self._store.records.record_of(request)
-            if (
-                record is not None
-                and record.is_own
-                and record.build is not None
-            ):
-                return record.build, Source.LOCAL
+            build = self._store.records.find(request)
+            if build is not None:
+                return build, Source.LOCAL
             build = await self._store.find_in_region(request)
             if build is not None:
                 return build, Source.REGION
--- a/wrenspoke/protocol/resuming.py
+++ b/wrenspoke/protocol/resuming.py
@@ -6,17 +6,14 @@
 
 
 class StreamBuild(msgspec.Struct, array_like=True, frozen=True):
-    """Build of the endpoint that a stream's request was sent to.
+    """Build that the first event of a stream came from.
 
-    ``request`` is the request that began the stream. Of two records of one
-    request the one with the higher ``number`` is newer. A record is kept for
-    ``ttl_ms``. ``build`` is None where a host of another region chooses it,
-    until that host has named it.
+    ``request`` is the request that began the stream. A record is kept for
+    ``ttl_ms``.
     """
 
     request: ids.RequestId
-    build: ids.BuildId | None
-    number: int
+    build: ids.BuildId
     ttl_ms: int
 
 
@@ -50,4 +47,3 @@
     """Reply with the stored build, None if unknown."""
 
     build: ids.BuildId | None = None
-    number: int = 0
