--- a/tests/test_stream_builds_review.py
+++ b/tests/test_stream_build_races.py
@@ -1,4 +1,4 @@
-"""Review of the builds of streams: races, restarts, services and costs."""
+"""Builds of streams: races, restarts, several services, and costs."""
 
 import asyncio
 import collections
