Keep the content type of event streams and the framing of bodies once

The name stands with the codec of event streams now, the framing in ResponseBody, which both extend.

--- a/wrenspoke/caller.py
+++ b/wrenspoke/caller.py
@@ -23,7 +23,6 @@
 OK = 200
 UNAVAILABLE = 503
 ONCE_KEY_SEPARATOR = ':'
-EVENT_STREAM = 'text/event-stream'
 
 
 class CallerError(errors.WrenspokeError):
@@ -190,7 +189,7 @@
             total.status = found.status
             total.headers = dict(found.headers)
             kind = found.headers.get('Content-Type', '')
-            if found.status == OK and kind.startswith(EVENT_STREAM):
+            if found.status == OK and kind.startswith(sse.CONTENT_TYPE):
                 await self._read_stream(found, total, on_text, started_ms)
                 return
             total.body = await web.read_declared_body(
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -31,6 +31,7 @@
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import requests
+from wrenspoke.protocol import sse
 from wrenspoke.state import configuration
 from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import web
@@ -39,7 +40,6 @@
 
 MAX_HOPS = 1
 OK = 200
-EVENT_STREAM = 'text/event-stream'
 JSON_TYPE = re.compile(r'application/([^/]+\+)?json')
 # Header names in the responses of configured endpoints.
 DIALECT = dialects.Dialect()
@@ -229,7 +229,6 @@
         self.name = send.echo_id
         self.status = response.status
         self.headers = dict(response.headers)
-        self.framing = web.body_framing(response)
         self._content_type = response.content_type
         self._send = send
 
@@ -261,7 +260,7 @@
         is_chat = head.kind is requests.RequestKind.CHAT and self.status == OK
         if is_chat or JSON_TYPE.fullmatch(self._content_type):
             is_whole = _is_whole_json(body)
-        elif self._content_type == EVENT_STREAM:
+        elif self._content_type == sse.CONTENT_TYPE:
             tracker = event_tracker.EventTracker(whole_only=False)
             tracker.feed(body)
             is_whole = bool(body) and not tracker.is_inside_event
--- a/wrenspoke/coordination/serving/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -22,6 +22,7 @@
 from wrenspoke.protocol import outcomes
 from wrenspoke.protocol import replies
 from wrenspoke.protocol import requests
+from wrenspoke.protocol import sse
 from wrenspoke import settings
 from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import web
@@ -32,7 +33,6 @@
 MAX_HOSTS_TRIED = 3
 # Part of the remaining time for a try, so that a later one has as much.
 FIRST_TRY_SHARE = 0.5
-EVENT_STREAM = 'text/event-stream'
 
 
 @dataclasses.dataclass
@@ -172,7 +172,7 @@
             new_connection=forward_state.head.once,
         ) as response:
             kind = response.headers.get('Content-Type', '')
-            if response.status == 200 and kind.startswith(EVENT_STREAM):
+            if response.status == 200 and kind.startswith(sse.CONTENT_TYPE):
                 await self._relay_stream(forward_state, response)
                 return
             body = await web.read_declared_body(
--- a/wrenspoke/coordination/serving/response_body.py
+++ b/wrenspoke/coordination/serving/response_body.py
@@ -19,6 +19,7 @@
 
     def __init__(self, response: aiohttp.ClientResponse):
         self._response = response
+        self.framing = web.body_framing(response)
         self.bytes_read = 0
 
     async def read_all(self, limit_bytes: int) -> bytes:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -29,6 +29,7 @@
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import numerals
 from wrenspoke.protocol import passthrough_api
+from wrenspoke.protocol import sse
 from wrenspoke.protocol import traffic
 from wrenspoke.state import locations
 from wrenspoke.transport import errors as transport_errors
@@ -36,7 +37,6 @@
 
 logger = structlog.get_logger(__name__)
 
-EVENT_STREAM = 'text/event-stream'
 # Traffic kinds for bodies, counted without heads, beside link messages.
 CALL, ANSWER = 'call_body', 'answer_body'
 # Headers that a forwarding host adds to a response.
@@ -125,10 +125,9 @@
         super().__init__(response)
         self.verdict = verdict
         self.status = response.status
-        self.framing = web.body_framing(response)
-        kind = response.headers.get('Content-Type', EVENT_STREAM)
+        kind = response.headers.get('Content-Type', sse.CONTENT_TYPE)
         self.has_events = (
-            kind.partition(';')[0].strip().lower() == EVENT_STREAM
+            kind.partition(';')[0].strip().lower() == sse.CONTENT_TYPE
             and 'Content-Encoding' not in response.headers
         )
         self.fields = dialects.response_fields(response.raw_headers)
--- a/wrenspoke/protocol/replies.py
+++ b/wrenspoke/protocol/replies.py
@@ -90,7 +90,7 @@
     ) -> None:
         """Send the head of a stream of events."""
         stream_headers = self._headers(found, None)
-        stream_headers['Content-Type'] = 'text/event-stream'
+        stream_headers['Content-Type'] = sse.CONTENT_TYPE
         stream_headers['Cache-Control'] = 'no-store'
         self._stream = web.StreamResponse(status=200, headers=stream_headers)
         await self._await_write(self._stream.prepare(self._request))
--- a/wrenspoke/protocol/sse.py
+++ b/wrenspoke/protocol/sse.py
@@ -8,6 +8,7 @@
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import numerals
 
+CONTENT_TYPE = 'text/event-stream'
 DONE = '[DONE]'
 EVENT_LIMIT_BYTES = 1024 * 1024
 # What may follow the last event: empty lines and whole comment lines.
