Let a response name its build, and a call the request of its stream

Which build serves a call was worked out twice per stream from the destination and the response, and which request began a stream in two places in two forms. A response now has the build of its endpoint or the one its host names, and a call its stream_request.

--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -346,20 +346,19 @@
         """
         if answer.status not in OK_STATUSES:
             return
-        build = _serving_build(destination, answer)
         if context.hop is not None:
-            context.reply.build = build
-        if context.build in (None, build):
+            context.reply.build = answer.build
+        if context.build in (None, answer.build):
             return
         logger.warning(
             'build_mismatch',
             request=context.call.request,
             place=destination.name,
             expected=context.build,
-            found=build,
+            found=answer.build,
         )
         raise errors.MaybeSentError(
-            f'{destination.name} continues at build {build!r}, '
+            f'{destination.name} continues at build {answer.build!r}, '
             f'the stream began at {context.build!r}'
         )
 
@@ -435,7 +434,7 @@
                     continue
                 if not context.reply.started:
                     self._record_first_piece(context, destination)
-                    self._pin_build(context, destination, answer)
+                    self._pin_build(context, answer.build)
                     await context.reply.send_head(answer.status, answer.fields)
                     context.tracker = tracker
                 context.record_piece(self._clock.mono_ms())
@@ -445,8 +444,7 @@
     def _pin_build(
         self,
         context: call_context.CallContext,
-        destination: sending.Destination,
-        answer: sending.UpstreamResponse,
+        build: ids.BuildId | None,
     ) -> None:
         """Bind a stream to the build that its first event comes from.
 
@@ -454,14 +452,13 @@
         Forwarded calls are recorded by the first host, which the caller is
         connected to.
         """
-        call = context.call
-        context.build = _serving_build(destination, answer)
-        if context.build is None or context.hop is not None:
+        context.build = build
+        if build is None or context.hop is not None:
             return
-        request = call.resumes if call.resumes_stream else call.request
+        request = context.call.stream_request
         if request is not None and context.route.resumable:
             # A resumed stream is recorded again, for hosts that restarted.
-            self._builds.record(request, context.build, context.route)
+            self._builds.record(request, build, context.route)
 
     def _gap_recorder(
         self,
@@ -586,15 +583,6 @@
         return context.first_piece_at_ms - destination.sent_ms
 
 
-def _serving_build(
-    destination: sending.Destination, answer: sending.UpstreamResponse
-) -> ids.BuildId | None:
-    """Return the build that serves a call, None if a host names none."""
-    if destination.host is not None:
-        return answer.build
-    return destination.build
-
-
 def _permit_rank(
     context: call_context.CallContext, destination: sending.Destination
 ) -> int:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -110,8 +110,8 @@
 class UpstreamResponse(response_body.ResponseBody):
     """Head of a response, and the reader of its body.
 
-    ``runs`` is how many endpoints a forwarding host used for the call, and
-    ``build`` the build behind it, None if it names none.
+    ``runs`` is how many endpoints a forwarding host used for the call.
+    ``build`` is that of the endpoint, None if a forwarding host names none.
     ``has_events`` is whether the body is a readable event stream, whose
     events show where it ends.
     """
@@ -120,7 +120,7 @@
         self,
         response: aiohttp.ClientResponse,
         verdict: Verdict,
-        from_host: bool,
+        destination: Destination,
     ):
         super().__init__(response)
         self.verdict = verdict
@@ -136,8 +136,8 @@
         )
         self.retry_after_ms = _parse_retry_after_ms(response.headers)
         self.runs = 1
-        self.build: ids.BuildId | None = None
-        if from_host:
+        self.build = destination.build
+        if destination.host is not None:
             self.runs = _parse_runs(
                 response.headers.get(passthrough_api.RUNS_HEADER)
             )
@@ -254,9 +254,7 @@
             ):
                 self._record_advertised(call, destination, response)
                 verdict = self._classify_response(call, destination, response)
-                answer = UpstreamResponse(
-                    response, verdict, destination.host is not None
-                )
+                answer = UpstreamResponse(response, verdict, destination)
                 try:
                     yield answer
                 finally:
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -141,6 +141,11 @@
         """Return whether the caller has received part of the stream."""
         return bool(self.last_event)
 
+    @property
+    def stream_request(self) -> ids.RequestId | None:
+        """Return the request that began the stream, None if unknown."""
+        return self.resumes if self.resumes_stream else self.request
+
     @property
     def path(self) -> str:
         """Return the path without the query."""
