Draw the service of a stream with the draw of all services

service_of_stream repeated draw_service with another source of chance. One method now takes the request whose id decides, or none.

--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -105,11 +105,17 @@
         return sorted(allowed, key=lambda region: region != self._region)
 
     def draw_service(
-        self, targets: tuple[routes.Target, ...]
+        self,
+        targets: tuple[routes.Target, ...],
+        request: ids.RequestId | None = None,
     ) -> ids.ServiceId:
-        """Return one of a route's services, picked at random by weight."""
+        """Return one of a route's services, picked at random by weight.
+
+        With ``request``, all hosts draw the same one for that request.
+        """
+        drawn = self._random if request is None else random.Random(request)
         weights = [target.weight for target in targets]
-        return self._random.choices(targets, weights)[0].service
+        return drawn.choices(targets, weights)[0].service
 
     def select_endpoint(
         self,
@@ -447,15 +453,3 @@
         if not hosts:
             return None
         return self._random.choice(hosts[: remote_hosts.TARGETS_PER_REGION])
-
-
-def service_of_stream(
-    targets: tuple[routes.Target, ...], request: ids.RequestId
-) -> ids.ServiceId:
-    """Return the service of the stream that a request begins, by weight.
-
-    All hosts draw the same one.
-    """
-    weights = [target.weight for target in targets]
-    drawn = random.Random(request).choices(targets, weights)
-    return drawn[0].service
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -330,12 +330,10 @@
         names = [target.service for target in route.targets]
         if hop is not None and hop.service in names:
             return hop.service
-        if not route.resumable:
-            return self._selector.draw_service(route.targets)
-        began_as = call.request
-        if call.resumes_stream and call.resumes is not None:
-            began_as = call.resumes
-        return endpoint_selector.service_of_stream(route.targets, began_as)
+        request = None
+        if route.resumable:
+            request = call.stream_request or call.request
+        return self._selector.draw_service(route.targets, request)
 
     def _left_ms(self, context: call_context.CallContext) -> int:
         return context.deadline_ms - self._clock.mono_ms()
