--- a/benches/switches_hosts.py
+++ b/benches/switches_hosts.py
@@ -98,9 +98,7 @@
     Switch(
         'crossed answers taken',
         DECISIONS + 'serving/dispatch.py',
-        (
-            '        if _echo_matches(send, endpoint, response):\n            return\n'
-        ),
+        ('        if _echo_matches(send, endpoint, response):\n            return\n'),
         ('        return\n'),
         ('tests/test_endpoints.py -k another'),
     ),
@@ -384,9 +382,7 @@
     Switch(
         'cold endpoints used by every host',
         DECISIONS + 'serving/availability.py',
-        (
-            '            if not self.is_cold(found) or not self._pollers.is_owner_of(name):'
-        ),
+        ('            if not self.is_cold(found) or not self._pollers.is_owner_of(name):'),
         ('            if not self.is_cold(found):'),
         (
             'tests/test_far.py::test_cold_endpoint_is_used_by_one_host_at_its_pace'
@@ -420,9 +416,7 @@
         'wrenspoke/transport/web.py',
         ('        if found:\n            self._fail'),
         ('        if False:\n            self._fail'),
-        (
-            'tests/test_passing.py::test_reset_after_the_last_bytes_is_an_incomplete_body'
-        ),
+        ('tests/test_passing.py::test_reset_after_the_last_bytes_is_an_incomplete_body'),
     ),
     Switch(
         'own canvass counts as a leader heard',
@@ -451,7 +445,9 @@
             '            )\n'
         ),
         (''),
-        ('tests/test_homes.py::test_homes_are_checked_again_once_connected'),
+        (
+            'tests/test_homes.py::test_homes_are_checked_again_once_connected'
+        ),
     ),
     Switch(
         'homes not looked at as a body leaves',
@@ -462,7 +458,9 @@
             '        )\n'
         ),
         ('        return True\n'),
-        ('tests/test_homes.py::test_homes_are_checked_again_once_connected'),
+        (
+            'tests/test_homes.py::test_homes_are_checked_again_once_connected'
+        ),
     ),
     Switch(
         'own newest log says who may stand',
@@ -512,7 +510,9 @@
         DECISIONS + 'agreement/voter.py',
         ('        self.commit(store.read_committed())\n'),
         (''),
-        ('tests/test_founding.py::test_restart_of_all_keeps_accepted_routes'),
+        (
+            'tests/test_founding.py::test_restart_of_all_keeps_accepted_routes'
+        ),
     ),
     Switch(
         'same version with other words in force',
@@ -535,7 +535,9 @@
         DECISIONS + 'membership/discovery_client.py',
         ('        if not self.registry.merge_registration(gone):'),
         ('        if True:'),
-        ('tests/test_passing.py::test_misdirected_endpoint_is_deregistered'),
+        (
+            'tests/test_passing.py::test_misdirected_endpoint_is_deregistered'
+        ),
     ),
     Switch(
         'calls served away from home',
@@ -576,16 +578,16 @@
         DECISIONS + 'serving/passthrough.py',
         ('            reply.runs = 0\n'),
         ('            pass\n'),
-        ('tests/test_far.py::test_busy_remote_host_is_not_counted_as_a_run'),
+        (
+            'tests/test_far.py::test_busy_remote_host_is_not_counted_as_a_run'
+        ),
     ),
     Switch(
         'start waits for a further answer',
         DECISIONS + 'membership/discovery_client.py',
         ('        if self._unconfirmed_start is None:\n'),
         ('        if False:\n'),
-        (
-            'tests/test_discovery_client.py::test_first_answer_decides_when_to_serve'
-        ),
+        ('tests/test_discovery_client.py::test_first_answer_decides_when_to_serve'),
     ),
     Switch(
         'stopped host serves without a word',
@@ -613,9 +615,7 @@
     Switch(
         'hopeless calls are sent',
         DECISIONS + 'serving/destinations.py',
-        (
-            '        if context.send_count or probability <= DEADLINE_MISS_LIMIT:\n'
-        ),
+        ('        if context.send_count or probability <= DEADLINE_MISS_LIMIT:\n'),
         ('        if True:\n'),
         ('tests/test_far.py'),
     ),
@@ -661,9 +661,7 @@
     Switch(
         'restarted control host is told changes only',
         DECISIONS + 'membership/control_sync.py',
-        (
-            "        if answer.unknown or progress.instance_id not in ('', answer.life):\n"
-        ),
+        ("        if answer.unknown or progress.instance_id not in ('', answer.life):\n"),
         ('        if False:\n'),
         (
             'tests/test_membership_fleet.py::test_control_host_that_restarts_is_told_all_again'
--- a/benches/switches_quarantine.py
+++ b/benches/switches_quarantine.py
@@ -65,7 +65,8 @@
         QUARANTINE + 'crash_history.py',
         'entries, limit = self._single_crashes, MAX_SINGLE_CRASH_ENTRIES',
         'entries, limit = self._repeated_crashes, MAX_REPEATED_CRASH_ENTRIES',
-        f'{UNITS}::test_single_crash_entries_do_not_evict_repeated_ones',
+        f'{UNITS}::test_single_crash_entries_do_not_evict_repeated'
+        '_ones',
     ),
     Switch(
         'nobody told by control hosts',
@@ -79,7 +80,8 @@
         QUARANTINE + 'crash_aggregator.py',
         'now_ms - notified_ms < RENOTIFY_INTERVAL_MS',
         'True',
-        f'{FLEET}::test_long_isolated_region_retries_request_once_a_minute',
+        f'{FLEET}::test_long_isolated_region_retries_request_once_a'
+        '_minute',
     ),
     Switch(
         'nothing decided',
--- a/benches/switches_teams.py
+++ b/benches/switches_teams.py
@@ -12,7 +12,9 @@
         DECISIONS + 'serving/sending.py',
         ('        fields += self._identity_fields(call, permit)\n'),
         ('        fields += call.credentials\n'),
-        ('tests/test_keys.py::test_endpoint_gets_the_team_and_never_the_key'),
+        (
+            'tests/test_keys.py::test_endpoint_gets_the_team_and_never_the_key'
+        ),
     ),
     Switch(
         'unknown keys served',
@@ -21,7 +23,9 @@
             "        if team is None:\n            raise errors.UnknownKeyError('no team holds this key')\n"
         ),
         ('        if team is None:\n            return Permit(route)\n'),
-        ('tests/test_keys.py::test_endpoint_gets_the_team_and_never_the_key'),
+        (
+            'tests/test_keys.py::test_endpoint_gets_the_team_and_never_the_key'
+        ),
     ),
     Switch(
         'homes of teams bind nothing',
@@ -128,9 +132,7 @@
     Switch(
         'new leader parts the whole',
         DECISIONS + 'limiting/allocator.py',
-        (
-            '        allocatable = 1.0 if settled else min(self._reported, 1.0)\n'
-        ),
+        ('        allocatable = 1.0 if settled else min(self._reported, 1.0)\n'),
         ('        allocatable = 1.0\n'),
         (
             'tests/test_team_limits.py::test_new_leader_allocates_only_reported_shares'
@@ -178,9 +180,7 @@
     Switch(
         'granted before a lender is noted',
         DECISIONS + 'limiting/allocator.py',
-        (
-            '        if message.shares and not await self._ensure_registered(holder):\n'
-        ),
+        ('        if message.shares and not await self._ensure_registered(holder):\n'),
         ('        if False:\n'),
         (
             'tests/test_team_limits.py::test_holder_is_replicated_before_its_first_grant'
