Read the id of an event in one place, and branch once by kind of tracker

The tracker searched and decoded ids in two methods, asked twice whether it forwards whole events only, and kept a method with one caller.

--- a/wrenspoke/coordination/serving/event_tracker.py
+++ b/wrenspoke/coordination/serving/event_tracker.py
@@ -44,19 +44,19 @@
             self._record_event(self._buffer[end : found.end()])
             end = found.end()
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        if not self._whole_only:
+            # Forwarded as received, but parsed in whole events.
+            self._buffer = self._buffer[-EVENT_BUFFER_LIMIT_BYTES:]
+            return data
         if end:
             complete = complete[self._forwarded_bytes :]
             self._forwarded_bytes = 0
-        if self._whole_only and (
+        if (
             len(self._buffer) <= EVENT_BUFFER_LIMIT_BYTES
             and not self._forwarded_bytes
         ):
             return complete
-        if self._whole_only:
-            return complete + self._forward_partial()
-        # Forwarded as received, but parsed in whole events.
-        self._buffer = self._buffer[-EVENT_BUFFER_LIMIT_BYTES:]
-        return data
+        return complete + self._forward_partial()
 
     @property
     def is_inside_event(self) -> bool:
@@ -78,32 +78,33 @@
     def _forward_partial(self) -> bytes:
         """Return the unsent part of an event that is too large to buffer."""
         data = self._buffer[self._forwarded_bytes :]
-        self._record_forwarded_id()
+        if not self._forwarded_bytes:
+            self._forwarded_id = _find_id(self._buffer)
         self._buffer = self._buffer[-TAIL_BYTES:]
         self._forwarded_bytes = len(self._buffer)
         return data
 
-    def _record_forwarded_id(self) -> None:
-        found = ID_LINE.search(self._buffer)
-        if found is not None and not self._forwarded_bytes:
-            self._forwarded_id = found.group(1).decode('utf-8', 'replace')
-
     def _record_event(self, event: bytes) -> None:
         self.event_count += 1
-        found = ID_LINE.search(event)
-        if self._forwarded_id is not None:
-            self.last_id, self._forwarded_id = self._forwarded_id, None
-        elif found is not None:
-            self.last_id = found.group(1).decode('utf-8', 'replace')
-
-    def _flush_buffer(self) -> bytes:
-        remainder, self._buffer = self._buffer, b''
-        return remainder
+        event_id, self._forwarded_id = self._forwarded_id, None
+        if event_id is None:
+            event_id = _find_id(event)
+        if event_id is not None:
+            self.last_id = event_id
 
     def take_remainder(self) -> bytes:
         """Return the buffered bytes after the last whole event."""
-        return self._flush_buffer() if self._whole_only else b''
+        if not self._whole_only:
+            return b''
+        remainder, self._buffer = self._buffer, b''
+        return remainder
 
     def discard_partial(self) -> None:
         """Discard a partial event, which the resumed stream repeats."""
         self._buffer = b''
+
+
+def _find_id(event: bytes) -> str | None:
+    """Return the id of an event, None without one."""
+    found = ID_LINE.search(event)
+    return None if found is None else found.group(1).decode('utf-8', 'replace')
