Send the build of a stream without a queue

Since records wait for no batch any more, the queue, its event, its task and its limit held each record for one turn of the loop and the two sending loops collected batches of one. A record is sent where it is stored, one a message; the region's hosts for the copy elsewhere are looked up only as far as they are used, not in every region. Two clocks that nothing read are gone, and the store is not named like the class that decides any more. The same hosts get the same records: test_build_store, test_build_soak, test_stream_builds and test_stream_build_races pass.

--- a/benches/switches_streams.py
+++ b/benches/switches_streams.py
@@ -57,14 +57,14 @@
     Switch(
         'builds not stored at other hosts',
         SERVING + 'stream_builds.py',
-        'self._send_to_region(builds)',
+        'self._send_to_region(said)',
         'pass',
         STORE,
     ),
     Switch(
         'builds not stored in another region',
         SERVING + 'stream_builds.py',
-        'self._send_to_other_regions(builds)',
+        'self._send_to_other_region(said)',
         'pass',
         STORE,
     ),
--- a/tests/test_build_store.py
+++ b/tests/test_build_store.py
@@ -66,7 +66,6 @@
             peers,
             group.LoopClock(),
         )
-        store.start()
         self.stores[name] = store
 
     async def stop(self, name):
--- a/tests/test_stream_build_races.py
+++ b/tests/test_stream_build_races.py
@@ -65,7 +65,7 @@
                 )
             await asyncio.sleep(SETTLE_S)
         builds = stream_builds.StreamBuilds(
-            fleet.stores[asked], Discovery(False), group.LoopClock()
+            fleet.stores[asked], Discovery(False)
         )
         found = await asyncio.gather(
             *(builds.find(request, 's') for request in requests)
@@ -126,7 +126,7 @@
 
     async def run():
         builds = stream_builds.StreamBuilds(
-            None, Discovery(is_current, *found), group.LoopClock()
+            None, Discovery(is_current, *found)
         )
         assert builds.is_gone('s', 'v1') is is_gone
 
@@ -173,13 +173,13 @@
     async with test_stream_builds.running(tmp_path, case) as system:
         host = system.hosts['n1']
         said = collections.Counter()
-        store = host._stream_builds.store
+        store = host._stream_build_store.store
 
         def listen(record):
             said[record.build] += 1
             store(record)
 
-        host._stream_builds.store = listen
+        host._stream_build_store.store = listen
         # Connections to it are refused from now on.
         await system.engines[f'{NORTH}-v1-0'].close()
         for _number in range(test_stream_builds.STREAM_COUNT):
@@ -371,17 +371,18 @@
             )
             await attempt.ended()
             assert attempt.status == 200
-        assert len(host._stream_builds.records) == 0
+        assert len(host._stream_build_store.records) == 0
 
 
 def _drop_records_of_first_events(system, _monkeypatch):
     """Let the first host be killed before it sends what a hop named."""
-    store = system.hosts['n1']._stream_builds
-    for name in ('_send_to_region', '_send_to_other_regions'):
+    store = system.hosts['n1']._stream_build_store
+    for name in ('_send_to_region', '_send_to_other_region'):
         send = getattr(store, name)
 
-        def send_others(builds, send=send):
-            send([said for said in builds if said.build != 'v2'])
+        def send_others(said, send=send):
+            if said.build != 'v2':
+                send(said)
 
         setattr(store, name, send_others)
 
--- a/wrenspoke/coordination/serving/stream_builds.py
+++ b/wrenspoke/coordination/serving/stream_builds.py
@@ -47,8 +47,6 @@
 RESUME_WINDOW_MS = 10_000
 # Records beyond this number replace the oldest.
 MAX_RECORDS = 50_000
-# Records that wait to be sent.
-MAX_QUEUED = 5_000
 
 HostOrder = collections.abc.Callable[[str], list[str]]
 
@@ -138,18 +136,11 @@
         self._order = order
         self._remotes = remotes
         self._peers = peers
-        self._clock = clock
         self.records = BuildRecords(clock)
-        self._queued: list[resuming.StreamBuild] = []
-        self._queue_added = asyncio.Event()
         self._tasks = runtime.Tasks()
-        peers.handles(resuming.StoreBuilds)(self._handle_store)
+        peers.handles(resuming.StoreBuild)(self._handle_store)
         peers.handles(resuming.FindBuild)(self._handle_find)
 
-    def start(self) -> None:
-        """Start the task that sends records to other hosts."""
-        self._tasks.start(self._send_queued())
-
     async def close(self) -> None:
         """Stop all tasks."""
         await self._tasks.close()
@@ -160,55 +151,48 @@
         return bool(self._remotes.unreachable_regions())
 
     def store(self, said: resuming.StreamBuild) -> None:
-        """Store a build here, and queue it for the other hosts."""
+        """Store a build here, and send it to the other hosts."""
         self.records.store(said)
-        if len(self._queued) >= MAX_QUEUED:
-            logger.warning('stream_build_not_sent', request=said.request)
-            return
-        self._queued.append(said)
-        self._queue_added.set()
-
-    async def _send_queued(self) -> None:
-        while True:
-            await self._queue_added.wait()
-            self._queue_added.clear()
-            builds, self._queued = self._queued, []
-            self._send_to_region(builds)
-            self._send_to_other_regions(builds)
-
-    def _send_to_region(self, builds: list[resuming.StreamBuild]) -> None:
-        """Send builds to the hosts of this region that keep them."""
-        batches: dict[tuple[str, ...], list[resuming.StreamBuild]] = {}
-        for said in builds:
-            others = self._other_hosts(said.request)
-            for number in range(min(KEEPERS_PER_REGION, len(others))):
-                # Each copy has a substitute of its own.
-                hosts = tuple(others[number::KEEPERS_PER_REGION])
-                batches.setdefault(hosts[:MAX_STORE_ATTEMPTS], []).append(said)
-        for hosts, batch in batches.items():
-            message = resuming.StoreBuilds(batch)
-            self._tasks.start(
-                self._send_batch(hosts, message, NEAR_TIMEOUT_MS), fatal=False
+        self._send_to_region(said)
+        self._send_to_other_region(said)
+
+    def _send_to_region(self, said: resuming.StreamBuild) -> None:
+        """Send a build to the hosts of this region that keep it."""
+        others = self._other_hosts(said.request)
+        for number in range(min(KEEPERS_PER_REGION, len(others))):
+            # Each copy has substitutes of its own.
+            hosts = others[number::KEEPERS_PER_REGION][:MAX_STORE_ATTEMPTS]
+            self._start_sending(
+                hosts, resuming.StoreBuild(said), NEAR_TIMEOUT_MS
             )
 
-    def _send_to_other_regions(
-        self, builds: list[resuming.StreamBuild]
-    ) -> None:
-        """Send each build to one other region."""
-        batches: dict[tuple[str, ...], list[resuming.StreamBuild]] = {}
-        for said in builds:
-            hosts = []
-            for region in self._draw_regions(said.request):
-                hosts += self._remote_host_ids(region)
-            if hosts:
-                key = tuple(hosts[:MAX_STORE_ATTEMPTS])
-                batches.setdefault(key, []).append(said)
-        for hosts, batch in batches.items():
-            message = resuming.StoreBuilds(batch, replicate=True)
-            self._tasks.start(
-                self._send_batch(hosts, message, FAR_TIMEOUT_MS), fatal=False
+    def _send_to_other_region(self, said: resuming.StreamBuild) -> None:
+        """Send a build to one other region."""
+        hosts = self._remote_hosts_for(said.request)
+        if hosts:
+            self._start_sending(
+                hosts,
+                resuming.StoreBuild(said, replicate=True),
+                FAR_TIMEOUT_MS,
             )
 
+    def _start_sending(
+        self,
+        hosts: collections.abc.Sequence[str],
+        message: resuming.StoreBuild,
+        timeout_ms: int,
+    ) -> None:
+        self._tasks.start(self._send(hosts, message, timeout_ms), fatal=False)
+
+    def _remote_hosts_for(self, request: ids.RequestId) -> list[ids.HostId]:
+        """Return hosts of other regions to store a build through, in order."""
+        hosts: list[ids.HostId] = []
+        for region in self._draw_regions(request):
+            hosts += self._remote_host_ids(region)
+            if len(hosts) >= MAX_STORE_ATTEMPTS:
+                break
+        return hosts[:MAX_STORE_ATTEMPTS]
+
     def _draw_regions(self, request: ids.RequestId) -> list[ids.RegionId]:
         """Return the other regions in an order drawn from a request's id.
 
@@ -233,20 +217,20 @@
         """Return the region's other hosts in rendezvous order."""
         return [host for host in self._order(request) if host != self._host]
 
-    async def _send_batch(
+    async def _send(
         self,
         hosts: collections.abc.Sequence[str],
-        message: resuming.StoreBuilds,
+        message: resuming.StoreBuild,
         timeout_ms: int,
     ) -> None:
-        """Store builds at the first host that acknowledges them."""
+        """Store a build at the first host that acknowledges it."""
         for host in hosts:
             answer = await self._call(ids.HostId(host), message, timeout_ms)
-            if isinstance(answer, resuming.StoreBuildsReply):
+            if isinstance(answer, resuming.StoreBuildReply):
                 return
         logger.warning(
-            'stream_builds_not_stored',
-            streams=len(message.builds),
+            'stream_build_not_stored',
+            request=message.record.request,
             peers=list(hosts),
         )
 
@@ -260,13 +244,12 @@
             return None
 
     async def _handle_store(
-        self, _sender: ids.HostId, message: resuming.StoreBuilds
-    ) -> resuming.StoreBuildsReply:
-        for said in message.builds:
-            self.records.store(said)
+        self, _sender: ids.HostId, message: resuming.StoreBuild
+    ) -> resuming.StoreBuildReply:
+        self.records.store(message.record)
         if message.replicate:
-            self._send_to_region(message.builds)
-        return resuming.StoreBuildsReply()
+            self._send_to_region(message.record)
+        return resuming.StoreBuildReply()
 
     async def _handle_find(
         self, _sender: ids.HostId, message: resuming.FindBuild
@@ -328,11 +311,9 @@
         self,
         store: BuildStore,
         discovery: discovery_client.DiscoveryClient,
-        clock: clocks.Clock,
     ):
         self._store = store
         self._discovery = discovery
-        self._clock = clock
 
     def record(
         self,
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -123,7 +123,7 @@
         self._access = access.AccessControl(
             self.replica, self.discovery.roster, self.lease
         )
-        self._stream_builds = stream_builds.BuildStore(
+        self._stream_build_store = stream_builds.BuildStore(
             node.host,
             self._pollers.compute_order,
             self._remote_hosts,
@@ -326,7 +326,7 @@
             self.clock,
         )
         builds = stream_builds.StreamBuilds(
-            self._stream_builds, self.discovery, self.clock
+            self._stream_build_store, self.discovery
         )
         self.passthrough = passthrough.PassThrough(
             self.replica,
@@ -398,7 +398,6 @@
         self.discovery.start()
         self._team_buckets.start()
         self._gate.start()
-        self._stream_builds.start()
         self._engine_loads.start()
         if self._sent_calls is not None:
             self._sent_calls.start()
@@ -457,7 +456,7 @@
         await self._tasks.close()
         await self._team_buckets.close()
         await self._gate.close()
-        await self._stream_builds.close()
+        await self._stream_build_store.close()
         await self._guard.close()
         if self._sent_calls is not None:
             await self._sent_calls.close()
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -42,8 +42,8 @@
     quarantining.ReportCrashesReply,
     quarantining.UpdateHolds,
     quarantining.UpdateHoldsReply,
-    resuming.StoreBuilds,
-    resuming.StoreBuildsReply,
+    resuming.StoreBuild,
+    resuming.StoreBuildReply,
     resuming.FindBuild,
     resuming.FindBuildReply,
 ]
--- a/wrenspoke/protocol/resuming.py
+++ b/wrenspoke/protocol/resuming.py
@@ -17,19 +17,19 @@
     ttl_ms: int
 
 
-class StoreBuilds(msgspec.Struct, tag='store_builds'):
-    """Store the builds of streams.
+class StoreBuild(msgspec.Struct, tag='store_build'):
+    """Store the build of a stream.
 
-    With ``replicate`` the receiver also sends them to the hosts of its
-    region that keep them.
+    With ``replicate`` the receiver also sends it to the hosts of its region
+    that keep it.
     """
 
-    builds: list[StreamBuild]
+    record: StreamBuild
     replicate: bool = False
 
 
-class StoreBuildsReply(msgspec.Struct, tag='builds_stored'):
-    """Reply once the builds have been stored."""
+class StoreBuildReply(msgspec.Struct, tag='build_stored'):
+    """Reply once the build has been stored."""
 
 
 class FindBuild(msgspec.Struct, tag='find_build'):
