Register the parts of the model of builds by one decorator

Five registries of the simulated fleet and one of its bench each spelled out the same decorator; one class serves them.

--- a/benches/stream_builds.py
+++ b/benches/stream_builds.py
@@ -41,17 +41,8 @@
 DAYS = 40
 MAX_WRONG_PER_DAY = 2
 
-TABLES = {}
-
-
-def table(name):
-    """Return a decorator that registers a table under a name."""
-
-    def register(function):
-        TABLES[name] = function
-        return function
-
-    return register
+TABLES = fleet.Registry()
+table = TABLES.register
 
 
 def even_sizes(hosts):
--- a/tests/stream_build_fleet.py
+++ b/tests/stream_build_fleet.py
@@ -66,6 +66,19 @@
 Build = str
 
 
+class Registry(dict):
+    """Functions or classes by the names under which they are registered."""
+
+    def register(self, name):
+        """Return a decorator that registers under a name."""
+
+        def add(made):
+            self[name] = made
+            return made
+
+        return add
+
+
 class Side(enum.Enum):
     """Where a client takes up a stream, relative to its first host."""
 
@@ -403,17 +416,9 @@
         )
 
 
-STRATEGIES: dict[str, type[Strategy]] = {}
-
-
-def strategy(name):
-    """Return a decorator that registers a strategy under a name."""
-
-    def register(made):
-        STRATEGIES[name] = made
-        return made
-
-    return register
+# Strategies by name.
+STRATEGIES = Registry()
+strategy = STRATEGIES.register
 
 
 @strategy('gossip')
@@ -786,17 +791,9 @@
             await asyncio.wait(set(self._pending))
 
 
-SCENARIOS = {}
-
-
-def scenario(name):
-    """Return a decorator that registers a scenario under a name."""
-
-    def register(function):
-        SCENARIOS[name] = function
-        return function
-
-    return register
+# Faults while streams run, by name.
+SCENARIOS = Registry()
+scenario = SCENARIOS.register
 
 
 def one_host(fleet):
@@ -1062,21 +1059,10 @@
         return event_ms + engine.lag_ms[region] <= at_ms
 
 
-INFERENCES = {}
-
-
-def inference(name):
-    """Return a decorator that registers an inference under a name.
-
-    An inference returns the build at which a stream goes on that nobody
-    knows, None to refuse it.
-    """
-
-    def register(function):
-        INFERENCES[name] = function
-        return function
-
-    return register
+# Each returns the build at which a stream goes on that nobody knows, None to
+# refuse it.
+INFERENCES = Registry()
+inference = INFERENCES.register
 
 
 def only_one(builds):
@@ -1230,28 +1216,14 @@
         )
 
 
-DAYS = {}
-FAULTS = {}
-
-
-def day(name):
-    """Return a decorator that registers a kind of day under a name."""
-
-    def register(function):
-        DAYS[name] = function
-        return function
-
-    return register
-
-
-def fault(name):
-    """Return a decorator that registers a fault of a day under a name."""
+# Kinds of days by name.
+DAYS = Registry()
+day = DAYS.register
 
-    def register(function):
-        FAULTS[name] = function
-        return function
 
-    return register
+# Faults of a day by name.
+FAULTS = Registry()
+fault = FAULTS.register
 
 
 @day('one build')
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -61,7 +61,7 @@
     cost_ms: float = 0.0
     source: registry.EndpointEntry | None = None
     moved_tokens: float = 0.0
-    build: ids.BuildId = ids.BuildId('')
+    build: ids.BuildId = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.build = self.registered.registration.build
