Log the prompt parts of broken runs, and since when they wrote

A request is described by a fingerprint of its digest and its parts; decisions still go by the digest alone. Parts that are malformed or beyond the 256th, which the choice of an endpoint drops, are kept here.

--- a/tests/quarantined_fleet.py
+++ b/tests/quarantined_fleet.py
@@ -18,6 +18,7 @@
 from wrenspoke.coordination.quarantine import crash_aggregator
 from wrenspoke.coordination.quarantine import crash_reporter
 from wrenspoke.coordination.quarantine import guard
+from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import messages
 from wrenspoke.state import replicated
 
@@ -102,9 +103,10 @@
 
     async def send(self, digest, endpoint, fatal=True):
         """Run a request at an endpoint; return False if it is held."""
-        if self.guard.remaining_hold_ms(digest) is not None:
+        fingerprint = fingerprints.Fingerprint(digest)
+        if self.guard.remaining_hold_ms(fingerprint) is not None:
             return False
-        run = self.guard.start_run(digest, endpoint, endpoint)
+        run = self.guard.start_run(fingerprint, endpoint, endpoint)
         await asyncio.sleep(CRASH_DELAY_S)
         if not fatal:
             self.guard.mark_succeeded(run)
@@ -256,7 +258,8 @@
         return [
             host.name
             for host in self.hosts.values()
-            if host.guard.remaining_hold_ms(digest) is not None
+            if host.guard.remaining_hold_ms(fingerprints.Fingerprint(digest))
+            is not None
         ]
 
     def sent_totals(self):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -20,6 +20,7 @@
 from wrenspoke.coordination.quarantine import hold_durations
 from wrenspoke.coordination.quarantine import recent_successes
 from wrenspoke.coordination.serving import dispatch
+from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import quarantining
@@ -32,6 +33,8 @@
 
 FATAL = test_fatal_requests.FATAL
 CALL = ('team', 'POST', 'h', '/a/x?q', b'body')
+D = fingerprints.Fingerprint('d')
+OTHER = fingerprints.Fingerprint('other')
 
 
 class FakeClock:
@@ -237,9 +240,9 @@
             look,
         )
 
-    async def crash_endpoints(self, *names, digest='d'):
+    async def crash_endpoints(self, *names, fingerprint=D):
         for name in names:
-            run = self.guard.start_run(digest, name, f'{name}:1')
+            run = self.guard.start_run(fingerprint, name, f'{name}:1')
             await self.guard.handle_broken_run(run)
             self.clock.now_ms += 1_000
 
@@ -263,13 +266,16 @@
 async def test_request_is_held_after_three_crashes(made, ends, held):
     host = GuardedHost(**made)
     await host.crash_endpoints(*ends)
-    assert (host.guard.remaining_hold_ms('d') is not None) == held
-    assert host.guard.remaining_hold_ms('other') is None
+    assert (host.guard.remaining_hold_ms(D) is not None) == held
+    assert host.guard.remaining_hold_ms(OTHER) is None
 
 
 async def test_one_probe_serves_all_runs_of_an_endpoint():
     host = GuardedHost()
-    found = [host.guard.start_run(f'{n}', 'e', 'e:1') for n in range(20)]
+    found = [
+        host.guard.start_run(fingerprints.Fingerprint(f'{n}'), 'e', 'e:1')
+        for n in range(20)
+    ]
     await asyncio.gather(*(host.guard.handle_broken_run(run) for run in found))
     assert host.probe_count == 1
     assert len(host.reporter.crashes) == 20
@@ -294,28 +300,26 @@
     done.set()
     while len(host.reporter.crashes) < 3:
         await asyncio.sleep(0)
-    assert host.guard.remaining_hold_ms('d') is not None
+    assert host.guard.remaining_hold_ms(D) is not None
     await host.guard.close()
 
 
 async def test_live_endpoint_is_probed_again():
     """A probe result that shows a live endpoint must not be reused."""
     host = GuardedHost(refused=False)
-    await host.guard.handle_broken_run(
-        host.guard.start_run('other', 'a', 'a:1')
-    )
+    await host.guard.handle_broken_run(host.guard.start_run(OTHER, 'a', 'a:1'))
     host.refused = True
     await host.crash_endpoints('a', 'b', 'c')
-    assert host.guard.remaining_hold_ms('d') is not None
+    assert host.guard.remaining_hold_ms(D) is not None
 
 
 async def test_success_clears_recorded_crashes():
     host = GuardedHost()
     await host.crash_endpoints('a', 'b')
-    host.guard.mark_succeeded(host.guard.start_run('d', 'c', 'c:1'))
+    host.guard.mark_succeeded(host.guard.start_run(D, 'c', 'c:1'))
     assert host.reporter.successes == ['d']
     await host.crash_endpoints('e', 'f', 'g')
-    assert host.guard.remaining_hold_ms('d') is None
+    assert host.guard.remaining_hold_ms(D) is None
     # Later crashes are not reported to other hosts either.
     assert [endpoint for _digest, endpoint in host.reporter.crashes] == [
         'a',
@@ -323,46 +327,46 @@
     ]
     host.clock.now_ms += recent_successes.RETENTION_MS
     await host.crash_endpoints('h', 'i', 'j')
-    assert host.guard.remaining_hold_ms('d') is not None
+    assert host.guard.remaining_hold_ms(D) is not None
 
 
 async def test_provisional_hold_expires():
     host = GuardedHost()
     await host.crash_endpoints('a', 'b', 'c')
     host.clock.now_ms += hold_durations.PROVISIONAL_HOLD_MS
-    assert host.guard.remaining_hold_ms('d') is None
+    assert host.guard.remaining_hold_ms(D) is None
 
 
 @pytest.mark.parametrize('on_probation', [False, True])
 async def test_decided_hold_lasts_until_released(on_probation):
     host = GuardedHost()
     host.set_decisions(quarantine.QuarantineEntry('d', 4, on_probation))
-    assert (host.guard.remaining_hold_ms('d') is None) == on_probation
+    assert (host.guard.remaining_hold_ms(D) is None) == on_probation
     host.clock.now_ms += 10 * hold_durations.MAX_HOLD_MS
-    assert (host.guard.remaining_hold_ms('d') is None) == on_probation
+    assert (host.guard.remaining_hold_ms(D) is None) == on_probation
     host.set_decisions()
-    assert host.guard.remaining_hold_ms('d') is None
+    assert host.guard.remaining_hold_ms(D) is None
 
 
 async def test_one_crash_on_probation_is_enough():
     host = GuardedHost()
     host.set_decisions(quarantine.QuarantineEntry('d', 3, on_probation=True))
     await host.crash_endpoints('a')
-    assert host.guard.remaining_hold_ms('d') is not None
+    assert host.guard.remaining_hold_ms(D) is not None
 
 
 @pytest.mark.parametrize('worked', [False, True])
 async def test_hold_is_applied_unless_request_succeeded_recently(worked):
     host = GuardedHost()
     if worked:
-        host.guard.mark_succeeded(host.guard.start_run('d', 'e', 'e:1'))
+        host.guard.mark_succeeded(host.guard.start_run(D, 'e', 'e:1'))
     hear = host.peers.answerers[quarantining.UpdateHolds]
     told = quarantining.UpdateHolds([quarantining.Hold('d', 3, 300_000)])
     answer = await hear('control', told)
     assert answer.cleared == (['d'] if worked else [])
-    assert (host.guard.remaining_hold_ms('d') is None) == worked
+    assert (host.guard.remaining_hold_ms(D) is None) == worked
     await hear('control', quarantining.UpdateHolds([], ['d']))
-    assert host.guard.remaining_hold_ms('d') is None
+    assert host.guard.remaining_hold_ms(D) is None
 
 
 # Operator plans.
@@ -503,7 +507,7 @@
     held = []
 
     class Guard(guards.Guard):
-        def remaining_hold_ms(self, digest):
+        def remaining_hold_ms(self, fingerprint):
             return 1_000 if held else None
 
     clock = FakeClock()
@@ -593,3 +597,46 @@
             return (await caller.chat(chat)).outcome == 'whole'
 
         await fleet.until(is_served, 'a whole answer')
+
+
+# Parts of prompts.
+
+
+# Requests that share a part must be recognized by it, whatever else differs.
+@pytest.mark.parametrize(
+    'header, count',
+    [
+        ('', 0),
+        ('own:5', 0),
+        ('first:800,own:5', 1),
+        (' first:800 , mid:3 ,own:5,', 2),
+        # Repeated before the last part.
+        ('first:800,first:800,own:5', 1),
+        # A part counts whether or not its length is well-formed.
+        ('first:x,mid,:4,own:5', 2),
+        # The check covers more parts than the choice of an endpoint.
+        (','.join(f'{n}:1' for n in range(400)), 399),
+    ],
+)
+def test_all_parts_but_the_last_are_recognized(header, count):
+    reader = dialects.CallReader(dialects.Dialect(), 1_000)
+    raw = [
+        (b'Wrenspoke-Request-Id', b'q1'),
+        (b'Wrenspoke-Prompt-Parts', header.encode()),
+    ]
+    call = reader.read('POST', '/a/x', raw, 0)
+    assert len(call.fingerprint.parts) == count
+
+
+def test_messages_of_a_chat_are_its_parts():
+    first, second, last = (
+        {'role': 'user', 'content': text} for text in ('a', 'b', 'c')
+    )
+    found = fingerprints.message_parts([first, second, last])
+    assert len(set(found)) == 2
+    reordered = {'content': 'a', 'role': 'user'}
+    assert fingerprints.message_parts([reordered, last]) == found[:1]
+    assert fingerprints.message_parts([last]) == ()
+    # A name that a caller chooses can't stand for a message.
+    name = msgspec.json.encode(first, order='sorted').decode()
+    assert fingerprints.named_parts([name, 'own']) != found[:1]
--- a/tests/test_quarantined_fleet.py
+++ b/tests/test_quarantined_fleet.py
@@ -15,6 +15,7 @@
 from wrenspoke.coordination.quarantine import crash_aggregator
 from wrenspoke.coordination.quarantine import crash_history
 from wrenspoke.coordination.quarantine import hold_durations
+from wrenspoke.protocol import fingerprints
 
 FATAL = 'f' * 32
 SEEDS = int(os.environ.get('WRENSPOKE_SOAK_SEEDS', '10'))
@@ -165,7 +166,10 @@
     await fleet.wait_ms(1_000)
     [decided] = fleet.state.configuration.quarantine.values()
     assert decided.ends == crash_history.CRASH_THRESHOLD + 1
-    assert host.guard.remaining_hold_ms(FATAL) > hold_durations.BASE_HOLD_MS
+    assert (
+        host.guard.remaining_hold_ms(fingerprints.Fingerprint(FATAL))
+        > hold_durations.BASE_HOLD_MS
+    )
     await fleet.close()
 
 
--- a/wrenspoke/coordination/quarantine/crash_aggregator.py
+++ b/wrenspoke/coordination/quarantine/crash_aggregator.py
@@ -80,9 +80,9 @@
         self._crash_history = crash_history.CrashHistory(clock)
         # Requests over the threshold without a committed decision, with the
         # time at which entry hosts were last notified.
-        self._notified_ms: dict[ids.RequestDigest, int] = {}
+        self._notified_ms: dict[ids.ContentDigest, int] = {}
         # Quarantined requests that completed and are to be released.
-        self._pending_releases: set[ids.RequestDigest] = set()
+        self._pending_releases: set[ids.ContentDigest] = set()
         # Committed decisions, with the time at which they were applied here.
         self._decided_ms: dict[quarantine.QuarantineEntry, int] = {}
         self._proposing = False
@@ -149,24 +149,24 @@
         """Return the committed decisions applied on this host."""
         return self._replica.current.quarantine
 
-    def _crash_count(self, digest: ids.RequestDigest) -> int:
+    def _crash_count(self, digest: ids.ContentDigest) -> int:
         """Return the crashes of a request, including those before a trial."""
         decided = self._quarantine.get(digest)
         earlier_crashes = 0 if decided is None else decided.ends
         return earlier_crashes + self._crash_history.crash_count(digest)
 
-    def _is_held(self, digest: ids.RequestDigest) -> bool:
+    def _is_held(self, digest: ids.ContentDigest) -> bool:
         if digest in self._notified_ms:
             return True
         return quarantine.blocking_entry(self._quarantine, digest) is not None
 
-    def _make_hold(self, digest: ids.RequestDigest) -> quarantining.Hold:
+    def _make_hold(self, digest: ids.ContentDigest) -> quarantining.Hold:
         crashes = self._crash_count(digest)
         return quarantining.Hold(
             digest, crashes, hold_durations.hold_duration_ms(crashes)
         )
 
-    def _handle_success(self, digest: ids.RequestDigest) -> None:
+    def _handle_success(self, digest: ids.ContentDigest) -> None:
         """Clear a request that an endpoint has completed."""
         self._crash_history.clear(digest)
         if self._notified_ms.pop(digest, None) is not None:
@@ -182,7 +182,7 @@
     async def _notify_entry_hosts(
         self,
         new_holds: list[quarantining.Hold],
-        released: collections.abc.Iterable[ids.RequestDigest] = (),
+        released: collections.abc.Iterable[ids.ContentDigest] = (),
     ) -> None:
         message = quarantining.UpdateHolds(new_holds, list(released))
         hosts = self._list_entry_hosts(self._local_voter.has_lease)
--- a/wrenspoke/coordination/quarantine/crash_history.py
+++ b/wrenspoke/coordination/quarantine/crash_history.py
@@ -35,15 +35,15 @@
         # Oldest first. Kept apart so that single-crash entries cannot evict
         # repeated ones.
         self._single_crashes: collections.OrderedDict[
-            ids.RequestDigest, list[CrashRecord]
+            ids.ContentDigest, list[CrashRecord]
         ] = collections.OrderedDict()
         self._repeated_crashes: collections.OrderedDict[
-            ids.RequestDigest, list[CrashRecord]
+            ids.ContentDigest, list[CrashRecord]
         ] = collections.OrderedDict()
 
     def record_crash(
         self,
-        digest: ids.RequestDigest,
+        digest: ids.ContentDigest,
         endpoint: ids.EndpointId,
         crashed_ms: int,
     ) -> int:
@@ -66,16 +66,16 @@
             entries.popitem(last=False)
         return len(crashes)
 
-    def clear(self, digest: ids.RequestDigest) -> bool:
+    def clear(self, digest: ids.ContentDigest) -> bool:
         """Remove a request's crashes; return whether it had any."""
         single = self._single_crashes.pop(digest, None)
         return bool(single or self._repeated_crashes.pop(digest, None))
 
-    def crash_count(self, digest: ids.RequestDigest) -> int:
+    def crash_count(self, digest: ids.ContentDigest) -> int:
         """Return how many crashes are recorded against a request."""
         return len(self._crashes_of(digest))
 
-    def _crashes_of(self, digest: ids.RequestDigest) -> list[CrashRecord]:
+    def _crashes_of(self, digest: ids.ContentDigest) -> list[CrashRecord]:
         return (
             self._single_crashes.get(digest)
             or self._repeated_crashes.get(digest)
--- a/wrenspoke/coordination/quarantine/crash_reporter.py
+++ b/wrenspoke/coordination/quarantine/crash_reporter.py
@@ -32,7 +32,7 @@
 
 ListAggregators = collections.abc.Callable[[], list[ids.HostId]]
 HoldCallback = collections.abc.Callable[[quarantining.Hold], None]
-LocalCrash = tuple[ids.RequestDigest, ids.EndpointId, int]
+LocalCrash = tuple[ids.ContentDigest, ids.EndpointId, int]
 
 
 class _ReportQueue:
@@ -42,7 +42,7 @@
         self.crashes: collections.deque[LocalCrash] = collections.deque(
             maxlen=MAX_QUEUED_CRASHES
         )
-        self.cleared: dict[ids.RequestDigest, None] = {}
+        self.cleared: dict[ids.ContentDigest, None] = {}
         self.instance_id = ''
         self.task: asyncio.Task | None = None
 
@@ -79,7 +79,7 @@
         await self._tasks.close()
 
     def report_crash(
-        self, digest: ids.RequestDigest, endpoint: ids.EndpointId
+        self, digest: ids.ContentDigest, endpoint: ids.EndpointId
     ) -> None:
         """Queue a report that an endpoint crashed during a request."""
         crash = (digest, endpoint, self._clock.mono_ms())
@@ -87,7 +87,7 @@
         for queue in self._active_queues():
             queue.crashes.append(crash)
 
-    def report_success(self, digest: ids.RequestDigest) -> None:
+    def report_success(self, digest: ids.ContentDigest) -> None:
         """Queue a report that an endpoint completed a request."""
         for queue in self._active_queues():
             queue.cleared[digest] = None
@@ -136,7 +136,7 @@
         self,
         host: ids.HostId,
         crashes: list[LocalCrash],
-        cleared: list[ids.RequestDigest],
+        cleared: list[ids.ContentDigest],
     ) -> quarantining.ReportCrashesReply | None:
         now_ms = self._clock.mono_ms()
         run_ends = [
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -23,6 +23,7 @@
 from wrenspoke.coordination.quarantine import recent_successes
 from wrenspoke.coordination.quarantine import run_tracker
 from wrenspoke import ids
+from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke.protocol import quarantining
 from wrenspoke import runtime
@@ -64,7 +65,7 @@
         self._recent_successes = recent_successes.RecentSuccesses(clock)
         # End of each provisional hold.
         self._provisional_until_ms: collections.OrderedDict[
-            ids.RequestDigest, int
+            ids.ContentDigest, int
         ] = collections.OrderedDict()
         # When this host first saw each committed decision.
         self._decision_seen_ms: dict[quarantine.QuarantineEntry, int] = {}
@@ -82,8 +83,11 @@
 
     # Holds.
 
-    def remaining_hold_ms(self, digest: ids.RequestDigest) -> int | None:
+    def remaining_hold_ms(
+        self, fingerprint: fingerprints.Fingerprint
+    ) -> int | None:
         """Return how long a request stays held, None if it may be sent."""
+        digest = fingerprint.request
         now_ms = self._clock.mono_ms()
         decided = quarantine.blocking_entry(
             self._replica.current.quarantine, digest
@@ -96,12 +100,14 @@
         left_ms = self._provisional_until_ms.get(digest, 0) - now_ms
         return max(left_ms, MIN_HOLD_RETRY_MS) if left_ms > 0 else None
 
-    def refuse_if_held(self, digest: ids.RequestDigest) -> int | None:
+    def refuse_if_held(
+        self, fingerprint: fingerprints.Fingerprint
+    ) -> int | None:
         """Return how long a request stays held, and count the refusal.
 
         Returns None, and counts nothing, if it may be sent.
         """
-        held_ms = self.remaining_hold_ms(digest)
+        held_ms = self.remaining_hold_ms(fingerprint)
         if held_ms is not None:
             self.refused_count += 1
         return held_ms
@@ -119,7 +125,7 @@
     @contextlib.asynccontextmanager
     async def track_run(
         self,
-        digest: ids.RequestDigest,
+        fingerprint: fingerprints.Fingerprint,
         endpoint: ids.EndpointId,
         address: str,
     ) -> collections.abc.AsyncIterator[run_tracker.Run]:
@@ -127,7 +133,7 @@
 
         If the run breaks, its endpoint is probed before the error propagates.
         """
-        run = self.start_run(digest, endpoint, address)
+        run = self.start_run(fingerprint, endpoint, address)
         try:
             yield run
         except (errors.MaybeSentError, transport_errors.MaybeSentError):
@@ -136,16 +142,20 @@
 
     def start_run(
         self,
-        digest: ids.RequestDigest,
+        fingerprint: fingerprints.Fingerprint,
         endpoint: ids.EndpointId,
         address: str,
     ) -> run_tracker.Run:
         """Return the run of a request that is being sent."""
-        return self._run_tracker.start_run(digest, endpoint, address)
+        return self._run_tracker.start_run(fingerprint, endpoint, address)
+
+    def mark_writing(self, run: run_tracker.Run) -> None:
+        """Record that the first byte of a run's response body arrived."""
+        self._run_tracker.mark_writing(run)
 
     def mark_succeeded(self, run: run_tracker.Run) -> None:
         """Record a completed run, and clear the crashes of its request."""
-        digest = run.digest
+        digest = run.fingerprint.request
         self._recent_successes.add_success(digest)
         was_suspect = self._crash_history.clear(digest)
         was_suspect |= self._provisional_until_ms.pop(digest, None) is not None
@@ -167,18 +177,19 @@
         Nothing is recorded if the request completed recently on this host,
         or if the endpoint was draining.
         """
-        if not await self._run_tracker.check_crashed(run) or not run.digest:
+        digest = run.fingerprint.request
+        if not await self._run_tracker.check_crashed(run) or not digest:
             return
-        if self._recent_successes.has_recent(run.digest) or self._is_draining(
+        if self._recent_successes.has_recent(digest) or self._is_draining(
             run.endpoint
         ):
             return
-        self._reporter.report_crash(run.digest, run.endpoint)
-        self._count_crash(run.digest, run.endpoint, self._clock.mono_ms())
+        self._reporter.report_crash(digest, run.endpoint)
+        self._count_crash(digest, run.endpoint, self._clock.mono_ms())
 
     def _count_crash(
         self,
-        digest: ids.RequestDigest,
+        digest: ids.ContentDigest,
         endpoint: ids.EndpointId,
         crashed_ms: int,
     ) -> None:
@@ -251,6 +262,7 @@
                     hold_durations.PROVISIONAL_HOLD_MS,
                 )
                 for digest in reported
-                if self.remaining_hold_ms(digest) is not None
+                if self.remaining_hold_ms(fingerprints.Fingerprint(digest))
+                is not None
             ],
         )
--- a/wrenspoke/coordination/quarantine/recent_successes.py
+++ b/wrenspoke/coordination/quarantine/recent_successes.py
@@ -17,18 +17,18 @@
 
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
-        self._succeeded_ms: collections.OrderedDict[ids.RequestDigest, int] = (
+        self._succeeded_ms: collections.OrderedDict[ids.ContentDigest, int] = (
             collections.OrderedDict()
         )
 
-    def add_success(self, digest: ids.RequestDigest) -> None:
+    def add_success(self, digest: ids.ContentDigest) -> None:
         """Record that an endpoint completed a request."""
         self._succeeded_ms[digest] = self._clock.mono_ms()
         self._succeeded_ms.move_to_end(digest)
         if len(self._succeeded_ms) > MAX_ENTRIES:
             self._succeeded_ms.popitem(last=False)
 
-    def has_recent(self, digest: ids.RequestDigest) -> bool:
+    def has_recent(self, digest: ids.ContentDigest) -> bool:
         """Return whether a request completed within ``RETENTION_MS``."""
         succeeded_ms = self._succeeded_ms.get(digest)
         if succeeded_ms is None:
--- a/wrenspoke/coordination/quarantine/run_tracker.py
+++ b/wrenspoke/coordination/quarantine/run_tracker.py
@@ -15,6 +15,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke import ids
+from wrenspoke.protocol import fingerprints
 from wrenspoke.transport import port_probe
 
 logger = structlog.get_logger(__name__)
@@ -25,6 +26,8 @@
 # All calls of a crashed endpoint break within milliseconds, and a restart
 # takes seconds, so a probe result stays valid for this long.
 PROBE_REUSE_MS = 500
+# Bound on the size of a log line.
+MAX_LOGGED_PARTS = 8
 
 
 # Returns whether an address refuses connections; arguments are the address
@@ -32,14 +35,18 @@
 Probe = collections.abc.Callable[[str, int], collections.abc.Awaitable[bool]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Run:
-    """One attempt of a request at an endpoint."""
+    """One attempt of a request at an endpoint.
+
+    ``writing_since_ms`` is the time of the first byte of its body.
+    """
 
-    digest: ids.RequestDigest
+    fingerprint: fingerprints.Fingerprint
     endpoint: ids.EndpointId
     address: str
     dispatched_ms: int
+    writing_since_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,22 +77,32 @@
 
     def start_run(
         self,
-        digest: ids.RequestDigest,
+        fingerprint: fingerprints.Fingerprint,
         endpoint: ids.EndpointId,
         address: str,
     ) -> Run:
         """Return the run of a request that is being sent."""
-        return Run(digest, endpoint, address, self._clock.mono_ms())
+        return Run(fingerprint, endpoint, address, self._clock.mono_ms())
+
+    def mark_writing(self, run: Run) -> None:
+        """Record that the first byte of a run's response body arrived."""
+        run.writing_since_ms = self._clock.mono_ms()
 
     async def check_crashed(self, run: Run) -> bool:
         """Return whether the endpoint of a broken run has crashed."""
         crashed = await self._probe_liveness(run)
+        now_ms = self._clock.mono_ms()
+        wrote_ms = None
+        if run.writing_since_ms is not None:
+            wrote_ms = now_ms - run.writing_since_ms
         logger.info(
             'run_broke',
-            digest=run.digest,
+            digest=run.fingerprint.request,
+            parts=' '.join(run.fingerprint.parts[:MAX_LOGGED_PARTS]),
             endpoint=run.endpoint,
             endpoint_ended=crashed,
-            ran_ms=self._clock.mono_ms() - run.dispatched_ms,
+            ran_ms=now_ms - run.dispatched_ms,
+            wrote_ms=wrote_ms,
         )
         return crashed
 
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -238,7 +238,7 @@
         logger.warning(
             'try_failed',
             request=context.call.request,
-            digest=context.call.digest,
+            digest=context.call.fingerprint.request,
             place=destination.name,
             cause=cause,
             runs=context.runs,
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import enum
+import functools
 import re
 import urllib.parse
 
@@ -330,7 +331,12 @@
                 self._record_advertised(send, endpoint, send_permit, response)
                 self._raise_if_overloaded(send, response)
                 self._reject_mismatched_echo(send, endpoint, response)
-                yield EndpointResponse(response, send)
+                answer = EndpointResponse(response, send)
+                if run is not None:
+                    answer.on_first_chunk = functools.partial(
+                        self._guard.mark_writing, run
+                    )
+                yield answer
             if run is not None:
                 self._guard.mark_succeeded(run)
         except transport_errors.NotSentError as error:
@@ -410,13 +416,15 @@
         if not self._is_guarded(send):
             return contextlib.nullcontext()
         address = urllib.parse.urlsplit(endpoint.url).netloc
-        return self._guard.track_run(send.head.digest, send.endpoint, address)
+        return self._guard.track_run(
+            send.head.fingerprint, send.endpoint, address
+        )
 
     def _quarantined_ms(self, send: Send) -> int | None:
         """Return the remaining quarantine in ms, None without one."""
         if not self._is_guarded(send):
             return None
-        return self._guard.remaining_hold_ms(send.head.digest)
+        return self._guard.remaining_hold_ms(send.head.fingerprint)
 
     def _run_checks(
         self, send: Send, send_permit: endpoint_gate.GatePermit | None
--- a/wrenspoke/coordination/serving/gateway.py
+++ b/wrenspoke/coordination/serving/gateway.py
@@ -258,13 +258,14 @@
 
         :raises RequestEndedError: it is quarantined
         """
-        held_ms = self._guard.refuse_if_held(head.digest)
+        held_ms = self._guard.refuse_if_held(head.fingerprint)
         if held_ms is not None:
             raise errors.RequestEndedError(
                 outcomes.Ending(
                     outcomes.Outcome.NOT_RUN,
                     outcomes.Reason.QUARANTINED,
-                    f'endpoints failed running this request ({head.digest})',
+                    'endpoints failed running this request '
+                    f'({head.fingerprint.request})',
                     held_ms,
                 )
             )
@@ -529,9 +530,12 @@
     The digest of the first host is kept, as resuming a stream changes the
     body.
     """
-    if head.digest:
+    if head.fingerprint.request:
         return head
     digest = fingerprints.request_digest(
         head.team, head.method, head.service, head.path, body
     )
-    return msgspec.structs.replace(head, digest=digest)
+    return msgspec.structs.replace(
+        head,
+        fingerprint=msgspec.structs.replace(head.fingerprint, request=digest),
+    )
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 
+import msgspec
 import structlog
 
 from wrenspoke import clock as clocks
@@ -186,7 +187,9 @@
         except errors.DeniedError as error:
             await self._deny(call, reply, error)
             return None
-        call.digest = _digest_of(call, permit)
+        call.fingerprint = msgspec.structs.replace(
+            call.fingerprint, request=_digest_of(call, permit)
+        )
         # The permit may be based on a newer table than the one read above.
         table = self._replica.current.routes
         service = table.service(self._select_service(call, permit.route, hop))
@@ -401,7 +404,7 @@
         logger.info(
             'quarantine_refused',
             request=context.call.request,
-            digest=context.call.digest,
+            digest=context.call.fingerprint.request,
             held_ms=error.held_ms,
         )
         await context.reply.refuse(
@@ -451,7 +454,7 @@
         """
         await self._find_build(context)
         while self._left_ms(context) > attempts.MIN_TIME_LEFT_MS:
-            held_ms = self._guard.refuse_if_held(context.call.digest)
+            held_ms = self._guard.refuse_if_held(context.call.fingerprint)
             if held_ms is not None:
                 raise errors.QuarantinedError(held_ms)
             context.permit = self._access_control.reauthorize(
@@ -557,7 +560,7 @@
 
 def _digest_of(
     call: dialects.Call, permit: access.RoutePermit
-) -> ids.RequestDigest:
+) -> ids.ContentDigest:
     """Return the digest of a request, the same for all keys of a team."""
     if permit.team is not None:
         caller = permit.team.team
--- a/wrenspoke/coordination/serving/response_body.py
+++ b/wrenspoke/coordination/serving/response_body.py
@@ -21,6 +21,8 @@
         self._response = response
         self.framing = web.body_framing(response)
         self.bytes_read = 0
+        # Called with the first chunk of a streamed body.
+        self.on_first_chunk: collections.abc.Callable[[], None] | None = None
 
     async def read_all(self, limit_bytes: int) -> bytes:
         """Read and return the complete body.
@@ -41,6 +43,8 @@
         """
         try:
             async for chunk in web.read_chunks(self._response):
+                if not self.bytes_read and self.on_first_chunk is not None:
+                    self.on_first_chunk()
                 self.bytes_read += len(chunk)
                 yield chunk
         except transport_errors.TransportError as error:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -238,7 +238,7 @@
         tracked = contextlib.nullcontext()
         if destination.endpoint is not None:
             tracked = self._guard.track_run(
-                call.digest, destination.endpoint, destination.address
+                call.fingerprint, destination.endpoint, destination.address
             )
         try:
             async with (
@@ -255,6 +255,10 @@
                 self._record_advertised(call, destination, response)
                 verdict = self._classify_response(call, destination, response)
                 answer = UpstreamResponse(response, verdict, destination)
+                if run is not None:
+                    answer.on_first_chunk = functools.partial(
+                        self._guard.mark_writing, run
+                    )
                 try:
                     yield answer
                 finally:
@@ -275,7 +279,7 @@
         destination: Destination,
     ) -> bool:
         """Return whether a send is still allowed before its first byte."""
-        if self._guard.remaining_hold_ms(call.digest) is not None:
+        if self._guard.remaining_hold_ms(call.fingerprint) is not None:
             return False
         if (
             destination.endpoint is not None
--- a/wrenspoke/ids.py
+++ b/wrenspoke/ids.py
@@ -6,6 +6,9 @@
 AttemptId = typing.NewType('AttemptId', str)
 # Version of the software that an endpoint runs; versions have no order.
 BuildId = typing.NewType('BuildId', str)
+# Identifies the content of a request or of a part of its prompt: resends have
+# the same digest, whatever their request ids.
+ContentDigest = typing.NewType('ContentDigest', str)
 DataCentreId = typing.NewType('DataCentreId', str)
 EndpointId = typing.NewType('EndpointId', str)
 HostId = typing.NewType('HostId', str)
@@ -13,8 +16,6 @@
 OperatorId = typing.NewType('OperatorId', str)
 PlanId = typing.NewType('PlanId', str)
 RegionId = typing.NewType('RegionId', str)
-# Identifies the content of a request; resends have the same digest.
-RequestDigest = typing.NewType('RequestDigest', str)
 RequestId = typing.NewType('RequestId', str)
 ServiceId = typing.NewType('ServiceId', str)
 SessionId = typing.NewType('SessionId', str)
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -13,6 +13,7 @@
 
 from wrenspoke import ids
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import numerals
 
@@ -110,7 +111,7 @@
 
     ``fields`` are the headers to forward, in their order, without the
     ``credentials`` that the caller sent. ``key`` is the team's key.
-    ``digest`` identifies the request by its content, whatever its id.
+    ``fingerprint`` identifies the request by its content, whatever its id.
     """
 
     request: ids.RequestId
@@ -129,7 +130,7 @@
     resumes: ids.RequestId | None = None
     credentials: Fields = []
     key: str = ''
-    digest: ids.RequestDigest = ids.RequestDigest('')
+    fingerprint: fingerprints.Fingerprint = fingerprints.Fingerprint()
 
     @property
     def tokens(self) -> int:
@@ -206,6 +207,9 @@
                 if item[0].lower() in self._credentials - connection_options
             ],
             key=self._key(values),
+            fingerprint=fingerprints.Fingerprint(
+                parts=fingerprints.named_parts(self._part_names(values))
+            ),
         )
 
     def _single_valued_headers(self) -> frozenset[str]:
@@ -269,6 +273,12 @@
                 parts.append(PromptPart(name, count))
         return tuple(parts)
 
+    def _part_names(self, values: dict[str, str]) -> list[str]:
+        """Return the names of all prompt parts, well-formed or not."""
+        text = values.get(self._dialect.prompt_parts.lower(), '')
+        names = (item.partition(':')[0].strip() for item in text.split(','))
+        return [name for name in names if name]
+
     def _tokens_expected(self, values: dict[str, str]) -> int:
         """Return the length hint, capped by the maximum, else the maximum."""
         text = values.get(self._dialect.length_hint.lower(), '')
--- a/wrenspoke/protocol/entry_api.py
+++ b/wrenspoke/protocol/entry_api.py
@@ -11,6 +11,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke import ids
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import hops
 from wrenspoke.protocol import outcomes
@@ -184,6 +185,10 @@
             model=chat.model,
             stream=chat.stream,
             session=head.session or chat.user,
+            fingerprint=msgspec.structs.replace(
+                head.fingerprint,
+                parts=fingerprints.message_parts(chat.messages),
+            ),
         )
 
     def _read_plain(
@@ -259,7 +264,7 @@
             priority=hop.priority,
             deadline_ms=now_ms + hop.left_ms,
             path_of_hosts=hop.path_of_hosts,
-            digest=hop.digest,
+            fingerprint=fingerprints.Fingerprint(hop.digest),
         )
 
 
--- a/wrenspoke/protocol/hops.py
+++ b/wrenspoke/protocol/hops.py
@@ -33,7 +33,7 @@
     bound: bool
     once: bool
     priority: requests.Priority
-    digest: ids.RequestDigest = ids.RequestDigest('')
+    digest: ids.ContentDigest = ids.ContentDigest('')
 
 
 class HopSigner:
@@ -63,7 +63,7 @@
             bound=head.bound,
             once=head.once,
             priority=head.priority,
-            digest=head.digest,
+            digest=head.fingerprint.request,
         )
         body = msgspec.msgpack.encode(hop)
         return base64.urlsafe_b64encode(self._mac(body) + body).decode()
--- a/wrenspoke/protocol/quarantining.py
+++ b/wrenspoke/protocol/quarantining.py
@@ -8,7 +8,7 @@
 class EndpointCrash(msgspec.Struct, array_like=True, frozen=True):
     """Crash of an endpoint while it ran a request, ``age_ms`` ago."""
 
-    digest: ids.RequestDigest
+    digest: ids.ContentDigest
     endpoint: ids.EndpointId
     age_ms: int
 
@@ -19,7 +19,7 @@
     ``ends`` is the number of endpoints that crashed while they ran it.
     """
 
-    digest: ids.RequestDigest
+    digest: ids.ContentDigest
     ends: int
     for_ms: int
 
@@ -31,7 +31,7 @@
     """
 
     ends: list[EndpointCrash]
-    cleared: list[ids.RequestDigest] = []
+    cleared: list[ids.ContentDigest] = []
 
 
 class ReportCrashesReply(msgspec.Struct, tag='runs_noted'):
@@ -49,7 +49,7 @@
     """Set and release holds at entry hosts."""
 
     holds: list[Hold]
-    released: list[ids.RequestDigest] = []
+    released: list[ids.ContentDigest] = []
 
 
 class UpdateHoldsReply(msgspec.Struct, tag='hold_taken'):
@@ -58,4 +58,4 @@
     ``cleared`` lists requests that were recently completed.
     """
 
-    cleared: list[ids.RequestDigest] = []
+    cleared: list[ids.ContentDigest] = []
--- a/wrenspoke/protocol/requests.py
+++ b/wrenspoke/protocol/requests.py
@@ -7,6 +7,7 @@
 
 from wrenspoke import ids
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import numerals
 
@@ -46,8 +47,8 @@
     ``deadline_ms`` is on this host's clock. ``resend`` is set if, by the
     caller's headers, an earlier attempt may exist, ``minted`` if the caller
     sent no id and this host generated one. ``key`` authenticates the caller's
-    team and is never forwarded. ``digest`` identifies the request by its
-    content, whatever its id.
+    team and is never forwarded. ``fingerprint`` identifies the request
+    by its content, whatever its id.
     """
 
     request: ids.RequestId
@@ -71,7 +72,7 @@
     last_event: int | None = None
     content_type: str = 'application/json'
     path_of_hosts: tuple[ids.HostId, ...] = ()
-    digest: ids.RequestDigest = ids.RequestDigest('')
+    fingerprint: fingerprints.Fingerprint = fingerprints.Fingerprint()
 
     @property
     def forwarded(self) -> bool:
--- a/wrenspoke/state/configuration.py
+++ b/wrenspoke/state/configuration.py
@@ -233,7 +233,7 @@
     """Adds request digests to the quarantine, and clears others."""
 
     entered: tuple[quarantine.QuarantineEntry, ...] = ()
-    cleared: tuple[ids.RequestDigest, ...] = ()
+    cleared: tuple[ids.ContentDigest, ...] = ()
 
 
 class SetAll(msgspec.Struct, frozen=True, tag='all'):
--- a/wrenspoke/state/plans.py
+++ b/wrenspoke/state/plans.py
@@ -100,7 +100,7 @@
 class ClearQuarantine(msgspec.Struct, frozen=True, tag='clear_quarantine'):
     """Removes a request from the quarantine."""
 
-    digest: ids.RequestDigest
+    digest: ids.ContentDigest
 
 
 class AddEndpoint(msgspec.Struct, frozen=True, tag='add_endpoint'):
--- a/wrenspoke/state/quarantine.py
+++ b/wrenspoke/state/quarantine.py
@@ -16,16 +16,16 @@
     is quarantined again at once, for longer.
     """
 
-    digest: ids.RequestDigest
+    digest: ids.ContentDigest
     ends: int
     on_probation: bool = False
 
 
-Quarantine = dict[ids.RequestDigest, QuarantineEntry]
+Quarantine = dict[ids.ContentDigest, QuarantineEntry]
 
 
 def blocking_entry(
-    all_known: Quarantine, digest: ids.RequestDigest
+    all_known: Quarantine, digest: ids.ContentDigest
 ) -> QuarantineEntry | None:
     """Return the entry that blocks a request, or None if it may be sent."""
     found = all_known.get(digest)
@@ -37,7 +37,7 @@
 def apply_changes(
     old: Quarantine,
     entered: tuple[QuarantineEntry, ...],
-    cleared: tuple[ids.RequestDigest, ...],
+    cleared: tuple[ids.ContentDigest, ...],
 ) -> Quarantine:
     """Return a copy with entries added and cleared, within the size limit."""
     new = {
@@ -51,7 +51,7 @@
     return new
 
 
-def _eviction_candidate(held: Quarantine) -> ids.RequestDigest:
+def _eviction_candidate(held: Quarantine) -> ids.ContentDigest:
     for digest, found in held.items():
         if found.on_probation:
             return digest
