Reproduce a prompt part that crashes engine after engine, failing

Stand-in engines crash under each request with one part in the middle of its prompt; no two requests are alike, and they come to both regions beside sound ones with the same first part.

--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -45,6 +45,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def end_all(self):
+        """End every connection in order and refuse new ones."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
     async def listen_at_same_address(self):
         """Listen again at the same address."""
         ip, _, port = self.address.rpartition(':')
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -70,7 +70,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_system(folder, kind=routes.RouteKind.REPEATABLE):
+async def running_system(
+    folder, kind=routes.RouteKind.REPEATABLE, engine_type=CrashingEngine
+):
     """Run a system of two regions, each with two hosts and four engines."""
     ends, engines = [], []
     async with nodes.running(folder, controls=3) as system:
@@ -79,7 +81,7 @@
             await system.start_entry('south-hall')
         for hall in ('north-hall', 'south-hall'):
             for number in range(4):
-                engine = await CrashingEngine(ends).start()
+                engine = await engine_type(ends).start()
                 engines.append(engine)
                 await system.register(
                     f'{hall}-{number}', engine, data_centre=hall
@@ -91,11 +93,11 @@
         await engine.close()
 
 
-async def send_to_entry_host(system, host, body, name):
+async def send_to_entry_host(system, host, body, name, headers=()):
     """Send a request to an entry host and return the raw response."""
     sent = test_passing.request(
         'POST /a/x HTTP/1.1',
-        [f'Content-Length: {len(body)}'],
+        [f'Content-Length: {len(body)}', *headers],
         body,
         name,
     )
