Quarantine the prompt part that crashes engines, not whole requests alone

Cause: the quarantine went by one digest of the whole request. No two of these were alike, so every one was new to it. Class: what a fault is put down to is named more narrowly than what causes it.

Now a crash counts against digests of the request and of the parts of its prompt (all but the last; messages, for chats) that were in flight. The one with the most crashes is the culprit, of one request's the one that the fewest requests share; while digests of different requests have as many, up to five crashes are waited for. What a culprit explains no longer counts against the others, and who was held in its place is released. Parts that completed anywhere within a minute are cleared: the leader asks all entry hosts before a hold, control hosts without a leader those of their region. A run that has written for a second clears its parts. Every place that asked the guard asks for all digests.

--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -56,14 +56,20 @@
 
 
 class QuarantinedError(CoordinationError):
-    """A request is not sent, as endpoints crashed while running it.
+    """A request is not sent, as its content crashed endpoints.
 
-    ``held_ms`` is the remaining time of its quarantine.
+    ``held_ms`` is the remaining time of the quarantine, ``digest`` that of
+    the request or of a part of its prompt, empty if another host refused it.
     """
 
-    def __init__(self, held_ms: int):
+    def __init__(
+        self,
+        held_ms: int,
+        digest: ids.ContentDigest = ids.ContentDigest(''),
+    ):
         super().__init__(f'request is quarantined for {held_ms} ms')
         self.held_ms = held_ms
+        self.digest = digest
 
 
 class NotSentError(CoordinationError):
--- a/wrenspoke/coordination/quarantine/crash_aggregator.py
+++ b/wrenspoke/coordination/quarantine/crash_aggregator.py
@@ -1,14 +1,16 @@
 """Aggregation of crash reports and quarantine decisions on control hosts.
 
-Every control host receives the crash reports of all entry hosts. Each one
-immediately sends holds to the entry hosts of its region, and the leader to
-those of all regions. The leader then commits the decision, so that it
-survives power loss and reaches every host that restarts, resumes or rejoins
-after a partition.
+Every control host receives the crash reports of all entry hosts. The leader
+asks all entry hosts whether suspected content completed there, and otherwise
+sends them a hold. It then commits the decision, so that it survives power loss
+and reaches every host that restarts, resumes or rejoins after a partition.
+Control hosts without a leader do the same for the entry hosts of their region,
+but can commit nothing; those with one act only if it doesn't.
 """
 
 import asyncio
 import collections.abc
+import dataclasses
 import typing
 
 import msgspec
@@ -19,6 +21,7 @@
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import crash_history
 from wrenspoke.coordination.quarantine import hold_durations
+from wrenspoke.coordination.quarantine import recent_successes
 from wrenspoke import ids
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import peers as peer_calls
@@ -33,9 +36,16 @@
 
 # Holds last minutes, so expired ones need not be found faster.
 CHECK_INTERVAL_MS = 1_000
-# Two inter-region round trips of up to 160 ms each: time for hosts that
-# completed the request recently to object before it is quarantined. It is held
-# meanwhile.
+# How long reports of one crash arrive from the hosts of other regions. Content
+# in flight elsewhere may have more crashes.
+SETTLE_MS = 120
+# Time after which a leader has committed its decision.
+FOLLOWER_DELAY_MS = 1_200
+# One inter-region round trip of up to 160 ms. Hosts that are frozen or cut off
+# delay a hold by no more than this.
+SUCCESS_QUERY_TIMEOUT_MS = 250
+# Two inter-region round trips: time for hosts that completed the content
+# recently to object before it is quarantined. It is held meanwhile.
 OBJECTION_WINDOW_MS = 350
 CALL_TIMEOUT_MS = 1_000
 # Without a leader provisional holds expire. The next crash then renews the
@@ -53,6 +63,10 @@
     def has_lease(self) -> bool:
         """Return whether this host is leader and holds the lease."""
 
+    @property
+    def has_leader(self) -> bool:
+        """Return whether this host leads or has contact with the leader."""
+
     async def propose(self, entry: entries.Entry) -> replicated.ApplyResult:
         """Append an entry and return the result once it is applied.
 
@@ -60,8 +74,16 @@
         """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProvisionalHold:
+    """When entry hosts were last told of a hold, and the crash behind it."""
+
+    notified_ms: int
+    crash: crash_history.Crash
+
+
 class CrashAggregator:
-    """Counts reported crashes and quarantines the requests behind them."""
+    """Counts reported crashes and quarantines the content behind them."""
 
     def __init__(
         self,
@@ -77,11 +99,17 @@
         self._peers = peers
         self._clock = clock
         self._instance_id = ids.new_random_id()
-        self._crash_history = crash_history.CrashHistory(clock)
-        # Requests over the threshold without a committed decision, with the
-        # time at which entry hosts were last notified.
-        self._notified_ms: dict[ids.ContentDigest, int] = {}
-        # Quarantined requests that completed and are to be released.
+        self._crash_history = crash_history.CrashHistory(
+            clock, self._earlier_crashes
+        )
+        # Content that completed at some entry host.
+        self._recent_successes = recent_successes.RecentSuccesses(clock)
+        # Crashes whose culprits are to be found, and whether a task does so.
+        self._unsettled: dict[crash_history.Crash, None] = {}
+        self._settling = False
+        # Held digests without a committed decision.
+        self._provisional: dict[ids.ContentDigest, ProvisionalHold] = {}
+        # Quarantined content that is to be released.
         self._pending_releases: set[ids.ContentDigest] = set()
         # Committed decisions, with the time at which they were applied here.
         self._decided_ms: dict[quarantine.QuarantineEntry, int] = {}
@@ -103,14 +131,9 @@
         now_ms = self._clock.mono_ms()
         for digest in message.cleared:
             self._handle_success(digest)
-        new_holds = []
         for end in message.ends:
-            if self._record_crash(end, now_ms):
-                new_holds.append(self._make_hold(end.digest))
-        if new_holds:
-            self._tasks.start(self._notify_entry_hosts(new_holds), fatal=False)
-            self._tasks.start(self._propose_after_objections())
-        reported = {end.digest for end in message.ends}
+            self._record_crash(end, now_ms)
+        reported = {digest for end in message.ends for digest in end.digests}
         return quarantining.ReportCrashesReply(
             self._instance_id,
             [self._make_hold(one) for one in reported if self._is_held(one)],
@@ -118,58 +141,172 @@
 
     def _record_crash(
         self, end: quarantining.EndpointCrash, now_ms: int
-    ) -> bool:
-        """Record a crash; return whether entry hosts must be notified."""
-        if quarantine.blocking_entry(self._quarantine, end.digest) is not None:
-            # The request was sent before the hold reached that host.
-            return False
-        self._crash_history.record_crash(
-            end.digest, end.endpoint, now_ms - end.age_ms
+    ) -> None:
+        """Record a crash, and look for its culprits once it has settled."""
+        suspects = tuple(
+            digest
+            for digest in end.digests
+            if not self._recent_successes.has_recent(digest)
+        )
+        if not suspects:
+            return
+        crash = self._crash_history.record_crash(
+            suspects, end.endpoint, now_ms - end.age_ms
+        )
+        if not self._new_culprits(crash):
+            return
+        self._unsettled[crash] = None
+        if not self._settling:
+            self._tasks.start(self._hold_culprits(), fatal=False)
+
+    def _new_culprits(
+        self, crash: crash_history.Crash
+    ) -> list[ids.ContentDigest]:
+        """Return the culprits of a crash that entry hosts do not hold yet."""
+        now_ms = self._clock.mono_ms()
+        found = []
+        for digest in self._crash_history.find_culprits(crash):
+            if quarantine.blocking_entry(self._quarantine, digest) is not None:
+                # The request was sent before the hold reached that host.
+                continue
+            held = self._provisional.get(digest)
+            if (
+                held is not None
+                and now_ms - held.notified_ms < RENOTIFY_INTERVAL_MS
+            ):
+                continue
+            found.append(digest)
+        return found
+
+    async def _hold_culprits(self) -> None:
+        """Hold the culprits of crashes once all hosts have reported them."""
+        self._settling = True
+        try:
+            while self._unsettled:
+                if self._local_voter.has_leader and (
+                    not self._local_voter.has_lease
+                ):
+                    await self._clock.sleep_ms(FOLLOWER_DELAY_MS)
+                crashes, self._unsettled = self._unsettled, {}
+                await self._clear_completed(crashes)
+                await self._hold_culprits_of(crashes)
+        finally:
+            self._settling = False
+
+    async def _clear_completed(
+        self, crashes: collections.abc.Collection[crash_history.Crash]
+    ) -> None:
+        """Clear what completed somewhere of all that may be a culprit.
+
+        Once the content that was asked about is cleared, other content may
+        have the most crashes.
+        """
+        asked = self._leading_digests(crashes)
+        await asyncio.gather(
+            self._find_successes(asked), self._clock.sleep_ms(SETTLE_MS)
         )
-        crashes = self._crash_count(end.digest)
-        if crashes < crash_history.CRASH_THRESHOLD:
-            return False
-        notified_ms = self._notified_ms.get(end.digest)
-        if (
-            notified_ms is not None
-            and now_ms - notified_ms < RENOTIFY_INTERVAL_MS
-        ):
-            return False
-        logger.warning(
-            'request_crashes_endpoints',
-            digest=end.digest,
-            ends=crashes,
-            endpoint=end.endpoint,
+        while unasked := self._leading_digests(crashes) - asked:
+            asked |= unasked
+            await self._find_successes(unasked)
+
+    def _leading_digests(
+        self, crashes: collections.abc.Iterable[crash_history.Crash]
+    ) -> set[ids.ContentDigest]:
+        found = set()
+        for crash in crashes:
+            found.update(self._crash_history.leading_digests(crash))
+        return found
+
+    async def _hold_culprits_of(
+        self, crashes: collections.abc.Iterable[crash_history.Crash]
+    ) -> None:
+        now_ms = self._clock.mono_ms()
+        culprits = []
+        for crash in crashes:
+            for digest in self._new_culprits(crash):
+                logger.warning(
+                    'request_crashes_endpoints',
+                    digest=digest,
+                    ends=self._crash_history.crash_count(digest),
+                    endpoint=crash.endpoint,
+                )
+                self._provisional[digest] = ProvisionalHold(now_ms, crash)
+                self._crash_history.mark_culprit(digest)
+                culprits.append(digest)
+        if not culprits:
+            return
+        self._tasks.start(self._decide_after_objections())
+        await self._notify_entry_hosts(
+            [self._make_hold(digest) for digest in culprits],
+            self._release_acquitted(),
+        )
+
+    def _release_acquitted(self) -> list[ids.ContentDigest]:
+        """Release held content whose crashes are explained by others."""
+        released = self._crash_history.acquitted()
+        for digest in released:
+            logger.info('request_acquitted', digest=digest)
+            self._provisional.pop(digest, None)
+            if digest in self._quarantine:
+                self._pending_releases.add(digest)
+        return released
+
+    async def _find_successes(
+        self,
+        digests: collections.abc.Collection[ids.ContentDigest],
+        everywhere: bool = False,
+    ) -> None:
+        """Ask entry hosts which content completed there, and clear it."""
+        message = quarantining.FindSuccesses(sorted(digests))
+        await asyncio.gather(
+            *(
+                self._find_successes_at(host, message)
+                for host in self._list_entry_hosts(
+                    everywhere or self._local_voter.has_lease
+                )
+            )
         )
-        self._notified_ms[end.digest] = now_ms
-        return True
+
+    async def _find_successes_at(
+        self, host: ids.HostId, message: quarantining.FindSuccesses
+    ) -> None:
+        try:
+            answer = await self._peers.call(
+                host, message, SUCCESS_QUERY_TIMEOUT_MS
+            )
+        except protocol_errors.ProtocolError as error:
+            logger.info('success_query_failed', peer=host, reason=str(error))
+            return
+        if isinstance(answer, quarantining.FindSuccessesReply):
+            for digest in answer.cleared:
+                self._handle_success(digest)
 
     @property
     def _quarantine(self) -> quarantine.Quarantine:
         """Return the committed decisions applied on this host."""
         return self._replica.current.quarantine
 
-    def _crash_count(self, digest: ids.ContentDigest) -> int:
-        """Return the crashes of a request, including those before a trial."""
+    def _earlier_crashes(self, digest: ids.ContentDigest) -> int:
+        """Return the crashes that the decision on a digest includes."""
         decided = self._quarantine.get(digest)
-        earlier_crashes = 0 if decided is None else decided.ends
-        return earlier_crashes + self._crash_history.crash_count(digest)
+        return 0 if decided is None else decided.ends
 
     def _is_held(self, digest: ids.ContentDigest) -> bool:
-        if digest in self._notified_ms:
+        if digest in self._provisional:
             return True
         return quarantine.blocking_entry(self._quarantine, digest) is not None
 
     def _make_hold(self, digest: ids.ContentDigest) -> quarantining.Hold:
-        crashes = self._crash_count(digest)
+        crashes = self._crash_history.crash_count(digest)
         return quarantining.Hold(
             digest, crashes, hold_durations.hold_duration_ms(crashes)
         )
 
     def _handle_success(self, digest: ids.ContentDigest) -> None:
-        """Clear a request that an endpoint has completed."""
+        """Clear content that an endpoint has completed."""
+        self._recent_successes.add_success(digest)
         self._crash_history.clear(digest)
-        if self._notified_ms.pop(digest, None) is not None:
+        if self._provisional.pop(digest, None) is not None:
             logger.info('request_cleared', digest=digest)
             self._tasks.start(
                 self._notify_entry_hosts([], [digest]), fatal=False
@@ -206,15 +343,31 @@
 
     # Decisions.
 
-    async def _propose_after_objections(self) -> None:
+    async def _decide_after_objections(self) -> None:
         await self._clock.sleep_ms(OBJECTION_WINDOW_MS)
+        await self._release_unconfirmed()
         await self._propose_if_leader()
 
+    async def _release_unconfirmed(self) -> None:
+        """Release content that later reports show not to be the culprit."""
+        released = [
+            digest
+            for digest, held in self._provisional.items()
+            if digest not in self._crash_history.find_culprits(held.crash)
+        ]
+        for digest in released:
+            logger.info('request_acquitted', digest=digest)
+            del self._provisional[digest]
+            self._crash_history.unmark_culprit(digest)
+        if released:
+            await self._notify_entry_hosts([], released)
+
     async def _watch_decisions(self) -> None:
         """Propose due decisions periodically and after each new one."""
         while True:
             changed = self._replica.changed
             self._sync_decisions()
+            await self._clear_provisional()
             await self._propose_if_leader()
             try:
                 async with clocks.timeout_ms(CHECK_INTERVAL_MS):
@@ -222,6 +375,11 @@
             except TimeoutError:
                 continue
 
+    async def _clear_provisional(self) -> None:
+        """Clear held content that completes where it is not held."""
+        if self._provisional:
+            await self._find_successes(self._provisional, everywhere=True)
+
     def _sync_decisions(self) -> None:
         """Follow new committed decisions, and notify hosts of releases."""
         current = self._quarantine
@@ -230,8 +388,8 @@
                 self._decided_ms[decision] = self._clock.mono_ms()
             if not decision.on_probation:
                 # The decision includes these; later crashes are of a trial.
-                self._crash_history.clear(decision.digest)
-                self._notified_ms.pop(decision.digest, None)
+                self._crash_history.mark_decided(decision.digest)
+                self._provisional.pop(decision.digest, None)
         released = []
         for known in list(self._decided_ms):
             if current.get(known.digest) == known:
@@ -241,10 +399,14 @@
                 self._crash_history.clear(known.digest)
                 released.append(known.digest)
         self._pending_releases &= current.keys()
-        for digest in list(self._notified_ms):
-            if self._crash_count(digest) < crash_history.CRASH_THRESHOLD:
+        for digest in list(self._provisional):
+            if (
+                self._crash_history.crash_count(digest)
+                < crash_history.CRASH_THRESHOLD
+            ):
                 # Its crashes expired before a decision was committed.
-                del self._notified_ms[digest]
+                del self._provisional[digest]
+                self._crash_history.clear(digest)
         if released:
             self._tasks.start(
                 self._notify_entry_hosts([], released), fatal=False
@@ -263,9 +425,11 @@
     async def _propose_due(self) -> None:
         now_ms = self._clock.mono_ms()
         decisions = [
-            quarantine.QuarantineEntry(digest, self._crash_count(digest))
-            for digest, notified_ms in self._notified_ms.items()
-            if now_ms - notified_ms >= OBJECTION_WINDOW_MS
+            quarantine.QuarantineEntry(
+                digest, self._crash_history.crash_count(digest)
+            )
+            for digest, held in self._provisional.items()
+            if now_ms - held.notified_ms >= OBJECTION_WINDOW_MS
         ]
         decisions += self._due_for_probation(now_ms)
         if not decisions and not self._pending_releases:
--- a/wrenspoke/coordination/quarantine/crash_reporter.py
+++ b/wrenspoke/coordination/quarantine/crash_reporter.py
@@ -32,7 +32,8 @@
 
 ListAggregators = collections.abc.Callable[[], list[ids.HostId]]
 HoldCallback = collections.abc.Callable[[quarantining.Hold], None]
-LocalCrash = tuple[ids.ContentDigest, ids.EndpointId, int]
+ClearedCallback = collections.abc.Callable[[ids.ContentDigest], None]
+LocalCrash = tuple[crash_history.Digests, ids.EndpointId, int]
 
 
 class _ReportQueue:
@@ -68,27 +69,38 @@
         )
         self._queues: dict[ids.HostId, _ReportQueue] = {}
         self._hold_callback: HoldCallback | None = None
+        self._cleared_callback: ClearedCallback | None = None
+        self._acknowledged_ms: int | None = None
         self._tasks = runtime.Tasks()
 
-    def set_hold_callback(self, callback: HoldCallback) -> None:
-        """Set the function called with each hold in a host's answer."""
-        self._hold_callback = callback
+    def set_callbacks(
+        self, on_hold: HoldCallback, on_cleared: ClearedCallback
+    ) -> None:
+        """Set the functions called with what a host's answer contains."""
+        self._hold_callback = on_hold
+        self._cleared_callback = on_cleared
+
+    def has_reached_host(self, since_ms: int) -> bool:
+        """Return whether a host acknowledged a report after a time."""
+        return self._acknowledged_ms is not None and (
+            self._acknowledged_ms >= since_ms
+        )
 
     async def close(self) -> None:
         """Stop reporting."""
         await self._tasks.close()
 
     def report_crash(
-        self, digest: ids.ContentDigest, endpoint: ids.EndpointId
+        self, request: crash_history.Digests, endpoint: ids.EndpointId
     ) -> None:
         """Queue a report that an endpoint crashed during a request."""
-        crash = (digest, endpoint, self._clock.mono_ms())
+        crash = (request, endpoint, self._clock.mono_ms())
         self._local_crashes.append(crash)
         for queue in self._active_queues():
             queue.crashes.append(crash)
 
     def report_success(self, digest: ids.ContentDigest) -> None:
-        """Queue a report that an endpoint completed a request."""
+        """Queue a report that an endpoint completed a request or part."""
         for queue in self._active_queues():
             queue.cleared[digest] = None
 
@@ -120,9 +132,13 @@
             queue.crashes.extendleft(reversed(crashes))
             queue.cleared.update(dict.fromkeys(cleared))
             return False
+        self._acknowledged_ms = self._clock.mono_ms()
         for hold in answer.holds:
             if self._hold_callback is not None:
                 self._hold_callback(hold)
+        for digest in answer.cleared:
+            if self._cleared_callback is not None:
+                self._cleared_callback(digest)
         if answer.life != queue.instance_id:
             # The host restarted and lost the earlier reports.
             queue.instance_id = answer.life
@@ -140,8 +156,10 @@
     ) -> quarantining.ReportCrashesReply | None:
         now_ms = self._clock.mono_ms()
         run_ends = [
-            quarantining.EndpointCrash(digest, endpoint, now_ms - ended_ms)
-            for digest, endpoint, ended_ms in crashes
+            quarantining.EndpointCrash(
+                request[0], endpoint, now_ms - ended_ms, request[1:]
+            )
+            for request, endpoint, ended_ms in crashes
         ]
         message = quarantining.ReportCrashes(run_ends, cleared)
         try:
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -1,16 +1,18 @@
 """Check before each send that a request is not quarantined.
 
-A request that repeatedly crashes endpoints is held for some time. Requests
-are identified by a digest of their content, because each resend may have
-another request id and reach another host. Committed decisions of the control
-hosts apply on all hosts; until one is committed, provisional holds set by
-this host or by a control host apply.
+A request that repeatedly crashes endpoints is held for some time, and so is
+every request with a prompt part that does. Both are identified by digests of
+their content, because each resend may have another request id and reach
+another host. Committed decisions of the control hosts apply on all hosts;
+until one is committed, provisional holds set by a control host apply, or by
+this host if no control host has its reports.
 """
 
 import asyncio
 import collections
 import collections.abc
 import contextlib
+import dataclasses
 
 import structlog
 
@@ -35,6 +37,12 @@
 
 # How long a broken call waits for the liveness probe before it is retried.
 PROBE_WAIT_MS = 50
+# How long reports of one crash arrive from other hosts.
+SETTLE_MS = 120
+# A part crashes its endpoint as that begins to write, not later.
+BEGIN_WINDOW_MS = 1_000
+# Bound on the size of a report.
+MAX_REPORTED_PARTS = 256
 # Lower bound of the retry delay sent to callers.
 MIN_HOLD_RETRY_MS = 1_000
 MS_PER_S = 1_000
@@ -44,8 +52,16 @@
 IsDraining = collections.abc.Callable[[ids.EndpointId], bool]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActiveHold:
+    """Hold that applies to a request, by its own digest or a part's."""
+
+    digest: ids.ContentDigest
+    left_ms: int
+
+
 class Guard:
-    """Tracks crashes during runs on this host and holds their requests."""
+    """Tracks crashes during runs on this host, and holds their causes."""
 
     def __init__(
         self,
@@ -55,14 +71,23 @@
         is_draining: IsDraining,
         clock: clocks.Clock,
         probe: run_tracker.Probe = port_probe.is_connection_refused,
+        has_control_hosts: bool = True,
     ):
+        self._has_control_hosts = has_control_hosts
         self._replica = config_replica
         self._reporter = reporter
         self._is_draining = is_draining
         self._clock = clock
         self._run_tracker = run_tracker.RunTracker(clock, probe)
-        self._crash_history = crash_history.CrashHistory(clock)
+        self._crash_history = crash_history.CrashHistory(
+            clock, self._earlier_crashes
+        )
+        # Crashes to look for culprits of, with the time at which other hosts
+        # have reported them too.
+        self._settling: dict[crash_history.Crash, int] = {}
         self._recent_successes = recent_successes.RecentSuccesses(clock)
+        # Those that all control hosts were told of.
+        self._reported_successes = recent_successes.RecentSuccesses(clock)
         # End of each provisional hold.
         self._provisional_until_ms: collections.OrderedDict[
             ids.ContentDigest, int
@@ -72,8 +97,9 @@
         self._instance_id = ids.new_random_id()
         self._tasks = runtime.Tasks()
         self.refused_count = 0
-        reporter.set_hold_callback(self._hold_provisionally)
+        reporter.set_callbacks(self._hold_provisionally, self._handle_cleared)
         peers.handles(quarantining.UpdateHolds)(self._handle_hold_off)
+        peers.handles(quarantining.FindSuccesses)(self._find_successes)
         peers.handles(quarantining.ReportCrashes)(self._collect_crash_reports)
 
     async def close(self) -> None:
@@ -83,35 +109,56 @@
 
     # Holds.
 
+    def find_hold(
+        self, fingerprint: fingerprints.Fingerprint
+    ) -> ActiveHold | None:
+        """Return the longest hold on a request, None if it may be sent."""
+        self._hold_culprits()
+        if not self._provisional_until_ms and (
+            not self._replica.current.quarantine
+        ):
+            return None
+        longest = None
+        for digest in fingerprint.digests:
+            left_ms = self._remaining_hold_ms(digest)
+            if left_ms is None:
+                continue
+            if longest is None or left_ms > longest.left_ms:
+                longest = ActiveHold(digest, left_ms)
+        return longest
+
     def remaining_hold_ms(
         self, fingerprint: fingerprints.Fingerprint
     ) -> int | None:
         """Return how long a request stays held, None if it may be sent."""
-        digest = fingerprint.request
+        hold = self.find_hold(fingerprint)
+        return None if hold is None else hold.left_ms
+
+    def refuse_if_held(
+        self, fingerprint: fingerprints.Fingerprint
+    ) -> ActiveHold | None:
+        """Return the hold on a request, and count the refusal.
+
+        Returns None, and counts nothing, if it may be sent.
+        """
+        hold = self.find_hold(fingerprint)
+        if hold is not None:
+            self.refused_count += 1
+        return hold
+
+    def _remaining_hold_ms(self, digest: ids.ContentDigest) -> int | None:
         now_ms = self._clock.mono_ms()
         decided = quarantine.blocking_entry(
             self._replica.current.quarantine, digest
         )
         if decided is not None:
-            # The request stays held past the expected end, until another
+            # The content stays held past the expected end, until another
             # committed decision releases it.
             left_ms = self._decided_hold_end_ms(decided) - now_ms
             return max(left_ms, MIN_HOLD_RETRY_MS)
         left_ms = self._provisional_until_ms.get(digest, 0) - now_ms
         return max(left_ms, MIN_HOLD_RETRY_MS) if left_ms > 0 else None
 
-    def refuse_if_held(
-        self, fingerprint: fingerprints.Fingerprint
-    ) -> int | None:
-        """Return how long a request stays held, and count the refusal.
-
-        Returns None, and counts nothing, if it may be sent.
-        """
-        held_ms = self.remaining_hold_ms(fingerprint)
-        if held_ms is not None:
-            self.refused_count += 1
-        return held_ms
-
     def _decided_hold_end_ms(self, decided: quarantine.QuarantineEntry) -> int:
         if len(self._decision_seen_ms) > MAX_HOLDS:
             self._decision_seen_ms.clear()
@@ -154,13 +201,21 @@
         self._run_tracker.mark_writing(run)
 
     def mark_succeeded(self, run: run_tracker.Run) -> None:
-        """Record a completed run, and clear the crashes of its request."""
-        digest = run.fingerprint.request
-        self._recent_successes.add_success(digest)
-        was_suspect = self._crash_history.clear(digest)
-        was_suspect |= self._provisional_until_ms.pop(digest, None) is not None
-        if was_suspect or digest in self._replica.current.quarantine:
-            self._reporter.report_success(digest)
+        """Record a completed run, and clear the crashes of its content."""
+        for digest in run.fingerprint.digests:
+            self._recent_successes.add_success(digest)
+            was_held = self._release(digest)
+            was_suspect = self._crash_history.clear(digest)
+            if (
+                was_held
+                or was_suspect
+                or digest in self._replica.current.quarantine
+            ):
+                self._reporter.report_success(digest)
+
+    def _release(self, digest: ids.ContentDigest) -> bool:
+        """End a provisional hold; return whether there was one."""
+        return self._provisional_until_ms.pop(digest, None) is not None
 
     async def handle_broken_run(self, run: run_tracker.Run) -> None:
         """Check whether a broken run crashed its endpoint.
@@ -171,88 +226,153 @@
         checking = self._tasks.start(self._record_if_crashed(run), fatal=False)
         await asyncio.wait([checking], timeout=PROBE_WAIT_MS / MS_PER_S)
 
-    async def _record_if_crashed(self, run: run_tracker.Run) -> None:
-        """Record a crash against the request if its endpoint crashed.
+    async def _record_if_crashed(self, run: run_tracker.Run) -> bool:
+        """Return whether a run's endpoint crashed, and record its content.
 
-        Nothing is recorded if the request completed recently on this host,
+        Nothing is recorded of content that completed recently on this host,
         or if the endpoint was draining.
         """
-        digest = run.fingerprint.request
-        if not await self._run_tracker.check_crashed(run) or not digest:
-            return
-        if self._recent_successes.has_recent(digest) or self._is_draining(
-            run.endpoint
-        ):
-            return
-        self._reporter.report_crash(digest, run.endpoint)
-        self._count_crash(digest, run.endpoint, self._clock.mono_ms())
+        if not await self._run_tracker.check_crashed(run):
+            return False
+        suspects = self._suspects_of(run)
+        if suspects and not self._is_draining(run.endpoint):
+            self._reporter.report_crash(suspects, run.endpoint)
+            self._count_crash(suspects, run.endpoint, self._clock.mono_ms())
+        return True
+
+    def _suspects_of(self, run: run_tracker.Run) -> crash_history.Digests:
+        """Return the digests of a run that may have crashed its endpoint."""
+        request, *parts = run.fingerprint.digests
+        if not request or self._recent_successes.has_recent(request):
+            return ()
+        if run.writing_since_ms is not None:
+            wrote_ms = self._clock.mono_ms() - run.writing_since_ms
+            if wrote_ms >= BEGIN_WINDOW_MS:
+                for part in parts:
+                    self._recent_successes.add_success(part)
+                return (request,)
+        suspects = [
+            part
+            for part in parts
+            if not self._recent_successes.has_recent(part)
+        ]
+        return (request, *suspects[:MAX_REPORTED_PARTS])
+
+    def _earlier_crashes(self, digest: ids.ContentDigest) -> int:
+        decided = self._replica.current.quarantine.get(digest)
+        return 0 if decided is None else decided.ends
 
     def _count_crash(
         self,
-        digest: ids.ContentDigest,
+        suspects: crash_history.Digests,
         endpoint: ids.EndpointId,
         crashed_ms: int,
     ) -> None:
-        crashes = self._crash_history.record_crash(
-            digest, endpoint, crashed_ms
+        now_ms = self._clock.mono_ms()
+        crash = self._crash_history.record_crash(
+            suspects, endpoint, crashed_ms
         )
-        decided = self._replica.current.quarantine.get(digest)
-        if decided is not None:
-            crashes += decided.ends
-        if crashes >= crash_history.CRASH_THRESHOLD:
-            hold = quarantining.Hold(
-                digest, crashes, hold_durations.PROVISIONAL_HOLD_MS
-            )
-            self._hold_provisionally(hold)
+        self._settling.setdefault(crash, now_ms + SETTLE_MS)
+
+    def _hold_culprits(self) -> None:
+        """Hold the culprits of settled crashes, unless control hosts do."""
+        if not self._settling:
+            return
+        now_ms = self._clock.mono_ms()
+        for crash, settled_ms in list(self._settling.items()):
+            if now_ms < settled_ms:
+                continue
+            del self._settling[crash]
+            if self._has_control_hosts and self._reporter.has_reached_host(
+                settled_ms - SETTLE_MS
+            ):
+                continue
+            for digest in self._crash_history.find_culprits(crash):
+                hold = quarantining.Hold(
+                    digest,
+                    self._crash_history.crash_count(digest),
+                    hold_durations.PROVISIONAL_HOLD_MS,
+                )
+                self._hold_provisionally(hold, settled_ms)
+            for digest in self._crash_history.acquitted():
+                self._handle_cleared(digest)
 
     # Messages from other hosts.
 
-    def _hold_provisionally(self, hold: quarantining.Hold) -> None:
-        """Hold a request until a decision on it is committed.
+    def _hold_provisionally(
+        self, hold: quarantining.Hold, since_ms: int | None = None
+    ) -> None:
+        """Hold content, by default from now, until a decision is committed.
 
         The hold expires after ``PROVISIONAL_HOLD_MS`` at the latest.
         """
+        if since_ms is None:
+            since_ms = self._clock.mono_ms()
         if self._recent_successes.has_recent(hold.digest):
             return
         if hold.digest not in self._provisional_until_ms:
             logger.warning('request_held', digest=hold.digest, ends=hold.ends)
-        self._provisional_until_ms[hold.digest] = self._clock.mono_ms() + min(
+        self._crash_history.mark_culprit(hold.digest)
+        self._provisional_until_ms[hold.digest] = since_ms + min(
             hold.for_ms, hold_durations.PROVISIONAL_HOLD_MS
         )
         self._provisional_until_ms.move_to_end(hold.digest)
         if len(self._provisional_until_ms) > MAX_HOLDS:
             self._provisional_until_ms.popitem(last=False)
 
+    def _handle_cleared(self, digest: ids.ContentDigest) -> None:
+        """Release content that completed elsewhere or caused no crash."""
+        self._release(digest)
+        self._crash_history.clear(digest)
+
     async def _handle_hold_off(
         self, _sender: ids.HostId, message: quarantining.UpdateHolds
     ) -> quarantining.UpdateHoldsReply:
         for digest in message.released:
-            self._provisional_until_ms.pop(digest, None)
-            self._crash_history.clear(digest)
+            self._handle_cleared(digest)
         for hold in message.holds:
             self._hold_provisionally(hold)
         return quarantining.UpdateHoldsReply(
-            [
-                hold.digest
-                for hold in message.holds
-                if self._recent_successes.has_recent(hold.digest)
-            ]
+            self._completed(hold.digest for hold in message.holds)
         )
 
+    async def _find_successes(
+        self, _sender: ids.HostId, message: quarantining.FindSuccesses
+    ) -> quarantining.FindSuccessesReply:
+        completed = self._completed(message.digests)
+        for digest in completed:
+            if self._reported_successes.has_recent(digest):
+                continue
+            # The control hosts of other regions may suspect it, too.
+            self._reported_successes.add_success(digest)
+            self._reporter.report_success(digest)
+        return quarantining.FindSuccessesReply(completed)
+
+    def _completed(
+        self, digests: collections.abc.Iterable[ids.ContentDigest]
+    ) -> list[ids.ContentDigest]:
+        """Return the digests that completed recently on this host."""
+        return [
+            one for one in digests if self._recent_successes.has_recent(one)
+        ]
+
     async def _collect_crash_reports(
         self, _sender: ids.HostId, message: quarantining.ReportCrashes
     ) -> quarantining.ReportCrashesReply:
         """Aggregate crash reports in deployments without control hosts."""
         now_ms = self._clock.mono_ms()
         for digest in message.cleared:
-            self._crash_history.clear(digest)
-            self._provisional_until_ms.pop(digest, None)
+            self._handle_cleared(digest)
+        reported: dict[ids.ContentDigest, None] = {}
         for end in message.ends:
-            if not self._recent_successes.has_recent(end.digest):
-                self._count_crash(
-                    end.digest, end.endpoint, now_ms - end.age_ms
-                )
-        reported = {end.digest for end in message.ends}
+            reported.update(dict.fromkeys(end.digests))
+            suspects = tuple(
+                digest
+                for digest in end.digests
+                if not self._recent_successes.has_recent(digest)
+            )
+            if suspects:
+                self._count_crash(suspects, end.endpoint, now_ms - end.age_ms)
         return quarantining.ReportCrashesReply(
             self._instance_id,
             [
@@ -262,7 +382,7 @@
                     hold_durations.PROVISIONAL_HOLD_MS,
                 )
                 for digest in reported
-                if self.remaining_hold_ms(fingerprints.Fingerprint(digest))
-                is not None
+                if self._remaining_hold_ms(digest) is not None
             ],
+            self._completed(reported),
         )
--- a/wrenspoke/coordination/serving/gateway.py
+++ b/wrenspoke/coordination/serving/gateway.py
@@ -258,15 +258,15 @@
 
         :raises RequestEndedError: it is quarantined
         """
-        held_ms = self._guard.refuse_if_held(head.fingerprint)
-        if held_ms is not None:
+        hold = self._guard.refuse_if_held(head.fingerprint)
+        if hold is not None:
             raise errors.RequestEndedError(
                 outcomes.Ending(
                     outcomes.Outcome.NOT_RUN,
                     outcomes.Reason.QUARANTINED,
-                    'endpoints failed running this request '
-                    f'({head.fingerprint.request})',
-                    held_ms,
+                    'endpoints crashed running this request or others with '
+                    f'a part of its prompt ({hold.digest})',
+                    hold.left_ms,
                 )
             )
 
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -405,6 +405,7 @@
             'quarantine_refused',
             request=context.call.request,
             digest=context.call.fingerprint.request,
+            held=error.digest,
             held_ms=error.held_ms,
         )
         await context.reply.refuse(
@@ -454,9 +455,9 @@
         """
         await self._find_build(context)
         while self._left_ms(context) > attempts.MIN_TIME_LEFT_MS:
-            held_ms = self._guard.refuse_if_held(context.call.fingerprint)
-            if held_ms is not None:
-                raise errors.QuarantinedError(held_ms)
+            hold = self._guard.refuse_if_held(context.call.fingerprint)
+            if hold is not None:
+                raise errors.QuarantinedError(hold.left_ms, hold.digest)
             context.permit = self._access_control.reauthorize(
                 context.call, context.permit
             )
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -166,6 +166,7 @@
             self.peers,
             self._is_endpoint_leaving,
             self._clock,
+            has_control_hosts=bool(deployment.with_role('control')),
         )
 
     def _is_endpoint_leaving(self, endpoint: ids.EndpointId) -> bool:
--- a/wrenspoke/protocol/fingerprints.py
+++ b/wrenspoke/protocol/fingerprints.py
@@ -77,6 +77,11 @@
     return tuple(dict.fromkeys(found))
 
 
+def is_part(digest: ids.ContentDigest) -> bool:
+    """Return whether a digest is one of a prompt's part."""
+    return digest.startswith(PART_PREFIX)
+
+
 def _part_digest(kind: bytes, content: bytes) -> ids.ContentDigest:
     hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
     _update_length_prefixed(hasher, kind)
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -40,6 +40,8 @@
     limiting.ReportLimit,
     quarantining.ReportCrashes,
     quarantining.ReportCrashesReply,
+    quarantining.FindSuccesses,
+    quarantining.FindSuccessesReply,
     quarantining.UpdateHolds,
     quarantining.UpdateHoldsReply,
     resuming.StoreBuild,
--- a/wrenspoke/state/quarantine.py
+++ b/wrenspoke/state/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests that crash endpoints."""
+"""Quarantine of requests and prompt parts that crash endpoints."""
 
 import msgspec
 
@@ -10,9 +10,9 @@
 
 
 class QuarantineEntry(msgspec.Struct, frozen=True):
-    """A request that crashed ``ends`` endpoints.
+    """A request, or prompt part, that crashed ``ends`` endpoints.
 
-    A request on probation is sent again; if it crashes another endpoint it
+    Content on probation is sent again; if it crashes another endpoint it
     is quarantined again at once, for longer.
     """
 
@@ -27,7 +27,7 @@
 def blocking_entry(
     all_known: Quarantine, digest: ids.ContentDigest
 ) -> QuarantineEntry | None:
-    """Return the entry that blocks a request, or None if it may be sent."""
+    """Return the entry that blocks content, or None if it may be sent."""
     found = all_known.get(digest)
     if found is None or found.on_probation:
         return None
