Count a crash that looks like an answer, and clear by whole answers alone

What callers saw: an engine that crashes after the head and a piece of a response without length or chunks closes its connections in order; the copies of one request reached engine after engine and nothing was held.

Cause: a run counted as a success as soon as its answer ended without an error, whatever ended it and whatever its status. Of a body that only the connection delimits, the end may be that of the process; a 5xx shows nothing, and a 4xx nothing about the prompt. Class: the absence of an error taken for proof of success.

Such a run is now judged once its endpoint was probed, in the background: if connections are refused it was a crash. Only a 2xx clears the parts of a prompt, only a status below 500 the request.

--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from tests import endpoints
 from tests import fleet
 from tests import test_fatal_requests
+from tests import test_passing
 from wrenspoke.state import routes
 
 FATAL = test_fatal_requests.FATAL.decode()
@@ -18,6 +20,41 @@
 MAX_SENDS = 8
 
 
+class OrderlyCrashingEngine(test_fatal_requests.CrashingEngine):
+    """Engine whose crash looks like the end of an answer.
+
+    It answers with a body that only the connection delimits. Its connections
+    end in order, as the kernel ends those of a killed process.
+    """
+
+    content_type = b'text/plain'
+    piece = b'piece'
+
+    def _answer(self, sent, _number):
+        if FATAL.encode() not in sent:
+            yield test_passing.answer(sent)
+            return
+        self._crashes.append(sent)
+        self.crashed = True
+        yield (
+            b'HTTP/1.1 200 OK\r\nContent-Type: '
+            + self.content_type
+            + b'\r\n'
+            + endpoints.echo_header(sent, test_passing.ID)
+            + b'\r\n'
+            + self.piece
+        )
+        self._endpoint.end_all()
+        yield endpoints.ScriptedEndpoint.CLOSE
+
+
+class OrderlyCrashingStreamEngine(OrderlyCrashingEngine):
+    """The same with a whole event, after which a stream may end."""
+
+    content_type = b'text/event-stream'
+    piece = b'id: 1\ndata: a\n\n'
+
+
 async def send_parts(system, number, name, *parts):
     """Send a request with prompt parts of its own body and last part."""
     header = ','.join(f'{part}:100' for part in (*parts, f'own-{name}'))
@@ -78,3 +115,27 @@
         for caller in callers:
             found = await caller.chat(chat('first', 'sound', 'last'))
             assert found.outcome == 'whole'
+
+
+# A crash that looks like an answer clears what crashed the engine.
+@pytest.mark.parametrize(
+    'engine_type', [OrderlyCrashingEngine, OrderlyCrashingStreamEngine]
+)
+@pytest.mark.parametrize('whole', [True, False])
+async def test_crash_that_looks_like_an_answer_counts(
+    tmp_path, engine_type, whole
+):
+    running = test_fatal_requests.running_system(
+        tmp_path, routes.RouteKind.STREAM, engine_type
+    )
+    async with running as system:
+        for number in range(COPIES):
+            if whole:
+                await test_fatal_requests.send_to_entry_host(
+                    system, number % 4, FATAL.encode(), f'f{number}'
+                )
+            else:
+                await send_parts(system, number, f'f{number}', 'first', FATAL)
+            await restart_engines(system)
+        limit = test_fatal_requests.MAX_SENDS if whole else MAX_SENDS
+        assert len(system.ends) <= limit
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -335,6 +335,44 @@
     assert host.guard.remaining_hold_ms(D) is not None
 
 
+# An answer that proves nothing clears what crashes engines.
+@pytest.mark.parametrize(
+    'status, framing, refused, cleared',
+    [
+        (200, web.BodyFraming.LENGTH, False, 'dp'),
+        (206, web.BodyFraming.CHUNKED, False, 'dp'),
+        # Its end may be that of the process.
+        (200, web.BodyFraming.CONNECTION, False, 'dp'),
+        (200, web.BodyFraming.CONNECTION, True, ''),
+        # The request was understood, but no answer was written.
+        (404, web.BodyFraming.LENGTH, False, 'd'),
+        (500, web.BodyFraming.LENGTH, False, ''),
+        (504, web.BodyFraming.LENGTH, False, ''),
+    ],
+)
+async def test_only_whole_answers_clear_content(
+    status, framing, refused, cleared
+):
+    host = GuardedHost()
+    both = fingerprints.Fingerprint('d', ('part-p',))
+    await host.crash_endpoints('a', 'b', fingerprint=both)
+    host.refused = refused
+    host.guard.finish_run(
+        host.guard.start_run(both, 'c', 'c:1'), status, framing
+    )
+    await host.guard._tasks.wait()
+    counts = {
+        digest: host.guard._crash_history.crash_count(digest)
+        for digest in both.digests
+    }
+    left = 2 + refused
+    assert counts == {
+        'd': 0 if 'd' in cleared else left,
+        'part-p': 0 if 'p' in cleared else left,
+    }
+    await host.guard.close()
+
+
 async def test_provisional_hold_expires():
     host = GuardedHost()
     await host.crash_endpoints('a', 'b', 'c')
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -32,6 +32,7 @@
 from wrenspoke.state import quarantine
 from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import port_probe
+from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
 
@@ -46,6 +47,9 @@
 # Lower bound of the retry delay sent to callers.
 MIN_HOLD_RETRY_MS = 1_000
 MS_PER_S = 1_000
+OK = 200
+SUCCESS_STATUSES = range(200, 300)
+SERVER_ERROR = 500
 # Bound on the tracked holds, for provisional and committed ones each.
 MAX_HOLDS = quarantine.MAX_QUARANTINED
 
@@ -200,9 +204,39 @@
         """Record that the first byte of a run's response body arrived."""
         self._run_tracker.mark_writing(run)
 
-    def mark_succeeded(self, run: run_tracker.Run) -> None:
-        """Record a completed run, and clear the crashes of its content."""
-        for digest in run.fingerprint.digests:
+    def finish_run(
+        self, run: run_tracker.Run, status: int, framing: web.BodyFraming
+    ) -> None:
+        """Record a run whose response ended.
+
+        A response that only its connection delimits also ends if the
+        endpoint crashes, so the endpoint is probed first.
+        """
+        if framing is web.BodyFraming.CONNECTION:
+            self._tasks.start(
+                self._finish_unframed_run(run, status), fatal=False
+            )
+        else:
+            self.mark_succeeded(run, status)
+
+    async def _finish_unframed_run(
+        self, run: run_tracker.Run, status: int
+    ) -> None:
+        if not await self._record_if_crashed(run):
+            self.mark_succeeded(run, status)
+
+    def mark_succeeded(self, run: run_tracker.Run, status: int = OK) -> None:
+        """Record a completed run, and clear the crashes of its content.
+
+        A response of another status than 2xx shows nothing about the parts of
+        the prompt, and a server error nothing at all.
+        """
+        if status >= SERVER_ERROR:
+            return
+        digests = run.fingerprint.digests
+        if status not in SUCCESS_STATUSES:
+            digests = digests[:1]
+        for digest in digests:
             self._recent_successes.add_success(digest)
             was_held = self._release(digest)
             was_suspect = self._crash_history.clear(digest)
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -338,7 +338,7 @@
                     )
                 yield answer
             if run is not None:
-                self._guard.mark_succeeded(run)
+                self._guard.finish_run(run, answer.status, answer.framing)
         except transport_errors.NotSentError as error:
             if send.ticket is not None:
                 send.ticket.mark_unsent()
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -264,7 +264,7 @@
                 finally:
                     self._count_traffic(call, destination, answer)
             if run is not None and verdict is Verdict.ANSWERED:
-                self._guard.mark_succeeded(run)
+                self._guard.finish_run(run, answer.status, answer.framing)
         except transport_errors.SendAbortedError as error:
             raise errors.SendAbortedError(str(error)) from error
         except transport_errors.NotSentError as error:
