Grant one trial at a time of content whose quarantine has ended

What callers would see: once a quarantine ends, every host sends what it held, at once. A part that stays bad would crash an engine for each request that comes until all hosts hold it again, where one tells as much.

Cause: probation was permission for all hosts. Now the leader grants a trial to one request for 15 s; the host that it reaches asks, also one that the call was forwarded to.

--- a/tests/part_fleet.py
+++ b/tests/part_fleet.py
@@ -94,6 +94,9 @@
     async def _run_call(self, call, host):
         tried = set()
         while call.tries < ATTEMPTS:
+            await host.guard.request_trials(
+                call.fingerprint, call.fingerprint.request
+            )
             if host.guard.find_hold(call.fingerprint) is not None:
                 call.outcome = 'crashed' if call.tries else 'refused'
                 return
--- a/tests/quarantined_fleet.py
+++ b/tests/quarantined_fleet.py
@@ -112,6 +112,8 @@
     async def send(self, digest, endpoint, fatal=True):
         """Run a request at an endpoint; return False if it is held."""
         fingerprint = fingerprints.Fingerprint(digest)
+        number = next(self._fleet.requests)
+        await self.guard.request_trials(fingerprint, f'q{number}')
         if self.guard.remaining_hold_ms(fingerprint) is not None:
             return False
         run = self.guard.start_run(fingerprint, endpoint, endpoint)
@@ -153,6 +155,7 @@
         self.hosts = {}
         self.crashed_endpoints = set()
         self.endpoints = (f'e{number}' for number in itertools.count())
+        self.requests = itertools.count()
         self._replication_task = None
         self._isolated_region = None
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -189,9 +189,14 @@
         self.crashes = []
         self.successes = []
 
+    trial_granted = False
+
     def has_reached_host(self, _since_ms):
         return False
 
+    async def request_trial(self, _digest, _request):
+        return self.trial_granted
+
     def set_callbacks(self, on_hold, on_cleared):
         self.on_hold = on_hold
         self.on_cleared = on_cleared
@@ -384,13 +389,34 @@
 async def test_decided_hold_lasts_until_released(on_probation):
     host = GuardedHost()
     host.set_decisions(quarantine.QuarantineEntry('d', 4, on_probation))
-    assert (host.guard.remaining_hold_ms(D) is None) == on_probation
+    assert host.guard.remaining_hold_ms(D) is not None
     host.clock.now_ms += 10 * hold_durations.MAX_HOLD_MS
-    assert (host.guard.remaining_hold_ms(D) is None) == on_probation
+    assert host.guard.remaining_hold_ms(D) is not None
     host.set_decisions()
     assert host.guard.remaining_hold_ms(D) is None
 
 
+# Each host that sends content on probation crashes an endpoint.
+@pytest.mark.parametrize(
+    'on_probation, granted, may_send',
+    [(True, True, True), (True, False, False), (False, True, False)],
+)
+async def test_content_on_probation_is_sent_as_a_trial(
+    on_probation, granted, may_send
+):
+    host = GuardedHost()
+    host.reporter.trial_granted = granted
+    entry = quarantine.QuarantineEntry('part-p', 4, on_probation)
+    host.set_decisions(entry)
+    trial = fingerprints.Fingerprint('d', ('part-p',))
+    other = fingerprints.Fingerprint('other', ('part-p',))
+    await host.guard.request_trials(trial, 'q1')
+    assert (host.guard.remaining_hold_ms(trial) is None) == may_send
+    assert host.guard.remaining_hold_ms(other) is not None
+    host.clock.now_ms += hold_durations.TRIAL_MS
+    assert host.guard.remaining_hold_ms(trial) is not None
+
+
 async def test_one_crash_on_probation_is_enough():
     host = GuardedHost()
     host.set_decisions(quarantine.QuarantineEntry('d', 3, on_probation=True))
--- a/tests/test_quarantined_fleet.py
+++ b/tests/test_quarantined_fleet.py
@@ -158,9 +158,14 @@
     await fleet.wait_ms(
         hold_durations.hold_duration_ms(crash_history.CRASH_THRESHOLD) + 3_000
     )
-    assert not fleet.hosts_holding(FATAL)
-    host = list(fleet.hosts.values())[4]
-    assert await host.send(FATAL, next(fleet.endpoints))
+    # All hosts hold it but for the trial that one of them is granted.
+    assert len(fleet.hosts_holding(FATAL)) == 6
+    sent = [
+        await host.send(FATAL, next(fleet.endpoints))
+        for host in fleet.hosts.values()
+    ]
+    assert sum(sent) == 1
+    [host] = [one for one, was in zip(fleet.hosts.values(), sent) if was]
     await fleet.wait_ms(500)
     assert len(fleet.hosts_holding(FATAL)) == 6
     await fleet.wait_ms(1_000)
--- a/wrenspoke/coordination/quarantine/crash_aggregator.py
+++ b/wrenspoke/coordination/quarantine/crash_aggregator.py
@@ -115,7 +115,10 @@
         self._decided_ms: dict[quarantine.QuarantineEntry, int] = {}
         self._proposing = False
         self._tasks = runtime.Tasks()
+        # The request that is the trial of a digest, and until when.
+        self._trials: dict[ids.ContentDigest, tuple[ids.RequestId, int]] = {}
         peers.handles(quarantining.ReportCrashes)(self._handle_runs_ended)
+        peers.handles(quarantining.RequestTrial)(self._decide_trial)
 
     def start(self) -> None:
         """Start the task that proposes quarantine decisions."""
@@ -399,6 +402,9 @@
                 self._crash_history.clear(known.digest)
                 released.append(known.digest)
         self._pending_releases &= current.keys()
+        for digest in list(self._trials):
+            if digest not in current or not current[digest].on_probation:
+                del self._trials[digest]
         for digest in list(self._provisional):
             if (
                 self._crash_history.crash_count(digest)
@@ -453,6 +459,26 @@
                 on_probation=decision.on_probation,
             )
 
+    async def _decide_trial(
+        self, _sender: ids.HostId, message: quarantining.RequestTrial
+    ) -> quarantining.RequestTrialReply:
+        """Grant one trial at a time of content on probation, as leader."""
+        entry = self._quarantine.get(message.digest)
+        if entry is None or not entry.on_probation:
+            return quarantining.RequestTrialReply(False)
+        if not self._local_voter.has_lease:
+            return quarantining.RequestTrialReply(False)
+        now_ms = self._clock.mono_ms()
+        request, until_ms = self._trials.get(message.digest, (None, 0))
+        if now_ms < until_ms:
+            # The host that a trial was forwarded to asks again.
+            return quarantining.RequestTrialReply(request == message.request)
+        self._trials[message.digest] = (
+            message.request,
+            now_ms + hold_durations.TRIAL_MS,
+        )
+        return quarantining.RequestTrialReply(True)
+
     def _due_for_probation(
         self, now_ms: int
     ) -> list[quarantine.QuarantineEntry]:
--- a/wrenspoke/coordination/quarantine/crash_reporter.py
+++ b/wrenspoke/coordination/quarantine/crash_reporter.py
@@ -24,6 +24,8 @@
 BATCH_DELAY_MS = 4
 # Several inter-region round trips.
 CALL_TIMEOUT_MS = 1_000
+# One inter-region round trip; the request waits meanwhile.
+TRIAL_REQUEST_TIMEOUT_MS = 400
 # Delay before a failed report is sent again: short after a partition heals,
 # and cheap while it lasts.
 RETRY_INTERVAL_MS = 500
@@ -104,6 +106,26 @@
         for queue in self._active_queues():
             queue.cleared[digest] = None
 
+    async def request_trial(
+        self, digest: ids.ContentDigest, request: ids.RequestId
+    ) -> bool:
+        """Ask for the trial of content by a request; return if granted."""
+        message = quarantining.RequestTrial(digest, request)
+        answers = await asyncio.gather(
+            *(
+                self._peers.call(host, message, TRIAL_REQUEST_TIMEOUT_MS)
+                for host in self._list_aggregators()
+            ),
+            return_exceptions=True,
+        )
+        for answer in answers:
+            if isinstance(answer, quarantining.RequestTrialReply):
+                if answer.granted:
+                    return True
+            elif isinstance(answer, protocol_errors.ProtocolError):
+                logger.info('trial_request_failed', reason=str(answer))
+        return False
+
     def _active_queues(self) -> list[_ReportQueue]:
         """Return the queues of all aggregating hosts and start sending."""
         aggregators = self._list_aggregators()
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -98,6 +98,10 @@
         ] = collections.OrderedDict()
         # When this host first saw each committed decision.
         self._decision_seen_ms: dict[quarantine.QuarantineEntry, int] = {}
+        # The request that is the trial of a digest, and until when.
+        self._trials: dict[
+            ids.ContentDigest, tuple[ids.ContentDigest, int]
+        ] = {}
         self._instance_id = ids.new_random_id()
         self._tasks = runtime.Tasks()
         self.refused_count = 0
@@ -124,7 +128,7 @@
             return None
         longest = None
         for digest in fingerprint.digests:
-            left_ms = self._remaining_hold_ms(digest)
+            left_ms = self._remaining_hold_ms(digest, fingerprint.request)
             if left_ms is None:
                 continue
             if longest is None or left_ms > longest.left_ms:
@@ -138,6 +142,35 @@
         hold = self.find_hold(fingerprint)
         return None if hold is None else hold.left_ms
 
+    async def request_trials(
+        self, fingerprint: fingerprints.Fingerprint, request: ids.RequestId
+    ) -> None:
+        """Ask to send a request whose content is on probation."""
+        decided = self._replica.current.quarantine
+        if not decided:
+            return
+        now_ms = self._clock.mono_ms()
+        for digest in fingerprint.digests:
+            entry = decided.get(digest)
+            if entry is None or not entry.on_probation:
+                continue
+            if self._is_on_trial(digest, fingerprint.request):
+                continue
+            if not await self._reporter.request_trial(digest, request):
+                return
+            logger.info('trial_granted', digest=digest, request=request)
+            self._trials[digest] = (
+                fingerprint.request,
+                now_ms + hold_durations.TRIAL_MS,
+            )
+
+    def _is_on_trial(
+        self, digest: ids.ContentDigest, request: ids.ContentDigest
+    ) -> bool:
+        """Return whether a request is the trial of content on probation."""
+        granted, until_ms = self._trials.get(digest, (None, 0))
+        return granted == request and self._clock.mono_ms() < until_ms
+
     def refuse_if_held(
         self, fingerprint: fingerprints.Fingerprint
     ) -> ActiveHold | None:
@@ -150,7 +183,15 @@
             self.refused_count += 1
         return hold
 
-    def _remaining_hold_ms(self, digest: ids.ContentDigest) -> int | None:
+    def _remaining_hold_ms(
+        self,
+        digest: ids.ContentDigest,
+        request: ids.ContentDigest | None = None,
+    ) -> int | None:
+        """Return how long content stays held, None if it may be sent.
+
+        ``request`` is the request that is to be sent.
+        """
         now_ms = self._clock.mono_ms()
         decided = quarantine.blocking_entry(
             self._replica.current.quarantine, digest
@@ -161,11 +202,19 @@
             left_ms = self._decided_hold_end_ms(decided) - now_ms
             return max(left_ms, MIN_HOLD_RETRY_MS)
         left_ms = self._provisional_until_ms.get(digest, 0) - now_ms
-        return max(left_ms, MIN_HOLD_RETRY_MS) if left_ms > 0 else None
+        if left_ms > 0:
+            return max(left_ms, MIN_HOLD_RETRY_MS)
+        if digest not in self._replica.current.quarantine:
+            return None
+        # On probation.
+        if request is not None and self._is_on_trial(digest, request):
+            return None
+        return MIN_HOLD_RETRY_MS
 
     def _decided_hold_end_ms(self, decided: quarantine.QuarantineEntry) -> int:
         if len(self._decision_seen_ms) > MAX_HOLDS:
             self._decision_seen_ms.clear()
+            self._trials.clear()
         decision_seen_ms = self._decision_seen_ms.setdefault(
             decided, self._clock.mono_ms()
         )
--- a/wrenspoke/coordination/quarantine/hold_durations.py
+++ b/wrenspoke/coordination/quarantine/hold_durations.py
@@ -11,6 +11,8 @@
 # Hold requested by one control host before a decision is committed, or
 # renewed while none can be committed during a partition.
 PROVISIONAL_HOLD_MS = 60_000
+# Time for a trial to complete or to crash its endpoint.
+TRIAL_MS = 15_000
 
 
 def hold_duration_ms(crashes: int) -> int:
--- a/wrenspoke/coordination/serving/gateway.py
+++ b/wrenspoke/coordination/serving/gateway.py
@@ -170,7 +170,7 @@
                 'service', f'{head.service!r} is unknown here'
             )
         head = _with_digest(self._authenticate(head), body)
-        self._check_quarantine(head)
+        await self._check_quarantine(head)
         self._check_team_limit(head)
         head, key = self._apply_rules(head)
         reply.request_id = head.request
@@ -253,11 +253,12 @@
             )
         return msgspec.structs.replace(head, team=team, key='')
 
-    def _check_quarantine(self, head: requests.RequestHead) -> None:
+    async def _check_quarantine(self, head: requests.RequestHead) -> None:
         """Reject a quarantined request.
 
         :raises RequestEndedError: it is quarantined
         """
+        await self._guard.request_trials(head.fingerprint, head.request)
         hold = self._guard.refuse_if_held(head.fingerprint)
         if hold is not None:
             raise errors.RequestEndedError(
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -455,6 +455,9 @@
         """
         await self._find_build(context)
         while self._left_ms(context) > attempts.MIN_TIME_LEFT_MS:
+            await self._guard.request_trials(
+                context.call.fingerprint, context.call.request
+            )
             hold = self._guard.refuse_if_held(context.call.fingerprint)
             if hold is not None:
                 raise errors.QuarantinedError(hold.left_ms, hold.digest)
--- a/wrenspoke/protocol/peers.py
+++ b/wrenspoke/protocol/peers.py
@@ -42,6 +42,8 @@
     quarantining.ReportCrashesReply,
     quarantining.FindSuccesses,
     quarantining.FindSuccessesReply,
+    quarantining.RequestTrial,
+    quarantining.RequestTrialReply,
     quarantining.UpdateHolds,
     quarantining.UpdateHoldsReply,
     resuming.StoreBuild,
--- a/wrenspoke/protocol/quarantining.py
+++ b/wrenspoke/protocol/quarantining.py
@@ -70,6 +70,19 @@
     cleared: list[ids.ContentDigest] = []
 
 
+class RequestTrial(msgspec.Struct, tag='request_trial'):
+    """Ask to send a request although content of it is on probation."""
+
+    digest: ids.ContentDigest
+    request: ids.RequestId
+
+
+class RequestTrialReply(msgspec.Struct, tag='trial_decided'):
+    """Reply that grants or denies a trial."""
+
+    granted: bool
+
+
 class UpdateHolds(msgspec.Struct, tag='hold_off'):
     """Set and release holds at entry hosts."""
 
--- a/wrenspoke/state/quarantine.py
+++ b/wrenspoke/state/quarantine.py
@@ -12,8 +12,8 @@
 class QuarantineEntry(msgspec.Struct, frozen=True):
     """A request, or prompt part, that crashed ``ends`` endpoints.
 
-    Content on probation is sent again; if it crashes another endpoint it
-    is quarantined again at once, for longer.
+    Of content on probation one request is sent, as a trial; if it crashes
+    another endpoint the content is quarantined again at once, for longer.
     """
 
     digest: ids.ContentDigest
