Clear the parts that engines have been writing on for a second

Cause: only whole answers cleared parts, though a run that was let write for long shows as much: a part crashes its engine as that begins to write. Runs in flight that have been writing for a second now clear their parts, when their engine crashes and when a control host asks. A held part is released only if others explain most of its crashes, not if they explain some of three.

Part fleets are now the same in each process: dicts for sets.

--- a/tests/part_fleet.py
+++ b/tests/part_fleet.py
@@ -40,7 +40,9 @@
     name: str
     region: int
     up_from_ms: int = 0
-    in_flight: set[asyncio.Future] = dataclasses.field(default_factory=set)
+    in_flight: dict[asyncio.Future, None] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass
@@ -126,7 +128,7 @@
         """Run a call at an engine; return False if the engine crashed."""
         run = host.guard.start_run(call.fingerprint, engine.name, engine.name)
         crashed = asyncio.get_running_loop().create_future()
-        engine.in_flight.add(crashed)
+        engine.in_flight[crashed] = None
         if call.is_fatal:
             if self.is_in_touch(host):
                 self.fatal_sends_ms.append(self.clock.mono_ms())
@@ -136,7 +138,8 @@
                 self.crash(engine)
         else:
             await self._write(run, host, crashed)
-        engine.in_flight.discard(crashed)
+        host.guard.end_run(run)
+        engine.in_flight.pop(crashed, None)
         if not crashed.done():
             crashed.cancel()
             host.guard.mark_succeeded(run)
--- a/wrenspoke/coordination/quarantine/crash_aggregator.py
+++ b/wrenspoke/coordination/quarantine/crash_aggregator.py
@@ -156,7 +156,10 @@
         crash = self._crash_history.record_crash(
             suspects, end.endpoint, now_ms - end.age_ms
         )
-        if not self._new_culprits(crash):
+        if crash in self._unsettled or not (
+            self._crash_history.may_have_culprit(suspects)
+            and self._new_culprits(crash)
+        ):
             return
         self._unsettled[crash] = None
         if not self._settling:
--- a/wrenspoke/coordination/quarantine/crash_history.py
+++ b/wrenspoke/coordination/quarantine/crash_history.py
@@ -157,6 +157,10 @@
 
     # Culprits.
 
+    def may_have_culprit(self, request: Digests) -> bool:
+        """Return whether a request has a digest with enough crashes."""
+        return any(self._total(one) >= CRASH_THRESHOLD for one in request)
+
     def find_culprits(self, crash: Crash) -> list[ids.ContentDigest]:
         """Return the digests that a crash suffices to quarantine.
 
@@ -206,12 +210,15 @@
         included += self._repeated_crashes.pop(digest, [])
 
     def acquitted(self) -> list[ids.ContentDigest]:
-        """Return the held digests whose crashes other culprits explain."""
-        return [
-            digest
-            for digest in self._culprits
-            if self.crash_count(digest) < CRASH_THRESHOLD
-        ]
+        """Return the held digests most of whose crashes others explain."""
+        found = []
+        for digest in self._culprits:
+            unexplained = self.crash_count(digest)
+            if unexplained >= CRASH_THRESHOLD:
+                continue
+            if 2 * unexplained < len(self._all_crashes_of(digest)):
+                found.append(digest)
+        return found
 
     def _is_explained(self, crash: Crash, digest: ids.ContentDigest) -> bool:
         """Return whether a culprit that was in flight explains a crash."""
@@ -248,13 +255,19 @@
         self, culprit: ids.ContentDigest, digest: ids.ContentDigest
     ) -> int:
         """Return the crashes that a digest shares with a culprit."""
-        crashes = [*self._culprits.get(digest, []), *self._crashes_of(digest)]
-        return sum(crash.is_in_flight(culprit) for crash in crashes)
+        return sum(
+            crash.is_in_flight(culprit)
+            for crash in self._all_crashes_of(digest)
+        )
 
     def _total(self, digest: ids.ContentDigest) -> int:
         """Return the crashes of a digest, explained ones too."""
         return self._earlier_crashes(digest) + len(self._crashes_of(digest))
 
+    def _all_crashes_of(self, digest: ids.ContentDigest) -> list[Crash]:
+        """Return the crashes of a digest, with those that a decision has."""
+        return [*self._culprits.get(digest, []), *self._crashes_of(digest)]
+
     def _crashes_of(self, digest: ids.ContentDigest) -> list[Crash]:
         return (
             self._single_crashes.get(digest)
--- a/wrenspoke/coordination/quarantine/guard.py
+++ b/wrenspoke/coordination/quarantine/guard.py
@@ -40,8 +40,6 @@
 PROBE_WAIT_MS = 50
 # How long reports of one crash arrive from other hosts.
 SETTLE_MS = 120
-# A part crashes its endpoint as that begins to write, not later.
-BEGIN_WINDOW_MS = 1_000
 # Bound on the size of a report.
 MAX_REPORTED_PARTS = 256
 # Lower bound of the retry delay sent to callers.
@@ -239,6 +237,8 @@
         except (errors.MaybeSentError, transport_errors.MaybeSentError):
             await self.handle_broken_run(run)
             raise
+        finally:
+            self.end_run(run)
 
     def start_run(
         self,
@@ -249,6 +249,10 @@
         """Return the run of a request that is being sent."""
         return self._run_tracker.start_run(fingerprint, endpoint, address)
 
+    def end_run(self, run: run_tracker.Run) -> None:
+        """Record that a run is no longer in flight."""
+        self._run_tracker.end_run(run)
+
     def mark_writing(self, run: run_tracker.Run) -> None:
         """Record that the first byte of a run's response body arrived."""
         self._run_tracker.mark_writing(run)
@@ -317,23 +321,24 @@
         """
         if not await self._run_tracker.check_crashed(run):
             return False
+        if self._run_tracker.is_past_begin(run):
+            self._clear_parts(run)
         suspects = self._suspects_of(run)
         if suspects and not self._is_draining(run.endpoint):
             self._reporter.report_crash(suspects, run.endpoint)
             self._count_crash(suspects, run.endpoint, self._clock.mono_ms())
         return True
 
+    def _clear_parts(self, run: run_tracker.Run) -> None:
+        """Clear the parts of a run that has been writing for long."""
+        for part in run.fingerprint.parts:
+            self._recent_successes.add_success(part)
+
     def _suspects_of(self, run: run_tracker.Run) -> crash_history.Digests:
         """Return the digests of a run that may have crashed its endpoint."""
         request, *parts = run.fingerprint.digests
         if not request or self._recent_successes.has_recent(request):
             return ()
-        if run.writing_since_ms is not None:
-            wrote_ms = self._clock.mono_ms() - run.writing_since_ms
-            if wrote_ms >= BEGIN_WINDOW_MS:
-                for part in parts:
-                    self._recent_successes.add_success(part)
-                return (request,)
         suspects = [
             part
             for part in parts
@@ -434,7 +439,12 @@
     def _completed(
         self, digests: collections.abc.Iterable[ids.ContentDigest]
     ) -> list[ids.ContentDigest]:
-        """Return the digests that completed recently on this host."""
+        """Return the digests that completed recently on this host.
+
+        Those of runs in flight that have been writing for long count too.
+        """
+        for run in self._run_tracker.runs_past_begin():
+            self._clear_parts(run)
         return [
             one for one in digests if self._recent_successes.has_recent(one)
         ]
--- a/wrenspoke/coordination/quarantine/run_tracker.py
+++ b/wrenspoke/coordination/quarantine/run_tracker.py
@@ -26,6 +26,8 @@
 # All calls of a crashed endpoint break within milliseconds, and a restart
 # takes seconds, so a probe result stays valid for this long.
 PROBE_REUSE_MS = 500
+# A part crashes its endpoint as that begins to write, not later.
+BEGIN_WINDOW_MS = 1_000
 # Bound on the size of a log line.
 MAX_LOGGED_PARTS = 8
 
@@ -35,7 +37,7 @@
 Probe = collections.abc.Callable[[str, int], collections.abc.Awaitable[bool]]
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class Run:
     """One attempt of a request at an endpoint.
 
@@ -74,6 +76,7 @@
         self._clock = clock
         self._probe = probe
         self._probe_results: dict[ids.EndpointId, _ProbeResult] = {}
+        self._in_flight: set[Run] = set()
 
     def start_run(
         self,
@@ -82,12 +85,29 @@
         address: str,
     ) -> Run:
         """Return the run of a request that is being sent."""
-        return Run(fingerprint, endpoint, address, self._clock.mono_ms())
+        run = Run(fingerprint, endpoint, address, self._clock.mono_ms())
+        self._in_flight.add(run)
+        return run
+
+    def end_run(self, run: Run) -> None:
+        """Record that a run is no longer in flight."""
+        self._in_flight.discard(run)
 
     def mark_writing(self, run: Run) -> None:
         """Record that the first byte of a run's response body arrived."""
         run.writing_since_ms = self._clock.mono_ms()
 
+    def is_past_begin(self, run: Run) -> bool:
+        """Return whether an endpoint has been writing a response for long."""
+        if run.writing_since_ms is None:
+            return False
+        wrote_ms = self._clock.mono_ms() - run.writing_since_ms
+        return wrote_ms >= BEGIN_WINDOW_MS
+
+    def runs_past_begin(self) -> list[Run]:
+        """Return the runs in flight that have been writing for long."""
+        return [run for run in self._in_flight if self.is_past_begin(run)]
+
     async def check_crashed(self, run: Run) -> bool:
         """Return whether the endpoint of a broken run has crashed."""
         crashed = await self._probe_liveness(run)
