Let the mutations of the quarantine find their text, and add six of it

New rows: parts not counted, nobody asked what completed, culprits that explain nothing, ties not waited for, an end of the connection as a whole answer, trials at all hosts. The bench of whole requests counts by the new record.

--- a/benches/fatal_requests.py
+++ b/benches/fatal_requests.py
@@ -258,9 +258,8 @@
         )
         if good_ms > ended_ms - recent_successes.RETENTION_MS:
             return
-        count = self._book.record_crash(
-            digest, f'{engine}-{ended_ms}', ended_ms
-        )
+        self._book.record_crash((digest,), f'{engine}-{ended_ms}', ended_ms)
+        count = self._book.crash_count(digest)
         if self._way.ends is not None and count >= self._way.ends:
             self._refused.add(digest)
 
--- a/benches/switches_quarantine.py
+++ b/benches/switches_quarantine.py
@@ -7,36 +7,35 @@
 Switch = switches.Switch
 FLEET = 'tests/test_quarantined_fleet.py'
 UNITS = 'tests/test_quarantine.py'
+PARTS = 'tests/test_part_fleet.py'
 
 SWITCHES = [
     Switch(
         'broken connections count as ends',
         QUARANTINE + 'guard.py',
-        'if not await self._run_tracker.check_crashed(run) or not run.digest:',
-        'if not run.digest:',
+        'if not await self._run_tracker.check_crashed(run):',
+        'if await self._run_tracker.check_crashed(run) is None:',
         f'{UNITS}::test_request_is_held_after_three_crashes',
     ),
     Switch(
         'ends that were told beforehand count',
         QUARANTINE + 'guard.py',
-        'if self._recent_successes.has_recent(run.digest) or self._is_draining(\n'
-        '            run.endpoint\n        ):',
-        'if self._recent_successes.has_recent(run.digest):',
+        'if suspects and not self._is_draining(run.endpoint):',
+        'if suspects:',
         f'{UNITS}::test_request_is_held_after_three_crashes',
     ),
     Switch(
         'good ends at the same host forgotten',
         QUARANTINE + 'guard.py',
-        'if self._recent_successes.has_recent(run.digest) or self._is_draining(\n'
-        '            run.endpoint\n        ):',
-        'if self._is_draining(run.endpoint):',
+        'if not request or self._recent_successes.has_recent(request):',
+        'if not request:',
         f'{UNITS}::test_success_clears_recorded_crashes',
     ),
     Switch(
         'good ends at other hosts not asked for',
         QUARANTINE + 'guard.py',
-        'if self._recent_successes.has_recent(hold.digest)\n            ]',
-        'if False\n            ]',
+        'one for one in digests if self._recent_successes.has_recent(one)',
+        'one for one in digests if False',
         f'{FLEET}::test_request_that_succeeds_elsewhere_is_released',
     ),
     Switch(
@@ -56,7 +55,7 @@
     Switch(
         'an end counts for each host that tells it',
         QUARANTINE + 'crash_history.py',
-        'if any(_is_duplicate(end, endpoint, crashed_ms) for end in crashes):',
+        'if abs(crash.crashed_ms - crashed_ms) <= DEDUP_WINDOW_MS:',
         'if False:',
         f'{UNITS}::test_crash_is_counted_once',
     ),
@@ -71,14 +70,14 @@
     Switch(
         'nobody told by control hosts',
         QUARANTINE + 'crash_aggregator.py',
-        '            self._tasks.start(self._notify_entry_hosts(new_holds), fatal=False)\n',
-        '',
+        '[self._make_hold(digest) for digest in culprits],',
+        '[],',
         f'{FLEET}::test_isolated_region_holds_request',
     ),
     Switch(
         'nobody told again',
         QUARANTINE + 'crash_aggregator.py',
-        'now_ms - notified_ms < RENOTIFY_INTERVAL_MS',
+        'now_ms - held.notified_ms < RENOTIFY_INTERVAL_MS',
         'True',
         f'{FLEET}::test_long_isolated_region_retries_request_once_a'
         '_minute',
@@ -121,8 +120,8 @@
     Switch(
         'trials begin at nothing',
         QUARANTINE + 'crash_aggregator.py',
-        'earlier_crashes = 0 if decided is None else decided.ends',
-        'earlier_crashes = 0',
+        'return 0 if decided is None else decided.ends',
+        'return 0',
         f'{FLEET}::test_failed_trial_doubles_the_hold',
     ),
     Switch(
@@ -137,14 +136,14 @@
     Switch(
         'passed-through calls do not ask',
         DECISIONS + 'serving/passthrough.py',
-        'if held_ms is not None:',
+        'if hold is not None:',
         'if False:',
         f'{UNITS}::test_host_that_starts_holds_what_was_decided',
     ),
     Switch(
         'passed-through bodies leave unasked',
         DECISIONS + 'serving/sending.py',
-        'if self._guard.remaining_hold_ms(call.digest) is not None:',
+        'if self._guard.remaining_hold_ms(call.fingerprint) is not None:',
         'if False:',
         f'{UNITS}::test_hold_received_while_connecting_prevents_send',
     ),
@@ -162,6 +161,49 @@
         'may_send=None,',
         f'{UNITS}::test_chat_that_waits_for_a_connection_is_held_back',
     ),
+    Switch(
+        'parts of prompts not counted',
+        QUARANTINE + 'guard.py',
+        'return (request, *suspects[:MAX_REPORTED_PARTS])',
+        'return (request,)',
+        f'{PARTS}::test_fatal_part_alone_is_held',
+    ),
+    Switch(
+        'entry hosts not asked what completed',
+        QUARANTINE + 'crash_aggregator.py',
+        '            self._find_successes(asked), self._clock.sleep_ms(SETTLE_MS)',
+        '            self._clock.sleep_ms(SETTLE_MS)',
+        f'{PARTS}::test_nothing_is_held_without_a_fatal_part',
+    ),
+    Switch(
+        'culprits explain nothing',
+        QUARANTINE + 'crash_history.py',
+        'if culprit != digest and crash.is_in_flight(culprit)',
+        'if False',
+        f'{PARTS}::test_culprit_explains_crashes',
+    ),
+    Switch(
+        'ties of different requests not waited for',
+        QUARANTINE + 'crash_history.py',
+        'return list(found) if highest >= TIE_CRASH_THRESHOLD else []',
+        'return list(found)',
+        f'{PARTS}::test_culprit_is_what_had_the_most_crashes',
+    ),
+    Switch(
+        'an end of the connection is a whole answer',
+        QUARANTINE + 'guard.py',
+        'if framing is web.BodyFraming.CONNECTION:',
+        'if False:',
+        'tests/test_fatal_parts.py::test_crash_that_looks_like_an_answer'
+        '_counts',
+    ),
+    Switch(
+        'trials at all hosts',
+        QUARANTINE + 'crash_aggregator.py',
+        'return quarantining.RequestTrialReply(request == message.request)',
+        'return quarantining.RequestTrialReply(True)',
+        f'{FLEET}::test_failed_trial_doubles_the_hold',
+    ),
     Switch(
         'time stands still with the machine',
         'wrenspoke/clock.py',
