--- a/benches/switches_quarantine.py
+++ b/benches/switches_quarantine.py
@@ -173,7 +173,7 @@
         QUARANTINE + 'crash_aggregator.py',
         '            self._find_successes(asked), self._clock.sleep_ms(SETTLE_MS)',
         '            self._clock.sleep_ms(SETTLE_MS)',
-        f'{PARTS}::test_nothing_is_held_without_a_fatal_part',
+        f'{FLEET}::test_content_that_completed_elsewhere_is_held_nowhere',
     ),
     Switch(
         'culprits explain nothing',
--- a/tests/part_fleet.py
+++ b/tests/part_fleet.py
@@ -25,6 +25,8 @@
 RESTART_S = 3.0
 FATAL_INTERVAL_S = 0.5
 ATTEMPTS = 2
+# Callers whose parts have digests of their own.
+CALLERS = 1
 # Time that connected hosts may take to receive each other's reports.
 CONTACT_MS = 6_000
 FIRST_PARTS = 3
@@ -183,6 +185,8 @@
         number = next(self._numbers)
         parts = fingerprints.named_parts(['first0', 'last'])
         fatal = self.random.choice(self._fatal_parts)
+        if CALLERS > 1:
+            fatal += f'-{self.random.randrange(CALLERS)}'
         return Call(
             fingerprints.Fingerprint(f'fatal-{number}', (*parts, fatal)),
             True,
--- a/tests/test_quarantined_fleet.py
+++ b/tests/test_quarantined_fleet.py
@@ -4,6 +4,7 @@
 number of seeds.
 """
 
+import asyncio
 import functools
 import os
 
@@ -151,6 +152,20 @@
     await fleet.close()
 
 
+# Content that completed elsewhere is refused until its hosts have objected.
+@in_virtual_time
+async def test_content_that_completed_elsewhere_is_held_nowhere():
+    fleet = await quarantined_fleet.Fleet(9).start()
+    hosts = list(fleet.hosts.values())
+    await hosts[8].send(FATAL, 'good', fatal=False)
+    crashing = asyncio.ensure_future(crash_three_endpoints(fleet, hosts[:3]))
+    for _number in range(100):
+        await fleet.wait_ms(10)
+        assert not fleet.hosts_holding(FATAL)
+    await crashing
+    await fleet.close()
+
+
 @in_virtual_time
 async def test_failed_trial_doubles_the_hold():
     fleet = await quarantined_fleet.Fleet(6).start()
