Add the settings and messages that the parts for hard load share

Cause: the parts for two deployments with hard load are built side by side and need agreed types, and a switch that only a deployment's own settings turn on.

--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -120,6 +120,46 @@
     fixed: Amount = 0
 
 
+class AdmissionSettings(_Section):
+    """Admission of calls where engines have too little room.
+
+    A call without room waits for at most ``max_wait_ms`` at the host before
+    it is forwarded or refused.
+    """
+
+    enabled: bool = False
+    max_wait_ms: Positive = 200
+
+
+class BalancingSettings(_Section):
+    """Balancing of calls over regions and engines by their capacity."""
+
+    enabled: bool = False
+
+
+class BufferingSettings(_Section):
+    """Bounds of the bytes that a host holds for callers and endpoints.
+
+    ``ceiling_bytes`` bounds the bytes of all calls; with null it is a share
+    of ``resources.memory_bytes``.
+    """
+
+    enabled: bool = False
+    ceiling_bytes: Positive | None = None
+
+
+class HostResources(_Section):
+    """Resources that the host has, null where unknown.
+
+    ``link_bits_per_s`` is the rate of its network link each way, and
+    ``cores`` the processor time that it gets a second, in seconds.
+    """
+
+    memory_bytes: Positive | None = None
+    link_bits_per_s: Positive | None = None
+    cores: Amount | None = None
+
+
 class NodeSettings(_Section):
     """All settings of one host.
 
@@ -152,6 +192,10 @@
     entry: NodeEntrySettings = NodeEntrySettings()
     retries: RetryBudgetSettings = RetryBudgetSettings()
     limits: OvershootSettings = OvershootSettings()
+    admission: AdmissionSettings = AdmissionSettings()
+    balancing: BalancingSettings = BalancingSettings()
+    buffering: BufferingSettings = BufferingSettings()
+    resources: HostResources = HostResources()
     switched_off: frozenset[feature_flags.FeatureFlag] = frozenset()
 
     @property
--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from wrenspoke import ids
+from wrenspoke.protocol import capacity
 from wrenspoke.state import configuration
 from wrenspoke.state import entries
 from wrenspoke.state import locations
@@ -102,7 +103,8 @@
     an empty prompt, ``token_ms`` the time that each token to prefill adds.
     The interval between two events of a stream is ``usual_ms`` typically and
     ``present_ms`` under the current load. ``endpoints`` is the number of
-    endpoints that accept requests.
+    endpoints that accept requests. ``room`` is None from hosts that don't
+    balance by it.
     """
 
     service: ids.ServiceId
@@ -111,6 +113,7 @@
     usual_ms: float
     present_ms: float
     endpoints: int
+    room: capacity.ServiceRoom | None = None
 
 
 class Pong(msgspec.Struct, tag='pong'):
--- a/wrenspoke/reference.py
+++ b/wrenspoke/reference.py
@@ -44,6 +44,11 @@
     ('control of a host', node.NodeControlSettings),
     ('entry of a host', node.NodeEntrySettings),
     ('retries of a host', node.RetryBudgetSettings),
+    ('limits of a host', node.OvershootSettings),
+    ('admission of a host', node.AdmissionSettings),
+    ('balancing of a host', node.BalancingSettings),
+    ('buffering of a host', node.BufferingSettings),
+    ('resources of a host', node.HostResources),
 )
 
 
