Bound the tokens believed to wait at an engine by what is seen

Cause: what hosts had sent was drained at a learned prefill speed and by nothing else. Where that speed was too slow, the tokens believed to be ahead of a call grew without end (medians of 100,000 to 2,000,000 at peaks, most 28.9 million, and still there long after), the model learned that waiting tokens cost little, and engines were chosen nearly by chance: long streams were late or never ended.

Change: the undrained tokens are kept as tokens and drained at the present speed; each first piece bounds them by what was sent after its prompt, and each load report by its queue and what was sent since. Sent prompts are summed up in a log with binary search, instead of walking four seconds of calls for each candidate.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -94,3 +94,43 @@
     made.remove_prompt('e', number)
     made.remove_prompt('e', number)
     assert made.tokens_ahead('e', None, TOKEN_MS) == 0
+
+
+def test_wrong_prefill_speed_does_not_add_up():
+    """An engine that computes faster than believed stays in use at a peak.
+
+    Prompts of all hosts take half of its time, but 2.5 times all of it by
+    the believed speed.
+    """
+    clock = FakeClock()
+    made = backlog.Backlog(clock)
+    for _prompt in range(200):
+        made.add_peer_prompt('e', 1_000.0, 5 * TOKEN_MS, 25)
+        clock.now_ms += 40
+    most = (1 + backlog.STARTED_PROMPTS) * 1_000.0
+    sent_since = 1_000.0 * (backlog.REPORT_LAG_MS + 25) / 40
+    ahead = made.tokens_ahead('e', load(0), 5 * TOKEN_MS)
+    assert ahead <= most + sent_since
+
+
+@pytest.mark.parametrize(
+    'sent_ms_ago, ahead',
+    [(0, 0), (100, 1_000), (250, 2_000), (10_000, 50_000)],
+    ids=['just now', 'one since', 'two since', 'before all'],
+)
+def test_first_piece_bounds_what_waits(sent_ms_ago, ahead):
+    clock = FakeClock()
+    made = backlog.Backlog(clock)
+    for _prompt in range(50):
+        made.add_peer_prompt('e', 1_000.0, 10.0, 0)
+        clock.now_ms += 100
+    made.record_first_piece('e', clock.now_ms - sent_ms_ago)
+    assert made.tokens_ahead('e', None, 10.0) == pytest.approx(ahead, rel=0.02)
+
+
+def test_sent_prompts_forget_the_oldest():
+    log = backlog.SentPrompts()
+    for number in range(10_000):
+        log.add(number * 10, 1.0)
+    assert log.since(99_990 - 1_000) == 101
+    assert len(log._times_ms) < 3 * backlog.SENT_PROMPTS_TTL_MS / 10
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -61,6 +61,7 @@
         self, engine_loads: engine_loads.EngineLoads, clock: clocks.Clock
     ):
         self._engine_loads = engine_loads
+        self._clock = clock
         self.prefixes = prefix_index.PrefixIndex()
         self.backlog = backlog.Backlog(clock)
         self.pace = engine_pace.PaceTracker(clock)
@@ -214,6 +215,9 @@
             change = HOLD_WEIGHT * (took_ms - old)
             self._hold_ms[service.service] = old + change
             return
+        self.backlog.record_first_piece(
+            endpoint, self._clock.mono_ms() - took_ms
+        )
         self.model_for(service.service).add_sample(
             endpoint,
             estimate.uncached_tokens,
