Count the streams of all hosts that a prompt would delay at an engine

Cause: the cost of a pause was that of this host's own streams at an engine, one or two of thirty where dozens of hosts share it, so that prompts were read beside many streams and made them late.

Change: the running streams of the engine's load report count, where they are more than this host's own.

--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -18,6 +18,7 @@
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import discovery_messages
+from wrenspoke.state import loads
 from wrenspoke.state import registry
 from wrenspoke.state import routes
 
@@ -37,7 +38,7 @@
     there in ``prefill_ms``, with ``queued_tokens`` of other prompts ahead,
     after a transfer of KV cache in ``transfer_ms``. ``pause_ms`` is the
     longest pause that this causes for the streams there, and
-    ``delayed_streams`` how many on-time streams it could make late.
+    ``delayed_streams`` how many streams of all hosts it could make late.
     ``can_start_now`` is whether KV cache and batch have room for the call,
     ``spread`` the mean absolute log error of the estimates.
     """
@@ -131,11 +132,18 @@
             prefill_ms,
             transfer_ms,
             min(busy_ms, self.pace.longest_gap_ms(said.endpoint)),
-            self.pace.on_time_streams(said.endpoint),
+            self._concurrent_streams(said.endpoint, load),
             model.spread,
             can_start,
         )
 
+    def _concurrent_streams(
+        self, endpoint: ids.EndpointId, load: loads.EngineLoad | None
+    ) -> int:
+        """Return how many streams of all hosts a pause would delay."""
+        own = self.pace.on_time_streams(endpoint)
+        return own if load is None else max(own, load.running)
+
     def free_slots(
         self, found: registry.EndpointEntry, service: routes.RoutedService
     ) -> int:
