Share what requests come to at endpoints, and weigh it in choosing them

Cause: an endpoint that fails a part of its requests, or refuses at once without a time to come back, was known to each host alone, and only after three failures in a row; where dozens of hosts share an endpoint nobody sees such a row, and an endpoint that refuses at once looks as if it had room.

Gossip leaves out fields that are empty. Sound endpoints cost no messages.

--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -17,6 +17,7 @@
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke.coordination.membership import host_pinger
 from wrenspoke.coordination.serving import call_context
+from wrenspoke.coordination.serving import endpoint_outcomes
 from wrenspoke.coordination.serving import endpoint_selector
 from wrenspoke.coordination.serving import engine_pace
 from wrenspoke.coordination.serving import estimate
@@ -58,8 +59,10 @@
         builds: stream_builds.StreamBuilds,
         clock: clocks.Clock,
         broadcaster: sent_call_broadcast.SentCallBroadcaster | None = None,
+        outcomes: endpoint_outcomes.EndpointOutcomes | None = None,
     ):
         self._broadcaster = broadcaster
+        self._outcomes = outcomes
         self._sender = sender
         self._discovery = discovery
         self._selector = selector
@@ -229,6 +232,7 @@
         certain: bool = False,
     ) -> None:
         context.cause = cause
+        self._record_outcome(destination, endpoint_outcomes.Outcome.FAILED)
         if destination.host is None or not destination.answered:
             # After a remote host has started its response, a failure is one
             # of the endpoint behind it and doesn't count against the host.
@@ -296,10 +300,14 @@
         if answer.verdict is sending.Verdict.NOT_RUN:
             context.mark_not_run()
             context.cause = f'endpoint refused with {answer.status}'
+            self._record_outcome(
+                destination, endpoint_outcomes.Outcome.REFUSED
+            )
             return False
         if answer.refused is not None:
             return await self._handle_refusal(context, destination, answer)
         if answer.status in SERVER_ERRORS:
+            self._record_outcome(destination, endpoint_outcomes.Outcome.FAILED)
             self._outlier_detector.record_failure(
                 destination.address,
                 f'status {answer.status}',
@@ -315,6 +323,7 @@
                 )
                 return False
         else:
+            self._record_outcome(destination, endpoint_outcomes.Outcome.SERVED)
             self._outlier_detector.record_success(destination.address)
         self._check_build(context, destination, answer)
         if context.tracker is not None:
@@ -331,6 +340,15 @@
         self._log_answered(context, destination, answer)
         return True
 
+    def _record_outcome(
+        self,
+        destination: sending.Destination,
+        outcome: endpoint_outcomes.Outcome,
+    ) -> None:
+        """Record what a request to an endpoint came to."""
+        if self._outcomes is not None and destination.endpoint is not None:
+            self._outcomes.record(destination.life, outcome)
+
     def _check_build(
         self,
         context: call_context.CallContext,
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -13,6 +13,7 @@
 from wrenspoke.coordination.membership import engine_loads
 from wrenspoke.coordination.membership import region_pollers
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import endpoint_outcomes
 from wrenspoke.coordination.serving import outlier_detection
 from wrenspoke.coordination.serving import warmup_probe
 from wrenspoke import feature_flags
@@ -43,6 +44,7 @@
         gate: endpoint_gate.EndpointGate,
         switched_off: collections.abc.Set[feature_flags.FeatureFlag],
         clock: clocks.Clock,
+        outcomes: endpoint_outcomes.EndpointOutcomes | None = None,
     ):
         self._region = region
         self._pollers = pollers
@@ -55,6 +57,7 @@
         self._gate = gate
         self._switched_off = switched_off
         self._clock = clock
+        self._outcomes = outcomes
         self._evacuated: set[ids.DataCentreId] = set()
         self._restored_at_ms: dict[ids.DataCentreId, int] = {}
         self._next_warmup_ms: dict[ids.EndpointId, float] = {}
@@ -142,6 +145,14 @@
         leaving = self._gate.leaving
         return not leaving.is_idle and leaving.is_leaving(_life_of(found))
 
+    def failure_shares(
+        self, found: registry.EndpointEntry
+    ) -> tuple[float, float]:
+        """Return the shares of requests an endpoint fails and refuses."""
+        if self._outcomes is None:
+            return 0.0, 0.0
+        return self._outcomes.shares(_life_of(found))
+
     def in_backoff(self, found: registry.EndpointEntry) -> bool:
         """Return whether this host is backing off from an endpoint."""
         return self._gate.backoffs.remaining_ms(_life_of(found)) > 0
--- a/wrenspoke/coordination/serving/costs.py
+++ b/wrenspoke/coordination/serving/costs.py
@@ -20,6 +20,8 @@
 BYTES_PER_KB = 1_000
 # Mean absolute log error of the response lengths expected by callers.
 LENGTH_SPREAD = 0.5
+# Cost of a refusal, as a share of the target time.
+REFUSAL_COST_SHARE = 0.25
 # Mean absolute log error of pauses, which are bounded by the longest observed.
 PAUSE_SPREAD = 0.08
 
@@ -63,6 +65,17 @@
     return bounds.target_ms * (late + missed) + COMPLETION_WEIGHT * end_ms
 
 
+def failure_cost_ms(
+    bounds: LatencyBounds, failed: float, refused: float
+) -> float:
+    """Return the cost of the shares of requests that an endpoint fails.
+
+    A failed request is late and misses its deadline; one that is refused
+    without being run loses the time to try another endpoint.
+    """
+    return bounds.target_ms * (2.0 * failed + REFUSAL_COST_SHARE * refused)
+
+
 def pause_cost_ms(
     bounds: LatencyBounds, pause_ms: float, harmed: int
 ) -> float:
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -197,6 +197,8 @@
             )
         if self._is_enabled(feature_flags.FeatureFlag.PREFILL_COST):
             cost_ms += expected.prefill_ms
+        failed, refused = self._availability.failure_shares(item.registered)
+        cost_ms += costs.failure_cost_ms(bounds, failed, refused)
         return cost_ms
 
     def _estimate_candidates(
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -28,6 +28,7 @@
 from wrenspoke.coordination.serving import attempts
 from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import destinations
+from wrenspoke.coordination.serving import endpoint_outcomes
 from wrenspoke.coordination.serving import endpoint_selector
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import outlier_detection
@@ -201,6 +202,15 @@
                 node.host, self._pollers, self.peers, self.clock
             )
             self._sent_calls.subscribe(self._on_peer_sent_call)
+        self._outcomes = None
+        if node.balancing.enabled:
+            self._outcomes = endpoint_outcomes.EndpointOutcomes(
+                node.host,
+                self._pollers,
+                self.peers,
+                self._is_current_instance,
+                self.clock,
+            )
 
     def _on_peer_sent_call(self, sent: discovery_messages.SentCall) -> None:
         """Record a call that another host of this region sent to an engine."""
@@ -312,6 +322,7 @@
             self._gate,
             node.switched_off,
             self.clock,
+            self._outcomes,
         )
         self._selector = endpoint_selector.EndpointSelector(
             node.region,
@@ -360,6 +371,7 @@
                 builds,
                 self.clock,
                 self._sent_calls,
+                self._outcomes,
             ),
             self.retry_budget,
             self._access,
@@ -401,6 +413,8 @@
         self._engine_loads.start()
         if self._sent_calls is not None:
             self._sent_calls.start()
+        if self._outcomes is not None:
+            self._outcomes.start()
         self._remote_hosts.start()
         self._tasks.start(self._run_housekeeping())
         self._tasks.start(self._watch_evacuations())
@@ -460,6 +474,8 @@
         await self._guard.close()
         if self._sent_calls is not None:
             await self._sent_calls.close()
+        if self._outcomes is not None:
+            await self._outcomes.close()
         await self._engine_loads.close()
         await self._remote_hosts.close()
         await self._warmup_probe.close()
--- a/wrenspoke/protocol/discovery_messages.py
+++ b/wrenspoke/protocol/discovery_messages.py
@@ -227,13 +227,34 @@
     calls: list[SentCall]
 
 
-class RegionGossip(msgspec.Struct, tag='tell_region'):
+class EndpointOutcomes(msgspec.Struct, array_like=True, frozen=True):
+    """Outcomes of a host's requests to an endpoint since its last report.
+
+    ``born_ms`` identifies the endpoint's instance. The counts are reduced by
+    their age.
+    """
+
+    endpoint: ids.EndpointId
+    born_ms: int
+    served: float
+    failed: float
+    refused: float
+    host: ids.HostId
+
+
+class ReportOutcomes(msgspec.Struct, tag='tell_outcomes'):
+    """Report the outcomes at endpoints that fail to the collecting host."""
+
+    outcomes: list[EndpointOutcomes]
+
+
+class RegionGossip(msgspec.Struct, tag='tell_region', omit_defaults=True):
     """Gossip to the entry hosts of a region.
 
     Carries engine loads, the state of other regions, the warmup of readmitted
-    endpoints, calls sent to engines, and what endpoints advertise: limits,
-    backoffs and shutdown. The receiver forwards it to the hosts in
-    ``pass_on``.
+    endpoints, calls sent to engines, outcomes at endpoints that fail, and
+    what endpoints advertise: limits, backoffs and shutdown. The receiver
+    forwards it to the hosts in ``pass_on``.
     """
 
     loads: list[EngineLoad] = []
@@ -244,6 +265,7 @@
     limits: list[limiting.EndpointLimit] = []
     backoffs: list[limiting.EndpointBackoff] = []
     leaving: list[limiting.EndpointInstance] = []
+    outcomes: list[EndpointOutcomes] = []
 
 
 class ReportLeaving(msgspec.Struct, tag='endpoint_leaves'):
