Name the stages of a call in the line that ends it, and count them

A call's line said how long it took, not where. Costs one object, one dict and a dozen clock reads a call; nothing is sent.

--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -26,8 +26,10 @@
 from wrenspoke.coordination.serving import retry_outcomes
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import sent_call_broadcast
+from wrenspoke.coordination.serving import stage_histograms
 from wrenspoke.coordination.serving import stream_builds
 from wrenspoke import ids
+from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import passthrough_api
 from wrenspoke.state import routes
 from wrenspoke.transport import web
@@ -58,7 +60,9 @@
         builds: stream_builds.StreamBuilds,
         clock: clocks.Clock,
         broadcaster: sent_call_broadcast.SentCallBroadcaster | None = None,
+        histograms: stage_histograms.StageHistograms | None = None,
     ):
+        self._histograms = histograms
         self._broadcaster = broadcaster
         self._sender = sender
         self._discovery = discovery
@@ -140,8 +144,15 @@
                 wait_ms=error.wait_ms,
             )
             return False
+        finally:
+            self._mark(context, call_stages.Stage.PERMITTED)
         return True
 
+    def _mark(
+        self, context: call_context.CallContext, stage: call_stages.Stage
+    ) -> None:
+        context.call.stages.mark(stage, self._clock.mono_ms())
+
     def _left_ms(self, context: call_context.CallContext) -> int:
         return context.deadline_ms - self._clock.mono_ms()
 
@@ -177,6 +188,9 @@
     ) -> None:
         """Record the time to the first piece of a response."""
         context.first_piece_at_ms = self._clock.mono_ms()
+        context.call.stages.mark(
+            call_stages.Stage.FIRST_PIECE, context.first_piece_at_ms
+        )
         took_ms = context.first_piece_at_ms - destination.sent_ms
         if destination.serving_region is not None:
             return
@@ -278,6 +292,7 @@
     ) -> bool:
         """Forward a response, or retain it if another attempt is due."""
         destination.answered = True
+        self._mark(context, call_stages.Stage.ANSWERED)
         if context.retained_response is not None and answer.refused is None:
             self._retry_outcomes.record_outcome(
                 context.route.name, answer.status in OK_STATUSES
@@ -544,6 +559,15 @@
         partial_bytes: int = 0,
     ) -> None:
         now_ms = self._clock.mono_ms()
+        context.call.stages.mark(call_stages.Stage.ENDED, now_ms)
+        if self._histograms is not None:
+            self._histograms.record(
+                context.route.kind,
+                stage_histograms.hop_side(
+                    context, destination.host is not None
+                ),
+                context.call.stages,
+            )
         first_ms = (
             context.first_piece_at_ms or now_ms
         ) - context.call.arrived_ms
@@ -565,6 +589,7 @@
             took_ms=self._time_to_first_ms(context, destination),
             runs=context.runs,
             unrun=context.unexecuted_sends,
+            **context.call.stages.log_fields(),
         )
 
     @staticmethod
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -25,9 +25,11 @@
 from wrenspoke.coordination.serving import endpoint_selector
 from wrenspoke.coordination.serving import retry_schedule
 from wrenspoke.coordination.serving import shared_retry_budget
+from wrenspoke.coordination.serving import stage_histograms
 from wrenspoke.coordination.serving import stream_builds
 from wrenspoke import feature_flags
 from wrenspoke import ids
+from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import fingerprints
@@ -94,7 +96,9 @@
         builds: stream_builds.StreamBuilds,
         switched_off: collections.abc.Set[feature_flags.FeatureFlag],
         clock: clocks.Clock,
+        histograms: stage_histograms.StageHistograms | None = None,
     ):
+        self._histograms = histograms
         self._replica = local_replica
         self._discovery = discovery
         self._selector = selector
@@ -169,6 +173,7 @@
             await self._wait_for_index(hop.index)
         elif self._waits and not self._has_current_configuration:
             await self._wait_for_current_configuration(call)
+        self._mark(call, call_stages.Stage.CONFIGURED)
         if not self._has_current_configuration:
             await self._refuse(
                 call, reply, passthrough_api.Refusal.NO_CONFIGURATION
@@ -187,6 +192,7 @@
         except errors.DeniedError as error:
             await self._deny(call, reply, error)
             return None
+        self._mark(call, call_stages.Stage.AUTHORIZED)
         call.fingerprint = msgspec.structs.replace(
             call.fingerprint, request=_digest_of(call, permit)
         )
@@ -196,8 +202,10 @@
         try:
             reservation = await self._charge_team_limit(call, permit, hop)
         except limiters.OverLimitError as error:
+            self._mark(call, call_stages.Stage.LIMITED)
             await self._refuse_over_limit(call, reply, error)
             return None
+        self._mark(call, call_stages.Stage.LIMITED)
         left_ms = min(call.left_ms, permit.route.timeout_ms)
         return call_context.CallContext(
             call,
@@ -241,6 +249,7 @@
             tokens=call.tokens,
             wait_ms=error.wait_ms,
             held_ms=self._clock.mono_ms() - call.arrived_ms,
+            **call.stages.log_fields(),
         )
         await reply.refuse(
             TOO_MANY_REQUESTS,
@@ -338,6 +347,9 @@
             request = call.stream_request or call.request
         return self._selector.draw_service(route.targets, request)
 
+    def _mark(self, call: dialects.Call, stage: call_stages.Stage) -> None:
+        call.stages.mark(stage, self._clock.mono_ms())
+
     def _left_ms(self, context: call_context.CallContext) -> int:
         return context.deadline_ms - self._clock.mono_ms()
 
@@ -454,17 +466,20 @@
         :raises ResumeRefusedError: it resumes a stream that can't go on
         """
         await self._find_build(context)
+        self._mark(context.call, call_stages.Stage.BOUND)
         while self._left_ms(context) > attempts.MIN_TIME_LEFT_MS:
             await self._guard.request_trials(
                 context.call.fingerprint, context.call.request
             )
             hold = self._guard.refuse_if_held(context.call.fingerprint)
+            self._mark(context.call, call_stages.Stage.QUARANTINE_CHECKED)
             if hold is not None:
                 raise errors.QuarantinedError(hold.left_ms, hold.digest)
             context.permit = self._access_control.reauthorize(
                 context.call, context.permit
             )
             destination = self._destinations.next_destination(context)
+            self._mark(context.call, call_stages.Stage.CHOSEN)
             if destination is None:
                 context.cause = context.cause or 'no_endpoint'
                 return False
@@ -504,6 +519,8 @@
         """Send the final response; a 503 says that the call was not run."""
         if not context.may_have_run:
             status = UNAVAILABLE
+        self._mark(context.call, call_stages.Stage.ENDED)
+        self._record_stages(context)
         logger.warning(
             'gave_up',
             request=context.call.request,
@@ -518,6 +535,7 @@
             pieces=0
             if context.tracker is None
             else context.tracker.event_count,
+            **context.call.stages.log_fields(),
         )
         if context.reply.started:
             context.reply.abort()
@@ -540,6 +558,15 @@
         )
         await context.reply.refuse(status, reason, retry_after_ms)
 
+    def _record_stages(self, context: call_context.CallContext) -> None:
+        if self._histograms is None:
+            return
+        self._histograms.record(
+            context.route.kind,
+            stage_histograms.hop_side(context, False),
+            context.call.stages,
+        )
+
     def _retry_hint_ms(self, context: call_context.CallContext) -> int:
         """Return a jittered Retry-After for a call without an endpoint."""
         delay_ms = self._selector.endpoint_retry_after_ms(
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -17,6 +17,7 @@
 import msgspec
 import structlog
 
+from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.quarantine import guard as guards
@@ -25,6 +26,7 @@
 from wrenspoke.coordination.serving import response_body
 from wrenspoke import ids
 from wrenspoke.protocol import advertised
+from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import numerals
@@ -186,7 +188,9 @@
         traffic_counter: traffic.TrafficCounter,
         guard: guards.Guard,
         gate: endpoint_gate.EndpointGate,
+        clock: clocks.Clock,
     ):
+        self._clock = clock
         self._dialect = dialect
         self._access = access_control
         self._endpoint_client = endpoint_client
@@ -278,7 +282,11 @@
         permit: access.RoutePermit,
         destination: Destination,
     ) -> bool:
-        """Return whether a send is still allowed before its first byte."""
+        """Return whether a send is still allowed before its first byte.
+
+        Called as soon as the send has its connection.
+        """
+        call.stages.mark(call_stages.Stage.CONNECTED, self._clock.mono_ms())
         if self._guard.remaining_hold_ms(call.fingerprint) is not None:
             return False
         if (
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -36,6 +36,7 @@
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import sent_call_broadcast
 from wrenspoke.coordination.serving import shared_retry_budget
+from wrenspoke.coordination.serving import stage_histograms
 from wrenspoke.coordination.serving import stream_builds
 from wrenspoke.coordination.serving import warmup_probe
 from wrenspoke import feature_flags
@@ -325,6 +326,7 @@
             node.switched_off,
             self.clock,
         )
+        self.stage_histograms = stage_histograms.StageHistograms(self.clock)
         builds = stream_builds.StreamBuilds(
             self._stream_build_store, self.discovery
         )
@@ -350,6 +352,7 @@
                     self._traffic,
                     self._guard,
                     self._gate,
+                    self.clock,
                 ),
                 self.discovery,
                 self._selector,
@@ -360,6 +363,7 @@
                 builds,
                 self.clock,
                 self._sent_calls,
+                self.stage_histograms,
             ),
             self.retry_budget,
             self._access,
@@ -368,6 +372,7 @@
             builds,
             node.switched_off,
             self.clock,
+            self.stage_histograms,
         )
         surface = passthrough_api.PassthroughApi(
             self.passthrough,
@@ -405,6 +410,7 @@
         self._tasks.start(self._run_housekeeping())
         self._tasks.start(self._watch_evacuations())
         self._tasks.start(self._traffic.log_periodically('entry'))
+        self._tasks.start(self.stage_histograms.log_periodically())
         await self._host_server.start(f'{node.ip}:{node.passing_port}')
         await self._caller_server.start(node.callers_address)
         logger.info('started', host=node.host, seeds=node.seeds)
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -12,6 +12,7 @@
 from multidict import istr
 
 from wrenspoke import ids
+from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import fingerprints
 from wrenspoke.protocol import headers
@@ -131,6 +132,9 @@
     credentials: Fields = []
     key: str = ''
     fingerprint: fingerprints.Fingerprint = fingerprints.Fingerprint()
+    stages: call_stages.StageTimes = msgspec.field(
+        default_factory=call_stages.StageTimes
+    )
 
     @property
     def tokens(self) -> int:
@@ -211,6 +215,7 @@
             fingerprint=fingerprints.Fingerprint(
                 parts=fingerprints.named_parts(_part_names(prompt_items))
             ),
+            stages=call_stages.StageTimes(now_ms),
         )
 
     def _single_valued_headers(self) -> frozenset[str]:
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -16,6 +16,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke import ids
+from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors
 from wrenspoke.transport import web as transport
@@ -267,6 +268,7 @@
                 self._clock.mono_ms(),
             )
             call.body = await self._read_body(request)
+            call.stages.mark(call_stages.Stage.READ, self._clock.mono_ms())
             await self._server.serve(call, reply, hop)
         except errors.BadRequestError as error:
             logger.info('request_malformed', problem=str(error))
