Open connections to other regions before calls need them, learn a hop's cost

Cause: a hop took the link's one-way time three times where its host had no idle connection.

Change: each host keeps 2 to 8 idle connections, 64 in all, to the two targets of each region, replaced as they are taken, before they are closed as idle, and closed where the host is known to be silent. A call that finds none doubles the number. No connection is used whose peer has acknowledged no probe of the kernel for 1.5 s, as a request on it would hang (TCP_INFO). A request is still sent at most once: on a connection that ends it gets a 502. The far host reports how long it held a call (asked for by a new last field of the hop), so that the rest is learned as the overhead of a hop and replaces the constant of 6 ms, to which it fades when no hop is seen. On by request_path.enabled, off by default.

--- a/wrenspoke/coordination/membership/remote_hosts.py
+++ b/wrenspoke/coordination/membership/remote_hosts.py
@@ -150,6 +150,21 @@
         order = routing.rendezvous(self._host, records)
         return [records[ids.HostId(name)] for name in order]
 
+    def forwarding_targets(self) -> list[discovery_messages.HostRecord]:
+        """Return the hosts of all regions that calls are forwarded to."""
+        return [
+            record
+            for region in self.regions()
+            for record in self.reachable(region)[:TARGETS_PER_REGION]
+        ]
+
+    def is_lost(self, host: ids.HostId) -> bool:
+        """Return whether a host is known not to answer, or has gone."""
+        record = self._roster.record(host)
+        if record is None or self._pinger.is_answering(host) is False:
+            return True
+        return self._views.is_unreachable(record.region)
+
     def reachable(
         self, region: ids.RegionId
     ) -> list[discovery_messages.HostRecord]:
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -21,6 +21,7 @@
 from wrenspoke.coordination.serving import engine_pace
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import event_tracker
+from wrenspoke.coordination.serving import hop_times
 from wrenspoke.coordination.serving import outlier_detection
 from wrenspoke.coordination.serving import remote_regions
 from wrenspoke.coordination.serving import retry_outcomes
@@ -61,7 +62,9 @@
         clock: clocks.Clock,
         broadcaster: sent_call_broadcast.SentCallBroadcaster | None = None,
         histograms: stage_histograms.StageHistograms | None = None,
+        hops: hop_times.HopTimes | None = None,
     ):
+        self._hops = hops
         self._histograms = histograms
         self._broadcaster = broadcaster
         self._sender = sender
@@ -299,6 +302,7 @@
             )
         if destination.host is not None:
             context.count_runs(answer.runs - 1)
+            self._record_hop(destination, answer)
         if answer.verdict is sending.Verdict.MISDIRECTED:
             context.mark_not_run()
             context.cause = 'not here any more'
@@ -346,6 +350,19 @@
         self._log_answered(context, destination, answer)
         return True
 
+    def _record_hop(
+        self,
+        destination: sending.Destination,
+        answer: sending.UpstreamResponse,
+    ) -> None:
+        """Record what a hop took beside the time that its host reports."""
+        if self._hops is None or answer.held_ms is None:
+            return
+        took_ms = self._clock.mono_ms() - destination.sent_ms
+        self._hops.record(
+            destination.host, destination.located_in, took_ms - answer.held_ms
+        )
+
     def _check_build(
         self,
         context: call_context.CallContext,
--- a/wrenspoke/coordination/serving/remote_regions.py
+++ b/wrenspoke/coordination/serving/remote_regions.py
@@ -16,6 +16,7 @@
 from wrenspoke.coordination.membership import remote_hosts
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.serving import engine_pace
+from wrenspoke.coordination.serving import hop_times
 from wrenspoke.coordination.serving import prefix_index
 from wrenspoke.coordination.serving import sent_call_broadcast
 from wrenspoke import ids
@@ -34,8 +35,7 @@
 # gets no calls, as it would refuse them. Leaves time for a
 # change to reach every host and for the next ping to report it.
 CONFIGURATION_LAG_LIMIT_MS = 800
-# Time that the hosts need to forward a call and its response.
-FORWARDING_OVERHEAD_MS = 6.0
+FORWARDING_OVERHEAD_MS = hop_times.DEFAULT_OVERHEAD_MS
 # Separates region and service in cache keys; endpoint names don't contain it.
 CACHE_KEY_SEPARATOR = '/'
 
@@ -68,7 +68,9 @@
         local_replica: replica.Replica,
         clock: clocks.Clock,
         broadcaster: sent_call_broadcast.SentCallBroadcaster | None = None,
+        hops: hop_times.HopTimes | None = None,
     ):
+        self._hops = hops or hop_times.HopTimes(pinger, region_statuses, clock)
         self._broadcaster = broadcaster
         if broadcaster is not None:
             broadcaster.subscribe(self._on_peer_forwarded)
@@ -99,7 +101,7 @@
         status = remote.pong
         if not status.serving or self._has_stale_configuration(remote):
             return None
-        travel_ms = (remote.rtt_ms or 0.0) + FORWARDING_OVERHEAD_MS
+        travel_ms = self._travel_ms(host, remote)
         offers = status.offers
         if host.region != region:
             offers = status.relayed.get(region, [])
@@ -129,6 +131,13 @@
             end_ms += forecast.stream_ms(events)
         return RegionOffer(region, host, first_ms, end_ms, uncached_ms)
 
+    def _travel_ms(
+        self,
+        host: discovery_messages.HostRecord,
+        remote: host_pinger.RemoteState | region_views.RegionView,
+    ) -> float:
+        return (remote.rtt_ms or 0.0) + self._hops.overhead_ms(host.region)
+
     def relay_offers(
         self, unreachable: list[ids.RegionId]
     ) -> dict[ids.RegionId, list[messages.ServiceOffer]]:
@@ -145,7 +154,7 @@
                     continue
                 if not remote.pong.serving or not remote.pong.offers:
                     continue
-                travel_ms = (remote.rtt_ms or 0.0) + FORWARDING_OVERHEAD_MS
+                travel_ms = self._travel_ms(host, remote)
                 found[region] = [
                     msgspec.structs.replace(
                         offer, wait_ms=offer.wait_ms + travel_ms
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -43,7 +43,11 @@
 CALL, ANSWER = 'call_body', 'answer_body'
 # Headers that a forwarding host adds to a response.
 HOST_HEADERS = frozenset(
-    [passthrough_api.RUNS_HEADER, passthrough_api.BUILD_HEADER]
+    [
+        passthrough_api.RUNS_HEADER,
+        passthrough_api.BUILD_HEADER,
+        passthrough_api.HELD_HEADER,
+    ]
 )
 
 
@@ -114,6 +118,7 @@
 
     ``runs`` is how many endpoints a forwarding host used for the call.
     ``build`` is that of the endpoint, None if a forwarding host names none.
+    ``held_ms`` is how long a host of another region held the call.
     ``has_events`` is whether the body is a readable event stream, whose
     events show where it ends.
     """
@@ -139,11 +144,15 @@
         self.retry_after_ms = _parse_retry_after_ms(response.headers)
         self.runs = 1
         self.build = destination.build
+        self.held_ms: int | None = None
         if destination.host is not None:
             self.runs = _parse_runs(
                 response.headers.get(passthrough_api.RUNS_HEADER)
             )
             build = response.headers.get(passthrough_api.BUILD_HEADER)
+            self.held_ms = _parse_held_ms(
+                response.headers.get(passthrough_api.HELD_HEADER)
+            )
             if build is not None:
                 self.build = passthrough_api.decode_build(build)
             self.fields = [
@@ -166,6 +175,11 @@
     return 1 if found is None else found
 
 
+def _parse_held_ms(text: str | None) -> int | None:
+    """Return how long a host held a call, None if missing or malformed."""
+    return None if text is None else numerals.parse_whole(text)
+
+
 def _parse_refusal(text: str | None) -> passthrough_api.Refusal | None:
     """Return why a host refused a call; unknown reasons are GAVE_UP."""
     if text is None:
@@ -189,7 +203,9 @@
         guard: guards.Guard,
         gate: endpoint_gate.EndpointGate,
         clock: clocks.Clock,
+        times_hops: bool = False,
     ):
+        self._times_hops = times_hops
         self._clock = clock
         self._dialect = dialect
         self._access = access_control
@@ -348,7 +364,10 @@
             fields.append((dialect.last_event, last_event))
         fields.append((dialect.deadline_ms, str(max(left_ms, 0))))
         if destination.hop is not None:
-            hop = msgspec.json.encode(destination.hop).decode()
+            timed = msgspec.structs.replace(
+                destination.hop, timed=self._times_hops
+            )
+            hop = msgspec.json.encode(timed).decode()
             fields.append((passthrough_api.HOP_HEADER, hop))
             # The receiving host looks the key up in its own table.
             return fields + call.credentials
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -22,6 +22,7 @@
 from wrenspoke.coordination.membership import region_views
 from wrenspoke.coordination.membership import remote_hosts
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import warm_connections
 from wrenspoke.coordination.quarantine import crash_reporter
 from wrenspoke.coordination.quarantine import guard
 from wrenspoke.coordination.serving import access
@@ -30,6 +31,7 @@
 from wrenspoke.coordination.serving import destinations
 from wrenspoke.coordination.serving import endpoint_selector
 from wrenspoke.coordination.serving import estimate
+from wrenspoke.coordination.serving import hop_times
 from wrenspoke.coordination.serving import outlier_detection
 from wrenspoke.coordination.serving import passthrough
 from wrenspoke.coordination.serving import remote_regions
@@ -120,6 +122,17 @@
             self._views,
             self.clock,
         )
+        self._warm_connections = None
+        if node.request_path.enabled:
+            self._warm_connections = warm_connections.WarmConnections(
+                self._hosts_client,
+                self._remote_hosts,
+                node.request_path.spares_limit,
+                self.clock,
+            )
+        self._hop_times = hop_times.HopTimes(
+            self._pinger, self._views, self.clock
+        )
         self._tasks = runtime.Tasks()
         self._access = access.AccessControl(
             self.replica, self.discovery.roster, self.lease
@@ -300,6 +313,7 @@
             self.replica,
             self.clock,
             self._sent_calls,
+            self._hop_times,
         )
         self._available = availability.Availability(
             node.region,
@@ -353,6 +367,7 @@
                     self._guard,
                     self._gate,
                     self.clock,
+                    node.request_path.enabled,
                 ),
                 self.discovery,
                 self._selector,
@@ -364,6 +379,7 @@
                 self.clock,
                 self._sent_calls,
                 self.stage_histograms,
+                self._hop_times,
             ),
             self.retry_budget,
             self._access,
@@ -407,6 +423,8 @@
         if self._sent_calls is not None:
             self._sent_calls.start()
         self._remote_hosts.start()
+        if self._warm_connections is not None:
+            self._warm_connections.start()
         self._tasks.start(self._run_housekeeping())
         self._tasks.start(self._watch_evacuations())
         self._tasks.start(self._traffic.log_periodically('entry'))
@@ -467,6 +485,8 @@
         if self._sent_calls is not None:
             await self._sent_calls.close()
         await self._engine_loads.close()
+        if self._warm_connections is not None:
+            await self._warm_connections.close()
         await self._remote_hosts.close()
         await self._warmup_probe.close()
         await self._pinger.close()
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -148,6 +148,17 @@
     ceiling_bytes: Positive | None = None
 
 
+class RequestPathSettings(_Section):
+    """The way of a call to a host of another region.
+
+    Idle connections, at most ``spares_limit`` to one host, are opened before
+    calls need them, and the overhead of a hop is learned from hops.
+    """
+
+    enabled: bool = False
+    spares_limit: Positive = 8
+
+
 class HostResources(_Section):
     """Resources that the host has, null where unknown.
 
@@ -195,6 +206,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     balancing: BalancingSettings = BalancingSettings()
     buffering: BufferingSettings = BufferingSettings()
+    request_path: RequestPathSettings = RequestPathSettings()
     resources: HostResources = HostResources()
     switched_off: frozenset[feature_flags.FeatureFlag] = frozenset()
 
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -4,6 +4,7 @@
 an entry host forwards carry a hop with the routing decision of that host.
 """
 
+import collections.abc
 import enum
 import typing
 import urllib.parse
@@ -30,6 +31,8 @@
 RUNS_HEADER = 'Wrenspoke-Runs'
 # Build of the endpoint that serves a stream, for the host that forwarded it.
 BUILD_HEADER = 'Wrenspoke-Build'
+# Time in ms from a forwarded request's last byte to its response's head.
+HELD_HEADER = 'Wrenspoke-Held-Ms'
 EXPECT = 'Expect'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 MS_PER_S = 1000
@@ -78,7 +81,8 @@
     if its expected time to first byte exceeds ``limit_ms``, as the first host
     can serve it faster. With ``region`` the receiver forwards it to that
     region, which the first host can't reach. ``build`` began the stream that
-    the request resumes; no other build may continue it.
+    the request resumes; no other build may continue it. With ``timed`` the
+    receiver reports how long it held the request.
     """
 
     host: ids.HostId
@@ -89,6 +93,7 @@
     limit_ms: int | None = None
     region: ids.RegionId | None = None
     build: ids.BuildId | None = None
+    timed: bool = False
 
 
 class PassthroughLimits(msgspec.Struct, frozen=True):
@@ -103,7 +108,7 @@
     """Response to one request, sent at once or streamed.
 
     ``runs`` and ``build`` are reported to the host that forwarded the
-    request.
+    request, and with ``held_ms`` for how long it was held here.
     """
 
     def __init__(self, request: web.BaseRequest, close: bool):
@@ -114,6 +119,7 @@
         self._resets_on_close = False
         self.runs: int | None = None
         self.build: ids.BuildId | None = None
+        self.held_ms: collections.abc.Callable[[], int] | None = None
 
     @property
     def started(self) -> bool:
@@ -155,6 +161,8 @@
             response.headers[RUNS_HEADER] = str(self.runs)
         if self.build is not None:
             response.headers[BUILD_HEADER] = encode_build(self.build)
+        if self.held_ms is not None:
+            response.headers[HELD_HEADER] = str(self.held_ms())
         self.response = response
         self.status = status
         try:
@@ -268,7 +276,10 @@
                 self._clock.mono_ms(),
             )
             call.body = await self._read_body(request)
-            call.stages.mark(call_stages.Stage.READ, self._clock.mono_ms())
+            read_ms = self._clock.mono_ms()
+            call.stages.mark(call_stages.Stage.READ, read_ms)
+            if hop is not None and hop.timed:
+                reply.held_ms = lambda: self._clock.mono_ms() - read_ms
             await self._server.serve(call, reply, hop)
         except errors.BadRequestError as error:
             logger.info('request_malformed', problem=str(error))
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -5,11 +5,15 @@
 import contextlib
 import contextvars
 import socket
+import struct
+import time
 import typing
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import client_reqrep
 from aiohttp import connector as connectors
+import yarl
 
 from wrenspoke.transport import errors
 
@@ -23,6 +27,11 @@
 # leaves time for several TCP retransmissions, whose timeout is 200 ms or
 # more and doubles each time.
 USER_TIMEOUT_MS = 3_000
+# An idle connection whose peer has acknowledged nothing for this long is dead:
+# a probe was sent after ``KEEPALIVE_IDLE_S``, and a round trip has passed.
+SILENCE_LIMIT_MS = KEEPALIVE_IDLE_S * 1000 + 500
+# The field tcpi_last_ack_recv of struct tcp_info, in ms.
+_LAST_ACK = struct.Struct('56xI')
 
 
 class CancellationSafeConnector(aiohttp.TCPConnector):
@@ -37,9 +46,17 @@
     Once a socket is connected, its setup runs to completion; the connection
     is closed afterwards if its caller was cancelled or timed out.
 
-    Requests that are no longer permitted to be sent get no connection.
+    Requests that are no longer permitted to be sent get no connection, and
+    none gets an idle connection whose peer no longer acknowledges probes.
     """
 
+    def __init__(self, **named: typing.Any):
+        super().__init__(**named)
+        # Called with each address that a connection is taken for, and
+        # whether an idle one was found.
+        self.on_take: collections.abc.Callable[[str, bool], None] | None = None
+        self._targets: dict[str, aiohttp.ClientRequest] = {}
+
     async def connect(
         self, *arguments: typing.Any, **named: typing.Any
     ) -> connectors.Connection:
@@ -50,6 +67,61 @@
             raise errors.SendAbortedError('send no longer permitted')
         return connection
 
+    async def _get(
+        self, key: client_reqrep.ConnectionKey, traces: list
+    ) -> connectors.Connection | None:
+        self._close_dead(key)
+        connection = await super()._get(key, traces)
+        if self.on_take is not None:
+            self.on_take(f'{key.host}:{key.port}', connection is not None)
+        return connection
+
+    def _close_dead(self, key: client_reqrep.ConnectionKey) -> None:
+        """Close the connections that are next to be used if they are dead."""
+        idle = self._conns.get(key)
+        while idle and _is_silent(idle[0][0]):
+            idle.popleft()[0].close()
+        if idle is not None and not idle:
+            del self._conns[key]
+
+    def count_idle(self, address: str, max_idle_ms: float) -> int:
+        """Return how many connections are idle for no longer than a time."""
+        key = self._target(address).connection_key
+        self._close_dead(key)
+        since_s = time.monotonic() - max_idle_ms / 1000
+        return sum(
+            protocol.is_connected() and used_s >= since_s
+            for protocol, used_s in self._conns.get(key, ())
+        )
+
+    async def open_idle(
+        self, address: str, timeout: aiohttp.ClientTimeout
+    ) -> None:
+        """Open a connection and leave it idle."""
+        target = self._target(address)
+        protocol = await self._create_connection(target, [], timeout)
+        if self._closed:
+            protocol.close()
+            return
+        self._release(target.connection_key, protocol)
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        target = self._targets.pop(address, None)
+        if target is None:
+            return
+        for protocol, _used_s in self._conns.pop(target.connection_key, ()):
+            protocol.close()
+
+    def _target(self, address: str) -> aiohttp.ClientRequest:
+        """Return a request that is never sent, for its connection key."""
+        target = self._targets.get(address)
+        if target is None:
+            target = self._targets[address] = aiohttp.ClientRequest(
+                'GET', yarl.URL(f'http://{address}/'), loop=self._loop
+            )
+        return target
+
     async def _wrap_create_connection(
         self,
         *arguments: typing.Any,
@@ -99,6 +171,23 @@
         _MAY_SEND.reset(token)
 
 
+def _is_silent(protocol: client_proto.ResponseHandler) -> bool:
+    """Return whether a connection's peer acknowledges no probes."""
+    if protocol.transport is None:
+        return False
+    sock = protocol.transport.get_extra_info('socket')
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_ACK.size
+        )
+    except OSError:
+        return True
+    if len(info) < _LAST_ACK.size:
+        return False
+    (silence_ms,) = _LAST_ACK.unpack(info)
+    return silence_ms > SILENCE_LIMIT_MS
+
+
 def _is_connected(sock: socket.socket) -> bool:
     try:
         sock.getpeername()
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -122,6 +122,9 @@
         )
         self._pooled = self._session(force_close=False)
         self._unpooled = self._session(force_close=True)
+        self._pool: connector.CancellationSafeConnector = (
+            self._pooled.connector
+        )
 
     def _session(self, force_close: bool) -> aiohttp.ClientSession:
         idle = {}
@@ -226,6 +229,35 @@
         finally:
             response.close()
 
+    def set_take_listener(
+        self, on_take: collections.abc.Callable[[str, bool], None]
+    ) -> None:
+        """Set what is called as a request takes a pooled connection.
+
+        It gets the address and whether an idle connection was found.
+        """
+        self._pool.on_take = on_take
+
+    def count_idle(self, address: str, left_ms: float) -> int:
+        """Return the idle connections that last for another ``left_ms``."""
+        return self._pool.count_idle(
+            address, self._idle_timeout_s * 1000 - left_ms
+        )
+
+    async def open_idle(self, address: str) -> None:
+        """Open a connection for later requests.
+
+        :raises NotSentError: no connection was established
+        """
+        try:
+            await self._pool.open_idle(address, self._timeout)
+        except (aiohttp.ClientError, OSError) as error:
+            raise errors.NotSentError(str(error)) from error
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        self._pool.close_idle(address)
+
     async def close(self) -> None:
         """Close all connections."""
         await self._pooled.close()
