--- a/wrenspoke/reference.py
+++ b/wrenspoke/reference.py
@@ -48,6 +48,7 @@
     ('admission of a host', node.AdmissionSettings),
     ('balancing of a host', node.BalancingSettings),
     ('buffering of a host', node.BufferingSettings),
+    ('request_path of a host', node.RequestPathSettings),
     ('resources of a host', node.HostResources),
 )
 
