--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -22,13 +22,16 @@
 from wrenspoke.coordination.serving import engine_pace
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import event_tracker
+from wrenspoke.coordination.serving import hop_times
 from wrenspoke.coordination.serving import outlier_detection
 from wrenspoke.coordination.serving import remote_regions
 from wrenspoke.coordination.serving import retry_outcomes
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import sent_call_broadcast
+from wrenspoke.coordination.serving import stage_histograms
 from wrenspoke.coordination.serving import stream_builds
 from wrenspoke import ids
+from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import passthrough_api
 from wrenspoke.state import routes
 from wrenspoke.transport import web
@@ -60,7 +63,11 @@
         clock: clocks.Clock,
         broadcaster: sent_call_broadcast.SentCallBroadcaster | None = None,
         outcomes: endpoint_outcomes.EndpointOutcomes | None = None,
+        histograms: stage_histograms.StageHistograms | None = None,
+        hops: hop_times.HopTimes | None = None,
     ):
+        self._hops = hops
+        self._histograms = histograms
         self._broadcaster = broadcaster
         self._outcomes = outcomes
         self._sender = sender
@@ -143,8 +150,15 @@
                 wait_ms=error.wait_ms,
             )
             return False
+        finally:
+            self._mark(context, call_stages.Stage.PERMITTED)
         return True
 
+    def _mark(
+        self, context: call_context.CallContext, stage: call_stages.Stage
+    ) -> None:
+        context.call.stages.mark(stage, self._clock.mono_ms())
+
     def _left_ms(self, context: call_context.CallContext) -> int:
         return context.deadline_ms - self._clock.mono_ms()
 
@@ -180,6 +194,9 @@
     ) -> None:
         """Record the time to the first piece of a response."""
         context.first_piece_at_ms = self._clock.mono_ms()
+        context.call.stages.mark(
+            call_stages.Stage.FIRST_PIECE, context.first_piece_at_ms
+        )
         took_ms = context.first_piece_at_ms - destination.sent_ms
         if destination.serving_region is not None:
             return
@@ -282,12 +299,14 @@
     ) -> bool:
         """Forward a response, or retain it if another attempt is due."""
         destination.answered = True
+        self._mark(context, call_stages.Stage.ANSWERED)
         if context.retained_response is not None and answer.refused is None:
             self._retry_outcomes.record_outcome(
                 context.route.name, answer.status in OK_STATUSES
             )
         if destination.host is not None:
             context.count_runs(answer.runs - 1)
+            self._record_hop(destination, answer)
         if answer.verdict is sending.Verdict.MISDIRECTED:
             context.mark_not_run()
             context.cause = 'not here any more'
@@ -349,6 +368,19 @@
         if self._outcomes is not None and destination.endpoint is not None:
             self._outcomes.record(destination.life, outcome)
 
+    def _record_hop(
+        self,
+        destination: sending.Destination,
+        answer: sending.UpstreamResponse,
+    ) -> None:
+        """Record what a hop took beside the time that its host reports."""
+        if self._hops is None or answer.held_ms is None:
+            return
+        took_ms = self._clock.mono_ms() - destination.sent_ms
+        self._hops.record(
+            destination.host, destination.located_in, took_ms - answer.held_ms
+        )
+
     def _check_build(
         self,
         context: call_context.CallContext,
@@ -562,6 +594,15 @@
         partial_bytes: int = 0,
     ) -> None:
         now_ms = self._clock.mono_ms()
+        context.call.stages.mark(call_stages.Stage.ENDED, now_ms)
+        if self._histograms is not None:
+            self._histograms.record(
+                context.route.kind,
+                stage_histograms.hop_side(
+                    context, destination.host is not None
+                ),
+                context.call.stages,
+            )
         first_ms = (
             context.first_piece_at_ms or now_ms
         ) - context.call.arrived_ms
@@ -583,6 +624,7 @@
             took_ms=self._time_to_first_ms(context, destination),
             runs=context.runs,
             unrun=context.unexecuted_sends,
+            **context.call.stages.log_fields(),
         )
 
     @staticmethod
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -22,6 +22,7 @@
 from wrenspoke.coordination.membership import region_views
 from wrenspoke.coordination.membership import remote_hosts
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.membership import warm_connections
 from wrenspoke.coordination.quarantine import crash_reporter
 from wrenspoke.coordination.quarantine import guard
 from wrenspoke.coordination.serving import access
@@ -31,12 +32,14 @@
 from wrenspoke.coordination.serving import endpoint_outcomes
 from wrenspoke.coordination.serving import endpoint_selector
 from wrenspoke.coordination.serving import estimate
+from wrenspoke.coordination.serving import hop_times
 from wrenspoke.coordination.serving import outlier_detection
 from wrenspoke.coordination.serving import passthrough
 from wrenspoke.coordination.serving import remote_regions
 from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import sent_call_broadcast
 from wrenspoke.coordination.serving import shared_retry_budget
+from wrenspoke.coordination.serving import stage_histograms
 from wrenspoke.coordination.serving import stream_builds
 from wrenspoke.coordination.serving import warmup_probe
 from wrenspoke import feature_flags
@@ -120,6 +123,17 @@
             self._views,
             self.clock,
         )
+        self._warm_connections = None
+        if node.request_path.enabled:
+            self._warm_connections = warm_connections.WarmConnections(
+                self._hosts_client,
+                self._remote_hosts,
+                node.request_path.spares_limit,
+                self.clock,
+            )
+        self._hop_times = hop_times.HopTimes(
+            self._pinger, self._views, self.clock
+        )
         self._tasks = runtime.Tasks()
         self._access = access.AccessControl(
             self.replica, self.discovery.roster, self.lease
@@ -309,6 +323,7 @@
             self.replica,
             self.clock,
             self._sent_calls,
+            self._hop_times,
         )
         self._available = availability.Availability(
             node.region,
@@ -336,6 +351,7 @@
             node.switched_off,
             self.clock,
         )
+        self.stage_histograms = stage_histograms.StageHistograms(self.clock)
         builds = stream_builds.StreamBuilds(
             self._stream_build_store, self.discovery
         )
@@ -361,6 +377,8 @@
                     self._traffic,
                     self._guard,
                     self._gate,
+                    self.clock,
+                    node.request_path.enabled,
                 ),
                 self.discovery,
                 self._selector,
@@ -372,6 +390,8 @@
                 self.clock,
                 self._sent_calls,
                 self._outcomes,
+                self.stage_histograms,
+                self._hop_times,
             ),
             self.retry_budget,
             self._access,
@@ -380,6 +400,7 @@
             builds,
             node.switched_off,
             self.clock,
+            self.stage_histograms,
         )
         surface = passthrough_api.PassthroughApi(
             self.passthrough,
@@ -416,9 +437,12 @@
         if self._outcomes is not None:
             self._outcomes.start()
         self._remote_hosts.start()
+        if self._warm_connections is not None:
+            self._warm_connections.start()
         self._tasks.start(self._run_housekeeping())
         self._tasks.start(self._watch_evacuations())
         self._tasks.start(self._traffic.log_periodically('entry'))
+        self._tasks.start(self.stage_histograms.log_periodically())
         await self._host_server.start(f'{node.ip}:{node.passing_port}')
         await self._caller_server.start(node.callers_address)
         logger.info('started', host=node.host, seeds=node.seeds)
@@ -477,6 +501,8 @@
         if self._outcomes is not None:
             await self._outcomes.close()
         await self._engine_loads.close()
+        if self._warm_connections is not None:
+            await self._warm_connections.close()
         await self._remote_hosts.close()
         await self._warmup_probe.close()
         await self._pinger.close()
