Read and write zmq sockets without a future for each message

Change: transport.sockets reads a socket until it is empty, from the edge of its descriptor, passes messages to a callback, and wakes who waits for a connection when there is one.

The mutation 'send waits inside pyzmq' is made where the send is now, and two more stand beside it; all three fail their tests.

--- a/benches/switches_hosts.py
+++ b/benches/switches_hosts.py
@@ -276,19 +276,26 @@
         ('        if False:'),
         ('tests/test_control.py::test_invalid_envelopes_are_refused'),
     ),
+    Switch(
+        'message that comes as another is sent stays unread',
+        'wrenspoke/transport/sockets.py',
+        ('        if events & POLLIN:\n            self._schedule()'),
+        ('        if False:\n            self._schedule()'),
+        ('tests/test_sockets.py::test_no_message_stays_unread'),
+    ),
+    Switch(
+        'call that waits for a host is never sent',
+        'wrenspoke/transport/sockets.py',
+        ('        for waiter in self._waiters:'),
+        ('        for waiter in []:'),
+        ('tests/test_sockets.py::test_call_waits_for_a_host_that_starts'),
+    ),
     Switch(
         'send waits inside pyzmq',
-        'wrenspoke/transport/links.py',
-        (
-            '            await dealer.send(frame, zmq.NOBLOCK)\n'
-            '            return\n'
-            '        except zmq.Again:'
-        ),
-        (
-            '            await dealer.send(frame)\n'
-            '            return\n'
-            '        except zmq.Again:'
-        ),
+        'wrenspoke/transport/sockets.py',
+        ('        self._sock.send(message, NOBLOCK)'),
+        ('        self._sock.setsockopt(zmq.SNDTIMEO, 20_000)\n'
+         '        self._sock.send(message)'),
         ('tests/test_links.py::test_waiting_call_holds_nothing_else_back'),
     ),
     Switch(
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -14,17 +14,18 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import zlib
 
 import msgspec
 import structlog
 import zmq
-import zmq.asyncio
 
 from wrenspoke import clock as clocks
 from wrenspoke import ids
 from wrenspoke import runtime
 from wrenspoke.transport import errors
+from wrenspoke.transport import sockets
 
 logger = structlog.get_logger(__name__)
 
@@ -35,7 +36,6 @@
 # is paused and a heartbeat is due or buffered.
 RECEIVE_HIGH_WATER_MARK = 20_000
 ONEWAY_NUMBER = 0
-CONNECT_POLL_S = 0.005
 ONEWAY_TTL_MS = 2000
 HEARTBEAT_IVL_MS = 2000
 HEARTBEAT_TIMEOUT_MS = 6000
@@ -129,11 +129,12 @@
         self._heartbeat_options = heartbeat_options
         self._min_offsets_ms: dict[tuple[str, str], int] = {}
         self._epoch = ids.new_random_id()
-        self._context = zmq.asyncio.Context()
+        self._context = zmq.Context()
+        self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+        self._envelope_encoder = msgspec.msgpack.Encoder()
         self._authenticator = None
-        self._router = None
-        self._dealers: dict[ids.HostId, zmq.asyncio.Socket] = {}
-        self._receivers: dict[ids.HostId, asyncio.Task] = {}
+        self._router: sockets.LoopSocket | None = None
+        self._dealers: dict[ids.HostId, sockets.LoopSocket] = {}
         self._pending: dict[int, asyncio.Future] = {}
         self._number = 0
         self._tasks = runtime.Tasks()
@@ -150,8 +151,16 @@
             router.curve_server = True
             self._set_curve_keys(router)
         router.bind(f'tcp://{ip}:{port}')
-        self._router = router
-        self._tasks.start(self._serve_requests())
+        self._router = sockets.LoopSocket(
+            router,
+            functools.partial(
+                # Only a frame names the key that authenticated it.
+                router.recv_multipart,
+                zmq.NOBLOCK,
+                copy=not self._identity.has_keys,
+            ),
+            self._on_request,
+        )
 
     def _start_authenticator(self) -> None:
         from zmq.auth import asyncio as auth
@@ -162,7 +171,7 @@
             domain='*', credentials_provider=self
         )
 
-    def _set_curve_keys(self, sock: zmq.asyncio.Socket) -> None:
+    def _set_curve_keys(self, sock: zmq.Socket) -> None:
         sock.curve_secretkey = self._identity.secret_key.encode()
         sock.curve_publickey = self._identity.public_key.encode()
 
@@ -185,13 +194,14 @@
         self._number += 1
         number = self._number
         frame = self._encode_envelope(number, body, timeout_ms)
-        future = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         self._pending[number] = future
+        timer = loop.call_later(max(timeout_ms, 0) / 1000, _expire, future)
         try:
-            async with clocks.timeout_ms(timeout_ms):
-                await _send_when_connected(dealer, frame)
-                self._on_message_sent(host, body, frame)
-                return await future
+            await _send_when_connected(dealer, frame, future)
+            self._on_message_sent(host, body, frame)
+            return await future
         except TimeoutError as error:
             raise errors.MaybeSentError(
                 f'no reply from {host} within {timeout_ms} ms'
@@ -199,6 +209,7 @@
         except zmq.ZMQError as error:
             raise errors.NotSentError(str(error)) from error
         finally:
+            timer.cancel()
             self._pending.pop(number, None)
 
     async def send_oneway(self, host: ids.HostId, body: bytes) -> int:
@@ -209,7 +220,7 @@
         try:
             dealer = self._get_or_connect(host)
             frame = self._encode_envelope(ONEWAY_NUMBER, body, ONEWAY_TTL_MS)
-            await dealer.send(frame, zmq.NOBLOCK)
+            dealer.send(frame)
         except (zmq.ZMQError, errors.NotSentError):
             logger.debug('oneway_message_dropped', peer=host)
             return 0
@@ -222,21 +233,22 @@
         self.sent_bytes += len(frame)
         self._on_sent(host, body, len(frame))
 
-    def _get_or_connect(self, host: ids.HostId) -> zmq.asyncio.Socket:
+    def _get_or_connect(self, host: ids.HostId) -> sockets.LoopSocket:
         dealer = self._dealers.get(host)
         if dealer is not None:
             return dealer
         peer = self._find_peer(host)
-        dealer = self._context.socket(zmq.DEALER)
-        _set_options(dealer, self._heartbeat_options)
-        dealer.setsockopt(zmq.IMMEDIATE, 1)
+        sock = self._context.socket(zmq.DEALER)
+        _set_options(sock, self._heartbeat_options)
+        sock.setsockopt(zmq.IMMEDIATE, 1)
         if self._identity.has_keys:
-            dealer.curve_serverkey = peer.public_key.encode()
-            self._set_curve_keys(dealer)
-        dealer.connect(f'tcp://{peer.ip}:{peer.port}')
-        self._dealers[host] = dealer
-        self._receivers[host] = self._tasks.start(
-            self._receive_replies(host, dealer)
+            sock.curve_serverkey = peer.public_key.encode()
+            self._set_curve_keys(sock)
+        sock.connect(f'tcp://{peer.ip}:{peer.port}')
+        dealer = self._dealers[host] = sockets.LoopSocket(
+            sock,
+            functools.partial(sock.recv, zmq.NOBLOCK),
+            functools.partial(self._on_reply, host),
         )
         return dealer
 
@@ -254,15 +266,13 @@
     def disconnect(self, host: ids.HostId) -> None:
         """Close the link to a host, if there is one."""
         dealer = self._dealers.pop(host, None)
-        if dealer is None:
-            return
-        dealer.close(linger=0)
-        self._receivers.pop(host).cancel()
+        if dealer is not None:
+            dealer.close()
 
     def _encode_envelope(
         self, number: int, body: bytes, timeout_ms: float
     ) -> bytes:
-        return msgspec.msgpack.encode(
+        return self._envelope_encoder.encode(
             Envelope(
                 self._identity.cluster,
                 self._identity.host,
@@ -274,38 +284,32 @@
             )
         )
 
-    async def _receive_replies(
-        self, host: ids.HostId, dealer: zmq.asyncio.Socket
-    ) -> None:
-        while True:
-            frame = await dealer.recv()
-            self.received_bytes += len(frame)
-            envelope = self._decode_envelope(frame, host)
-            if envelope is None:
-                continue
-            future = self._pending.get(envelope.number)
-            if future is None or future.done():
-                continue
-            future.set_result(_decompress(envelope.body))
-
-    async def _serve_requests(self) -> None:
-        while True:
-            frames = await self._router.recv_multipart(copy=False)
-            if len(frames) != 2:
-                logger.warning('message_refused', reason='frame_count')
-                continue
-            payload = frames[1].bytes
-            self.received_bytes += len(payload)
-            envelope = self._decode_envelope(
-                payload, self._authenticated_host(frames[1])
-            )
-            if envelope is None:
-                continue
-            self._tasks.start(
-                self._handle_request(frames[0].bytes, envelope), fatal=False
-            )
+    def _on_reply(self, host: ids.HostId, frame: bytes) -> None:
+        self.received_bytes += len(frame)
+        envelope = self._decode_envelope(frame, host)
+        if envelope is None:
+            return
+        future = self._pending.get(envelope.number)
+        if future is None or future.done():
+            return
+        future.set_result(_decompress(envelope.body))
 
-    def _authenticated_host(self, frame: zmq.Frame) -> ids.HostId | None:
+    def _on_request(self, frames: list[bytes | zmq.Frame]) -> None:
+        if len(frames) != 2:
+            logger.warning('message_refused', reason='frame_count')
+            return
+        route, payload = map(bytes, frames)
+        self.received_bytes += len(payload)
+        envelope = self._decode_envelope(
+            payload, self._authenticated_host(frames[1])
+        )
+        if envelope is None:
+            return
+        self._tasks.start(self._handle_request(route, envelope), fatal=False)
+
+    def _authenticated_host(
+        self, frame: bytes | zmq.Frame
+    ) -> ids.HostId | None:
         """Return the host whose key authenticated a frame."""
         if not self._identity.has_keys:
             return None
@@ -315,7 +319,7 @@
         self, frame: bytes, host: ids.HostId | None
     ) -> Envelope | None:
         try:
-            envelope = msgspec.msgpack.decode(frame, type=Envelope)
+            envelope = self._envelope_decoder.decode(frame)
         except msgspec.DecodeError:
             logger.warning('message_refused', reason='malformed', peer=host)
             return None
@@ -359,7 +363,7 @@
             envelope.number, answer, envelope.good_for_ms
         )
         try:
-            await self._router.send_multipart([route, frame], zmq.NOBLOCK)
+            self._router.send_multipart([route, frame])
             self._on_message_sent(sender, answer, frame)
         except zmq.ZMQError:
             logger.info('reply_dropped', peer=sender)
@@ -368,9 +372,9 @@
         """Close all sockets, and drop messages that are still queued."""
         await self._tasks.close()
         for dealer in self._dealers.values():
-            dealer.close(linger=0)
+            dealer.close()
         if self._router is not None:
-            self._router.close(linger=0)
+            self._router.close()
         if self._authenticator is not None:
             self._authenticator.stop()
         self._context.destroy(linger=0)
@@ -381,19 +385,24 @@
 
 
 async def _send_when_connected(
-    dealer: zmq.asyncio.Socket, frame: bytes
+    dealer: sockets.LoopSocket, frame: bytes, answer: asyncio.Future
 ) -> None:
     """Send once the socket is connected; queue nothing until then.
 
-    Polls outside of pyzmq: a pending send or poll in pyzmq blocks every
-    later send on the socket, even with NOBLOCK.
+    :raises TimeoutError: ``answer`` expired before
     """
-    while True:
+    while not answer.done():
         try:
-            await dealer.send(frame, zmq.NOBLOCK)
+            dealer.send(frame)
             return
         except zmq.Again:
-            await asyncio.sleep(CONNECT_POLL_S)
+            await dealer.wait_writable(answer)
+    answer.result()
+
+
+def _expire(answer: asyncio.Future) -> None:
+    if not answer.done():
+        answer.set_exception(TimeoutError())
 
 
 def _compress(body: bytes) -> bytes:
@@ -415,7 +424,7 @@
 
 
 def _set_options(
-    sock: zmq.asyncio.Socket, heartbeat_options: HeartbeatOptions
+    sock: zmq.Socket, heartbeat_options: HeartbeatOptions
 ) -> None:
     sock.setsockopt(zmq.LINGER, 0)
     sock.setsockopt(zmq.SNDHWM, SEND_HIGH_WATER_MARK)
