Take teams' shares ahead of demand, and refuse at once what is over a limit

Cause: a call that found its region's bucket short always waited for a renewal of the shares, a call to the leader in another region, 350 ms at most.

Change: a grant tells what no region holds of the limit. A call is refused at once if that would not make room for it, if the last renewal got no answer, or if the next is expected too late; otherwise it waits for the renewal that runs too, not only for the one after. Shares are renewed before the level runs out, and cover a rise of the demand while much is unallocated. With `admission` enabled owners hold shares in advance (`limits.max_ahead_shares`), so that the first call of a team in a region waits for nobody. The allocator grants as before, so what bounds the sum is unchanged.

--- a/wrenspoke/coordination/limiting/allocator.py
+++ b/wrenspoke/coordination/limiting/allocator.py
@@ -98,7 +98,13 @@
         self._leases[holder] = ShareLease(
             max(share, held), request.wanted, now_ms + LEASE_EXPIRY_MS
         )
-        return limiting.ShareGrant(request.team, share, level_ms)
+        return limiting.ShareGrant(
+            request.team,
+            share,
+            level_ms,
+            max(allocatable - self.allocated, 0.0),
+            self._unallocated_ms,
+        )
 
     def _expire(self, now_ms: int) -> None:
         for holder, lease in list(self._leases.items()):
--- a/wrenspoke/coordination/limiting/team_buckets.py
+++ b/wrenspoke/coordination/limiting/team_buckets.py
@@ -16,8 +16,10 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import ahead_shares
 from wrenspoke.coordination.limiting import allocator
 from wrenspoke.coordination.limiting import bounds
+from wrenspoke.coordination.limiting import renewal_progress
 from wrenspoke.coordination.limiting import token_bucket
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke import ids
@@ -47,6 +49,10 @@
 MAX_WAIT_MS = 350
 # Requested share over demand, so that rising demand is mostly covered.
 HEADROOM = 1.4
+# Weight of the rise of demand between the averages, while the unallocated part
+# of the limit is ample.
+TREND_WEIGHT = 0.5
+AMPLE_UNALLOCATED = 0.2
 # Demand is the higher of a fast and a slow moving average, so that a share
 # grows quickly and shrinks slowly.
 FAST_DECAY_MS = 1_500
@@ -61,8 +67,14 @@
 # distant region.
 LARGEST_CALL_DECAY_MS = 10_000
 LARGEST_CALL_MARGIN = 1.2
+AMPLE_LARGEST_CALL_MARGIN = 1.7
 # A large call must not take most of the limit from other regions.
 MAX_LARGEST_CALL_SHARE = 0.4
+# A share is renewed ahead if the demand would use up the level within this
+# many renewals.
+RENEWALS_AHEAD = 3.0
+# What no host holds may have changed since a grant that is older than this.
+ROOM_EXPIRY_MS = 1_200
 # Demand below this part of the limit counts as none.
 MIN_DEMAND = 1e-4
 
@@ -89,16 +101,22 @@
         return max(self._fast_mean, self._slow_mean)
 
     def desired_share(
-        self, depth_ms: float, now_ms: int, unused: bool
+        self, depth_ms: float, now_ms: int, unused: bool, ample: bool = False
     ) -> float:
         """Return the share that covers the demand.
 
         ``unused`` says that the bucket is nearly full. Only the fast average
-        counts then, so that the share is released soon after a peak.
+        counts then, so that the share is released soon after a peak. While
+        the unallocated part of the limit is ``ample``, the share also covers
+        a rise of the demand.
         """
         highest = self.current(now_ms)
         flow = HEADROOM * (self._fast_mean if unused else highest)
-        largest = LARGEST_CALL_MARGIN * self._largest_ms / max(depth_ms, 1.0)
+        margin = LARGEST_CALL_MARGIN
+        if ample:
+            flow += TREND_WEIGHT * max(self._fast_mean - self._slow_mean, 0.0)
+            margin = AMPLE_LARGEST_CALL_MARGIN
+        largest = margin * self._largest_ms / max(depth_ms, 1.0)
         wanted = max(flow, min(largest, MAX_LARGEST_CALL_SHARE))
         return 0.0 if wanted < MIN_DEMAND else wanted
 
@@ -116,11 +134,36 @@
 
     ``returned_ms`` are tokens to be returned to the leader, and
     ``under_granted`` says that the last grant was less than requested.
+    ``unallocated`` is the part of the limit that no host held at
+    ``granted_ms``, the time of the last grant, ``unallocated_ms`` its tokens.
+    ``ahead_share`` is held in advance while others hold little.
     """
 
     demand: Demand
     returned_ms: float = 0.0
     under_granted: bool = False
+    granted_ms: int | None = None
+    unallocated: float | None = None
+    unallocated_ms: float = 0.0
+    ahead_share: float = 0.0
+
+    def has_no_room(self, amount_ms: float, now_ms: int) -> bool:
+        """Return whether the whole team is known to be over its limit.
+
+        That is, an amount is not available soon even with all tokens that no
+        host holds.
+        """
+        if self.under_granted:
+            return True
+        if self.granted_ms is None or self.unallocated is None:
+            return False
+        age_ms = now_ms - self.granted_ms
+        if age_ms > ROOM_EXPIRY_MS:
+            return False
+        grown_ms = self.unallocated * (age_ms + MAX_WAIT_MS)
+        grown_ms += self.share * MAX_WAIT_MS
+        available_ms = self.level_ms + self.unallocated_ms + grown_ms
+        return amount_ms > available_ms
 
     @property
     def is_nearly_full(self) -> bool:
@@ -132,9 +175,43 @@
 
     def desired_share(self, now_ms: int) -> float:
         """Return the share that covers the demand."""
-        return self.demand.desired_share(
-            self.depth_ms, now_ms, self.is_nearly_full
+        wanted = self.demand.desired_share(
+            self.depth_ms,
+            now_ms,
+            self.is_nearly_full,
+            self.unallocated is not None
+            and self.unallocated >= AMPLE_UNALLOCATED,
         )
+        if self._may_hold_ahead:
+            return max(wanted, self.ahead_share)
+        return wanted
+
+    @property
+    def _may_hold_ahead(self) -> bool:
+        if self.unallocated is None:
+            return True
+        held_by_others = 1.0 - self.unallocated - self.share
+        return held_by_others <= ahead_shares.MAX_HELD_BY_OTHERS
+
+    def apply_grant(
+        self,
+        granted: limiting.ShareGrant,
+        wanted: float,
+        asked_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Apply a grant; its lease starts when it was requested."""
+        self.refill(now_ms)
+        self.under_granted = granted.share < wanted
+        self.granted_ms = now_ms
+        self.unallocated = granted.unallocated
+        self.unallocated_ms = granted.unallocated_ms
+        if granted.share < self.share:
+            self.lower_share(granted.share)
+        else:
+            self.share = granted.share
+            self.level_ms += granted.level_ms
+        self.until_ms = asked_ms + allocator.SHARE_LEASE_MS
 
     def lower_share(self, share: float) -> None:
         """Lower the share; the released part of the tokens is returned."""
@@ -159,7 +236,9 @@
         overshoot: bounds.OvershootBounds,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
+        ahead: ahead_shares.AheadShares | None = None,
     ):
+        self._ahead = ahead
         self._limit_of = limit_of
         self._lead = lead
         self._overshoot = overshoot
@@ -169,8 +248,7 @@
         self._numbers = itertools.count(1)
         self._buckets: dict[ids.TeamId, TeamBucket] = {}
         self._renew_now = asyncio.Event()
-        # Resolved when the next renewal that starts has completed.
-        self._renewal: asyncio.Future | None = None
+        self._progress = renewal_progress.RenewalProgress(clock)
         self._last_renewal_ms = 0
         # The leader that has received a report of the shares held here.
         self._reported_lead: discovery_client.LeaderInfo | None = None
@@ -206,9 +284,10 @@
         bucket = self._team_bucket(team, limit)
         bucket.demand.record(amount_ms, self._clock.mono_ms())
         granted = self._try_take(bucket, amount_ms)
-        if not granted.granted and not bucket.under_granted:
-            await self._await_renewal()
-            granted = self._try_take(bucket, amount_ms)
+        if granted.granted:
+            self._renew_ahead(bucket)
+        elif not bucket.under_granted:
+            granted = await self._take_after_renewal(bucket, amount_ms)
         if not granted.granted:
             logger.info(
                 'over_limit',
@@ -220,6 +299,62 @@
             )
         return granted
 
+    def _renew_ahead(self, bucket: TeamBucket) -> None:
+        """Renew the shares if a bucket would be empty before it is renewed."""
+        now_ms = self._clock.mono_ms()
+        if bucket.under_granted or self._progress.is_running:
+            return
+        net = bucket.demand.current(now_ms) - bucket.share
+        ahead_ms = RENEWALS_AHEAD * self._progress.remaining_ms()
+        if bucket.level_ms >= net * ahead_ms:
+            return
+        if bucket.desired_share(now_ms) > INCREASE_THRESHOLD * bucket.share:
+            self._renew_now.set()
+
+    async def _take_after_renewal(
+        self, bucket: TeamBucket, amount_ms: float
+    ) -> limiting.AskAmountReply:
+        """Renew the shares, and admit a call for which that made room.
+
+        A call waits only for renewals that can make room for it, and that
+        are expected to end within MAX_WAIT_MS; at most for one that started
+        after the call.
+        """
+        end_ms = self._clock.mono_ms() + MAX_WAIT_MS
+        last_number = self._progress.started_count + 1
+        self._renew_now.set()
+        while self._progress.ended_count < last_number:
+            now_ms = self._clock.mono_ms()
+            if self._progress.is_failing:
+                break
+            if bucket.has_no_room(amount_ms, now_ms):
+                break
+            if self._progress.remaining_ms() > end_ms - now_ms:
+                break
+            if not await self._progress.wait_for_end(end_ms - now_ms):
+                break
+            granted = self._try_take(bucket, amount_ms)
+            if granted.granted:
+                return granted
+        return self._retry_after_renewal(bucket, amount_ms)
+
+    def _retry_after_renewal(
+        self, bucket: TeamBucket, amount_ms: float
+    ) -> limiting.AskAmountReply:
+        """Refuse a call, until a renewal may have made room for it."""
+        refused = self._try_take(bucket, amount_ms)
+        now_ms = self._clock.mono_ms()
+        if (
+            refused.granted
+            or self._progress.is_failing
+            or bucket.has_no_room(amount_ms, now_ms)
+        ):
+            return refused
+        renewed_ms = RENEW_INTERVAL_MS + self._progress.remaining_ms()
+        return limiting.AskAmountReply(
+            False, math.ceil(min(refused.wait_ms, renewed_ms))
+        )
+
     def _team_bucket(
         self, team: ids.TeamId, limit: teams.TeamLimit
     ) -> TeamBucket:
@@ -256,17 +391,6 @@
             return limiting.AskAmountReply(True, math.ceil(wait_ms))
         return limiting.AskAmountReply(False, math.ceil(wait_ms))
 
-    async def _await_renewal(self) -> None:
-        """Renew the shares immediately, and wait up to MAX_WAIT_MS for it."""
-        if self._renewal is None:
-            self._renewal = asyncio.get_running_loop().create_future()
-        self._renew_now.set()
-        try:
-            async with clocks.timeout_ms(MAX_WAIT_MS):
-                await asyncio.shield(self._renewal)
-        except TimeoutError:
-            return
-
     async def _run(self) -> None:
         while True:
             reported = self._lead() == self._reported_lead
@@ -279,12 +403,11 @@
                 pass
             urgent = self._renew_now.is_set()
             self._renew_now.clear()
-            renewal, self._renewal = self._renewal, None
-            await self._renew_shares(urgent)
-            if renewal is not None and not renewal.done():
-                renewal.set_result(None)
+            self._progress.begin()
+            # Calls that wait run after the grants were applied.
+            self._progress.end(await self._renew_shares(urgent))
 
-    async def _renew_shares(self, urgent: bool) -> None:
+    async def _renew_shares(self, urgent: bool) -> renewal_progress.Outcome:
         """Request shares from the leader for all teams with a bucket here.
 
         Requests are less frequent while no share changes. A new leader gets a
@@ -293,17 +416,35 @@
         asked_ms = self._clock.mono_ms()
         lead = self._lead()
         if lead is None:
-            return
+            return renewal_progress.Outcome.FAILED
+        self._update_ahead_shares()
         reported = lead == self._reported_lead
         is_recent = (
             not urgent
             and asked_ms - self._last_renewal_ms < STABLE_INTERVAL_MS
         )
         if reported and is_recent and not self._needs_renewal(asked_ms):
-            return
+            return renewal_progress.Outcome.UNNEEDED
         requests = self._share_requests(asked_ms)
         if reported and not requests:
-            return
+            return renewal_progress.Outcome.UNNEEDED
+        answer = await self._ask_shares(lead, requests)
+        if answer is None:
+            return renewal_progress.Outcome.FAILED
+        self._reported_lead = lead
+        self._last_renewal_ms = asked_ms
+        self._settled_ms = self._clock.mono_ms() + answer.unsettled_ms
+        wanted = {asked.team: asked.wanted for asked in requests}
+        for granted in answer.granted:
+            self._apply_grant(granted, wanted[granted.team], asked_ms)
+        return renewal_progress.Outcome.ANSWERED
+
+    async def _ask_shares(
+        self,
+        lead: discovery_client.LeaderInfo,
+        requests: list[limiting.ShareRequest],
+    ) -> limiting.AskSharesReply | None:
+        """Return the leader's answer, None if there was none."""
         try:
             answer = await self._peers.call(
                 lead.via_host,
@@ -314,16 +455,24 @@
             logger.info(
                 'share_request_failed', peer=lead.via_host, reason=str(error)
             )
-            return
+            return None
         if not isinstance(answer, limiting.AskSharesReply):
             logger.info('share_request_refused', peer=lead.via_host)
+            return None
+        return answer
+
+    def _update_ahead_shares(self) -> None:
+        """Mark the buckets that hold a share in advance."""
+        if self._ahead is None:
             return
-        self._reported_lead = lead
-        self._last_renewal_ms = asked_ms
-        self._settled_ms = self._clock.mono_ms() + answer.unsettled_ms
-        wanted = {asked.team: asked.wanted for asked in requests}
-        for granted in answer.granted:
-            self._apply_grant(granted, wanted[granted.team], asked_ms)
+        owned = set(self._ahead.owned_teams())
+        for team, bucket in self._buckets.items():
+            bucket.ahead_share = self._ahead.share if team in owned else 0.0
+        for team in owned - set(self._buckets):
+            limit = self._limit_of(team)
+            if limit is not None:
+                bucket = self._team_bucket(team, limit)
+                bucket.ahead_share = self._ahead.share
 
     def _needs_renewal(self, now_ms: int) -> bool:
         """Return whether any share differs enough from the desired one."""
@@ -346,7 +495,7 @@
             bucket.depth_ms = self._overshoot.depth_ms(limit)
             bucket.refill(now_ms)
             wanted = bucket.desired_share(now_ms)
-            if not wanted and not bucket.share:
+            if not wanted and not bucket.share and not bucket.ahead_share:
                 del self._buckets[team]
                 continue
             if wanted < DECREASE_THRESHOLD * bucket.share:
@@ -369,11 +518,4 @@
         bucket = self._buckets.get(granted.team)
         if bucket is None:
             return
-        bucket.refill(self._clock.mono_ms())
-        bucket.under_granted = granted.share < wanted
-        if granted.share < bucket.share:
-            bucket.lower_share(granted.share)
-        else:
-            bucket.share = granted.share
-            bucket.level_ms += granted.level_ms
-        bucket.until_ms = asked_ms + allocator.SHARE_LEASE_MS
+        bucket.apply_grant(granted, wanted, asked_ms, self._clock.mono_ms())
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -9,6 +9,7 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.limiting import ahead_shares
 from wrenspoke.coordination.limiting import bounds
 from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.limiting import limiter
@@ -219,12 +220,22 @@
         overshoot = bounds.OvershootBounds(
             node.limits.window_ms, node.limits.share, node.limits.fixed
         )
+        ahead = None
+        if node.admission.enabled:
+            ahead = ahead_shares.AheadShares(
+                node.host,
+                len(set(node.regions.values())),
+                node.limits.max_ahead_shares,
+                self._pollers.rendezvous_order,
+                lambda: self.replica.current.routes.teams,
+            )
         self._team_buckets = team_buckets.TeamBuckets(
             self._access.limit_of,
             lambda: self.discovery.leader,
             overshoot,
             self.peers,
             self.clock,
+            ahead,
         )
         self._limiter = limiter.Limiter(
             node.host,
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -112,12 +112,15 @@
     """Bounds how far teams may exceed their limits, over all hosts.
 
     In any window: ``share`` of what a limit allows in it, plus ``fixed``.
-    Higher bounds let larger calls start without waiting for tokens.
+    Higher bounds let larger calls start without waiting for tokens. With
+    ``admission`` enabled, regions hold shares of limits in advance, for all
+    teams, if these are at most ``max_ahead_shares`` over all regions.
     """
 
     window_ms: Positive = 8_000
     share: Amount = 0.1
     fixed: Amount = 0
+    max_ahead_shares: Losses = 300
 
 
 class AdmissionSettings(_Section):
--- a/wrenspoke/protocol/limiting.py
+++ b/wrenspoke/protocol/limiting.py
@@ -22,11 +22,17 @@
 
 
 class ShareGrant(msgspec.Struct, array_like=True, frozen=True):
-    """Granted share of a team's limit, with the tokens of that share."""
+    """Granted share of a team's limit, with the tokens of that share.
+
+    ``unallocated`` is the part of the limit that no host holds after this
+    grant, ``unallocated_ms`` its tokens; None from older hosts.
+    """
 
     team: ids.TeamId
     share: float
     level_ms: float = 0.0
+    unallocated: float | None = None
+    unallocated_ms: float = 0.0
 
 
 class AskShares(msgspec.Struct, tag='ask_shares'):
