Parse a host's settings with what the platform tells, also from text

Cause: eight tests of the template failed: it has a part now that only the adapter reads, and they gave it to the product's parser. A deployment that tells no contracts or limits would have been refused.

Change: node_settings.parse beside read, null for what is not told; the tests of the template use it, and check what the new part enables.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -25,6 +25,7 @@
 
 from adapter import control  # noqa: E402
 from adapter import header_names  # noqa: E402
+from adapter import node_settings  # noqa: E402
 from adapter import registrations  # noqa: E402
 from adapter import reports  # noqa: E402
 from adapter import routes as decoder  # noqa: E402
@@ -451,6 +452,8 @@
     'seeds': ['10.1.0.38:8146'],
     'bootstrap': True,
     'tolerate': {'machines': 1},
+    'contracts': ['base', 'engine', 'pool'],
+    'limits': {'memoryMb': 200, 'linkMbps': 5.0, 'cpuShare': 0.5, 'cores': 1},
     'bounds': {
         'graceS': 8,
         'retryBudgetRatio': 0.2,
@@ -498,18 +501,21 @@
 
 @pytest.mark.parametrize('role', [ENTRY, CONTROL])
 def test_template_gives_settings_that_are_whole(role):
-    node = settings.parse(filled({**GIVEN, **role}))
+    node = node_settings.parse(filled({**GIVEN, **role}))
     assert node.host == '10.1.0.35:7660'
     assert node.seed_hosts == ['10.1.0.38:7660']
     assert node.control.voters_limit == 3
     assert node.retries.window_ms == 10_000
     assert node.entry.grace_ms == 8_000
+    assert node.resources.memory_bytes == 200_000_000
+    assert node.admission.enabled
+    assert not node.buffering.enabled
     assert (node.data_folder is None) == (role is ENTRY)
 
 
 def test_budgets_fixed_number_may_be_a_fraction():
     bounds = {**GIVEN['bounds'], 'retrySlack': 4.7}
-    node = settings.parse(filled({**GIVEN, **ENTRY, 'bounds': bounds}))
+    node = node_settings.parse(filled({**GIVEN, **ENTRY, 'bounds': bounds}))
     assert node.retries.fixed == 4.7
 
 
@@ -527,7 +533,7 @@
 )
 def test_wrong_settings_are_named(given, problem):
     with pytest.raises(settings.NodeSettingsError, match=problem):
-        settings.parse(filled({**GIVEN, **given}))
+        node_settings.parse(filled({**GIVEN, **given}))
 
 
 @pytest.mark.parametrize('daemon', ['entry', 'control'])
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -56,8 +56,12 @@
     assert node.resources.cores == pytest.approx(0.8)
 
 
-def test_file_without_platform_has_defaults(tmp_path):
-    node = read(tmp_path)
+@pytest.mark.parametrize(
+    'fields',
+    [{}, {'platform': {}}, {'platform': {'contracts': None, 'limits': None}}],
+)
+def test_file_without_platform_has_defaults(tmp_path, fields):
+    node = read(tmp_path, **fields)
     assert not node.admission.enabled
     assert node.resources == nodes.HostResources()
 
