Learn the speed of engines together in a region

A host that was started again knew nothing.

Estimates use them where balancing is enabled: prefill time, speed factor, and gaps of events beside the streams that run there.

--- /dev/null
+++ b/wrenspoke/coordination/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Balancing of calls over regions and engines by their capacity."""
--- a/wrenspoke/coordination/serving/engine_pace.py
+++ b/wrenspoke/coordination/serving/engine_pace.py
@@ -5,6 +5,7 @@
 this host forwards.
 """
 
+import collections.abc
 import math
 import typing
 
@@ -22,6 +23,8 @@
 # Half-life of the longest gap.
 LONGEST_GAP_HALF_LIFE_MS = 30_000.0
 
+GapCallback = collections.abc.Callable[[ids.EndpointId, float], None]
+
 
 class PaceForecast(typing.NamedTuple):
     """Expected gaps between the events of a stream.
@@ -95,6 +98,11 @@
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
         self._engines: dict[ids.EndpointId, _EnginePace] = {}
+        self._on_gap: GapCallback | None = None
+
+    def set_gap_callback(self, on_gap: GapCallback) -> None:
+        """Call ``on_gap`` with every engine and gap that is recorded."""
+        self._on_gap = on_gap
 
     def now_ms(self) -> int:
         """Return the monotonic time by which gaps are measured."""
@@ -125,14 +133,23 @@
         )
         found.longest_gap_ms = max(decayed_ms, gap_ms)
         found.longest_gap_at_ms = now_ms
+        if self._on_gap is not None:
+            self._on_gap(endpoint, gap_ms)
 
     def forecast(
-        self, endpoint: ids.EndpointId, event_tokens: int
+        self,
+        endpoint: ids.EndpointId,
+        event_tokens: int,
+        usual_ms: float | None = None,
     ) -> PaceForecast:
-        """Return the expected pace of an engine."""
+        """Return the expected pace of an engine.
+
+        ``usual_ms`` is its usual gap where that is known otherwise.
+        """
         found = self._engine_pace(endpoint, event_tokens)
         now_ms = self._clock.mono_ms()
-        usual_ms = found.long_term.value(found.initial_gap_ms, now_ms)
+        if usual_ms is None:
+            usual_ms = found.long_term.value(found.initial_gap_ms, now_ms)
         present_ms = found.short_term.value(usual_ms, now_ms)
         return PaceForecast(usual_ms, max(usual_ms, present_ms))
 
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -9,6 +9,7 @@
 import math
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.balancing import engine_profiles
 from wrenspoke.coordination.membership import engine_loads
 from wrenspoke.coordination.serving import backlog
 from wrenspoke.coordination.serving import engine_pace
@@ -16,6 +17,7 @@
 from wrenspoke.coordination.serving import prefix_index
 from wrenspoke.coordination.serving import sent_call_broadcast
 from wrenspoke import ids
+from wrenspoke.protocol import capacity
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import discovery_messages
 from wrenspoke.state import loads
@@ -27,6 +29,8 @@
 HOLD_WEIGHT = 0.1
 # Transfers of KV cache are queued, and are slower between data centres.
 TRANSFER_WAIT_FACTOR = 2.0
+# Observations of a region's hosts before its engine profiles are used.
+MIN_SAMPLES = 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,15 +63,41 @@
     """Estimates latencies from load reports, sent calls and past responses."""
 
     def __init__(
-        self, engine_loads: engine_loads.EngineLoads, clock: clocks.Clock
+        self,
+        engine_loads: engine_loads.EngineLoads,
+        clock: clocks.Clock,
+        profiles: engine_profiles.EngineProfiles | None = None,
     ):
+        """Create it; with ``profiles`` the region's hosts learn together."""
         self._engine_loads = engine_loads
+        self._profiles = profiles
         self._clock = clock
         self.prefixes = prefix_index.PrefixIndex()
         self.backlog = backlog.Backlog(clock)
         self.pace = engine_pace.PaceTracker(clock)
         self._models: dict[ids.ServiceId, prefill_model.PrefillModel] = {}
         self._hold_ms: dict[ids.ServiceId, float] = {}
+        if profiles is not None:
+            profiles.subscribe(self._adopt_profile)
+            self.pace.set_gap_callback(self._observe_gap)
+
+    def _adopt_profile(
+        self,
+        service: ids.ServiceId,
+        profile: capacity.EngineProfile,
+        factor: float,
+    ) -> None:
+        """Use what the region's hosts have learned of an engine."""
+        model = self.model_for(service)
+        model.start_from(self._profiles.average(service).token_ms)
+        model.set_speed_factor(profile.endpoint, factor)
+
+    def _observe_gap(self, endpoint: ids.EndpointId, gap_ms: float) -> None:
+        load = self._engine_loads.load(endpoint)
+        streams = self.pace.on_time_streams(endpoint)
+        if load is not None:
+            streams = max(load.running, streams)
+        self._profiles.observe_gap(endpoint, gap_ms, streams)
 
     def model_for(self, service: ids.ServiceId) -> prefill_model.PrefillModel:
         """Return the prefill model of a service's engines."""
@@ -121,7 +151,9 @@
             can_start = fits and load.running < service.batch.slots
         event_tokens = service.batch.event_tokens
         events = math.ceil(call.tokens_expected / event_tokens)
-        pace_ahead = self.pace.forecast(said.endpoint, event_tokens)
+        pace_ahead = self.pace.forecast(
+            said.endpoint, event_tokens, self._event_ms(said, load)
+        )
         prefill_ms = uncached * token_ms
         busy_ms = queued * token_ms + prefill_ms
         return Estimate(
@@ -183,9 +215,29 @@
         self, endpoint: ids.EndpointId, service: ids.ServiceId
     ) -> float:
         """Return an engine's prefill time for a token."""
+        if self._has_profiles(service):
+            return self._profiles.profile(endpoint).token_ms
         model = self.model_for(service)
         return model.token_ms * model.speed_factor(endpoint)
 
+    def _has_profiles(self, service: ids.ServiceId) -> bool:
+        """Return whether the region has learned of a service's engines."""
+        if self._profiles is None:
+            return False
+        return self._profiles.average(service).samples >= MIN_SAMPLES
+
+    def _event_ms(
+        self, said: registry.Registration, load: loads.EngineLoad | None
+    ) -> float | None:
+        """Return the usual gap between events beside an engine's streams."""
+        if not self._has_profiles(said.service):
+            return None
+        found = self._profiles.profile(said.endpoint)
+        streams = self.pace.on_time_streams(said.endpoint)
+        if load is not None:
+            streams = max(load.running, streams)
+        return found.event_ms + found.event_ms_per_stream * streams
+
     def record_peer_sent(
         self, sent: discovery_messages.SentCall, service: routes.RoutedService
     ) -> None:
@@ -226,6 +278,12 @@
         self.backlog.record_first_piece(
             endpoint, self._clock.mono_ms() - took_ms
         )
+        if self._profiles is not None:
+            self._profiles.observe_prompt(
+                endpoint,
+                estimate.uncached_tokens,
+                took_ms - estimate.transfer_ms,
+            )
         self.model_for(service.service).add_sample(
             endpoint,
             estimate.uncached_tokens,
@@ -238,5 +296,7 @@
         self.prefixes.keep_only(endpoints)
         self.backlog.keep_only(endpoints)
         self.pace.keep_only(endpoints)
+        if self._profiles is not None:
+            self._profiles.keep_only(endpoints)
         for model in self._models.values():
             model.keep_only(endpoints)
--- a/wrenspoke/coordination/serving/prefill_model.py
+++ b/wrenspoke/coordination/serving/prefill_model.py
@@ -65,6 +65,7 @@
             MAX_VARIANCE * figure**2 for figure in self._coefficients
         ]
         self._factors: dict[ids.EndpointId, float] = {}
+        self._has_samples = False
         self.spread = INITIAL_SPREAD
 
     @property
@@ -96,6 +97,7 @@
         took_ms: float,
     ) -> None:
         """Update the model with the actual time to a first piece."""
+        self._has_samples = True
         inputs = _inputs(uncached, queued)
         expected_ms = max(self._pooled_ms(inputs), MIN_MS)
         ratio = max(took_ms, MIN_MS) / expected_ms
@@ -106,6 +108,21 @@
         )
         self._update_factor(endpoint, log_error)
 
+    def start_from(self, token_ms: float) -> None:
+        """Start from a time per token that other hosts have learned.
+
+        It is ignored once the model has samples of its own.
+        """
+        if not self._has_samples:
+            self._coefficients[1:] = [token_ms * SCALE_TOKENS] * 2
+
+    def set_speed_factor(
+        self, endpoint: ids.EndpointId, factor: float
+    ) -> None:
+        """Set an engine's factor to one that other hosts have learned."""
+        bounded = min(max(math.log(factor), -FACTOR_BOUND), FACTOR_BOUND)
+        self._factors[endpoint] = bounded
+
     def _update_factor(
         self, endpoint: ids.EndpointId, log_error: float
     ) -> None:
--- a/wrenspoke/coordination/serving/sent_call_broadcast.py
+++ b/wrenspoke/coordination/serving/sent_call_broadcast.py
@@ -16,8 +16,10 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.balancing import engine_profiles
 from wrenspoke.coordination.membership import region_pollers
 from wrenspoke import ids
+from wrenspoke.protocol import capacity
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import discovery_messages
 from wrenspoke.protocol import peers as peer_calls
@@ -35,6 +37,8 @@
 MAX_BROADCAST_INTERVAL_MS = 200
 # Calls queued beyond this number are dropped: they would be sent too late.
 BATCH_LIMIT = 2_000
+# Observations of engines wait for a message with sent calls, but not longer.
+OBSERVATION_DELAY_MS = 400
 
 Listener = collections.abc.Callable[[discovery_messages.SentCall], None]
 
@@ -48,7 +52,9 @@
         pollers: region_pollers.RegionPollers,
         peers: peer_calls.Peers,
         clock: clocks.Clock,
+        profiles: engine_profiles.EngineProfiles | None = None,
     ):
+        self._profiles = profiles
         self._host = host
         self._checksum = host_checksum(host)
         self._pollers = pollers
@@ -72,6 +78,8 @@
         """Start the tasks that send and broadcast calls."""
         self._tasks.start(self._send_own())
         self._tasks.start(self._broadcast_collected())
+        if self._profiles is not None:
+            self._tasks.start(self._report_overdue())
 
     async def close(self) -> None:
         """Stop all tasks."""
@@ -114,19 +122,61 @@
                 collector = self._pollers.collector(item[1].endpoint)
                 by_collector.setdefault(collector, []).append(item)
             for collector, items in by_collector.items():
-                if collector == self._host:
-                    self._enqueue_collected(items)
-                    continue
-                message = discovery_messages.ReportSentCalls(
-                    self._with_ages(items)
-                )
-                await self._peers.send_oneway(ids.HostId(collector), message)
+                await self._send_to_collector(collector, items)
+
+    async def _send_to_collector(
+        self,
+        collector: str,
+        items: list[tuple[int, discovery_messages.SentCall]],
+    ) -> None:
+        """Send calls, and what was observed of the collector's engines."""
+        observed = []
+        if self._profiles is not None:
+            observed = self._profiles.take_observations(
+                lambda endpoint: self._pollers.collector(endpoint) == collector
+            )
+        if collector == self._host:
+            self._enqueue_collected(items)
+            self._collect_observations(observed)
+            return
+        message = discovery_messages.ReportSentCalls(
+            self._with_ages(items), observed
+        )
+        await self._peers.send_oneway(ids.HostId(collector), message)
+
+    async def _report_overdue(self) -> None:
+        """Report observations that no sent call has taken along."""
+        while True:
+            await self._clock.sleep_ms(OBSERVATION_DELAY_MS)
+            for collector in {
+                self._pollers.collector(endpoint)
+                for endpoint in self._profiles.overdue(OBSERVATION_DELAY_MS)
+            }:
+                await self._send_to_collector(collector, [])
+
+    def _collect_observations(
+        self, observed: list[discovery_messages.EngineObservation]
+    ) -> None:
+        if self._profiles is not None:
+            self._profiles.collect(observed)
+
+    def _profiles_due(self) -> list[capacity.EngineProfile]:
+        """Return the profiles that this host has to broadcast now."""
+        if self._profiles is None:
+            return []
+        due = self._profiles.take_due(
+            lambda endpoint: self._pollers.collector(endpoint) == self._host,
+            self._pollers.collectors_count,
+        )
+        self._profiles.announce(due)
+        return due
 
     async def _on_sent_calls(
         self, _sender: ids.HostId, message: discovery_messages.ReportSentCalls
     ) -> None:
         now_ms = self._clock.mono_ms()
         self._notify_listeners(message.calls)
+        self._collect_observations(message.observed)
         self._enqueue_collected(
             [(now_ms - sent.age_ms, sent) for sent in message.calls]
         )
@@ -144,11 +194,14 @@
                 BROADCAST_INTERVAL_MS * count, MAX_BROADCAST_INTERVAL_MS
             )
             await self._clock.sleep_ms(interval_ms)
-            if not self._collected:
+            profiles = self._profiles_due()
+            if not self._collected and not profiles:
                 continue
             items, self._collected = self._collected, []
             await self._pollers.broadcast(
-                discovery_messages.RegionGossip(sent=self._with_ages(items))
+                discovery_messages.RegionGossip(
+                    sent=self._with_ages(items), profiles=profiles
+                )
             )
 
     def _with_ages(
@@ -163,6 +216,8 @@
     def _on_region_message(
         self, message: discovery_messages.RegionGossip
     ) -> None:
+        if self._profiles is not None:
+            self._profiles.merge(message.profiles)
         self._notify_listeners(message.sent)
 
     def _notify_listeners(
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -9,6 +9,7 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.balancing import engine_profiles
 from wrenspoke.coordination.limiting import ahead_shares
 from wrenspoke.coordination.limiting import bounds
 from wrenspoke.coordination.limiting import endpoint_gate
@@ -207,14 +208,25 @@
             dialect,
             self.clock,
         )
-        self._estimator = estimate.Estimator(self._engine_loads, self.clock)
+        self._profiles = None
+        if node.balancing.enabled:
+            self._profiles = engine_profiles.EngineProfiles(
+                self._registration_of, self.clock
+            )
+        self._estimator = estimate.Estimator(
+            self._engine_loads, self.clock, self._profiles
+        )
         self._sent_calls = None
         if (
             feature_flags.FeatureFlag.SENT_CALL_BROADCAST
             not in node.switched_off
         ):
             self._sent_calls = sent_call_broadcast.SentCallBroadcaster(
-                node.host, self._pollers, self.peers, self.clock
+                node.host,
+                self._pollers,
+                self.peers,
+                self.clock,
+                self._profiles,
             )
             self._sent_calls.subscribe(self._on_peer_sent_call)
         self._outcomes = None
@@ -227,6 +239,12 @@
                 self.clock,
             )
 
+    def _registration_of(
+        self, endpoint: ids.EndpointId
+    ) -> registry.Registration | None:
+        entry = self.discovery.registry.entries.get(endpoint)
+        return None if entry is None else entry.registration
+
     def _on_peer_sent_call(self, sent: discovery_messages.SentCall) -> None:
         """Record a call that another host of this region sent to an engine."""
         entry = self.discovery.registry.entries.get(sent.endpoint)
--- a/wrenspoke/protocol/discovery_messages.py
+++ b/wrenspoke/protocol/discovery_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from wrenspoke import ids
+from wrenspoke.protocol import capacity
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
@@ -221,10 +222,33 @@
     own_tokens: int = 0
 
 
+class EngineObservation(msgspec.Struct, array_like=True, frozen=True):
+    """What a host has observed of an engine since its last report.
+
+    ``born_ms`` identifies the instance. ``first_ms`` is the sum of the times
+    to the first piece of ``prompts`` calls, with ``tokens`` uncached tokens
+    in all; ``gaps_ms`` that of ``gaps`` intervals between events, and
+    ``streams`` the sum of the streams that ran there meanwhile.
+    """
+
+    endpoint: ids.EndpointId
+    born_ms: int
+    prompts: int
+    tokens: int
+    first_ms: int
+    gaps: int
+    streams: int
+    gaps_ms: int
+
+
 class ReportSentCalls(msgspec.Struct, tag='tell_sent'):
-    """Report sent calls to the host that collects them."""
+    """Report sent calls to the host that collects them.
+
+    ``observed`` tells how fast engines served earlier ones.
+    """
 
     calls: list[SentCall]
+    observed: list[EngineObservation] = []
 
 
 class EndpointOutcomes(msgspec.Struct, array_like=True, frozen=True):
@@ -252,8 +276,9 @@
     """Gossip to the entry hosts of a region.
 
     Carries engine loads, the state of other regions, the warmup of readmitted
-    endpoints, calls sent to engines, outcomes at endpoints that fail, and
-    what endpoints advertise: limits, backoffs and shutdown. The receiver
+    endpoints, calls sent to engines, outcomes at endpoints that fail,
+    profiles of engines, and what endpoints advertise: limits, backoffs and
+    shutdown. The receiver
     forwards it to the hosts in ``pass_on``.
     """
 
@@ -266,6 +291,7 @@
     backoffs: list[limiting.EndpointBackoff] = []
     leaving: list[limiting.EndpointInstance] = []
     outcomes: list[EndpointOutcomes] = []
+    profiles: list[capacity.EngineProfile] = []
 
 
 class ReportLeaving(msgspec.Struct, tag='endpoint_leaves'):
