Prefer near endpoints, and estimate plain endpoints by their answers

A plain endpoint was estimated by this host's own calls alone, though dozens of hosts share six slots of it.

Change: balancing/distance.py adds 1.5 ms a KB to an endpoint of another data centre, at most 5% of the target. balancing/plain_waits.py learns the time to an answer of each plain endpoint, reacts to refusals at once, and the better of two drawn endpoints is used. Engine profiles learn prefill time from prompts that waited for no others, and follow an engine with a time constant of 0.8 s however many observations there are. All where balancing is enabled.

--- a/tests/test_balancing_profiles.py
+++ b/tests/test_balancing_profiles.py
@@ -65,10 +65,12 @@
             host = self.random.choice(self.hosts)
             tokens = self.random.choice([1_800, 6_600, 12_000])
             speed = self.speeds[name]
-            # Half of the prompts wait for others, and few for long.
-            ahead = self.random.choice([0, 0, 3_000, 20_000])
+            # Half of the prompts wait for others; a quarter unexpectedly.
+            ahead, believed = self.random.choice(
+                [(0, 0), (0, 0), (3_000, 0), (20_000, 20_000)]
+            )
             first_ms = (BASE_MS + (tokens + ahead) * TOKEN_MS) / speed
-            host.observe_prompt(name, tokens, first_ms)
+            host.observe_prompt(name, tokens, believed, first_ms)
             streams = self.random.randrange(5, 40)
             for _event in range(5):
                 gap_ms = (EVENT_MS + STREAM_MS * streams) / speed
--- a/wrenspoke/coordination/balancing/engine_profiles.py
+++ b/wrenspoke/coordination/balancing/engine_profiles.py
@@ -28,9 +28,12 @@
 INITIAL_STREAM_MS = 1.0
 TYPICAL_TOKENS = 1_000.0
 TYPICAL_STREAMS = 10.0
-# Prompts that did not wait for others show how fast an engine computes; gaps
-# between events include what is computed beside them.
-PROMPT_LEVEL = 0.15
+# Some prompts waited for others that this host did not know of; gaps between
+# events include what is computed beside them.
+PROMPT_LEVEL = 0.35
+# A prompt with more tokens ahead of it, as a share of its own, tells how long
+# others take.
+MAX_QUEUED_SHARE = 0.1
 EVENT_LEVEL = 0.5
 # Profiles that the collectors of a region broadcast in a second.
 PROFILES_PER_S = 10
@@ -161,9 +164,18 @@
         return found
 
     def observe_prompt(
-        self, endpoint: ids.EndpointId, tokens: float, first_ms: float
+        self,
+        endpoint: ids.EndpointId,
+        tokens: float,
+        queued: float,
+        first_ms: float,
     ) -> None:
-        """Record the time to a first piece, with so many uncached tokens."""
+        """Record the time to a first piece, with so many uncached tokens.
+
+        ``queued`` tokens of other prompts were expected to be ahead.
+        """
+        if queued > MAX_QUEUED_SHARE * tokens:
+            return
         found = self._observed_of(endpoint)
         if found is None:
             return
@@ -246,23 +258,20 @@
         endpoint = found.endpoint
         models = self._models_of(registered.service)
         self._continue_learning(models, registered)
+        now_ms = self._clock.mono_ms()
         if found.prompts:
             models.prompts.add(
                 endpoint,
                 found.tokens / found.prompts,
                 found.first_ms / found.prompts,
+                now_ms,
             )
         if found.gaps:
-            before = models.events.factors.get(endpoint, 0.0)
             models.events.add(
                 endpoint,
                 found.streams / found.gaps,
                 found.gaps_ms / found.gaps,
-            )
-            # What slows an engine slows its prompts too, but prompts that
-            # wait tell of it late.
-            models.prompts.shift(
-                endpoint, models.events.factors[endpoint] - before
+                now_ms,
             )
         old = self.profile(endpoint)
         event_factor = models.events.factor(endpoint)
--- a/wrenspoke/coordination/balancing/speed_model.py
+++ b/wrenspoke/coordination/balancing/speed_model.py
@@ -14,7 +14,10 @@
 DECAY = 0.995
 # Weight of the initial coefficients, in observations.
 PRIOR_WEIGHT = 2.0
-FACTOR_WEIGHT = 0.15
+# Time constant of an engine's factor, and bounds of one observation's weight.
+FACTOR_TIME_MS = 800.0
+MIN_FACTOR_WEIGHT = 0.02
+MAX_FACTOR_WEIGHT = 0.2
 FACTOR_BOUND = math.log(8.0)
 # Bound of the log error of one observation.
 ERROR_BOUND = 1.0
@@ -36,6 +39,7 @@
         self.constant_ms = constant_ms
         self.slope_ms = slope_ms
         self.factors: dict[ids.EndpointId, float] = {}
+        self._updated_ms: dict[ids.EndpointId, int] = {}
         # Weighted sums of 1, x, x * x, y and x * y, for a size x over the
         # scale and a time y over the engine's factor.
         self._sums = [0.0] * 5
@@ -50,9 +54,13 @@
         return math.exp(self.factors.get(endpoint, 0.0))
 
     def add(
-        self, endpoint: ids.EndpointId, size: float, took_ms: float
+        self,
+        endpoint: ids.EndpointId,
+        size: float,
+        took_ms: float,
+        now_ms: int,
     ) -> None:
-        """Update the model with an observed time."""
+        """Update the model with a time that was observed now."""
         expected_ms = self.expected_ms(endpoint, size)
         error = math.log(max(took_ms, MIN_MS) / expected_ms)
         error = min(max(error, -ERROR_BOUND), ERROR_BOUND)
@@ -65,7 +73,18 @@
             expected_ms * math.exp(error) / factor,
         )
         self._solve()
-        self.shift(endpoint, FACTOR_WEIGHT * weight * error)
+        weight *= self._factor_weight(endpoint, now_ms)
+        self._update_factor(endpoint, weight * error)
+
+    def _factor_weight(self, endpoint: ids.EndpointId, now_ms: int) -> float:
+        """Return the weight of an observation in an engine's factor.
+
+        Engines with many observations are followed no faster than others.
+        """
+        last_ms = self._updated_ms.get(endpoint, 0)
+        self._updated_ms[endpoint] = now_ms
+        weight = 1.0 - math.exp((last_ms - now_ms) / FACTOR_TIME_MS)
+        return min(max(weight, MIN_FACTOR_WEIGHT), MAX_FACTOR_WEIGHT)
 
     def _add_sums(self, weight: float, size: float, value: float) -> None:
         terms = (1.0, size, size * size, value, size * value)
@@ -88,8 +107,8 @@
         self.constant_ms = max(found, MIN_SHARE * constant)
         self.slope_ms = max(found_slope, MIN_SHARE * slope) / self._scale
 
-    def shift(self, endpoint: ids.EndpointId, change: float) -> None:
-        """Change the logarithm of an engine's factor; their mean stays 0."""
+    def _update_factor(self, endpoint: ids.EndpointId, change: float) -> None:
+        """Update an engine's factor; the mean of the logarithms stays 0."""
         factor = self.factors.get(endpoint, 0.0) + change
         self.factors[endpoint] = min(max(factor, -FACTOR_BOUND), FACTOR_BOUND)
         common = sum(self.factors.values()) / len(self.factors)
@@ -99,3 +118,4 @@
     def remove(self, endpoint: ids.EndpointId) -> None:
         """Drop the factor of an engine."""
         self.factors.pop(endpoint, None)
+        self._updated_ms.pop(endpoint, None)
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -322,6 +322,7 @@
             self._record_outcome(
                 destination, endpoint_outcomes.Outcome.REFUSED
             )
+            self._estimator.record_refusal(destination.endpoint)
             return False
         if answer.refused is not None:
             return await self._handle_refusal(context, destination, answer)
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -10,6 +10,7 @@
 import random
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.balancing import distance
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke.coordination.membership import remote_hosts
 from wrenspoke.coordination.membership import replica
@@ -82,7 +83,10 @@
         endpoint_availability: availability.Availability,
         switched_off: collections.abc.Set[feature_flags.FeatureFlag],
         clock: clocks.Clock,
+        distance_cost: distance.DistanceCost | None = None,
     ):
+        """Create it; with ``distance_cost`` near endpoints are preferred."""
+        self._distance_cost = distance_cost
         self._region = region
         self._regions = regions
         self._discovery = discovery
@@ -173,6 +177,12 @@
                 item.can_start_now = False
         for item in estimated:
             item.cost_ms = self._cost_ms(bounds, item)
+            if self._distance_cost is not None:
+                item.cost_ms += self._distance_cost.cost_ms(
+                    item.registered.registration.data_centre,
+                    call,
+                    bounds.target_ms,
+                )
         return min(
             estimated,
             key=lambda item: (item.cost_ms, self._random.random()),
@@ -218,7 +228,10 @@
         if not self._supports_transfer(service):
             holder = None
         estimated = []
-        for found in sampling.sample(candidates, required, self._random):
+        size = sampling.SAMPLE_SIZE
+        if service.batch is None and self._distance_cost is not None:
+            size = sampling.PLAIN_SAMPLE_SIZE
+        for found in sampling.sample(candidates, required, self._random, size):
             name = found.registration.endpoint
             item = EndpointSelection(
                 found,
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -10,6 +10,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.balancing import engine_profiles
+from wrenspoke.coordination.balancing import plain_waits
 from wrenspoke.coordination.membership import engine_loads
 from wrenspoke.coordination.serving import backlog
 from wrenspoke.coordination.serving import engine_pace
@@ -77,7 +78,9 @@
         self.pace = engine_pace.PaceTracker(clock)
         self._models: dict[ids.ServiceId, prefill_model.PrefillModel] = {}
         self._hold_ms: dict[ids.ServiceId, float] = {}
+        self._plain_waits = None
         if profiles is not None:
+            self._plain_waits = plain_waits.PlainWaits(clock)
             profiles.subscribe(self._adopt_profile)
             self.pace.set_gap_callback(self._observe_gap)
 
@@ -125,6 +128,12 @@
         said = found.registration
         if service.batch is None:
             hold_ms = self._hold_ms.get(said.service, INITIAL_HOLD_MS)
+            if self._plain_waits is not None:
+                hold_ms = self._plain_waits.expected_ms(
+                    said.endpoint, said.service
+                )
+                # Other hosts' calls are likely to be there in proportion.
+                hold_ms *= 1.0 + in_flight / said.slots
             waves = (in_flight + 1) / said.slots
             first_ms = hold_ms * max(waves, 1.0)
             return Estimate(first_ms, first_ms)
@@ -271,6 +280,10 @@
     ) -> None:
         """Update the models with the time to a first piece or a response."""
         if service.batch is None:
+            if self._plain_waits is not None:
+                self._plain_waits.record_answer(
+                    endpoint, service.service, took_ms
+                )
             old = self._hold_ms.get(service.service, INITIAL_HOLD_MS)
             change = HOLD_WEIGHT * (took_ms - old)
             self._hold_ms[service.service] = old + change
@@ -282,6 +295,7 @@
             self._profiles.observe_prompt(
                 endpoint,
                 estimate.uncached_tokens,
+                estimate.queued_tokens,
                 took_ms - estimate.transfer_ms,
             )
         self.model_for(service.service).add_sample(
@@ -291,6 +305,11 @@
             took_ms - estimate.transfer_ms,
         )
 
+    def record_refusal(self, endpoint: ids.EndpointId) -> None:
+        """Record that an endpoint refused a call without running it."""
+        if self._plain_waits is not None:
+            self._plain_waits.record_refusal(endpoint)
+
     def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
         """Drop the state of endpoints that are not in ``endpoints``."""
         self.prefixes.keep_only(endpoints)
@@ -298,5 +317,6 @@
         self.pace.keep_only(endpoints)
         if self._profiles is not None:
             self._profiles.keep_only(endpoints)
+            self._plain_waits.keep_only(endpoints)
         for model in self._models.values():
             model.keep_only(endpoints)
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -9,6 +9,7 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.balancing import distance
 from wrenspoke.coordination.balancing import engine_profiles
 from wrenspoke.coordination.limiting import ahead_shares
 from wrenspoke.coordination.limiting import bounds
@@ -379,6 +380,9 @@
             self._available,
             node.switched_off,
             self.clock,
+            distance.DistanceCost(node.data_centre)
+            if node.balancing.enabled
+            else None,
         )
         self.stage_histograms = stage_histograms.StageHistograms(self.clock)
         builds = stream_builds.StreamBuilds(
