Offer the room of all engines of a region, and spend it together

Cause: a region offered the wait at its best engine, and what was forwarded since was divided by the number of its engines, as if they were alike and computed nothing meanwhile. Offers are 400 ms old, and older where pings are lost.

Change: offers carry the sum over the region's engines (ServiceRoom): places, memory, prompt tokens a ms by their profiles, tokens queued, and tokens that arrive from its own callers, by a trend of two averages.

--- a/wrenspoke/coordination/balancing/distance.py
+++ b/wrenspoke/coordination/balancing/distance.py
@@ -9,7 +9,7 @@
 from wrenspoke import ids
 from wrenspoke.protocol import dialect as dialects
 
-KB_COST_MS = 1.5
+KB_COST_MS = 5.0
 MAX_TARGET_SHARE = 0.05
 # Bytes of a streamed token, and of the heads of a request and its response.
 TOKEN_BYTES = 8
--- a/wrenspoke/coordination/balancing/engine_profiles.py
+++ b/wrenspoke/coordination/balancing/engine_profiles.py
@@ -174,7 +174,7 @@
 
         ``queued`` tokens of other prompts were expected to be ahead.
         """
-        if queued > MAX_QUEUED_SHARE * tokens:
+        if tokens <= 0 or queued > MAX_QUEUED_SHARE * tokens:
             return
         found = self._observed_of(endpoint)
         if found is None:
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -11,6 +11,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.balancing import distance
+from wrenspoke.coordination.balancing import region_room
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke.coordination.membership import remote_hosts
 from wrenspoke.coordination.membership import replica
@@ -23,6 +24,7 @@
 from wrenspoke.coordination.serving import sampling
 from wrenspoke import feature_flags
 from wrenspoke import ids
+from wrenspoke.protocol import capacity
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import discovery_messages
 from wrenspoke.protocol import messages
@@ -37,6 +39,8 @@
 # Added where an engine's KV cache or batch is full: roughly the time until
 # one of its streams completes.
 NO_CAPACITY_PENALTY_MS = 500.0
+# How long the sum of a region's room is used.
+ROOM_TTL_MS = 200
 EMPTY_CALL = dialects.Call(ids.RequestId(''), '', '', '', [], 0, 0)
 
 
@@ -98,6 +102,7 @@
         self._switched_off = switched_off
         self._clock = clock
         self._random = random.Random()
+        self._rooms: dict[ids.ServiceId, tuple[int, capacity.ServiceRoom]] = {}
         self._lines: dict[ids.ServiceId, retry_schedule.RetrySchedule] = {}
         self.in_flight: dict[ids.EndpointId, int] = {}
 
@@ -391,6 +396,27 @@
             )
         )
 
+    def room(
+        self, service: routes.RoutedService
+    ) -> capacity.ServiceRoom | None:
+        """Return the room of this region's engines, None if not balanced."""
+        if self._distance_cost is None or service.batch is None:
+            return None
+        now_ms = self._clock.mono_ms()
+        found = self._rooms.get(service.service)
+        if found is not None and now_ms - found[0] < ROOM_TTL_MS:
+            return found[1]
+        endpoints = self._availability.healthy_endpoints(
+            service.service, self._region
+        )
+        room = region_room.sum_up(
+            service.service,
+            [self._estimator.engine_room(one, service) for one in endpoints],
+            self._estimator.arrivals.forecast_per_ms(service.service),
+        )
+        self._rooms[service.service] = (now_ms, room)
+        return room
+
     def build_offers(self) -> list[messages.ServiceOffer]:
         """Return the offers for each service to be sent to other regions."""
         services = self._replica.current.routes.services.values()
@@ -445,6 +471,7 @@
             usual_ms,
             present_ms,
             len(endpoints),
+            self.room(service),
         )
 
     def _in_flight_at(self, found: registry.EndpointEntry) -> int:
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -9,8 +9,10 @@
 import math
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.balancing import arrivals
 from wrenspoke.coordination.balancing import engine_profiles
 from wrenspoke.coordination.balancing import plain_waits
+from wrenspoke.coordination.balancing import region_room
 from wrenspoke.coordination.membership import engine_loads
 from wrenspoke.coordination.serving import backlog
 from wrenspoke.coordination.serving import engine_pace
@@ -79,6 +81,7 @@
         self._models: dict[ids.ServiceId, prefill_model.PrefillModel] = {}
         self._hold_ms: dict[ids.ServiceId, float] = {}
         self._plain_waits = None
+        self.arrivals = arrivals.Arrivals(clock)
         if profiles is not None:
             self._plain_waits = plain_waits.PlainWaits(clock)
             profiles.subscribe(self._adopt_profile)
@@ -194,6 +197,20 @@
             return 0
         return max(service.batch.slots - load.running - load.queued, 0)
 
+    def engine_room(
+        self, found: registry.EndpointEntry, service: routes.RoutedService
+    ) -> region_room.EngineRoom:
+        """Return the room of an engine, by its last load report."""
+        endpoint = found.registration.endpoint
+        load = self._engine_loads.load(endpoint)
+        token_ms = self._token_ms(endpoint, service.service)
+        places, cache_tokens = service.batch.slots, service.batch.cache_tokens
+        if load is not None:
+            places = max(places - load.running - load.queued, 0)
+            cache_tokens = max(load.total_tokens - load.held_tokens, 0)
+        queued = self.backlog.tokens_ahead(endpoint, load, token_ms)
+        return region_room.EngineRoom(places, cache_tokens, token_ms, queued)
+
     def record_sent(
         self,
         endpoint: ids.EndpointId,
@@ -214,6 +231,7 @@
             call.parts,
             call.tokens_expected,
         )
+        self.arrivals.record(service.service, estimate.uncached_tokens)
         return self.backlog.add_prompt(
             endpoint,
             estimate.uncached_tokens,
@@ -253,6 +271,7 @@
         """Record a call that another host of the region sent to an engine."""
         if service.batch is None:
             return
+        self.arrivals.record(service.service, sent.tokens)
         parts = sent_call_broadcast.prompt_parts(sent)
         self.prefixes.record_prompt(
             sent.endpoint, service.batch.cache_tokens, parts, sent.own_tokens
--- a/wrenspoke/coordination/serving/remote_regions.py
+++ b/wrenspoke/coordination/serving/remote_regions.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.balancing import region_room
 from wrenspoke.coordination.membership import host_pinger
 from wrenspoke.coordination.membership import region_views
 from wrenspoke.coordination.membership import remote_hosts
@@ -69,7 +70,10 @@
         clock: clocks.Clock,
         broadcaster: sent_call_broadcast.SentCallBroadcaster | None = None,
         hops: hop_times.HopTimes | None = None,
+        balanced: bool = False,
     ):
+        """Create it; with ``balanced`` offers are spent by their room."""
+        self._spent = region_room.SpentRoom(clock) if balanced else None
         self._hops = hops or hop_times.HopTimes(pinger, region_statuses, clock)
         self._broadcaster = broadcaster
         if broadcaster is not None:
@@ -110,12 +114,14 @@
         found = _offer_of(offers, service.service)
         if found is None:
             return None
-        uncached_ms = found.token_ms * self._uncached_tokens(
-            region, service, call
-        )
-        waiting_ms = found.wait_ms + self._unreported_wait_ms(
-            region, remote, found
-        )
+        tokens = self._uncached_tokens(region, service, call)
+        uncached_ms = found.token_ms * tokens
+        if self._spent is not None and found.room is not None:
+            waiting_ms = self._wait_by_room(region, remote, found, tokens)
+        else:
+            waiting_ms = found.wait_ms + self._unreported_wait_ms(
+                region, remote, found
+            )
         busy_ms, at_ms = self._busy_waits.get(
             (region, service.service), (0.0, 0)
         )
@@ -138,6 +144,22 @@
     ) -> float:
         return (remote.rtt_ms or 0.0) + self._hops.overhead_ms(host.region)
 
+    def _wait_by_room(
+        self,
+        region: ids.RegionId,
+        remote: host_pinger.RemoteState | region_views.RegionView,
+        found: messages.ServiceOffer,
+        tokens: float,
+    ) -> float:
+        """Return the wait in a region, by its room and what was spent."""
+        since_ms = remote.answered_ms - (remote.rtt_ms or 0.0) / 2
+        age_ms = max(self._clock.mono_ms() - since_ms, 0.0)
+        spent = self._spent.since(region, found.service, since_ms)
+        now = region_room.room_now(found.room, spent, age_ms)
+        return region_room.wait_ms(
+            found.wait_ms, found.room, now, spent, tokens
+        )
+
     def relay_offers(
         self, unreachable: list[ids.RegionId]
     ) -> dict[ids.RegionId, list[messages.ServiceOffer]]:
@@ -248,6 +270,8 @@
         forwarded.append((self._clock.mono_ms(), uncached))
         if service.batch is None:
             return
+        if self._spent is not None:
+            self._spent.record_forwarded(region, service.service, uncached)
         name = _cache_key(region, service.service)
         self._prefix_index.record_prompt(
             name, service.batch.cache_tokens, call.parts
@@ -265,6 +289,13 @@
             ids.RegionId(region), collections.deque()
         )
         forwarded.append((self._clock.mono_ms() - sent.age_ms, sent.tokens))
+        if self._spent is not None:
+            self._spent.record_forwarded(
+                ids.RegionId(region),
+                service.service,
+                sent.tokens,
+                sent.age_ms,
+            )
         parts = sent_call_broadcast.prompt_parts(sent)
         self._prefix_index.record_prompt(
             sent.endpoint, service.batch.cache_tokens, parts
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -354,6 +354,7 @@
             self.clock,
             self._sent_calls,
             self._hop_times,
+            node.balancing.enabled,
         )
         self._available = availability.Availability(
             node.region,
--- a/wrenspoke/protocol/capacity.py
+++ b/wrenspoke/protocol/capacity.py
@@ -28,6 +28,8 @@
     ``places`` are batch slots that are free, ``cache_tokens`` tokens of KV
     cache that are free, ``tokens_per_ms`` prompt tokens that the engines
     compute in a millisecond, and ``queued_tokens`` those that wait for it.
+    The region's own callers send ``arriving_per_ms`` of them, which leaves
+    that much less for others.
     """
 
     service: ids.ServiceId
@@ -35,3 +37,4 @@
     cache_tokens: int
     tokens_per_ms: float
     queued_tokens: float
+    arriving_per_ms: float = 0.0
