--- a/tests/test_balancing_profiles.py
+++ b/tests/test_balancing_profiles.py
@@ -1,11 +1,14 @@
 """Engine profiles: learned together, shared, and forgotten with instances."""
 
+import asyncio
 import random
 import types
 
 import pytest
 
+from tests import group
 from tests import test_engine_loads
+from tests import test_sent_calls
 from wrenspoke.coordination.balancing import engine_profiles
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.protocol import capacity
@@ -206,3 +209,42 @@
 def test_messages_of_earlier_hosts_are_understood():
     assert discovery_messages.RegionGossip().profiles == []
     assert discovery_messages.ReportSentCalls([]).observed == []
+
+
+@pytest.mark.parametrize('is_carried, messages', [(True, 30), (False, 6)])
+def test_profiles_alone_take_few_messages(is_carried, messages):
+    region = Region(engines=16)
+    region.serve(3)
+    sent = 0
+    for _step in range(120):
+        region.clock.now_ms += 25
+        due = region.collector.take_due(lambda _name: True, 1, is_carried)
+        sent += bool(due)
+    assert sent <= messages + 1
+
+
+def test_observations_travel_with_sent_calls_to_the_collector():
+    """Of two hosts one collects; both know the same in the end."""
+
+    async def play():
+        fleet = test_sent_calls.Fleet(2)
+        engine = test_engine_loads.registered(0).registration
+        known = []
+        for host in fleet.hosts:
+            known.append(
+                engine_profiles.EngineProfiles(
+                    {'e0': engine}.get, group.LoopClock()
+                )
+            )
+            host.told._profiles = known[-1]
+        for _call in range(60):
+            for host, profiles in zip(fleet.hosts, known):
+                profiles.observe_prompt('e0', 5_000, 0, 120)
+                host.told.publish('e0', 5_000, test_sent_calls.PARTS)
+            await asyncio.sleep(0.05)
+        await fleet.close()
+        one, other = (found.profile('e0') for found in known)
+        assert min(one.samples, other.samples) > 80
+        assert one.token_ms == pytest.approx(other.token_ms, rel=0.1)
+
+    group.run(play())
--- a/wrenspoke/coordination/balancing/engine_profiles.py
+++ b/wrenspoke/coordination/balancing/engine_profiles.py
@@ -37,6 +37,7 @@
 EVENT_LEVEL = 0.5
 # Profiles that the collectors of a region broadcast in a second.
 PROFILES_PER_S = 10
+MIN_TOGETHER = 5
 # An engine's profile is broadcast again at once after such a change of its
 # logarithm, but not more often than at this interval.
 MIN_CHANGE = 0.1
@@ -354,18 +355,20 @@
         self,
         collects: collections.abc.Callable[[ids.EndpointId], bool],
         collectors: int,
+        is_carried: bool = True,
     ) -> list[capacity.EngineProfile]:
         """Return the profiles to broadcast now.
 
         ``collects`` returns whether this host collects for an engine,
-        ``collectors`` is the number of the region's collecting hosts.
+        ``collectors`` is the number of the region's collecting hosts. Without
+        a message that is sent anyway, several profiles go together.
         """
         now_ms = self._clock.mono_ms()
         rate_per_ms = PROFILES_PER_S / MS_PER_S / max(collectors, 1)
         earned = (now_ms - self._credit_ms) * rate_per_ms
         self._credit = min(self._credit + earned, PROFILES_PER_S)
         self._credit_ms = now_ms
-        if self._credit < 1.0:
+        if self._credit < (1.0 if is_carried else MIN_TOGETHER):
             return []
         due = [
             held
--- a/wrenspoke/coordination/serving/sent_call_broadcast.py
+++ b/wrenspoke/coordination/serving/sent_call_broadcast.py
@@ -167,6 +167,7 @@
         due = self._profiles.take_due(
             lambda endpoint: self._pollers.collector(endpoint) == self._host,
             self._pollers.collectors_count,
+            bool(self._collected),
         )
         self._profiles.announce(due)
         return due
