Let broadcasts enter each other data centre of a region once

Change: where balancing is enabled, the hosts of another data centre are one relay group (16 hosts at most), and take turns to relay.

--- a/wrenspoke/coordination/membership/region_pollers.py
+++ b/wrenspoke/coordination/membership/region_pollers.py
@@ -7,7 +7,9 @@
 """
 
 import collections.abc
+import itertools
 import math
+import random
 import typing
 
 import msgspec
@@ -21,6 +23,8 @@
 ENGINES_PER_POLLER = 16
 # Polling must go on when one poller fails.
 MIN_POLLERS = 2
+# Hosts of another data centre that one message is relayed to.
+FAR_GROUP_SIZE = 16
 Listener = collections.abc.Callable[[discovery_messages.RegionGossip], None]
 
 
@@ -52,7 +56,15 @@
         host: ids.HostId,
         host_roster: RosterView,
         peers: peer_calls.Peers,
+        data_centre: ids.DataCentreId | None = None,
     ):
+        """Create it.
+
+        With ``data_centre``, this host's, broadcasts enter each other data
+        centre once, and the hosts there take turns to relay them.
+        """
+        self._data_centre = data_centre
+        self._random = random.Random()
         self._region = region
         self._host = host
         self._roster = host_roster
@@ -150,11 +162,26 @@
             for record in self._usable_hosts()
             if record.host != self._host
         )
-        for relay_group in relay_groups(
-            [host for _data_centre, host in others]
-        ):
+        for relay_group in self._relay_groups(others):
             await self._send_to_group(message, relay_group)
 
+    def _relay_groups(
+        self, others: list[tuple[ids.DataCentreId, ids.HostId]]
+    ) -> list[list[ids.HostId]]:
+        if self._data_centre is None:
+            return relay_groups([host for _data_centre, host in others])
+        groups = []
+        for data_centre, found in itertools.groupby(
+            others, key=lambda item: item[0]
+        ):
+            hosts = [host for _data_centre, host in found]
+            if data_centre == self._data_centre:
+                groups += relay_groups(hosts)
+                continue
+            first = self._random.randrange(len(hosts))
+            groups += far_groups(hosts[first:] + hosts[:first])
+        return groups
+
     async def _send_to_group(
         self,
         message: discovery_messages.RegionGossip,
@@ -187,3 +214,11 @@
         hosts[began : began + length]
         for began in range(0, len(hosts), max(length, 1))
     ]
+
+
+def far_groups(hosts: list[ids.HostId]) -> list[list[ids.HostId]]:
+    """Split the hosts of another data centre into as few groups as allowed."""
+    return [
+        hosts[began : began + FAR_GROUP_SIZE]
+        for began in range(0, len(hosts), FAR_GROUP_SIZE)
+    ]
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -115,7 +115,11 @@
         )
         self._views = region_views.RegionViews(self.clock)
         self._pollers = region_pollers.RegionPollers(
-            node.region, node.host, self.discovery.roster, self.peers
+            node.region,
+            node.host,
+            self.discovery.roster,
+            self.peers,
+            node.data_centre if node.balancing.enabled else None,
         )
         self._remote_hosts = remote_hosts.RemoteHosts(
             node.host,
