--- a/wrenspoke/protocol/discovery_messages.py
+++ b/wrenspoke/protocol/discovery_messages.py
@@ -278,8 +278,7 @@
     Carries engine loads, the state of other regions, the warmup of readmitted
     endpoints, calls sent to engines, outcomes at endpoints that fail,
     profiles of engines, and what endpoints advertise: limits, backoffs and
-    shutdown. The receiver
-    forwards it to the hosts in ``pass_on``.
+    shutdown. The receiver forwards it to the hosts in ``pass_on``.
     """
 
     loads: list[EngineLoad] = []
