Tell the pace of an offer's engine by its profile, refresh profiles more seldom

Cause: an offer told the pace of an engine that the host may never have used.

Change: offers use the profile; unchanged profiles are refreshed after 1.5 s, and ten go together where no sent calls take them along.

Result: tests/test_balancing_nodes.py: a host knows an engine that it never used, an offer tells the room, and is as before where balancing is off.

--- a/wrenspoke/coordination/balancing/engine_profiles.py
+++ b/wrenspoke/coordination/balancing/engine_profiles.py
@@ -37,11 +37,13 @@
 EVENT_LEVEL = 0.5
 # Profiles that the collectors of a region broadcast in a second.
 PROFILES_PER_S = 10
-MIN_TOGETHER = 5
+MIN_TOGETHER = 10
 # An engine's profile is broadcast again at once after such a change of its
 # logarithm, but not more often than at this interval.
 MIN_CHANGE = 0.1
 MIN_INTERVAL_MS = 400
+# Unchanged profiles are broadcast again for hosts that have just started.
+REFRESH_MS = 1_500
 # A log line tells of an engine whose speed changes by so much.
 LOGGED_CHANGE = math.log(1.5)
 # Engines of one host with observations that wait to be reported.
@@ -373,7 +375,7 @@
         due = [
             held
             for endpoint, held in self._held.items()
-            if collects(endpoint) and now_ms - held.told_ms >= MIN_INTERVAL_MS
+            if collects(endpoint) and _is_due(held, now_ms)
         ]
         due.sort(key=lambda held: (not _is_changed(held), held.told_ms))
         chosen = due[: int(self._credit)]
@@ -451,6 +453,13 @@
     return math.exp(sum(map(math.log, values)) / len(values))
 
 
+def _is_due(held: _Held, now_ms: int) -> bool:
+    since_ms = now_ms - held.told_ms
+    return since_ms >= REFRESH_MS or (
+        since_ms >= MIN_INTERVAL_MS and _is_changed(held)
+    )
+
+
 def _is_changed(held: _Held) -> bool:
     """Return whether a profile differs from what was broadcast last."""
     if held.told is None:
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -439,10 +439,10 @@
             if not self._availability.advertises_limit(one)
         ]
         endpoints = unlimited or endpoints
-        name, best = min(
+        engine, best = min(
             (
                 (
-                    one.registration.endpoint,
+                    one,
                     self._estimator.estimate(
                         one,
                         service,
@@ -461,9 +461,7 @@
         token_ms = usual_ms = present_ms = 0.0
         if service.batch is not None:
             token_ms = self._estimator.model_for(service.service).token_ms
-            usual_ms, present_ms = self._estimator.pace.forecast(
-                name, service.batch.event_tokens
-            )
+            usual_ms, present_ms = self._estimator.forecast(engine, service)
         return messages.ServiceOffer(
             service.service,
             wait_ms,
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -163,9 +163,7 @@
             can_start = fits and load.running < service.batch.slots
         event_tokens = service.batch.event_tokens
         events = math.ceil(call.tokens_expected / event_tokens)
-        pace_ahead = self.pace.forecast(
-            said.endpoint, event_tokens, self._event_ms(said, load)
-        )
+        pace_ahead = self.forecast(found, service)
         prefill_ms = uncached * token_ms
         busy_ms = queued * token_ms + prefill_ms
         return Estimate(
@@ -197,6 +195,18 @@
             return 0
         return max(service.batch.slots - load.running - load.queued, 0)
 
+    def forecast(
+        self, found: registry.EndpointEntry, service: routes.RoutedService
+    ) -> engine_pace.PaceForecast:
+        """Return the expected gaps between the events of an engine."""
+        said = found.registration
+        load = self._engine_loads.load(said.endpoint)
+        return self.pace.forecast(
+            said.endpoint,
+            service.batch.event_tokens,
+            self._event_ms(said, load),
+        )
+
     def engine_room(
         self, found: registry.EndpointEntry, service: routes.RoutedService
     ) -> region_room.EngineRoom:
