Remember which host collects for an endpoint

Cause: the collector was found by rendezvous hashing for each sent call, and now for each observed engine as well, over up to 12 collectors in the largest regions.

Change: it is kept until the collecting hosts change.

--- a/tests/test_balancing_broadcasts.py
+++ b/tests/test_balancing_broadcasts.py
@@ -94,3 +94,17 @@
     assert region.told == {
         host: 20 for host in region.made if host not in {'h000', *region.lost}
     }
+
+
+def test_collector_follows_the_engines_and_hosts():
+    """What is cached gives the same as a pollers object that never cached."""
+    region = Region(24, 2)
+    made = region.made['h000']
+    names = [f'e{n}' for n in range(50)]
+    for engines in (16, 48, 160, 48):
+        made.engine_count = engines
+        found = [made.collector(name) for name in names]
+        fresh = Region(24, 2).made['h000']
+        fresh.engine_count = engines
+        assert found == [fresh.collector(name) for name in names]
+        assert len(set(found)) == made.collectors_count
--- a/wrenspoke/coordination/membership/region_pollers.py
+++ b/wrenspoke/coordination/membership/region_pollers.py
@@ -73,6 +73,9 @@
         # ``_revision`` of the roster.
         self._order_cache: dict[str, list[str]] = {}
         self._revision: collections.abc.Hashable = None
+        # Collecting hosts by endpoint, valid for the hosts that collect.
+        self._collector_cache: dict[ids.EndpointId, str] = {}
+        self._collecting: list[str] = []
         self._listeners: list[Listener] = []
         # Engines of the region, as last counted by this host.
         self.engine_count = 0
@@ -107,7 +110,14 @@
         ]
         if len(collecting) == 1:
             return collecting[0]
-        return routing.rendezvous(endpoint, collecting)[0]
+        if self._collecting != collecting:
+            self._collecting = collecting
+            self._collector_cache.clear()
+        found = self._collector_cache.get(endpoint)
+        if found is None:
+            found = routing.rendezvous(endpoint, collecting)[0]
+            self._collector_cache[endpoint] = found
+        return found
 
     def is_poller(self) -> bool:
         """Return whether this host is one of the polling hosts."""
