Log when a region's prompts begin and cease to wait

Cause: operators couldn't see what a region offered to others.

Change: hosts that answer pings log region_busy at a mean wait of 300 ms over the region's engines, and region_at_ease below 100 ms.

Result: tests/test_balancing_regions.py.

--- a/tests/test_balancing_regions.py
+++ b/tests/test_balancing_regions.py
@@ -10,6 +10,7 @@
 import types
 
 import pytest
+import structlog
 
 from wrenspoke.coordination.balancing import arrivals
 from wrenspoke.coordination.balancing import region_room
@@ -364,3 +365,16 @@
     assert forecasts[299] == pytest.approx(10.0, rel=0.1)
     assert forecasts[340] > 25.0
     assert max(forecasts) <= 1.5 * 30.0 + 1.0
+
+
+def test_busy_region_is_logged_once_until_it_is_at_ease():
+    watch = region_room.BusyLog()
+    with structlog.testing.capture_logs() as logs:
+        for queued in (0, 40_000, 20_000, 40_000, 5_000, 40_000):
+            watch.record(capacity.ServiceRoom('s', 9, 9, 100.0, queued, 50.0))
+    assert [line['event'] for line in logs] == [
+        'region_busy',
+        'region_at_ease',
+        'region_busy',
+    ]
+    assert logs[0]['mean_wait_ms'] == 400
--- a/wrenspoke/coordination/balancing/region_room.py
+++ b/wrenspoke/coordination/balancing/region_room.py
@@ -9,10 +9,17 @@
 import collections.abc
 import dataclasses
 
+import structlog
+
 from wrenspoke import clock as clocks
 from wrenspoke import ids
 from wrenspoke.protocol import capacity
 
+logger = structlog.get_logger(__name__)
+
+# A region is busy from the first mean wait on, until the second.
+BUSY_MS = 300.0
+AT_EASE_MS = 100.0
 # Added where no place or no memory is left: roughly the time until a stream
 # completes.
 NO_ROOM_MS = 500.0
@@ -55,6 +62,35 @@
     )
 
 
+class BusyLog:
+    """Logs when prompts begin and cease to wait for long in a region."""
+
+    def __init__(self):
+        self._busy: set[ids.ServiceId] = set()
+
+    def record(self, room: capacity.ServiceRoom) -> None:
+        """Log a change, by the room of a service's engines."""
+        if room.tokens_per_ms <= 0:
+            return
+        mean_ms = room.queued_tokens / room.tokens_per_ms
+        is_busy = room.service in self._busy
+        if mean_ms >= BUSY_MS and not is_busy:
+            self._busy.add(room.service)
+        elif mean_ms < AT_EASE_MS and is_busy:
+            self._busy.discard(room.service)
+        else:
+            return
+        logger.info(
+            'region_at_ease' if is_busy else 'region_busy',
+            service=room.service,
+            mean_wait_ms=round(mean_ms),
+            queued_tokens=round(room.queued_tokens),
+            tokens_per_ms=round(room.tokens_per_ms, 1),
+            arriving_per_ms=round(room.arriving_per_ms, 1),
+            places=room.places,
+        )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Spent:
     """What was forwarded to a region since its offer was made."""
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -102,6 +102,7 @@
         self._switched_off = switched_off
         self._clock = clock
         self._random = random.Random()
+        self._busy_log = region_room.BusyLog()
         self._rooms: dict[ids.ServiceId, tuple[int, capacity.ServiceRoom]] = {}
         self._lines: dict[ids.ServiceId, retry_schedule.RetrySchedule] = {}
         self.in_flight: dict[ids.EndpointId, int] = {}
@@ -415,6 +416,7 @@
             self._estimator.arrivals.forecast_per_ms(service.service),
         )
         self._rooms[service.service] = (now_ms, room)
+        self._busy_log.record(room)
         return room
 
     def build_offers(self) -> list[messages.ServiceOffer]:
