Take the answer to a forwarded call up over another path when its link is lost

Cause: answers that were whole at the serving host never arrived when the link between two regions was cut, though a third region reached both; a once-only call got a 502 after the kernel's 3 s.

Once that host is silent to pings, the asking host asks for the rest from its last byte through another host or a third region, and reads the first connection on until the rest has begun. A take-up can only read: nothing is sent again. A host that knows nothing answers 410, and what held before holds. On with request_path.enabled.

--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -104,6 +104,9 @@
                     destination,
                     self._left_ms(context),
                     last_event,
+                    lambda: (
+                        context.route.repeatable and not context.reply.started
+                    ),
                 ) as answer:
                     return await self._handle_response(
                         context, destination, answer
@@ -221,7 +224,11 @@
         Other calls wait for a response, which may come once a partition has
         healed.
         """
-        if destination.host is None or not context.route.repeatable:
+        if (
+            destination.host is None
+            or not context.route.repeatable
+            or self._sender.takes_up(context.call, destination)
+        ):
             yield
             return
         try:
@@ -250,6 +257,7 @@
     ) -> None:
         context.cause = cause
         self._record_outcome(destination, endpoint_outcomes.Outcome.FAILED)
+        self._mark(context, call_stages.Stage.LOST)
         if destination.host is None or not destination.answered:
             # After a remote host has started its response, a failure is one
             # of the endpoint behind it and doesn't count against the host.
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -24,10 +24,12 @@
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import endpoint_selector
 from wrenspoke.coordination.serving import response_body
+from wrenspoke.coordination.serving import take_up
 from wrenspoke import ids
 from wrenspoke.protocol import advertised
 from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import discovery_messages
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import numerals
 from wrenspoke.protocol import passthrough_api
@@ -47,6 +49,7 @@
         passthrough_api.RUNS_HEADER,
         passthrough_api.BUILD_HEADER,
         passthrough_api.HELD_HEADER,
+        passthrough_api.TAKEN_UP_HEADER,
     ]
 )
 
@@ -190,6 +193,19 @@
         return passthrough_api.Refusal.GAVE_UP
 
 
+@contextlib.asynccontextmanager
+async def _open_exchange(
+    exchange: take_up.HopExchange | None, sent: take_up.Sending
+) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
+    """Yield the response to a request, of an exchange if there is one."""
+    if exchange is None:
+        async with sent as response:
+            yield response
+        return
+    async with exchange:
+        yield await exchange.send(sent)
+
+
 class Sender:
     """Sends calls to endpoints and hosts, and classifies the responses."""
 
@@ -204,8 +220,10 @@
         gate: endpoint_gate.EndpointGate,
         clock: clocks.Clock,
         times_hops: bool = False,
+        take_ups: take_up.TakeUps | None = None,
     ):
         self._times_hops = times_hops
+        self._take_ups = take_ups
         self._clock = clock
         self._dialect = dialect
         self._access = access_control
@@ -235,19 +253,24 @@
         destination: Destination,
         left_ms: int,
         last_event: str | None,
+        may_run_again: collections.abc.Callable[[], bool] = bool,
     ) -> collections.abc.AsyncIterator[UpstreamResponse]:
         """Send a call once and yield the head of the response.
 
         Leaving the block early closes the connection, which cancels the
-        work of the receiver.
+        work of the receiver. ``may_run_again`` returns whether a call whose
+        answer is lost may be given up on here.
 
         :raises NotSentError: no connection; nothing was sent
         :raises SendAbortedError: no longer allowed; nothing was sent
         :raises MaybeSentError: it may have been run
         """
         may_send = functools.partial(self._may_send, call, permit, destination)
+        token = None
+        if self.takes_up(call, destination):
+            token = ids.new_random_id()
         fields = self._request_fields(
-            call, permit, destination, left_ms, last_event
+            call, permit, destination, left_ms, last_event, token
         )
         body = call.body or None
         client = (
@@ -261,20 +284,29 @@
                 call.fingerprint, destination.endpoint, destination.address
             )
         try:
+            sent = client.send_verbatim(
+                call.method,
+                destination.address,
+                call.target,
+                fields,
+                body,
+                may_send,
+            )
+            exchange = None
+            if token is not None:
+                exchange = self._exchange(
+                    call, permit, destination, token, may_run_again
+                )
             async with (
                 tracked as run,
-                client.send_verbatim(
-                    call.method,
-                    destination.address,
-                    call.target,
-                    fields,
-                    body,
-                    may_send,
-                ) as response,
+                _open_exchange(exchange, sent) as response,
             ):
                 self._record_advertised(call, destination, response)
                 verdict = self._classify_response(call, destination, response)
                 answer = UpstreamResponse(response, verdict, destination)
+                answer.exchange = exchange
+                if exchange is not None and exchange.was_taken_up:
+                    answer.held_ms = None
                 if run is not None:
                     answer.on_first_chunk = functools.partial(
                         self._guard.mark_writing, run
@@ -292,6 +324,36 @@
         except transport_errors.MaybeSentError as error:
             raise errors.MaybeSentError(str(error)) from error
 
+    def takes_up(self, call: dialects.Call, destination: Destination) -> bool:
+        """Return whether the answer of a call is kept where it is served."""
+        return (
+            self._take_ups is not None
+            and destination.host is not None
+            and call.method != 'HEAD'
+        )
+
+    def _exchange(
+        self,
+        call: dialects.Call,
+        permit: access.RoutePermit,
+        destination: Destination,
+        token: str,
+        may_run_again: collections.abc.Callable[[], bool],
+    ) -> take_up.HopExchange:
+        def may_enter(record: discovery_messages.HostRecord) -> bool:
+            regions = (record.region, *destination.regions)
+            return self._access.may_enter_regions(
+                call, permit, record.host, regions
+            )
+
+        return self._take_ups.exchange(
+            destination.host,
+            destination.located_in,
+            token,
+            may_enter,
+            may_run_again,
+        )
+
     def _may_send(
         self,
         call: dialects.Call,
@@ -355,6 +417,7 @@
         destination: Destination,
         left_ms: int,
         last_event: str | None,
+        token: str | None,
     ) -> dialects.Fields:
         dialect = self._dialect
         fields = list(call.fields)
@@ -365,7 +428,7 @@
         fields.append((dialect.deadline_ms, str(max(left_ms, 0))))
         if destination.hop is not None:
             timed = msgspec.structs.replace(
-                destination.hop, timed=self._times_hops
+                destination.hop, timed=self._times_hops, token=token
             )
             hop = msgspec.json.encode(timed).decode()
             fields.append((passthrough_api.HOP_HEADER, hop))
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -42,6 +42,7 @@
 from wrenspoke.coordination.serving import shared_retry_budget
 from wrenspoke.coordination.serving import stage_histograms
 from wrenspoke.coordination.serving import stream_builds
+from wrenspoke.coordination.serving import take_up
 from wrenspoke.coordination.serving import warmup_probe
 from wrenspoke import feature_flags
 from wrenspoke import ids
@@ -49,6 +50,7 @@
 from wrenspoke import node_peers
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import discovery_messages
+from wrenspoke.protocol import kept_answers
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import passthrough_api
@@ -132,6 +134,13 @@
                 node.request_path.spares_limit,
                 self.clock,
             )
+        self._take_ups = None
+        self._kept_answers = None
+        if node.request_path.enabled:
+            self._kept_answers = kept_answers.AnswerStore()
+            self._take_ups = take_up.TakeUps(
+                self._hosts_client, self._pinger, self._remote_hosts
+            )
         self._hop_times = hop_times.HopTimes(
             self._pinger, self._views, self.clock
         )
@@ -390,6 +399,7 @@
                     self._gate,
                     self.clock,
                     node.request_path.enabled,
+                    self._take_ups,
                 ),
                 self.discovery,
                 self._selector,
@@ -422,6 +432,8 @@
                 node.entry.default_deadline_ms,
             ),
             self.clock,
+            self._kept_answers,
+            take_up.TakeUpForwarder(self._hosts_client, self._host_address),
         )
         self.discovery.registry.add_restart_listener(
             self._reset_endpoint_state
@@ -429,6 +441,11 @@
         self._caller_server = self._server(surface.handle_caller)
         self._host_server = self._server(surface.handle_host)
 
+    def _host_address(self, host: ids.HostId) -> str | None:
+        """Return the address that a host takes forwarded calls at."""
+        record = self.discovery.roster.record(host)
+        return None if record is None else record.passing_address
+
     def _server(self, handler: web.Handler) -> web.LowLevelServer:
         entry = self.node.entry
         return web.LowLevelServer(
@@ -502,6 +519,8 @@
         await asyncio.gather(
             self._caller_server.close(), self._host_server.close()
         )
+        if self._kept_answers is not None:
+            await self._kept_answers.close()
         await self._tasks.close()
         await self._team_buckets.close()
         await self._gate.close()
--- a/wrenspoke/protocol/call_stages.py
+++ b/wrenspoke/protocol/call_stages.py
@@ -19,6 +19,7 @@
     PERMITTED = 'permitted'
     CONNECTED = 'connected'
     ANSWERED = 'head_received'
+    LOST = 'lost'
     FIRST_PIECE = 'first_piece'
     ENDED = 'ended'
 
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -4,6 +4,7 @@
 an entry host forwards carry a hop with the routing decision of that host.
 """
 
+import asyncio
 import collections.abc
 import enum
 import typing
@@ -20,6 +21,7 @@
 from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors
+from wrenspoke.protocol import kept_answers
 from wrenspoke.transport import web as transport
 
 logger = structlog.get_logger(__name__)
@@ -33,11 +35,16 @@
 BUILD_HEADER = 'Wrenspoke-Build'
 # Time in ms from a forwarded request's last byte to its response's head.
 HELD_HEADER = 'Wrenspoke-Held-Ms'
+# Asks for the rest of an answer that a host keeps, instead of a hop.
+TAKE_UP_HEADER = 'Wrenspoke-Take-Up'
+# Token of the answer that a response continues.
+TAKEN_UP_HEADER = 'Wrenspoke-Taken-Up'
 EXPECT = 'Expect'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 MS_PER_S = 1000
 # nginx's status for a client that disconnected; it is never sent.
 CLIENT_CLOSED_STATUS = 499
+GONE = 410
 
 
 class Refusal(enum.Enum):
@@ -55,6 +62,7 @@
     QUARANTINED = 'quarantined'
     UNKNOWN_BUILD = 'unknown_build'
     BUILD_GONE = 'build_gone'
+    UNKNOWN_ANSWER = 'unknown_answer'
 
 
 # Refusals by a host that sent nothing to an endpoint: they don't consume the
@@ -82,7 +90,8 @@
     can serve it faster. With ``region`` the receiver forwards it to that
     region, which the first host can't reach. ``build`` began the stream that
     the request resumes; no other build may continue it. With ``timed`` the
-    receiver reports how long it held the request.
+    receiver reports how long it held the request; it keeps the answer by
+    ``token``.
     """
 
     host: ids.HostId
@@ -94,6 +103,7 @@
     region: ids.RegionId | None = None
     build: ids.BuildId | None = None
     timed: bool = False
+    token: str | None = None
 
 
 class PassthroughLimits(msgspec.Struct, frozen=True):
@@ -120,6 +130,7 @@
         self.runs: int | None = None
         self.build: ids.BuildId | None = None
         self.held_ms: collections.abc.Callable[[], int] | None = None
+        self.taken_up: str | None = None
 
     @property
     def started(self) -> bool:
@@ -157,12 +168,8 @@
     ) -> None:
         if self._close:
             response.force_close()
-        if self.runs is not None:
-            response.headers[RUNS_HEADER] = str(self.runs)
-        if self.build is not None:
-            response.headers[BUILD_HEADER] = encode_build(self.build)
-        if self.held_ms is not None:
-            response.headers[HELD_HEADER] = str(self.held_ms())
+        for name, value in self.host_fields():
+            response.headers[name] = value
         self.response = response
         self.status = status
         try:
@@ -170,6 +177,19 @@
         except (ConnectionError, aiohttp.ClientError) as error:
             raise errors.CallerDisconnectedError(repr(error)) from error
 
+    def host_fields(self) -> dialects.Fields:
+        """Return the headers for the host that forwarded the request."""
+        fields = []
+        if self.taken_up is not None:
+            fields.append((TAKEN_UP_HEADER, self.taken_up))
+        if self.runs is not None:
+            fields.append((RUNS_HEADER, str(self.runs)))
+        if self.build is not None:
+            fields.append((BUILD_HEADER, encode_build(self.build)))
+        if self.held_ms is not None:
+            fields.append((HELD_HEADER, str(self.held_ms())))
+        return fields
+
     async def write(self, data: bytes) -> None:
         """Send a chunk of the body.
 
@@ -219,6 +239,68 @@
         await self.send_response(status, fields, body)
 
 
+class KeptReply(Reply):
+    """Response that is kept, and sent by those who read the kept answer."""
+
+    def __init__(self, answer: kept_answers.KeptAnswer):
+        self._answer = answer
+        self.response = None
+        self.status = 0
+        self.runs = None
+        self.build = None
+        self.held_ms = None
+        self.taken_up = None
+
+    @property
+    def started(self) -> bool:
+        """Return whether the response head is there to be sent."""
+        return self._answer.head is not None
+
+    async def send_response(
+        self, status: int, fields: dialects.Fields, body: bytes
+    ) -> None:
+        """Keep a complete response."""
+        self._set_head(status, fields, is_whole=True)
+        if body:
+            await self._answer.append(body)
+        self._answer.end()
+
+    async def send_head(self, status: int, fields: dialects.Fields) -> None:
+        """Keep the head of a response whose body is streamed."""
+        self._set_head(status, fields, is_whole=False)
+
+    def _set_head(
+        self, status: int, fields: dialects.Fields, is_whole: bool
+    ) -> None:
+        self.status = status
+        self._answer.set_head(
+            kept_answers.AnswerHead(
+                status, [*fields, *self.host_fields()], is_whole
+            )
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Keep a chunk of the body."""
+        await self._answer.append(data)
+
+    async def end(self) -> None:
+        """Mark the body as complete."""
+        self._answer.end()
+
+    def abort(self) -> None:
+        """Mark the body as one that will never be complete."""
+        self._answer.fail()
+
+
+class TakeUpForwarder(typing.Protocol):
+    """Passes requests for kept answers on to the hosts that keep them."""
+
+    async def forward(
+        self, take_up: kept_answers.TakeUp, reply: Reply
+    ) -> bool:
+        """Send the rest of an answer; return whether it is complete."""
+
+
 class PassthroughServer(typing.Protocol):
     """Serves the calls that the API has parsed."""
 
@@ -245,7 +327,11 @@
         dialect: dialects.Dialect,
         limits: PassthroughLimits,
         clock: clocks.Clock,
+        answers: kept_answers.AnswerStore | None = None,
+        forwarder: TakeUpForwarder | None = None,
     ):
+        self._answers = answers
+        self._forwarder = forwarder
         self._server = server
         self._limits = limits
         self._reader = dialects.CallReader(dialect, limits.default_deadline_ms)
@@ -268,6 +354,8 @@
     ) -> web.StreamResponse:
         reply = Reply(request, self._server.leaving)
         try:
+            if forwarded and TAKE_UP_HEADER in request.headers:
+                return await self._handle_take_up(request, reply)
             hop = self._parse_hop(request) if forwarded else None
             call = self._reader.read(
                 request.method,
@@ -280,7 +368,7 @@
             call.stages.mark(call_stages.Stage.READ, read_ms)
             if hop is not None and hop.timed:
                 reply.held_ms = lambda: self._clock.mono_ms() - read_ms
-            await self._server.serve(call, reply, hop)
+            await self._serve(call, reply, hop, request)
         except errors.BadRequestError as error:
             logger.info('request_malformed', problem=str(error))
             bad = Reply(request, close=True)
@@ -290,6 +378,107 @@
             logger.info('caller_gone', path=request.raw_path)
         return reply.response or web.Response(status=CLIENT_CLOSED_STATUS)
 
+    async def _serve(
+        self,
+        call: dialects.Call,
+        reply: Reply,
+        hop: Hop | None,
+        request: web.BaseRequest,
+    ) -> None:
+        answer = None
+        if hop is not None and self._answers is not None:
+            answer = self._answers.open(hop.token)
+        if answer is None:
+            await self._server.serve(call, reply, hop)
+            return
+        kept = KeptReply(answer)
+        kept.held_ms = reply.held_ms
+        answer.production = asyncio.create_task(
+            self._produce(call, kept, hop, answer)
+        )
+        await self._deliver(answer, reply, 0, request, abandon_ms=0)
+        if answer.failed:
+            await answer.production
+
+    async def _produce(
+        self,
+        call: dialects.Call,
+        kept: KeptReply,
+        hop: Hop,
+        answer: kept_answers.KeptAnswer,
+    ) -> None:
+        """Serve a call whose answer is kept."""
+        try:
+            await self._server.serve(call, kept, hop)
+        finally:
+            answer.fail()
+
+    async def _deliver(
+        self,
+        answer: kept_answers.KeptAnswer,
+        reply: Reply,
+        offset: int,
+        request: web.BaseRequest,
+        abandon_ms: int,
+    ) -> None:
+        """Send a kept answer from an offset on, until another reader comes.
+
+        :raises CallerDisconnectedError: the host that reads has disconnected
+        """
+        reader = answer.attach(offset)
+        try:
+            await answer.wait(
+                lambda: (
+                    answer.head is not None
+                    or answer.failed
+                    or not answer.is_attached(reader)
+                )
+            )
+            if answer.head is None or not answer.is_attached(reader):
+                transport.abort(request)
+                return
+            await _send_kept(answer, reply, reader)
+        except (asyncio.CancelledError, errors.CallerDisconnectedError):
+            answer.detach(reader, abandon_ms)
+            raise
+
+    async def _handle_take_up(
+        self, request: web.BaseRequest, reply: Reply
+    ) -> web.StreamResponse:
+        """Send the rest of an answer that this or another host keeps."""
+        text = request.headers[TAKE_UP_HEADER]
+        try:
+            take_up = msgspec.json.decode(text, type=kept_answers.TakeUp)
+        except msgspec.DecodeError as error:
+            raise errors.BadRequestError(TAKE_UP_HEADER, str(error)) from error
+        answer = None
+        if self._answers is not None:
+            answer = self._answers.find(take_up.token)
+        if answer is not None and answer.can_read_from(take_up.offset):
+            logger.info(
+                'answer_taken_up',
+                token=take_up.token,
+                offset=take_up.offset,
+                size_bytes=answer.size_bytes,
+                ended=answer.ended,
+            )
+            reply.taken_up = take_up.token
+            await self._deliver(
+                answer,
+                reply,
+                take_up.offset,
+                request,
+                kept_answers.ABANDON_MS,
+            )
+        elif self._forwarder is None or take_up.passed_on:
+            await reply.refuse(GONE, Refusal.UNKNOWN_ANSWER)
+        elif not await self._forwarder.forward(take_up, reply):
+            if not reply.started:
+                await reply.refuse(GONE, Refusal.UNKNOWN_ANSWER)
+            else:
+                transport.abort(request)
+        return reply.response or web.Response(status=CLIENT_CLOSED_STATUS)
+
     def _parse_hop(self, request: web.BaseRequest) -> Hop:
         text = request.headers.get(HOP_HEADER)
         if text is None:
@@ -334,6 +523,30 @@
         return b''.join(chunks)
 
 
+async def _send_kept(
+    answer: kept_answers.KeptAnswer, reply: Reply, reader: object
+) -> None:
+    """Send a kept answer's head, and its body from the reader's offset on."""
+    head = answer.head
+    if head.is_whole:
+        await answer.wait(lambda: answer.ended or answer.failed)
+        body = await answer.next_chunk(reader) or b''
+        if not answer.is_attached(reader) or answer.failed:
+            reply.abort()
+            return
+        await reply.send_response(head.status, head.fields, body)
+        answer.mark_sent(reader, len(body))
+        return
+    await reply.send_head(head.status, head.fields)
+    while (chunk := await answer.next_chunk(reader)) is not None:
+        await reply.write(chunk)
+        answer.mark_sent(reader, len(chunk))
+    if answer.is_complete(reader):
+        await reply.end()
+    else:
+        reply.abort()
+
+
 def encode_build(build: ids.BuildId) -> str:
     """Return the value of ``BUILD_HEADER``; builds may hold any characters."""
     return urllib.parse.quote(build, safe='')
