Take an answer up again when the new path ends, abandon it sooner

A stream that was taken up through a third region was given up on when that region's own link to the serving host ended, though another path may lead there. It is asked for again. A reader that leaves after a take-up has its call cancelled after 0.4 s instead of 2 s, as its caller may have left.

--- a/tests/test_request_path_answers.py
+++ b/tests/test_request_path_answers.py
@@ -101,6 +101,13 @@
         self.is_cut = False
         self.link.heal()
 
+    def ended_take_ups(self, lines):
+        """Return how many times an answer was taken up, by its log."""
+        return sum(
+            line['event'] == 'take_up_ended' and line['taken_up']
+            for line in lines
+        )
+
     async def open(self, line='POST /a/x HTTP/1.1', request_id='q1'):
         """Send a call to the north's host; return the open connection."""
         ip, _, port = self.north.node.callers_address.rpartition(':')
@@ -262,6 +269,32 @@
         assert count('answer_taken_up') == 1
 
 
+async def test_answer_is_taken_up_again_if_the_new_path_ends(
+    tmp_path, monkeypatch
+):
+    kind = routes.RouteKind.STREAM
+    async with deployed(tmp_path, monkeypatch, kind) as made:
+        with structlog.testing.capture_logs() as lines:
+
+            def count():
+                return sum(x['event'] == 'answer_taken_up' for x in lines)
+
+            reader, writer = await made.open()
+            async with asyncio.timeout(nodes.WAIT_S):
+                got = await reader.readuntil(EVENTS[1])
+                made.cut()
+                await nodes.until(lambda: made.ended_take_ups(lines) == 1)
+                (answer,) = made.south._kept_answers._answers.values()
+                # Another reader ends the connection to the third region.
+                answer.attach(answer.sent_bytes)
+                await nodes.until(lambda: count() == 2)
+                made.engine.goes_on.set()
+                got += await reader.read()
+            writer.close()
+        assert body_of(got) == b''.join(EVENTS)
+        assert made.engine.requests == 1
+
+
 async def test_engine_that_still_works_behind_a_cut_is_waited_for(
     tmp_path, monkeypatch
 ):
--- a/wrenspoke/coordination/serving/take_up.py
+++ b/wrenspoke/coordination/serving/take_up.py
@@ -191,6 +191,9 @@
         error: transport_errors.MaybeSentError,
         cause: BaseException,
     ) -> Continuation:
+        if self.was_taken_up and self._taking_up is None:
+            # Its end may be that of the link behind the host it came through.
+            self._taking_up = asyncio.ensure_future(self._take_up())
         if self._next is None and self._taking_up is not None:
             await asyncio.wait([self._taking_up])
         if self._next is None:
--- a/wrenspoke/protocol/kept_answers.py
+++ b/wrenspoke/protocol/kept_answers.py
@@ -21,8 +21,9 @@
 # Time from the end of an answer in which it may be taken up: the silence
 # after which a host is suspected, and some attempts over other paths.
 KEEP_MS = 5_000
-# Time in which an answer that was taken up may be taken up again.
-ABANDON_MS = 2_000
+# Time in which an answer that was taken up may be taken up again. Short, as
+# its caller may have left instead.
+ABANDON_MS = 400
 MS_PER_S = 1000
 
 
