Recall a call that a cut link swallowed, so that it may be sent elsewhere

Cause: a once-only call that left on an open connection into a link that had just been cut was answered 502 after 3 s, though it had never arrived. Before connections were opened ahead, some of these failed to connect and were sent elsewhere; the more connections are open, the more calls this meets.

Change: the question for a kept answer, over another host or region, also asks whether the call has begun while no head is there. A host that has run for longer than the call is old (and 5 s for the question's way) and has not admitted its token says no, and refuses that token from then on; the call then counts as not sent. A host that restarted since, or that admitted it, says nothing. Tokens are remembered for 30 to 60 s.

--- a/tests/test_request_path_answers.py
+++ b/tests/test_request_path_answers.py
@@ -14,6 +14,7 @@
 from tests import test_passing
 from wrenspoke.coordination.serving import take_up
 from wrenspoke import node as settings
+from wrenspoke.protocol import call_memory
 from wrenspoke.protocol import kept_answers
 from wrenspoke.protocol import passthrough_api
 from wrenspoke import runtime
@@ -101,6 +102,11 @@
         self.is_cut = False
         self.link.heal()
 
+    def memory_of_south(self):
+        """Return what the south's host remembers of calls."""
+        handler = self.south._host_server._handler
+        return handler.__self__._memory
+
     def ended_take_ups(self, lines):
         """Return how many times an answer was taken up, by its log."""
         return sum(
@@ -339,6 +345,38 @@
         assert got.endswith(b'whole') and made.engine.requests == 1
 
 
+@pytest.mark.parametrize('seconds_up', [60, 0], ids=['long up', 'restarted'])
+async def test_call_that_a_cut_swallowed_is_recalled_and_sent_elsewhere(
+    tmp_path, monkeypatch, seconds_up
+):
+    """A once-only call on a warm connection; it arrives after the cut."""
+    async with deployed(tmp_path, monkeypatch) as made:
+        made.engine.is_stream = False
+        made.engine.goes_on.set()
+        memory = made.memory_of_south()
+        memory._since_ms -= seconds_up * 1000
+        with structlog.testing.capture_logs() as lines:
+
+            def count(name):
+                return sum(line['event'] == name for line in lines)
+
+            made.cut()
+            reader, writer = await made.open()
+            if not seconds_up:
+                await nodes.until(lambda: count('take_up_ended'))
+                assert not count('call_recalled') and not made.engine.requests
+                made.heal()
+            async with asyncio.timeout(nodes.WAIT_S):
+                got = await reader.read()
+            writer.close()
+            made.heal()
+            if seconds_up:
+                assert count('call_recalled') == 1
+                await nodes.until(lambda: count('recalled_call_refused'))
+        assert got.endswith(b'whole')
+        assert made.engine.requests == 1
+
+
 async def test_caller_that_leaves_ends_the_run_behind_a_hop(
     tmp_path, monkeypatch
 ):
@@ -392,6 +430,93 @@
         assert made.engine.requests == 1 and len(second.requests) == 1
 
 
+class FakeClock:
+    """A clock that only the test moves."""
+
+    def __init__(self, now_ms=1_000_000):
+        self.now_ms = now_ms
+
+    def mono_ms(self):
+        return self.now_ms
+
+
+GENERATION_MS = call_memory.GENERATION_MS
+TRANSIT_MS = call_memory.TRANSIT_LIMIT_MS
+
+
+@pytest.mark.parametrize(
+    'up_ms, age_ms, began_ms_ago, is_recalled',
+    [
+        (60_000, 1_000, None, True),
+        (60_000, 1_000, 500, False),
+        (500, 1_000, None, False),
+        (TRANSIT_MS, 1_000, None, False),
+        (TRANSIT_MS + 1_000, 1_000, None, True),
+        (10 * GENERATION_MS, GENERATION_MS - TRANSIT_MS, None, True),
+        (10 * GENERATION_MS, 2 * GENERATION_MS, None, False),
+        (10 * GENERATION_MS, GENERATION_MS, GENERATION_MS, False),
+    ],
+    ids=[
+        'swallowed by the link',
+        'being run',
+        'host has started since',
+        'question may have been long on its way',
+        'host started just before',
+        'old call, still remembered',
+        'older than the memory',
+        'ran long ago',
+    ],
+)
+def test_call_is_recalled_only_if_it_surely_has_not_begun(
+    up_ms, age_ms, began_ms_ago, is_recalled
+):
+    clock = FakeClock()
+    memory = call_memory.CallMemory(clock)
+    end_ms = clock.now_ms + up_ms
+    if began_ms_ago is not None:
+        clock.now_ms = end_ms - began_ms_ago
+        assert memory.admit('t')
+    clock.now_ms = end_ms
+    assert memory.recall('t', age_ms) is is_recalled
+    assert memory.admit('t') is not is_recalled
+
+
+@pytest.mark.parametrize('seed', range(SERIES))
+def test_recalled_call_never_runs_in_drawn_series(seed):
+    """Restarts, calls and questions that are late, forgotten or repeated."""
+    draw = random.Random(seed)
+    clock = FakeClock()
+    memory = call_memory.CallMemory(clock)
+    sent, began, recalled = {}, set(), set()
+    lives = {}
+    life = 0
+    for number in range(400):
+        clock.now_ms += draw.choice([0, 1, 50, 1_000, 9_000])
+        step = draw.random()
+        if step < 0.35:
+            sent[number] = clock.now_ms
+            # A connection ends with the process that it leads to.
+            lives[number] = life
+        elif step < 0.6 and sent:
+            token = draw.choice(list(sent)[-8:])
+            # The old connection's bytes arrive within some seconds.
+            is_late = clock.now_ms - sent[token] > GENERATION_MS
+            if lives[token] == life and not is_late and token not in began:
+                if memory.admit(str(token)):
+                    began.add(token)
+        elif step < 0.97 and sent:
+            token = draw.choice(list(sent)[-8:])
+            asked_ms = clock.now_ms
+            clock.now_ms += draw.choice([0, 200, TRANSIT_MS])
+            if memory.recall(str(token), asked_ms - sent[token]):
+                recalled.add(token)
+        else:
+            memory = call_memory.CallMemory(clock)
+            life += 1
+        assert not began & recalled
+    assert began
+
+
 @pytest.fixture
 def store():
     """Return an empty store."""
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -50,6 +50,7 @@
         passthrough_api.BUILD_HEADER,
         passthrough_api.HELD_HEADER,
         passthrough_api.TAKEN_UP_HEADER,
+        passthrough_api.RECALLED_HEADER,
     ]
 )
 
--- a/wrenspoke/coordination/serving/take_up.py
+++ b/wrenspoke/coordination/serving/take_up.py
@@ -4,7 +4,8 @@
 pinged. If it falls silent, the rest of the answer is asked for through other
 hosts, from the last byte that is here. The first connection is read on
 meanwhile: bytes that arrive twice are dropped, and a call is never sent
-again from here.
+again from here. A call that has not begun there is recalled: its host refuses
+it from then on, so that it may be sent elsewhere.
 """
 
 import asyncio
@@ -83,7 +84,9 @@
         client: web.HttpClient,
         pinger: host_pinger.HostPinger,
         remotes: remote_hosts.RemoteHosts,
+        clock: clocks.Clock,
     ):
+        self._clock = clock
         self._client = client
         self._pinger = pinger
         self._remotes = remotes
@@ -106,6 +109,7 @@
             token,
             lambda: paths_to(host, region, self._remotes, may_enter),
             may_run_again,
+            self._clock,
         )
 
 
@@ -120,7 +124,11 @@
         token: str,
         paths: Paths,
         may_run_again: collections.abc.Callable[[], bool],
+        clock: clocks.Clock,
     ):
+        self._clock = clock
+        self._sent_ms = clock.mono_ms()
+        self._is_recalled = False
         self._client = client
         self._pinger = pinger
         self._host = host
@@ -162,6 +170,7 @@
         """Send the call; return a response when its head is there.
 
         :raises MaybeSentError: the host fell silent, and no path led to it
+        :raises NotSentError: the host has not begun the call, and never will
         """
         try:
             async with clocks.timeout_ms(None) as self._waiting:
@@ -196,6 +205,10 @@
             self._taking_up = asyncio.ensure_future(self._take_up())
         if self._next is None and self._taking_up is not None:
             await asyncio.wait([self._taking_up])
+        if self._is_recalled:
+            raise transport_errors.NotSentError(
+                f'host {self._host} has not begun it'
+            ) from cause
         if self._next is None:
             raise error from cause
         found, self._next = self._next, None
@@ -226,7 +239,7 @@
             async with clocks.timeout_ms(limit_ms):
                 for record in self._paths():
                     self._next = await self._ask(record)
-                    if self._next is not None:
+                    if self._next is not None or self._is_recalled:
                         break
         except TimeoutError:
             pass
@@ -236,8 +249,13 @@
             token=self._token,
             bytes_read=self.bytes_read(),
             taken_up=self._next is not None,
+            recalled=self._is_recalled,
         )
-        if self._next is not None or self._may_run_again():
+        if (
+            self._next is not None
+            or self._is_recalled
+            or self._may_run_again()
+        ):
             self._interrupt()
 
     def _interrupt(self) -> None:
@@ -248,12 +266,23 @@
         elif self._response is not None:
             self._response.close()
 
+    def _recall_age_ms(self) -> int | None:
+        """Return the call's age, None once its answer has begun."""
+        if self._waiting is None or self.was_taken_up:
+            return None
+        return self._clock.mono_ms() - self._sent_ms
+
     async def _ask(
         self, record: discovery_messages.HostRecord
     ) -> Continuation | None:
         """Ask one host for the rest of the answer; None if it has none."""
         offset = self.bytes_read()
-        request = kept_answers.TakeUp(self._host, self._token, offset)
+        request = kept_answers.TakeUp(
+            self._host,
+            self._token,
+            offset,
+            recall_age_ms=self._recall_age_ms(),
+        )
         stack = contextlib.AsyncExitStack()
         try:
             async with clocks.timeout_ms(PATH_LIMIT_MS):
@@ -272,6 +301,7 @@
             )
             return None
         if not is_taken_up(response, self._token):
+            self._is_recalled = is_recalled(response, self._token)
             await stack.aclose()
             return None
         self._stack.push_async_exit(stack)
@@ -289,6 +319,11 @@
     return response.headers.get(passthrough_api.TAKEN_UP_HEADER) == token
 
 
+def is_recalled(response: aiohttp.ClientResponse, token: str) -> bool:
+    """Return whether a host says that a call has not begun."""
+    return response.headers.get(passthrough_api.RECALLED_HEADER) == token
+
+
 class TakeUpForwarder:
     """Passes requests for kept answers on to the hosts that keep them."""
 
@@ -313,6 +348,8 @@
                 'GET', address, '/', take_up_fields(request), None
             ) as response:
                 if not is_taken_up(response, take_up.token):
+                    if is_recalled(response, take_up.token):
+                        reply.recalled = take_up.token
                     return False
                 fields = dialects.response_fields(response.raw_headers)
                 await reply.send_head(response.status, fields)
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -139,7 +139,10 @@
         if node.request_path.enabled:
             self._kept_answers = kept_answers.AnswerStore()
             self._take_ups = take_up.TakeUps(
-                self._hosts_client, self._pinger, self._remote_hosts
+                self._hosts_client,
+                self._pinger,
+                self._remote_hosts,
+                self.clock,
             )
         self._hop_times = hop_times.HopTimes(
             self._pinger, self._views, self.clock
--- a/wrenspoke/protocol/kept_answers.py
+++ b/wrenspoke/protocol/kept_answers.py
@@ -31,13 +31,15 @@
     """Request for the rest of an answer, from byte ``offset`` of its body.
 
     ``host`` keeps the answer. A host of a third region passes the request on
-    to it, once.
+    to it, once. ``recall_age_ms`` is the time since the call was sent, if it
+    may be sent elsewhere unless it has begun.
     """
 
     host: ids.HostId
     token: str
     offset: int
     passed_on: bool = False
+    recall_age_ms: int | None = None
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -18,6 +18,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke import ids
+from wrenspoke.protocol import call_memory
 from wrenspoke.protocol import call_stages
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import errors
@@ -39,12 +40,15 @@
 TAKE_UP_HEADER = 'Wrenspoke-Take-Up'
 # Token of the answer that a response continues.
 TAKEN_UP_HEADER = 'Wrenspoke-Taken-Up'
+# Token of a call that has not begun, and never will.
+RECALLED_HEADER = 'Wrenspoke-Recalled'
 EXPECT = 'Expect'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 MS_PER_S = 1000
 # nginx's status for a client that disconnected; it is never sent.
 CLIENT_CLOSED_STATUS = 499
 GONE = 410
+UNAVAILABLE = 503
 
 
 class Refusal(enum.Enum):
@@ -131,6 +135,7 @@
         self.build: ids.BuildId | None = None
         self.held_ms: collections.abc.Callable[[], int] | None = None
         self.taken_up: str | None = None
+        self.recalled: str | None = None
 
     @property
     def started(self) -> bool:
@@ -182,6 +187,8 @@
         fields = []
         if self.taken_up is not None:
             fields.append((TAKEN_UP_HEADER, self.taken_up))
+        if self.recalled is not None:
+            fields.append((RECALLED_HEADER, self.recalled))
         if self.runs is not None:
             fields.append((RUNS_HEADER, str(self.runs)))
         if self.build is not None:
@@ -250,6 +257,7 @@
         self.build = None
         self.held_ms = None
         self.taken_up = None
+        self.recalled = None
 
     @property
     def started(self) -> bool:
@@ -331,6 +339,7 @@
         forwarder: TakeUpForwarder | None = None,
     ):
         self._answers = answers
+        self._memory = call_memory.CallMemory(clock)
         self._forwarder = forwarder
         self._server = server
         self._limits = limits
@@ -386,7 +395,11 @@
         request: web.BaseRequest,
     ) -> None:
         answer = None
-        if hop is not None and self._answers is not None:
+        if hop is not None and hop.token and self._answers is not None:
+            if not self._memory.admit(hop.token):
+                logger.info('recalled_call_refused', request=call.request)
+                await reply.refuse(UNAVAILABLE, Refusal.UNSENT)
+                return
             answer = self._answers.open(hop.token)
         if answer is None:
             await self._server.serve(call, reply, hop)
@@ -471,6 +484,7 @@
                 kept_answers.ABANDON_MS,
             )
         elif self._forwarder is None or take_up.passed_on:
+            self._recall(take_up, reply)
             await reply.refuse(GONE, Refusal.UNKNOWN_ANSWER)
         elif not await self._forwarder.forward(take_up, reply):
             if not reply.started:
@@ -479,6 +493,15 @@
                 transport.abort(request)
         return reply.response or web.Response(status=CLIENT_CLOSED_STATUS)
 
+    def _recall(self, take_up: kept_answers.TakeUp, reply: Reply) -> None:
+        """Tell whether a call has not begun here, and refuse it later."""
+        age_ms = take_up.recall_age_ms
+        if age_ms is None or self._answers is None:
+            return
+        if self._memory.recall(take_up.token, age_ms):
+            logger.info('call_recalled', token=take_up.token, age_ms=age_ms)
+            reply.recalled = take_up.token
+
     def _parse_hop(self, request: web.BaseRequest) -> Hop:
         text = request.headers.get(HOP_HEADER)
         if text is None:
