--- a/tests/test_request_path_answers.py
+++ b/tests/test_request_path_answers.py
@@ -625,6 +625,41 @@
     assert answer.sent_bytes == 0
 
 
+async def test_answer_that_is_being_sent_delays_the_end_of_a_host(store):
+    answer = store.open('t')
+    reader = answer.attach(0)
+    await answer.append(b'abc')
+    assert not store.has_unsent()
+    answer.end()
+    assert store.has_unsent()
+    answer.mark_sent(reader, 3)
+    assert not store.has_unsent()
+
+
+async def test_answer_whose_reader_left_delays_nothing(store):
+    answer = store.open('t')
+    reader = answer.attach(0)
+    await answer.append(b'abc')
+    answer.end()
+    answer.detach(reader, 0)
+    assert not store.has_unsent()
+
+
+async def test_draining_host_sends_what_it_keeps(tmp_path, monkeypatch):
+    """An answer that is made while its host leaves is sent."""
+    async with deployed(tmp_path, monkeypatch) as made:
+        made.engine.is_stream = False
+        reader, writer = await made.open()
+        await made.engine.arrived.wait()
+        draining = asyncio.ensure_future(made.south.drain())
+        made.engine.goes_on.set()
+        async with asyncio.timeout(nodes.WAIT_S):
+            got = await reader.read()
+            await draining
+        writer.close()
+        assert got.endswith(b'whole') and made.engine.requests == 1
+
+
 async def test_reader_that_left_does_not_end_what_another_reads(store):
     answer = store.open('t')
     answer.production = asyncio.ensure_future(asyncio.sleep(3_600))
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -63,6 +63,7 @@
 # Has to be well below the window of the retry budgets, which depend on the
 # host counts updated here.
 HOUSEKEEPING_INTERVAL_MS = 1_000
+DRAIN_CHECK_MS = 50
 
 
 class EntryNode:
@@ -514,9 +515,20 @@
         logger.info('draining', in_flight=self.passthrough.in_flight)
         await self.discovery.push_status()
         await self.clock.sleep_ms(self.node.entry.leave_delay_ms)
+        end_ms = self.clock.mono_ms() + self.node.entry.stop_timeout_ms
         drained = await self.passthrough.drain(self.node.entry.stop_timeout_ms)
+        await self._finish_sending(end_ms)
         logger.info('drained', whole=drained)
 
+    async def _finish_sending(self, end_ms: int) -> None:
+        """Wait until answers that are complete have been sent."""
+        if self._kept_answers is None:
+            return
+        while (
+            self._kept_answers.has_unsent() and self.clock.mono_ms() < end_ms
+        ):
+            await self.clock.sleep_ms(DRAIN_CHECK_MS)
+
     async def close(self) -> None:
         """Cancel every task and close every socket."""
         await asyncio.gather(
--- a/wrenspoke/protocol/kept_answers.py
+++ b/wrenspoke/protocol/kept_answers.py
@@ -171,6 +171,15 @@
             self._store.expire(self, 0)
         self._notify()
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether a reader has yet to pass on what is complete."""
+        return (
+            self._reader is not None
+            and self.ended
+            and self.sent_bytes < self.size_bytes
+        )
+
     def is_complete(self, reader: object) -> bool:
         """Return whether the reader has passed on everything."""
         return (
@@ -181,7 +190,10 @@
 
     def detach(self, reader: object, delay_ms: int) -> None:
         """Cancel the call if no other reader comes within a time."""
-        if not self.is_attached(reader) or self.ended or self.failed:
+        if not self.is_attached(reader):
+            return
+        self._reader = None
+        if self.ended or self.failed:
             return
         if not delay_ms:
             self.abandon()
@@ -232,6 +244,10 @@
         if self._answers.pop(answer.token, None) is not None:
             answer.release()
 
+    def has_unsent(self) -> bool:
+        """Return whether complete answers are still being sent."""
+        return any(answer.is_unsent for answer in self._answers.values())
+
     async def close(self) -> None:
         """Cancel the calls whose answers are being made."""
         for answer in list(self._answers.values()):
