--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -44,6 +44,7 @@
 from wrenspoke.coordination.serving import shared_retry_budget
 from wrenspoke.coordination.serving import stage_histograms
 from wrenspoke.coordination.serving import stream_builds
+from wrenspoke.coordination.serving import take_up
 from wrenspoke.coordination.serving import warmup_probe
 from wrenspoke import feature_flags
 from wrenspoke import ids
@@ -51,6 +52,7 @@
 from wrenspoke import node_peers
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import discovery_messages
+from wrenspoke.protocol import kept_answers
 from wrenspoke.protocol import limiting
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import passthrough_api
@@ -63,6 +65,7 @@
 # Has to be well below the window of the retry budgets, which depend on the
 # host counts updated here.
 HOUSEKEEPING_INTERVAL_MS = 1_000
+DRAIN_CHECK_MS = 50
 
 
 class EntryNode:
@@ -138,6 +141,16 @@
                 node.request_path.spares_limit,
                 self.clock,
             )
+        self._take_ups = None
+        self._kept_answers = None
+        if node.request_path.enabled:
+            self._kept_answers = kept_answers.AnswerStore()
+            self._take_ups = take_up.TakeUps(
+                self._hosts_client,
+                self._pinger,
+                self._remote_hosts,
+                self.clock,
+            )
         self._hop_times = hop_times.HopTimes(
             self._pinger, self._views, self.clock
         )
@@ -417,6 +430,7 @@
                     self._gate,
                     self.clock,
                     node.request_path.enabled,
+                    self._take_ups,
                 ),
                 self.discovery,
                 self._selector,
@@ -449,6 +463,8 @@
                 node.entry.default_deadline_ms,
             ),
             self.clock,
+            self._kept_answers,
+            take_up.TakeUpForwarder(self._hosts_client, self._host_address),
         )
         self.discovery.registry.add_restart_listener(
             self._reset_endpoint_state
@@ -456,6 +472,11 @@
         self._caller_server = self._server(surface.handle_caller)
         self._host_server = self._server(surface.handle_host)
 
+    def _host_address(self, host: ids.HostId) -> str | None:
+        """Return the address that a host takes forwarded calls at."""
+        record = self.discovery.roster.record(host)
+        return None if record is None else record.passing_address
+
     def _server(self, handler: web.Handler) -> web.LowLevelServer:
         entry = self.node.entry
         return web.LowLevelServer(
@@ -521,14 +542,27 @@
         logger.info('draining', in_flight=self.passthrough.in_flight)
         await self.discovery.push_status()
         await self.clock.sleep_ms(self.node.entry.leave_delay_ms)
+        end_ms = self.clock.mono_ms() + self.node.entry.stop_timeout_ms
         drained = await self.passthrough.drain(self.node.entry.stop_timeout_ms)
+        await self._finish_sending(end_ms)
         logger.info('drained', whole=drained)
 
+    async def _finish_sending(self, end_ms: int) -> None:
+        """Wait until answers that are complete have been sent."""
+        if self._kept_answers is None:
+            return
+        while (
+            self._kept_answers.has_unsent() and self.clock.mono_ms() < end_ms
+        ):
+            await self.clock.sleep_ms(DRAIN_CHECK_MS)
+
     async def close(self) -> None:
         """Cancel every task and close every socket."""
         await asyncio.gather(
             self._caller_server.close(), self._host_server.close()
         )
+        if self._kept_answers is not None:
+            await self._kept_answers.close()
         await self._tasks.close()
         await self._team_buckets.close()
         await self._gate.close()
