Import less on an entry host, and look for no garbage meanwhile

Cause: an entry host loaded aiohttp's applications, and by way of one message the files of a voter with crc32c (which loads importlib.metadata and email); and garbage was looked for among the 50,000 objects that imports make, which all stay.

--- a/wrenspoke/protocol/messages.py
+++ b/wrenspoke/protocol/messages.py
@@ -11,7 +11,7 @@
 from wrenspoke.state import entries
 from wrenspoke.state import locations
 from wrenspoke.state import registers
-from wrenspoke.state import storage
+from wrenspoke.state import snapshots
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -290,7 +290,7 @@
     """Raft's InstallSnapshot, in place of entries that were compacted."""
 
     term: int
-    snapshot: storage.Snapshot
+    snapshot: snapshots.Snapshot
 
 
 class Refusal(msgspec.Struct, tag='refusal'):
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -10,7 +10,9 @@
 import urllib.parse
 
 import aiohttp
-from aiohttp import web
+from aiohttp import web_protocol
+from aiohttp import web_request
+from aiohttp import web_response
 import msgspec
 import multidict
 import structlog
@@ -111,10 +113,10 @@
     request, and with ``held_ms`` for how long it was held here.
     """
 
-    def __init__(self, request: web.BaseRequest, close: bool):
+    def __init__(self, request: web_request.BaseRequest, close: bool):
         self._request = request
         self._close = close
-        self.response: web.StreamResponse | None = None
+        self.response: web_response.StreamResponse | None = None
         self.status = 0
         self._resets_on_close = False
         self.runs: int | None = None
@@ -130,7 +132,7 @@
         self, status: int, fields: dialects.Fields, body: bytes
     ) -> None:
         """Send a complete response."""
-        response = web.Response(
+        response = web_response.Response(
             status=status,
             headers=multidict.CIMultiDict(fields),
             body=body,
@@ -140,7 +142,7 @@
 
     async def send_head(self, status: int, fields: dialects.Fields) -> None:
         """Send the head of a response whose body is streamed."""
-        response = web.StreamResponse(
+        response = web_response.StreamResponse(
             status=status, headers=multidict.CIMultiDict(fields)
         )
         if self._request.version == aiohttp.HttpVersion11:
@@ -153,7 +155,7 @@
         await self._prepare(response, status)
 
     async def _prepare(
-        self, response: web.StreamResponse, status: int
+        self, response: web_response.StreamResponse, status: int
     ) -> None:
         if self._close:
             response.force_close()
@@ -186,7 +188,7 @@
         if self._resets_on_close:
             transport.set_close_mode(self._request, transport.ORDERLY_CLOSE)
 
-    async def _write_eof(self, response: web.StreamResponse) -> None:
+    async def _write_eof(self, response: web_response.StreamResponse) -> None:
         try:
             await response.write_eof()
         except (ConnectionError, aiohttp.ClientError) as error:
@@ -252,20 +254,20 @@
         self._clock = clock
 
     async def handle_caller(
-        self, request: web.BaseRequest
-    ) -> web.StreamResponse:
+        self, request: web_request.BaseRequest
+    ) -> web_response.StreamResponse:
         """Serve a caller's request."""
         return await self._handle(request, forwarded=False)
 
     async def handle_host(
-        self, request: web.BaseRequest
-    ) -> web.StreamResponse:
+        self, request: web_request.BaseRequest
+    ) -> web_response.StreamResponse:
         """Serve a request that another entry host forwards."""
         return await self._handle(request, forwarded=True)
 
     async def _handle(
-        self, request: web.BaseRequest, forwarded: bool
-    ) -> web.StreamResponse:
+        self, request: web_request.BaseRequest, forwarded: bool
+    ) -> web_response.StreamResponse:
         reply = Reply(request, self._server.leaving)
         try:
             hop = self._parse_hop(request) if forwarded else None
@@ -288,9 +290,11 @@
             return bad.response
         except errors.CallerDisconnectedError:
             logger.info('caller_gone', path=request.raw_path)
-        return reply.response or web.Response(status=CLIENT_CLOSED_STATUS)
+        return reply.response or web_response.Response(
+            status=CLIENT_CLOSED_STATUS
+        )
 
-    def _parse_hop(self, request: web.BaseRequest) -> Hop:
+    def _parse_hop(self, request: web_request.BaseRequest) -> Hop:
         text = request.headers.get(HOP_HEADER)
         if text is None:
             raise errors.BadRequestError(HOP_HEADER, 'required between hosts')
@@ -299,7 +303,7 @@
         except msgspec.DecodeError as error:
             raise errors.BadRequestError(HOP_HEADER, str(error)) from error
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(self, request: web_request.BaseRequest) -> bytes:
         if not request.body_exists:
             return b''
         limit_bytes = min(
@@ -329,7 +333,7 @@
             ) from error
         except (aiohttp.ClientError, ConnectionError) as error:
             raise errors.CallerDisconnectedError(repr(error)) from error
-        except (web.RequestPayloadError, ValueError) as error:
+        except (web_protocol.RequestPayloadError, ValueError) as error:
             raise errors.BadRequestError('body', repr(error)) from error
         return b''.join(chunks)
 
--- a/wrenspoke/runtime.py
+++ b/wrenspoke/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import gc
 import os
 import signal
 
@@ -11,6 +12,9 @@
 
 FATAL = 'fatal'
 URING_VARIABLE = 'UV_USE_IO_URING'
+# New objects until the next garbage collection; most end before, by their
+# reference counts.
+GARBAGE_THRESHOLD = 5_000
 
 
 def run(main: collections.abc.Coroutine) -> None:
@@ -25,6 +29,13 @@
     uvloop.run(main)
 
 
+def collect_garbage() -> None:
+    """Collect garbage from now on, but not among what was made so far."""
+    gc.freeze()
+    gc.set_threshold(GARBAGE_THRESHOLD)
+    gc.enable()
+
+
 async def wait_for_stop() -> None:
     """Wait until the process should stop.
 
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -18,6 +18,7 @@
 from wrenspoke.state import entries
 from wrenspoke.state import errors
 from wrenspoke.state import records
+from wrenspoke.state import snapshots
 
 logger = structlog.get_logger(__name__)
 
@@ -27,6 +28,7 @@
 COMMITTED = 'committed'
 # Begins a record of several entries; no encoded value begins with it.
 MULTI_ENTRY_MARKER = b'\xc1'
+Snapshot = snapshots.Snapshot
 
 
 class Meta(msgspec.Struct):
@@ -44,21 +46,6 @@
     boots: dict[ids.Incarnation, tuple[int, str]] = {}
 
 
-class Snapshot(msgspec.Struct, frozen=True):
-    """State up to an index, with the voters at that index."""
-
-    index: int = 0
-    term: int = 0
-    voters: electorates.Voters = {}
-    state: bytes = b''
-    before: electorates.Voters = {}
-
-    @property
-    def electorate(self) -> electorates.Electorate:
-        """Return the electorate at the index of the snapshot."""
-        return electorates.Electorate(self.voters, self.before)
-
-
 class Storage:
     """Durable storage of one voter."""
 
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -15,7 +15,9 @@
 
 import aiohttp
 from aiohttp import client_proto
-from aiohttp import web
+from aiohttp import web_request
+from aiohttp import web_response
+from aiohttp import web_server
 import multidict
 import yarl
 
@@ -43,7 +45,8 @@
 
 
 Handler = collections.abc.Callable[
-    [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
+    [web_request.BaseRequest],
+    collections.abc.Awaitable[web_response.StreamResponse],
 ]
 
 
@@ -370,7 +373,11 @@
 class HttpServer:
     """Serves an aiohttp application at one IP address and port."""
 
-    def __init__(self, application: web.Application):
+    def __init__(self, application: 'aiohttp.web.Application'):
+        # Imported here, as entry hosts have no applications.
+        from aiohttp import web
+
+        self._site = functools.partial(web.TCPSite, backlog=BACKLOG)
         self._runner = web.AppRunner(
             application,
             access_log=None,
@@ -384,8 +391,7 @@
     async def start(self, ip: str, port: int) -> None:
         """Start listening; the port must be free."""
         await self._runner.setup()
-        site = web.TCPSite(self._runner, ip, port, backlog=BACKLOG)
-        await site.start()
+        await self._site(self._runner, ip, port).start()
 
     async def close(self) -> None:
         """Stop listening and close the remaining connections."""
@@ -416,12 +422,13 @@
         self._handler = handler
         self._idle_timeout_ms = idle_timeout_ms
         self._header_limit_bytes = header_limit_bytes
-        self._runner: web.ServerRunner | None = None
+        self._server: web_server.Server | None = None
+        self._listener: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
         """Start listening on an ``IP:PORT``; the port must be free."""
         ip, _, port = address.rpartition(':')
-        server = web.Server(
+        self._server = web_server.Server(
             self._handler,
             handler_cancellation=True,
             access_log=None,
@@ -431,21 +438,26 @@
             max_line_size=self._header_limit_bytes,
             max_field_size=self._header_limit_bytes,
         )
-        self._runner = web.ServerRunner(
-            server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._server,
+            sock=_listening_socket(ip, int(port)),
+            backlog=BACKLOG,
         )
-        await self._runner.setup()
-        listening = _listening_socket(ip, int(port))
-        site = web.SockSite(self._runner, listening, backlog=BACKLOG)
-        await site.start()
 
     async def close(self) -> None:
         """Stop listening and close the remaining connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-
-def set_close_mode(request: web.BaseRequest, linger: bytes) -> None:
+        if self._server is None:
+            return
+        if self._listener is not None:
+            self._listener.close()
+        # Lets connections that were accepted begin their requests.
+        await asyncio.sleep(0)
+        self._server.pre_shutdown()
+        await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
+        self._server = None
+
+
+def set_close_mode(request: web_request.BaseRequest, linger: bytes) -> None:
     """Set how a caller's socket is closed, also if this process is killed.
 
     ``linger`` is ``ORDERLY_CLOSE`` or ``RESET_ON_CLOSE``.
@@ -456,7 +468,7 @@
         )
 
 
-def abort(request: web.BaseRequest) -> None:
+def abort(request: web_request.BaseRequest) -> None:
     """Abort a caller's connection, so that its response is truncated."""
     if request.transport is not None:
         request.transport.abort()
