Wake up to broadcast sent calls when there are some

Cause: every entry host woke 40 times a second to look for calls to broadcast, also where no host sent any. Change: it waits for the first one; that goes at once where the interval has passed, later ones are collected for the interval as before, so no host is sent more.

Measured: 20 simulated hosts without calls sleep 0 times in 5 s after their start, before once every 25 ms (tests/test_sent_calls.py).

--- a/tests/test_sent_calls.py
+++ b/tests/test_sent_calls.py
@@ -146,3 +146,49 @@
         await fleet.close()
 
     group.run(play())
+
+
+class CountingClock(group.LoopClock):
+    """Counts how often somebody sleeps."""
+
+    def __init__(self):
+        super().__init__()
+        self.sleeps = 0
+
+    async def sleep_ms(self, delay_ms):
+        self.sleeps += 1
+        await super().sleep_ms(delay_ms)
+
+
+def test_host_without_calls_does_not_wake_up():
+    """Hosts of a quiet region must not each wake up 40 times a second."""
+
+    async def run():
+        fleet = Fleet(20)
+        clocks = []
+        for host in fleet.hosts:
+            clocks.append(CountingClock())
+            host.told._clock = clocks[-1]
+        await asyncio.sleep(5)
+        before = sum(clock.sleeps for clock in clocks)
+        fleet.hosts[0].told.publish('e1', 100, PARTS)
+        await asyncio.sleep(1)
+        assert all(host.heard for host in fleet.hosts[1:])
+        after = sum(clock.sleeps for clock in clocks)
+        assert (before, after) == (0, 2)
+
+    group.run(run())
+
+
+def test_lone_call_is_broadcast_at_once():
+    """It needs not wait for an interval that has passed already."""
+
+    async def run():
+        fleet = Fleet(20)
+        await asyncio.sleep(1)
+        fleet.hosts[3].told.publish('e1', 100, PARTS)
+        await asyncio.sleep(1)
+        [sent] = fleet.hosts[7].heard
+        assert sent.age_ms <= sent_call_broadcast.BATCH_DELAY_MS + 4
+
+    group.run(run())
--- a/wrenspoke/coordination/serving/sent_call_broadcast.py
+++ b/wrenspoke/coordination/serving/sent_call_broadcast.py
@@ -60,6 +60,7 @@
         # Collected calls to be broadcast, with their send times.
         self._collected: list[tuple[int, discovery_messages.SentCall]] = []
         self._own_added = asyncio.Event()
+        self._collected_added = asyncio.Event()
         self._tasks = runtime.Tasks()
         pollers.add_listener(self._on_region_message)
         peers.handles(discovery_messages.ReportSentCalls)(self._on_sent_calls)
@@ -136,17 +137,25 @@
     ) -> None:
         room = BATCH_LIMIT - len(self._collected)
         self._collected.extend(items[:room])
+        self._collected_added.set()
 
     async def _broadcast_collected(self) -> None:
+        """Broadcast what is collected, once an interval at most."""
+        last_ms = self._clock.mono_ms() - MAX_BROADCAST_INTERVAL_MS
         while True:
+            await self._collected_added.wait()
             count = max(self._pollers.collectors_count, 1)
             interval_ms = min(
                 BROADCAST_INTERVAL_MS * count, MAX_BROADCAST_INTERVAL_MS
             )
-            await self._clock.sleep_ms(interval_ms)
-            if not self._collected:
-                continue
+            await self._clock.sleep_ms(
+                last_ms + interval_ms - self._clock.mono_ms()
+            )
+            last_ms = self._clock.mono_ms()
+            self._collected_added.clear()
             items, self._collected = self._collected, []
+            if not items:
+                continue
             await self._pollers.broadcast(
                 discovery_messages.RegionGossip(sent=self._with_ages(items))
             )
