Look up flags and stages by identity, and weigh a candidate's lateness faster

Cause: a call looks up flags about a hundred times, for its candidates, and Enum's hash is a function in Python; four chances of being late are computed for each candidate. Change: hashes of identity, conditions instead of max(), a root computed once. Results stay the same to the bit.

Measured, best of 25 with timeit, old and new in turn, three times: a look-up of a flag 0.06 to 0.12 us, now 0.02 to 0.03; the latency cost of a candidate 1.29 to 1.36 us, now 0.80 to 0.81. Ruled out: the kind of a message from its first bytes instead of decoding it (0.83 us, 0.70), the clock's function bound once (no difference).

--- a/wrenspoke/coordination/serving/costs.py
+++ b/wrenspoke/coordination/serving/costs.py
@@ -24,15 +24,21 @@
 REFUSAL_COST_SHARE = 0.25
 # Mean absolute log error of pauses, which are bounded by the longest observed.
 PAUSE_SPREAD = 0.08
+SQRT_2 = math.sqrt(2.0)
 
 
 def miss_probability(first_ms: float, left_ms: float, spread: float) -> float:
     """Return the probability that a first piece comes after ``left_ms``."""
     if left_ms <= MIN_MS:
         return 1.0
-    deviation = max(DEVIATION_PER_MEAN_ERROR * spread, MIN_DEVIATION)
-    deviations = math.log(max(first_ms, MIN_MS) / left_ms) / deviation
-    return 0.5 * (1.0 + math.erf(deviations / math.sqrt(2.0)))
+    # Called for each candidate of a call; conditions are faster than max().
+    deviation = DEVIATION_PER_MEAN_ERROR * spread
+    if deviation < MIN_DEVIATION:
+        deviation = MIN_DEVIATION
+    if first_ms < MIN_MS:
+        first_ms = MIN_MS
+    deviations = math.log(first_ms / left_ms) / deviation
+    return 0.5 * (1.0 + math.erf(deviations / SQRT_2))
 
 
 @dataclasses.dataclass(slots=True)
--- a/wrenspoke/feature_flags.py
+++ b/wrenspoke/feature_flags.py
@@ -20,3 +20,7 @@
     STARTUP_WAIT = 'waiting_at_start'
     OUTLIER_EJECTION = 'setting_aside'
     SENT_CALL_BROADCAST = 'telling_sent'
+
+    # Members are compared by identity; Enum's own hash is slow, and flags are
+    # looked up for each candidate endpoint.
+    __hash__ = object.__hash__
--- a/wrenspoke/protocol/call_stages.py
+++ b/wrenspoke/protocol/call_stages.py
@@ -22,6 +22,9 @@
     FIRST_PIECE = 'first_piece'
     ENDED = 'ended'
 
+    # Enum's own hash is slow, and each call marks about ten stages.
+    __hash__ = object.__hash__
+
 
 class StageTimes:
     """Times of one call's stages; those of several attempts are summed.
