Find the endpoints of a service once a change of the registry

Cause: each call walked all endpoints of all services and regions, up to three times, and so did each answer to a ping for every service. Change: those that take work are kept by service and region until the registry changes; evacuations and announced leaves are looked at in each call as before. A changed data centre of an endpoint counts as a change of its routing.

A fake registry in tests/test_engine_loads.py has a version now, as the real one.

--- a/tests/test_engine_loads.py
+++ b/tests/test_engine_loads.py
@@ -56,7 +56,8 @@
     for found in hosts:
         known.merge_record(found)
     attended = types.SimpleNamespace(
-        roster=known, registry=types.SimpleNamespace(entries=held)
+        roster=known,
+        registry=types.SimpleNamespace(entries=held, version=(0, len(held))),
     )
     asking = region_pollers.RegionPollers('north', host, known, NoPeers())
     table = routes.RouteTable(
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -61,22 +61,47 @@
         self._evacuated: set[ids.DataCentreId] = set()
         self._restored_at_ms: dict[ids.DataCentreId, int] = {}
         self._next_warmup_ms: dict[ids.EndpointId, float] = {}
+        # Endpoints that take work, by service and region, as of a version of
+        # the registry: a call asks for them several times.
+        self._members: dict[
+            tuple[ids.ServiceId, ids.RegionId], list[registry.EndpointEntry]
+        ] = {}
+        self._members_version: tuple[int, int] | None = None
 
     def usable_endpoints(
         self, service: ids.ServiceId, region: ids.RegionId
     ) -> list[registry.EndpointEntry]:
         """Return the endpoints of a service that may get new requests."""
         self.update_evacuations()
+        members = self._find_members(service, region)
+        if not self._evacuated and self._gate.leaving.is_idle:
+            return members.copy()
         return [
             found
-            for found in self._discovery.registry.entries.values()
-            if found.takes_work
-            and found.registration.service == service
-            and self._regions.get(found.registration.data_centre) == region
-            and found.registration.data_centre not in self._evacuated
+            for found in members
+            if found.registration.data_centre not in self._evacuated
             and not self._announced_leaving(found)
         ]
 
+    def _find_members(
+        self, service: ids.ServiceId, region: ids.RegionId
+    ) -> list[registry.EndpointEntry]:
+        """Return the endpoints of a service and region that take work."""
+        known = self._discovery.registry
+        if self._members_version != known.version:
+            self._members_version = known.version
+            self._members.clear()
+        members = self._members.get((service, region))
+        if members is None:
+            members = self._members[service, region] = [
+                found
+                for found in known.entries.values()
+                if found.takes_work
+                and found.registration.service == service
+                and self._regions.get(found.registration.data_centre) == region
+            ]
+        return members
+
     def warm_endpoints(
         self, service: ids.ServiceId, region: ids.RegionId
     ) -> list[registry.EndpointEntry]:
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -31,7 +31,15 @@
 ADDRESS_HOLD_MS = 2_000
 # Longer than any delayed message about an ended instance can take.
 ENTRY_TTL_MS = 120_000
-ROUTING_FIELDS = ('state', 'address', 'slots', 'service', 'leaving', 'build')
+ROUTING_FIELDS = (
+    'state',
+    'address',
+    'slots',
+    'service',
+    'data_centre',
+    'leaving',
+    'build',
+)
 # Builds reported beyond this number replace the oldest.
 MAX_BUILDS_PER_SERVICE = 64
 # Smaller changes of the end of a warm-up are not gossiped.
@@ -116,6 +124,14 @@
         self._builds_seen_ms: dict[ids.ServiceId, dict[ids.BuildId, int]] = {}
         self.revision = 0
 
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return a value that differs once endpoints changed or are gone.
+
+        An eviction has no revision, as others evict by themselves.
+        """
+        return self.revision, len(self.entries)
+
     def add_restart_listener(self, listener: 'RestartListener') -> None:
         """Call a listener with the previous registration on each restart."""
         self._restart_listeners.append(listener)
