--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,5 +1,7 @@
 """Route tables: validation, lookup and versioning."""
 
+import random
+
 import msgspec
 import pytest
 
@@ -70,6 +72,45 @@
 CONFLICT = replicated.Verdict.CONFLICT
 
 
+@pytest.mark.parametrize('seed', range(20))
+def test_found_route_is_the_first_of_the_longest_prefix(seed):
+    """Looks at every route, as lengths of prefixes are looked up instead."""
+    rng = random.Random(seed)
+
+    def path(parts):
+        return '/' + ''.join(f'{rng.choice("abc")}/' for _ in range(parts))
+
+    table = routes.RouteTable(
+        1,
+        tuple(
+            routes.Route(
+                f'r{number}',
+                rng.choice(['h', 'H', 'g']),
+                path(rng.randrange(4)),
+                routes.RouteKind.ONCE,
+                (routes.Target('s'),),
+                timeout_ms=1_000,
+                target_ms=500,
+            )
+            for number in range(rng.randrange(30))
+        ),
+    )
+    index = routes.RouteIndex(table)
+    for _path in range(200):
+        host = rng.choice(['h', 'G', 'other'])
+        asked = path(rng.randrange(6)) + rng.choice(['', 'a', 'b?q=/'])
+        matching = [
+            route
+            for route in table.routes
+            if route.host.lower() == host.lower()
+            and asked.startswith(route.path_prefix)
+        ]
+        longest = max(
+            matching, key=lambda route: len(route.path_prefix), default=None
+        )
+        assert index.find(host, asked) is longest
+
+
 @pytest.mark.parametrize(
     'offered, verdict, held',
     [
--- a/wrenspoke/state/routes.py
+++ b/wrenspoke/state/routes.py
@@ -223,15 +223,25 @@
 
     def __init__(self, table: RouteTable):
         self.table = table
-        self._by_host: dict[str, list[Route]] = {}
+        self._by_host: dict[str, dict[str, Route]] = {}
         for route in table.routes:
-            self._by_host.setdefault(route.host.lower(), []).append(route)
-        for routes in self._by_host.values():
-            routes.sort(key=lambda route: -len(route.path_prefix))
+            routes = self._by_host.setdefault(route.host.lower(), {})
+            routes.setdefault(route.path_prefix, route)
+        # The lengths of a host's prefixes, longest first; there are few, also
+        # where there are hundreds of routes.
+        self._lengths = {
+            host: sorted({len(prefix) for prefix in routes}, reverse=True)
+            for host, routes in self._by_host.items()
+        }
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or None."""
-        for route in self._by_host.get(host.lower(), ()):
-            if path.startswith(route.path_prefix):
+        host = host.lower()
+        routes = self._by_host.get(host)
+        if routes is None:
+            return None
+        for length in self._lengths[host]:
+            route = routes.get(path[:length])
+            if route is not None:
                 return route
         return None
