--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(BIN)/flake8 wrenspoke tests features platform deploy
 	$(BIN)/python -m pytest -q -n 4
 	$(BIN)/behave -q features
+	$(BIN)/python -m benches.start --runs 3
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check wrenspoke tests features platform deploy
--- a/benches/start.py
+++ b/benches/start.py
@@ -3,7 +3,8 @@
     python -m benches.start [--runs N]
 
 Runs the imports of each daemon as ``platform/run.py`` does, with what
-``target/deps`` holds, and with and without byte code of our own modules.
+``target/deps`` holds, or the packages of this Python before a build; with and
+without byte code.
 """
 
 import argparse
@@ -12,9 +13,11 @@
 import pathlib
 import subprocess
 import sys
+import sysconfig
 import tempfile
 
 ROOT = pathlib.Path(__file__).parent.parent
+BUILT = ROOT / 'target' / 'deps'
 CODE = """
 import time
 before_s = time.process_time()
@@ -38,12 +41,13 @@
 
 def start(daemon, cache, options=()):
     """Return the processor time in s and the modules of one start."""
+    packages = BUILT if BUILT.exists() else sysconfig.get_path('purelib')
     ended = subprocess.run(
         [sys.executable, '-S', *options, '-c', CODE, daemon],
         cwd=ROOT,
         env={
             'PATH': os.environ['PATH'],
-            'PYTHONPATH': 'target/deps',
+            'PYTHONPATH': f'{packages}{os.pathsep}{ROOT}',
             'PYTHONPYCACHEPREFIX': cache,
         },
         capture_output=True,
