Give streams places at engines, or let them wait, or refuse them early

Change: coordination/admission, a core without network, clock or loop. It counts the streams at each engine over all hosts (sent calls, corrected by load reports), predicts slot, pace and end of a stream there and whose deadlines it breaks, and rules: admitted, waits for up to admission.max_wait_ms at the host, or refused at once with a time to return at. Order of those that wait, bounded passing, teams that grow far more than others, and returns that were promised are kept there too. serving/admission_gate connects it to the passed-through way in; a forwarded call without room is passed back. Sent calls name the length and the deadline of their streams, last in the message.

--- /dev/null
+++ b/wrenspoke/coordination/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who is served where engines have too little room."""
--- /dev/null
+++ b/wrenspoke/coordination/admission/profiles.py
@@ -0,0 +1,16 @@
+"""Speeds of engines, as admission needs them."""
+
+import typing
+
+from wrenspoke import ids
+from wrenspoke.protocol import capacity
+from wrenspoke.state import routes
+
+
+class ProfileSource(typing.Protocol):
+    """Knows how fast engines are."""
+
+    def profile(
+        self, endpoint: ids.EndpointId, service: routes.RoutedService
+    ) -> capacity.EngineProfile:
+        """Return the profile of an engine of a service."""
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -185,6 +185,7 @@
                 destination.chosen.estimate.uncached_tokens,
                 context.call.parts,
                 context.call.tokens_expected,
+                self._left_ms(context),
             )
 
     def _record_first_piece(
--- a/wrenspoke/coordination/serving/call_context.py
+++ b/wrenspoke/coordination/serving/call_context.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from wrenspoke.coordination.admission import wait_queue
 from wrenspoke.coordination.limiting import limiter
 from wrenspoke.coordination.serving import access
 from wrenspoke.coordination.serving import event_tracker
@@ -55,6 +56,8 @@
     retained_response: RetainedResponse | None = None
     tracker: event_tracker.EventTracker | None = None
     build: ids.BuildId | None = None
+    # Its turn among the calls that need room, until it is sent or refused.
+    ticket: wait_queue.Ticket | None = None
 
     @property
     def route(self) -> routes.Route:
--- a/wrenspoke/coordination/serving/destinations.py
+++ b/wrenspoke/coordination/serving/destinations.py
@@ -13,6 +13,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import replica
+from wrenspoke.coordination.serving import admission_gate
 from wrenspoke.coordination.serving import call_context
 from wrenspoke.coordination.serving import costs
 from wrenspoke.coordination.serving import endpoint_selector
@@ -66,7 +67,9 @@
         region_offers: remote_regions.RemoteRegions,
         switched_off: collections.abc.Set[feature_flags.FeatureFlag],
         clock: clocks.Clock,
+        gate: admission_gate.AdmissionGate | None = None,
     ):
+        self._gate = gate
         self._host = host
         self._region = region
         self._replica = local_replica
@@ -82,6 +85,7 @@
 
         :raises BusyError: the forwarding host can serve it sooner itself
         :raises UnmeetableDeadlineError: no destination would meet its deadline
+        :raises NoRoomError: no engine has room for it now
         """
         hop = context.hop
         if hop is not None and hop.region not in (None, self._region):
@@ -90,6 +94,7 @@
         local = self._select_local(context, bounds)
         if hop is not None:
             self._refuse_if_slower(context, local)
+            self._refuse_without_room(context, local)
             return self._endpoint_destination(context, local)
         remote, remote_cost_ms = self._best_remote_offer(context, bounds)
         if remote is not None and (
@@ -100,6 +105,8 @@
             )
             return self._host_destination(context, remote, local)
         if local is not None:
+            if self._is_without_room(context, local, remote):
+                return self._host_destination(context, remote, local)
             self._refuse_unmeetable_deadline(
                 context, bounds, local.first_ms, local.estimate.end_ms
             )
@@ -157,6 +164,45 @@
             first_ms, max(retry_after_ms, MIN_RETRY_AFTER_MS)
         )
 
+    def _is_without_room(
+        self,
+        context: call_context.CallContext,
+        local: endpoint_selector.EndpointSelection,
+        remote: remote_regions.RegionOffer | None,
+    ) -> bool:
+        """Return whether a call without room here goes to another region.
+
+        :raises NoRoomError: it has no room there either
+        """
+        if self._gate is None:
+            return False
+        try:
+            self._gate.rule(context, local)
+        except admission_gate.NoRoomError:
+            left_ms = context.deadline_ms - self._clock.mono_ms()
+            if remote is None or remote.end_ms > left_ms:
+                raise
+            return True
+        return False
+
+    def _refuse_without_room(
+        self,
+        context: call_context.CallContext,
+        local: endpoint_selector.EndpointSelection | None,
+    ) -> None:
+        """Pass a call back that has no room here, as it can't wait here.
+
+        :raises BusyError: the forwarding host should decide
+        """
+        if self._gate is None or local is None:
+            return
+        if context.hop.limit_ms is None:
+            return
+        try:
+            self._gate.rule(context, local)
+        except admission_gate.NoRoomError as error:
+            raise BusyError(local.first_ms) from error
+
     def _refuse_if_slower(
         self,
         context: call_context.CallContext,
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -10,6 +10,7 @@
 import random
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.admission import places
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke.coordination.membership import remote_hosts
 from wrenspoke.coordination.membership import replica
@@ -61,12 +62,24 @@
     cost_ms: float = 0.0
     source: registry.EndpointEntry | None = None
     moved_tokens: float = 0.0
+    place: places.Place | None = None
     build: ids.BuildId = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.build = self.registered.registration.build
 
 
+PlaceWeigher = collections.abc.Callable[
+    [
+        routes.RoutedService,
+        dialects.Call,
+        costs.LatencyBounds,
+        EndpointSelection,
+    ],
+    None,
+]
+
+
 class EndpointSelector:
     """Selects among registered endpoints and hosts of other regions."""
 
@@ -96,6 +109,8 @@
         self._random = random.Random()
         self._lines: dict[ids.ServiceId, retry_schedule.RetrySchedule] = {}
         self.in_flight: dict[ids.EndpointId, int] = {}
+        # Adds to the costs of engines that lack room, if it is set.
+        self.weigh_place: PlaceWeigher | None = None
 
     def serving_regions(self, route: routes.Route) -> list[ids.RegionId]:
         """Return the regions that may serve a route, the local one first."""
@@ -172,6 +187,8 @@
                 item.first_ms += DEGRADED_PENALTY_MS
                 item.can_start_now = False
         for item in estimated:
+            if self.weigh_place is not None and service.batch is not None:
+                self.weigh_place(service, call, bounds, item)
             item.cost_ms = self._cost_ms(bounds, item)
         return min(
             estimated,
@@ -199,6 +216,8 @@
             cost_ms += expected.prefill_ms
         failed, refused = self._availability.failure_shares(item.registered)
         cost_ms += costs.failure_cost_ms(bounds, failed, refused)
+        if item.place is not None:
+            cost_ms += bounds.target_ms * item.place.harmed
         return cost_ms
 
     def _estimate_candidates(
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -13,17 +13,20 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.admission import controller as controllers
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.limiting import limiter as limiters
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.quarantine import guard as guards
 from wrenspoke.coordination.serving import access
+from wrenspoke.coordination.serving import admission_gate
 from wrenspoke.coordination.serving import attempts
 from wrenspoke.coordination.serving import call_context
 from wrenspoke.coordination.serving import destinations
 from wrenspoke.coordination.serving import endpoint_selector
 from wrenspoke.coordination.serving import retry_schedule
+from wrenspoke.coordination.serving import sending
 from wrenspoke.coordination.serving import shared_retry_budget
 from wrenspoke.coordination.serving import stage_histograms
 from wrenspoke.coordination.serving import stream_builds
@@ -97,8 +100,10 @@
         switched_off: collections.abc.Set[feature_flags.FeatureFlag],
         clock: clocks.Clock,
         histograms: stage_histograms.StageHistograms | None = None,
+        gate: admission_gate.AdmissionGate | None = None,
     ):
         self._histograms = histograms
+        self._gate = gate
         self._replica = local_replica
         self._discovery = discovery
         self._selector = selector
@@ -395,6 +400,12 @@
         except destinations.UnmeetableDeadlineError as error:
             context.cause = context.cause or 'hopeless'
             context.retry_after_ms = error.retry_after_ms
+        except admission_gate.NoRoomError as error:
+            context.cause = ', '.join(
+                filter(None, [context.cause, str(error)])
+            )
+            if not context.may_have_run:
+                context.retry_after_ms = self._gate.refuse(context, error)
         except errors.DeniedError as error:
             if not context.may_have_run:
                 await self._deny(context.call, context.reply, error)
@@ -478,7 +489,7 @@
             context.permit = self._access_control.reauthorize(
                 context.call, context.permit
             )
-            destination = self._destinations.next_destination(context)
+            destination = await self._next_destination(context)
             self._mark(context.call, call_stages.Stage.CHOSEN)
             if destination is None:
                 context.cause = context.cause or 'no_endpoint'
@@ -495,13 +506,45 @@
                 context.cause = f'{context.cause} (no retry left)'
                 return False
             context.attempted.add(destination.name)
-            if await self._attempts.run_attempt(context, destination):
+            if await self._run_attempt(context, destination):
                 return True
             if not self._may_retry(context):
                 return False
         context.cause = context.cause or 'timeout'
         return False
 
+    async def _next_destination(
+        self, context: call_context.CallContext
+    ) -> sending.Destination | None:
+        """Return where to send a call, once there is room for it.
+
+        :raises NoRoomError: there is none in the time for which it may wait
+        """
+        if self._gate is None:
+            return self._destinations.next_destination(context)
+        try:
+            while True:
+                try:
+                    return self._destinations.next_destination(context)
+                except admission_gate.NoRoomError as error:
+                    if error.decision.ruling is not controllers.Ruling.WAIT:
+                        raise
+                    await self._gate.wait(context, error)
+        finally:
+            self._gate.leave(context)
+
+    async def _run_attempt(
+        self,
+        context: call_context.CallContext,
+        destination: sending.Destination,
+    ) -> bool:
+        """Send a call once; return whether the caller got its response."""
+        if self._gate is None:
+            return await self._attempts.run_attempt(context, destination)
+        self._gate.admit(context)
+        with self._gate.track(context, destination):
+            return await self._attempts.run_attempt(context, destination)
+
     def _may_retry(self, context: call_context.CallContext) -> bool:
         if context.unexecuted_sends >= UNEXECUTED_SENDS_LIMIT:
             return False
--- a/wrenspoke/coordination/serving/sent_call_broadcast.py
+++ b/wrenspoke/coordination/serving/sent_call_broadcast.py
@@ -83,12 +83,14 @@
         tokens: float,
         parts: collections.abc.Sequence[dialects.PromptPart],
         response_tokens: int = 0,
+        left_ms: int = 0,
     ) -> None:
         """Queue a call that this host sends to an engine.
 
         ``tokens`` are the uncached tokens of its prompt. The last of
         ``parts`` belongs to the call alone: only its size is sent, added to
-        ``response_tokens``, the expected length of the response.
+        ``response_tokens``, the expected length of the response. That has to
+        end in ``left_ms``.
         """
         if len(self._own) >= BATCH_LIMIT:
             return
@@ -99,6 +101,8 @@
             0,
             [(part.part, part.tokens) for part in parts[:-1]],
             response_tokens + (parts[-1].tokens if parts else 0),
+            response_tokens,
+            max(left_ms, 0),
         )
         self._own.append((self._clock.mono_ms(), sent))
         self._own_added.set()
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -9,6 +9,7 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.admission import controller
 from wrenspoke.coordination.limiting import ahead_shares
 from wrenspoke.coordination.limiting import bounds
 from wrenspoke.coordination.limiting import endpoint_gate
@@ -27,6 +28,7 @@
 from wrenspoke.coordination.quarantine import crash_reporter
 from wrenspoke.coordination.quarantine import guard
 from wrenspoke.coordination.serving import access
+from wrenspoke.coordination.serving import admission_gate
 from wrenspoke.coordination.serving import attempts
 from wrenspoke.coordination.serving import availability
 from wrenspoke.coordination.serving import destinations
@@ -208,6 +210,14 @@
             self.clock,
         )
         self._estimator = estimate.Estimator(self._engine_loads, self.clock)
+        self._admission = None
+        if node.admission.enabled:
+            self._admission = admission_gate.AdmissionGate(
+                controller.AdmissionController(node.admission.max_wait_ms),
+                self._engine_loads,
+                admission_gate.EstimatedProfiles(self._estimator),
+                self.clock,
+            )
         self._sent_calls = None
         if (
             feature_flags.FeatureFlag.SENT_CALL_BROADCAST
@@ -235,8 +245,11 @@
         service = self.replica.current.routes.service(
             entry.registration.service
         )
-        if service is not None:
-            self._estimator.record_peer_sent(sent, service)
+        if service is None:
+            return
+        self._estimator.record_peer_sent(sent, service)
+        if self._admission is not None:
+            self._admission.record_peer_sent(sent, service)
 
     def _build_limits(self) -> None:
         """Build the enforcement of team limits and endpoint limits."""
@@ -312,6 +325,8 @@
         """Discard the state of an endpoint's previous instance."""
         others = set(self.discovery.registry.entries) - {before.endpoint}
         self._estimator.keep_only(others)
+        if self._admission is not None:
+            self._admission.keep_only(others)
         self._warmup_probe.keep_only(others)
         self._engine_loads.evict(before.endpoint)
         self._outlier_detector.reset_address(before.address)
@@ -363,6 +378,8 @@
             self.clock,
         )
         self.stage_histograms = stage_histograms.StageHistograms(self.clock)
+        if self._admission is not None:
+            self._selector.weigh_place = self._admission.weigh
         builds = stream_builds.StreamBuilds(
             self._stream_build_store, self.discovery
         )
@@ -378,6 +395,7 @@
                 self._remote_regions,
                 node.switched_off,
                 self.clock,
+                self._admission,
             ),
             attempts.AttemptRunner(
                 sending.Sender(
@@ -412,6 +430,7 @@
             node.switched_off,
             self.clock,
             self.stage_histograms,
+            self._admission,
         )
         surface = passthrough_api.PassthroughApi(
             self.passthrough,
@@ -472,6 +491,8 @@
             self._estimator.backlog.host_count = max(len(region_hosts), 1)
             entries = self.discovery.registry.entries
             self._estimator.keep_only(set(entries))
+            if self._admission is not None:
+                self._admission.keep_only(set(entries))
             self._warmup_probe.keep_only(set(entries))
             addresses = {
                 found.registration.address for found in entries.values()
--- a/wrenspoke/protocol/discovery_messages.py
+++ b/wrenspoke/protocol/discovery_messages.py
@@ -211,6 +211,8 @@
     ``host`` is a short number for the host. ``tokens`` is the length of the
     prompt to prefill. ``parts`` are the prefixes that other prompts can
     share, ``own_tokens`` the other tokens that it adds to the engine's cache.
+    Its response should have ``stream_tokens``, and has to end ``left_ms``
+    after the call was sent; hosts of earlier versions leave both at 0.
     """
 
     host: int
@@ -219,6 +221,8 @@
     age_ms: int
     parts: list[tuple[str, int]] = []
     own_tokens: int = 0
+    stream_tokens: int = 0
+    left_ms: int = 0
 
 
 class ReportSentCalls(msgspec.Struct, tag='tell_sent'):
