Refuse once what would be late at a full engine, and spread the returns

Cause: where no slot is free each late answer makes late what comes behind it: in the small twin's peak 182 of 627 calls were late and 239 in time. And each host let its first refused call return when there should be room, so that with 90 hosts 90 returned at once.

Change: such a call is refused once, at once; one that kept its Retry-After is served, late too. Within its turn a call returns by chance.

Result: tests/test_admission_patterns.py.

--- a/tests/admission_load.py
+++ b/tests/admission_load.py
@@ -263,7 +263,10 @@
         else:
             room_ms = max(place.end_ms - left_ms, place.ready_ms)
             rate = ENDS_PER_S / len(self._fleet.hosts)
-            return_ms = self.core.refuse(ticket, key, room_ms, rate, now_ms)
+            draw = self._fleet.random.random()
+            return_ms = self.core.refuse(
+                ticket, key, room_ms, rate, draw, now_ms
+            )
             self._fleet.refused(call, return_ms)
 
     def _best(self, call):
--- a/tests/test_admission_controller.py
+++ b/tests/test_admission_controller.py
@@ -69,7 +69,7 @@
         now_ms += MAX_WAIT_MS
         if made.decide(ticket, harming, 3_000, now_ms).ruling is ADMIT:
             break
-        now_ms += math.ceil(made.refuse(ticket, 'k', 0.0, 10.0, now_ms))
+        now_ms += math.ceil(made.refuse(ticket, 'k', 0.0, 10.0, 0.0, now_ms))
     assert refusals == 2
 
 
@@ -77,28 +77,30 @@
 def test_one_who_returns_too_early_keeps_the_time_given(later_ms, ruling):
     made = controller_with()
     found = place(4_000)
-    return_ms = made.refuse(ticket_of(made), 'k', 2_000.0, 1.0, NOW_MS)
+    return_ms = made.refuse(ticket_of(made), 'k', 2_000.0, 1.0, 0.5, NOW_MS)
     now_ms = NOW_MS + 100 + later_ms
     ticket = ticket_of(made, now_ms=now_ms)
     assert ticket.returned is (ruling is WAIT)
     decision = made.decide(ticket, found, 3_000, now_ms)
     assert decision.ruling is ruling
     if ruling is REFUSE:
-        again_ms = made.refuse(ticket, 'k', 2_000.0, 1.0, now_ms)
+        again_ms = made.refuse(ticket, 'k', 2_000.0, 1.0, 0.0, now_ms)
         assert again_ms == return_ms - 100
 
 
 def test_returns_come_as_room_does():
     made = controller_with()
     waits_ms = [
-        made.refuse(ticket_of(made, str(number)), str(number), 500, 10, NOW_MS)
+        made.refuse(
+            ticket_of(made, str(number)), str(number), 500, 10, 0, NOW_MS
+        )
         for number in range(20)
     ]
     assert waits_ms == [500 + 100 * number for number in range(20)]
     urgent = ticket_of(made, 'urgent', urgency=0)
     less = ticket_of(made, 'less', urgency=3)
-    first_ms = made.refuse(urgent, 'urgent', 500, 10, NOW_MS)
-    assert first_ms < made.refuse(less, 'less', 500, 10, NOW_MS)
+    first_ms = made.refuse(urgent, 'urgent', 500, 10, 0, NOW_MS)
+    assert first_ms < made.refuse(less, 'less', 500, 10, 0, NOW_MS)
 
 
 def wait_ticket(urgency=0, returned=False, feasible=True, team='a', at_ms=0):
--- a/tests/test_admission_patterns.py
+++ b/tests/test_admission_patterns.py
@@ -223,8 +223,9 @@
         {'told_twice': True},
         {'hosts': 1},
         {'hosts': 30},
+        {'hosts': 90},
     ],
-    ids=['lost', 'late', 'doubled', 'one host', 'thirty hosts'],
+    ids=['lost', 'late', 'doubled', 'one host', '30 hosts', '90 hosts'],
 )
 def test_peak_while_hosts_hear_badly_of_each_other(faults):
     before = play('peak in one region', admits=False, **faults)
--- a/wrenspoke/coordination/admission/controller.py
+++ b/wrenspoke/coordination/admission/controller.py
@@ -25,7 +25,7 @@
 # Callers rarely wait longer, and forecasts beyond it are unreliable.
 MAX_RETURN_MS = 10_000.0
 # Returns are spread over the time in which so many streams end at least.
-MIN_RETURNS_PER_S = 1.0
+MIN_RETURNS_PER_S = 0.5
 RETURNS_LIMIT = 512
 
 
@@ -45,6 +45,7 @@
     HARMS = 'others would miss their deadlines'
     PASSED = 'another call goes first'
     EARLY = 'it returned before its time'
+    LATE = 'it would be late, and what comes behind it'
     SHARE = 'its team grew far more than others'
 
 
@@ -128,8 +129,9 @@
         harms = place.harmed > self._allowed_harm(ticket)
         if place.has_ample_room and not len(self.queue):
             return Decision(Ruling.ADMIT)
-        if self._is_late_beyond_share(ticket, place, now_ms):
-            return Decision(Ruling.REFUSE, Reason.SHARE)
+        reason = self._is_late_beside_others(ticket, place, now_ms)
+        if reason is not Reason.NONE:
+            return Decision(Ruling.REFUSE, reason)
         if ticket.feasible and not harms:
             ahead = self.queue.first_ahead(ticket)
             if ahead is None or now_ms >= ticket.until_ms:
@@ -147,16 +149,22 @@
             return Decision(Ruling.REFUSE, reason)
         return Decision(Ruling.ADMIT)
 
-    def _is_late_beyond_share(
+    def _is_late_beside_others(
         self, ticket: wait_queue.Ticket, place: places.Place, now_ms: int
-    ) -> bool:
-        """Return whether a call would be late as its team sends too much.
+    ) -> Reason:
+        """Return why a call that would be late should not be admitted.
 
-        What is served late to one team makes the calls of others late.
+        Where no slot is free, what is served late makes late what comes
+        behind it. A call that was refused for it once is served all the same,
+        unless its team sends too much.
         """
-        if not self.shares.is_over(ticket.team):
-            return False
-        return place.ready_ms > 0 or now_ms + place.first_ms > ticket.target_ms
+        is_late = now_ms + place.first_ms > ticket.target_ms
+        if self.shares.is_over(ticket.team):
+            if is_late or place.ready_ms > 0:
+                return Reason.SHARE
+        elif is_late and place.ready_ms > 0 and not ticket.returned:
+            return Reason.LATE
+        return Reason.NONE
 
     def _allowed_harm(self, ticket: wait_queue.Ticket) -> int:
         """Return how many streams a call may make late.
@@ -183,6 +191,7 @@
         key: str,
         room_ms: float,
         ends_per_s: float,
+        draw: float,
         now_ms: int,
     ) -> float:
         """Record a refusal; return in how many ms the call should return.
@@ -190,6 +199,8 @@
         There should be room in ``room_ms``, and then for ``ends_per_s`` calls
         a second of this host. More urgent calls, and those that were refused
         before, return sooner. One that repeats too early keeps its time.
+        ``draw``, from 0 to 1, is where in its turn a call returns, so that
+        what several hosts refuse at once doesn't.
         """
         self.queue.discard(ticket)
         self.counters.refused += 1
@@ -198,19 +209,17 @@
             if found is not None:
                 return max(found.due_ms - now_ms, MIN_RETURN_MS)
         rank = 2 * ticket.urgency + (not ticket.refusals)
-        return_ms = self._next_return_ms(rank, room_ms, ends_per_s, now_ms)
-        self.returns.promise(key, now_ms + return_ms)
-        return return_ms
-
-    def _next_return_ms(
-        self, rank: int, room_ms: float, ends_per_s: float, now_ms: int
-    ) -> float:
-        """Return the time to the next return that is not taken yet."""
-        self._due = [item for item in self._due if item[0] > now_ms]
-        ahead = sum(other <= rank for _due_ms, other in self._due)
         rate = max(ends_per_s, MIN_RETURNS_PER_S)
-        return_ms = max(room_ms, MIN_RETURN_MS) + ahead * MS_PER_S / rate
+        ahead = self._count_due(rank, now_ms)
+        return_ms = max(room_ms, MIN_RETURN_MS)
+        return_ms += (ahead + draw) * MS_PER_S / rate
         return_ms = min(return_ms, MAX_RETURN_MS)
         if len(self._due) < RETURNS_LIMIT:
             self._due.append((now_ms + return_ms, rank))
+        self.returns.promise(key, now_ms + return_ms)
         return return_ms
+
+    def _count_due(self, rank: int, now_ms: int) -> int:
+        """Return how many calls of a rank or before it are yet to return."""
+        self._due = [item for item in self._due if item[0] > now_ms]
+        return sum(other <= rank for _due_ms, other in self._due)
--- a/wrenspoke/coordination/serving/admission_gate.py
+++ b/wrenspoke/coordination/serving/admission_gate.py
@@ -8,7 +8,9 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import math
+import random
 
 import structlog
 
@@ -38,6 +40,7 @@
 RECHECK_MS = 25
 # How many of the calls that wait are assessed at a time.
 CONCURRENT_RECHECKS = 4
+TOTALS_INTERVAL_MS = 30_000
 # Time constant of the rate at which streams end.
 ENDS_WINDOW_MS = 2_000.0
 
@@ -203,6 +206,7 @@
             context.call.fingerprint.request,
             max(place.end_ms - left_ms, place.ready_ms),
             self._ends.per_s(now_ms),
+            random.random(),
             now_ms,
         )
         context.ticket = None
@@ -330,6 +334,17 @@
             places.Stream(sent_ms, sent_ms + length_ms, deadline_ms),
         )
 
+    async def log_periodically(self) -> None:
+        """Log the totals since the last line, if there are any."""
+        before = dataclasses.asdict(self.controller.counters)
+        while True:
+            await self._clock.sleep_ms(TOTALS_INTERVAL_MS)
+            now = dataclasses.asdict(self.controller.counters)
+            added = {name: now[name] - before[name] for name in now}
+            before = now
+            if any(added.values()):
+                logger.info('admission_totals', **added)
+
     def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
         """Drop the state of engines that are not in ``endpoints``."""
         self.streams.keep_only(endpoints)
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -473,6 +473,8 @@
         self._tasks.start(self._watch_evacuations())
         self._tasks.start(self._traffic.log_periodically('entry'))
         self._tasks.start(self.stage_histograms.log_periodically())
+        if self._admission is not None:
+            self._tasks.start(self._admission.log_periodically())
         await self._host_server.start(f'{node.ip}:{node.passing_port}')
         await self._caller_server.start(node.callers_address)
         logger.info('started', host=node.host, seeds=node.seeds)
