--- a/wrenspoke/coordination/serving/admission_gate.py
+++ b/wrenspoke/coordination/serving/admission_gate.py
@@ -181,7 +181,7 @@
         ticket = context.ticket
         self.controller.admit(ticket, context.call.fingerprint.request)
         context.ticket = None
-        if now_ms > ticket.arrived_ms:
+        if ticket.blocked_by:
             self.controller.counters.waited += 1
             logger.info(
                 'admission_waited',
