Learn how the pace of streams depends on those beside them

Change: one linear model a service, from this host's streams as they end: gap alone, and for each stream beside it, without the share of its time that the engine spends on prompts. It is the profile of an engine until balancing shares better ones (admission.profiles.ProfileSource).

--- a/tests/test_admission_controller.py
+++ b/tests/test_admission_controller.py
@@ -5,6 +5,7 @@
 import pytest
 
 from wrenspoke.coordination.admission import controller as controllers
+from wrenspoke.coordination.admission import pace_model
 from wrenspoke.coordination.admission import places
 from wrenspoke.coordination.admission import running_streams
 from wrenspoke.coordination.admission import wait_queue
@@ -195,3 +196,20 @@
     assert streams.occupancy('e', 's', 64, None, later_ms).running == 0
     # A clock that jumps back finds nothing that it doesn't know.
     assert streams.occupancy('e', 's', 64, None, NOW_MS).running == 0
+
+
+@pytest.mark.parametrize(
+    'gap_ms, slope_ms', [(40.0, 2.0), (70.0, 0.0), (100.0, 0.5)]
+)
+def test_pace_by_streams_is_learned(gap_ms, slope_ms):
+    model = pace_model.PaceModel(72.0)
+    assert model.fit() == pytest.approx((72.0, 0.0))
+    for number in range(400):
+        running = 5 * (number % 12)
+        model.add(running, gap_ms + slope_ms * running)
+    for running in (5, 30, 55):
+        learned = model.fit()
+        expected_ms = gap_ms + slope_ms * running
+        assert learned[0] + learned[1] * running == pytest.approx(
+            expected_ms, rel=0.2
+        )
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -31,9 +31,15 @@
 class Profiles:
     """Stands in for the speeds of engines."""
 
+    def __init__(self):
+        self.gaps_ms = []
+
     def profile(self, endpoint, _service):
         return capacity.EngineProfile(endpoint, 0, 0.01, 50.0, 1.0, 10)
 
+    def record_stream(self, _service, _place, gap_ms):
+        self.gaps_ms.append(gap_ms)
+
 
 def gate_with(max_wait_ms=200):
     """Return a gate and its clock."""
@@ -65,6 +71,8 @@
         send_count=0,
         build=None,
         first_piece_at_ms=None,
+        last_piece_at_ms=None,
+        tracker=None,
         **fields,
     )
 
@@ -166,3 +174,14 @@
     assert gate.streams.occupancy('e', 's', 4, None, now_ms).running == 1
     gate.keep_only(set())
     assert gate.streams.occupancy('e', 's', 4, None, now_ms).running == 0
+
+
+@pytest.mark.parametrize('events, gaps_ms', [(43, [50.0]), (3, [])])
+def test_streams_that_ended_tell_the_pace(events, gaps_ms):
+    gate = gate_with()
+    context = context_of(gate)
+    with gate.track(context, destination_at(FITS)):
+        context.first_piece_at_ms = 1_000
+        context.last_piece_at_ms = 1_000 + 50 * (events - 1)
+        context.tracker = types.SimpleNamespace(event_count=events)
+    assert gate._profiles.gaps_ms == gaps_ms
--- a/wrenspoke/coordination/admission/places.py
+++ b/wrenspoke/coordination/admission/places.py
@@ -12,7 +12,9 @@
 
 
 # Streams go on beside prompts, which are computed in pieces between them.
-MAX_PREFILL_SHARE = 0.75
+MAX_PREFILL_SHARE = 0.4
+# Profiles of fewer streams are only believed if they say slower.
+MIN_SAMPLES = 10
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -69,7 +71,8 @@
     """A prediction for one call at one engine.
 
     ``harmed`` counts the streams there that would miss their deadlines
-    because of it. ``ready_ms`` is the time until a slot is free.
+    because of it. ``ready_ms`` is the time until a slot is free, and
+    ``prefill_share`` what of its time the engine spends on prompts.
     """
 
     ready_ms: float
@@ -79,6 +82,7 @@
     running: int
     slots: int
     age_ms: int | None
+    prefill_share: float = 0.0
 
     @property
     def free(self) -> int:
@@ -108,8 +112,11 @@
     slot_ms = ready_ms(occupancy)
     beside = min(occupancy.running, occupancy.slots - 1)
     step_ms = profile.event_ms + profile.event_ms_per_stream * beside
-    gap_ms = step_ms / (1.0 - min(occupancy.prefill_share, MAX_PREFILL_SHARE))
-    stream_ms = max(demand.stream_ms, demand.events * gap_ms)
+    share = min(occupancy.prefill_share, MAX_PREFILL_SHARE)
+    gap_ms = step_ms / (1.0 - share)
+    stream_ms = demand.events * gap_ms
+    if profile.samples < MIN_SAMPLES:
+        stream_ms = max(demand.stream_ms, stream_ms)
     first_ms = slot_ms + demand.first_ms
     end_ms = first_ms + stream_ms
     slower = 0.0
@@ -123,6 +130,7 @@
         occupancy.running,
         occupancy.slots,
         occupancy.age_ms,
+        share,
     )
 
 
--- a/wrenspoke/coordination/serving/admission_gate.py
+++ b/wrenspoke/coordination/serving/admission_gate.py
@@ -16,6 +16,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.admission import controller as controllers
+from wrenspoke.coordination.admission import pace_model
 from wrenspoke.coordination.admission import places
 from wrenspoke.coordination.admission import profiles
 from wrenspoke.coordination.admission import running_streams
@@ -25,6 +26,7 @@
 from wrenspoke.coordination.serving import call_context
 from wrenspoke.coordination.serving import costs
 from wrenspoke.coordination.serving import endpoint_selector
+from wrenspoke.coordination.serving import engine_pace
 from wrenspoke.coordination.serving import estimate
 from wrenspoke.coordination.serving import sending
 from wrenspoke import ids
@@ -41,6 +43,8 @@
 # How many of the calls that wait are assessed at a time.
 CONCURRENT_RECHECKS = 4
 TOTALS_INTERVAL_MS = 30_000
+# Shorter streams say little about an engine's pace.
+MIN_EVENTS = 8
 # Time constant of the rate at which streams end.
 ENDS_WINDOW_MS = 2_000.0
 
@@ -56,28 +60,52 @@
         self.place = place
 
 
-class EstimatedProfiles:
-    """Derives the speed of engines from the estimator's models."""
+class LearnedProfiles:
+    """Speeds of engines: of prompts as estimated, of streams as they ran."""
 
     def __init__(self, estimator: estimate.Estimator):
         self._estimator = estimator
+        self._paces: dict[ids.ServiceId, pace_model.PaceModel] = {}
 
     def profile(
         self, endpoint: ids.EndpointId, service: routes.RoutedService
     ) -> capacity.EngineProfile:
         """Return the profile of an engine of a service."""
-        model = self._estimator.model_for(service.service)
-        pace = self._estimator.pace.forecast(
-            endpoint, service.batch.event_tokens
-        )
+        prefill = self._estimator.model_for(service.service)
+        factor = prefill.speed_factor(endpoint)
+        pace = self._pace_of(service)
+        gap_ms, slope_ms = pace.fit()
         return capacity.EngineProfile(
             endpoint,
             0,
-            model.token_ms * model.speed_factor(endpoint),
-            pace.usual_ms,
-            0.0,
+            prefill.token_ms * factor,
+            gap_ms,
+            slope_ms,
+            pace.samples,
         )
 
+    def record_stream(
+        self,
+        service: routes.RoutedService,
+        place: places.Place,
+        gap_ms: float,
+    ) -> None:
+        """Learn from the mean gap of a stream that ran at its place."""
+        self._pace_of(service).add(
+            min(place.running, place.slots - 1),
+            gap_ms * (1.0 - place.prefill_share),
+        )
+
+    def _pace_of(self, service: routes.RoutedService) -> pace_model.PaceModel:
+        found = self._paces.get(service.service)
+        if found is None:
+            prior_ms = (
+                engine_pace.INITIAL_TOKEN_MS * service.batch.event_tokens
+            )
+            found = pace_model.PaceModel(prior_ms)
+            self._paces[service.service] = found
+        return found
+
 
 class _EndRate:
     """Rate at which streams of this host end, decaying exponentially."""
@@ -289,7 +317,10 @@
         number = self.streams.add(
             destination.endpoint,
             places.Stream(
-                now_ms, now_ms + chosen.place.end_ms, context.deadline_ms
+                now_ms,
+                now_ms + chosen.place.end_ms,
+                context.deadline_ms,
+                chosen.estimate.prefill_ms,
             ),
         )
         before_ms = context.first_piece_at_ms
@@ -299,15 +330,28 @@
             self.streams.remove(destination.endpoint, number)
             now_ms = self._clock.mono_ms()
             if context.first_piece_at_ms != before_ms:
-                self._ends.add(now_ms)
-                self.streams.record_hold(
-                    context.service.service,
-                    now_ms
-                    - context.first_piece_at_ms
-                    + chosen.estimate.prefill_ms,
-                )
+                self._record_end(context, chosen, now_ms)
             self._wake()
 
+    def _record_end(
+        self,
+        context: call_context.CallContext,
+        chosen: endpoint_selector.EndpointSelection,
+        now_ms: int,
+    ) -> None:
+        """Learn from a stream that has ended."""
+        self._ends.add(now_ms)
+        first_ms = context.first_piece_at_ms
+        self.streams.record_hold(
+            context.service.service,
+            now_ms - first_ms + chosen.estimate.prefill_ms,
+        )
+        events = 0 if context.tracker is None else context.tracker.event_count
+        if events < MIN_EVENTS or context.last_piece_at_ms is None:
+            return
+        gap_ms = (context.last_piece_at_ms - first_ms) / (events - 1)
+        self._profiles.record_stream(context.service, chosen.place, gap_ms)
+
     def _wake(self) -> None:
         """Let the first of the calls that wait be assessed again."""
         for ticket in self.controller.queue.in_order()[:CONCURRENT_RECHECKS]:
@@ -324,14 +368,17 @@
         now_ms = self._clock.mono_ms()
         profile = self._profiles.profile(sent.endpoint, service)
         events = math.ceil(sent.stream_tokens / service.batch.event_tokens)
-        length_ms = sent.tokens * profile.token_ms + events * profile.event_ms
+        prefill_ms = sent.tokens * profile.token_ms
+        length_ms = prefill_ms + events * profile.event_ms
         if not sent.left_ms:
             length_ms = self.streams.hold_ms(service.service)
         sent_ms = now_ms - sent.age_ms
         deadline_ms = sent_ms + sent.left_ms if sent.left_ms else math.inf
         self.streams.add(
             sent.endpoint,
-            places.Stream(sent_ms, sent_ms + length_ms, deadline_ms),
+            places.Stream(
+                sent_ms, sent_ms + length_ms, deadline_ms, prefill_ms
+            ),
         )
 
     async def log_periodically(self) -> None:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -215,7 +215,7 @@
             self._admission = admission_gate.AdmissionGate(
                 controller.AdmissionController(node.admission.max_wait_ms),
                 self._engine_loads,
-                admission_gate.EstimatedProfiles(self._estimator),
+                admission_gate.LearnedProfiles(self._estimator),
                 self.clock,
             )
         self._sent_calls = None
