Let a call that waits alone take ample room, and rule on a call once

And a call that admission let in was still refused by the older rule, by the estimate that admission had corrected.

Change: others that wait count; the older rule is for calls that admission does not rule on.

--- a/tests/test_admission_controller.py
+++ b/tests/test_admission_controller.py
@@ -61,6 +61,15 @@
     assert made.decide(ticket, found, 3_000, later_ms).ruling is after_wait
 
 
+@pytest.mark.parametrize('others, ruling', [(0, ADMIT), (1, WAIT)])
+def test_call_that_waits_alone_takes_ample_room(others, ruling):
+    made = controller_with(*[wait_ticket() for _other in range(others)])
+    ticket = ticket_of(made)
+    made.queue.add(ticket)
+    found = place(1_000, harmed=1, running=20)
+    assert made.decide(ticket, found, 3_000, NOW_MS).ruling is ruling
+
+
 def test_call_that_always_harms_someone_is_served_in_the_end():
     made = controller_with()
     harming = place(2_000, harmed=2)
--- a/wrenspoke/coordination/admission/controller.py
+++ b/wrenspoke/coordination/admission/controller.py
@@ -127,7 +127,7 @@
         """Return what happens to a call, given the best place for it."""
         ticket.feasible = place.end_ms <= deadline_left_ms
         harms = place.harmed > self._allowed_harm(ticket)
-        if place.has_ample_room and not len(self.queue):
+        if place.has_ample_room and not self.queue.has_others(ticket):
             return Decision(Ruling.ADMIT)
         reason = self._is_late_beside_others(ticket, place, now_ms)
         if reason is not Reason.NONE:
--- a/wrenspoke/coordination/admission/wait_queue.py
+++ b/wrenspoke/coordination/admission/wait_queue.py
@@ -49,6 +49,10 @@
         """Return whether further calls may not wait."""
         return len(self._tickets) >= QUEUE_LIMIT
 
+    def has_others(self, ticket: Ticket) -> bool:
+        """Return whether other calls than this one wait."""
+        return len(self._tickets) > (ticket in self._tickets)
+
     def add(self, ticket: Ticket) -> None:
         """Let a call wait."""
         self._tickets.append(ticket)
--- a/wrenspoke/coordination/serving/destinations.py
+++ b/wrenspoke/coordination/serving/destinations.py
@@ -107,9 +107,10 @@
         if local is not None:
             if self._is_without_room(context, local, remote):
                 return self._host_destination(context, remote, local)
-            self._refuse_unmeetable_deadline(
-                context, bounds, local.first_ms, local.estimate.end_ms
-            )
+            if local.place is None:
+                self._refuse_unmeetable_deadline(
+                    context, bounds, local.first_ms, local.estimate.end_ms
+                )
         return self._endpoint_destination(context, local)
 
     def _is_enabled(self, mechanism: feature_flags.FeatureFlag) -> bool:
