--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -148,7 +148,7 @@
             said.endpoint, call.parts, assume_affinity
         )
         uncached = max(call.tokens_in - cached - moved_tokens, 0.0)
-        token_ms = self._token_ms(said.endpoint, said.service)
+        token_ms = self.token_ms(said.endpoint, said.service)
         queued = self.backlog.tokens_ahead(said.endpoint, load, token_ms)
         transfer_ms = TRANSFER_WAIT_FACTOR * service.batch.cache_transfer_ms(
             moved_tokens
@@ -213,7 +213,7 @@
         """Return the room of an engine, by its last load report."""
         endpoint = found.registration.endpoint
         load = self._engine_loads.load(endpoint)
-        token_ms = self._token_ms(endpoint, service.service)
+        token_ms = self.token_ms(endpoint, service.service)
         places, cache_tokens = service.batch.slots, service.batch.cache_tokens
         if load is not None:
             places = max(places - load.running - load.queued, 0)
@@ -245,10 +245,10 @@
         return self.backlog.add_prompt(
             endpoint,
             estimate.uncached_tokens,
-            self._token_ms(endpoint, service.service),
+            self.token_ms(endpoint, service.service),
         )
 
-    def _token_ms(
+    def token_ms(
         self, endpoint: ids.EndpointId, service: ids.ServiceId
     ) -> float:
         """Return an engine's prefill time for a token."""
@@ -289,7 +289,7 @@
         self.backlog.add_peer_prompt(
             sent.endpoint,
             sent.tokens,
-            self._token_ms(sent.endpoint, service.service),
+            self.token_ms(sent.endpoint, service.service),
             sent.age_ms,
         )
 
