Prepare both targets of a region when a call finds no connection to one

A miss now raises the number kept for both, as calls are spread over both. Ran test_request_path_hops and test_layers: 37 pass.

--- a/tests/test_request_path_hops.py
+++ b/tests/test_request_path_hops.py
@@ -83,11 +83,19 @@
     def __init__(self, *names):
         self.names = list(names)
         self.lost = set()
+        self.regions = {}
 
     def forwarding_targets(self):
         return [
             discovery_messages.HostRecord(
-                name, 'south', 'south-hall', '', f'{name}:1', 'i', 0, False
+                name,
+                self.regions.get(name, 'south'),
+                'hall',
+                '',
+                f'{name}:1',
+                'i',
+                0,
+                False,
             )
             for name in self.names
         ]
@@ -153,6 +161,21 @@
     assert pool.idle['h:1'] == warm_connections.MIN_SPARES
 
 
+async def test_burst_prepares_the_other_target_of_its_region():
+    """Calls are spread over both, so the next ones meet the other."""
+    pool, clock = FakePool(), FakeClock()
+    targets = FakeTargets('h', 'next', 'far')
+    targets.regions['far'] = 'west'
+    warm = build(pool, targets, clock)
+    warm.check()
+    await settle()
+    for _call in range(warm_connections.MIN_SPARES + 1):
+        pool.take('h:1')
+    await settle()
+    assert pool.idle['next:1'] == 2 * warm_connections.MIN_SPARES
+    assert pool.idle['far:1'] == warm_connections.MIN_SPARES
+
+
 @pytest.mark.parametrize('targets', [2, 36, 100])
 async def test_spares_of_a_host_are_bounded(targets):
     pool, clock = FakePool(), FakeClock()
--- a/wrenspoke/coordination/membership/warm_connections.py
+++ b/wrenspoke/coordination/membership/warm_connections.py
@@ -3,7 +3,8 @@
 Opening a connection costs a call another round trip between regions. Each
 host keeps a few idle connections to the targets that it forwards calls to.
 A taken one is replaced at once; a call that finds none doubles the number
-kept, which shrinks again while calls find one.
+kept to the targets of its region, which calls are spread over. The number
+shrinks again while calls find one.
 """
 
 import collections.abc
@@ -66,10 +67,8 @@
     changed_ms: int
     opening: int = 0
 
-    def on_take(self, found_idle: bool, limit: int, now_ms: int) -> None:
-        """Grow if a call found no idle connection."""
-        if found_idle:
-            return
+    def grow(self, limit: int, now_ms: int) -> None:
+        """Grow, as a call found no idle connection."""
         self.wanted = min(max(self.wanted, 1) * 2, limit)
         self.changed_ms = now_ms
 
@@ -100,7 +99,7 @@
         self._clock = clock
         self._tasks = runtime.Tasks()
         self._spares: dict[str, Spares] = {}
-        self._hosts: dict[str, ids.HostId] = {}
+        self._hosts: dict[str, discovery_messages.HostRecord] = {}
         pool.set_take_listener(self._on_take)
 
     def start(self) -> None:
@@ -121,12 +120,12 @@
         now_ms = self._clock.mono_ms()
         before = self._hosts
         self._hosts = {
-            record.passing_address: record.host
+            record.passing_address: record
             for record in self._targets.forwarding_targets()
         }
         for address in before.keys() - self._hosts.keys():
             del self._spares[address]
-            if self._targets.is_lost(before[address]):
+            if self._targets.is_lost(before[address].host):
                 logger.info('idle_connections_closed', address=address)
                 self._pool.close_idle(address)
         for address in self._hosts:
@@ -143,11 +142,16 @@
         return max(min(self._spares_limit, share), 1)
 
     def _on_take(self, address: str, found_idle: bool) -> None:
-        found = self._spares.get(address)
-        if found is None:
+        if address not in self._spares:
+            return
+        if found_idle:
+            self._fill(address, self._spares[address])
             return
-        found.on_take(found_idle, self._limit, self._clock.mono_ms())
-        self._fill(address, found)
+        region = self._hosts[address].region
+        for other, record in self._hosts.items():
+            if record.region == region:
+                self._spares[other].grow(self._limit, self._clock.mono_ms())
+                self._fill(other, self._spares[other])
 
     def _fill(self, address: str, found: Spares) -> None:
         idle = self._pool.count_idle(address, REPLACE_BEFORE_MS)
