Serve late calls of other teams at full engines again

Change: the refusal is for teams that grew far more than others. The share of its time that an engine spends on prompts counts up to 0.6, as 0.4 fits the logs as well but not the patterns.

--- a/wrenspoke/coordination/admission/controller.py
+++ b/wrenspoke/coordination/admission/controller.py
@@ -45,7 +45,6 @@
     HARMS = 'others would miss their deadlines'
     PASSED = 'another call goes first'
     EARLY = 'it returned before its time'
-    LATE = 'it would be late, and what comes behind it'
     SHARE = 'its team grew far more than others'
 
 
@@ -129,9 +128,8 @@
         harms = place.harmed > self._allowed_harm(ticket)
         if place.has_ample_room and not self.queue.has_others(ticket):
             return Decision(Ruling.ADMIT)
-        reason = self._is_late_beside_others(ticket, place, now_ms)
-        if reason is not Reason.NONE:
-            return Decision(Ruling.REFUSE, reason)
+        if self._is_late_beyond_share(ticket, place, now_ms):
+            return Decision(Ruling.REFUSE, Reason.SHARE)
         if ticket.feasible and not harms:
             ahead = self.queue.first_ahead(ticket)
             if ahead is None or now_ms >= ticket.until_ms:
@@ -149,22 +147,18 @@
             return Decision(Ruling.REFUSE, reason)
         return Decision(Ruling.ADMIT)
 
-    def _is_late_beside_others(
+    def _is_late_beyond_share(
         self, ticket: wait_queue.Ticket, place: places.Place, now_ms: int
-    ) -> Reason:
-        """Return why a call that would be late should not be admitted.
+    ) -> bool:
+        """Return whether a call would be late as its team sends too much.
 
-        Where no slot is free, what is served late makes late what comes
-        behind it. A call that was refused for it once is served all the same,
-        unless its team sends too much.
+        Where no slot is free, what is served late to one team makes late what
+        comes behind it. The calls of other teams are served late all the same:
+        whether a call will be late at a full engine is hard to tell.
         """
-        is_late = now_ms + place.first_ms > ticket.target_ms
-        if self.shares.is_over(ticket.team):
-            if is_late or place.ready_ms > 0:
-                return Reason.SHARE
-        elif is_late and place.ready_ms > 0 and not ticket.returned:
-            return Reason.LATE
-        return Reason.NONE
+        if not self.shares.is_over(ticket.team):
+            return False
+        return place.ready_ms > 0 or now_ms + place.first_ms > ticket.target_ms
 
     def _allowed_harm(self, ticket: wait_queue.Ticket) -> int:
         """Return how many streams a call may make late.
--- a/wrenspoke/coordination/admission/places.py
+++ b/wrenspoke/coordination/admission/places.py
@@ -12,7 +12,7 @@
 
 
 # Streams go on beside prompts, which are computed in pieces between them.
-MAX_PREFILL_SHARE = 0.4
+MAX_PREFILL_SHARE = 0.6
 # Profiles of fewer streams are only believed if they say slower.
 MIN_SAMPLES = 10
 
