--- a/wrenspoke/coordination/admission/places.py
+++ b/wrenspoke/coordination/admission/places.py
@@ -13,8 +13,6 @@
 
 # Streams go on beside prompts, which are computed in pieces between them.
 MAX_PREFILL_SHARE = 0.6
-# Profiles of fewer streams are only believed if they say slower.
-MIN_SAMPLES = 10
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -114,9 +112,7 @@
     step_ms = profile.event_ms + profile.event_ms_per_stream * beside
     share = min(occupancy.prefill_share, MAX_PREFILL_SHARE)
     gap_ms = step_ms / (1.0 - share)
-    stream_ms = demand.events * gap_ms
-    if profile.samples < MIN_SAMPLES:
-        stream_ms = max(demand.stream_ms, stream_ms)
+    stream_ms = max(demand.stream_ms, demand.events * gap_ms)
     first_ms = slot_ms + demand.first_ms
     end_ms = first_ms + stream_ms
     slower = 0.0
