Hold what callers do not read in one account of a host, and bound it

Cause: what a host kept for slow callers and for repeats was counted nowhere, bodies were read whole up to 8 MB, and a caller that read nothing stopped the reading from its engine, which holds a place meanwhile and cuts the answer off after some seconds.

Change, only with `buffering` enabled: one account a host counts requests, responses, incomplete events and connections that wait, by call and side. As it fills new requests are refused unread with a Retry-After, then copies for repeats are dropped, then a call adds a piece only for one that was taken. What a caller does not take is held and written by a task of the call, so that the endpoint is free once it has answered; a caller that takes nothing for `caller_stall_ms` is let go. What endpoints hold is counted over the region's hosts, and one that fell over with more than it bore before begins lower. Always: a request is written in pieces that refer to the one body, and a send that breaks says how much was written.

--- /dev/null
+++ b/wrenspoke/coordination/buffering/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds what a host holds for slow callers and endpoints."""
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -12,6 +12,7 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.buffering import endpoint_holdings
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.limiting import endpoint_limits
 from wrenspoke.coordination.membership import discovery_client
@@ -43,6 +44,8 @@
 SERVER_ERRORS = range(500, 600)
 # Responses up to this size are buffered, so that a truncated one is retried.
 BUFFERED_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+# Events of streams up to this size are kept whole while room is short.
+SCARCE_EVENT_LIMIT_BYTES = 16 * 1024
 # No attempt is started with less time left.
 MIN_TIME_LEFT_MS = 20
 
@@ -65,7 +68,9 @@
         outcomes: endpoint_outcomes.EndpointOutcomes | None = None,
         histograms: stage_histograms.StageHistograms | None = None,
         hops: hop_times.HopTimes | None = None,
+        holdings: endpoint_holdings.EndpointHoldings | None = None,
     ):
+        self._holdings = holdings
         self._hops = hops
         self._histograms = histograms
         self._broadcaster = broadcaster
@@ -93,6 +98,7 @@
         if context.tracker is not None and context.tracker.last_id is not None:
             last_event = context.tracker.last_id
         self._record_send(context, destination)
+        holding = self._record_holding(context, destination)
         # Counts as run until a response or an error shows the opposite.
         context.send_count += 1
         context.count_runs(1)
@@ -127,6 +133,10 @@
             self._estimator.record_prefilled(
                 destination.endpoint, destination.prompt_number
             )
+            if holding is not None:
+                self._holdings.record_ended(
+                    destination.endpoint, holding, destination.answered
+                )
             counts[destination.name] -= 1
             if not counts[destination.name]:
                 del counts[destination.name]
@@ -189,8 +199,24 @@
                 context.call.parts,
                 context.call.tokens_expected,
                 self._left_ms(context),
+                len(context.call.body),
             )
 
+    def _record_holding(
+        self,
+        context: call_context.CallContext,
+        destination: sending.Destination,
+    ) -> int | None:
+        """Count a call at its endpoint; None if there is none to count it."""
+        if self._holdings is None or destination.endpoint is None:
+            return None
+        call = context.call
+        return self._holdings.record_sent(
+            destination.endpoint,
+            len(call.body),
+            call.tokens_in + call.tokens_expected,
+        )
+
     def _record_first_piece(
         self,
         context: call_context.CallContext,
@@ -346,7 +372,11 @@
                 context
             ) and self._retry_outcomes.is_worthwhile(context.route.name):
                 context.cause = f'status {answer.status}'
-                body = await answer.read_all(BUFFERED_BODY_LIMIT_BYTES)
+                body, complete = await self._read_body(context, answer)
+                if not complete:
+                    return await self._forward_rest(
+                        context, destination, answer, body
+                    )
                 context.retained_response = call_context.RetainedResponse(
                     answer.status, answer.fields, body
                 )
@@ -362,9 +392,14 @@
         ):
             await self._forward_stream(context, destination, answer)
             return True
-        body = await answer.read_all(BUFFERED_BODY_LIMIT_BYTES)
+        if not context.reply.keeps_copies:
+            context.drop_body()
+        body, complete = await self._read_body(context, answer)
         if answer.status in OK_STATUSES:
             self._record_first_piece(context, destination)
+        context.drop_body()
+        if not complete:
+            return await self._forward_rest(context, destination, answer, body)
         await context.reply.send_response(answer.status, answer.fields, body)
         self._log_answered(context, destination, answer)
         return True
@@ -391,6 +426,38 @@
             destination.host, destination.located_in, took_ms - answer.held_ms
         )
 
+    async def _read_body(
+        self,
+        context: call_context.CallContext,
+        answer: sending.UpstreamResponse,
+    ) -> tuple[bytes, bool]:
+        """Return the body while there is room, and whether it is complete."""
+        return await answer.read_within(
+            BUFFERED_BODY_LIMIT_BYTES, context.reply.hold_response
+        )
+
+    async def _forward_rest(
+        self,
+        context: call_context.CallContext,
+        destination: sending.Destination,
+        answer: sending.UpstreamResponse,
+        begun: bytes,
+    ) -> bool:
+        """Forward a response that there was no room to read completely.
+
+        It can't be asked for again then, should it be truncated.
+        """
+        context.drop_body()
+        await context.reply.send_head(answer.status, answer.fields)
+        # Counted again by the write.
+        context.reply.release_response()
+        await context.reply.write(begun)
+        async for chunk in answer.chunks():
+            await context.reply.write(chunk)
+        await context.reply.end()
+        self._log_answered(context, destination, answer)
+        return True
+
     def _check_build(
         self,
         context: call_context.CallContext,
@@ -462,6 +529,7 @@
         return (
             context.route.repeatable
             and not context.reply.started
+            and not context.body_dropped
             and context.runs < context.runs_limit
             and self._left_ms(context) > MIN_TIME_LEFT_MS
         )
@@ -490,13 +558,20 @@
         with self._gap_recorder(context, destination) as recorder:
             async for chunk in answer.chunks():
                 data = tracker.feed(chunk)
+                context.reply.hold_events(tracker.partial_bytes)
                 if not data:
+                    if not context.reply.keeps_copies:
+                        tracker.buffer_limit_bytes = SCARCE_EVENT_LIMIT_BYTES
                     continue
                 if not context.reply.started:
                     self._record_first_piece(context, destination)
                     self._pin_build(context, answer.build)
                     await context.reply.send_head(answer.status, answer.fields)
                     context.tracker = tracker
+                if not context.body_dropped and not (
+                    context.route.repeatable and context.reply.keeps_copies
+                ):
+                    context.drop_body()
                 context.record_piece(self._clock.mono_ms())
                 recorder.record_piece()
                 await context.reply.write(data)
--- a/wrenspoke/coordination/serving/call_context.py
+++ b/wrenspoke/coordination/serving/call_context.py
@@ -58,6 +58,14 @@
     build: ids.BuildId | None = None
     # Its turn among the calls that need room, until it is sent or refused.
     ticket: wait_queue.Ticket | None = None
+    # Whether the request is kept no longer, so that it can't be sent again.
+    body_dropped: bool = False
+
+    def drop_body(self) -> None:
+        """Keep the request no longer, as no repeat will need it."""
+        self.body_dropped = True
+        self.call.body = b''
+        self.reply.release_request()
 
     @property
     def route(self) -> routes.Route:
--- a/wrenspoke/coordination/serving/endpoint_selector.py
+++ b/wrenspoke/coordination/serving/endpoint_selector.py
@@ -13,6 +13,7 @@
 from wrenspoke.coordination.admission import places
 from wrenspoke.coordination.balancing import distance
 from wrenspoke.coordination.balancing import region_room
+from wrenspoke.coordination.buffering import endpoint_holdings
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke.coordination.membership import remote_hosts
 from wrenspoke.coordination.membership import replica
@@ -121,6 +122,7 @@
         self.in_flight: dict[ids.EndpointId, int] = {}
         # Adds to the costs of engines that lack room, if it is set.
         self.weigh_place: PlaceWeigher | None = None
+        self.holdings: endpoint_holdings.EndpointHoldings | None = None
 
     def serving_regions(self, route: routes.Route) -> list[ids.RegionId]:
         """Return the regions that may serve a route, the local one first."""
@@ -163,6 +165,7 @@
             if found.registration.endpoint not in excluded
             and build in (None, found.registration.build)
             and not self._availability.limit_wait_ms(found)
+            and self._can_hold(found, call)
         ]
         warm = [
             found
@@ -211,6 +214,16 @@
             key=lambda item: (item.cost_ms, self._random.random()),
         )
 
+    def _can_hold(
+        self, found: registry.EndpointEntry, call: dialects.Call
+    ) -> bool:
+        """Return whether an endpoint can hold a call beside the others."""
+        return self.holdings is None or self.holdings.fits(
+            found.registration.endpoint,
+            len(call.body),
+            call.tokens_in + call.tokens_expected,
+        )
+
     def _is_enabled(self, mechanism: feature_flags.FeatureFlag) -> bool:
         return mechanism not in self._switched_off
 
--- a/wrenspoke/coordination/serving/event_tracker.py
+++ b/wrenspoke/coordination/serving/event_tracker.py
@@ -25,6 +25,8 @@
 
     def __init__(self, whole_only: bool):
         self._whole_only = whole_only
+        # Larger events are forwarded in parts; lowered where room is short.
+        self.buffer_limit_bytes = EVENT_BUFFER_LIMIT_BYTES
         self._buffer = b''
         self._forwarded_bytes = 0
         self._forwarded_id: str | None = None
@@ -46,13 +48,13 @@
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
         if not self._whole_only:
             # Forwarded as received, but parsed in whole events.
-            self._buffer = self._buffer[-EVENT_BUFFER_LIMIT_BYTES:]
+            self._buffer = self._buffer[-self.buffer_limit_bytes :]
             return data
         if end:
             complete = complete[self._forwarded_bytes :]
             self._forwarded_bytes = 0
         if (
-            len(self._buffer) <= EVENT_BUFFER_LIMIT_BYTES
+            len(self._buffer) <= self.buffer_limit_bytes
             and not self._forwarded_bytes
         ):
             return complete
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -151,6 +151,7 @@
             context = await self._prepare_call(call, reply, hop)
             if context is not None:
                 await self._serve_and_refund(context)
+            await reply.finish()
         finally:
             self.in_flight -= 1
 
@@ -546,6 +547,8 @@
             return await self._attempts.run_attempt(context, destination)
 
     def _may_retry(self, context: call_context.CallContext) -> bool:
+        if context.body_dropped:
+            return False
         if context.unexecuted_sends >= UNEXECUTED_SENDS_LIMIT:
             return False
         if not context.may_have_run:
--- a/wrenspoke/coordination/serving/response_body.py
+++ b/wrenspoke/coordination/serving/response_body.py
@@ -59,6 +59,36 @@
             self.exchange.resume, web.read_chunks, self._response
         )
 
+    async def read_within(
+        self,
+        limit_bytes: int,
+        hold: collections.abc.Callable[[int], bool],
+    ) -> tuple[bytes, bool]:
+        """Read the body while there is room; return whether it is complete.
+
+        ``hold`` counts bytes and returns whether more may be kept. The rest
+        is left for ``chunks``.
+
+        :raises MaybeSentError: it is truncated or exceeds ``limit_bytes``
+        """
+        chunks = []
+        size_bytes = 0
+        try:
+            async for chunk in self._pieces():
+                chunks.append(chunk)
+                size_bytes += len(chunk)
+                self.bytes_read += len(chunk)
+                has_room = hold(len(chunk))
+                if size_bytes > limit_bytes:
+                    raise errors.MaybeSentError(
+                        f'response body exceeds {limit_bytes} bytes'
+                    )
+                if not has_room:
+                    return b''.join(chunks), False
+        except transport_errors.TransportError as error:
+            raise errors.MaybeSentError(str(error)) from error
+        return b''.join(chunks), True
+
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive.
 
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -274,6 +274,7 @@
             call, permit, destination, left_ms, last_event, token
         )
         body = call.body or None
+        body_bytes = len(call.body)
         client = (
             self._endpoint_client
             if destination.host is None
@@ -315,7 +316,7 @@
                 try:
                     yield answer
                 finally:
-                    self._count_traffic(call, destination, answer)
+                    self._count_traffic(body_bytes, destination, answer)
             if run is not None and verdict is Verdict.ANSWERED:
                 self._guard.finish_run(run, answer.status, answer.framing)
         except transport_errors.SendAbortedError as error:
@@ -398,7 +399,7 @@
 
     def _count_traffic(
         self,
-        call: dialects.Call,
+        body_bytes: int,
         destination: Destination,
         answer: UpstreamResponse,
     ) -> None:
@@ -408,7 +409,7 @@
         peer_location = locations.Location(
             destination.located_in, ids.DataCentreId('')
         )
-        self._traffic.count_bytes(CALL, peer_location, len(call.body))
+        self._traffic.count_bytes(CALL, peer_location, body_bytes)
         self._traffic.count_bytes(ANSWER, peer_location, answer.bytes_read)
 
     def _request_fields(
--- a/wrenspoke/coordination/serving/sent_call_broadcast.py
+++ b/wrenspoke/coordination/serving/sent_call_broadcast.py
@@ -93,6 +93,7 @@
         parts: collections.abc.Sequence[dialects.PromptPart],
         response_tokens: int = 0,
         left_ms: int = 0,
+        body_bytes: int = 0,
     ) -> None:
         """Queue a call that this host sends to an engine.
 
@@ -112,6 +113,7 @@
             response_tokens + (parts[-1].tokens if parts else 0),
             response_tokens,
             max(left_ms, 0),
+            body_bytes,
         )
         self._own.append((self._clock.mono_ms(), sent))
         self._own_added.set()
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -12,6 +12,7 @@
 from wrenspoke.coordination.admission import controller
 from wrenspoke.coordination.balancing import distance
 from wrenspoke.coordination.balancing import engine_profiles
+from wrenspoke.coordination.buffering import node_buffers
 from wrenspoke.coordination.limiting import ahead_shares
 from wrenspoke.coordination.limiting import bounds
 from wrenspoke.coordination.limiting import endpoint_gate
@@ -99,11 +100,22 @@
             self.lease,
         )
         self._traffic.set_location_lookup(self.discovery.host_location)
+        read_buffer_bytes = web.READ_BUFFER_BYTES
+        # Bounds near sockets alone, as far ones need larger windows.
+        self._socket_buffer_bytes = None
+        if node.buffering.enabled:
+            read_buffer_bytes = node_buffers.READ_BUFFER_BYTES
+            self._socket_buffer_bytes = node_buffers.SOCKET_BUFFER_BYTES
         self._client = web.HttpClient(
-            node.entry.connect_timeout_ms, node.entry.endpoint_idle_ms
+            node.entry.connect_timeout_ms,
+            node.entry.endpoint_idle_ms,
+            read_buffer_bytes,
+            self._socket_buffer_bytes,
         )
         self._hosts_client = web.HttpClient(
-            node.entry.far_connect_timeout_ms, node.entry.host_idle_ms
+            node.entry.far_connect_timeout_ms,
+            node.entry.host_idle_ms,
+            read_buffer_bytes,
         )
         self.retry_budget = shared_retry_budget.SharedRetryBudget(
             node.host,
@@ -167,6 +179,15 @@
             self.peers,
             self.clock,
         )
+        self._buffers = None
+        if node.buffering.enabled:
+            self._buffers = node_buffers.NodeBuffers(
+                node.buffering.ceiling_bytes
+                or node_buffers.ceiling_of(node.resources.memory_bytes),
+                node.buffering.call_limit_bytes,
+                node.buffering.caller_stall_ms,
+                self.clock,
+            )
         self._build_limits()
         self._build_guard()
         self._build_gauges(reports, dialect)
@@ -286,6 +307,11 @@
         self._estimator.record_peer_sent(sent, service)
         if self._admission is not None:
             self._admission.record_peer_sent(sent, service)
+        if self._buffers is not None:
+            tokens = sent.own_tokens + sum(size for _part, size in sent.parts)
+            self._buffers.holdings.record_peer_sent(
+                sent.endpoint, sent.body_bytes, tokens, sent.age_ms
+            )
 
     def _build_limits(self) -> None:
         """Build the enforcement of team limits and endpoint limits."""
@@ -359,6 +385,11 @@
 
     def _reset_endpoint_state(self, before: registry.Registration) -> None:
         """Discard the state of an endpoint's previous instance."""
+        is_orderly = before.leaving or (
+            before.state is not registry.RegistrationState.READY
+        )
+        if self._buffers is not None and not is_orderly:
+            self._buffers.holdings.record_fallen(before.endpoint)
         others = set(self.discovery.registry.entries) - {before.endpoint}
         self._estimator.keep_only(others)
         if self._admission is not None:
@@ -420,6 +451,8 @@
         self.stage_histograms = stage_histograms.StageHistograms(self.clock)
         if self._admission is not None:
             self._selector.weigh_place = self._admission.weigh
+        if self._buffers is not None:
+            self._selector.holdings = self._buffers.holdings
         builds = stream_builds.StreamBuilds(
             self._stream_build_store, self.discovery
         )
@@ -462,6 +495,7 @@
                 self._outcomes,
                 self.stage_histograms,
                 self._hop_times,
+                None if self._buffers is None else self._buffers.holdings,
             ),
             self.retry_budget,
             self._access,
@@ -484,11 +518,16 @@
             self.clock,
             self._kept_answers,
             take_up.TakeUpForwarder(self._hosts_client, self._host_address),
+            passthrough_api.Reply
+            if self._buffers is None
+            else self._buffers.callers.make_reply,
         )
         self.discovery.registry.add_restart_listener(
             self._reset_endpoint_state
         )
-        self._caller_server = self._server(surface.handle_caller)
+        self._caller_server = self._server(
+            surface.handle_caller, self._socket_buffer_bytes
+        )
         self._host_server = self._server(surface.handle_host)
 
     def _host_address(self, host: ids.HostId) -> str | None:
@@ -496,10 +535,15 @@
         record = self.discovery.roster.record(host)
         return None if record is None else record.passing_address
 
-    def _server(self, handler: web.Handler) -> web.LowLevelServer:
+    def _server(
+        self, handler: web.Handler, socket_buffer_bytes: int | None = None
+    ) -> web.LowLevelServer:
         entry = self.node.entry
         return web.LowLevelServer(
-            handler, entry.caller_idle_ms, entry.header_limit_bytes
+            handler,
+            entry.caller_idle_ms,
+            entry.header_limit_bytes,
+            socket_buffer_bytes,
         )
 
     async def start(self) -> None:
@@ -514,6 +558,8 @@
             self._sent_calls.start()
         if self._outcomes is not None:
             self._outcomes.start()
+        if self._buffers is not None:
+            self._buffers.start()
         self._remote_hosts.start()
         if self._warm_connections is not None:
             self._warm_connections.start()
@@ -544,6 +590,8 @@
             if self._admission is not None:
                 self._admission.keep_only(set(entries))
             self._warmup_probe.keep_only(set(entries))
+            if self._buffers is not None:
+                self._buffers.holdings.keep_only(entries)
             addresses = {
                 found.registration.address for found in entries.values()
             }
@@ -591,6 +639,8 @@
         await self._gate.close()
         await self._stream_build_store.close()
         await self._guard.close()
+        if self._buffers is not None:
+            await self._buffers.close()
         if self._sent_calls is not None:
             await self._sent_calls.close()
         if self._outcomes is not None:
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -144,11 +144,15 @@
     """Bounds of the bytes that a host holds for callers and endpoints.
 
     ``ceiling_bytes`` bounds the bytes of all calls; with null it is a share
-    of ``resources.memory_bytes``.
+    of ``resources.memory_bytes``. Up to ``call_limit_bytes`` of a response are
+    held for a caller that reads slowly. One that reads nothing for
+    ``caller_stall_ms`` is let go.
     """
 
     enabled: bool = False
     ceiling_bytes: Positive | None = None
+    call_limit_bytes: Positive = 512 * 1024
+    caller_stall_ms: Positive = 8_000
 
 
 class RequestPathSettings(_Section):
--- a/wrenspoke/protocol/discovery_messages.py
+++ b/wrenspoke/protocol/discovery_messages.py
@@ -214,6 +214,7 @@
     share, ``own_tokens`` the other tokens that it adds to the engine's cache.
     Its response should have ``stream_tokens``, and has to end ``left_ms``
     after the call was sent; hosts of earlier versions leave both at 0.
+    ``body_bytes`` is the size of the request, 0 from older hosts.
     """
 
     host: int
@@ -224,6 +225,7 @@
     own_tokens: int = 0
     stream_tokens: int = 0
     left_ms: int = 0
+    body_bytes: int = 0
 
 
 class EngineObservation(msgspec.Struct, array_like=True, frozen=True):
--- a/wrenspoke/protocol/errors.py
+++ b/wrenspoke/protocol/errors.py
@@ -21,6 +21,14 @@
     """Raised for a hop header that is forged, malformed or expired."""
 
 
+class NoRoomError(ProtocolError):
+    """Raised if a host holds too many bytes to read a request."""
+
+    def __init__(self, retry_after_ms: int):
+        super().__init__(f'no room for a request for {retry_after_ms} ms')
+        self.retry_after_ms = retry_after_ms
+
+
 class CallerDisconnectedError(ProtocolError):
     """Raised if the caller disconnects before the response is complete."""
 
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -47,6 +47,9 @@
 EXPECT = 'Expect'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 MS_PER_S = 1000
+# For how long the body of a request that was refused unread is still taken
+# from its connection, so that the caller gets to read the refusal.
+DISCARD_MS = 1_000
 # nginx's status for a client that disconnected; it is never sent.
 CLIENT_CLOSED_STATUS = 499
 GONE = 410
@@ -69,6 +72,7 @@
     UNKNOWN_BUILD = 'unknown_build'
     BUILD_GONE = 'build_gone'
     UNKNOWN_ANSWER = 'unknown_answer'
+    OVERLOADED = 'overloaded'
 
 
 # Refusals by a host that sent nothing to an endpoint: they don't consume the
@@ -82,6 +86,7 @@
         Refusal.UNKNOWN_KEY,
         Refusal.LEAVING,
         Refusal.QUARANTINED,
+        Refusal.OVERLOADED,
     ]
 )
 
@@ -138,6 +143,39 @@
         self.held_ms: collections.abc.Callable[[], int] | None = None
         self.taken_up: str | None = None
         self.recalled: str | None = None
+        self.request_id = ids.RequestId('')
+
+    # Whether there is room for what only a repeat of the call would need.
+    keeps_copies = True
+
+    def hold_request(self, size_bytes: int) -> int | None:
+        """Count bytes of the request; return Retry-After if it can't be read.
+
+        0 stands for a request of which nothing was read yet.
+        """
+        return None
+
+    def release_request(self) -> None:
+        """Stop to count the request, which is kept no longer."""
+
+    def hold_response(self, size_bytes: int) -> bool:
+        """Count bytes of a response; return whether more may be kept."""
+        return True
+
+    def release_response(self) -> None:
+        """Stop to count the bytes of a response that were held."""
+
+    def hold_events(self, size_bytes: int) -> None:
+        """Set the bytes of an incomplete event of the response."""
+
+    async def finish(self) -> None:
+        """Wait until the caller has taken what was sent.
+
+        :raises CallerDisconnectedError: the caller has disconnected
+        """
+
+    async def close(self) -> None:
+        """Release what is held, at the end of the call."""
 
     @property
     def started(self) -> bool:
@@ -339,11 +377,15 @@
         clock: clocks.Clock,
         answers: kept_answers.AnswerStore | None = None,
         forwarder: TakeUpForwarder | None = None,
+        make_reply: collections.abc.Callable[
+            [web_request.BaseRequest, bool], Reply
+        ] = Reply,
     ):
         self._answers = answers
         self._memory = call_memory.CallMemory(clock)
         self._forwarder = forwarder
         self._server = server
+        self._make_reply = make_reply
         self._limits = limits
         self._reader = dialects.CallReader(dialect, limits.default_deadline_ms)
         self._clock = clock
@@ -363,7 +405,17 @@
     async def _handle(
         self, request: web_request.BaseRequest, forwarded: bool
     ) -> web_response.StreamResponse:
-        reply = Reply(request, self._server.leaving)
+        # What other hosts do not read at once is kept by their answers.
+        make_reply = Reply if forwarded else self._make_reply
+        reply = make_reply(request, self._server.leaving)
+        try:
+            return await self._answer(request, reply, forwarded)
+        finally:
+            await reply.close()
+
+    async def _answer(
+        self, request: web_request.BaseRequest, reply: Reply, forwarded: bool
+    ) -> web_response.StreamResponse:
         try:
             if forwarded and TAKE_UP_HEADER in request.headers:
                 return await self._handle_take_up(request, reply)
@@ -374,7 +426,8 @@
                 _without_hop(request.raw_headers),
                 self._clock.mono_ms(),
             )
-            call.body = await self._read_body(request)
+            reply.request_id = call.request
+            call.body = await self._read_body(request, reply)
             read_ms = self._clock.mono_ms()
             call.stages.mark(call_stages.Stage.READ, read_ms)
             if hop is not None and hop.timed:
@@ -385,6 +438,8 @@
             bad = Reply(request, close=True)
             await bad.refuse(error.status, str(error))
             return bad.response
+        except errors.NoRoomError as error:
+            await self._refuse_unread(request, reply, error.retry_after_ms)
         except errors.CallerDisconnectedError:
             logger.info('caller_gone', path=request.raw_path)
         return reply.response or web_response.Response(
@@ -517,7 +572,41 @@
         except msgspec.DecodeError as error:
             raise errors.BadRequestError(HOP_HEADER, str(error)) from error
 
-    async def _read_body(self, request: web_request.BaseRequest) -> bytes:
+    async def _refuse_unread(
+        self,
+        request: web_request.BaseRequest,
+        reply: Reply,
+        retry_after_ms: int,
+    ) -> None:
+        """Refuse a request of which at most a part was read; it did not run.
+
+        The rest is taken and dropped, as a connection that closes with unread
+        bytes is reset and the caller may never read the refusal.
+        """
+        logger.info(
+            'request_refused_unread',
+            request=reply.request_id,
+            retry_after_ms=retry_after_ms,
+        )
+        reply.release_request()
+        await reply.refuse(UNAVAILABLE, Refusal.OVERLOADED, retry_after_ms)
+        try:
+            async with clocks.timeout_ms(DISCARD_MS):
+                async for _chunk in request.content.iter_any():
+                    continue
+        except (TimeoutError, aiohttp.ClientError, ConnectionError):
+            return
+
+    async def _read_body(
+        self, request: web_request.BaseRequest, reply: Reply
+    ) -> bytes:
+        """Return the body of a request.
+
+        :raises NoRoomError: the host holds too much to read it
+        """
+        retry_after_ms = reply.hold_request(0)
+        if retry_after_ms is not None:
+            raise errors.NoRoomError(retry_after_ms)
         if not request.body_exists:
             return b''
         limit_bytes = min(
@@ -538,6 +627,9 @@
                     size_bytes += len(chunk)
                     if size_bytes > limit_bytes:
                         raise too_large
+                    retry_after_ms = reply.hold_request(len(chunk))
+                    if retry_after_ms is not None:
+                        raise errors.NoRoomError(retry_after_ms)
                     chunks.append(chunk)
         except TimeoutError as error:
             raise errors.BadRequestError(
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -204,12 +204,21 @@
     transport.abort()
 
 
-def create_keepalive_socket(address: tuple) -> socket.socket:
-    """Return a non-blocking socket with TCP keepalive enabled."""
+def create_keepalive_socket(
+    address: tuple, receive_buffer_bytes: int | None = None
+) -> socket.socket:
+    """Return a non-blocking socket with TCP keepalive enabled.
+
+    ``receive_buffer_bytes`` bounds what the kernel holds before it is read.
+    """
     family, kind, protocol, _name, _address = address
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
     enable_keepalive(sock)
+    if receive_buffer_bytes is not None:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
     _OPENED_SOCKETS.get([]).append(sock)
     return sock
 
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -30,6 +30,10 @@
 # Short, as in-flight requests are drained before a server is closed.
 SHUTDOWN_TIMEOUT_S = 0.1
 IDLE_TIMEOUT_MS = 15_000
+# aiohttp reads twice as much of a response before it is taken.
+READ_BUFFER_BYTES = 64 * 1024
+# Bodies of requests are written in pieces of this size.
+BODY_PIECE_BYTES = 64 * 1024
 # Headers that aiohttp adds by default.
 AUTO_HEADERS = frozenset(
     ['Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type']
@@ -96,6 +100,7 @@
         super().__init__(body)
         self._is_permitted = may_send
         self.aborted = False
+        self.written_bytes = 0
 
     async def write_with_length(
         self, writer: aiohttp.abc.AbstractStreamWriter, length: int | None
@@ -103,7 +108,15 @@
         if not self._is_permitted():
             self.aborted = True
             raise errors.SendAbortedError('send no longer permitted')
-        await super().write_with_length(writer, length)
+        body = memoryview(self._value)[:length]
+        for start in range(0, len(body), BODY_PIECE_BYTES):
+            piece = body[start : start + BODY_PIECE_BYTES]
+            if start:
+                # The connection holds one piece for an endpoint that reads
+                # slowly, and other calls run between two pieces.
+                await writer.drain()
+            await writer.write(piece)
+            self.written_bytes += len(piece)
 
 
 class HttpClient:
@@ -118,7 +131,11 @@
         self,
         connect_timeout_ms: int,
         idle_timeout_ms: int = IDLE_TIMEOUT_MS,
+        read_buffer_bytes: int = READ_BUFFER_BYTES,
+        socket_buffer_bytes: int | None = None,
     ):
+        self._read_buffer_bytes = read_buffer_bytes
+        self._socket_buffer_bytes = socket_buffer_bytes
         self._idle_timeout_s = idle_timeout_ms / 1000
         self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_ms / 1000
@@ -137,7 +154,10 @@
             limit=0,
             limit_per_host=0 if force_close else MAX_CONNECTIONS_PER_HOST,
             force_close=force_close,
-            socket_factory=connector.create_keepalive_socket,
+            socket_factory=functools.partial(
+                connector.create_keepalive_socket,
+                receive_buffer_bytes=self._socket_buffer_bytes,
+            ),
             **idle,
         )
         tcp_connector._factory = functools.partial(
@@ -222,11 +242,14 @@
                     skip_auto_headers=AUTO_HEADERS,
                     data=body,
                     allow_redirects=False,
+                    read_bufsize=self._read_buffer_bytes,
                 )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if guarded is not None and guarded.aborted:
                 raise errors.SendAbortedError(repr(error)) from error
-            raise errors.MaybeSentError(repr(error)) from error
+            raise errors.MaybeSentError(
+                _describe_failure(error, guarded)
+            ) from error
         try:
             yield response
         finally:
@@ -267,12 +290,33 @@
         await self._unpooled.close()
 
 
-def _listening_socket(ip: str, port: int) -> socket.socket:
-    """Return a bound socket whose accepted connections use keepalive."""
+def _describe_failure(
+    error: Exception, body: _ConditionalPayload | None
+) -> str:
+    """Return why a send failed, and how much of its body was written.
+
+    A body that was written in part may still have been run by an endpoint
+    that does not wait for its end.
+    """
+    if body is None or body.written_bytes == body.size:
+        return repr(error)
+    return f'{error!r} after {body.written_bytes} of {body.size} body bytes'
+
+
+def _listening_socket(
+    ip: str, port: int, socket_buffer_bytes: int | None = None
+) -> socket.socket:
+    """Return a bound socket whose accepted connections use keepalive.
+
+    ``socket_buffer_bytes`` bounds what the kernel holds for each, both ways.
+    """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     connector.enable_keepalive(sock)
+    if socket_buffer_bytes is not None:
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, socket_buffer_bytes)
     sock.bind((ip, port))
     return sock
 
@@ -418,7 +462,9 @@
         handler: Handler,
         idle_timeout_ms: int,
         header_limit_bytes: int = MAX_LINE_BYTES,
+        socket_buffer_bytes: int | None = None,
     ):
+        self._socket_buffer_bytes = socket_buffer_bytes
         self._handler = handler
         self._idle_timeout_ms = idle_timeout_ms
         self._header_limit_bytes = header_limit_bytes
@@ -440,7 +486,7 @@
         )
         self._listener = await asyncio.get_running_loop().create_server(
             self._server,
-            sock=_listening_socket(ip, int(port)),
+            sock=_listening_socket(ip, int(port), self._socket_buffer_bytes),
             backlog=BACKLOG,
         )
 
@@ -474,6 +520,31 @@
         request.transport.abort()
 
 
+def bound_write_buffer(
+    request: web_request.BaseRequest, size_bytes: int
+) -> None:
+    """Bound what a caller's connection holds beyond its socket."""
+    if request.transport is not None:
+        request.transport.set_write_buffer_limits(
+            high=size_bytes, low=size_bytes // 4
+        )
+
+
+def unsent_bytes(request: web_request.BaseRequest) -> int:
+    """Return the bytes that a caller's socket has not taken yet."""
+    if request.transport is None:
+        return 0
+    return request.transport.get_write_buffer_size()
+
+
+async def drain(request: web_request.BaseRequest) -> None:
+    """Wait until a caller's connection holds less than its bound.
+
+    :raises ConnectionError: the connection has ended
+    """
+    await request.protocol._drain_helper()
+
+
 def free_ports(count: int) -> list[int]:
     """Return ``count`` free loopback ports from ``PORT_RANGE``.
 
