Let a slow caller take what is held of a response that broke off

Cause: a response that was given up on was cut at once, though its host held pieces that the caller had not taken yet. Before pieces were held the caller had everything by then.

Change: the connection is cut once the caller has taken what is held, or is let go as it stands still.

--- a/tests/test_buffering_account.py
+++ b/tests/test_buffering_account.py
@@ -272,6 +272,26 @@
     run(play)
 
 
+def test_slow_caller_gets_what_is_held_of_a_response_that_broke_off():
+    """It takes the stream up after the last event, not after the first."""
+
+    async def play(host):
+        reply = host.reply()
+        sock = reply._request
+        for _number in range(20):
+            await reply.write(bytes(2_000))
+        reply.abort()
+        assert not sock.closed
+        reader = asyncio.ensure_future(read(sock, random.Random(1), 'slow'))
+        await reply.finish()
+        assert sock.closed and not sock.ended
+        assert sock.taken + sock.unsent == 40_000
+        reader.cancel()
+        await reply.close()
+
+    run(play)
+
+
 def test_call_holds_no_more_than_its_limit():
     async def play(host):
         reply = host.reply()
--- a/wrenspoke/coordination/buffering/buffered_reply.py
+++ b/wrenspoke/coordination/buffering/buffered_reply.py
@@ -63,6 +63,7 @@
         self._pieces: collections.deque[bytes] = collections.deque()
         self._writer: asyncio.Task | None = None
         self._ends = False
+        self._aborts = False
         self._failure: protocol_errors.CallerDisconnectedError | None = None
         # Set when the caller or the account has made room.
         self._room = asyncio.Event()
@@ -184,6 +185,13 @@
             return
         self._ends = True
 
+    def abort(self) -> None:
+        """Cut the response, once the caller has taken what is held."""
+        if self._writer is None:
+            super().abort()
+            return
+        self._aborts = True
+
     async def finish(self) -> None:
         """Wait until the caller has taken what is held.
 
@@ -240,7 +248,9 @@
             del self._pieces[0]
             self.held.add(Side.RESPONSE, -len(piece))
             self._room.set()
-        if self._ends:
+        if self._aborts:
+            super().abort()
+        elif self._ends:
             await super().end()
 
     async def _drain(self) -> None:
@@ -264,4 +274,4 @@
         self._failure = protocol_errors.CallerDisconnectedError(
             f'caller of {self.request_id} read nothing for {stalled_ms} ms'
         )
-        self.abort()
+        super().abort()
