Let callers that read slowly go by their progress, not by the kernel's timeout

Cause: the user timeout of 3 s on callers' sockets ended each connection whose caller had no room for that long, before a caller was let go by its progress and without a word. A caller that reads steadily, but less than a window a time, was cut too.

Change: with buffering enabled the user timeout of callers' sockets is twice caller_stall_ms. Between hosts it stays, as it ends what a cut link left.

--- a/tests/test_buffering_passing.py
+++ b/tests/test_buffering_passing.py
@@ -279,6 +279,14 @@
     assert far._buffers.callers.stalled_count == 0
 
 
+async def test_kernel_does_not_cut_a_caller_before_it_is_let_go(system):
+    """Linux ends connections whose peers had no room for the user timeout."""
+    await system.begin(caller_stall_ms=7_000)
+    [sock] = system.entries[0]._caller_server.sockets
+    option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert sock.getsockopt(*option) > 7_000
+
+
 class RecordingWriter:
     """Writer that records the pieces, and the pauses between them."""
 
--- a/wrenspoke/coordination/buffering/buffered_reply.py
+++ b/wrenspoke/coordination/buffering/buffered_reply.py
@@ -55,7 +55,10 @@
     """Reply that holds what its caller has not read yet."""
 
     def __init__(
-        self, request: web_request.BaseRequest, close: bool, buffers: CallerBuffers
+        self,
+        request: web_request.BaseRequest,
+        close: bool,
+        buffers: CallerBuffers,
     ):
         super().__init__(request, close)
         self._buffers = buffers
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -61,6 +61,7 @@
 from wrenspoke.protocol import passthrough_api
 from wrenspoke import runtime
 from wrenspoke.state import registry
+from wrenspoke.transport import connector
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -525,8 +526,13 @@
         self.discovery.registry.add_restart_listener(
             self._reset_endpoint_state
         )
+        user_timeout_ms = connector.USER_TIMEOUT_MS
+        if self._buffers is not None:
+            # Callers without progress are let go here, not by the kernel,
+            # which takes one that reads slowly for one that does not.
+            user_timeout_ms = 2 * node.buffering.caller_stall_ms
         self._caller_server = self._server(
-            surface.handle_caller, self._socket_buffer_bytes
+            surface.handle_caller, self._socket_buffer_bytes, user_timeout_ms
         )
         self._host_server = self._server(surface.handle_host)
 
@@ -536,7 +542,10 @@
         return None if record is None else record.passing_address
 
     def _server(
-        self, handler: web.Handler, socket_buffer_bytes: int | None = None
+        self,
+        handler: web.Handler,
+        socket_buffer_bytes: int | None = None,
+        user_timeout_ms: int = connector.USER_TIMEOUT_MS,
     ) -> web.LowLevelServer:
         entry = self.node.entry
         return web.LowLevelServer(
@@ -544,6 +553,7 @@
             entry.caller_idle_ms,
             entry.header_limit_bytes,
             socket_buffer_bytes,
+            user_timeout_ms,
         )
 
     async def start(self) -> None:
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -223,11 +223,16 @@
     return sock
 
 
-def enable_keepalive(sock: socket.socket) -> None:
-    """Enable TCP keepalive and a user timeout on a socket."""
+def enable_keepalive(
+    sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> None:
+    """Enable TCP keepalive and a user timeout on a socket.
+
+    Linux also ends a connection whose peer has had no room for that long.
+    """
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -304,7 +304,10 @@
 
 
 def _listening_socket(
-    ip: str, port: int, socket_buffer_bytes: int | None = None
+    ip: str,
+    port: int,
+    socket_buffer_bytes: int | None = None,
+    user_timeout_ms: int = connector.USER_TIMEOUT_MS,
 ) -> socket.socket:
     """Return a bound socket whose accepted connections use keepalive.
 
@@ -313,7 +316,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    connector.enable_keepalive(sock)
+    connector.enable_keepalive(sock, user_timeout_ms)
     if socket_buffer_bytes is not None:
         for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
             sock.setsockopt(socket.SOL_SOCKET, option, socket_buffer_bytes)
@@ -463,8 +466,11 @@
         idle_timeout_ms: int,
         header_limit_bytes: int = MAX_LINE_BYTES,
         socket_buffer_bytes: int | None = None,
+        user_timeout_ms: int = connector.USER_TIMEOUT_MS,
     ):
         self._socket_buffer_bytes = socket_buffer_bytes
+        self._user_timeout_ms = user_timeout_ms
+        self.sockets: list[socket.socket] = []
         self._handler = handler
         self._idle_timeout_ms = idle_timeout_ms
         self._header_limit_bytes = header_limit_bytes
@@ -484,10 +490,12 @@
             max_line_size=self._header_limit_bytes,
             max_field_size=self._header_limit_bytes,
         )
+        listening = _listening_socket(
+            ip, int(port), self._socket_buffer_bytes, self._user_timeout_ms
+        )
+        self.sockets = [listening]
         self._listener = await asyncio.get_running_loop().create_server(
-            self._server,
-            sock=_listening_socket(ip, int(port), self._socket_buffer_bytes),
-            backlog=BACKLOG,
+            self._server, sock=listening, backlog=BACKLOG
         )
 
     async def close(self) -> None:
