--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -204,21 +204,35 @@
     transport.abort()
 
 
-def create_keepalive_socket(address: tuple) -> socket.socket:
-    """Return a non-blocking socket with TCP keepalive enabled."""
+def create_keepalive_socket(
+    address: tuple, receive_buffer_bytes: int | None = None
+) -> socket.socket:
+    """Return a non-blocking socket with TCP keepalive enabled.
+
+    ``receive_buffer_bytes`` bounds what the kernel holds before it is read.
+    """
     family, kind, protocol, _name, _address = address
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
     enable_keepalive(sock)
+    if receive_buffer_bytes is not None:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
     _OPENED_SOCKETS.get([]).append(sock)
     return sock
 
 
-def enable_keepalive(sock: socket.socket) -> None:
-    """Enable TCP keepalive and a user timeout on a socket."""
+def enable_keepalive(
+    sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> None:
+    """Enable TCP keepalive and a user timeout on a socket.
+
+    Linux also ends a connection whose peer has had no room for that long.
+    """
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
