Look for profiles that become due without a call or an observation

Cause: the broadcaster of sent calls waits for collected calls since it no longer wakes 40 times a second; the merge with the shared profiles wakes it for observations too, but a profile that waits for others to go along, or for its refresh, was sent with the next observation only. Change: where profiles are shared it looks four times a second; without them it waits as before.

Result: the new test in tests/test_sent_calls.py fails without the change.

--- a/tests/test_sent_calls.py
+++ b/tests/test_sent_calls.py
@@ -14,6 +14,7 @@
 from wrenspoke.coordination.membership import region_pollers
 from wrenspoke.coordination.membership import roster
 from wrenspoke.coordination.serving import sent_call_broadcast
+from wrenspoke.protocol import capacity
 from wrenspoke.protocol import dialect as dialects
 
 CALLS_PER_S = 4
@@ -192,3 +193,42 @@
         assert sent.age_ms <= sent_call_broadcast.BATCH_DELAY_MS + 4
 
     group.run(run())
+
+
+PROFILE = capacity.EngineProfile('e0', 1, 0.05, 30.0, 1.0)
+
+
+class LateProfiles:
+    """Has a profile due once it was looked for often enough."""
+
+    def __init__(self, looks):
+        self._looks = looks
+        self.announced = []
+
+    def take_observations(self, _collects):
+        return []
+
+    def overdue(self, _delay_ms):
+        return []
+
+    def take_due(self, _collects, _collectors, _is_carried):
+        self._looks -= 1
+        return [PROFILE] if self._looks == 0 else []
+
+    def announce(self, profiles):
+        self.announced += profiles
+
+
+def test_profiles_become_due_without_a_call_or_an_observation():
+    """A profile may wait for others to go along, or for its refresh."""
+
+    async def run():
+        fleet = Fleet(2)
+        told = fleet.hosts[0].told
+        await told.close()
+        told._profiles = LateProfiles(3)
+        told.start()
+        await asyncio.sleep(3)
+        assert told._profiles.announced == [PROFILE]
+
+    group.run(run())
--- a/wrenspoke/coordination/serving/sent_call_broadcast.py
+++ b/wrenspoke/coordination/serving/sent_call_broadcast.py
@@ -35,6 +35,8 @@
 BROADCAST_INTERVAL_MS = 25
 # Upper bound of the interval, as older data is of little use.
 MAX_BROADCAST_INTERVAL_MS = 200
+# Without calls, profiles are looked for as often; several go together then.
+PROFILES_CHECK_MS = 250
 # Calls queued beyond this number are dropped: they would be sent too late.
 BATCH_LIMIT = 2_000
 # Observations of engines wait for a message with sent calls, but not longer.
@@ -201,7 +203,7 @@
         """Broadcast what is collected, once an interval at most."""
         last_ms = self._clock.mono_ms() - MAX_BROADCAST_INTERVAL_MS
         while True:
-            await self._collected_added.wait()
+            await self._wait_for_collected()
             count = max(self._pollers.collectors_count, 1)
             interval_ms = min(
                 BROADCAST_INTERVAL_MS * count, MAX_BROADCAST_INTERVAL_MS
@@ -221,6 +223,17 @@
                 )
             )
 
+    async def _wait_for_collected(self) -> None:
+        """Wait for what is collected, or until profiles may be due."""
+        if self._profiles is None:
+            await self._collected_added.wait()
+            return
+        try:
+            async with clocks.timeout_ms(PROFILES_CHECK_MS):
+                await self._collected_added.wait()
+        except TimeoutError:
+            return
+
     def _with_ages(
         self, items: list[tuple[int, discovery_messages.SentCall]]
     ) -> list[discovery_messages.SentCall]:
