--- a/wrenspoke/coordination/admission/team_shares.py
+++ b/wrenspoke/coordination/admission/team_shares.py
@@ -1,4 +1,4 @@
-"""Tokens that each team asks for, lately and usually.
+"""Track the tokens that each team requests, recently and usually.
 
 A team whose calls grow far more than those of others is over its share. Teams
 that are large all the time aren't, nor are all of them in a common peak.
--- a/wrenspoke/coordination/balancing/engine_profiles.py
+++ b/wrenspoke/coordination/balancing/engine_profiles.py
@@ -77,8 +77,8 @@
     """A profile, with what was last broadcast and logged of it."""
 
     profile: capacity.EngineProfile
-    told: capacity.EngineProfile | None = None
-    told_ms: int = 0
+    broadcast: capacity.EngineProfile | None = None
+    broadcast_ms: int = 0
     logged: capacity.EngineProfile | None = None
 
 
@@ -377,11 +377,11 @@
             for endpoint, held in self._held.items()
             if collects(endpoint) and _is_due(held, now_ms)
         ]
-        due.sort(key=lambda held: (not _is_changed(held), held.told_ms))
+        due.sort(key=lambda held: (not _is_changed(held), held.broadcast_ms))
         chosen = due[: int(self._credit)]
         self._credit -= len(chosen)
         for held in chosen:
-            held.told, held.told_ms = held.profile, now_ms
+            held.broadcast, held.broadcast_ms = held.profile, now_ms
         return [held.profile for held in chosen]
 
     def merge(
@@ -454,7 +454,7 @@
 
 
 def _is_due(held: _Held, now_ms: int) -> bool:
-    since_ms = now_ms - held.told_ms
+    since_ms = now_ms - held.broadcast_ms
     return since_ms >= REFRESH_MS or (
         since_ms >= MIN_INTERVAL_MS and _is_changed(held)
     )
@@ -462,9 +462,9 @@
 
 def _is_changed(held: _Held) -> bool:
     """Return whether a profile differs from what was broadcast last."""
-    if held.told is None:
+    if held.broadcast is None:
         return True
-    return _difference(held.told, held.profile) > MIN_CHANGE
+    return _difference(held.broadcast, held.profile) > MIN_CHANGE
 
 
 def _difference(
--- a/wrenspoke/coordination/buffering/byte_account.py
+++ b/wrenspoke/coordination/buffering/byte_account.py
@@ -19,7 +19,7 @@
 REFUSE_SHARE = 0.7
 DROP_COPIES_SHARE = 0.85
 # Retry-After of refused requests: the time until the account has room at the
-# rate of late, within these bounds.
+# recent rate, within these bounds.
 MIN_RETRY_MS = 200
 MAX_RETRY_MS = 5_000
 # Rates are taken over at least this long.
--- a/wrenspoke/coordination/buffering/endpoint_holdings.py
+++ b/wrenspoke/coordination/buffering/endpoint_holdings.py
@@ -29,8 +29,8 @@
 GROWTH_PER_S = 0.05
 # A limit that has grown beyond this multiple of the overload is forgotten.
 FORGET_SHARE = 2.0
-# An endpoint that falls over is taken to have held the highest of late, as the
-# requests end before it is known.
+# An endpoint that crashes is assumed to have held the highest recent amount,
+# as its requests end before the crash is known.
 PEAK_WINDOW_MS = 5_000
 # Part of what an endpoint bore before that does not count as too much.
 BORNE_SHARE = 0.9
@@ -78,7 +78,7 @@
         self.limit: LearnedLimit | None = None
 
     def add(self, body_bytes: int, tokens: int, now_ms: int) -> None:
-        """Count a request, and note the highest amount of late."""
+        """Count a request, and update the highest recent amount."""
         self.held.add(body_bytes, tokens)
         if (
             self.held.body_bytes >= self.peak.body_bytes
--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -135,7 +135,7 @@
                 hold_ms = self._plain_waits.expected_ms(
                     said.endpoint, said.service
                 )
-                # Other hosts' calls are likely to be there in proportion.
+                # Other hosts' calls probably run there in proportion.
                 hold_ms *= 1.0 + in_flight / said.slots
             waves = (in_flight + 1) / said.slots
             first_ms = hold_ms * max(waves, 1.0)
