Count the streams at an engine in one place

Cause: the larger of this host's own and the reported running streams was computed in three places of the estimator, each written again.

Change: the observation of gaps and the forecast call _concurrent_streams, as the cost of a pause does. Same values, so behaviour is as before.

Result: formatter and linter clean; 273 tests of estimates, balancing, offers, layers and switches pass.

--- a/wrenspoke/coordination/serving/estimate.py
+++ b/wrenspoke/coordination/serving/estimate.py
@@ -100,9 +100,7 @@
 
     def _observe_gap(self, endpoint: ids.EndpointId, gap_ms: float) -> None:
         load = self._engine_loads.load(endpoint)
-        streams = self.pace.on_time_streams(endpoint)
-        if load is not None:
-            streams = max(load.running, streams)
+        streams = self._concurrent_streams(endpoint, load)
         self._profiles.observe_gap(endpoint, gap_ms, streams)
 
     def model_for(self, service: ids.ServiceId) -> prefill_model.PrefillModel:
@@ -182,7 +180,7 @@
     def _concurrent_streams(
         self, endpoint: ids.EndpointId, load: loads.EngineLoad | None
     ) -> int:
-        """Return how many streams of all hosts a pause would delay."""
+        """Return how many streams of all hosts run at an engine."""
         own = self.pace.on_time_streams(endpoint)
         return own if load is None else max(own, load.running)
 
@@ -270,9 +268,7 @@
         if not self._has_profiles(said.service):
             return None
         found = self._profiles.profile(said.endpoint)
-        streams = self.pace.on_time_streams(said.endpoint)
-        if load is not None:
-            streams = max(load.running, streams)
+        streams = self._concurrent_streams(said.endpoint, load)
         return found.event_ms + found.event_ms_per_stream * streams
 
     def record_peer_sent(
