Close connections on which bytes arrive that answer no request

Callers saw: after one surplus response on an idle connection, each later call on that connection ended with a 502 or a 503, though most of them had run.

Cause: aiohttp (3.14.5) leaves the parser of the last response in place while a connection is in the pool, and queues a response that arrives then as the one to the next request. From there on the connection is one response behind. Whether a connection may be reused is decided at the end of the body, before surplus bytes of the same packet have been queued.

Change: transport.exchange. A connection expects bytes only from the first byte of a request to the end of its response. Any other byte ends it, also half a head that arrives with the last bytes of a response. As a request takes an idle connection, bytes that the event loop has not read yet count as well. A request whose connection ends so before its first byte takes another one, as nothing was sent.

Why it works: no parser sees bytes that arrive before a request, so they can't be its response.

--- a/benches/switches_hosts.py
+++ b/benches/switches_hosts.py
@@ -420,7 +420,7 @@
     ),
     Switch(
         'reset hidden by an end of file',
-        'wrenspoke/transport/web.py',
+        'wrenspoke/transport/exchange.py',
         ('        if found:\n            self._fail'),
         ('        if False:\n            self._fail'),
         ('tests/test_passing.py::test_reset_after_the_last_bytes_is_an_incomplete_body'),
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,127 @@
+"""Bytes that arrive before a request are never its response."""
+
+import asyncio
+import os
+import socket
+import threading
+
+import pytest
+import uvloop
+
+from tests import nodes
+from wrenspoke import runtime
+from wrenspoke.transport import errors
+from wrenspoke.transport import exchange
+from wrenspoke.transport import web
+
+TIMEOUT_MS = 5_000
+OWN = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown'
+SURPLUS = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale'
+
+
+@pytest.fixture(scope='module')
+def event_loop_policy():
+    """Run on uvloop, as daemons do."""
+    os.environ[runtime.URING_VARIABLE] = '0'
+    return uvloop.EventLoopPolicy()
+
+
+class ThreadedEndpoint:
+    """Answers in a thread, and sends surplus bytes when it is told to."""
+
+    def __init__(self):
+        self._listening = socket.create_server(('127.0.0.1', 0))
+        self.address = f'127.0.0.1:{self._listening.getsockname()[1]}'
+        self._accepted = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                opened, _address = self._listening.accept()
+            except OSError:
+                return
+            self._accepted.append(opened)
+            threading.Thread(
+                target=self._serve, args=(opened,), daemon=True
+            ).start()
+
+    def _serve(self, opened):
+        while opened.recv(65536):
+            opened.sendall(OWN)
+
+    def send_surplus(self):
+        """Send it; loopback delivers it to the peer's kernel at once."""
+        self._accepted[0].sendall(SURPLUS)
+
+    def close(self):
+        self._listening.close()
+        for opened in self._accepted:
+            opened.close()
+
+
+async def read(client, address, body):
+    method = 'POST' if body else 'GET'
+    async with client.send_verbatim(
+        method, address, '/', [], body, lambda: True
+    ) as response:
+        return await web.read_body(response, 1 << 20)
+
+
+@pytest.mark.parametrize('body', [None, b'body'], ids=['GET', 'POST'])
+async def test_bytes_that_are_not_read_yet_are_no_response(body):
+    """Guards against a connection taken before the event loop reads it."""
+    endpoint = ThreadedEndpoint()
+    client = web.HttpClient(TIMEOUT_MS)
+    assert await read(client, endpoint.address, body) == b'own'
+    endpoint.send_surplus()
+    assert await read(client, endpoint.address, body) == b'own'
+    await client.close()
+    endpoint.close()
+
+
+async def test_idle_connection_whose_peer_speaks_first_is_closed():
+    closed = asyncio.Event()
+
+    async def greet(reader, writer):
+        writer.write(SURPLUS)
+        await reader.read()
+        closed.set()
+        writer.close()
+
+    server = await asyncio.start_server(greet, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    client = web.HttpClient(TIMEOUT_MS)
+    await client.open_idle(f'127.0.0.1:{port}')
+    await nodes.until(closed.is_set)
+    assert client.count_idle(f'127.0.0.1:{port}', 0) == 0
+    await client.close()
+    server.close()
+
+
+class FakeTransport(asyncio.Transport):
+    """Transport that records whether it was aborted."""
+
+    def __init__(self):
+        super().__init__()
+        self.aborted = False
+
+    def is_closing(self):
+        return self.aborted
+
+    def abort(self):
+        self.aborted = True
+
+    def get_extra_info(self, name, default=None):
+        return default
+
+
+async def test_request_is_not_begun_after_unsolicited_bytes():
+    """aiohttp writes a body in a task of its own, so bytes may come before."""
+    handler = exchange.ExchangeHandler(asyncio.get_running_loop())
+    transport = FakeTransport()
+    handler.connection_made(transport)
+    handler.data_received(SURPLUS)
+    assert transport.aborted
+    with pytest.raises(errors.UnsolicitedBytesError):
+        handler.begin_request()
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -4,8 +4,10 @@
 import collections.abc
 import contextlib
 import contextvars
+import fcntl
 import socket
 import struct
+import termios
 import time
 import typing
 
@@ -16,6 +18,7 @@
 import yarl
 
 from wrenspoke.transport import errors
+from wrenspoke.transport import exchange
 
 # TCP keepalive detects a dead peer or a black-holed connection within 3 s.
 # The peer's kernel answers the probes even while its process is stalled. The
@@ -32,6 +35,8 @@
 SILENCE_LIMIT_MS = KEEPALIVE_IDLE_S * 1000 + 500
 # The field tcpi_last_ack_recv of struct tcp_info, in ms.
 _LAST_ACK = struct.Struct('56xI')
+# The int that FIONREAD fills.
+_UNREAD_SIZE = struct.Struct('i')
 
 
 class CancellationSafeConnector(aiohttp.TCPConnector):
@@ -47,7 +52,8 @@
     is closed afterwards if its caller was cancelled or timed out.
 
     Requests that are no longer permitted to be sent get no connection, and
-    none gets an idle connection whose peer no longer acknowledges probes.
+    none gets an idle connection whose peer no longer acknowledges probes or
+    has sent bytes meanwhile, which belong to no request.
     """
 
     def __init__(self, **named: typing.Any):
@@ -70,24 +76,42 @@
     async def _get(
         self, key: client_reqrep.ConnectionKey, traces: list
     ) -> connectors.Connection | None:
-        self._close_dead(key)
+        self._close_unusable(key)
         connection = await super()._get(key, traces)
         if self.on_take is not None:
             self.on_take(f'{key.host}:{key.port}', connection is not None)
         return connection
 
-    def _close_dead(self, key: client_reqrep.ConnectionKey) -> None:
-        """Close the connections that are next to be used if they are dead."""
+    def _release(
+        self,
+        key: client_reqrep.ConnectionKey,
+        protocol: exchange.ExchangeHandler,
+        *,
+        should_close: bool = False,
+    ) -> None:
+        protocol.end_exchange()
+        if not should_close and not protocol.should_close:
+            should_close = protocol.has_surplus()
+        super()._release(key, protocol, should_close=should_close)
+
+    def _close_unusable(self, key: client_reqrep.ConnectionKey) -> None:
+        """Close the connections that are next, up to the first usable one."""
         idle = self._conns.get(key)
-        while idle and _is_silent(idle[0][0]):
-            idle.popleft()[0].close()
-        if idle is not None and not idle:
-            del self._conns[key]
+        if idle is None:
+            return
+        oldest_s = time.monotonic() - self._keepalive_timeout
+        while idle:
+            protocol, used_s = idle[0]
+            if used_s >= oldest_s and _is_usable(protocol):
+                return
+            idle.popleft()
+            protocol.close()
+        del self._conns[key]
 
     def count_idle(self, address: str, max_idle_ms: float) -> int:
         """Return how many connections are idle for no longer than a time."""
         key = self._target(address).connection_key
-        self._close_dead(key)
+        self._close_unusable(key)
         since_s = time.monotonic() - max_idle_ms / 1000
         return sum(
             protocol.is_connected() and used_s >= since_s
@@ -171,11 +195,26 @@
         _MAY_SEND.reset(token)
 
 
-def _is_silent(protocol: client_proto.ResponseHandler) -> bool:
-    """Return whether a connection's peer acknowledges no probes."""
-    if protocol.transport is None:
+def _is_usable(protocol: client_proto.ResponseHandler) -> bool:
+    """Return whether a request may be sent on an idle connection."""
+    if not protocol.is_connected():
         return False
     sock = protocol.transport.get_extra_info('socket')
+    return not _is_silent(sock) and not _has_unread_bytes(sock)
+
+
+def _has_unread_bytes(sock: socket.socket) -> bool:
+    """Return whether bytes arrived that the event loop has not read."""
+    size = bytes(_UNREAD_SIZE.size)
+    try:
+        found = fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
+    except OSError:
+        return True
+    return found != size
+
+
+def _is_silent(sock: socket.socket) -> bool:
+    """Return whether a connection's peer acknowledges no probes."""
     try:
         info = sock.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_ACK.size
--- a/wrenspoke/transport/errors.py
+++ b/wrenspoke/transport/errors.py
@@ -15,5 +15,9 @@
     """The message was no longer permitted to be sent, and was not sent."""
 
 
+class UnsolicitedBytesError(NotSentError):
+    """The peer sent bytes before the request, which was not sent."""
+
+
 class MaybeSentError(TransportError):
     """The message may have been delivered, but no response arrived."""
--- /dev/null
+++ b/wrenspoke/transport/exchange.py
@@ -0,0 +1,150 @@
+"""Attribution of received bytes to requests, for aiohttp's client."""
+
+import asyncio
+import os
+import socket
+import typing
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import connector as connectors
+import structlog
+
+from wrenspoke.transport import errors
+
+logger = structlog.get_logger(__name__)
+
+
+class ExchangeHandler(client_proto.ResponseHandler):
+    """Connection that carries one request and its response at a time.
+
+    Bytes that arrive while no request is outstanding belong to none, so they
+    end the connection. aiohttp (3.14.5) would parse them as the response to
+    the next request.
+
+    Response bodies without a length fail on a connection reset. aiohttp
+    treats any end of the connection as the end of such a body, and libuv
+    reports a reset that arrives together with the last bytes as an end of
+    file; SO_ERROR of the socket still holds the error.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop=loop)
+        self._is_outstanding = False
+        self._is_parsing = False
+
+    def begin_request(self) -> None:
+        """Expect a response, as a request's first byte is about to be written.
+
+        :raises UnsolicitedBytesError: bytes arrived before
+        """
+        if isinstance(self._exception, errors.UnsolicitedBytesError):
+            raise self._exception
+        self._is_outstanding = True
+
+    def end_exchange(self) -> None:
+        """Expect no more bytes, as the connection becomes idle."""
+        self._is_outstanding = False
+
+    def has_surplus(self) -> bool:
+        """Return whether bytes arrived behind a complete response.
+
+        Called once for each response, as it ends the parser's input.
+        """
+        if self._is_parsing or not self.is_connected():
+            return False
+        if self._buffer or self._tail:
+            return True
+        if self._parser is None:
+            return False
+        try:
+            return self._parser.feed_eof() is not None
+        except Exception:
+            # What follows the response is not even the head of another one.
+            return True
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of a response, or end the connection."""
+        if data and not self._is_outstanding:
+            self._reject_unsolicited(len(data))
+            return
+        self._is_parsing = True
+        try:
+            super().data_received(data)
+        finally:
+            self._is_parsing = False
+        if not self._is_outstanding and self.has_surplus():
+            # The connection became idle at the end of the response.
+            self._reject_unsolicited(len(data))
+
+    def _reject_unsolicited(self, size_bytes: int) -> None:
+        if not self.is_connected():
+            return
+        peer = self.transport.get_extra_info('peername')
+        logger.warning('unsolicited_bytes', peer=peer, bytes=size_bytes)
+        self.set_exception(
+            errors.UnsolicitedBytesError(
+                f'{peer} sent {size_bytes} bytes that answer no request'
+            )
+        )
+        # close() of this class would discard the exception.
+        self.transport.abort()
+
+    def eof_received(self) -> None:
+        """Fail a body whose end of file was a connection reset."""
+        sock = self.transport.get_extra_info('socket')
+        found = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if found:
+            self._fail_payload(OSError(found, os.strerror(found)))
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body whose connection ended with an error."""
+        if exc is not None:
+            self._fail_payload(exc)
+        super().connection_lost(exc)
+
+    def close(self) -> None:
+        """Fail a body that this side closes before its end."""
+        self._fail_payload(ConnectionAbortedError('connection closed'))
+        super().close()
+
+    def _fail_payload(self, error: BaseException) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(error)))
+
+
+class ExchangeRequest(aiohttp.ClientRequest):
+    """Request that tells its connection when its first byte is written.
+
+    Nothing is written to a connection that received bytes before that, and
+    ``UnsolicitedBytesError`` is raised to the sender.
+    """
+
+    async def send(
+        self, conn: connectors.Connection
+    ) -> aiohttp.ClientResponse:
+        """Write the head, unless it is written together with a body."""
+        if not self.body:
+            conn.protocol.begin_request()
+        return await super().send(conn)
+
+    async def write_bytes(
+        self,
+        writer: aiohttp.abc.AbstractStreamWriter,
+        conn: connectors.Connection,
+        content_length: int | None = None,
+    ) -> typing.Any:
+        """Write the head and the body.
+
+        aiohttp runs this as a task of its own, so that bytes may arrive
+        between ``send`` and the first byte.
+        """
+        if conn.protocol is not None:
+            try:
+                conn.protocol.begin_request()
+            except errors.UnsolicitedBytesError:
+                # Also raised to the sender, which waits for the response.
+                return
+        await super().write_bytes(writer, conn, content_length)
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -6,15 +6,16 @@
 import enum
 import fcntl
 import functools
+import itertools
 import os
 import pathlib
 import random
 import socket
 import struct
 import tempfile
+import typing
 
 import aiohttp
-from aiohttp import client_proto
 from aiohttp import web_request
 from aiohttp import web_response
 from aiohttp import web_server
@@ -23,8 +24,11 @@
 
 from wrenspoke.transport import connector
 from wrenspoke.transport import errors
+from wrenspoke.transport import exchange
 
 MAX_CONNECTIONS_PER_HOST = 256
+# How many connections are tried whose peers send bytes before a request.
+CONNECTIONS_LIMIT = 3
 MAX_LINE_BYTES = 8190
 BACKLOG = 4096
 # Short, as in-flight requests are drained before a server is closed.
@@ -54,39 +58,6 @@
 ]
 
 
-class ResetAwareHandler(client_proto.ResponseHandler):
-    """Fails response bodies without a length on a connection reset.
-
-    aiohttp (3.14.5) treats any end of the connection as the end of such a
-    body. libuv reports a reset that arrives together with the last bytes
-    as an end of file; SO_ERROR of the socket still holds the error.
-    """
-
-    def eof_received(self) -> None:
-        """Fail a body whose end of file was a connection reset."""
-        sock = self.transport.get_extra_info('socket')
-        found = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if found:
-            self._fail_payload(OSError(found, os.strerror(found)))
-        super().eof_received()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a body whose connection ended with an error."""
-        if exc is not None:
-            self._fail_payload(exc)
-        super().connection_lost(exc)
-
-    def close(self) -> None:
-        """Fail a body that this side closes before its end."""
-        self._fail_payload(ConnectionAbortedError('connection closed'))
-        super().close()
-
-    def _fail_payload(self, error: BaseException) -> None:
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(repr(error)))
-
-
 class _ConditionalPayload(aiohttp.BytesPayload):
     """Body that checks ``may_send`` immediately before its first byte.
 
@@ -161,10 +132,11 @@
             **idle,
         )
         tcp_connector._factory = functools.partial(
-            ResetAwareHandler, loop=asyncio.get_running_loop()
+            exchange.ExchangeHandler, loop=asyncio.get_running_loop()
         )
         return aiohttp.ClientSession(
             connector=tcp_connector,
+            request_class=exchange.ExchangeRequest,
             timeout=self._timeout,
             middlewares=(_disable_retries,),
             auto_decompress=False,
@@ -194,14 +166,9 @@
         """
         session = self._unpooled if new_connection else self._pooled
         try:
-            with connector.guard_sends(may_send):
-                response = await session.request(
-                    method,
-                    url,
-                    headers=headers,
-                    data=body,
-                    allow_redirects=False,
-                )
+            response = await _request_once(
+                session, may_send, method, url, headers=headers, data=body
+            )
         except aiohttp.InvalidURL as error:
             raise errors.NotSentError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
@@ -234,16 +201,16 @@
         if may_send is not None and body:
             body = guarded = _ConditionalPayload(body, may_send)
         try:
-            with connector.guard_sends(may_send):
-                response = await self._pooled.request(
-                    method,
-                    url,
-                    headers=multidict.CIMultiDict(fields),
-                    skip_auto_headers=AUTO_HEADERS,
-                    data=body,
-                    allow_redirects=False,
-                    read_bufsize=self._read_buffer_bytes,
-                )
+            response = await _request_once(
+                self._pooled,
+                may_send,
+                method,
+                url,
+                headers=multidict.CIMultiDict(fields),
+                skip_auto_headers=AUTO_HEADERS,
+                data=body,
+                read_bufsize=self._read_buffer_bytes,
+            )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if guarded is not None and guarded.aborted:
                 raise errors.SendAbortedError(repr(error)) from error
@@ -290,6 +257,28 @@
         await self._unpooled.close()
 
 
+async def _request_once(
+    session: aiohttp.ClientSession,
+    may_send: collections.abc.Callable[[], bool] | None,
+    method: str,
+    url: str | yarl.URL,
+    **named: typing.Any,
+) -> aiohttp.ClientResponse:
+    """Send a request on the first connection without unsolicited bytes.
+
+    :raises UnsolicitedBytesError: there was none, and nothing was sent
+    """
+    with connector.guard_sends(may_send):
+        for attempt in itertools.count(1):
+            try:
+                return await session.request(
+                    method, url, allow_redirects=False, **named
+                )
+            except errors.UnsolicitedBytesError:
+                if attempt == CONNECTIONS_LIMIT:
+                    raise
+
+
 def _describe_failure(
     error: Exception, body: _ConditionalPayload | None
 ) -> str:
