Compare the request id of a response before anything acts on it

Callers saw: as an engine sent a refusal a second time, the next request on the connection ran at two engines, or got a 503 though it ran. After a late 421 the right endpoint was withdrawn, and its callers got 503.

Cause: Sender classified 421 and the not-run header first, and compared the request id only of other responses. Dispatcher did so with 429 and 503.

Change: HttpClient takes is_own, which looks at the head of a response before another request can take its connection; a foreign response closes the connection and raises ForeignResponseError, an unknown outcome. Only refusals may come without an id; a 421 without one must not name the called instance. The log line names the status, the instance and whether it said "not run".

Why it works: verdicts, limits, backoffs, withdrawals and outlier detection see only responses that passed the check.

--- a/benches/switches_hosts.py
+++ b/benches/switches_hosts.py
@@ -98,8 +98,8 @@
     Switch(
         'crossed answers taken',
         DECISIONS + 'serving/dispatch.py',
-        ('        if _echo_matches(send, endpoint, response):\n            return\n'),
-        ('        return\n'),
+        ('    if echoed == send.echo_id:\n        return True\n'),
+        ('    return True\n'),
         ('tests/test_endpoints.py -k another'),
     ),
     Switch(
@@ -414,8 +414,8 @@
     Switch(
         "another request's answer passed on",
         DECISIONS + 'serving/sending.py',
-        ('        if echoed != call.request:'),
-        ('        if False:'),
+        ('        if echoed == call.request:'),
+        ('        if True:'),
         ('tests/test_passing.py::test_broken_answer_is_never_passed_as_whole'),
     ),
     Switch(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,11 +1,15 @@
 """The checks that run before a request is sent to an endpoint."""
 
+import dataclasses
+import types
+
 import msgspec
 import pytest
 
 from wrenspoke.coordination.serving import concurrency_limits
 from wrenspoke.coordination.serving import dispatch
 from wrenspoke.coordination.serving import placement
+from wrenspoke.protocol import headers
 from wrenspoke.protocol import requests
 from wrenspoke.state import configuration
 
@@ -136,3 +140,32 @@
     assert first_failing_check({'once': True}, fields) == 'claim'
     shown.mark_unsent()
     assert first_failing_check({'once': True}, fields) is None
+
+
+SENT = dispatch.Send(dispatch.Purpose.FIRST, 'e1', 'GET', '/', head=HEAD)
+ONCE = msgspec.structs.replace(HEAD, once=True)
+
+
+@pytest.mark.parametrize(
+    'found, status, once, echoes, own',
+    [
+        ('own', 200, False, True, True),
+        ('own', 503, True, True, True),
+        ('r1/another', 200, False, True, False),
+        ('r1/another', 503, False, True, False),
+        ('r1/another', 429, False, True, False),
+        (None, 200, False, True, False),
+        (None, 503, False, True, True),
+        (None, 429, False, True, True),
+        (None, 503, True, True, False),
+        ('made by the endpoint', 200, False, False, True),
+    ],
+)
+def test_response_is_own_by_the_echoed_id(found, status, once, echoes, own):
+    """Guards against an overload status of another request's response."""
+    send = dataclasses.replace(SENT, head=ONCE if once else HEAD)
+    endpoint = msgspec.structs.replace(ENDPOINT, echoes_request_id=echoes)
+    echo = {'own': send.echo_id}.get(found, found)
+    fields = {} if echo is None else {headers.ECHOED_REQUEST_ID: echo}
+    response = types.SimpleNamespace(status=status, headers=fields)
+    assert dispatch._is_own(send, endpoint, response) is own
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -125,6 +125,15 @@
         assert result.text == WHOLE
 
 
+@pytest.mark.parametrize('status', [429, 503])
+async def test_overload_status_of_another_request_is_no_proof(running, status):
+    """Guards against the claim that a chat was not run, though it was."""
+    caller = running.caller('north-1')
+    await running.engine_faults(crossed=True, status=status)
+    result = await caller.chat(chat_body(False))
+    assert result.outcome == 'unknown', result
+
+
 @pytest.mark.parametrize('end_early', [False, True])
 @pytest.mark.parametrize('break_after', [1, 5, 16])
 async def test_broken_stream_is_resumed(running, break_after, end_early):
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -1,12 +1,15 @@
 """Surplus responses on kept connections belong to no later request.
 
-An endpoint sends a response a second time, while its connection is idle.
+An endpoint sends a response a second time: while its connection is idle, or
+late, in the place of the response to the next request.
 """
 
 import pytest
 
+from tests import endpoints
 from tests import nodes
 from tests import test_passing as passing
+from wrenspoke.protocol import headers
 from wrenspoke.state import routes
 
 ID = passing.ID
@@ -94,3 +97,143 @@
         assert got.startswith(b'HTTP/1.1 200 '), got
         assert got.endswith(b'whole')
     assert len(endpoint.requests) == 4
+
+
+# Surplus responses that are complete, and so may stand in another's place.
+COMPLETE = [name for name in SURPLUS if name != '101']
+
+
+@pytest.mark.parametrize('joined', [False, True], ids=['apart', 'joined'])
+@pytest.mark.parametrize('surplus', COMPLETE)
+@pytest.mark.parametrize('kind', KINDS)
+async def test_late_surplus_decides_nothing_about_the_next_request(
+    system, kind, surplus, joined
+):
+    """Guards against a request that runs again, or is refused though it ran.
+
+    Its outcome is unknown; only a repeatable request is sent again.
+    """
+    await system.put(passing.route(kind, attempts_limit=2))
+    runs = []
+    faulty = []
+
+    def script(name):
+        def run(sent, number):
+            request_id = endpoints.header(sent, ID)
+            runs.append((request_id, name))
+            own = passing.answer(sent)
+            if request_id == 'q2' and not faulty:
+                faulty.append(name)
+                if joined:
+                    return [SURPLUS[surplus] + own]
+                return [SURPLUS[surplus], own]
+            return [own]
+
+        return run
+
+    for name in ('e1', 'e2'):
+        await system.add(name, script(name))
+    assert (await system.ask(passing.request())).endswith(b'whole')
+    got = await system.ask(passing.request(request_id='q2'))
+    sent_to = [name for request_id, name in runs if request_id == 'q2']
+    if kind is ONCE:
+        assert got.startswith(b'HTTP/1.1 502 '), got
+        assert len(sent_to) == 1
+    else:
+        assert got.endswith(b'whole')
+        assert len(sent_to) == 2
+    for number in range(3, 8):
+        got = await system.ask(passing.request(request_id=f'q{number}'))
+        assert got.endswith(b'whole'), got
+
+
+@pytest.mark.parametrize('surplus', ['421 not run', '421'])
+async def test_late_surplus_421_does_not_withdraw_the_endpoint(
+    system, surplus
+):
+    """Guards against the loss of the only endpoint, which is the right one."""
+    await system.put(passing.route(ONCE))
+
+    def script(sent, number):
+        own = passing.answer(sent)
+        return [SURPLUS[surplus], own] if number == 2 else [own]
+
+    endpoint = await system.add('e', script)
+    await system.ask(passing.request())
+    got = await system.ask(passing.request(request_id='q2'))
+    assert got.startswith(b'HTTP/1.1 502 '), got
+    for number in range(3, 6):
+        got = await system.ask(passing.request(request_id=f'q{number}'))
+        assert got.endswith(b'whole'), got
+    assert len(endpoint.requests) == 5
+    held = system.controls[0].registrar.registry.entries
+    assert held['e'].takes_work
+
+
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        response('503 Full', None, NOT_RUN),
+        response('429 Busy', None, NOT_RUN),
+        response('421 Other', None, NOT_RUN),
+        response('421 Other', None, b'Wrenspoke-Instance: another\r\n'),
+    ],
+    ids=['503', '429', '421 not run', '421'],
+)
+@pytest.mark.parametrize('kind', KINDS)
+async def test_refusal_without_an_id_proves_that_nothing_ran(
+    system, kind, refusal
+):
+    await system.put(passing.route(kind))
+    sends = []
+
+    def script(sent, number):
+        sends.append(number)
+        return [refusal] if len(sends) == 1 else [passing.answer(sent)]
+
+    await system.add('e1', script)
+    await system.add('e2', script)
+    got = await system.ask(passing.request())
+    assert got.endswith(b'whole')
+    assert len(sends) == 2
+
+
+async def test_late_surplus_421_that_names_the_called_instance_is_foreign(
+    system,
+):
+    """Without a request id the instance shows whose refusal it is."""
+    await system.put(passing.route(ONCE))
+    surplus = response('421 Other', None, b'Wrenspoke-Instance: e\r\n')
+
+    def script(sent, number):
+        own = passing.answer(sent)
+        return [surplus, own] if number == 2 else [own]
+
+    endpoint = await system.add('e', script)
+    await system.ask(passing.request())
+    got = await system.ask(passing.request(request_id='q2'))
+    assert got.startswith(b'HTTP/1.1 502 '), got
+    got = await system.ask(passing.request(request_id='q3'))
+    assert got.endswith(b'whole'), got
+    assert len(endpoint.requests) == 3
+
+
+async def test_headers_of_a_late_surplus_response_are_not_acted_upon(system):
+    """Guards against backoffs and limits read from another's response."""
+    await system.put(passing.route(ONCE))
+    extra = (
+        f'Retry-After: 60\r\n{headers.LIMIT}: 1\r\n{headers.LEAVING}: 1\r\n'
+    ).encode()
+    surplus = response('503 Full', extra=NOT_RUN + extra)
+
+    def script(sent, number):
+        own = passing.answer(sent)
+        return [surplus, own] if number == 2 else [own]
+
+    endpoint = await system.add('e', script)
+    await system.ask(passing.request())
+    await system.ask(passing.request(request_id='q2'))
+    for number in range(3, 6):
+        got = await system.ask(passing.request(request_id=f'q{number}'))
+        assert got.endswith(b'whole'), got
+    assert len(endpoint.requests) == 5
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -326,11 +326,11 @@
                     send.body,
                     new_connection=once,
                     may_send=lambda: self._may_send(send, send_permit),
+                    is_own=lambda response: _is_own(send, endpoint, response),
                 ) as response,
             ):
                 self._record_advertised(send, endpoint, send_permit, response)
                 self._raise_if_overloaded(send, response)
-                self._reject_mismatched_echo(send, endpoint, response)
                 answer = EndpointResponse(response, send)
                 if run is not None:
                     answer.on_first_chunk = functools.partial(
@@ -485,34 +485,33 @@
         )
         raise errors.OverloadedError(response.status, backs_off)
 
-    def _reject_mismatched_echo(
-        self,
-        send: Send,
-        endpoint: configuration.Endpoint,
-        response: aiohttp.ClientResponse,
-    ) -> None:
-        if _echo_matches(send, endpoint, response):
-            return
-        logger.warning(
-            'response_id_mismatch',
-            endpoint=send.endpoint,
-            expected=send.echo_id,
-            found=response.headers.get(headers.ECHOED_REQUEST_ID),
-        )
-        raise errors.MaybeSentError(
-            f'{send.endpoint} echoed the id of another request'
-        )
-
 
-def _echo_matches(
+def _is_own(
     send: Send,
     endpoint: configuration.Endpoint,
     response: aiohttp.ClientResponse,
 ) -> bool:
-    """Return whether a response echoes the id of the request."""
+    """Return whether a response is that to a request, not a surplus one.
+
+    Overload responses may come without the id that the request carries.
+    """
     if not endpoint.echoes_request_id:
         return True
-    return response.headers.get(headers.ECHOED_REQUEST_ID) == send.echo_id
+    echoed = response.headers.get(headers.ECHOED_REQUEST_ID)
+    if echoed == send.echo_id:
+        return True
+    once = send.head is not None and send.head.once
+    if not echoed and not once:
+        if response.status in advertised.REFUSAL_STATUSES:
+            return True
+    logger.warning(
+        'response_id_mismatch',
+        endpoint=send.endpoint,
+        expected=send.echo_id,
+        found=echoed,
+        status=response.status,
+    )
+    return False
 
 
 def _is_whole_json(body: bytes) -> bool:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -293,6 +293,7 @@
                 fields,
                 body,
                 may_send,
+                functools.partial(self._is_own, call, destination),
             )
             exchange = None
             if token is not None:
@@ -304,7 +305,7 @@
                 _open_exchange(exchange, sent) as response,
             ):
                 self._record_advertised(call, destination, response)
-                verdict = self._classify_response(call, destination, response)
+                verdict = self._classify_response(destination, response)
                 answer = UpstreamResponse(response, verdict, destination)
                 answer.exchange = exchange
                 if exchange is not None and exchange.was_taken_up:
@@ -461,38 +462,62 @@
             return [(self._dialect.team, permit.team.team)]
         return call.credentials if permit.teams_disabled else []
 
-    def _classify_response(
+    def _is_own(
         self,
         call: dialects.Call,
         destination: Destination,
         response: aiohttp.ClientResponse,
-    ) -> Verdict:
-        """Classify a response by its status and headers.
+    ) -> bool:
+        """Return whether a response is that to a call, not a surplus one.
 
-        :raises MaybeSentError: it echoes the id of another request
+        Refusals may come without a request id.
         """
+        echoed = response.headers.get(self._dialect.request)
+        if echoed == call.request:
+            return True
+        if not echoed and self._may_be_unnamed(destination, response):
+            return True
+        logger.warning(
+            'response_id_mismatch',
+            request=call.request,
+            place=destination.name,
+            found=echoed,
+            status=response.status,
+            not_run=self._dialect.not_run in response.headers,
+            instance=response.headers.get(self._dialect.instance),
+        )
+        return False
+
+    def _may_be_unnamed(
+        self, destination: Destination, response: aiohttp.ClientResponse
+    ) -> bool:
+        """Return whether a response without a request id is a refusal."""
+        if destination.endpoint is None:
+            return passthrough_api.REFUSED_HEADER in response.headers or (
+                self._dialect.not_run in response.headers
+            )
+        if response.status == advertised.MISDIRECTED:
+            # An endpoint doesn't say of its own requests that it is another.
+            return not self._names_called_instance(destination, response)
+        return self._dialect.not_run in response.headers
+
+    def _names_called_instance(
+        self, destination: Destination, response: aiohttp.ClientResponse
+    ) -> bool:
+        instance = response.headers.get(self._dialect.instance)
+        return instance == destination.endpoint
+
+    def _classify_response(
+        self, destination: Destination, response: aiohttp.ClientResponse
+    ) -> Verdict:
+        """Classify the response to a call by its status and headers."""
         if (
             response.status == advertised.MISDIRECTED
             and destination.endpoint is not None
         ):
+            if self._names_called_instance(destination, response):
+                return Verdict.NOT_RUN
             return Verdict.MISDIRECTED
         if self._dialect.not_run in response.headers:
             return Verdict.NOT_RUN
-        if (
-            passthrough_api.REFUSED_HEADER in response.headers
-            and destination.host is not None
-        ):
-            return Verdict.ANSWERED
-        echoed = response.headers.get(self._dialect.request)
-        if echoed != call.request:
-            logger.warning(
-                'response_id_mismatch',
-                request=call.request,
-                place=destination.name,
-                found=echoed,
-                status=response.status,
-            )
-            raise errors.MaybeSentError(
-                f'{destination.name} echoed the id of another request'
-            )
         return Verdict.ANSWERED
--- a/wrenspoke/standin/engine.py
+++ b/wrenspoke/standin/engine.py
@@ -143,7 +143,7 @@
         body = msgspec.json.decode(raw)
         name = request.headers.get(headers.ECHOED_REQUEST_ID, '')
         if self.faults.status:
-            return self._plain_status(name)
+            return self._plain_status(request)
         if self.faults.retry_after_text:
             return _unavailable(name, self.faults.retry_after_text)
         if self._waiting >= self.profile.queue_limit:
@@ -171,10 +171,12 @@
         self.crashes += 1
         self.on_crash(self.faults.back_after_ms)
 
-    def _plain_status(self, name: str) -> web.Response:
+    def _plain_status(self, request: web.Request) -> web.Response:
         return web.Response(
             status=self.faults.status,
-            headers={headers.ECHOED_REQUEST_ID: name},
+            headers={
+                headers.ECHOED_REQUEST_ID: self._echoed_request_id(request)
+            },
             text='fault',
         )
 
--- a/wrenspoke/transport/errors.py
+++ b/wrenspoke/transport/errors.py
@@ -21,3 +21,7 @@
 
 class MaybeSentError(TransportError):
     """The message may have been delivered, but no response arrived."""
+
+
+class ForeignResponseError(MaybeSentError):
+    """The response that arrived belongs to another request."""
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -148,3 +148,14 @@
                 # Also raised to the sender, which waits for the response.
                 return
         await super().write_bytes(writer, conn, content_length)
+
+
+def discard(response: aiohttp.ClientResponse) -> None:
+    """Close a response and its connection, also if that is idle already.
+
+    A connection becomes idle as soon as the end of a response arrives, which
+    may be before its head is looked at.
+    """
+    response.close()
+    if response._protocol is not None:
+        response._protocol.close()
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -56,6 +56,8 @@
     [web_request.BaseRequest],
     collections.abc.Awaitable[web_response.StreamResponse],
 ]
+# Returns whether a response is that to the request, from its head.
+IsOwn = collections.abc.Callable[[aiohttp.ClientResponse], bool]
 
 
 class _ConditionalPayload(aiohttp.BytesPayload):
@@ -152,6 +154,7 @@
         body: bytes | None = None,
         new_connection: bool = False,
         may_send: collections.abc.Callable[[], bool] | None = None,
+        is_own: IsOwn | None = None,
     ) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
         """Send one request and yield its response when the head arrived.
 
@@ -159,10 +162,13 @@
         connection, which cancels the request at the server. ``may_send``
         is checked once a connection is available. ``new_connection``
         avoids a pooled connection that the server may just have closed.
+        ``is_own`` returns whether a response, of which only the head is read,
+        is that to this request. The connection of another one is closed.
 
         :raises NotSentError: no connection was established
         :raises SendAbortedError: ``may_send`` returned false
         :raises MaybeSentError: the connection ended before the head arrived
+        :raises ForeignResponseError: ``is_own`` returned false
         """
         session = self._unpooled if new_connection else self._pooled
         try:
@@ -173,6 +179,7 @@
             raise errors.NotSentError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise errors.MaybeSentError(repr(error)) from error
+        _reject_foreign(response, is_own)
         try:
             yield response
         finally:
@@ -187,6 +194,8 @@
         fields: collections.abc.Iterable[tuple[str, str]],
         body: bytes | None,
         may_send: collections.abc.Callable[[], bool] | None = None,
+        is_own: IsOwn | None = None,
+        new_connection: bool = False,
     ) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
         """Send a request without normalising its target; see ``send``.
 
@@ -196,13 +205,14 @@
 
         :raises SendAbortedError: ``may_send`` returned false
         """
+        session = self._unpooled if new_connection else self._pooled
         url = yarl.URL(f'http://{address}{target}', encoded=True)
         guarded = None
         if may_send is not None and body:
             body = guarded = _ConditionalPayload(body, may_send)
         try:
             response = await _request_once(
-                self._pooled,
+                session,
                 may_send,
                 method,
                 url,
@@ -217,6 +227,7 @@
             raise errors.MaybeSentError(
                 _describe_failure(error, guarded)
             ) from error
+        _reject_foreign(response, is_own)
         try:
             yield response
         finally:
@@ -279,6 +290,23 @@
                     raise
 
 
+def _reject_foreign(
+    response: aiohttp.ClientResponse, is_own: IsOwn | None
+) -> None:
+    """Close the connection on which another request's response arrived.
+
+    Called before anything else may take that connection.
+
+    :raises ForeignResponseError: the response is another request's
+    """
+    if is_own is None or is_own(response):
+        return
+    exchange.discard(response)
+    raise errors.ForeignResponseError(
+        f'response with status {response.status} belongs to another request'
+    )
+
+
 def _describe_failure(
     error: Exception, body: _ConditionalPayload | None
 ) -> str:
