Deliver a response that malformed bytes follow in the same packet

Callers saw: a 502 (or a second run, on repeatable routes) for a request whose response had arrived whole, as its endpoint sent bytes that form no response right behind it.

Cause: aiohttp's parser (3.14.5) fails as a whole on malformed bytes and drops a response whose head came in the same packet.

Evidence: 8 rows of the new tests, all with the response and the malformed bytes in one packet; the rows with the bytes in a packet of their own passed.

Change: transport.response_parser. If parsing fails, the longest prefix that parses is looked for; a response that is complete in it is delivered, and the connection is closed. A malformed response itself fails as before.

Failed before: on the parent commit the rows "no response" in one packet of test_surplus_on_an_idle_connection_is_never_noticed, 8 of 14. All pass now.

--- /dev/null
+++ b/tests/test_response_parser.py
@@ -0,0 +1,83 @@
+"""Malformed bytes behind a response don't affect it."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import base_protocol
+from aiohttp import http_parser
+import pytest
+
+from wrenspoke.transport import response_parser
+
+LENGTH = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole'
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n'
+)
+NO_BODY = b'HTTP/1.1 204 No\r\n\r\n'
+UNFINISHED = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole'
+BAD_CHUNK = CHUNKED.replace(b'3\r\n', b'zz\r\n')
+GARBAGE = b'\0\xff what is this\r\n\r\n'
+
+
+def new_parser():
+    loop = asyncio.get_running_loop()
+    return http_parser.HttpResponseParser(
+        base_protocol.BaseProtocol(loop),
+        loop,
+        1 << 16,
+        payload_exception=aiohttp.ClientPayloadError,
+        read_until_eof=True,
+    )
+
+
+def parse(pieces):
+    """Return the status and body of the response in some pieces."""
+    parser = response_parser.PrefixParser(new_parser(), new_parser)
+    found = []
+    for piece in pieces:
+        messages, _upgraded, _tail = parser.feed_data(piece)
+        found += messages
+    [(message, payload)] = found
+    assert payload.is_eof()
+    assert parser.feed_eof() is not None
+    return message.code, payload.read_nowait()
+
+
+@pytest.mark.parametrize('size', [1, 7, 1 << 16])
+@pytest.mark.parametrize(
+    'own, expected',
+    [
+        (LENGTH, (200, b'whole')),
+        (CHUNKED, (200, b'whole')),
+        (NO_BODY, (204, b'')),
+    ],
+    ids=['length', 'chunked', 'no body'],
+)
+async def test_response_before_malformed_bytes_is_complete(
+    own, expected, size
+):
+    """Guards against a ready response that is lost with what follows it."""
+    data = own + GARBAGE
+    pieces = [data[at : at + size] for at in range(0, len(data), size)]
+    assert parse(pieces) == expected
+
+
+@pytest.mark.parametrize('size', [1, 7, 1 << 16])
+@pytest.mark.parametrize(
+    'data',
+    [GARBAGE, BAD_CHUNK, CHUNKED[:-9] + GARBAGE],
+    ids=['no response', 'bad chunk', 'between chunks'],
+)
+async def test_malformed_response_fails(data, size):
+    pieces = [data[at : at + size] for at in range(0, len(data), size)]
+    with pytest.raises(Exception, match='(?s).+'):
+        parse(pieces)
+
+
+async def test_unfinished_response_is_not_complete():
+    parser = response_parser.PrefixParser(new_parser(), new_parser)
+    [(_message, payload)], _upgraded, _tail = parser.feed_data(UNFINISHED)
+    assert not payload.is_eof()
+    with pytest.raises(Exception, match='length'):
+        parser.feed_eof()
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -49,6 +49,7 @@
     '204': b'HTTP/1.1 204 No\r\n%s: q1\r\n\r\n' % ID.encode(),
     '500': response('500 No'),
     '101': b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n',
+    'no response': b'what is this\r\n\r\n',
 }
 # How the surplus bytes reach an idle connection: the pieces that follow the
 # request, each in a packet of its own.
@@ -100,7 +101,7 @@
 
 
 # Surplus responses that are complete, and so may stand in another's place.
-COMPLETE = [name for name in SURPLUS if name != '101']
+COMPLETE = [name for name in SURPLUS if name not in ('101', 'no response')]
 
 
 @pytest.mark.parametrize('joined', [False, True], ids=['apart', 'joined'])
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -8,12 +8,24 @@
 import aiohttp
 from aiohttp import client_proto
 from aiohttp import connector as connectors
+from aiohttp import http_parser
 import structlog
 
 from wrenspoke.transport import errors
+from wrenspoke.transport import response_parser
 
 logger = structlog.get_logger(__name__)
 
+# Arguments of ``set_response_params`` that aiohttp gives to its parser.
+PARSER_ARGUMENTS = (
+    'timer',
+    'read_until_eof',
+    'auto_decompress',
+    'max_line_size',
+    'max_field_size',
+    'max_headers',
+)
+
 
 class ExchangeHandler(client_proto.ResponseHandler):
     """Connection that carries one request and its response at a time.
@@ -33,6 +45,25 @@
         self._is_outstanding = False
         self._is_parsing = False
 
+    def set_response_params(self, **named: typing.Any) -> None:
+        """Prepare to parse the response to the next request."""
+        super().set_response_params(**named)
+        self._parser = response_parser.PrefixParser(
+            self._parser, lambda: self._new_parser(**named)
+        )
+
+    def _new_parser(
+        self, *, skip_payload: bool, read_bufsize: int, **named: typing.Any
+    ) -> http_parser.HttpResponseParser:
+        return http_parser.HttpResponseParser(
+            self,
+            self._loop,
+            read_bufsize,
+            payload_exception=aiohttp.ClientPayloadError,
+            response_with_body=not skip_payload,
+            **{name: named[name] for name in PARSER_ARGUMENTS},
+        )
+
     def begin_request(self) -> None:
         """Expect a response, as a request's first byte is about to be written.
 
