Keep probes of endpoints off the connections of calls

Callers saw: a 503 for a call that ran, or a second run, as an endpoint repeated its refusal of a load report when the next call arrived.

Cause: load reports, warm-up probes and calls shared a pool. A refusal without a request id proves that a call was not run, and that of a probe has none.

Change: reports have a pool of their own, so one connection more to an engine from the host that polls it. Warm-up probes, which are rare, take a connection each, so that an outdated status can't arrive on it either.

Limit: a late surplus report may stand in the place of the next report, one interval older than believed.

--- a/wrenspoke/coordination/serving/warmup_probe.py
+++ b/wrenspoke/coordination/serving/warmup_probe.py
@@ -130,6 +130,8 @@
                     [],
                     None,
                     send_permit.is_valid,
+                    # No response to an earlier request can arrive on it.
+                    new_connection=True,
                 ) as response:
                     self._note_advertised(life, send_permit, response)
                     await web.read_body(response, BODY_LIMIT_BYTES)
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -113,6 +113,11 @@
             read_buffer_bytes,
             self._socket_buffer_bytes,
         )
+        # Apart from calls: a refusal without a request id counts as that of
+        # the call on its connection, and that of a probe carries none.
+        self._reports_client = web.HttpClient(
+            node.entry.connect_timeout_ms, node.entry.endpoint_idle_ms
+        )
         self._hosts_client = web.HttpClient(
             node.entry.far_connect_timeout_ms,
             node.entry.host_idle_ms,
@@ -241,7 +246,7 @@
             reports,
             self.discovery,
             self.replica,
-            self._client,
+            self._reports_client,
             self._pollers,
             self._remote_hosts,
             self._views,
@@ -663,6 +668,7 @@
         await self._pinger.close()
         await self.discovery.close()
         await self._client.close()
+        await self._reports_client.close()
         await self._hosts_client.close()
         await self.peers.links.close()
         self._traffic.log('entry')
