Compare responses of hosts with the request they are read for

A take-up that got the response to another one left the connection in the pool, and a forwarded chat took any host's response for its own.

Change: take-ups accept responses with their token, or refusals that name none; forwarded chats compare the request id that hosts send. A foreign response closes its connection. Requests whose responses name nothing (the directory at callers, the list of hosts) use a connection each.

--- a/wrenspoke/caller.py
+++ b/wrenspoke/caller.py
@@ -79,7 +79,10 @@
         problems = []
         for url in self._urls:
             try:
-                async with self.client.send('GET', url + path, {}) as found:
+                # The response names no request that could be compared.
+                async with self.client.send(
+                    'GET', url + path, {}, new_connection=True
+                ) as found:
                     body = await web.read_declared_body(
                         found, ANSWER_LIMIT_BYTES
                     )
--- a/wrenspoke/coordination/membership/host_list_poller.py
+++ b/wrenspoke/coordination/membership/host_list_poller.py
@@ -76,7 +76,10 @@
     async def _fetch_hosts(self) -> list[ListedHost]:
         try:
             async with clocks.timeout_ms(LIST_INTERVAL_MS):
-                async with self._client.send('GET', self._url, {}) as found:
+                # The list names no request that could be compared.
+                async with self._client.send(
+                    'GET', self._url, {}, new_connection=True
+                ) as found:
                     body = await web.read_body(found, LIST_LIMIT_BYTES)
             return msgspec.json.decode(body, type=HostList).hosts
         except (
--- a/wrenspoke/coordination/serving/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
 
 import aiohttp
 import msgspec
@@ -170,6 +171,7 @@
             if forward_state.head.stream
             else forward_state.body,
             new_connection=forward_state.head.once,
+            is_own=functools.partial(_is_own, forward_state.head),
         ) as response:
             kind = response.headers.get('Content-Type', '')
             if response.status == 200 and kind.startswith(sse.CONTENT_TYPE):
@@ -278,6 +280,17 @@
         )
 
 
+def _is_own(
+    head: requests.RequestHead, response: aiohttp.ClientResponse
+) -> bool:
+    """Return whether a host's response is that to a request.
+
+    A host that rejects a request unread knows no id of it.
+    """
+    named = response.headers.get(headers.REQUEST)
+    return not named or named == head.request
+
+
 def _path(head: requests.RequestHead) -> str:
     if head.kind is requests.RequestKind.CHAT:
         return entry_api.CHAT_PATH
--- a/wrenspoke/coordination/serving/take_up.py
+++ b/wrenspoke/coordination/serving/take_up.py
@@ -293,6 +293,7 @@
                         '/',
                         take_up_fields(request),
                         None,
+                        is_own=functools.partial(is_own, token=self._token),
                     )
                 )
         except (TimeoutError, transport_errors.TransportError) as error:
@@ -314,6 +315,26 @@
     return [(passthrough_api.TAKE_UP_HEADER, text)]
 
 
+def is_own(response: aiohttp.ClientResponse, token: str) -> bool:
+    """Return whether a response is that to a request for an answer.
+
+    A host that knows nothing of the answer refuses without its token.
+    """
+    return (
+        is_taken_up(response, token)
+        or is_recalled(response, token)
+        or _names_no_answer(response)
+    )
+
+
+def _names_no_answer(response: aiohttp.ClientResponse) -> bool:
+    return (
+        passthrough_api.TAKEN_UP_HEADER not in response.headers
+        and passthrough_api.RECALLED_HEADER not in response.headers
+        and passthrough_api.REFUSED_HEADER in response.headers
+    )
+
+
 def is_taken_up(response: aiohttp.ClientResponse, token: str) -> bool:
     """Return whether a response continues an answer."""
     return response.headers.get(passthrough_api.TAKEN_UP_HEADER) == token
@@ -345,7 +366,12 @@
         request = msgspec.structs.replace(take_up, passed_on=True)
         try:
             async with self._client.send_verbatim(
-                'GET', address, '/', take_up_fields(request), None
+                'GET',
+                address,
+                '/',
+                take_up_fields(request),
+                None,
+                is_own=functools.partial(is_own, token=take_up.token),
             ) as response:
                 if not is_taken_up(response, take_up.token):
                     if is_recalled(response, take_up.token):
