Limit cold endpoints at hosts that are cut off from control hosts

Cause: the engines turned cold before the evacuation ended, which only their renewals said. Those reach entry hosts by way of control hosts alone.

Change: two hosts of a region broadcast renewals that report a warm-up, and repeat them until its end. What is heard counts if it is later than the last renewal that arrived here. A host that no control host has answered for 1 s probes the endpoints that it uses, each every 250 ms at most.

Why it works: another host knows of the warm-up as soon as a control host does, and a host that hears nobody learns it from the endpoint.

--- /dev/null
+++ b/tests/test_isolated_hosts.py
@@ -0,0 +1,121 @@
+"""Hosts that no control host answers keep to the limits of cold endpoints."""
+
+import types
+
+import pytest
+
+from tests import endpoints
+from tests import nodes
+from tests import test_engine_loads
+from tests import test_passing as passing
+from tests import test_registry
+from wrenspoke.coordination.serving import warmup_probe
+from wrenspoke.protocol import discovery_messages
+from wrenspoke.state import registry
+
+COLD_MS = 60_000
+HEALTHY = b'Wrenspoke-Instance: e\r\nWrenspoke-Warmup-Ms: %d\r\n' % COLD_MS
+
+
+async def isolate(entry):
+    """Let no control host answer an entry host any more."""
+    asked = []
+
+    async def lose(_session, host, _wait_ms):
+        asked.append(host)
+        return False
+
+    entry.discovery._send_attend = lose
+    # Both sessions have ended their last call.
+    await nodes.until(lambda: len(asked) >= 2)
+
+
+def is_cold(entry):
+    found = entry.discovery.registry.entries['e']
+    return entry._available.is_cold(found)
+
+
+async def serve(system, endpoint, number, count=5):
+    """Ask one entry host; return how many requests got to the endpoint."""
+    sent = len(endpoint.requests)
+    for call in range(count):
+        await endpoints.send_raw(
+            system.entries[number].node.callers_address,
+            passing.request(request_id=f'q{number}-{call}'),
+        )
+    calls = [
+        one
+        for one in endpoint.requests[sent:]
+        if not one.startswith(b'GET /health')
+    ]
+    return len(calls)
+
+
+async def test_isolated_host_hears_of_a_cold_endpoint_from_others(tmp_path):
+    """Guards against a cold endpoint that gets requests at full rate."""
+    async with nodes.running(tmp_path, entries=2) as system:
+        await system.put(passing.route(), warmup_per_s=2.0)
+        # Its health response names no instance, so that no probe succeeds.
+        endpoint = await endpoints.ScriptedEndpoint(
+            lambda sent, _number: [passing.answer(sent)]
+        ).start()
+        await system.register('e', endpoint)
+        assert await serve(system, endpoint, 1) == 5
+        await isolate(system.entries[1])
+        await system.register('e', endpoint, warmup_left_ms=COLD_MS)
+        await nodes.until(lambda: is_cold(system.entries[1]))
+        sent = await serve(system, endpoint, 1)
+        # Only the host that owns the endpoint warms it up.
+        assert sent <= 1
+        await endpoint.close()
+
+
+async def test_isolated_host_probes_the_endpoints_that_it_uses(tmp_path):
+    """Guards against the same at a host that hears from no other host."""
+    async with nodes.running(tmp_path) as system:
+        await system.put(passing.route(), warmup_per_s=2.0)
+        endpoint = await endpoints.ScriptedEndpoint(
+            lambda sent, _number: [passing.answer(sent, extra=HEALTHY)]
+        ).start()
+        await system.register('e', endpoint)
+        assert await serve(system, endpoint, 0) == 5
+        await isolate(system.entries[0])
+        await nodes.until(lambda: is_cold(system.entries[0]))
+        assert await serve(system, endpoint, 0) <= 1
+        await endpoint.close()
+
+
+async def test_host_that_control_hosts_answer_does_not_probe(tmp_path):
+    async with nodes.running(tmp_path) as system:
+        await system.put(passing.route(), warmup_per_s=2.0)
+        endpoint = await endpoints.ScriptedEndpoint(
+            lambda sent, _number: [passing.answer(sent, extra=HEALTHY)]
+        ).start()
+        await system.register('e', endpoint)
+        assert await serve(system, endpoint, 0) == 5
+        assert len(endpoint.requests) == 5
+        await endpoint.close()
+
+
+@pytest.mark.parametrize(
+    'received_ms, left_ms, cold',
+    [(100, 500, True), (-100, 500, False), (100, 0, False)],
+    ids=['after the renewal', 'before it', 'warm again'],
+)
+def test_status_counts_until_a_later_renewal(received_ms, left_ms, cold):
+    clock = test_registry.FakeClock()
+    listeners = []
+    probe = warmup_probe.WarmupProbe(
+        types.SimpleNamespace(add_listener=listeners.append),
+        None,
+        None,
+        None,
+        None,
+        clock,
+    )
+    said = test_engine_loads.registered(1).registration
+    found = registry.EndpointEntry(said, clock.now_ms - received_ms, 1)
+    status = discovery_messages.WarmupStatus(said.endpoint, left_ms)
+    [listener] = listeners
+    listener(discovery_messages.RegionGossip(warm=[status]))
+    assert probe.is_cold_since(found) is cold
--- a/wrenspoke/coordination/membership/discovery_client.py
+++ b/wrenspoke/coordination/membership/discovery_client.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 import itertools
 import random
@@ -55,12 +56,17 @@
 # A few missed answers. Longer than ATTEND_WAIT_MS, the interval of answers
 # without changes.
 CURRENT_TTL_MS = 2_500
+# Longer than ATTEND_WAIT_MS, and short beside the lease of the roster.
+ISOLATED_AFTER_MS = 1_000
 # A control host without a leader for this long may be partitioned from the
 # majority; the second session then moves, the first one stays. Has to
 # exceed an election, since a move transfers the whole state again.
 LEADERLESS_MS = 4_000
 
 
+RenewalListener = collections.abc.Callable[[registry.Registration], None]
+
+
 @dataclasses.dataclass
 class _Session:
     """Tracks the progress of the session with one control host."""
@@ -113,12 +119,15 @@
         self._clock = clock
         self.lease = lease or leases.ConfigurationLease(None, clock)
         self._record_numbers = itertools.count(1)
+        self._renewal_listeners: list[RenewalListener] = []
         self._tasks = runtime.Tasks()
         self._sessions = [_Session() for _number in range(SESSION_COUNT)]
         self._ticked_ms = clock.mono_ms()
         # When a control host last answered that is in contact with a leader
         # and has a complete registry.
         self._complete_ms: int | None = None
+        # When any control host last answered.
+        self._answered_ms = clock.mono_ms()
         # Time of the last failure of each control host.
         self._failed_ms: dict[ids.HostId, int] = {}
         # Control hosts known to be in this region.
@@ -131,6 +140,10 @@
         self.roster = roster.Roster(NO_EXPIRY_MS, clock)
         config_replica.refreshable = True
 
+    def add_renewal_listener(self, listener: RenewalListener) -> None:
+        """Call a listener with each registration that changed."""
+        self._renewal_listeners.append(listener)
+
     def start(self) -> None:
         """Start the sessions and the pause detection."""
         for session in self._sessions:
@@ -173,6 +186,12 @@
             return False
         return self._clock.mono_ms() - self._complete_ms <= CURRENT_TTL_MS
 
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether no control host answers, with a leader or not."""
+        age_ms = self._clock.mono_ms() - self._answered_ms
+        return age_ms > ISOLATED_AFTER_MS
+
     async def _tick(self) -> None:
         while True:
             if not self.recently_ran:
@@ -336,6 +355,7 @@
     def _apply_answer(
         self, session: _Session, answer: discovery_messages.AttendReply
     ) -> None:
+        self._answered_ms = self._clock.mono_ms()
         self._group.record_contact(session.host)
         self._group.add_contacts(answer.controls)
         if answer.news:
@@ -344,6 +364,8 @@
             )
         for said in answer.endpoints:
             self.registry.merge_registration(said)
+            for listener in self._renewal_listeners:
+                listener(said)
         if answer.hosts is not None:
             self._apply_host_changes(session, answer.hosts)
         self._local_controls.update(answer.near)
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -186,6 +186,10 @@
         """Return whether an endpoint must be limited to its warmup rate."""
         if found.warm_ms > self._clock.mono_ms():
             return True
+        if self._discovery.is_isolated:
+            self._refresh_status(found)
+        if self._warmup_probe.is_cold_since(found):
+            return True
         restored_at_ms = self._restored_at_ms.get(
             found.registration.data_centre
         )
@@ -202,6 +206,16 @@
         since_ms = self._clock.mono_ms() - restored_at_ms
         return since_ms < RESTORED_UNCERTAIN_MS
 
+    def _refresh_status(self, found: registry.EndpointEntry) -> None:
+        """Probe an endpoint whose renewals don't arrive here."""
+        if not self._is_enabled(feature_flags.FeatureFlag.WARMUP_PROBES):
+            return
+        service = self._replica.current.routes.service(
+            found.registration.service
+        )
+        if service is not None and service.warmup_per_s > 0:
+            self._warmup_probe.refresh(found.registration)
+
     def next_warmup_endpoint(
         self,
         service: routes.RoutedService,
--- a/wrenspoke/coordination/serving/warmup_probe.py
+++ b/wrenspoke/coordination/serving/warmup_probe.py
@@ -1,12 +1,17 @@
-"""Probe the warmup status of endpoints in restored data centres.
+"""Track the warmup status of endpoints, beside their own renewals.
 
 Endpoints may have become cold while their data centre was evacuated. Their
 health response says so before their next renewal does. Two hosts probe each
 endpoint and broadcast the result to the region's other hosts.
+
+A host that no control host answers misses renewals. Two hosts broadcast each
+renewal that reports a warm-up, and the host itself probes the endpoints that
+it uses, as it may be cut off from the other hosts as well.
 """
 
 import asyncio
 import collections.abc
+import typing
 
 import aiohttp
 import structlog
@@ -38,10 +43,24 @@
 # Endpoints of the same region respond sooner unless overloaded.
 PROBE_TIMEOUT_MS = 400
 BODY_LIMIT_BYTES = 64 * 1024
+# How often an isolated host probes an endpoint, and how many at a time.
+REFRESH_INTERVAL_MS = 250
+MAX_REFRESHES = 16
+REPEAT_INTERVAL_MS = 500
+
+
+class _Status(typing.NamedTuple):
+    """From when on an endpoint is warm, and when that was received."""
+
+    warm_ms: int
+    received_ms: int
 
 
 class WarmupProbe:
-    """Tracks until when endpoints of restored data centres are cold."""
+    """Tracks until when endpoints are cold by what hosts of the region know.
+
+    That is by their probes, and by renewals that this host may have missed.
+    """
 
     def __init__(
         self,
@@ -58,8 +77,13 @@
         self._client = client
         self._gate = gate
         self._clock = clock
-        # From when on an endpoint is warm, and when that was received.
-        self._warm_ms: dict[ids.EndpointId, tuple[int, int]] = {}
+        self._statuses: dict[ids.EndpointId, _Status] = {}
+        # When this host last began to refresh the status of an endpoint.
+        self._refreshed_ms: dict[ids.EndpointId, int] = {}
+        self._refreshes = 0
+        # Endpoints that this host tells others about, until they are warm.
+        self._cold_until_ms: dict[ids.EndpointId, int] = {}
+        self._repeating: asyncio.Task | None = None
         self._tasks = runtime.Tasks()
         pollers.add_listener(self._on_region_message)
 
@@ -69,8 +93,75 @@
 
     def warm_ms(self, endpoint: ids.EndpointId) -> int | None:
         """Return from when on an endpoint is warm, None if unknown."""
-        warm_ms, _heard_ms = self._warm_ms.get(endpoint, (None, 0))
-        return warm_ms
+        status = self._statuses.get(endpoint)
+        return None if status is None else status.warm_ms
+
+    def is_cold_since(self, found: registry.EndpointEntry) -> bool:
+        """Return whether an endpoint is cold by what came after a renewal."""
+        status = self._statuses.get(found.registration.endpoint)
+        return (
+            status is not None
+            and status.received_ms > found.reported_ms
+            and status.warm_ms > self._clock.mono_ms()
+        )
+
+    def on_renewal(self, said: registry.Registration) -> None:
+        """Broadcast a renewal that reports a warm-up to the region's hosts."""
+        left_ms = said.warmup_left_ms - said.age_ms
+        if left_ms <= 0:
+            self._cold_until_ms.pop(said.endpoint, None)
+            return
+        if not self._pollers.is_poller_of(said.endpoint):
+            return
+        self._cold_until_ms[said.endpoint] = self._clock.mono_ms() + left_ms
+        self._tasks.start(self._broadcast_cold([said.endpoint]), fatal=False)
+        if self._repeating is None:
+            self._repeating = self._tasks.start(
+                self._repeat_cold(), fatal=False
+            )
+
+    async def _repeat_cold(self) -> None:
+        """Repeat broadcasts, as messages without a response may be lost."""
+        while self._cold_until_ms:
+            await self._clock.sleep_ms(REPEAT_INTERVAL_MS)
+            now_ms = self._clock.mono_ms()
+            for endpoint, until_ms in list(self._cold_until_ms.items()):
+                if until_ms <= now_ms:
+                    del self._cold_until_ms[endpoint]
+            await self._broadcast_cold(list(self._cold_until_ms))
+        self._repeating = None
+
+    async def _broadcast_cold(self, endpoints: list[ids.EndpointId]) -> None:
+        now_ms = self._clock.mono_ms()
+        statuses = []
+        for endpoint in endpoints:
+            left_ms = self._cold_until_ms.get(endpoint, 0) - now_ms
+            if left_ms <= 0:
+                continue
+            statuses.append(discovery_messages.WarmupStatus(endpoint, left_ms))
+        if statuses:
+            await self._pollers.broadcast(
+                discovery_messages.RegionGossip(warm=statuses)
+            )
+
+    def refresh(self, said: registry.Registration) -> None:
+        """Probe an endpoint unless its status is recent."""
+        now_ms = self._clock.mono_ms()
+        refreshed_ms = self._refreshed_ms.get(said.endpoint)
+        if refreshed_ms is not None:
+            if now_ms - refreshed_ms < REFRESH_INTERVAL_MS:
+                return
+        if self._refreshes >= MAX_REFRESHES:
+            return
+        self._refreshed_ms[said.endpoint] = now_ms
+        self._tasks.start(self._refresh(said), fatal=False)
+
+    async def _refresh(self, said: registry.Registration) -> None:
+        self._refreshes += 1
+        try:
+            await self._probe_endpoint(said)
+        finally:
+            self._refreshes -= 1
 
     def start_probes(
         self, restored: collections.abc.Iterable[registry.EndpointEntry]
@@ -80,9 +171,9 @@
         assigned = []
         for one in restored:
             endpoint = one.registration.endpoint
-            _warm_ms, heard_ms = self._warm_ms.get(endpoint, (0, 0))
-            if heard_ms < early_ms:
-                self._warm_ms.pop(endpoint, None)
+            status = self._statuses.get(endpoint)
+            if status is not None and status.received_ms < early_ms:
+                del self._statuses[endpoint]
             if self._pollers.is_poller_of(endpoint):
                 assigned.append(one)
         if assigned:
@@ -108,7 +199,9 @@
 
     def _record_status(self, status: discovery_messages.WarmupStatus) -> None:
         now_ms = self._clock.mono_ms()
-        self._warm_ms[status.endpoint] = (now_ms + status.left_ms, now_ms)
+        self._statuses[status.endpoint] = _Status(
+            now_ms + status.left_ms, now_ms
+        )
 
     async def _probe_endpoint(
         self, said: registry.Registration
@@ -183,6 +276,11 @@
 
     def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
         """Drop the state of endpoints that are not in ``endpoints``."""
-        for endpoint in list(self._warm_ms):
-            if endpoint not in endpoints:
-                del self._warm_ms[endpoint]
+        for known in (
+            self._statuses,
+            self._refreshed_ms,
+            self._cold_until_ms,
+        ):
+            for endpoint in list(known):
+                if endpoint not in endpoints:
+                    del known[endpoint]
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -404,6 +404,11 @@
         self._engine_loads.evict(before.endpoint)
         self._outlier_detector.reset_address(before.address)
 
+    def _on_renewal(self, said: registry.Registration) -> None:
+        """Broadcast renewals of cold endpoints, which hosts may miss."""
+        if self.node.regions.get(said.data_centre) == self.node.region:
+            self._warmup_probe.on_renewal(said)
+
     def _build_serving(self, dialect: dialects.Dialect) -> None:
         """Build request routing and the servers for callers and hosts."""
         node = self.node
@@ -415,6 +420,7 @@
             self._gate,
             self.clock,
         )
+        self.discovery.add_renewal_listener(self._on_renewal)
         self._remote_regions = remote_regions.RemoteRegions(
             self._pinger,
             self._remote_hosts,
