Pass on that an endpoint is stale, whichever control host marked it

Callers saw: by reading, an endpoint that ended in silence stayed as good as new at entry hosts whose control hosts did not mark it first.

Cause: a control host that heard the mark from another one set it without a new revision, so its entry hosts were never told, and its own mark_stale passed the entry over. The same held for a mark that came with a later renewal, and an entry host that started took a stale endpoint for a good one.

Change: Registry sets the mark in one place, always with a revision. A mark of a renewal that is older than the one known here is ignored: its sender missed what this host knows.

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -137,6 +137,51 @@
     assert not told.is_stale('e')
 
 
+@pytest.mark.parametrize('renewed', [False, True])
+def test_stale_mark_reaches_entry_hosts_of_every_control_host(renewed):
+    """Guards against a mark that stops at the control host that hears it.
+
+    The other control host may have missed the last renewal.
+    """
+    clock = FakeClock()
+    marking, hearing, entry = (registry.Registry(clock) for _ in range(3))
+    for held in (marking, hearing, entry):
+        held.merge_registration(registration(1), 'c1')
+    if renewed:
+        marking.merge_registration(registration(2))
+    clock.now_ms += registry.RENEWAL_TIMEOUT_MS + 1
+    seen, told = marking.revision, hearing.revision
+    assert marking.mark_stale()
+    for change in marking.registrations_since(seen):
+        assert hearing.merge_registration(change, 'c1')
+    for change in hearing.registrations_since(told):
+        assert entry.merge_registration(change)
+    assert entry.is_stale('e')
+    assert not hearing.mark_stale()
+
+
+def test_stale_mark_of_an_older_renewal_is_ignored():
+    """The host that sets it has missed what is known here."""
+    clock = FakeClock()
+    held = registry.Registry(clock)
+    held.merge_registration(registration(2))
+    before = held.revision
+    old = registration(1, age_ms=registry.RENEWAL_TIMEOUT_MS + 1)
+    assert not held.merge_registration(old)
+    assert not held.is_stale('e') and held.revision == before
+
+
+def test_host_that_starts_hears_of_a_stale_endpoint():
+    clock = FakeClock()
+    marking, entry = registry.Registry(clock), registry.Registry(clock)
+    marking.merge_registration(registration(1))
+    clock.now_ms += registry.RENEWAL_TIMEOUT_MS + 1
+    marking.mark_stale()
+    [change] = marking.registrations_since(0)
+    entry.merge_registration(change)
+    assert entry.is_stale('e')
+
+
 @pytest.mark.parametrize(
     'case, kept',
     [('ready', True), ('silent', False), ('gone', False)],
--- a/wrenspoke/state/registry.py
+++ b/wrenspoke/state/registry.py
@@ -157,16 +157,23 @@
             )
         elif said.number <= old.registration.number:
             # A repeat may come from a host that saw the renewals stop.
-            old.is_stale |= said.age_ms > RENEWAL_TIMEOUT_MS
-            return said.leaving and self._set_leaving(old)
+            stopped = (
+                said.number == old.registration.number
+                and said.age_ms > RENEWAL_TIMEOUT_MS
+            )
+            changed = stopped and self._set_stale(old)
+            return (said.leaving and self._set_leaving(old)) or changed
         if old.registration.leaving:
             # Later reports may still say ready; leaving is permanent.
             said = msgspec.structs.replace(said, leaving=True)
-        changed = old.is_stale or _affects_routing(old, said, reported_ms)
+        stale = said.age_ms > RENEWAL_TIMEOUT_MS
+        changed = (
+            stale or old.is_stale or _affects_routing(old, said, reported_ms)
+        )
         old.registration = said
         old.reported_ms = reported_ms
         old.relayed_by = relayed_by
-        old.is_stale = said.age_ms > RENEWAL_TIMEOUT_MS
+        old.is_stale = stale
         if changed:
             self.revision += 1
             old.revision = self.revision
@@ -206,7 +213,11 @@
         before = self.entries.get(said.endpoint)
         self.revision += 1
         self.entries[said.endpoint] = EndpointEntry(
-            said, reported_ms, self.revision, relayed_by=relayed_by
+            said,
+            reported_ms,
+            self.revision,
+            said.age_ms > RENEWAL_TIMEOUT_MS,
+            relayed_by,
         )
         if before is None:
             return
@@ -290,14 +301,19 @@
                 return found
         return None
 
+    def _set_stale(self, found: EndpointEntry) -> bool:
+        """Mark an endpoint as stale; return whether it was not before."""
+        if found.is_stale:
+            return False
+        self.revision += 1
+        found.is_stale = True
+        found.revision = self.revision
+        return True
+
     def displace(self, said: Registration) -> None:
         """Mark the other endpoints at a registration's address as stale."""
         for found in self._others_at(said):
-            if found.is_stale:
-                continue
-            self.revision += 1
-            found.is_stale = True
-            found.revision = self.revision
+            self._set_stale(found)
 
     def _others_at(self, said: Registration) -> list[EndpointEntry]:
         others = []
@@ -349,14 +365,9 @@
         now_ms = self._clock.mono_ms()
         marked = False
         for found in self.entries.values():
-            if (
-                found.is_stale
-                or now_ms - found.reported_ms <= RENEWAL_TIMEOUT_MS
-            ):
+            if now_ms - found.reported_ms <= RENEWAL_TIMEOUT_MS:
                 continue
-            self.revision += 1
-            found.is_stale = marked = True
-            found.revision = self.revision
+            marked |= self._set_stale(found)
         return marked
 
     def is_stale(self, endpoint: ids.EndpointId) -> bool:
