Acknowledge a leave once another control host knows of it

The new test finds the leave at no other host as it is acknowledged.

Change: deregistrations and draining reports wait until another control host has confirmed the revision, 2 s at most, and not at all if none is in contact.

Why it works: the host that knows of it tells its entry hosts and the restarted host, and a leave is final for its instance.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -430,6 +430,41 @@
     assert status == 400
 
 
+@pytest.mark.parametrize('way', ['deregister', 'heartbeat'])
+async def test_acknowledged_leave_is_known_to_another_host(surfaces, way):
+    """Guards against a leave that is lost with the host that took it."""
+    body = {**HEARTBEAT, 'zone': 'north-hall'}
+    one, *others = surfaces.controls
+    path = '/instances/i-1/heartbeat'
+    await send(surfaces, one, path, json.dumps(body).encode())
+    for host in others:
+        await nodes.until(
+            lambda host=host: 'i-1' in host.registrar.registry.entries
+        )
+    body |= {'state': 'draining', 'seq': body['seq'] + 1}
+    sent = None if way == 'deregister' else json.dumps(body).encode()
+    status, _body, _headers = await send(
+        surfaces, one, f'/instances/i-1/{way}', sent
+    )
+    assert status == 200
+    assert not all(
+        host.registrar.registry.entries['i-1'].takes_work for host in others
+    )
+
+
+async def test_endpoint_may_leave_while_no_other_host_answers(surfaces):
+    body = json.dumps({**HEARTBEAT, 'zone': 'north-hall'}).encode()
+    one, *others = surfaces.controls
+    await send(surfaces, one, '/instances/i-1/heartbeat', body)
+    for host in others:
+        await host.peers.links.close()
+    status, _body, _headers = await send(
+        surfaces, one, '/instances/i-1/deregister'
+    )
+    assert status == 200
+    assert not one.registrar.registry.entries['i-1'].takes_work
+
+
 async def test_delayed_heartbeat_keeps_successor(surfaces):
     """A delayed heartbeat of a crashed engine whose address is reused."""
     one = surfaces.controls[0]
--- a/wrenspoke/coordination/membership/control_sync.py
+++ b/wrenspoke/coordination/membership/control_sync.py
@@ -78,6 +78,9 @@
         self._on_endpoints_changed = on_endpoints_changed
         self._clock = clock
         self._sync_requests: dict[ids.HostId, asyncio.Event] = {}
+        # Newest revision of the endpoints that any other host has confirmed.
+        self._confirmed_revision = 0
+        self._confirmed = asyncio.Event()
         self._regions: dict[ids.HostId, ids.RegionId] = {}
         self._tasks = runtime.Tasks()
         peers.handles(discovery_messages.Exchange)(self._handle_exchange)
@@ -95,6 +98,21 @@
         for event in self._sync_requests.values():
             event.set()
 
+    async def wait_confirmed(self, revision: int, timeout_ms: int) -> bool:
+        """Wait until another control host has a revision of the endpoints.
+
+        Return False if none has confirmed it in time, or none is in contact.
+        """
+        try:
+            async with clocks.timeout_ms(timeout_ms):
+                while self._confirmed_revision < revision:
+                    if not self._group.seen_within(CONTACT_WINDOW_MS):
+                        return False
+                    await self._confirmed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def control_hosts_in(self, region: ids.RegionId) -> list[ids.HostId]:
         """Return the control hosts of a region that were recently seen."""
         found = [
@@ -161,10 +179,17 @@
             )
             self._sync_requests[host].set()
             return SyncProgress(answer.life)
+        self._on_confirmed(next_progress.endpoints_revision)
         next_progress.instance_id = answer.life
         next_progress.recent_contacts = {*answer.heard, host}
         return next_progress
 
+    def _on_confirmed(self, endpoints_revision: int) -> None:
+        if endpoints_revision > self._confirmed_revision:
+            self._confirmed_revision = endpoints_revision
+            self._confirmed.set()
+            self._confirmed = asyncio.Event()
+
     def _build_exchange(
         self, host: ids.HostId, progress: SyncProgress
     ) -> discovery_messages.Exchange:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -44,6 +44,9 @@
 # By then every endpoint has renewed its registration at a restarted host, and
 # streams of endpoints that ended meanwhile broke too long ago to be resumed.
 COMPLETE_AFTER_MS = 10_000
+# Covers an exchange that is lost and the next one. Endpoints that leave wait
+# for it, and send their request again at other control hosts.
+REPLICATION_TIMEOUT_MS = 2_000
 # Has to exceed the exchange interval plus an inter-region round trip.
 CONTACT_WINDOW_MS = 3_000
 
@@ -161,6 +164,27 @@
         """Mark an endpoint as gone; ``born_ms`` selects one instance."""
         self.register(self.registry.final_registration(endpoint, born_ms))
 
+    async def replicate(self, endpoint: ids.EndpointId) -> None:
+        """Wait until another control host knows that an endpoint leaves.
+
+        What is acknowledged then outlives this host. Without another one in
+        contact the endpoint must be able to leave as well, so that this
+        returns in any case, after ``REPLICATION_TIMEOUT_MS`` at the latest.
+        """
+        found = self.registry.entries.get(endpoint)
+        if found is None or found.takes_work:
+            return
+        if not self._group.other_hosts():
+            return
+        if not await self._control_sync.wait_confirmed(
+            found.revision, REPLICATION_TIMEOUT_MS
+        ):
+            logger.warning(
+                'leave_not_replicated',
+                endpoint=endpoint,
+                state=found.registration.state,
+            )
+
     async def _handle_withdraw(
         self, _sender: ids.HostId, message: discovery_messages.WithdrawEndpoint
     ) -> None:
