Let a test of recalled calls wait until its call is on its way

Cause: the test cut the link and then sent a call, and assumed that no ping falls in between; a host that has missed a ping gets no calls. 2 of 80 runs beside load failed (review).

Change: pings are answered until the call has been passed on. All checks stay.

--- a/tests/test_request_path_answers.py
+++ b/tests/test_request_path_answers.py
@@ -360,8 +360,12 @@
             def count(name):
                 return sum(line['event'] == name for line in lines)
 
-            made.cut()
+            # Pings are answered until the call is on its way: a host that
+            # has missed one gets no calls.
+            made.link.cut()
             reader, writer = await made.open()
+            await nodes.until(lambda: count('passed_on'))
+            made.cut()
             if not seconds_up:
                 await nodes.until(lambda: count('take_up_ended'))
                 assert not count('call_recalled') and not made.engine.requests
