--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -264,6 +264,75 @@
     assert (kept.meta.term, kept.meta.voted_for) == (3, None)
 
 
+class FillingDisk(FakeDisk):
+    """Disk without room for one of the next replacements of files."""
+
+    def __init__(self):
+        super().__init__()
+        self.full_at = None
+
+    def replace(self, name, data):
+        if self.full_at is not None:
+            self.full_at -= 1
+            if self.full_at < 0:
+                self.full_at = None
+                raise errors.DiskFullError(name)
+        super().replace(name, data)
+
+
+def view(kept):
+    """Return what a voter sees of a storage."""
+    indexes = range(kept.last_index + 3)
+    return (
+        kept.snapshot,
+        kept.first_index,
+        kept.last_index,
+        kept.last_term,
+        [kept.entry(index) for index in indexes],
+        [kept.term_at(index) for index in indexes],
+    )
+
+
+SNAPSHOTS = {
+    'of its own': storage.Snapshot(3, 1),
+    'of the whole log': storage.Snapshot(6, 1),
+    'beyond the log': storage.Snapshot(9, 2),
+    'of another log': storage.Snapshot(3, 2),
+}
+
+
+@pytest.mark.parametrize('full_at', [0, 1], ids=['snapshot', 'log'])
+@pytest.mark.parametrize('name', SNAPSHOTS)
+@pytest.mark.parametrize('records_count', [1, 2, 6])
+def test_disk_that_fills_in_a_snapshot_agrees_with_memory(
+    name, full_at, records_count
+):
+    """Guards against entries of other indexes than those asked for."""
+    filling = FillingDisk()
+    kept = storage.Storage(filling)
+    kept.save_meta()
+    size = 6 // records_count
+    for first in range(1, 7, size):
+        kept.append([entry(first + step) for step in range(size)])
+    before = view(kept)
+    filling.full_at = full_at
+    if full_at == 0:
+        with pytest.raises(errors.DiskFullError):
+            kept.save_snapshot(SNAPSHOTS[name])
+        assert view(kept) == before
+    else:
+        kept.save_snapshot(SNAPSHOTS[name])
+        assert kept.snapshot == SNAPSHOTS[name]
+    assert view(storage.Storage(filling)) == view(kept)
+    last = kept.last_index
+    kept.append([entry(last + 1, 3), entry(last + 2, 3)])
+    assert kept.entry(last + 1) == entry(last + 1, 3)
+    assert view(storage.Storage(filling)) == view(kept)
+    kept.truncate_from(last + 2)
+    assert kept.last_index == last + 1
+    assert view(storage.Storage(filling)) == view(kept)
+
+
 @pytest.mark.parametrize('call', ['append', 'replace'])
 def test_folder_is_synced_after_a_name_is_made(tmp_path, monkeypatch, call):
     opened = disk.Disk(tmp_path / 'data')
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -111,8 +111,11 @@
     def _load_entry(
         self, entry: entries.LogEntry, record: records.Record
     ) -> None:
-        if not self._entries and entry.index <= self.snapshot.index:
-            # Written before the snapshot that covers it.
+        if not self._entries and (
+            entry.index <= self.snapshot.index
+            or entry.term < self.snapshot.term
+        ):
+            # Written before the snapshot, which covers or contradicts it.
             self._end_offsets = [record.end]
             return
         if entry.index != self.last_index + 1:
@@ -243,7 +246,13 @@
         self._synced_meta = body
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Write and sync a snapshot, then drop the entries that it covers."""
+        """Write and sync a snapshot, then drop the entries that it covers.
+
+        If the disk becomes full in between, they stay in the log's file, and
+        a later snapshot drops them.
+
+        :raises DiskFullError: the snapshot was not written
+        """
         body = msgspec.msgpack.encode(snapshot)
         self._disk.replace(SNAPSHOT, records.encode(body))
         rest = []
@@ -253,8 +262,25 @@
                 for entry in self._entries
                 if entry.index > snapshot.index
             ]
+        self._drop_covered(snapshot, rest)
+        try:
+            self._rewrite_log(rest)
+        except errors.DiskFullError as error:
+            logger.warning(
+                'log_not_compacted', index=snapshot.index, reason=str(error)
+            )
+
+    def _drop_covered(
+        self, snapshot: Snapshot, rest: list[entries.LogEntry]
+    ) -> None:
+        """Put a snapshot in force, as a restart with the same files would."""
+        covered = len(self._end_offsets) - len(rest)
+        if covered > 1:
+            # The end of the last entry that was dropped.
+            del self._end_offsets[: covered - 1]
         self.snapshot = snapshot
-        self._rewrite_log(rest)
+        self._entries = rest
+        self._index_electorates()
 
     def _rewrite_log(self, kept: list[entries.LogEntry]) -> None:
         """Replace the log atomically with the given entries."""
