--- a/benches/switched_off.py
+++ b/benches/switched_off.py
@@ -17,6 +17,7 @@
 import tempfile
 
 from benches import switches
+from benches import switches_attribution
 from benches import switches_backoffs
 from benches import switches_hosts
 from benches import switches_limits
@@ -88,6 +89,7 @@
             *switches_teams.SWITCHES,
             *switches_quarantine.SWITCHES,
             *switches_limits.SWITCHES,
+            *switches_attribution.SWITCHES,
             *switches_backoffs.SWITCHES,
             *switches_streams.SWITCHES,
         ]
--- /dev/null
+++ b/benches/switches_attribution.py
@@ -0,0 +1,132 @@
+"""Rows of ``benches.switched_off``: surplus responses, cold and left engines."""
+
+from benches import switches
+
+STATE = switches.STATE
+DECISIONS = switches.DECISIONS
+TRANSPORT = 'wrenspoke/transport/'
+SURPLUS = 'tests/test_surplus_responses.py'
+EXCHANGE = 'tests/test_exchange.py'
+Switch = switches.Switch
+
+SWITCHES = [
+    Switch(
+        'bytes behind a response are ignored',
+        TRANSPORT + 'exchange.py',
+        'if not self._is_outstanding and self.has_surplus():',
+        'if False:',
+        f'{EXCHANGE} -k behind',
+    ),
+    Switch(
+        'half a head behind a response is ignored',
+        TRANSPORT + 'exchange.py',
+        '            return self._parser.feed_eof() is not None\n',
+        '            return False\n',
+        f'{EXCHANGE} -k behind',
+    ),
+    Switch(
+        'unread bytes are not looked for',
+        TRANSPORT + 'connector.py',
+        'return not _is_silent(sock) and not _has_unread_bytes(sock)',
+        'return not _is_silent(sock)',
+        EXCHANGE,
+    ),
+    Switch(
+        'request begun after unsolicited bytes',
+        TRANSPORT + 'exchange.py',
+        '            raise self._exception\n',
+        '            pass\n',
+        EXCHANGE,
+    ),
+    Switch(
+        'foreign responses are taken',
+        TRANSPORT + 'web.py',
+        '    if is_own is None or is_own(response):\n',
+        '    if True:\n',
+        f'{SURPLUS} -k late',
+    ),
+    Switch(
+        'connections of foreign responses are kept',
+        TRANSPORT + 'web.py',
+        '    exchange.discard(response)\n',
+        '',
+        'tests/test_host_responses.py',
+    ),
+    Switch(
+        'refusals without an id are foreign',
+        DECISIONS + 'serving/sending.py',
+        'if not echoed and self._may_be_unnamed(destination, response):',
+        'if False:',
+        f'{SURPLUS} -k refusal',
+    ),
+    Switch(
+        'instance of a 421 is not looked at',
+        DECISIONS + 'serving/sending.py',
+        'return not self._names_called_instance(destination, response)',
+        'return True',
+        f'{SURPLUS} -k instance',
+    ),
+    Switch(
+        'malformed bytes lose the response before them',
+        TRANSPORT + 'response_parser.py',
+        '            parsed = self._parse_prefix(received)\n',
+        '            raise\n',
+        'tests/test_response_parser.py',
+    ),
+    Switch(
+        'reports share the connections of calls',
+        'wrenspoke/entry_node.py',
+        '            self._reports_client,\n',
+        '            self._client,\n',
+        'tests/test_probe_connections.py',
+    ),
+    Switch(
+        'warm-up probes use kept connections',
+        DECISIONS + 'serving/warmup_probe.py',
+        '                    new_connection=True,\n',
+        '',
+        'tests/test_probe_connections.py',
+    ),
+    Switch(
+        'renewals of cold endpoints are not broadcast',
+        'wrenspoke/entry_node.py',
+        '            self._warmup_probe.on_renewal(said)\n',
+        '            pass\n',
+        'tests/test_isolated_hosts.py -k hears',
+    ),
+    Switch(
+        'isolated hosts do not probe',
+        DECISIONS + 'serving/availability.py',
+        '        if self._discovery.is_isolated:\n',
+        '        if False:\n',
+        'tests/test_isolated_hosts.py -k probes',
+    ),
+    Switch(
+        'what others know of a warm-up is ignored',
+        DECISIONS + 'serving/availability.py',
+        '        if self._warmup_probe.is_cold_since(found):\n',
+        '        if False:\n',
+        'tests/test_isolated_hosts.py',
+    ),
+    Switch(
+        'stale marks are not passed on',
+        STATE + 'registry.py',
+        '            changed = stopped and self._set_stale(old)\n',
+        '            changed = False\n',
+        'tests/test_registry.py -k stale',
+    ),
+    Switch(
+        'leaves are acknowledged at once',
+        DECISIONS + 'membership/registrar.py',
+        '        if found is None or found.takes_work:\n',
+        '        if True:\n',
+        'tests/test_adapter.py -k acknowledged_leave',
+    ),
+    Switch(
+        'covered entries stay in memory',
+        STATE + 'storage.py',
+        '        self._drop_covered(snapshot, rest)\n',
+        '        self.snapshot = snapshot\n',
+        'tests/test_storage.py -k fills',
+    ),
+]
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,6 +4,7 @@
 import os
 import socket
 import threading
+import time
 
 import pytest
 import uvloop
@@ -29,7 +30,8 @@
 class ThreadedEndpoint:
     """Answers in a thread, and sends surplus bytes when it is told to."""
 
-    def __init__(self):
+    def __init__(self, extra=b''):
+        self._extra = extra
         self._listening = socket.create_server(('127.0.0.1', 0))
         self.address = f'127.0.0.1:{self._listening.getsockname()[1]}'
         self._accepted = []
@@ -48,7 +50,14 @@
 
     def _serve(self, opened):
         while opened.recv(65536):
-            opened.sendall(OWN)
+            opened.sendall(OWN[:-1])
+            # Its head is read by itself, most of the time.
+            time.sleep(0.05)
+            opened.sendall(OWN[-1:] + self._extra)
+
+    @property
+    def accepted_count(self):
+        return len(self._accepted)
 
     def send_surplus(self):
         """Send it; loopback delivers it to the peer's kernel at once."""
@@ -80,6 +89,23 @@
     endpoint.close()
 
 
+@pytest.mark.parametrize(
+    'extra, connections',
+    [(b'', 1), (SURPLUS, 3), (SURPLUS[:10], 3), (b'what is this\r\n', 3)],
+    ids=['nothing', 'response', 'half a head', 'no response'],
+)
+async def test_connection_with_bytes_behind_a_response_is_not_reused(
+    extra, connections
+):
+    endpoint = ThreadedEndpoint(extra)
+    client = web.HttpClient(TIMEOUT_MS)
+    for _call in range(3):
+        assert await read(client, endpoint.address, None) == b'own'
+    assert endpoint.accepted_count == connections
+    await client.close()
+    endpoint.close()
+
+
 async def test_idle_connection_whose_peer_speaks_first_is_closed():
     closed = asyncio.Event()
 
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from benches import switches_attribution
 from benches import switches_backoffs
 from benches import switches_hosts
 from benches import switches_limits
@@ -13,6 +14,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 ROWS = [
+    *switches_attribution.SWITCHES,
     *switches_backoffs.SWITCHES,
     *switches_hosts.SWITCHES,
     *switches_limits.SWITCHES,
