Split the broadcasts of cold endpoints off, and ask for them once a call

Cause: WarmupProbe had two tasks, and whether the host is isolated was asked for each candidate of a call. Two tests of engine loads failed since (test_calls_go_to_an_engine_that_is_silent_only_for_want_of_others): their fakes had neither is_isolated nor a probe.

Change: membership.cold_broadcaster; an isolated host starts its probes as it looks for endpoints of its region, and a candidate costs one comparison while no status says cold. The fakes of both tests have the two attributes; their checks stay. discard_connection, wait_replicated and has_newer_cold_status are new names.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -48,7 +48,7 @@
     Switch(
         'connections of foreign responses are kept',
         TRANSPORT + 'web.py',
-        '    exchange.discard(response)\n',
+        '    exchange.discard_connection(response)\n',
         '',
         'tests/test_host_responses.py',
     ),
@@ -90,22 +90,22 @@
     Switch(
         'renewals of cold endpoints are not broadcast',
         'wrenspoke/entry_node.py',
-        '            self._warmup_probe.on_renewal(said)\n',
+        '            self._cold_broadcaster.on_renewal(said)\n',
         '            pass\n',
         'tests/test_isolated_hosts.py -k hears',
     ),
     Switch(
         'isolated hosts do not probe',
         DECISIONS + 'serving/availability.py',
-        '        if self._discovery.is_isolated:\n',
-        '        if False:\n',
+        'if region == self._region and self._discovery.is_isolated:',
+        'if False:',
         'tests/test_isolated_hosts.py -k probes',
     ),
     Switch(
         'what others know of a warm-up is ignored',
         DECISIONS + 'serving/availability.py',
-        '        if self._warmup_probe.is_cold_since(found):\n',
-        '        if False:\n',
+        'if self._warmup_probe.has_newer_cold_status(found):',
+        'if False:',
         'tests/test_isolated_hosts.py',
     ),
     Switch(
--- a/tests/test_engine_loads.py
+++ b/tests/test_engine_loads.py
@@ -58,6 +58,7 @@
     attended = types.SimpleNamespace(
         roster=known,
         registry=types.SimpleNamespace(entries=held, version=(0, len(held))),
+        is_isolated=False,
     )
     asking = region_pollers.RegionPollers('north', host, known, NoPeers())
     table = routes.RouteTable(
@@ -205,7 +206,7 @@
         gauged._discovery,
         gauged._replica,
         outlier_detection.OutlierDetector(clock),
-        None,
+        types.SimpleNamespace(cold_until_ms=0),
         gauged,
         endpoint_limit_fleet.open_gate(clock),
         frozenset(),
--- a/tests/test_isolated_hosts.py
+++ b/tests/test_isolated_hosts.py
@@ -31,8 +31,8 @@
 
 
 def is_cold(entry):
-    found = entry.discovery.registry.entries['e']
-    return entry._available.is_cold(found)
+    """Return whether the only endpoint is cold, as a call would see it."""
+    return not entry._available.warm_endpoints('s', 'north')
 
 
 async def serve(system, endpoint, number, count=5):
@@ -118,4 +118,4 @@
     status = discovery_messages.WarmupStatus(said.endpoint, left_ms)
     [listener] = listeners
     listener(discovery_messages.RegionGossip(warm=[status]))
-    assert probe.is_cold_since(found) is cold
+    assert probe.has_newer_cold_status(found) is cold
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -164,7 +164,7 @@
         """Mark an endpoint as gone; ``born_ms`` selects one instance."""
         self.register(self.registry.final_registration(endpoint, born_ms))
 
-    async def replicate(self, endpoint: ids.EndpointId) -> None:
+    async def wait_replicated(self, endpoint: ids.EndpointId) -> None:
         """Wait until another control host knows that an endpoint leaves.
 
         What is acknowledged then outlives this host. Without another one in
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -74,6 +74,8 @@
         """Return the endpoints of a service that may get new requests."""
         self.update_evacuations()
         members = self._find_members(service, region)
+        if region == self._region and self._discovery.is_isolated:
+            self._refresh_statuses(service, members)
         if not self._evacuated and self._gate.leaving.is_idle:
             return members.copy()
         return [
@@ -184,12 +186,12 @@
 
     def is_cold(self, found: registry.EndpointEntry) -> bool:
         """Return whether an endpoint must be limited to its warmup rate."""
-        if found.warm_ms > self._clock.mono_ms():
-            return True
-        if self._discovery.is_isolated:
-            self._refresh_status(found)
-        if self._warmup_probe.is_cold_since(found):
+        now_ms = self._clock.mono_ms()
+        if found.warm_ms > now_ms:
             return True
+        if self._warmup_probe.cold_until_ms > now_ms:
+            if self._warmup_probe.has_newer_cold_status(found):
+                return True
         restored_at_ms = self._restored_at_ms.get(
             found.registration.data_centre
         )
@@ -202,18 +204,20 @@
             return False
         warm_ms = self._warmup_probe.warm_ms(found.registration.endpoint)
         if warm_ms is not None:
-            return warm_ms > self._clock.mono_ms()
-        since_ms = self._clock.mono_ms() - restored_at_ms
+            return warm_ms > now_ms
+        since_ms = now_ms - restored_at_ms
         return since_ms < RESTORED_UNCERTAIN_MS
 
-    def _refresh_status(self, found: registry.EndpointEntry) -> None:
-        """Probe an endpoint whose renewals don't arrive here."""
+    def _refresh_statuses(
+        self, service: ids.ServiceId, members: list[registry.EndpointEntry]
+    ) -> None:
+        """Probe endpoints whose renewals don't arrive here."""
         if not self._is_enabled(feature_flags.FeatureFlag.WARMUP_PROBES):
             return
-        service = self._replica.current.routes.service(
-            found.registration.service
-        )
-        if service is not None and service.warmup_per_s > 0:
+        routed = self._replica.current.routes.service(service)
+        if routed is None or routed.warmup_per_s <= 0:
+            return
+        for found in members:
             self._warmup_probe.refresh(found.registration)
 
     def next_warmup_endpoint(
--- a/wrenspoke/coordination/serving/warmup_probe.py
+++ b/wrenspoke/coordination/serving/warmup_probe.py
@@ -4,9 +4,9 @@
 health response says so before their next renewal does. Two hosts probe each
 endpoint and broadcast the result to the region's other hosts.
 
-A host that no control host answers misses renewals. Two hosts broadcast each
-renewal that reports a warm-up, and the host itself probes the endpoints that
-it uses, as it may be cut off from the other hosts as well.
+A host that no control host answers misses renewals. It hears of those that
+report a warm-up from other hosts (``cold_broadcaster``), and probes the
+endpoints that it uses, as it may be cut off from the other hosts as well.
 """
 
 import asyncio
@@ -46,7 +46,6 @@
 # How often an isolated host probes an endpoint, and how many at a time.
 REFRESH_INTERVAL_MS = 250
 MAX_REFRESHES = 16
-REPEAT_INTERVAL_MS = 500
 
 
 class _Status(typing.NamedTuple):
@@ -78,12 +77,11 @@
         self._gate = gate
         self._clock = clock
         self._statuses: dict[ids.EndpointId, _Status] = {}
+        # No status says of any endpoint that it is cold for longer.
+        self.cold_until_ms = 0
         # When this host last began to refresh the status of an endpoint.
         self._refreshed_ms: dict[ids.EndpointId, int] = {}
         self._refreshes = 0
-        # Endpoints that this host tells others about, until they are warm.
-        self._cold_until_ms: dict[ids.EndpointId, int] = {}
-        self._repeating: asyncio.Task | None = None
         self._tasks = runtime.Tasks()
         pollers.add_listener(self._on_region_message)
 
@@ -96,8 +94,8 @@
         status = self._statuses.get(endpoint)
         return None if status is None else status.warm_ms
 
-    def is_cold_since(self, found: registry.EndpointEntry) -> bool:
-        """Return whether an endpoint is cold by what came after a renewal."""
+    def has_newer_cold_status(self, found: registry.EndpointEntry) -> bool:
+        """Return whether an endpoint is cold by news after its renewal."""
         status = self._statuses.get(found.registration.endpoint)
         return (
             status is not None
@@ -105,45 +103,6 @@
             and status.warm_ms > self._clock.mono_ms()
         )
 
-    def on_renewal(self, said: registry.Registration) -> None:
-        """Broadcast a renewal that reports a warm-up to the region's hosts."""
-        left_ms = said.warmup_left_ms - said.age_ms
-        if left_ms <= 0:
-            self._cold_until_ms.pop(said.endpoint, None)
-            return
-        if not self._pollers.is_poller_of(said.endpoint):
-            return
-        self._cold_until_ms[said.endpoint] = self._clock.mono_ms() + left_ms
-        self._tasks.start(self._broadcast_cold([said.endpoint]), fatal=False)
-        if self._repeating is None:
-            self._repeating = self._tasks.start(
-                self._repeat_cold(), fatal=False
-            )
-
-    async def _repeat_cold(self) -> None:
-        """Repeat broadcasts, as messages without a response may be lost."""
-        while self._cold_until_ms:
-            await self._clock.sleep_ms(REPEAT_INTERVAL_MS)
-            now_ms = self._clock.mono_ms()
-            for endpoint, until_ms in list(self._cold_until_ms.items()):
-                if until_ms <= now_ms:
-                    del self._cold_until_ms[endpoint]
-            await self._broadcast_cold(list(self._cold_until_ms))
-        self._repeating = None
-
-    async def _broadcast_cold(self, endpoints: list[ids.EndpointId]) -> None:
-        now_ms = self._clock.mono_ms()
-        statuses = []
-        for endpoint in endpoints:
-            left_ms = self._cold_until_ms.get(endpoint, 0) - now_ms
-            if left_ms <= 0:
-                continue
-            statuses.append(discovery_messages.WarmupStatus(endpoint, left_ms))
-        if statuses:
-            await self._pollers.broadcast(
-                discovery_messages.RegionGossip(warm=statuses)
-            )
-
     def refresh(self, said: registry.Registration) -> None:
         """Probe an endpoint unless its status is recent."""
         now_ms = self._clock.mono_ms()
@@ -199,9 +158,9 @@
 
     def _record_status(self, status: discovery_messages.WarmupStatus) -> None:
         now_ms = self._clock.mono_ms()
-        self._statuses[status.endpoint] = _Status(
-            now_ms + status.left_ms, now_ms
-        )
+        warm_ms = now_ms + status.left_ms
+        self._statuses[status.endpoint] = _Status(warm_ms, now_ms)
+        self.cold_until_ms = max(self.cold_until_ms, warm_ms)
 
     async def _probe_endpoint(
         self, said: registry.Registration
@@ -276,11 +235,7 @@
 
     def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
         """Drop the state of endpoints that are not in ``endpoints``."""
-        for known in (
-            self._statuses,
-            self._refreshed_ms,
-            self._cold_until_ms,
-        ):
+        for known in (self._statuses, self._refreshed_ms):
             for endpoint in list(known):
                 if endpoint not in endpoints:
                     del known[endpoint]
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -18,6 +18,7 @@
 from wrenspoke.coordination.limiting import endpoint_gate
 from wrenspoke.coordination.limiting import limiter
 from wrenspoke.coordination.limiting import team_buckets
+from wrenspoke.coordination.membership import cold_broadcaster
 from wrenspoke.coordination.membership import control_group
 from wrenspoke.coordination.membership import discovery_client
 from wrenspoke.coordination.membership import engine_loads
@@ -407,7 +408,7 @@
     def _on_renewal(self, said: registry.Registration) -> None:
         """Broadcast renewals of cold endpoints, which hosts may miss."""
         if self.node.regions.get(said.data_centre) == self.node.region:
-            self._warmup_probe.on_renewal(said)
+            self._cold_broadcaster.on_renewal(said)
 
     def _build_serving(self, dialect: dialects.Dialect) -> None:
         """Build request routing and the servers for callers and hosts."""
@@ -420,6 +421,9 @@
             self._gate,
             self.clock,
         )
+        self._cold_broadcaster = cold_broadcaster.ColdBroadcaster(
+            self._pollers, self.clock
+        )
         self.discovery.add_renewal_listener(self._on_renewal)
         self._remote_regions = remote_regions.RemoteRegions(
             self._pinger,
@@ -671,6 +675,7 @@
             await self._warm_connections.close()
         await self._remote_hosts.close()
         await self._warmup_probe.close()
+        await self._cold_broadcaster.close()
         await self._pinger.close()
         await self.discovery.close()
         await self._client.close()
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -181,7 +181,7 @@
         await super().write_bytes(writer, conn, content_length)
 
 
-def discard(response: aiohttp.ClientResponse) -> None:
+def discard_connection(response: aiohttp.ClientResponse) -> None:
     """Close a response and its connection, also if that is idle already.
 
     A connection becomes idle as soon as the end of a response arrives, which
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -172,7 +172,7 @@
         """
         session = self._unpooled if new_connection else self._pooled
         try:
-            response = await _request_once(
+            response = await _send_request(
                 session, may_send, method, url, headers=headers, data=body
             )
         except aiohttp.InvalidURL as error:
@@ -214,7 +214,7 @@
         if may_send is not None and body:
             body = guarded = _ConditionalPayload(body, may_send)
         try:
-            response = await _request_once(
+            response = await _send_request(
                 session,
                 may_send,
                 method,
@@ -271,7 +271,7 @@
         await self._unpooled.close()
 
 
-async def _request_once(
+async def _send_request(
     session: aiohttp.ClientSession,
     may_send: collections.abc.Callable[[], bool] | None,
     method: str,
@@ -304,7 +304,7 @@
     """
     if is_own is None or is_own(response):
         return
-    exchange.discard(response)
+    exchange.discard_connection(response)
     raise errors.ForeignResponseError(
         f'response with status {response.status} belongs to another request'
     )
