Fail a response that is malformed after an interim one

Callers saw: nothing yet; found on reading the diff. After a 1xx, bytes that form no response were ignored, and the call waited until its deadline.

Cause: took an interim response, which has no body, for a complete one.

Change: only the first final response counts; a surplus one behind it decides nothing.

Failed before: the three rows "after an interim one" of test_malformed_response_fails on the parent commit.

--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -17,6 +17,7 @@
 NO_BODY = b'HTTP/1.1 204 No\r\n\r\n'
 UNFINISHED = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole'
 BAD_CHUNK = CHUNKED.replace(b'3\r\n', b'zz\r\n')
+INTERIM = b'HTTP/1.1 103 Early\r\n\r\n'
 GARBAGE = b'\0\xff what is this\r\n\r\n'
 
 
@@ -38,7 +39,8 @@
     for piece in pieces:
         messages, _upgraded, _tail = parser.feed_data(piece)
         found += messages
-    [(message, payload)] = found
+    message, payload = found[-1]
+    assert all(interim.code == 103 for interim, _body in found[:-1])
     assert payload.is_eof()
     assert parser.feed_eof() is not None
     return message.code, payload.read_nowait()
@@ -51,8 +53,9 @@
         (LENGTH, (200, b'whole')),
         (CHUNKED, (200, b'whole')),
         (NO_BODY, (204, b'')),
+        (INTERIM + LENGTH, (200, b'whole')),
     ],
-    ids=['length', 'chunked', 'no body'],
+    ids=['length', 'chunked', 'no body', 'after an interim one'],
 )
 async def test_response_before_malformed_bytes_is_complete(
     own, expected, size
@@ -66,8 +69,8 @@
 @pytest.mark.parametrize('size', [1, 7, 1 << 16])
 @pytest.mark.parametrize(
     'data',
-    [GARBAGE, BAD_CHUNK, CHUNKED[:-9] + GARBAGE],
-    ids=['no response', 'bad chunk', 'between chunks'],
+    [GARBAGE, BAD_CHUNK, CHUNKED[:-9] + GARBAGE, INTERIM + GARBAGE],
+    ids=['no response', 'bad chunk', 'between chunks', 'after an interim one'],
 )
 async def test_malformed_response_fails(data, size):
     pieces = [data[at : at + size] for at in range(0, len(data), size)]
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -7,13 +7,12 @@
 import aiohttp
 from aiohttp import http_parser
 
-Parsed = tuple[
-    typing.Sequence[
-        tuple[http_parser.RawResponseMessage, aiohttp.StreamReader]
-    ],
-    bool,
-    bytes,
+FIRST_FINAL_STATUS = 200
+
+Messages = typing.Sequence[
+    tuple[http_parser.RawResponseMessage, aiohttp.StreamReader]
 ]
+Parsed = tuple[Messages, bool, bytes]
 
 
 class PrefixParser:
@@ -33,7 +32,7 @@
     ):
         self._parser = parser
         self._new_parser = new_parser
-        # What arrived of a response whose head is not complete.
+        # What arrived before the head of the final response was complete.
         self._unparsed = b''
         self._payload: aiohttp.StreamReader | None = None
         self._is_followed_by_garbage = False
@@ -54,12 +53,12 @@
                     raise
                 return (), False, b''
             parsed = self._parse_prefix(received)
-            if not parsed[0] or not _is_complete(parsed[0][-1][1]):
+            payload = _final_payload(parsed[0])
+            if payload is None or not _is_complete(payload):
                 raise
-        messages = parsed[0]
-        if messages:
-            self._payload = messages[-1][1]
-        self._unparsed = b'' if self._payload is not None else received
+        if self._payload is None:
+            self._payload = _final_payload(parsed[0])
+            self._unparsed = b'' if self._payload is not None else received
         return parsed
 
     def _parse_prefix(self, data: bytes) -> Parsed:
@@ -89,5 +88,13 @@
         return getattr(self._parser, name)
 
 
+def _final_payload(messages: Messages) -> aiohttp.StreamReader | None:
+    """Return the body of the response after interim ones, None before it."""
+    for message, payload in messages:
+        if message.code >= FIRST_FINAL_STATUS:
+            return payload
+    return None
+
+
 def _is_complete(payload: aiohttp.StreamReader) -> bool:
     return payload.is_eof() and payload.exception() is None
