--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -491,9 +491,10 @@
     endpoint: configuration.Endpoint,
     response: aiohttp.ClientResponse,
 ) -> bool:
-    """Return whether a response is that to a request, not a surplus one.
+    """Return whether a response belongs to a request.
 
-    Overload responses may come without the id that the request carries.
+    An overload status without an id counts as one of the request, unless the
+    request may run once only.
     """
     if not endpoint.echoes_request_id:
         return True
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -468,9 +468,9 @@
         destination: Destination,
         response: aiohttp.ClientResponse,
     ) -> bool:
-        """Return whether a response is that to a call, not a surplus one.
+        """Return whether a response belongs to a call.
 
-        Refusals may come without a request id.
+        A refusal without a request id counts as one of the call.
         """
         echoed = response.headers.get(self._dialect.request)
         if echoed == call.request:
--- a/wrenspoke/coordination/serving/warmup_probe.py
+++ b/wrenspoke/coordination/serving/warmup_probe.py
@@ -56,9 +56,10 @@
 
 
 class WarmupProbe:
-    """Tracks until when endpoints are cold by what hosts of the region know.
+    """Tracks the warm-up of endpoints as hosts of the region reported it.
 
-    That is by their probes, and by renewals that this host may have missed.
+    Their reports are results of probes, and renewals that this host may have
+    missed.
     """
 
     def __init__(
@@ -77,7 +78,7 @@
         self._gate = gate
         self._clock = clock
         self._statuses: dict[ids.EndpointId, _Status] = {}
-        # No status says of any endpoint that it is cold for longer.
+        # The latest end of any warm-up in ``_statuses``.
         self.cold_until_ms = 0
         # When this host last began to refresh the status of an endpoint.
         self._refreshed_ms: dict[ids.EndpointId, int] = {}
@@ -95,7 +96,7 @@
         return None if status is None else status.warm_ms
 
     def has_newer_cold_status(self, found: registry.EndpointEntry) -> bool:
-        """Return whether an endpoint is cold by news after its renewal."""
+        """Return whether a status newer than the last renewal says cold."""
         status = self._statuses.get(found.registration.endpoint)
         return (
             status is not None
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -16,7 +16,7 @@
 
 
 class PrefixParser:
-    """Parses a response up to its end, whatever follows it.
+    """Parses a response up to its end, and ignores malformed bytes behind it.
 
     If malformed bytes arrive together with the end of a response, aiohttp's
     parser (3.14.5) fails as a whole, and a response whose head came with them
@@ -79,7 +79,7 @@
         return False
 
     def feed_eof(self) -> object:
-        """End the input; return what was begun and is not complete."""
+        """End the input; return a true value if another message has begun."""
         if self._is_followed_by_garbage:
             return self._is_followed_by_garbage
         return self._parser.feed_eof()
