Keep an isolated host's probes to their bound

Callers saw: nothing yet; found on reading the change again. A host that no control host answers could probe every endpoint of a service at once, which takes slots that calls wait for.

Cause: counted a probe as its task ran, but started the tasks of all endpoints before any ran.

Change: probes are counted as they are started, one of an endpoint at a time, those whose last probe is oldest first. Without that order probes that take their whole time would keep out the endpoints behind the first 16.

--- a/tests/test_isolated_hosts.py
+++ b/tests/test_isolated_hosts.py
@@ -97,6 +97,51 @@
         await endpoint.close()
 
 
+async def test_isolated_host_probes_few_endpoints_at_a_time(tmp_path):
+    """Guards against as many probes at once as there are endpoints.
+
+    None is answered, so that each takes its whole time, and those that come
+    last in the registry are probed as well.
+    """
+    async with nodes.running(tmp_path) as system:
+        await system.put(passing.route(), warmup_per_s=2.0)
+        made = []
+        for number in range(2 * warmup_probe.MAX_REFRESHES + 4):
+            endpoint = await endpoints.ScriptedEndpoint(
+                lambda _sent, _number: [endpoints.ScriptedEndpoint.STALL]
+            ).start()
+            made.append(endpoint)
+            await system.register(f'e{number}', endpoint)
+        [entry] = system.entries
+        probe = entry._warmup_probe
+        probe_endpoint = probe._probe_endpoint
+        probed = set()
+        running = set()
+        most = 0
+
+        async def count(said):
+            nonlocal most
+            probed.add(said.endpoint)
+            running.add(said.endpoint)
+            most = max(most, len(running))
+            try:
+                return await probe_endpoint(said)
+            finally:
+                running.discard(said.endpoint)
+
+        probe._probe_endpoint = count
+        await isolate(entry)
+
+        def all_probed():
+            entry._available.usable_endpoints('s', 'north')
+            return len(probed) == len(made)
+
+        await nodes.until(all_probed)
+        assert most <= warmup_probe.MAX_REFRESHES
+        for endpoint in made:
+            await endpoint.close()
+
+
 @pytest.mark.parametrize(
     'received_ms, left_ms, cold',
     [(100, 500, True), (-100, 500, False), (100, 0, False)],
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -217,8 +217,7 @@
         routed = self._replica.current.routes.service(service)
         if routed is None or routed.warmup_per_s <= 0:
             return
-        for found in members:
-            self._warmup_probe.refresh(found.registration)
+        self._warmup_probe.refresh(members)
 
     def next_warmup_endpoint(
         self,
--- a/wrenspoke/coordination/serving/warmup_probe.py
+++ b/wrenspoke/coordination/serving/warmup_probe.py
@@ -82,7 +82,7 @@
         self.cold_until_ms = 0
         # When this host last began to refresh the status of an endpoint.
         self._refreshed_ms: dict[ids.EndpointId, int] = {}
-        self._refreshes = 0
+        self._refreshing: set[ids.EndpointId] = set()
         self._tasks = runtime.Tasks()
         pollers.add_listener(self._on_region_message)
 
@@ -104,24 +104,34 @@
             and status.warm_ms > self._clock.mono_ms()
         )
 
-    def refresh(self, said: registry.Registration) -> None:
-        """Probe an endpoint unless its status is recent."""
+    def refresh(self, members: list[registry.EndpointEntry]) -> None:
+        """Probe the endpoints whose last probe is oldest, if it is old enough.
+
+        A later call probes those that exceed ``MAX_REFRESHES``.
+        """
+
+        def refreshed_ms(said: registry.Registration) -> int:
+            return self._refreshed_ms.get(said.endpoint, 0)
+
         now_ms = self._clock.mono_ms()
-        refreshed_ms = self._refreshed_ms.get(said.endpoint)
-        if refreshed_ms is not None:
-            if now_ms - refreshed_ms < REFRESH_INTERVAL_MS:
-                return
-        if self._refreshes >= MAX_REFRESHES:
-            return
-        self._refreshed_ms[said.endpoint] = now_ms
-        self._tasks.start(self._refresh(said), fatal=False)
+        due = []
+        for found in members:
+            said = found.registration
+            if said.endpoint in self._refreshing:
+                continue
+            if now_ms - refreshed_ms(said) >= REFRESH_INTERVAL_MS:
+                due.append(said)
+        due.sort(key=refreshed_ms)
+        for said in due[: MAX_REFRESHES - len(self._refreshing)]:
+            self._refreshed_ms[said.endpoint] = now_ms
+            self._refreshing.add(said.endpoint)
+            self._tasks.start(self._refresh(said), fatal=False)
 
     async def _refresh(self, said: registry.Registration) -> None:
-        self._refreshes += 1
         try:
             await self._probe_endpoint(said)
         finally:
-            self._refreshes -= 1
+            self._refreshing.discard(said.endpoint)
 
     def start_probes(
         self, restored: collections.abc.Iterable[registry.EndpointEntry]
