Check whose a response is in one place of the HTTP client

Cause: on reading the change again, both ways to send called the check by themselves; a 421 of an endpoint was recognised twice in Sender; the size that FIONREAD fills was made anew for each request.

Change: _send_request sends and checks; sending._is_misdirected; a constant; one condition of Dispatcher is no longer nested.

--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -502,9 +502,9 @@
     if echoed == send.echo_id:
         return True
     once = send.head is not None and send.head.once
-    if not echoed and not once:
-        if response.status in advertised.REFUSAL_STATUSES:
-            return True
+    is_overload = response.status in advertised.REFUSAL_STATUSES
+    if is_overload and not echoed and not once:
+        return True
     logger.warning(
         'response_id_mismatch',
         endpoint=send.endpoint,
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -492,14 +492,15 @@
         self, destination: Destination, response: aiohttp.ClientResponse
     ) -> bool:
         """Return whether a response without a request id is a refusal."""
-        if destination.endpoint is None:
-            return passthrough_api.REFUSED_HEADER in response.headers or (
-                self._dialect.not_run in response.headers
-            )
-        if response.status == advertised.MISDIRECTED:
-            # An endpoint doesn't say of its own requests that it is another.
+        if _is_misdirected(destination, response):
+            # An instance doesn't reject its own requests as misdirected.
             return not self._names_called_instance(destination, response)
-        return self._dialect.not_run in response.headers
+        if self._dialect.not_run in response.headers:
+            return True
+        return (
+            destination.host is not None
+            and passthrough_api.REFUSED_HEADER in response.headers
+        )
 
     def _names_called_instance(
         self, destination: Destination, response: aiohttp.ClientResponse
@@ -511,13 +512,20 @@
         self, destination: Destination, response: aiohttp.ClientResponse
     ) -> Verdict:
         """Classify the response to a call by its status and headers."""
-        if (
-            response.status == advertised.MISDIRECTED
-            and destination.endpoint is not None
-        ):
+        if _is_misdirected(destination, response):
             if self._names_called_instance(destination, response):
                 return Verdict.NOT_RUN
             return Verdict.MISDIRECTED
         if self._dialect.not_run in response.headers:
             return Verdict.NOT_RUN
         return Verdict.ANSWERED
+
+
+def _is_misdirected(
+    destination: Destination, response: aiohttp.ClientResponse
+) -> bool:
+    """Return whether an endpoint rejects a call meant for another one."""
+    return (
+        destination.endpoint is not None
+        and response.status == advertised.MISDIRECTED
+    )
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -35,8 +35,8 @@
 SILENCE_LIMIT_MS = KEEPALIVE_IDLE_S * 1000 + 500
 # The field tcpi_last_ack_recv of struct tcp_info, in ms.
 _LAST_ACK = struct.Struct('56xI')
-# The int that FIONREAD fills.
-_UNREAD_SIZE = struct.Struct('i')
+# The int that FIONREAD fills, if there is nothing to read.
+_NOTHING_UNREAD = bytes(struct.calcsize('i'))
 
 
 class CancellationSafeConnector(aiohttp.TCPConnector):
@@ -205,12 +205,11 @@
 
 def _has_unread_bytes(sock: socket.socket) -> bool:
     """Return whether bytes arrived that the event loop has not read."""
-    size = bytes(_UNREAD_SIZE.size)
     try:
-        found = fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
+        found = fcntl.ioctl(sock.fileno(), termios.FIONREAD, _NOTHING_UNREAD)
     except OSError:
         return True
-    return found != size
+    return found != _NOTHING_UNREAD
 
 
 def _is_silent(sock: socket.socket) -> bool:
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -166,7 +166,7 @@
         writer: aiohttp.abc.AbstractStreamWriter,
         conn: connectors.Connection,
         content_length: int | None = None,
-    ) -> typing.Any:
+    ) -> None:
         """Write the head and the body.
 
         aiohttp runs this as a task of its own, so that bytes may arrive
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -81,7 +81,7 @@
     def feed_eof(self) -> object:
         """End the input; return a true value if another message has begun."""
         if self._is_followed_by_garbage:
-            return self._is_followed_by_garbage
+            return True
         return self._parser.feed_eof()
 
     def __getattr__(self, name: str) -> typing.Any:
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -173,13 +173,18 @@
         session = self._unpooled if new_connection else self._pooled
         try:
             response = await _send_request(
-                session, may_send, method, url, headers=headers, data=body
+                session,
+                may_send,
+                is_own,
+                method,
+                url,
+                headers=headers,
+                data=body,
             )
         except aiohttp.InvalidURL as error:
             raise errors.NotSentError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise errors.MaybeSentError(repr(error)) from error
-        _reject_foreign(response, is_own)
         try:
             yield response
         finally:
@@ -217,6 +222,7 @@
             response = await _send_request(
                 session,
                 may_send,
+                is_own,
                 method,
                 url,
                 headers=multidict.CIMultiDict(fields),
@@ -230,7 +236,6 @@
             raise errors.MaybeSentError(
                 _describe_failure(error, guarded)
             ) from error
-        _reject_foreign(response, is_own)
         try:
             yield response
         finally:
@@ -274,6 +279,7 @@
 async def _send_request(
     session: aiohttp.ClientSession,
     may_send: collections.abc.Callable[[], bool] | None,
+    is_own: IsOwn | None,
     method: str,
     url: str | yarl.URL,
     **named: typing.Any,
@@ -281,29 +287,21 @@
     """Send a request on the first connection without unsolicited bytes.
 
     :raises UnsolicitedBytesError: there was none, and nothing was sent
+    :raises ForeignResponseError: the response is another request's
     """
     with connector.guard_sends(may_send):
         for attempt in itertools.count(1):
             try:
-                return await session.request(
+                response = await session.request(
                     method, url, allow_redirects=False, **named
                 )
+                break
             except errors.UnsolicitedBytesError:
                 if attempt == CONNECTIONS_LIMIT:
                     raise
-
-
-def _reject_foreign(
-    response: aiohttp.ClientResponse, is_own: IsOwn | None
-) -> None:
-    """Close the connection on which another request's response arrived.
-
-    Called before anything else may take that connection.
-
-    :raises ForeignResponseError: the response is another request's
-    """
+    # Nothing else has run since the connection became idle.
     if is_own is None or is_own(response):
-        return
+        return response
     exchange.discard_connection(response)
     raise errors.ForeignResponseError(
         f'response with status {response.status} belongs to another request'
