Derive an entry host's isolation from the contacts that are kept already

Cause: on reading the change again, DiscoveryClient kept the time of the last answer beside ControlGroup, which records each contact; ColdBroadcaster left out endpoints that are warm in two places.

Change: is_isolated asks ControlGroup.seen_within; one method drops what is warm and returns the rest; a nested condition is joined. Before the first answer a host counts as isolated now, and has no endpoints then.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -101,11 +101,18 @@
         'if False:',
         'tests/test_isolated_hosts.py -k probes',
     ),
+    Switch(
+        'probes of an isolated host are not bounded',
+        DECISIONS + 'serving/warmup_probe.py',
+        'for said in due[: MAX_REFRESHES - len(self._refreshing)]:',
+        'for said in due:',
+        'tests/test_isolated_hosts.py -k few',
+    ),
     Switch(
         'what others know of a warm-up is ignored',
         DECISIONS + 'serving/availability.py',
-        'if self._warmup_probe.has_newer_cold_status(found):',
-        'if False:',
+        '            and self._warmup_probe.has_newer_cold_status(found)\n',
+        '            and False\n',
         'tests/test_isolated_hosts.py',
     ),
     Switch(
--- a/wrenspoke/coordination/membership/cold_broadcaster.py
+++ b/wrenspoke/coordination/membership/cold_broadcaster.py
@@ -1,7 +1,7 @@
 """Broadcast renewals of cold endpoints to the entry hosts of the region.
 
 A host that no control host answers misses renewals. Two hosts of the region
-tell the others of each one that reports a warm-up, until its end.
+broadcast each one that reports a warm-up, again and again until its end.
 """
 
 import asyncio
@@ -17,7 +17,7 @@
 
 
 class ColdBroadcaster:
-    """Broadcasts until when endpoints are cold by their renewals."""
+    """Broadcasts the warm-up that endpoints reported in their renewals."""
 
     def __init__(
         self,
@@ -43,30 +43,35 @@
         if not self._pollers.is_poller_of(said.endpoint):
             return
         self._cold_until_ms[said.endpoint] = self._clock.mono_ms() + left_ms
-        self._tasks.start(self._broadcast([said.endpoint]), fatal=False)
+        status = discovery_messages.WarmupStatus(said.endpoint, left_ms)
+        self._tasks.start(self._broadcast([status]), fatal=False)
         if self._repeating is None:
             self._repeating = self._tasks.start(self._repeat(), fatal=False)
 
     async def _repeat(self) -> None:
         """Repeat the broadcasts, as one-way messages may be lost."""
-        while self._cold_until_ms:
+        await self._clock.sleep_ms(REPEAT_INTERVAL_MS)
+        while statuses := self._drop_warm():
+            await self._broadcast(statuses)
             await self._clock.sleep_ms(REPEAT_INTERVAL_MS)
-            now_ms = self._clock.mono_ms()
-            for endpoint, until_ms in list(self._cold_until_ms.items()):
-                if until_ms <= now_ms:
-                    del self._cold_until_ms[endpoint]
-            await self._broadcast(list(self._cold_until_ms))
         self._repeating = None
 
-    async def _broadcast(self, endpoints: list[ids.EndpointId]) -> None:
+    def _drop_warm(self) -> list[discovery_messages.WarmupStatus]:
+        """Drop the endpoints that are warm; return the status of others."""
         now_ms = self._clock.mono_ms()
         statuses = []
-        for endpoint in endpoints:
-            left_ms = self._cold_until_ms.get(endpoint, 0) - now_ms
-            if left_ms <= 0:
+        for endpoint, until_ms in list(self._cold_until_ms.items()):
+            if until_ms <= now_ms:
+                del self._cold_until_ms[endpoint]
                 continue
-            statuses.append(discovery_messages.WarmupStatus(endpoint, left_ms))
-        if statuses:
-            await self._pollers.broadcast(
-                discovery_messages.RegionGossip(warm=statuses)
+            statuses.append(
+                discovery_messages.WarmupStatus(endpoint, until_ms - now_ms)
             )
+        return statuses
+
+    async def _broadcast(
+        self, statuses: list[discovery_messages.WarmupStatus]
+    ) -> None:
+        await self._pollers.broadcast(
+            discovery_messages.RegionGossip(warm=statuses)
+        )
--- a/wrenspoke/coordination/membership/discovery_client.py
+++ b/wrenspoke/coordination/membership/discovery_client.py
@@ -126,8 +126,6 @@
         # When a control host last answered that is in contact with a leader
         # and has a complete registry.
         self._complete_ms: int | None = None
-        # When any control host last answered.
-        self._answered_ms = clock.mono_ms()
         # Time of the last failure of each control host.
         self._failed_ms: dict[ids.HostId, int] = {}
         # Control hosts known to be in this region.
@@ -189,8 +187,7 @@
     @property
     def is_isolated(self) -> bool:
         """Return whether no control host answers, with a leader or not."""
-        age_ms = self._clock.mono_ms() - self._answered_ms
-        return age_ms > ISOLATED_AFTER_MS
+        return not self._group.seen_within(ISOLATED_AFTER_MS)
 
     async def _tick(self) -> None:
         while True:
@@ -355,7 +352,6 @@
     def _apply_answer(
         self, session: _Session, answer: discovery_messages.AttendReply
     ) -> None:
-        self._answered_ms = self._clock.mono_ms()
         self._group.record_contact(session.host)
         self._group.add_contacts(answer.controls)
         if answer.news:
--- a/wrenspoke/coordination/serving/availability.py
+++ b/wrenspoke/coordination/serving/availability.py
@@ -189,9 +189,11 @@
         now_ms = self._clock.mono_ms()
         if found.warm_ms > now_ms:
             return True
-        if self._warmup_probe.cold_until_ms > now_ms:
-            if self._warmup_probe.has_newer_cold_status(found):
-                return True
+        if (
+            self._warmup_probe.cold_until_ms > now_ms
+            and self._warmup_probe.has_newer_cold_status(found)
+        ):
+            return True
         restored_at_ms = self._restored_at_ms.get(
             found.registration.data_centre
         )
