Share the tests' event loop, endpoints and deployment

Cause: on reading the change again, three new modules repeated the fixture of the event loop, as five old ones did; two endpoints repeated how a ScriptedEndpoint starts, restarts and ends; three tests of isolated hosts repeated their deployment.

Change: tests/loops.py serves all eight modules; both endpoints are ScriptedEndpoints; one context manager deploys. Every assertion stays.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -92,7 +92,7 @@
         'wrenspoke/entry_node.py',
         '            self._cold_broadcaster.on_renewal(said)\n',
         '            pass\n',
-        'tests/test_isolated_hosts.py -k hears',
+        'tests/test_isolated_hosts.py -k learns',
     ),
     Switch(
         'isolated hosts do not probe',
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -6,20 +6,15 @@
 
 import aiohappyeyeballs
 import pytest
-import uvloop
 
-from wrenspoke import runtime
+from tests import loops
 from wrenspoke.transport import errors
 from wrenspoke.transport import web
 
 CONNECT_TIMEOUT_MS = 5_000
 
 
-@pytest.fixture(scope='module')
-def event_loop_policy():
-    """Run on uvloop, as daemons do."""
-    os.environ[runtime.URING_VARIABLE] = '0'
-    return uvloop.EventLoopPolicy()
+event_loop_policy = loops.event_loop_policy
 
 
 @pytest.fixture
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 import threading
 import time
 
 import pytest
-import uvloop
 
+from tests import loops
 from tests import nodes
-from wrenspoke import runtime
 from wrenspoke.transport import errors
 from wrenspoke.transport import exchange
 from wrenspoke.transport import web
@@ -21,11 +19,7 @@
 SURPLUS = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale'
 
 
-@pytest.fixture(scope='module')
-def event_loop_policy():
-    """Run on uvloop, as daemons do."""
-    os.environ[runtime.URING_VARIABLE] = '0'
-    return uvloop.EventLoopPolicy()
+event_loop_policy = loops.event_loop_policy
 
 
 class ThreadedEndpoint:
--- a/tests/test_isolated_hosts.py
+++ b/tests/test_isolated_hosts.py
@@ -1,5 +1,6 @@
 """Hosts that no control host answers keep to the limits of cold endpoints."""
 
+import contextlib
 import types
 
 import pytest
@@ -35,13 +36,13 @@
     return not entry._available.warm_endpoints('s', 'north')
 
 
-async def serve(system, endpoint, number, count=5):
-    """Ask one entry host; return how many requests got to the endpoint."""
+async def serve(entry, endpoint):
+    """Send five calls; return how many of them got to the endpoint."""
     sent = len(endpoint.requests)
-    for call in range(count):
+    for number in range(5):
         await endpoints.send_raw(
-            system.entries[number].node.callers_address,
-            passing.request(request_id=f'q{number}-{call}'),
+            entry.node.callers_address,
+            passing.request(request_id=f'q{number}'),
         )
     calls = [
         one
@@ -51,50 +52,49 @@
     return len(calls)
 
 
-async def test_isolated_host_hears_of_a_cold_endpoint_from_others(tmp_path):
-    """Guards against a cold endpoint that gets requests at full rate."""
-    async with nodes.running(tmp_path, entries=2) as system:
+@contextlib.asynccontextmanager
+async def serving(folder, entries=1, health=b''):
+    """Run entry hosts, of which the last one has served calls; yield it."""
+    async with nodes.running(folder, entries=entries) as system:
         await system.put(passing.route(), warmup_per_s=2.0)
-        # Its health response names no instance, so that no probe succeeds.
         endpoint = await endpoints.ScriptedEndpoint(
-            lambda sent, _number: [passing.answer(sent)]
+            lambda sent, _number: [passing.answer(sent, extra=health)]
         ).start()
         await system.register('e', endpoint)
-        assert await serve(system, endpoint, 1) == 5
-        await isolate(system.entries[1])
+        entry = system.entries[-1]
+        assert await serve(entry, endpoint) == 5
+        yield system, endpoint, entry
+        await endpoint.close()
+
+
+async def test_isolated_host_learns_of_a_cold_endpoint_from_others(tmp_path):
+    """Guards against a cold endpoint that gets requests at full rate.
+
+    Its health response names no instance, so that no probe succeeds.
+    """
+    async with serving(tmp_path, entries=2) as (system, endpoint, entry):
+        await isolate(entry)
         await system.register('e', endpoint, warmup_left_ms=COLD_MS)
-        await nodes.until(lambda: is_cold(system.entries[1]))
-        sent = await serve(system, endpoint, 1)
+        await nodes.until(lambda: is_cold(entry))
         # Only the host that owns the endpoint warms it up.
-        assert sent <= 1
-        await endpoint.close()
+        assert await serve(entry, endpoint) <= 1
 
 
 async def test_isolated_host_probes_the_endpoints_that_it_uses(tmp_path):
-    """Guards against the same at a host that hears from no other host."""
-    async with nodes.running(tmp_path) as system:
-        await system.put(passing.route(), warmup_per_s=2.0)
-        endpoint = await endpoints.ScriptedEndpoint(
-            lambda sent, _number: [passing.answer(sent, extra=HEALTHY)]
-        ).start()
-        await system.register('e', endpoint)
-        assert await serve(system, endpoint, 0) == 5
-        await isolate(system.entries[0])
-        await nodes.until(lambda: is_cold(system.entries[0]))
-        assert await serve(system, endpoint, 0) <= 1
-        await endpoint.close()
+    """Guards against the same at a host that is cut off from all others."""
+    async with serving(tmp_path, health=HEALTHY) as (_system, endpoint, entry):
+        await isolate(entry)
+        await nodes.until(lambda: is_cold(entry))
+        assert await serve(entry, endpoint) <= 1
 
 
 async def test_host_that_control_hosts_answer_does_not_probe(tmp_path):
-    async with nodes.running(tmp_path) as system:
-        await system.put(passing.route(), warmup_per_s=2.0)
-        endpoint = await endpoints.ScriptedEndpoint(
-            lambda sent, _number: [passing.answer(sent, extra=HEALTHY)]
-        ).start()
-        await system.register('e', endpoint)
-        assert await serve(system, endpoint, 0) == 5
+    async with serving(tmp_path, health=HEALTHY) as (
+        _system,
+        endpoint,
+        _entry,
+    ):
         assert len(endpoint.requests) == 5
-        await endpoint.close()
 
 
 async def test_isolated_host_probes_few_endpoints_at_a_time(tmp_path):
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,13 +1,12 @@
 """Authorization of passed-through calls by the keys of teams."""
 
 import asyncio
-import os
 
 import msgspec
 import pytest
-import uvloop
 
 from tests import endpoints
+from tests import loops
 from tests import nodes
 from tests import test_far
 from tests import test_homes
@@ -18,7 +17,6 @@
 from wrenspoke.coordination.serving import access
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import passthrough_api
-from wrenspoke import runtime
 from wrenspoke.state import configuration
 from wrenspoke.state import errors
 from wrenspoke.state import routes
@@ -30,11 +28,7 @@
 system = test_far.system
 
 
-@pytest.fixture(scope='module')
-def event_loop_policy():
-    """Use the event loop of the daemons."""
-    os.environ[runtime.URING_VARIABLE] = '0'
-    return uvloop.EventLoopPolicy()
+event_loop_policy = loops.event_loop_policy
 
 
 def team(name, *keys, **changes):
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -1,14 +1,12 @@
 """Passed-through requests: forwarded bytes, retries, and final responses."""
 
 import asyncio
-import os
 
 import pytest
-import uvloop
 
 from tests import endpoints
+from tests import loops
 from tests import nodes
-from wrenspoke import runtime
 from wrenspoke.state import registry
 from wrenspoke.state import routes
 
@@ -21,11 +19,7 @@
 STREAM = routes.RouteKind.STREAM
 
 
-@pytest.fixture(scope='module')
-def event_loop_policy():
-    """Run on uvloop, as the daemons do: it reports ends of files itself."""
-    os.environ[runtime.URING_VARIABLE] = '0'
-    return uvloop.EventLoopPolicy()
+event_loop_policy = loops.event_loop_policy
 
 
 def route(kind=ONCE, prefix='/a/', **changes):
--- a/tests/test_probe_connections.py
+++ b/tests/test_probe_connections.py
@@ -1,15 +1,12 @@
 """Probes of endpoints and calls never share a connection."""
 
 import asyncio
-import os
 
-import pytest
-import uvloop
 
 from tests import endpoints
+from tests import loops
 from tests import nodes
 from tests import test_passing as passing
-from wrenspoke import runtime
 from wrenspoke.state import routes
 
 ID = passing.ID
@@ -18,31 +15,17 @@
 )
 
 
-@pytest.fixture(scope='module')
-def event_loop_policy():
-    """Run on uvloop, as the daemons do."""
-    os.environ[runtime.URING_VARIABLE] = '0'
-    return uvloop.EventLoopPolicy()
+event_loop_policy = loops.event_loop_policy
 
 
-class DoublingEndpoint:
+class DoublingEndpoint(endpoints.ScriptedEndpoint):
     """Refuses probes, and repeats a refusal as the next request arrives."""
 
     def __init__(self):
+        super().__init__(None)
         # The request lines of each connection.
         self.connections = []
         self.runs = []
-        self._server = None
-        self.address = ''
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
-        return self
-
-    def close(self):
-        self._server.close()
 
     async def _serve(self, reader, writer):
         lines = []
@@ -95,7 +78,7 @@
         assert endpoint.runs == ['q0', 'q1', 'q2', 'q3']
         for lines in endpoint.connections:
             assert len(set(lines)) == 1
-        endpoint.close()
+        await endpoint.close()
 
 
 async def test_warmup_probe_uses_a_connection_of_its_own(tmp_path):
@@ -117,4 +100,4 @@
         ]
         assert len(probes) == 2
         assert all(lines == ['GET /health'] for lines in probes)
-        endpoint.close()
+        await endpoint.close()
--- a/tests/test_request_path_answers.py
+++ b/tests/test_request_path_answers.py
@@ -7,9 +7,9 @@
 
 import pytest
 import structlog
-import uvloop
 
 from tests import endpoints
+from tests import loops
 from tests import nodes
 from tests import test_passing
 from wrenspoke.coordination.serving import take_up
@@ -17,7 +17,6 @@
 from wrenspoke.protocol import call_memory
 from wrenspoke.protocol import kept_answers
 from wrenspoke.protocol import passthrough_api
-from wrenspoke import runtime
 from wrenspoke.standin import relay
 from wrenspoke.state import routes
 from wrenspoke.transport import errors
@@ -29,11 +28,7 @@
 SERIES = int(os.environ.get('WRENSPOKE_SOAK_SEEDS', '150'))
 
 
-@pytest.fixture(scope='module')
-def event_loop_policy():
-    """Run on uvloop, as daemons do."""
-    os.environ[runtime.URING_VARIABLE] = '0'
-    return uvloop.EventLoopPolicy()
+event_loop_policy = loops.event_loop_policy
 
 
 class Engine:
--- a/tests/test_request_path_hops.py
+++ b/tests/test_request_path_hops.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import contextlib
-import os
 
 import msgspec
 import pytest
-import uvloop
 
 from tests import endpoints
+from tests import loops
 from tests import nodes
 from tests import test_passing
 from wrenspoke.coordination.membership import region_views
@@ -19,7 +18,6 @@
 from wrenspoke.protocol import discovery_messages
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import passthrough_api
-from wrenspoke import runtime
 from wrenspoke.standin import relay
 from wrenspoke.transport import connector
 from wrenspoke.transport import errors
@@ -28,11 +26,7 @@
 ENABLED = {'request_path': settings.RequestPathSettings(enabled=True)}
 
 
-@pytest.fixture(scope='module')
-def event_loop_policy():
-    """Run on uvloop, as daemons do."""
-    os.environ[runtime.URING_VARIABLE] = '0'
-    return uvloop.EventLoopPolicy()
+event_loop_policy = loops.event_loop_policy
 
 
 class FakeClock:
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests import endpoints
+from tests import loops
 from tests import nodes
 from tests import test_passing as passing
 from wrenspoke.protocol import headers
@@ -18,7 +19,7 @@
 KINDS = [ONCE, REPEATABLE]
 NOT_RUN = b'Wrenspoke-Not-Run: 1\r\n'
 
-event_loop_policy = passing.event_loop_policy
+event_loop_policy = loops.event_loop_policy
 system = passing.system
 
 
--- a/tests/test_surplus_soak.py
+++ b/tests/test_surplus_soak.py
@@ -9,12 +9,11 @@
 import random
 
 import pytest
-import uvloop
 
 from tests import endpoints
+from tests import loops
 from tests import nodes
 from tests import test_passing as passing
-from wrenspoke import runtime
 from wrenspoke.state import routes
 
 SEEDS = range(int(os.environ.get('WRENSPOKE_SURPLUS_SEEDS', 3)))
@@ -25,43 +24,23 @@
 NOT_RUN = b'Wrenspoke-Not-Run: 1\r\n'
 
 
-@pytest.fixture(scope='module')
-def event_loop_policy():
-    """Run on uvloop, as the daemons do."""
-    os.environ[runtime.URING_VARIABLE] = '0'
-    return uvloop.EventLoopPolicy()
+event_loop_policy = loops.event_loop_policy
 
 
-class FaultyEndpoint:
+class FaultyEndpoint(endpoints.ScriptedEndpoint):
     """Runs or refuses requests, and sends some responses twice."""
 
     def __init__(self, chance, runs):
+        super().__init__(None)
         self._chance = chance
         self._runs = runs
-        self._server = None
-        self._writers = set()
-        self.address = ''
         # How often the surplus came in the place of the next response.
         self.late_count = 0
 
-    async def start(self, port=0):
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', port
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
-        return self
-
     async def restart(self):
         """End every connection, and listen again at the same address."""
-        self.close()
-        await self._server.wait_closed()
-        await self.start(int(self.address.rpartition(':')[2]))
-
-    def close(self):
-        self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self.abort_all()
+        await self.listen_at_same_address()
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -159,7 +138,7 @@
         restarts.cancel()
         await asyncio.gather(restarts, return_exceptions=True)
         for endpoint in made:
-            endpoint.close()
+            await endpoint.close()
     statuses = collections.Counter(
         status for status, _body in answers.values()
     )
