Use the field's words in comments and docstrings of this change

Change: comments, docstrings and names in tests; the syntax trees of the product's modules are the same without docstrings.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -430,8 +430,8 @@
     assert status == 400
 
 
-@pytest.mark.parametrize('way', ['deregister', 'heartbeat'])
-async def test_acknowledged_leave_is_known_to_another_host(surfaces, way):
+@pytest.mark.parametrize('action', ['deregister', 'heartbeat'])
+async def test_acknowledged_leave_is_known_to_another_host(surfaces, action):
     """Guards against a leave that is lost with the host that took it."""
     body = {**HEARTBEAT, 'zone': 'north-hall'}
     one, *others = surfaces.controls
@@ -442,9 +442,9 @@
             lambda host=host: 'i-1' in host.registrar.registry.entries
         )
     body |= {'state': 'draining', 'seq': body['seq'] + 1}
-    sent = None if way == 'deregister' else json.dumps(body).encode()
+    sent = None if action == 'deregister' else json.dumps(body).encode()
     status, _body, _headers = await send(
-        surfaces, one, f'/instances/i-1/{way}', sent
+        surfaces, one, f'/instances/i-1/{action}', sent
     )
     assert status == 200
     assert not all(
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -23,7 +23,7 @@
 
 
 class ThreadedEndpoint:
-    """Answers in a thread, and sends surplus bytes when it is told to."""
+    """Responds in a thread, and sends surplus bytes on request."""
 
     def __init__(self, extra=b''):
         self._extra = extra
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -139,25 +139,25 @@
 
 @pytest.mark.parametrize('renewed', [False, True])
 def test_stale_mark_reaches_entry_hosts_of_every_control_host(renewed):
-    """Guards against a mark that stops at the control host that hears it.
+    """Guards against a mark that its receiver does not replicate.
 
-    The other control host may have missed the last renewal.
+    The receiver may have missed the last renewal.
     """
     clock = FakeClock()
-    marking, hearing, entry = (registry.Registry(clock) for _ in range(3))
-    for held in (marking, hearing, entry):
+    marking, receiving, entry = (registry.Registry(clock) for _ in range(3))
+    for held in (marking, receiving, entry):
         held.merge_registration(registration(1), 'c1')
     if renewed:
         marking.merge_registration(registration(2))
     clock.now_ms += registry.RENEWAL_TIMEOUT_MS + 1
-    seen, told = marking.revision, hearing.revision
+    seen, known = marking.revision, receiving.revision
     assert marking.mark_stale()
     for change in marking.registrations_since(seen):
-        assert hearing.merge_registration(change, 'c1')
-    for change in hearing.registrations_since(told):
+        assert receiving.merge_registration(change, 'c1')
+    for change in receiving.registrations_since(known):
         assert entry.merge_registration(change)
     assert entry.is_stale('e')
-    assert not hearing.mark_stale()
+    assert not receiving.mark_stale()
 
 
 def test_stale_mark_of_an_older_renewal_is_ignored():
@@ -171,7 +171,7 @@
     assert not held.is_stale('e') and held.revision == before
 
 
-def test_host_that_starts_hears_of_a_stale_endpoint():
+def test_host_that_starts_receives_stale_marks():
     clock = FakeClock()
     marking, entry = registry.Registry(clock), registry.Registry(clock)
     marking.merge_registration(registration(1))
--- a/tests/test_request_path_answers.py
+++ b/tests/test_request_path_answers.py
@@ -355,8 +355,8 @@
             def count(name):
                 return sum(line['event'] == name for line in lines)
 
-            # Pings are answered until the call is on its way: a host that
-            # has missed one gets no calls.
+            # Pings are answered until the call was forwarded, as calls are
+            # not forwarded to a host that failed to answer one.
             made.link.cut()
             reader, writer = await made.open()
             await nodes.until(lambda: count('passed_on'))
--- a/tests/test_surplus_soak.py
+++ b/tests/test_surplus_soak.py
@@ -71,19 +71,19 @@
 
     async def _write(self, writer, own):
         """Write a response; return what is sent as the next one is due."""
-        way = self._chance.choice(
+        fault = self._chance.choice(
             ['once'] * 4 + ['late', 'idle', 'joined', 'half', 'spoilt']
         )
-        if way in ('once', 'late'):
+        if fault in ('once', 'late'):
             writer.write(own)
-            return own if way == 'late' else b''
-        if way == 'idle':
+            return own if fault == 'late' else b''
+        if fault == 'idle':
             writer.write(own)
             await asyncio.sleep(self._chance.random() / 50)
             writer.write(own)
-        elif way == 'joined':
+        elif fault == 'joined':
             writer.write(own + own)
-        elif way == 'half':
+        elif fault == 'half':
             writer.write(own + own[: self._chance.randrange(1, len(own))])
         else:
             writer.write(own + b'\0 no response')
--- a/wrenspoke/caller.py
+++ b/wrenspoke/caller.py
@@ -79,7 +79,7 @@
         problems = []
         for url in self._urls:
             try:
-                # The response names no request that could be compared.
+                # The response carries no request id to compare.
                 async with self.client.send(
                     'GET', url + path, {}, new_connection=True
                 ) as found:
--- a/wrenspoke/coordination/membership/discovery_client.py
+++ b/wrenspoke/coordination/membership/discovery_client.py
@@ -56,7 +56,7 @@
 # A few missed answers. Longer than ATTEND_WAIT_MS, the interval of answers
 # without changes.
 CURRENT_TTL_MS = 2_500
-# Longer than ATTEND_WAIT_MS, and short beside the lease of the roster.
+# Longer than ATTEND_WAIT_MS, much shorter than the lease of the roster.
 ISOLATED_AFTER_MS = 1_000
 # A control host without a leader for this long may be partitioned from the
 # majority; the second session then moves, the first one stays. Has to
--- a/wrenspoke/coordination/membership/host_list_poller.py
+++ b/wrenspoke/coordination/membership/host_list_poller.py
@@ -76,7 +76,7 @@
     async def _fetch_hosts(self) -> list[ListedHost]:
         try:
             async with clocks.timeout_ms(LIST_INTERVAL_MS):
-                # The list names no request that could be compared.
+                # The response carries no request id to compare.
                 async with self._client.send(
                     'GET', self._url, {}, new_connection=True
                 ) as found:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -165,7 +165,7 @@
         self.register(self.registry.final_registration(endpoint, born_ms))
 
     async def wait_replicated(self, endpoint: ids.EndpointId) -> None:
-        """Wait until another control host knows that an endpoint leaves.
+        """Wait until another control host has recorded an endpoint's leave.
 
         What is acknowledged then outlives this host. Without another one in
         contact the endpoint must be able to leave as well, so that this
--- a/wrenspoke/coordination/serving/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -283,9 +283,9 @@
 def _is_own(
     head: requests.RequestHead, response: aiohttp.ClientResponse
 ) -> bool:
-    """Return whether a host's response is that to a request.
+    """Return whether a host's response belongs to a request.
 
-    A host that rejects a request unread knows no id of it.
+    A host that rejects a request before parsing it can't send its id.
     """
     named = response.headers.get(headers.REQUEST)
     return not named or named == head.request
--- a/wrenspoke/coordination/serving/take_up.py
+++ b/wrenspoke/coordination/serving/take_up.py
@@ -316,9 +316,9 @@
 
 
 def is_own(response: aiohttp.ClientResponse, token: str) -> bool:
-    """Return whether a response is that to a request for an answer.
+    """Return whether a response belongs to a request for an answer.
 
-    A host that knows nothing of the answer refuses without its token.
+    A host that doesn't keep the answer refuses without a token.
     """
     return (
         is_taken_up(response, token)
--- a/wrenspoke/coordination/serving/warmup_probe.py
+++ b/wrenspoke/coordination/serving/warmup_probe.py
@@ -4,9 +4,9 @@
 health response says so before their next renewal does. Two hosts probe each
 endpoint and broadcast the result to the region's other hosts.
 
-A host that no control host answers misses renewals. It hears of those that
-report a warm-up from other hosts (``cold_broadcaster``), and probes the
-endpoints that it uses, as it may be cut off from the other hosts as well.
+A host that no control host answers misses renewals. Other hosts broadcast
+those that report a warm-up (``cold_broadcaster``), and the host probes the
+endpoints that it uses, as it may be partitioned from the other hosts as well.
 """
 
 import asyncio
@@ -96,7 +96,7 @@
         return None if status is None else status.warm_ms
 
     def has_newer_cold_status(self, found: registry.EndpointEntry) -> bool:
-        """Return whether a status newer than the last renewal says cold."""
+        """Return whether a warm-up was reported after the last renewal."""
         status = self._statuses.get(found.registration.endpoint)
         return (
             status is not None
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -114,8 +114,8 @@
             read_buffer_bytes,
             self._socket_buffer_bytes,
         )
-        # Apart from calls: a refusal without a request id counts as that of
-        # the call on its connection, and that of a probe carries none.
+        # A pool of its own: refusals of polls carry no request id, and a
+        # refusal without one is attributed to the call on its connection.
         self._reports_client = web.HttpClient(
             node.entry.connect_timeout_ms, node.entry.endpoint_idle_ms
         )
--- a/wrenspoke/state/storage.py
+++ b/wrenspoke/state/storage.py
@@ -273,7 +273,7 @@
     def _drop_covered(
         self, snapshot: Snapshot, rest: list[entries.LogEntry]
     ) -> None:
-        """Put a snapshot in force, as a restart with the same files would."""
+        """Apply a snapshot in memory, with the same result as a restart."""
         covered = len(self._end_offsets) - len(rest)
         if covered > 1:
             # The end of the last entry that was dropped.
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -147,7 +147,7 @@
 
 
 class ExchangeRequest(aiohttp.ClientRequest):
-    """Request that tells its connection when its first byte is written.
+    """Request that marks its connection before its first byte is written.
 
     Nothing is written to a connection that received bytes before that, and
     ``UnsolicitedBytesError`` is raised to the sender.
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -27,7 +27,7 @@
 from wrenspoke.transport import exchange
 
 MAX_CONNECTIONS_PER_HOST = 256
-# How many connections are tried whose peers send bytes before a request.
+# Maximum number of connections to try if peers send unsolicited bytes.
 CONNECTIONS_LIMIT = 3
 MAX_LINE_BYTES = 8190
 BACKLOG = 4096
@@ -56,7 +56,7 @@
     [web_request.BaseRequest],
     collections.abc.Awaitable[web_response.StreamResponse],
 ]
-# Returns whether a response is that to the request, from its head.
+# Returns whether a response belongs to the request, from its head.
 IsOwn = collections.abc.Callable[[aiohttp.ClientResponse], bool]
 
 
@@ -163,7 +163,7 @@
         is checked once a connection is available. ``new_connection``
         avoids a pooled connection that the server may just have closed.
         ``is_own`` returns whether a response, of which only the head is read,
-        is that to this request. The connection of another one is closed.
+        belongs to this request; otherwise the connection is closed.
 
         :raises NotSentError: no connection was established
         :raises SendAbortedError: ``may_send`` returned false
