Log refusals that name no request

Cause: a refusal without a request id that is believed leaves no log line, so logs can't tell a refusal of the call from one that was left over on its connection. response_id_mismatch doesn't say whether the connection had carried requests before.

Change: both cases log the status, the id found, and how many requests the connection has carried; ExchangeHandler counts them.

--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -37,6 +37,7 @@
 from wrenspoke.protocol import traffic
 from wrenspoke.state import locations
 from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import exchange as exchanges
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -475,18 +476,18 @@
         echoed = response.headers.get(self._dialect.request)
         if echoed == call.request:
             return True
-        if not echoed and self._may_be_unnamed(destination, response):
-            return True
+        accepted = not echoed and self._may_be_unnamed(destination, response)
         logger.warning(
-            'response_id_mismatch',
+            'unnamed_refusal' if accepted else 'response_id_mismatch',
             request=call.request,
             place=destination.name,
             found=echoed,
             status=response.status,
             not_run=self._dialect.not_run in response.headers,
             instance=response.headers.get(self._dialect.instance),
+            connection_requests=exchanges.request_count(response),
         )
-        return False
+        return accepted
 
     def _may_be_unnamed(
         self, destination: Destination, response: aiohttp.ClientResponse
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -44,6 +44,8 @@
         super().__init__(loop=loop)
         self._is_outstanding = False
         self._is_parsing = False
+        # Requests that were written to this connection.
+        self.request_count = 0
 
     def set_response_params(self, **named: typing.Any) -> None:
         """Prepare to parse the response to the next request."""
@@ -71,6 +73,8 @@
         """
         if isinstance(self._exception, errors.UnsolicitedBytesError):
             raise self._exception
+        if not self._is_outstanding:
+            self.request_count += 1
         self._is_outstanding = True
 
     def end_exchange(self) -> None:
@@ -181,6 +185,14 @@
         await super().write_bytes(writer, conn, content_length)
 
 
+def request_count(response: aiohttp.ClientResponse) -> int:
+    """Return how many requests the connection of a response has carried.
+
+    That of the response is included.
+    """
+    return response._protocol.request_count
+
+
 def discard_connection(response: aiohttp.ClientResponse) -> None:
     """Close a response and its connection, also if that is idle already.
 
