Acknowledge a leave once enough disks hold it

Read in the code, with the users' new term: as a disk is lost and all other hosts lose power, entry hosts too, a leave that was acknowledged is forgotten. An endpoint that deregisters first serves on for 4 s and more, and requests reach it until it ends (DRAIN).

Cause: a leave was acknowledged once one other control host had it in memory.

Evidence: a test that keeps what was synced at the moment of the acknowledgement, empties one disk and starts all hosts on the rest.

Change: control hosts append leaves to a file of their own, synced in a thread, all that come during a sync with the next one. The reply to an exchange waits for it, 400 ms at most, and says whether leaves are unsaved. A leave is acknowledged once tolerated_losses + 1 disks hold it; as before after 2 s at most, with a warning.

Why it works: at least one disk that holds the leave survives, its host tells the others as they exchange, and a leave is final for its instance. Disks that stall or are full are not waited for while others answer.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -129,6 +129,13 @@
         '        if True:\n',
         'tests/test_adapter.py -k acknowledged_leave',
     ),
+    Switch(
+        'leaves are acknowledged unsynced',
+        DECISIONS + 'membership/leave_log.py',
+        '        return self._saved_revision\n',
+        '        return self._registry.revision\n',
+        'tests/test_power_loss.py -k outlives_power',
+    ),
     Switch(
         'covered entries stay in memory',
         STATE + 'storage.py',
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -42,8 +42,11 @@
             node.host, node.seed_hosts, self.clock
         )
         self.replica = replica.Replica()
-        log_storage = storage.Storage(
-            disk.Disk(pathlib.Path(node.data_folder))
+        data_folder = pathlib.Path(node.data_folder)
+        log_storage = storage.Storage(disk.Disk(data_folder))
+        keeps_registry = (
+            feature_flags.FeatureFlag.REGISTRY_SNAPSHOTS
+            not in node.switched_off
         )
         is_new_disk = not (log_storage.last_index or log_storage.meta.boot)
         if node.first_start:
@@ -66,11 +69,14 @@
             self.peers,
             self.clock,
             node.first_start and is_new_disk,
+            disk.Disk(data_folder) if keeps_registry else None,
+            (node.control.tolerated_losses or 1) + 1,
         )
         self._traffic.set_location_lookup(self.registrar.host_location)
         self._registry_snapshot = registry_snapshot.RegistrySnapshot(
-            pathlib.Path(node.data_folder),
+            data_folder,
             self.registrar.registry,
+            self.registrar.leaves,
             self.clock,
         )
         self._allocator = allocator.Allocator(
--- a/wrenspoke/coordination/membership/control_sync.py
+++ b/wrenspoke/coordination/membership/control_sync.py
@@ -16,6 +16,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.membership import control_group
+from wrenspoke.coordination.membership import leave_log
 from wrenspoke.coordination.membership import roster
 from wrenspoke import ids
 from wrenspoke.protocol import discovery_messages
@@ -32,6 +33,9 @@
 # A few inter-region round trips of up to 160 ms; the next exchange makes up
 # for a lost one.
 EXCHANGE_TIMEOUT_MS = 800
+# How long a reply waits for the sync of leaves. Leaves room for a round trip
+# within the time-out of an exchange; the next reply tells of a later sync.
+SAVE_TIMEOUT_MS = 400
 # Batches changes that arrive together, as after a mass restart.
 BATCH_DELAY_MS = 40
 # The interval plus an inter-region trip. A peer without contact for longer
@@ -65,6 +69,7 @@
         group: control_group.ControlGroup,
         endpoints: registry.Registry,
         hosts: roster.Roster,
+        leaves: leave_log.LeaveLog,
         peers: peer_calls.Peers,
         on_endpoints_changed: collections.abc.Callable[[], None],
         clock: clocks.Clock,
@@ -74,13 +79,15 @@
         self._group = group
         self._endpoints = endpoints
         self._hosts = hosts
+        self._leaves = leaves
         self._peers = peers
         self._on_endpoints_changed = on_endpoints_changed
         self._clock = clock
         self._sync_requests: dict[ids.HostId, asyncio.Event] = {}
-        # Newest revision of the endpoints that any other host has confirmed.
-        self._confirmed_revision = 0
-        self._confirmed = asyncio.Event()
+        # Newest revision of the endpoints up to which each other host has
+        # synced all leaves.
+        self._saved_revisions: dict[ids.HostId, int] = {}
+        self._saved = asyncio.Event()
         self._regions: dict[ids.HostId, ids.RegionId] = {}
         self._tasks = runtime.Tasks()
         peers.handles(discovery_messages.Exchange)(self._handle_exchange)
@@ -98,20 +105,51 @@
         for event in self._sync_requests.values():
             event.set()
 
-    async def wait_confirmed(self, revision: int, timeout_ms: int) -> bool:
-        """Wait until another control host has a revision of the endpoints.
+    async def wait_saved(
+        self, revision: int, copies: int, timeout_ms: int
+    ) -> bool:
+        """Wait until enough disks hold the leaves up to a revision.
 
-        Return False if none has confirmed it in time, or none is in contact.
+        Waits for the hosts in contact only. Return False if that is too few,
+        or if they have not synced in time.
+
+        :param copies: the number of control hosts, this one included
         """
+        wanted = min(copies, len(self._group.other_hosts()) + 1)
+        if self._count_copies(revision) >= wanted:
+            return True
+        saving = self._tasks.start(self._save_locally())
         try:
             async with clocks.timeout_ms(timeout_ms):
-                while self._confirmed_revision < revision:
-                    if not self._group.seen_within(CONTACT_WINDOW_MS):
-                        return False
-                    await self._confirmed.wait()
+                while self._count_copies(revision) < min(
+                    wanted, self._count_reachable(saving)
+                ):
+                    await self._saved.wait()
         except TimeoutError:
             return False
-        return True
+        return self._count_copies(revision) >= wanted
+
+    async def _save_locally(self) -> bool:
+        try:
+            return await self._leaves.save()
+        finally:
+            self._notify_saved()
+
+    def _count_copies(self, revision: int) -> int:
+        """Return how many hosts have synced the leaves up to a revision."""
+        others = self._saved_revisions.values()
+        copies = sum(saved >= revision for saved in others)
+        return copies + (self._leaves.saved_revision >= revision)
+
+    def _count_reachable(self, saving: asyncio.Task) -> int:
+        """Return how many hosts may sync leaves now, this one included."""
+        in_contact = len(self._group.seen_within(CONTACT_WINDOW_MS))
+        has_failed = saving.done() and not saving.result()
+        return in_contact + (not has_failed)
+
+    def _notify_saved(self) -> None:
+        self._saved.set()
+        self._saved = asyncio.Event()
 
     def control_hosts_in(self, region: ids.RegionId) -> list[ids.HostId]:
         """Return the control hosts of a region that were recently seen."""
@@ -154,6 +192,7 @@
             progress = await self._send_exchange(host, progress)
             await self._wait_for_next(sync_requested, asked_ms)
         del self._sync_requests[host]
+        self._saved_revisions.pop(host, None)
 
     async def _send_exchange(
         self, host: ids.HostId, progress: SyncProgress
@@ -178,18 +217,15 @@
                 'full_sync_required', peer=host, unknown=answer.unknown
             )
             self._sync_requests[host].set()
+            self._saved_revisions.pop(host, None)
             return SyncProgress(answer.life)
-        self._on_confirmed(next_progress.endpoints_revision)
+        if not answer.unsaved:
+            self._saved_revisions[host] = next_progress.endpoints_revision
+            self._notify_saved()
         next_progress.instance_id = answer.life
         next_progress.recent_contacts = {*answer.heard, host}
         return next_progress
 
-    def _on_confirmed(self, endpoints_revision: int) -> None:
-        if endpoints_revision > self._confirmed_revision:
-            self._confirmed_revision = endpoints_revision
-            self._confirmed.set()
-            self._confirmed = asyncio.Event()
-
     def _build_exchange(
         self, host: ids.HostId, progress: SyncProgress
     ) -> discovery_messages.Exchange:
@@ -273,12 +309,24 @@
             self._on_endpoints_changed()
         if (self._endpoints.revision, self._hosts.revision) != before:
             self.request_sync()
+        saved = await self._save_leaves()
         return discovery_messages.ExchangeReply(
             self._instance_id,
             self._group.seen_within(CONTACT_WINDOW_MS),
             unknown,
+            not saved,
         )
 
+    async def _save_leaves(self) -> bool:
+        """Return whether all leaves merged so far are synced."""
+        if self._leaves.saved_revision >= self._endpoints.revision:
+            return True
+        try:
+            async with clocks.timeout_ms(SAVE_TIMEOUT_MS):
+                return await self._leaves.save()
+        except TimeoutError:
+            return False
+
 
 def _renewed_entries(
     entries: collections.abc.Iterable[Entry],
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -14,12 +14,14 @@
 from wrenspoke.coordination.agreement import voter
 from wrenspoke.coordination.membership import control_group
 from wrenspoke.coordination.membership import control_sync
+from wrenspoke.coordination.membership import leave_log
 from wrenspoke.coordination.membership import replica
 from wrenspoke.coordination.membership import roster
 from wrenspoke import ids
 from wrenspoke.protocol import discovery_messages
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
+from wrenspoke.state import disk
 from wrenspoke.state import locations
 from wrenspoke.state import registry
 
@@ -49,6 +51,8 @@
 REPLICATION_TIMEOUT_MS = 2_000
 # Has to exceed the exchange interval plus an inter-region round trip.
 CONTACT_WINDOW_MS = 3_000
+# Disks that hold an acknowledged leave, if the tolerated losses are unknown.
+DEFAULT_LEAVE_COPIES = 2
 
 
 class Registrar:
@@ -63,6 +67,8 @@
         peers: peer_calls.Peers,
         clock: clocks.Clock,
         first_start: bool = False,
+        data_disk: disk.Disk | None = None,
+        leave_copies: int = DEFAULT_LEAVE_COPIES,
     ):
         self._first_start = first_start
         self._voter = local_voter
@@ -81,12 +87,15 @@
         self._tasks = runtime.Tasks()
         self.registry = registry.Registry(clock)
         self.roster = roster.Roster(HOST_LEASE_MS, clock, RELAYED_LEASE_MS)
+        self.leaves = leave_log.LeaveLog(data_disk, self.registry)
+        self._leave_copies = leave_copies
         self._control_sync = control_sync.ControlSync(
             self._instance_id,
             region,
             group,
             self.registry,
             self.roster,
+            self.leaves,
             peers,
             self._notify_waiters,
             clock,
@@ -121,6 +130,7 @@
     async def close(self) -> None:
         """Cancel all tasks."""
         await self._control_sync.close()
+        await self.leaves.close()
         await self._tasks.close()
 
     def host_location(self, host: ids.HostId) -> locations.Location | None:
@@ -165,19 +175,18 @@
         self.register(self.registry.final_registration(endpoint, born_ms))
 
     async def wait_replicated(self, endpoint: ids.EndpointId) -> None:
-        """Wait until another control host has recorded an endpoint's leave.
+        """Wait until enough control hosts have synced an endpoint's leave.
 
-        What is acknowledged then outlives this host. Without another one in
-        contact the endpoint must be able to leave as well, so that this
-        returns in any case, after ``REPLICATION_TIMEOUT_MS`` at the latest.
+        What is acknowledged then outlives the tolerated losses of disks while
+        all hosts lose power. Without others in contact the endpoint must be
+        able to leave as well, so that this returns in any case, after
+        ``REPLICATION_TIMEOUT_MS`` at the latest.
         """
         found = self.registry.entries.get(endpoint)
         if found is None or found.takes_work:
             return
-        if not self._group.other_hosts():
-            return
-        if not await self._control_sync.wait_confirmed(
-            found.revision, REPLICATION_TIMEOUT_MS
+        if not await self._control_sync.wait_saved(
+            found.revision, self._leave_copies, REPLICATION_TIMEOUT_MS
         ):
             logger.warning(
                 'leave_not_replicated',
--- a/wrenspoke/coordination/membership/registry_snapshot.py
+++ b/wrenspoke/coordination/membership/registry_snapshot.py
@@ -13,6 +13,7 @@
 import structlog
 
 from wrenspoke import clock as clocks
+from wrenspoke.coordination.membership import leave_log
 from wrenspoke import runtime
 from wrenspoke.state import disk
 from wrenspoke.state import errors
@@ -27,6 +28,7 @@
 # How long a restored endpoint stays valid without a renewal: two renewals
 # of 1.2 s, the second of them delayed.
 RESTORED_LEASE_MS = 3_000
+RESTORED_AGE_MS = registry.RENEWAL_TIMEOUT_MS - RESTORED_LEASE_MS
 
 
 class RegistrySnapshot:
@@ -36,10 +38,12 @@
         self,
         folder: pathlib.Path,
         endpoint_registry: registry.Registry,
+        leaves: leave_log.LeaveLog,
         clock: clocks.Clock,
     ):
         self._disk = disk.Disk(folder)
         self._registry = endpoint_registry
+        self._leaves = leaves
         self._clock = clock
         self._written_revision = 0
         self._tasks = runtime.Tasks()
@@ -47,6 +51,7 @@
     def start(self) -> None:
         """Restore the snapshot, and start writing new ones."""
         self._load()
+        self._leaves.restore(RESTORED_AGE_MS)
         self._tasks.start(self._run())
 
     async def close(self) -> None:
@@ -67,13 +72,12 @@
             # The snapshot is optional: endpoints renew.
             logger.warning('registry_snapshot_unreadable', reason=str(error))
             return
-        age_ms = registry.RENEWAL_TIMEOUT_MS - RESTORED_LEASE_MS
         for registration in registrations:
             if registration.warmup_left_ms > 0:
                 # The remaining warm-up is unknown until the endpoint renews.
                 continue
             self._registry.merge_registration(
-                msgspec.structs.replace(registration, age_ms=age_ms)
+                msgspec.structs.replace(registration, age_ms=RESTORED_AGE_MS)
             )
         logger.info('registry_snapshot_restored', endpoints=len(registrations))
 
@@ -92,6 +96,7 @@
                     self._disk.replace, SNAPSHOT_FILE, records.encode(body)
                 )
                 self._written_revision = revision
+                self._leaves.on_snapshot(revision)
             except errors.DiskFullError:
                 # Logged by the disk; the next interval retries.
                 continue
--- a/wrenspoke/protocol/discovery_messages.py
+++ b/wrenspoke/protocol/discovery_messages.py
@@ -169,11 +169,13 @@
     ``life`` identifies the instance of the control host, ``heard`` lists the
     control hosts that it is in contact with. ``unknown`` is set if a renewal
     was for a record that it does not hold: the sender then resends all.
+    ``unsaved`` is set if leaves that it has merged are not synced to its disk.
     """
 
     life: str = ''
     heard: list[ids.HostId] = []
     unknown: bool = False
+    unsaved: bool = False
 
 
 class ConfirmIndex(msgspec.Struct, tag='confirm_index'):
