Restore leaves of endpoints that were cold

That left out leaves too, so a report of the endpoint that was held up on its way made it ready again.

Change: only endpoints that are ready are left out.

--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -142,3 +142,19 @@
     assert len(held) >= copies
     events = {line['event'] for line in logged}
     assert ('leave_not_replicated' in events) is (copies == 0)
+
+
+@pytest.mark.parametrize('warmup_left_ms', [0, 30_000], ids=['warm', 'cold'])
+async def test_leave_is_restored_from_a_snapshot(hosts, warmup_left_ms):
+    """Guards against a late report that readies an endpoint that has left."""
+    await hosts.register('i-1', warmup_left_ms=warmup_left_ms)
+    await hosts.leave(0, 'i-1', GONE)
+    await nodes.until(
+        lambda: all(
+            b'gone' in files['endpoints'] and not files.get('leaves')
+            for files in hosts.synced_files().values()
+        )
+    )
+    await hosts.restart(hosts.synced_files(), lost=2)
+    hosts.system.controls[1].registrar.register(registration('i-1'))
+    await hosts.wait_left('i-1')
--- a/wrenspoke/coordination/membership/registry_snapshot.py
+++ b/wrenspoke/coordination/membership/registry_snapshot.py
@@ -73,7 +73,8 @@
             logger.warning('registry_snapshot_unreadable', reason=str(error))
             return
         for registration in registrations:
-            if registration.warmup_left_ms > 0:
+            ready = registration.state is registry.RegistrationState.READY
+            if ready and registration.warmup_left_ms > 0:
                 # The remaining warm-up is unknown until the endpoint renews.
                 continue
             self._registry.merge_registration(
