--- a/tests/group.py
+++ b/tests/group.py
@@ -295,10 +295,12 @@
 class Group:
     """The control hosts of one group, their disks and their network."""
 
-    def __init__(self, seed=0, names=('a', 'b', 'c'), **limits):
+    def __init__(
+        self, seed=0, names=('a', 'b', 'c'), tolerated_losses=1, **limits
+    ):
         random.seed(seed)
         self.limits = settings.NodeControlSettings(
-            tolerated_losses=1, **limits
+            tolerated_losses=tolerated_losses, **limits
         )
         self.network = Network(seed)
         self.disks = {}
@@ -360,11 +362,15 @@
 
     async def restart_all(self):
         """Cut the power of all hosts, and start them again."""
+        for name in await self.stop_all():
+            self.start(name)
+
+    async def stop_all(self):
+        """Cut the power of all hosts; return their names."""
         names = list(self.running)
         for name in names:
             await self.stop_host(name, power=True)
-        for name in names:
-            self.start(name)
+        return names
 
     async def wait_until(self, condition, wait_ms=WAIT_TIMEOUT_MS):
         """Wait until a condition is true; return its value."""
--- a/tests/test_group_soak.py
+++ b/tests/test_group_soak.py
@@ -37,10 +37,11 @@
 class Soak:
     """Runs faults and changes for one seed, and checks the invariants."""
 
-    def __init__(self, seed, hosts):
+    def __init__(self, seed, hosts, tolerated_losses=1, faults=FAULTS):
         self.random = random.Random(f'soak {seed}')
         names = [f'host{number}' for number in range(hosts)]
-        self.system = group.Group(seed, names[:3])
+        self.faults = faults
+        self.system = group.Group(seed, names[:3], tolerated_losses)
         self.learners = names[3:]
         self.stopped_hosts = set()
         self.host_numbers = iter(range(hosts, 1_000))
@@ -90,8 +91,8 @@
         happening = []
         for _number in range(STEPS):
             await self.pause(0, 5_000)
-            name = self.random.choice(sorted(FAULTS))
-            happening.append(loop.create_task(FAULTS[name](self)))
+            name = self.random.choice(sorted(self.faults))
+            happening.append(loop.create_task(self.faults[name](self)))
         await asyncio.gather(*happening)
         changing, looking = background
         changing.cancel()
@@ -115,7 +116,10 @@
             if deciding.before:
                 return False
             where = {self.system.location(name) for name in deciding.voters}
-            return len(where) == group.REGIONS == len(deciding.voters)
+            return (
+                len(where) == group.REGIONS
+                and len(deciding.voters) == self.system.limits.voters_limit
+            )
         return False
 
     async def propose_changes(self):
@@ -133,6 +137,10 @@
             except (errors.NotLeaderError, TimeoutError):
                 continue
             self.acknowledged = version
+            await self.on_acknowledged()
+
+    async def on_acknowledged(self):
+        """Do nothing; runs at the moment of each acknowledgement."""
 
     async def check_leases(self):
         while True:
