End the wait for a leave as its host stops

Callers saw: nothing.

Cause: as a control host stopped while an endpoint's leave waited for its disk, the wait read the result of the cancelled write, which raises.

Change: a cancelled write counts as failed.

--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -44,6 +44,8 @@
         self.replica = replica.Replica()
         data_folder = pathlib.Path(node.data_folder)
         log_storage = storage.Storage(disk.Disk(data_folder))
+        # A thread writes there, so a failure is no failure of the log.
+        registry_disk = disk.Disk(data_folder)
         keeps_registry = (
             feature_flags.FeatureFlag.REGISTRY_SNAPSHOTS
             not in node.switched_off
@@ -69,12 +71,12 @@
             self.peers,
             self.clock,
             node.first_start and is_new_disk,
-            disk.Disk(data_folder) if keeps_registry else None,
+            registry_disk if keeps_registry else None,
             (node.control.tolerated_losses or 1) + 1,
         )
         self._traffic.set_location_lookup(self.registrar.host_location)
         self._registry_snapshot = registry_snapshot.RegistrySnapshot(
-            data_folder,
+            registry_disk,
             self.registrar.registry,
             self.registrar.leaves,
             self.clock,
--- a/wrenspoke/coordination/membership/control_sync.py
+++ b/wrenspoke/coordination/membership/control_sync.py
@@ -144,7 +144,9 @@
     def _count_reachable(self, saving: asyncio.Task) -> int:
         """Return how many hosts may sync leaves now, this one included."""
         in_contact = len(self._group.seen_within(CONTACT_WINDOW_MS))
-        has_failed = saving.done() and not saving.result()
+        if not saving.done():
+            return in_contact + 1
+        has_failed = saving.cancelled() or not saving.result()
         return in_contact + (not has_failed)
 
     def _notify_saved(self) -> None:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -174,25 +174,27 @@
         """Mark an endpoint as gone; ``born_ms`` selects one instance."""
         self.register(self.registry.final_registration(endpoint, born_ms))
 
-    async def wait_replicated(self, endpoint: ids.EndpointId) -> None:
+    async def wait_replicated(self, endpoint: ids.EndpointId) -> bool:
         """Wait until enough control hosts have synced an endpoint's leave.
 
         What is acknowledged then outlives the tolerated losses of disks while
         all hosts lose power. Without others in contact the endpoint must be
         able to leave as well, so that this returns in any case, after
-        ``REPLICATION_TIMEOUT_MS`` at the latest.
+        ``REPLICATION_TIMEOUT_MS`` at the latest. Return whether enough did.
         """
         found = self.registry.entries.get(endpoint)
         if found is None or found.takes_work:
-            return
-        if not await self._control_sync.wait_saved(
+            return True
+        saved = await self._control_sync.wait_saved(
             found.revision, self._leave_copies, REPLICATION_TIMEOUT_MS
-        ):
+        )
+        if not saved:
             logger.warning(
                 'leave_not_replicated',
                 endpoint=endpoint,
                 state=found.registration.state,
             )
+        return saved
 
     async def _handle_withdraw(
         self, _sender: ids.HostId, message: discovery_messages.WithdrawEndpoint
--- a/wrenspoke/coordination/membership/registry_snapshot.py
+++ b/wrenspoke/coordination/membership/registry_snapshot.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import pathlib
 
 import msgspec
 import structlog
@@ -36,12 +35,12 @@
 
     def __init__(
         self,
-        folder: pathlib.Path,
+        opened: disk.Disk,
         endpoint_registry: registry.Registry,
         leaves: leave_log.LeaveLog,
         clock: clocks.Clock,
     ):
-        self._disk = disk.Disk(folder)
+        self._disk = opened
         self._registry = endpoint_registry
         self._leaves = leaves
         self._clock = clock
