Add a scripted endpoint whose responses have no end

EndlessEndpoint writes a head and then a unit again and again, as fast as its peer takes it or with a pause, and counts what it wrote. Tests of responses without end share it.

--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -95,6 +95,62 @@
         return True
 
 
+class EndlessEndpoint(ScriptedEndpoint):
+    """Endpoint whose responses have no end.
+
+    It writes ``head``, which may be a function of the request, and then
+    ``unit`` again and again, as fast as its peer takes it, or one each
+    ``pause_s``. ``written_bytes`` is what it wrote to all connections. At
+    ``limit_bytes`` it writes no more, and keeps the connection.
+    """
+
+    PIECE_BYTES = 16 * 1024
+    SEND_BUFFER_BYTES = 16 * 1024
+
+    def __init__(self, head, unit, limit_bytes=32 << 20, pause_s=0.0):
+        super().__init__(None)
+        self._head = head
+        self._piece = unit
+        if not pause_s:
+            self._piece *= max(1, self.PIECE_BYTES // len(unit))
+        self._limit_bytes = limit_bytes
+        self._pause_s = pause_s
+        self.written_bytes = 0
+        self.open_count = 0
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        self.open_count += 1
+        opened = writer.get_extra_info('socket')
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, self.SEND_BUFFER_BYTES
+        )
+        writer.transport.set_write_buffer_limits(self.PIECE_BYTES)
+        try:
+            request = await read_request(reader)
+            self.requests.append(request)
+            head = self._head
+            await self._send(writer, head(request) if callable(head) else head)
+            while self.written_bytes < self._limit_bytes:
+                await self._send(writer, self._piece)
+                await asyncio.sleep(self._pause_s)
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.open_count -= 1
+            self.peer_closed.set()
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _send(self, writer, piece):
+        if writer.transport.is_closing():
+            raise ConnectionResetError
+        writer.write(piece)
+        self.written_bytes += len(piece)
+        await writer.drain()
+
+
 class ScriptedEngine:
     """Engine whose ``_answer`` yields the pieces of each response."""
 
