Bound what is read and kept before the head of a response

What callers saw: an endpoint that sent blank lines, interim responses (100, 103) or spaces before a header's value without end was read until the deadline of the call. What came was kept, and copied whole for each packet.

Cause: aiohttp's parser bounds each line and the number of headers, and none of these forms. PrefixParser kept all bytes before the final head in one bytes object, and searched a malformed one by parsing all of them again and again.

Change: the bytes before the end of the final head are bounded by what aiohttp's own limits admit and 64 KiB for line ends, blank lines and interim responses, of which there may be 100. They are parsed in pieces of 8 KiB, so that few interim messages exist at once, and kept as a list. If a piece fails, what came before it is parsed once more, and the piece byte by byte.

Why it works: every byte before the final head passes this one place, whoever reads the response. Beyond the limit the parser raises what it raises for a malformed head, so the connection is closed and the outcome is the same.

Changes to existing tests: those of PrefixParser pass its new argument.

--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -131,6 +131,8 @@
             self.requests.append(request)
             head = self._head
             await self._send(writer, head(request) if callable(head) else head)
+            # Sends the head as a separate packet.
+            await asyncio.sleep(0.01)
             while self.written_bytes < self._limit_bytes:
                 await self._send(writer, self._piece)
                 await asyncio.sleep(self._pause_s)
--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 from aiohttp import base_protocol
+from aiohttp import http_exceptions
 from aiohttp import http_parser
 import pytest
 
@@ -18,6 +19,7 @@
 UNFINISHED = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole'
 BAD_CHUNK = CHUNKED.replace(b'3\r\n', b'zz\r\n')
 INTERIM = b'HTTP/1.1 103 Early\r\n\r\n'
+HEAD_LIMIT_BYTES = 1 << 20
 GARBAGE = b'\0\xff what is this\r\n\r\n'
 
 
@@ -34,7 +36,9 @@
 
 def parse(pieces):
     """Return the status and body of the response in some pieces."""
-    parser = response_parser.PrefixParser(new_parser(), new_parser)
+    parser = response_parser.PrefixParser(
+        new_parser(), new_parser, HEAD_LIMIT_BYTES
+    )
     found = []
     for piece in pieces:
         messages, _upgraded, _tail = parser.feed_data(piece)
@@ -79,8 +83,86 @@
 
 
 async def test_unfinished_response_is_not_complete():
-    parser = response_parser.PrefixParser(new_parser(), new_parser)
+    parser = response_parser.PrefixParser(
+        new_parser(), new_parser, HEAD_LIMIT_BYTES
+    )
     [(_message, payload)], _upgraded, _tail = parser.feed_data(UNFINISHED)
     assert not payload.is_eof()
     with pytest.raises(Exception, match='length'):
         parser.feed_eof()
+
+
+# The longest lines, and as many headers as aiohttp's parser admits.
+LONG_HEAD = (
+    b'HTTP/1.1 200 %s\r\n' % (b'x' * 8_000)
+    + b''.join(b'a%d: %s\r\n' % (n, b'x' * 8_000) for n in range(127))
+    + b'Content-Length: 5\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('size', [1_000, 1 << 16, 1 << 21])
+@pytest.mark.parametrize(
+    'before',
+    [b'', b'\r\n\r\n', INTERIM * 3, INTERIM * response_parser.INTERIM_LIMIT],
+    ids=['nothing', 'blank lines', 'interim ones', 'many interim ones'],
+)
+@pytest.mark.parametrize('behind', [b'', GARBAGE], ids=['alone', 'garbage'])
+async def test_head_within_the_limits_is_complete(before, behind, size):
+    """Guards against a limit that rejects what aiohttp's parser admits."""
+    data = before + LONG_HEAD + b'whole' + behind
+    limit_bytes = response_parser.head_limit_bytes(8_190, 8_190, 128)
+    parser = response_parser.PrefixParser(
+        new_parser(), new_parser, limit_bytes
+    )
+    found = []
+    for at in range(0, len(data), size):
+        found += parser.feed_data(data[at : at + size])[0]
+    message, payload = found[-1]
+    assert len(message.headers) == 128
+    assert payload.is_eof()
+    assert payload.read_nowait() == b'whole'
+
+
+@pytest.mark.parametrize('size', [1_000, 1 << 16, 1 << 21])
+@pytest.mark.parametrize(
+    'data, cause',
+    [
+        (INTERIM * (response_parser.INTERIM_LIMIT + 1), 'interim responses'),
+        (b'\r\n' * HEAD_LIMIT_BYTES, 'response head exceeds'),
+        (b'HTTP/1.1 200 OK\r\nA:' + b' ' * (1 << 21), 'head exceeds'),
+    ],
+    ids=['interim ones', 'blank lines', 'spaces'],
+)
+async def test_head_beyond_a_limit_is_malformed(data, cause, size):
+    parser = response_parser.PrefixParser(
+        new_parser(), new_parser, HEAD_LIMIT_BYTES
+    )
+    with pytest.raises(http_exceptions.BadHttpMessage, match=cause):
+        for at in range(0, len(data), size):
+            parser.feed_data(data[at : at + size])
+
+
+class CountingParser:
+    """Parser that counts the bytes it is fed."""
+
+    def __init__(self, fed):
+        self._fed = fed
+        self._parser = new_parser()
+
+    def feed_data(self, data):
+        self._fed.append(len(data))
+        return self._parser.feed_data(data)
+
+
+@pytest.mark.parametrize('size', [1_000, 1 << 16])
+async def test_malformed_head_is_parsed_twice_at_most(size):
+    """Guards against a search that parses all again for each packet."""
+    data = b'\r\n' * (1 << 18) + GARBAGE
+    fed = []
+    parser = response_parser.PrefixParser(
+        CountingParser(fed), lambda: CountingParser(fed), HEAD_LIMIT_BYTES
+    )
+    with pytest.raises(http_exceptions.BadStatusLine):
+        for at in range(0, len(data), size):
+            parser.feed_data(data[at : at + size])
+    assert sum(fed) <= 2 * len(data)
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -51,7 +51,13 @@
         """Prepare to parse the response to the next request."""
         super().set_response_params(**named)
         self._parser = response_parser.PrefixParser(
-            self._parser, lambda: self._new_parser(**named)
+            self._parser,
+            lambda: self._new_parser(**named),
+            response_parser.head_limit_bytes(
+                named['max_line_size'],
+                named['max_field_size'],
+                named['max_headers'],
+            ),
         )
 
     def _new_parser(
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -1,13 +1,20 @@
 """A response parser that tolerates malformed bytes behind a response."""
 
-import bisect
 import collections.abc
 import typing
 
 import aiohttp
+from aiohttp import http_exceptions
 from aiohttp import http_parser
 
 FIRST_FINAL_STATUS = 200
+# Interim responses that may precede a final one.
+INTERIM_LIMIT = 100
+# Bytes before the end of the final head beyond those that the limits of
+# aiohttp's parser admit: line ends, blank lines and interim responses.
+HEAD_OVERHEAD_BYTES = 64 * 1024
+# aiohttp's parser creates all messages of a piece before it returns.
+HEAD_PIECE_BYTES = 8 * 1024
 
 Messages = typing.Sequence[
     tuple[http_parser.RawResponseMessage, aiohttp.StreamReader]
@@ -21,6 +28,10 @@
     If malformed bytes arrive together with the end of a response, aiohttp's
     parser (3.14.5) fails as a whole, and a response whose head came with them
     is lost.
+
+    The bytes before the end of the final head are bounded by
+    ``head_limit_bytes``: aiohttp's parser bounds each line and the number of
+    headers, but neither blank lines, interim responses nor spaces.
     """
 
     def __init__(
@@ -29,54 +40,94 @@
         new_parser: collections.abc.Callable[
             [], http_parser.HttpResponseParser
         ],
+        head_limit_bytes: int,
     ):
         self._parser = parser
         self._new_parser = new_parser
+        self._head_limit_bytes = head_limit_bytes
         # What arrived before the head of the final response was complete.
-        self._unparsed = b''
+        self._head_pieces: list[bytes] = []
+        self._head_bytes = 0
+        self._interim_count = 0
         self._payload: aiohttp.StreamReader | None = None
         self._is_followed_by_garbage = False
 
     def feed_data(self, data: bytes) -> Parsed:
         """Parse bytes; return messages, whether upgraded, and the rest.
 
-        :raises HttpProcessingError: they are malformed, and no response is
-            complete before them
+        :raises HttpProcessingError: they are malformed or exceed a limit, and
+            no response is complete before them
         """
-        received = self._unparsed + data
+        messages: list = []
+        start = 0
+        while self._payload is None and start < len(data):
+            end = start + HEAD_PIECE_BYTES
+            found, is_upgraded, rest = self._feed_head(data[start:end])
+            messages += found
+            if is_upgraded:
+                return messages, True, rest + data[end:]
+            start = end
+        if self._payload is None or 0 < len(data) <= start:
+            return messages, False, b''
+        found, is_upgraded, rest = self._feed_body(data[start:])
+        return [*messages, *found], is_upgraded, rest
+
+    def _feed_head(self, data: bytes) -> Parsed:
+        self._head_pieces.append(data)
+        self._head_bytes += len(data)
         try:
             parsed = self._parser.feed_data(data)
         except Exception:
             self._is_followed_by_garbage = True
-            if self._payload is not None:
-                if not _is_complete(self._payload):
-                    raise
-                return (), False, b''
-            parsed = self._parse_prefix(received)
+            parsed = self._parse_prefix()
             payload = _final_payload(parsed[0])
             if payload is None or not _is_complete(payload):
                 raise
+        self._payload = _final_payload(parsed[0])
         if self._payload is None:
-            self._payload = _final_payload(parsed[0])
-            self._unparsed = b'' if self._payload is not None else received
+            self._interim_count += len(parsed[0])
+            self._check_head()
+        else:
+            self._head_pieces.clear()
         return parsed
 
-    def _parse_prefix(self, data: bytes) -> Parsed:
-        """Parse the bytes before the first malformed one."""
-        malformed = bisect.bisect_left(
-            range(len(data) + 1),
-            True,
-            key=lambda length: self._fails(data[:length]),
-        )
-        self._parser = self._new_parser()
-        return self._parser.feed_data(data[: malformed - 1])
+    def _check_head(self) -> None:
+        """Check what arrived before the end of the final head.
 
-    def _fails(self, data: bytes) -> bool:
+        :raises BadHttpMessage: it exceeds a limit
+        """
+        if self._interim_count > INTERIM_LIMIT:
+            raise http_exceptions.BadHttpMessage(
+                f'more than {INTERIM_LIMIT} interim responses'
+            )
+        if self._head_bytes > self._head_limit_bytes:
+            raise http_exceptions.BadHttpMessage(
+                f'response head exceeds {self._head_limit_bytes} bytes'
+            )
+
+    def _parse_prefix(self) -> Parsed:
+        """Parse the bytes of the last piece before the first malformed one."""
+        *earlier, last = self._head_pieces
+        self._parser = self._new_parser()
+        for piece in earlier:
+            self._parser.feed_data(piece)
+        messages: list = []
+        for start in range(len(last)):
+            try:
+                found, _, _ = self._parser.feed_data(last[start : start + 1])
+            except Exception:
+                break
+            messages += found
+        return messages, False, b''
+
+    def _feed_body(self, data: bytes) -> Parsed:
         try:
-            self._new_parser().feed_data(data)
+            return self._parser.feed_data(data)
         except Exception:
-            return True
-        return False
+            self._is_followed_by_garbage = True
+            if not _is_complete(self._payload):
+                raise
+            return (), False, b''
 
     def feed_eof(self) -> object:
         """End the input; return a true value if another message has begun."""
@@ -98,3 +149,17 @@
 
 def _is_complete(payload: aiohttp.StreamReader) -> bool:
     return payload.is_eof() and payload.exception() is None
+
+
+def head_limit_bytes(
+    line_limit_bytes: int, field_limit_bytes: int, field_limit: int
+) -> int:
+    """Return how long a head within the limits of aiohttp's parser may be.
+
+    It includes what precedes the head.
+    """
+    return (
+        line_limit_bytes
+        + field_limit * field_limit_bytes
+        + HEAD_OVERHEAD_BYTES
+    )
