Fail a body at its first malformed bytes

What callers saw: a response whose chunked body was malformed in a packet after its head waited until the deadline, although the connection was closed at once.

Cause: aiohttp's parser (3.14.5) forgets the body when it fails, and nothing tells the body's reader. The end of the connection doesn't either: the parser no longer knows that a body was unfinished.

Evidence: tests/test_exchange.py, a malformed chunk size, a missing one, a zero byte, a chunk without its line end and a malformed trailer, each as the first chunk and after a whole one.

Change: PrefixParser fails the body with a payload error before it passes the parser's error on.

Why it works: the parser sees the error before the connection is closed, and the payload wakes its reader. Readers treat it as any truncated body.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,12 +8,14 @@
 
 import pytest
 
+from tests import endpoints
 from tests import loops
 from tests import nodes
 from wrenspoke.transport import errors
 from wrenspoke.transport import exchange
 from wrenspoke.transport import web
 
+STALL = endpoints.ScriptedEndpoint.STALL
 TIMEOUT_MS = 5_000
 OWN = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown'
 SURPLUS = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale'
@@ -122,6 +124,31 @@
     server.close()
 
 
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    'before', [b'', b'3\r\nown\r\n'], ids=['first', 'next']
+)
+@pytest.mark.parametrize(
+    'malformed',
+    [b'zz\r\n', b'\r\n', b'\0', b'3\r\nownX\r\n', b'0\r\n\0: x\r\n\r\n'],
+    ids=['size', 'no size', 'zero byte', 'end of a chunk', 'trailer'],
+)
+async def test_body_fails_at_its_first_malformed_bytes(malformed, before):
+    """Guards against a reader that waits on a connection that was closed."""
+    endpoint = await endpoints.ScriptedEndpoint(
+        lambda sent, number: [CHUNKED + before, malformed, STALL]
+    ).start()
+    client = web.HttpClient(TIMEOUT_MS)
+    with pytest.raises(errors.MaybeSentError, match='cut short'):
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            await read(client, endpoint.address, None)
+    await nodes.until(endpoint.peer_closed.is_set)
+    await client.close()
+    await endpoint.close()
+
+
 class FakeTransport(asyncio.Transport):
     """Transport that records whether it was aborted."""
 
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -123,12 +123,20 @@
     def _feed_body(self, data: bytes) -> Parsed:
         try:
             return self._parser.feed_data(data)
-        except Exception:
+        except Exception as error:
             self._is_followed_by_garbage = True
             if not _is_complete(self._payload):
+                self._fail_body(error)
                 raise
             return (), False, b''
 
+    def _fail_body(self, error: Exception) -> None:
+        """Fail the body; aiohttp's parser leaves its reader waiting."""
+        if self._payload.exception() is None:
+            self._payload.set_exception(
+                aiohttp.ClientPayloadError('malformed body'), error
+            )
+
     def feed_eof(self) -> object:
         """End the input; return a true value if another message has begun."""
         if self._is_followed_by_garbage:
