Bound the framing of a chunked body

What callers saw: an endpoint that never ended a chunk's size, its extension or the spaces of a trailer was read until the deadline, over 90 MiB in 2 s.

Cause: aiohttp's parser (3.14.5) bounds trailers like headers, but not the line of a chunk's size, and tells nothing of what it has read of one.

Evidence: tests/test_endless_responses.py. Failed before: 8 of 12 rows of chunked framing without end.

Change: FramingBudget counts the bytes that arrive for a body and those the parser passes to it. The connection ends, and the body fails as truncated, once 64 KiB of framing have come without a byte of the body. Each byte of the body allows 64 of framing in addition.

Why it works: whatever the form, framing without end brings no body. Many small chunks pay for their framing. A paused parser holds bytes that count as framing until its reader goes on, so that nothing is decided meanwhile; no more than one packet arrives then.

Measured: 12 of 12 rows pass, as do 18 rows of long bodies in chunks of 1, 50 and 300,000 bytes, with and without extensions, read at once and slowly; some of the latter fail if a paused parser is judged.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -19,6 +19,8 @@
 SOCKET_BUFFER_BYTES = 64 * 1024
 
 STATUS = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = STATUS + b'Transfer-Encoding: chunked\r\n\r\n'
+ONE_CHUNK = CHUNKED + b'2\r\nwh\r\n'
 
 event_loop_policy = loops.event_loop_policy
 
@@ -38,6 +40,26 @@
     'headers of a 103': (b'HTTP/1.1 103 Early\r\n', b'A: x\r\n'),
     'no response': (b'', b'\0'),
 }
+BODIES = {
+    'chunk size': (CHUNKED, b'0'),
+    'chunk size behind a chunk': (ONE_CHUNK, b'0'),
+    'chunk extension': (CHUNKED + b'5;', b'x'),
+    'chunk extension value': (CHUNKED + b'5;a=', b'x'),
+    'quoted chunk extension': (CHUNKED + b'5;a="', b'x'),
+    'spaces behind a chunk size': (CHUNKED + b'5', b' '),
+    'trailers': (ONE_CHUNK + b'0\r\n', b'A: x\r\n'),
+    'long trailers': (
+        ONE_CHUNK + b'0\r\n',
+        b'A: %s\r\n' % (b'x' * 8000),
+    ),
+    'spaces in a trailer': (ONE_CHUNK + b'0\r\nA:', b' '),
+    'trailer value': (ONE_CHUNK + b'0\r\nA: ', b'x'),
+    'line ends behind a chunk': (ONE_CHUNK, b'\r\n'),
+    'extensions of small chunks': (
+        CHUNKED,
+        b'1;%s\r\nx\r\n' % (b'x' * 8000),
+    ),
+}
 
 
 async def read(client, address):
@@ -47,16 +69,16 @@
 
 
 async def read_failure(endpoint):
-    """Return the maximum memory kept for a read that fails."""
+    """Return the error of a read, and the maximum memory kept for it."""
     client = web.HttpClient(1_000, socket_buffer_bytes=SOCKET_BUFFER_BYTES)
     gc.collect()
     tracemalloc.start()
     try:
         async with asyncio.timeout(TIMEOUT_S):
-            with pytest.raises(errors.MaybeSentError):
+            with pytest.raises(errors.MaybeSentError) as caught:
                 await read(client, endpoint.address)
         await nodes.until(endpoint.peer_closed.is_set)
-        return tracemalloc.get_traced_memory()[1]
+        return caught.value, tracemalloc.get_traced_memory()[1]
     finally:
         tracemalloc.stop()
         await client.close()
@@ -68,6 +90,48 @@
     """Guards against bytes read and kept until the deadline."""
     endpoint = endpoints.EndlessEndpoint(*HEADS[form], TAKEN_LIMIT_BYTES)
     await endpoint.start()
-    kept_bytes = await read_failure(endpoint)
+    _error, kept_bytes = await read_failure(endpoint)
+    assert endpoint.written_bytes < TAKEN_LIMIT_BYTES
+    assert kept_bytes < KEPT_LIMIT_BYTES
+
+
+@pytest.mark.parametrize('form', BODIES)
+async def test_chunked_framing_without_end_is_truncated(form):
+    """Guards against framing that is read until the deadline."""
+    endpoint = endpoints.EndlessEndpoint(*BODIES[form], TAKEN_LIMIT_BYTES)
+    await endpoint.start()
+    error, kept_bytes = await read_failure(endpoint)
+    assert str(error) == 'answer was cut short'
     assert endpoint.written_bytes < TAKEN_LIMIT_BYTES
     assert kept_bytes < KEPT_LIMIT_BYTES
+
+
+@pytest.mark.parametrize('pause_s', [None, 0, 0.001], ids='{} s'.format)
+@pytest.mark.parametrize('extension', [b'', b';%s' % (b'x' * 60)])
+@pytest.mark.parametrize(
+    'chunk_bytes, count', [(1, 30_000), (50, 5_000), (300_000, 10)]
+)
+async def test_long_chunked_body_is_whole(
+    chunk_bytes, count, extension, pause_s
+):
+    """Guards against a bound on framing that cuts off a legitimate body.
+
+    A reader that pauses stops the parser in the midst of what arrived.
+    """
+    chunk = b'x' * chunk_bytes
+    framed = b'%x%s\r\n%s\r\n' % (chunk_bytes, extension, chunk)
+    body = framed * count + b'0\r\nA: trailer\r\n\r\n'
+    endpoint = endpoints.ScriptedEndpoint(lambda _s, _n: [CHUNKED, body])
+    await endpoint.start()
+    client = web.HttpClient(1_000, read_buffer_bytes=4_096)
+    size_bytes = 0
+    async with client.send_verbatim(
+        'GET', endpoint.address, '/', [], None
+    ) as response:
+        async for piece in web.read_chunks(response):
+            size_bytes += len(piece)
+            if pause_s is not None:
+                await asyncio.sleep(pause_s)
+    assert size_bytes == chunk_bytes * count
+    await client.close()
+    await endpoint.close()
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -7,6 +7,8 @@
 from aiohttp import http_exceptions
 from aiohttp import http_parser
 
+from wrenspoke.transport import framing_budget
+
 FIRST_FINAL_STATUS = 200
 # Interim responses that may precede a final one.
 INTERIM_LIMIT = 100
@@ -50,6 +52,7 @@
         self._head_bytes = 0
         self._interim_count = 0
         self._payload: aiohttp.StreamReader | None = None
+        self._framing: framing_budget.FramingBudget | None = None
         self._is_followed_by_garbage = False
 
     def feed_data(self, data: bytes) -> Parsed:
@@ -89,6 +92,7 @@
             self._check_head()
         else:
             self._head_pieces.clear()
+            self._framing = framing_budget.FramingBudget(self._payload)
         return parsed
 
     def _check_head(self) -> None:
@@ -122,7 +126,9 @@
 
     def _feed_body(self, data: bytes) -> Parsed:
         try:
-            return self._parser.feed_data(data)
+            parsed = self._parser.feed_data(data)
+            self._framing.spend(len(data), self._is_paused())
+            return parsed
         except Exception as error:
             self._is_followed_by_garbage = True
             if not _is_complete(self._payload):
@@ -130,6 +136,10 @@
                 raise
             return (), False, b''
 
+    def _is_paused(self) -> bool:
+        """Return whether the parser holds bytes that its reader waits for."""
+        return self._parser.protocol._reading_paused
+
     def _fail_body(self, error: Exception) -> None:
         """Fail the body; aiohttp's parser leaves its reader waiting."""
         if self._payload.exception() is None:
