Free what was kept of a malformed head with its connection

What callers saw: nothing; what was kept of a malformed head, up to 1 MiB, remained until the next full garbage collection, as the error that was raised refers to its parser.

Evidence: tests/test_endless_responses.py reads responses that come in pieces, 20 ms apart, without end, until a deadline.

Change: the parser clears what it keeps as its connection ends.

What bounds time here: the transport has no deadline of its own for a head or a body, beyond that for connecting. A drip lasts as long as its reader waits; leaving the block of send() closes the connection.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -10,6 +10,7 @@
 from tests import loops
 from tests import nodes
 from wrenspoke.transport import errors
+from wrenspoke.transport import response_parser
 from wrenspoke.transport import web
 
 # More than a whole head and the buffers of both sockets.
@@ -62,9 +63,11 @@
 }
 
 
-async def read(client, address):
+async def read(client, address, method='GET'):
     """Return the body of a response."""
-    async with client.send_verbatim('GET', address, '/', [], None) as response:
+    async with client.send_verbatim(
+        method, address, '/', [], None
+    ) as response:
         return await web.read_body(response, 1 << 20)
 
 
@@ -135,3 +138,73 @@
     assert size_bytes == chunk_bytes * count
     await client.close()
     await endpoint.close()
+
+
+# Complete responses, with the method of their requests.
+COMPLETE = {
+    'length': ('GET', STATUS + b'Content-Length: 5\r\n\r\nwhole'),
+    'chunked': ('GET', CHUNKED + b'5\r\nwhole\r\n0\r\n\r\n'),
+    'no body': ('GET', b'HTTP/1.1 204 No\r\n\r\n'),
+    'empty': ('GET', STATUS + b'Content-Length: 0\r\n\r\n'),
+    'head': ('HEAD', STATUS + b'Content-Length: 5\r\n\r\n'),
+    'head of chunks': ('HEAD', CHUNKED),
+}
+BEHIND = {
+    'zero bytes': b'\0',
+    'blank lines': b'\r\n',
+    'responses': STATUS + b'Content-Length: 5\r\n\r\nwhole',
+    '103s': b'HTTP/1.1 103 Early\r\n\r\n',
+}
+
+
+@pytest.mark.parametrize('joined', [False, True], ids=['later', 'joined'])
+@pytest.mark.parametrize('unit', BEHIND.values(), ids=BEHIND)
+@pytest.mark.parametrize('method, whole', COMPLETE.values(), ids=COMPLETE)
+async def test_bytes_behind_a_response_end_the_connection(
+    method, whole, unit, joined
+):
+    """Guards against an idle connection that is read without end."""
+    head = whole + unit if joined else whole
+    endpoint = endpoints.EndlessEndpoint(head, unit, TAKEN_LIMIT_BYTES)
+    await endpoint.start()
+    client = web.HttpClient(1_000, socket_buffer_bytes=SOCKET_BUFFER_BYTES)
+    body = await read(client, endpoint.address, method)
+    assert body == (b'whole' if b'whole' in whole else b'')
+    await nodes.until(endpoint.peer_closed.is_set)
+    assert endpoint.written_bytes < TAKEN_LIMIT_BYTES
+    assert client.count_idle(endpoint.address, 0) == 0
+    await client.close()
+    await endpoint.close()
+
+
+FORMS = {**HEADS, **BODIES, 'body': (STATUS + b'\r\n', b'x')}
+
+
+@pytest.mark.parametrize('form', FORMS)
+async def test_drip_is_closed_with_its_reader(form):
+    """Guards against a connection that outlives the deadline of its call.
+
+    Bytes that come slowly hold a connection as long as its reader waits.
+    """
+    head, unit = FORMS[form]
+    endpoint = endpoints.EndlessEndpoint(head, unit, pause_s=0.02)
+    await endpoint.start()
+    client = web.HttpClient(1_000)
+    tasks = asyncio.all_tasks()
+    with pytest.raises((TimeoutError, errors.MaybeSentError)):
+        async with asyncio.timeout(0.3):
+            await read(client, endpoint.address)
+    await nodes.until(lambda: endpoint.open_count == 0)
+    assert not any(kept_pieces())
+    assert asyncio.all_tasks() == tasks
+    await client.close()
+    await endpoint.close()
+
+
+def kept_pieces():
+    """Return what parsers still keep of heads."""
+    return [
+        found._head_pieces
+        for found in gc.get_objects()
+        if isinstance(found, response_parser.PrefixParser)
+    ]
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -149,6 +149,8 @@
 
     def feed_eof(self) -> object:
         """End the input; return a true value if another message has begun."""
+        # An error that was raised here may keep this parser.
+        self._head_pieces.clear()
         if self._is_followed_by_garbage:
             return True
         return self._parser.feed_eof()
