Drop what is unwritten of a request as its call ends

What callers saw: a call that was given up at its deadline while its endpoint did not read could still reach it whole, and run. The connection stayed for 3 s after the call, until the kernel's time-out, and without a bound beside an endpoint that reads slowly.

Cause: closing a connection writes what its transport holds first.

Evidence: an endpoint that reads only once the call has ended. Failed before: it received the whole request, all 16 MiB of its body.

Change: ExchangeHandler.close() aborts a connection that holds unwritten bytes.

Why it works: an aborted connection sends nothing more, and the endpoint sees its end at once. The request had no response, so nothing is lost with it.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -149,6 +149,38 @@
     await endpoint.close()
 
 
+async def test_request_is_not_written_after_its_call_ended():
+    """Guards against a request that an endpoint gets whole once given up."""
+    body = b'x' * (16 << 20)
+    ended = asyncio.Event()
+    received = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        size_bytes = 0
+        await ended.wait()
+        try:
+            while chunk := await reader.read(1 << 20):
+                size_bytes += len(chunk)
+        except ConnectionError:
+            pass
+        received.set_result(size_bytes)
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    client = web.HttpClient(TIMEOUT_MS)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            async with client.send(
+                'POST', f'http://127.0.0.1:{port}/', {}, body
+            ):
+                pass
+    ended.set()
+    assert await received < len(body)
+    await client.close()
+    server.close()
+
+
 class FakeTransport(asyncio.Transport):
     """Transport that records whether it was aborted."""
 
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -146,8 +146,16 @@
         super().connection_lost(exc)
 
     def close(self) -> None:
-        """Fail a body that this side closes before its end."""
+        """Fail a body that this side closes before its end.
+
+        What is not yet written of a request is dropped.
+        """
         self._fail_payload(ConnectionAbortedError('connection closed'))
+        if self.transport is not None and (
+            self.transport.get_write_buffer_size()
+        ):
+            self.abort()
+            return
         super().close()
 
     def _fail_payload(self, error: BaseException) -> None:
