Bound and escape the values of log lines

What operators saw: log lines of up to 29 KB, whose text an endpoint decided. A carriage return, an escape sequence, a zero byte or a Unicode line separator in a header stood in the line as it was, and could break, hide or forge lines.

Cause: LineRenderer escaped only line feeds, and bounded nothing.

Change: a value takes 2,000 characters at most and ends with a mark that tells its length; a traceback takes 16,000, and its end is kept. Characters that are not printable are escaped as in a Python literal.

Why it works: all lines of hosts pass this renderer, and each line has a fixed set of keys.

--- a/wrenspoke/logs.py
+++ b/wrenspoke/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one key=value line per event, on standard error."""
 
+import collections.abc
 import datetime
 import logging
 import sys
@@ -15,7 +16,13 @@
     'error': logging.ERROR,
 }
 LEADING_KEYS = frozenset(['timestamp', 'level', 'event', 'host'])
+# The key under which structlog puts a formatted traceback.
+TRACEBACK_KEY = 'exception'
 MIN_PRINTABLE = '!'
+# What a value and a traceback may take of a line, before quotes and
+# backslashes are escaped.
+VALUE_LIMIT_CHARACTERS = 2_000
+TRACEBACK_LIMIT_CHARACTERS = 16_000
 
 
 class LineRenderer:
@@ -45,13 +52,17 @@
         host = event.get('host', self._host)
         if host is not None:
             parts.append(f'host={_render_value(host)}')
-        if 'exc_info' in event:
+        has_traceback = 'exc_info' in event
+        if has_traceback:
             event = structlog.processors.format_exc_info(None, method, event)
         for key, value in event.items():
             if key in LEADING_KEYS:
                 continue
             if key not in self._valid_keys:
                 self._validate_key(key)
+            if has_traceback and key == TRACEBACK_KEY:
+                parts.append(f'{key}={_render_traceback(value)}')
+                continue
             parts.append(f'{key}={_render_value(value)}')
         return ' '.join(parts)
 
@@ -66,7 +77,10 @@
 
 
 def _render_value(value: object) -> str:
-    """Return a value as text, quoted if it has spaces, ``=`` or quotes."""
+    """Return a value as text, quoted if it has spaces, ``=`` or quotes.
+
+    Of a long text, the start is kept.
+    """
     if not isinstance(value, str):
         if value is None:
             return ''
@@ -76,10 +90,51 @@
             return str(value)
         value = getattr(value, 'value', value)
     text = str(value)
+    if len(text) <= VALUE_LIMIT_CHARACTERS and text.isprintable():
+        return _quote(text)
+    kept = _fitting_count(text, VALUE_LIMIT_CHARACTERS)
+    if kept == len(text):
+        return _escape(_quote(text))
+    return _escape(_quote(f'{text[:kept]}... (cut, {len(text)} characters)'))
+
+
+def _render_traceback(text: str) -> str:
+    """Return a traceback as a quoted value; of a long one, the end is kept."""
+    kept = _fitting_count(reversed(text), TRACEBACK_LIMIT_CHARACTERS)
+    if kept == len(text):
+        return _escape(_quote(text))
+    end = text[len(text) - kept :]
+    return _escape(_quote(f'(cut, {len(text)} characters) ...{end}'))
+
+
+def _quote(text: str) -> str:
     if ' ' in text or '=' in text or '"' in text:
         text = text.replace('\\', '\\\\').replace('"', '\\"')
-        text = f'"{text}"'
-    return text.replace('\n', '\\n')
+        return f'"{text}"'
+    return text
+
+
+def _escape(text: str) -> str:
+    """Return text without characters that break or hide parts of a line."""
+    return ''.join(map(_escape_character, text))
+
+
+def _fitting_count(text: collections.abc.Iterable[str], limit: int) -> int:
+    """Return how many characters fit a limit once they are escaped."""
+    size = 0
+    count = 0
+    for character in text:
+        size += len(_escape_character(character))
+        if size > limit:
+            break
+        count += 1
+    return count
+
+
+def _escape_character(character: str) -> str:
+    if character.isprintable():
+        return character
+    return character.encode('unicode_escape').decode()
 
 
 def configure(level: str, host: str = '', stream=None) -> None:
