--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,12 +8,14 @@
 
 import pytest
 
+from tests import endpoints
 from tests import loops
 from tests import nodes
 from wrenspoke.transport import errors
 from wrenspoke.transport import exchange
 from wrenspoke.transport import web
 
+STALL = endpoints.ScriptedEndpoint.STALL
 TIMEOUT_MS = 5_000
 OWN = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown'
 SURPLUS = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale'
@@ -122,6 +124,63 @@
     server.close()
 
 
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    'before', [b'', b'3\r\nown\r\n'], ids=['first', 'next']
+)
+@pytest.mark.parametrize(
+    'malformed',
+    [b'zz\r\n', b'\r\n', b'\0', b'3\r\nownX\r\n', b'0\r\n\0: x\r\n\r\n'],
+    ids=['size', 'no size', 'zero byte', 'end of a chunk', 'trailer'],
+)
+async def test_body_fails_at_its_first_malformed_bytes(malformed, before):
+    """Guards against a reader that waits on a connection that was closed."""
+    endpoint = await endpoints.ScriptedEndpoint(
+        lambda sent, number: [CHUNKED + before, malformed, STALL]
+    ).start()
+    client = web.HttpClient(TIMEOUT_MS)
+    with pytest.raises(errors.MaybeSentError, match='cut short'):
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            await read(client, endpoint.address, None)
+    await nodes.until(endpoint.peer_closed.is_set)
+    await client.close()
+    await endpoint.close()
+
+
+async def test_request_is_not_written_after_its_call_ended():
+    """Guards against a request that an endpoint gets whole once given up."""
+    body = b'x' * (16 << 20)
+    ended = asyncio.Event()
+    received = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        size_bytes = 0
+        await ended.wait()
+        try:
+            while chunk := await reader.read(1 << 20):
+                size_bytes += len(chunk)
+        except ConnectionError:
+            pass
+        received.set_result(size_bytes)
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    client = web.HttpClient(TIMEOUT_MS)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            async with client.send(
+                'POST', f'http://127.0.0.1:{port}/', {}, body
+            ):
+                pass
+    ended.set()
+    assert await received < len(body)
+    await client.close()
+    server.close()
+
+
 class FakeTransport(asyncio.Transport):
     """Transport that records whether it was aborted."""
 
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -51,7 +51,13 @@
         """Prepare to parse the response to the next request."""
         super().set_response_params(**named)
         self._parser = response_parser.PrefixParser(
-            self._parser, lambda: self._new_parser(**named)
+            self._parser,
+            lambda: self._new_parser(**named),
+            response_parser.head_limit_bytes(
+                named['max_line_size'],
+                named['max_field_size'],
+                named['max_headers'],
+            ),
         )
 
     def _new_parser(
@@ -140,8 +146,16 @@
         super().connection_lost(exc)
 
     def close(self) -> None:
-        """Fail a body that this side closes before its end."""
+        """Fail a body that this side closes before its end.
+
+        What is not yet written of a request is dropped.
+        """
         self._fail_payload(ConnectionAbortedError('connection closed'))
+        if self.transport is not None and (
+            self.transport.get_write_buffer_size()
+        ):
+            self.abort()
+            return
         super().close()
 
     def _fail_payload(self, error: BaseException) -> None:
