Search the bytes of a streamed event once

Callers saw: on a host with one stream whose event never ends, slow answers of all other calls, up to the deadline of that stream.

Cause: EventTracker searched all it holds of an incomplete event, up to 1 MiB, for its end with each chunk. Of a stream that isn't resumable it holds the last MiB for as long as the stream lasts.

Change: the search starts three bytes before the new chunk, which is as much of an end as may have arrived before. What is held has no end of an event.

Failed before: 6 of 6 rows of test_bytes_of_an_endless_event_are_searched_once.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -67,3 +67,31 @@
     for start in range(0, len(data), step_bytes):
         tracker.feed(data[start : start + step_bytes])
     assert tracker.is_inside_event is is_inside
+
+
+class CountingPattern:
+    """Counts the bytes that are searched for the end of an event."""
+
+    def __init__(self, pattern):
+        self._pattern = pattern
+        self.searched_bytes = 0
+
+    def finditer(self, data, start=0):
+        self.searched_bytes += len(data) - start
+        return self._pattern.finditer(data, start)
+
+
+@pytest.mark.parametrize('line', [b'data: x\n', b': ping\r\n', b'x' * 8])
+@pytest.mark.parametrize('whole_only', [True, False])
+def test_bytes_of_an_endless_event_are_searched_once(
+    monkeypatch, whole_only, line
+):
+    """Guards against an event without end that keeps a host busy."""
+    pattern = CountingPattern(event_tracker.EVENT_END)
+    monkeypatch.setattr(event_tracker, 'EVENT_END', pattern)
+    tracker = event_tracker.EventTracker(whole_only)
+    chunk = line * 128
+    for _chunk in range(1_200):
+        tracker.feed(chunk)
+    assert tracker.event_count == 0
+    assert pattern.searched_bytes < 1.01 * 1_200 * len(chunk)
--- a/wrenspoke/coordination/serving/event_tracker.py
+++ b/wrenspoke/coordination/serving/event_tracker.py
@@ -14,7 +14,7 @@
 # What may stand between two events: empty lines and whole comment lines.
 BETWEEN_EVENTS = re.compile(rb'(?:\xef\xbb\xbf)?(?:[\r\n]|:[^\r\n]*[\r\n])*')
 ID_LINE = re.compile(rb'(?:\A(?:\xef\xbb\xbf)?|[\r\n])id: ?([^\r\n]*)')
-# Bytes of a forwarded partial event that may begin its last line end.
+# Bytes at the end of a partial event that may begin its last line end.
 TAIL_BYTES = 3
 # Streams with larger events are forwarded unbuffered.
 EVENT_BUFFER_LIMIT_BYTES = 1024 * 1024
@@ -40,9 +40,11 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those that may be forwarded."""
+        # What is buffered has no end of an event, but may begin one.
+        start = max(len(self._buffer) - TAIL_BYTES, 0)
         self._buffer += data
         end = 0
-        for found in EVENT_END.finditer(self._buffer):
+        for found in EVENT_END.finditer(self._buffer, start):
             self._record_event(self._buffer[end : found.end()])
             end = found.end()
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
