Bound the time that the callers' library waits

Callers saw: a chat, a call or a fetch of the directory that never returned, where a host sends a byte now and then, or sends a part of an answer and keeps the connection. No other host was tried for the directory.

Cause: Caller bounded bytes and the time to connect, nothing else. The deadline of a request was only sent to the host.

Change: a fetch has 5 s for each host. A request ends one second after its deadline, over all hosts that are tried; that leaves time for the host's own answer at the deadline. Without a deadline it ends after 600 s, the longest one that hosts accept by default. The text of a stream is bounded by the limit of other answers.

test_truncated: sent_to is split, so that other tests share its dispatcher. The rows and what they check are the same.

--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -155,35 +155,51 @@
 
 
 @contextlib.asynccontextmanager
-async def sent_to(script, kind=CHAT, method='POST'):
-    """Send work to a configured endpoint, and yield the response."""
-    engine = await endpoints.ScriptedEndpoint(script).start()
-    found = configuration.Endpoint(
-        'e', 's', 'north', 'hall', f'http://{engine.address}'
-    )
+async def dispatching(url):
+    """Yield a dispatcher that knows one endpoint."""
     known = replica.Replica()
-    known.current = configuration.Configuration(endpoints={'e': found})
+    known.current = configuration.Configuration(
+        endpoints={'e': _configured(url)}
+    )
     known.serving = True
     client = web.HttpClient(1_000)
-    clock = clocks.Clock()
-    dispatcher = dispatch.Dispatcher('h', 'north', known, client, clock)
+    try:
+        yield dispatch.Dispatcher('h', 'north', known, client, clocks.Clock())
+    finally:
+        await client.close()
+
+
+def _configured(url):
+    return configuration.Endpoint('e', 's', 'north', 'hall', url)
+
+
+def chat(kind=CHAT, method='POST'):
+    """Return work for the endpoint."""
     head = requests.RequestHead(
-        'r1', kind, method, '/', 's', clock.mono_ms() + 5_000
+        'r1', kind, method, '/', 's', clocks.Clock().mono_ms() + 5_000
     )
-    work = dispatch.Send(
+    return dispatch.Send(
         dispatch.Purpose.FIRST,
         'e',
         method,
         '/',
         b'{}',
         head,
-        test_dispatch.slot(found),
+        test_dispatch.slot(_configured('')),
     )
+
+
+@contextlib.asynccontextmanager
+async def sent_to(script, kind=CHAT, method='POST'):
+    """Send work to a configured endpoint, and yield the response."""
+    engine = await endpoints.ScriptedEndpoint(script).start()
     try:
-        async with dispatcher.send(work) as answer:
+        async with (
+            dispatching(f'http://{engine.address}') as dispatcher,
+            dispatcher.send(chat(kind, method)) as answer,
+        ):
             yield answer
     finally:
-        await client.close()
         await engine.close()
 
 
--- a/wrenspoke/caller.py
+++ b/wrenspoke/caller.py
@@ -12,6 +12,7 @@
 from wrenspoke.protocol import entry_api
 from wrenspoke.protocol import errors as protocol_errors
 from wrenspoke.protocol import headers
+from wrenspoke.protocol import numerals
 from wrenspoke.protocol import replies
 from wrenspoke.protocol import requests
 from wrenspoke.protocol import sse
@@ -20,6 +21,12 @@
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_MS = 1_000
+GET_TIMEOUT_MS = 5_000
+# Bounds requests without a deadline; hosts accept none that is longer, unless
+# their settings say so.
+DEADLINE_LIMIT_MS = 600_000
+# Time for a host's own response at the deadline to arrive.
+DEADLINE_GRACE_MS = 1_000
 OK = 200
 UNAVAILABLE = 503
 ONCE_KEY_SEPARATOR = ':'
@@ -52,7 +59,8 @@
 class Caller:
     """Client that sends requests to entry hosts and fails over between them.
 
-    Hosts are tried in the order of ``urls``. A resend keeps the request id
+    Hosts are tried in the order of ``urls``, all of them within the deadline
+    of the request. A resend keeps the request id
     and increments the attempt number. The continuation of a broken stream
     gets a new id, and a refusal before the run is not counted as an attempt.
     """
@@ -79,14 +87,11 @@
         problems = []
         for url in self._urls:
             try:
-                # The response carries no request id to compare.
-                async with self.client.send(
-                    'GET', url + path, {}, new_connection=True
-                ) as found:
-                    body = await web.read_declared_body(
-                        found, ANSWER_LIMIT_BYTES
-                    )
+                async with clocks.timeout_ms(GET_TIMEOUT_MS):
+                    body = await self._read(url + path)
                 return msgspec.json.decode(body)
+            except TimeoutError:
+                problems.append(f'{url}: no answer in {GET_TIMEOUT_MS} ms')
             except (
                 transport_errors.TransportError,
                 msgspec.DecodeError,
@@ -94,6 +99,13 @@
                 problems.append(f'{url}: {error}')
         raise CallerError('; '.join(problems))
 
+    async def _read(self, url: str) -> bytes:
+        # The response carries no request id to compare.
+        async with self.client.send(
+            'GET', url, {}, new_connection=True
+        ) as found:
+            return await web.read_declared_body(found, ANSWER_LIMIT_BYTES)
+
     async def refresh(self, region: str | None = None) -> list[str]:
         """Fetch the directory and use the hosts that it lists.
 
@@ -146,9 +158,22 @@
     async def _send_with_failover(
         self, method, path, sent, body, on_text
     ) -> Result:
+        total = Result('lost')
+        limit_ms = _deadline_ms(sent) + DEADLINE_GRACE_MS
+        try:
+            async with clocks.timeout_ms(limit_ms):
+                await self._try_hosts(method, path, sent, body, total, on_text)
+        except TimeoutError:
+            total.outcome = 'lost'
+            total.reason = f'no whole response in {limit_ms} ms'
+        return total
+
+    async def _try_hosts(
+        self, method, path, sent, body, total, on_text
+    ) -> None:
+        """Send a request to one host after the other until one serves it."""
         sent.setdefault(headers.REQUEST, ids.new_random_id())
         attempt = int(sent.get(headers.ATTEMPT, '1'))
-        total = Result('lost')
         for url in list(self._urls):
             sent[headers.ATTEMPT] = str(attempt)
             attempt += 1
@@ -174,7 +199,6 @@
             # attempt of a once-only request needs a higher number even so.
             if ONCE_KEY_SEPARATOR not in sent[headers.REQUEST]:
                 attempt -= 1
-        return total
 
     async def _send_attempt(
         self,
@@ -227,11 +251,21 @@
             text = chunk['choices'][0]['delta'].get('content') or ''
             total.events += 1
             total.text += text
+            if len(total.text) > ANSWER_LIMIT_BYTES:
+                raise transport_errors.MaybeSentError(
+                    f'stream exceeds {ANSWER_LIMIT_BYTES} characters'
+                )
             if on_text is not None:
                 on_text(text)
         raise transport_errors.MaybeSentError('stream ended early')
 
 
+def _deadline_ms(sent: collections.abc.Mapping[str, str]) -> int:
+    """Return the deadline that request headers state, or the limit."""
+    found_ms = numerals.parse_whole(sent.get(headers.DEADLINE_MS, ''))
+    return DEADLINE_LIMIT_MS if found_ms is None else found_ms
+
+
 def _continuation_body(body: dict | bytes, text: str) -> bytes:
     if isinstance(body, bytes):
         return body
