Bound the time to fetch the runs of a load test

Users of wrenspoke-load saw: no report, where one endpoint never ends its list of runs. The list has a bound on bytes only.

--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -20,6 +20,7 @@
 from wrenspoke.coordination.membership import host_list_poller
 from wrenspoke.coordination.membership import load_poller
 from wrenspoke.coordination.serving import streams
+from wrenspoke import load
 from wrenspoke import operator as operators
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import passthrough_api
@@ -123,6 +124,13 @@
     await client.close()
 
 
+async def read_runs(url, monkeypatch):
+    monkeypatch.setattr(callers, 'GET_TIMEOUT_MS', TIMEOUT_MS)
+    endpoint = types.SimpleNamespace(endpoint='e', url=url)
+    deployment = types.SimpleNamespace(endpoints=[endpoint])
+    assert await load.collect_runs(deployment) == {}
+
+
 async def read_host_list(url, monkeypatch):
     monkeypatch.setattr(host_list_poller, 'LIST_INTERVAL_MS', TIMEOUT_MS)
     client = web.HttpClient(TIMEOUT_MS)
@@ -172,6 +180,7 @@
         read_operator_answer,
         operators.ANSWER_LIMIT_BYTES,
     ),
+    'runs': (read_runs, callers.ANSWER_LIMIT_BYTES),
     'host list': (read_host_list, host_list_poller.LIST_LIMIT_BYTES),
     'load': (read_load, load_poller.ANSWER_LIMIT_BYTES),
     'engine state': (read_state, execution.ANSWER_LIMIT_BYTES),
--- a/wrenspoke/load.py
+++ b/wrenspoke/load.py
@@ -246,13 +246,14 @@
     try:
         for endpoint in deployment.endpoints:
             try:
-                async with client.send(
-                    'GET', f'{endpoint.url}/runs', {}
-                ) as answer:
+                async with (
+                    clocks.timeout_ms(callers.GET_TIMEOUT_MS),
+                    client.send('GET', f'{endpoint.url}/runs', {}) as answer,
+                ):
                     body = await web.read_body(
                         answer, callers.ANSWER_LIMIT_BYTES
                     )
-            except transport_errors.TransportError:
+            except (TimeoutError, transport_errors.TransportError):
                 continue
             counts = msgspec.json.decode(body)
             found[endpoint.endpoint] = EndpointRuns(
