Believe unnamed refusals only on new connections

Callers saw: a request ran on two endpoints, or got a 503 that says "not run" although it ran, after an endpoint sent a refusal without a request id again as the next request arrived. After such a 421 the endpoint was withdrawn.

Cause: a refusal without an id counted as one of the request on any connection, although it may be left over from any request before.

Change: exchange.accept_unnamed. An unnamed refusal proves something only as the response to the first request of its connection, and that connection is not used again. Later it is a foreign response: outcome unknown, connection closed. Endpoints of both ways in use it; hosts follow when their refusals name the request.

Why it works: on a new connection nothing earlier can be left over, and on a closed one no copy can arrive.

Changed tests: test_response_is_own_by_the_echoed_id expected belief on any connection; it now gives the number of the request on its connection, with rows for the first and a later one. The rows of benches.switches_attribution follow the code, and two are new.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -6,6 +6,7 @@
 DECISIONS = switches.DECISIONS
 TRANSPORT = 'wrenspoke/transport/'
 SURPLUS = 'tests/test_surplus_responses.py'
+UNNAMED = 'tests/test_unnamed_refusals.py'
 EXCHANGE = 'tests/test_exchange.py'
 Switch = switches.Switch
 
@@ -55,17 +56,32 @@
     Switch(
         'refusals without an id are foreign',
         DECISIONS + 'serving/sending.py',
-        'if not echoed and self._may_be_unnamed(destination, response):',
-        'if False:',
+        'not echoed and self._may_be_unnamed(destination, response)',
+        'False',
         f'{SURPLUS} -k refusal',
     ),
     Switch(
         'instance of a 421 is not looked at',
         DECISIONS + 'serving/sending.py',
-        'return not self._names_called_instance(destination, response)',
-        'return True',
+        '            if self._names_called_instance(destination, response):\n'
+        '                return False\n',
+        '            pass\n',
         f'{SURPLUS} -k instance',
     ),
+    Switch(
+        'unnamed refusals are believed on used connections',
+        TRANSPORT + 'exchange.py',
+        '    if request_count(response) != 1:\n',
+        '    if False:\n',
+        f'{UNNAMED} -k late',
+    ),
+    Switch(
+        'connections of unnamed refusals are kept',
+        TRANSPORT + 'exchange.py',
+        '    _close_after(response)\n    return True\n',
+        '    return True\n',
+        f'{UNNAMED} -k repeated',
+    ),
     Switch(
         'malformed bytes lose the response before them',
         TRANSPORT + 'response_parser.py',
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import types
+from unittest import mock
 
 import msgspec
 import pytest
@@ -147,25 +148,32 @@
 
 
 @pytest.mark.parametrize(
-    'found, status, once, echoes, own',
+    'found, status, once, echoes, request_count, own',
     [
-        ('own', 200, False, True, True),
-        ('own', 503, True, True, True),
-        ('r1/another', 200, False, True, False),
-        ('r1/another', 503, False, True, False),
-        ('r1/another', 429, False, True, False),
-        (None, 200, False, True, False),
-        (None, 503, False, True, True),
-        (None, 429, False, True, True),
-        (None, 503, True, True, False),
-        ('made by the endpoint', 200, False, False, True),
+        ('own', 200, False, True, 1, True),
+        ('own', 503, True, True, 2, True),
+        ('r1/another', 200, False, True, 1, False),
+        ('r1/another', 503, False, True, 1, False),
+        ('r1/another', 429, False, True, 1, False),
+        (None, 200, False, True, 1, False),
+        (None, 503, False, True, 1, True),
+        (None, 429, False, True, 1, True),
+        (None, 503, False, True, 2, False),
+        (None, 429, False, True, 2, False),
+        (None, 503, True, True, 1, False),
+        ('made by the endpoint', 200, False, False, 1, True),
     ],
 )
-def test_response_is_own_by_the_echoed_id(found, status, once, echoes, own):
+def test_response_is_own_by_the_echoed_id(
+    found, status, once, echoes, request_count, own
+):
     """Guards against an overload status of another request's response."""
     send = dataclasses.replace(SENT, head=ONCE if once else HEAD)
     endpoint = msgspec.structs.replace(ENDPOINT, echoes_request_id=echoes)
     echo = {'own': send.echo_id}.get(found, found)
     fields = {} if echo is None else {headers.ECHOED_REQUEST_ID: echo}
-    response = types.SimpleNamespace(status=status, headers=fields)
+    protocol = mock.Mock(request_count=request_count)
+    response = types.SimpleNamespace(
+        status=status, headers=fields, _protocol=protocol, connection=None
+    )
     assert dispatch._is_own(send, endpoint, response) is own
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests import endpoints
 from tests import loops
 from tests import nodes
 from wrenspoke.transport import errors
@@ -148,3 +149,68 @@
     assert transport.aborted
     with pytest.raises(errors.UnsolicitedBytesError):
         handler.begin_request()
+
+
+async def is_accepted(client, address, method='GET'):
+    """Return whether a response without an id is taken for its request's."""
+    body = b'body' if method == 'POST' else None
+    try:
+        async with client.send_verbatim(
+            method,
+            address,
+            '/',
+            [],
+            body,
+            lambda: True,
+            exchange.accept_unnamed,
+        ) as response:
+            return await web.read_body(response, 1 << 20) == OWN[-3:]
+    except errors.ForeignResponseError:
+        return False
+
+
+async def serve_whole(reader, writer):
+    """Respond in one packet, so that the connection is idle at once."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while await endpoints.read_request(reader):
+            writer.write(OWN)
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_unnamed_response_is_accepted_on_a_new_connection(method):
+    """Guards against a copy of it that arrives for a later request."""
+    endpoint = ThreadedEndpoint()
+    client = web.HttpClient(TIMEOUT_MS)
+    await client.open_idle(endpoint.address)
+    for _call in range(3):
+        assert await is_accepted(client, endpoint.address, method)
+    assert endpoint.accepted_count == 3
+    await client.close()
+    endpoint.close()
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_unnamed_response_in_one_packet_ends_its_connection(method):
+    """Guards against a connection that is idle before its head is read."""
+    server = await asyncio.start_server(serve_whole, '127.0.0.1', 0)
+    address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+    client = web.HttpClient(TIMEOUT_MS)
+    for _call in range(3):
+        assert await is_accepted(client, address, method)
+        assert client.count_idle(address, 0) == 0
+    await client.close()
+    server.close()
+
+
+@pytest.mark.parametrize('first', [None, b'body'], ids=['GET', 'POST'])
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_unnamed_response_to_a_later_request_is_foreign(first, method):
+    """Guards against a response that is left over from an earlier request."""
+    endpoint = ThreadedEndpoint()
+    client = web.HttpClient(TIMEOUT_MS)
+    assert await read(client, endpoint.address, first) == b'own'
+    assert not await is_accepted(client, endpoint.address, method)
+    assert await is_accepted(client, endpoint.address, method)
+    assert endpoint.accepted_count == 2
+    await client.close()
+    endpoint.close()
--- a/tests/test_surplus_soak.py
+++ b/tests/test_surplus_soak.py
@@ -28,14 +28,20 @@
 
 
 class FaultyEndpoint(endpoints.ScriptedEndpoint):
-    """Runs or refuses requests, and sends some responses twice."""
+    """Runs or refuses requests, and sends some responses twice.
 
-    def __init__(self, chance, runs):
+    Without ``names_refusals`` its refusals carry no request id.
+    """
+
+    def __init__(self, chance, runs, names_refusals):
         super().__init__(None)
         self._chance = chance
         self._runs = runs
-        # How often the surplus came in the place of the next response.
+        self._names_refusals = names_refusals
+        # How often the surplus came in the place of the next response, and
+        # how often it named no request.
         self.late_count = 0
+        self.late_unnamed_count = 0
 
     async def restart(self):
         """End every connection, and listen again at the same address."""
@@ -50,6 +56,7 @@
                 sent = await endpoints.read_request(reader)
                 if late:
                     self.late_count += 1
+                    self.late_unnamed_count += ID.encode() not in late
                     writer.write(late)
                     late = b''
                 own = await self._respond(sent)
@@ -65,7 +72,10 @@
         refusal = self._chance.choice([None] * 3 + ['503 Full', '429 Busy'])
         await asyncio.sleep(self._chance.random() / 100)
         if refusal is not None:
-            return passing.answer(sent, request.encode(), refusal, NOT_RUN)
+            own = passing.answer(sent, request.encode(), refusal, NOT_RUN)
+            if self._names_refusals:
+                return own
+            return own.replace(endpoints.echo_header(sent, ID), b'')
         self._runs[request] += 1
         return passing.answer(sent, request.encode())
 
@@ -121,7 +131,9 @@
         await system.put(passing.route(routes.RouteKind.ONCE))
         made = []
         for number in range(12):
-            endpoint = await FaultyEndpoint(chance, runs).start()
+            endpoint = await FaultyEndpoint(
+                chance, runs, names_refusals=bool(number % 2)
+            ).start()
             made.append(endpoint)
             await system.register(f'e{number}', endpoint)
         restarts = asyncio.ensure_future(restart_some(chance, made))
@@ -143,7 +155,11 @@
         status for status, _body in answers.values()
     )
     late_count = sum(endpoint.late_count for endpoint in made)
-    print(f'seed {seed}: {dict(statuses)}, {late_count} late')
+    late_unnamed_count = sum(found.late_unnamed_count for found in made)
+    print(
+        f'seed {seed}: {dict(statuses)}, {late_count} late, '
+        f'{late_unnamed_count} of them unnamed'
+    )
     assert len(answers) == CALLERS * CALLS
     assert statuses[200] > CALLERS
     assert late_count
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -35,6 +35,7 @@
 from wrenspoke.protocol import sse
 from wrenspoke.state import configuration
 from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import exchange as exchanges
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -493,8 +494,9 @@
 ) -> bool:
     """Return whether a response belongs to a request.
 
-    An overload status without an id counts as one of the request, unless the
-    request may run once only.
+    An overload status without an id can only be one of the request on a
+    connection that carried no other, and proves nothing of a request that
+    may run once only.
     """
     if not endpoint.echoes_request_id:
         return True
@@ -503,7 +505,12 @@
         return True
     once = send.head is not None and send.head.once
     is_overload = response.status in advertised.REFUSAL_STATUSES
-    if is_overload and not echoed and not once:
+    if (
+        is_overload
+        and not echoed
+        and not once
+        and exchanges.accept_unnamed(response)
+    ):
         return True
     logger.warning(
         'response_id_mismatch',
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -471,7 +471,8 @@
     ) -> bool:
         """Return whether a response belongs to a call.
 
-        A refusal without a request id counts as one of the call.
+        A refusal without a request id can only be one of the call on a
+        connection that carried no other request.
         """
         echoed = response.headers.get(self._dialect.request)
         if echoed == call.request:
@@ -493,15 +494,18 @@
         self, destination: Destination, response: aiohttp.ClientResponse
     ) -> bool:
         """Return whether a response without a request id is a refusal."""
-        if _is_misdirected(destination, response):
-            # An instance doesn't reject its own requests as misdirected.
-            return not self._names_called_instance(destination, response)
-        if self._dialect.not_run in response.headers:
-            return True
-        return (
+        if (
             destination.host is not None
             and passthrough_api.REFUSED_HEADER in response.headers
-        )
+        ):
+            return True
+        if _is_misdirected(destination, response):
+            # An instance doesn't reject its own requests as misdirected.
+            if self._names_called_instance(destination, response):
+                return False
+        elif self._dialect.not_run not in response.headers:
+            return False
+        return exchanges.accept_unnamed(response)
 
     def _names_called_instance(
         self, destination: Destination, response: aiohttp.ClientResponse
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -193,6 +193,28 @@
     return response._protocol.request_count
 
 
+def accept_unnamed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response without an id can only be its request's.
+
+    Only that to the first request of a connection can't be left over from an
+    earlier one. No later request uses the connection, as a copy of the
+    response could arrive in the place of its own.
+    """
+    if request_count(response) != 1:
+        return False
+    _close_after(response)
+    return True
+
+
+def _close_after(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response at the end of its body."""
+    if response.connection is None:
+        # It is idle already.
+        response._protocol.close()
+    else:
+        response._protocol.force_close()
+
+
 def discard_connection(response: aiohttp.ClientResponse) -> None:
     """Close a response and its connection, also if that is idle already.
 
