--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -133,13 +133,24 @@
             lambda: next((c for c in self.controls if c.voter.has_lease), None)
         )
 
-    async def put(self, *found, version=None, teams=None, **service):
-        """Commit a route table and wait until every entry host has it."""
+    async def put(
+        self, *found, version=None, teams=None, others=(), **service
+    ):
+        """Commit a route table and wait until every entry host has it.
+
+        ``others`` names services beside the one that ``service`` describes.
+        """
         leader = await self.leader()
         table = routes.RouteTable(
             version or next(self.numbers),
             found,
-            {'s': routes.RoutedService('s', '/health', 10, **service)},
+            {
+                's': routes.RoutedService('s', '/health', 10, **service),
+                **{
+                    name: routes.RoutedService(name, '/health', 10)
+                    for name in others
+                },
+            },
             digest=repr((found, teams)),
             teams=teams,
         )
