Bound the wait of a host that passes a kept answer on

Callers saw: nothing. A host that passes a request for a kept answer on waited for the head of the other host's response as long as the asking host kept its connection; one that is suspended keeps it.

Change: it waits PATH_LIMIT_MS, as the asking host does.

Readers of health, of answers of other regions and of chats join the table of test_reader_ends_a_response_without_end; they ended all responses before, but for "chunk size" as fast as it is read, which bounds.

--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -7,9 +7,11 @@
 import contextlib
 import types
 
+import msgspec
 import pytest
 
 from tests import endpoints
+from tests import fleet
 from tests import loops
 from tests import nodes
 from tests import test_truncated as truncated
@@ -19,12 +21,23 @@
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import host_list_poller
 from wrenspoke.coordination.membership import load_poller
+from wrenspoke.coordination.serving import forwarding
 from wrenspoke.coordination.serving import streams
+from wrenspoke.coordination.serving import take_up
+from wrenspoke.coordination.serving import warmup_probe
 from wrenspoke import load
 from wrenspoke import operator as operators
+from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import headers
+from wrenspoke.protocol import hops
+from wrenspoke.protocol import kept_answers
+from wrenspoke.protocol import outcomes
 from wrenspoke.protocol import passthrough_api
+from wrenspoke.protocol import requests
 from wrenspoke.protocol import sse
+from wrenspoke import settings
+from wrenspoke.state import registry
+from wrenspoke.state import routes
 from wrenspoke.transport import web
 
 MIB = 1 << 20
@@ -67,10 +80,20 @@
     'status line': (b'HTTP/1.1 200 ', b'O'),
     'header': (b'HTTP/1.1 200 OK\r\nX: ', b'x'),
     'headers': (b'HTTP/1.1 200 OK\r\n', b'X: x\r\n'),
+    'blank lines': (b'', b'\r\n'),
+    'interim responses': (b'', b'HTTP/1.1 103 Early\r\n\r\n'),
     'body with a length': (body_of(JSON, SIZED), b'['),
     'chunks': (body_of(JSON, CHUNKED), b'1\r\n[\r\n'),
+    'chunk size': (body_of(JSON, CHUNKED), b'0'),
     'body up to a close': (body_of(JSON), b'['),
 }
+HEADS = [
+    'status line',
+    'header',
+    'headers',
+    'blank lines',
+    'interim responses',
+]
 STREAMS = {
     'event': (body_of(STREAM), b'data: x\n'),
     'line of an event': (body_of(STREAM), b'x'),
@@ -143,11 +166,11 @@
 
 async def read_load(url, monkeypatch):
     reports = []
-    settings = types.SimpleNamespace(load_poll_interval_ms=TIMEOUT_MS)
+    limits = types.SimpleNamespace(load_poll_interval_ms=TIMEOUT_MS)
     table = types.SimpleNamespace(add_report=reports.append)
     async with truncated.dispatching(url) as dispatcher:
         poller = load_poller.LoadPoller(
-            settings,
+            limits,
             'north',
             'hall',
             dispatcher,
@@ -172,6 +195,79 @@
             await executor._read_engine_state('e')
 
 
+class OpenGate:
+    """Permits every send."""
+
+    async def acquire(self, _life, _rank):
+        return types.SimpleNamespace(
+            is_valid=lambda: True, on_response=lambda _found: None
+        )
+
+
+async def probe_health(url, monkeypatch):
+    table = types.SimpleNamespace(
+        service=lambda _name: routes.RoutedService('s', '/health', 10)
+    )
+    client = web.HttpClient(TIMEOUT_MS)
+    probe = warmup_probe.WarmupProbe(
+        types.SimpleNamespace(add_listener=lambda _listener: None),
+        types.SimpleNamespace(current=types.SimpleNamespace(routes=table)),
+        dialects.Dialect(),
+        client,
+        OpenGate(),
+        clocks.Clock(),
+    )
+    registered = registry.Registration(
+        'e',
+        's',
+        url.removeprefix('http://'),
+        'hall',
+        4,
+        registry.RegistrationState.READY,
+        1,
+    )
+    assert await probe._probe_endpoint(registered) is None
+    await client.close()
+
+
+async def forward(url, monkeypatch):
+    made = fleet.deployment(regions=('south',), entries=1)
+    made['hosts'][0]['http_port'] = int(url.rpartition(':')[2])
+    region = truncated.OneRegion(['south-1'])
+    client = web.HttpClient(1_000)
+    clock = clocks.Clock()
+    forwarder = forwarding.Forwarder(
+        'north-1',
+        settings.parse(msgspec.json.encode(made)),
+        region,
+        region,
+        client,
+        hops.HopSigner('test', b'k' * 32),
+        types.SimpleNamespace(record=lambda *_values, **_fields: None),
+        clock,
+    )
+    head = requests.RequestHead(
+        'r1',
+        requests.RequestKind.PLAIN,
+        'GET',
+        '/map',
+        'records',
+        clock.mono_ms() + TIMEOUT_MS,
+    )
+    with pytest.raises(errors.RequestEndedError) as ended:
+        await forwarder.forward(head, b'', 'south', truncated.WholeReply())
+    assert ended.value.ending.outcome is outcomes.Outcome.UNKNOWN
+    await client.close()
+
+
+async def read_call_answer(url, monkeypatch):
+    async with truncated.dispatching(url) as dispatcher:
+        with pytest.raises((errors.MaybeSentError, TimeoutError)):
+            async with clocks.timeout_ms(TIMEOUT_MS):
+                async with dispatcher.send(truncated.chat()) as answer:
+                    await answer.read_all(MIB)
+
+
 # What reads a response, and how many bytes of a body it accepts.
 READERS = {
     'directory': (read_directory, callers.ANSWER_LIMIT_BYTES),
@@ -184,6 +280,9 @@
     'host list': (read_host_list, host_list_poller.LIST_LIMIT_BYTES),
     'load': (read_load, load_poller.ANSWER_LIMIT_BYTES),
     'engine state': (read_state, execution.ANSWER_LIMIT_BYTES),
+    'health': (probe_health, warmup_probe.BODY_LIMIT_BYTES),
+    'answer of another region': (forward, 64 * MIB),
+    'answer to a chat': (read_call_answer, MIB),
 }
 
 
@@ -204,6 +303,44 @@
         assert per_request <= limit_bytes + SLACK_BYTES
 
 
+async def ask_for_rest(url, monkeypatch):
+    monkeypatch.setattr(take_up, 'PATH_LIMIT_MS', TIMEOUT_MS)
+    client = web.HttpClient(1_000)
+    exchange = take_up.HopExchange(
+        client, None, 'h1', 't1', list, bool, clocks.Clock()
+    )
+    record = types.SimpleNamespace(
+        host='h2', passing_address=url.removeprefix('http://')
+    )
+    assert await exchange._ask(record) is None
+    await client.close()
+
+
+async def pass_rest_on(url, monkeypatch):
+    monkeypatch.setattr(take_up, 'PATH_LIMIT_MS', TIMEOUT_MS)
+    client = web.HttpClient(1_000)
+    address = url.removeprefix('http://')
+    forwarder = take_up.TakeUpForwarder(client, lambda _host: address)
+    reply = types.SimpleNamespace(recalled=None)
+    found = await forwarder.forward(kept_answers.TakeUp('h1', 't1', 0), reply)
+    assert (found, reply.recalled) == (False, None)
+    await client.close()
+
+
+@pytest.mark.parametrize('pace', PACES)
+@pytest.mark.parametrize('response', HEADS)
+@pytest.mark.parametrize('read', [ask_for_rest, pass_rest_on])
+async def test_request_for_a_kept_answer_ends(
+    monkeypatch, read, response, pace
+):
+    """Guards against heads without end of hosts that keep an answer."""
+    async with endless(RESPONSES[response], pace) as endpoint:
+        async with asyncio.timeout(nodes.WAIT_S):
+            await read(f'http://{endpoint.address}', monkeypatch)
+        await nodes.until(lambda: not endpoint.open_count)
+        assert endpoint.requests
+
+
 @pytest.mark.parametrize('pace', PACES)
 @pytest.mark.parametrize('response', STREAMS)
 async def test_caller_ends_a_stream_without_end(monkeypatch, response, pace):
--- a/wrenspoke/coordination/serving/take_up.py
+++ b/wrenspoke/coordination/serving/take_up.py
@@ -365,29 +365,45 @@
             return False
         request = msgspec.structs.replace(take_up, passed_on=True)
         try:
-            async with self._client.send_verbatim(
-                'GET',
-                address,
-                '/',
-                take_up_fields(request),
-                None,
-                is_own=functools.partial(is_own, token=take_up.token),
-            ) as response:
-                if not is_taken_up(response, take_up.token):
-                    if is_recalled(response, take_up.token):
-                        reply.recalled = take_up.token
-                    return False
-                fields = dialects.response_fields(response.raw_headers)
-                await reply.send_head(response.status, fields)
-                async for chunk in web.read_chunks(response):
-                    await reply.write(chunk)
-                await reply.end()
-        except transport_errors.TransportError as error:
+            async with contextlib.AsyncExitStack() as stack:
+                # The host that asks waits no longer.
+                async with clocks.timeout_ms(PATH_LIMIT_MS):
+                    response = await stack.enter_async_context(
+                        self._client.send_verbatim(
+                            'GET',
+                            address,
+                            '/',
+                            take_up_fields(request),
+                            None,
+                            is_own=functools.partial(
+                                is_own, token=take_up.token
+                            ),
+                        )
+                    )
+                return await _pass_on(response, take_up.token, reply)
+        except (TimeoutError, transport_errors.TransportError) as error:
             logger.info(
                 'take_up_failed', peer=take_up.host, problem=repr(error)
             )
             return False
-        return True
+
+
+async def _pass_on(
+    response: aiohttp.ClientResponse,
+    token: str,
+    reply: passthrough_api.Reply,
+) -> bool:
+    """Send the rest of an answer; return False if there is none."""
+    if not is_taken_up(response, token):
+        if is_recalled(response, token):
+            reply.recalled = token
+        return False
+    fields = dialects.response_fields(response.raw_headers)
+    await reply.send_head(response.status, fields)
+    async for chunk in web.read_chunks(response):
+        await reply.write(chunk)
+    await reply.end()
+    return True
 
 
 async def read_on(
