Bound the text of failed sends, and leave out request headers

What callers and operators saw: the text of a failed send went into log lines, causes and error responses. It quoted up to 29 KB that an endpoint had sent, and all headers of the request, those for authorization included.

Cause: the text was repr() of aiohttp's error, which holds the whole request and the message of its parser.

Why it works: both ways to send, and their errors on a lost connection, take the text from this one function.

Also asserted: none of these calls causes a log line in the transport, and bytes behind a response cause one at most.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -5,11 +5,13 @@
 import tracemalloc
 
 import pytest
+import structlog
 
 from tests import endpoints
 from tests import loops
 from tests import nodes
 from wrenspoke.transport import errors
+from wrenspoke.transport import failure_text
 from wrenspoke.transport import response_parser
 from wrenspoke.transport import web
 
@@ -168,9 +170,11 @@
     endpoint = endpoints.EndlessEndpoint(head, unit, TAKEN_LIMIT_BYTES)
     await endpoint.start()
     client = web.HttpClient(1_000, socket_buffer_bytes=SOCKET_BUFFER_BYTES)
-    body = await read(client, endpoint.address, method)
+    with structlog.testing.capture_logs() as lines:
+        body = await read(client, endpoint.address, method)
+        await nodes.until(endpoint.peer_closed.is_set)
+    assert len(lines) <= 1
     assert body == (b'whole' if b'whole' in whole else b'')
-    await nodes.until(endpoint.peer_closed.is_set)
     assert endpoint.written_bytes < TAKEN_LIMIT_BYTES
     assert client.count_idle(endpoint.address, 0) == 0
     await client.close()
@@ -208,3 +212,35 @@
         for found in gc.get_objects()
         if isinstance(found, response_parser.PrefixParser)
     ]
+
+
+@pytest.mark.parametrize('way', ['send', 'send_verbatim'])
+@pytest.mark.parametrize('form', HEADS)
+async def test_text_of_a_failure_is_bounded(form, way):
+    """Guards against bytes of an endpoint in logs and error responses.
+
+    Headers of the request are no part of it either.
+    """
+    endpoint = endpoints.EndlessEndpoint(*HEADS[form], TAKEN_LIMIT_BYTES)
+    await endpoint.start()
+    client = web.HttpClient(1_000)
+    fields = [('Authorization', 'hidden')]
+    calls = {
+        'send': lambda: client.send(
+            'GET', f'http://{endpoint.address}/', dict(fields)
+        ),
+        'send_verbatim': lambda: client.send_verbatim(
+            'GET', endpoint.address, '/', fields, None
+        ),
+    }
+    with structlog.testing.capture_logs() as lines:
+        with pytest.raises(errors.MaybeSentError) as caught:
+            async with calls[way]():
+                pass
+    text = str(caught.value)
+    assert len(text) < 2 * failure_text.TEXT_LIMIT_CHARACTERS
+    assert text.isprintable()
+    assert 'hidden' not in text
+    assert not lines
+    await client.close()
+    await endpoint.close()
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -25,6 +25,7 @@
 from wrenspoke.transport import connector
 from wrenspoke.transport import errors
 from wrenspoke.transport import exchange
+from wrenspoke.transport import failure_text
 
 MAX_CONNECTIONS_PER_HOST = 256
 # Maximum number of connections to try if peers send unsolicited bytes.
@@ -184,7 +185,9 @@
         except aiohttp.InvalidURL as error:
             raise errors.NotSentError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise errors.MaybeSentError(repr(error)) from error
+            raise errors.MaybeSentError(
+                failure_text.describe(error)
+            ) from error
         try:
             yield response
         finally:
@@ -232,7 +235,9 @@
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if guarded is not None and guarded.aborted:
-                raise errors.SendAbortedError(repr(error)) from error
+                raise errors.SendAbortedError(
+                    failure_text.describe(error)
+                ) from error
             raise errors.MaybeSentError(
                 _describe_failure(error, guarded)
             ) from error
@@ -316,9 +321,10 @@
     A body that was written in part may still have been run by an endpoint
     that does not wait for its end.
     """
+    cause = failure_text.describe(error)
     if body is None or body.written_bytes == body.size:
-        return repr(error)
-    return f'{error!r} after {body.written_bytes} of {body.size} body bytes'
+        return cause
+    return f'{cause} after {body.written_bytes} of {body.size} body bytes'
 
 
 def _listening_socket(
@@ -354,7 +360,7 @@
     ) as error:
         raise errors.NotSentError(str(error)) from error
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise errors.MaybeSentError(repr(error)) from error
+        raise errors.MaybeSentError(failure_text.describe(error)) from error
 
 
 class BodyFraming(enum.Enum):
