--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -7,6 +7,7 @@
 
 from tests import nodes
 from tests import power
+from wrenspoke import clock
 from wrenspoke.coordination.membership import leave_log
 from wrenspoke.state import disk
 from wrenspoke.state import registry
@@ -158,3 +159,36 @@
     await hosts.restart(hosts.synced_files(), lost=2)
     hosts.system.controls[1].registrar.register(registration('i-1'))
     await hosts.wait_left('i-1')
+
+
+def known_endpoints(*names):
+    """Return a registry with endpoints that are ready."""
+    known = registry.Registry(clock.Clock())
+    for name in names:
+        known.merge_registration(registration(name))
+    return known
+
+
+async def save_leave(folder, known, name):
+    """Withdraw an endpoint, and save it after what is in the file."""
+    saved = leave_log.LeaveLog(disk.Disk(folder), known)
+    saved.restore(0)
+    known.merge_registration(known.final_registration(name))
+    assert await saved.save()
+
+
+@pytest.mark.parametrize('cut_bytes', [1, 8, 30])
+async def test_leaves_go_on_behind_a_torn_write(tmp_path, cut_bytes):
+    """Guards against a log that a torn write makes unreadable."""
+    names = ['i-1', 'i-2', 'i-3']
+    path = tmp_path / leave_log.LOG_FILE
+    await save_leave(tmp_path, known_endpoints(*names), 'i-1')
+    whole = path.read_bytes()
+    await save_leave(tmp_path, known_endpoints(*names), 'i-2')
+    path.write_bytes(path.read_bytes()[:-cut_bytes])
+    assert len(path.read_bytes()) > len(whole)
+    await save_leave(tmp_path, known_endpoints(*names), 'i-3')
+    restored = known_endpoints(*names)
+    leave_log.LeaveLog(disk.Disk(tmp_path), restored).restore(0)
+    left = [name for name in names if not restored.entries[name].takes_work]
+    assert left == ['i-1', 'i-3']
