Name the request in refusals of hosts

Callers saw: nothing by itself.

Cause: Reply sent an id only with an endpoint's response, and the refusal of a take-up named no token. The receiver believed any refusal of a host, and on the own way in any response without an id.

Change: a response without an id gets that of the request, also one to a malformed request whose id is valid; responses to take-ups get the token. The receiver believes unnamed refusals, those of older releases, only as responses to the first request of a connection. The header of an endpoint's refusal is no verdict of a host, which may have used other endpoints: hosts never pass it on (refusals are their own and count the runs), so one that does leaves the outcome unknown. Forwarders of the own way in send the id beside the signed hop, for hosts that reject the hop.

Why it works: a refusal that names another request is foreign on any connection, and one that names none is believed only where nothing is left over.

Changed tests: test_forwarded_response_is_own_by_its_request_id expected an unnamed response to be own on any connection and now gives the number of the request. test_connection_of_a_host_that_knows_no_answer_is_kept has the rows named (kept, as before) and unnamed (closed), and looks for the idle connection instead of the closing alone.

--- a/tests/test_host_responses.py
+++ b/tests/test_host_responses.py
@@ -1,6 +1,7 @@
 """Responses of hosts are compared with the request they are read for."""
 
 import types
+from unittest import mock
 
 import pytest
 
@@ -35,20 +36,34 @@
         f'{passthrough_api.RECALLED_HEADER}: t0',
     ),
     'response to a call': response('200 OK', 'Wrenspoke-Request-Id: q1'),
+    'refusal of another request': response(
+        '410 Gone',
+        f'{passthrough_api.REFUSED_HEADER}: unknown_answer',
+        f'{passthrough_api.TAKE_UP_HEADER}: t0',
+    ),
 }
+REFUSED = f'{passthrough_api.REFUSED_HEADER}: unknown_answer'
 UNKNOWN = response(
-    '410 Gone', f'{passthrough_api.REFUSED_HEADER}: unknown_answer'
+    '410 Gone', REFUSED, f'{passthrough_api.TAKE_UP_HEADER}: {TOKEN}'
 )
+UNNAMED = response('410 Gone', REFUSED)
 
 
 async def forward(endpoint):
-    """Ask a host for the rest of an answer; return whether it came."""
+    """Ask a host for the rest of an answer; yield whether it came."""
+    async for found, _client in forward_by(endpoint):
+        yield found
+
+
+async def forward_by(endpoint):
+    """Ask a host for the rest of an answer; yield the client as well."""
     client = web.HttpClient(5_000)
     forwarder = take_up.TakeUpForwarder(client, lambda _host: endpoint.address)
     request = kept_answers.TakeUp('h1', TOKEN, 0)
     reply = types.SimpleNamespace(recalled=None)
     try:
-        yield await forwarder.forward(request, reply), reply.recalled
+        found = await forwarder.forward(request, reply)
+        yield (found, reply.recalled), client
     finally:
         await client.close()
 
@@ -65,25 +80,40 @@
     await endpoint.close()
 
 
-async def test_connection_of_a_host_that_knows_no_answer_is_kept():
+@pytest.mark.parametrize(
+    'refusal, kept',
+    [(UNKNOWN, True), (UNNAMED, False)],
+    ids=['named', 'unnamed'],
+)
+async def test_connection_of_a_host_that_knows_no_answer(refusal, kept):
+    """Guards against a copy of an unnamed refusal for a later request."""
     endpoint = await endpoints.ScriptedEndpoint(
-        lambda _sent, _number: [UNKNOWN]
+        lambda _sent, _number: [refusal]
     ).start()
-    async for found in forward(endpoint):
+    async for found, client in forward_by(endpoint):
         assert found == (False, None)
-        assert not endpoint.peer_closed.is_set()
+        assert client.count_idle(endpoint.address, 0) == kept
     await endpoint.close()
 
 
 @pytest.mark.parametrize(
-    'fields, own',
+    'fields, request_count, own',
     [
-        ({headers.REQUEST: 'r1'}, True),
-        ({headers.REQUEST: 'r0'}, False),
-        ({headers.REQUEST: ''}, True),
-        ({}, True),
+        ({headers.REQUEST: 'r1'}, 1, True),
+        ({headers.REQUEST: 'r1'}, 2, True),
+        ({headers.REQUEST: 'r0'}, 1, False),
+        ({headers.REQUEST: ''}, 1, True),
+        ({headers.REQUEST: ''}, 2, False),
+        ({}, 1, True),
+        ({}, 2, False),
     ],
 )
-def test_forwarded_response_is_own_by_its_request_id(fields, own):
-    found = types.SimpleNamespace(headers=fields)
+def test_forwarded_response_is_own_by_its_request_id(
+    fields, request_count, own
+):
+    """Guards against an unnamed response left over from another request."""
+    protocol = mock.Mock(request_count=request_count)
+    found = types.SimpleNamespace(
+        headers=fields, _protocol=protocol, connection=None
+    )
     assert forwarding._is_own(HEAD, found) is own
--- a/wrenspoke/coordination/serving/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -26,6 +26,7 @@
 from wrenspoke.protocol import sse
 from wrenspoke import settings
 from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import exchange as exchanges
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -251,6 +252,7 @@
                 self._clock.wall_ms(),
                 self._left_ms(head),
             ),
+            headers.REQUEST: head.request,
             'Content-Type': head.content_type,
         }
         if head.session is not None:
@@ -285,10 +287,12 @@
 ) -> bool:
     """Return whether a host's response belongs to a request.
 
-    A host that rejects a request before parsing it can't send its id.
+    Older releases don't name a request that they reject as malformed.
     """
     named = response.headers.get(headers.REQUEST)
-    return not named or named == head.request
+    if not named:
+        return exchanges.accept_unnamed(response)
+    return named == head.request
 
 
 def _path(head: requests.RequestHead) -> str:
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -494,12 +494,11 @@
         self, destination: Destination, response: aiohttp.ClientResponse
     ) -> bool:
         """Return whether a response without a request id is a refusal."""
-        if (
-            destination.host is not None
-            and passthrough_api.REFUSED_HEADER in response.headers
-        ):
-            return True
-        if _is_misdirected(destination, response):
+        if destination.host is not None:
+            # Refusals of older releases don't name the request.
+            if passthrough_api.REFUSED_HEADER not in response.headers:
+                return False
+        elif _is_misdirected(destination, response):
             # An instance doesn't reject its own requests as misdirected.
             if self._names_called_instance(destination, response):
                 return False
@@ -516,7 +515,23 @@
     def _classify_response(
         self, destination: Destination, response: aiohttp.ClientResponse
     ) -> Verdict:
-        """Classify the response to a call by its status and headers."""
+        """Classify the response to a call by its status and headers.
+
+        A host sends an answer, or its own refusal with the number of runs.
+
+        :raises MaybeSentError: a host passes on the refusal of an endpoint,
+            although it may have used others
+        """
+        if destination.host is not None:
+            if (
+                self._dialect.not_run in response.headers
+                and passthrough_api.REFUSED_HEADER not in response.headers
+            ):
+                raise errors.MaybeSentError(
+                    f'host {destination.host} passed on a refusal with status '
+                    f'{response.status}'
+                )
+            return Verdict.ANSWERED
         if _is_misdirected(destination, response):
             if self._names_called_instance(destination, response):
                 return Verdict.NOT_RUN
--- a/wrenspoke/coordination/serving/take_up.py
+++ b/wrenspoke/coordination/serving/take_up.py
@@ -28,6 +28,7 @@
 from wrenspoke.protocol import passthrough_api
 from wrenspoke import runtime
 from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import exchange as exchanges
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -318,21 +319,21 @@
 def is_own(response: aiohttp.ClientResponse, token: str) -> bool:
     """Return whether a response belongs to a request for an answer.
 
-    A host that doesn't keep the answer refuses without a token.
+    A host that doesn't keep the answer refuses. Older releases name no token
+    in that refusal.
     """
-    return (
-        is_taken_up(response, token)
-        or is_recalled(response, token)
-        or _names_no_answer(response)
-    )
-
-
-def _names_no_answer(response: aiohttp.ClientResponse) -> bool:
-    return (
-        passthrough_api.TAKEN_UP_HEADER not in response.headers
-        and passthrough_api.RECALLED_HEADER not in response.headers
-        and passthrough_api.REFUSED_HEADER in response.headers
-    )
+    if is_taken_up(response, token) or is_recalled(response, token):
+        return True
+    if (
+        passthrough_api.TAKEN_UP_HEADER in response.headers
+        or passthrough_api.RECALLED_HEADER in response.headers
+        or passthrough_api.REFUSED_HEADER not in response.headers
+    ):
+        return False
+    named = response.headers.get(passthrough_api.TAKE_UP_HEADER)
+    if named is None:
+        return exchanges.accept_unnamed(response)
+    return named == token
 
 
 def is_taken_up(response: aiohttp.ClientResponse, token: str) -> bool:
--- a/wrenspoke/protocol/dialect.py
+++ b/wrenspoke/protocol/dialect.py
@@ -9,6 +9,7 @@
 import re
 
 import msgspec
+import multidict
 from multidict import istr
 
 from wrenspoke import ids
@@ -218,6 +219,16 @@
             stages=call_stages.StageTimes(now_ms),
         )
 
+    def request_field(
+        self, found: multidict.CIMultiDictProxy[str]
+    ) -> tuple[str, str] | None:
+        """Return the header that names a request, None if it has no id."""
+        name = self._dialect.request
+        values = found.getall(name, [])
+        if len(values) != 1 or not REQUEST_ID_PATTERN.match(values[0]):
+            return None
+        return name, values[0]
+
     def _single_valued_headers(self) -> frozenset[str]:
         dialect = self._dialect
         names = ('host', dialect.request, dialect.deadline_ms)
--- a/wrenspoke/protocol/entry_api.py
+++ b/wrenspoke/protocol/entry_api.py
@@ -127,11 +127,11 @@
             body = await self._read_body(request)
             head = read(request, body)
         except errors.BadRequestError as error:
-            return _bad_request(error)
+            return _bad_request(request, error)
         except errors.InvalidHopError as error:
             logger.warning('hop_refused', reason=str(error))
             return _bad_request(
-                errors.BadRequestError(headers.HOP, str(error), 403)
+                request, errors.BadRequestError(headers.HOP, str(error), 403)
             )
         reply.request_id = head.request
         try:
@@ -283,7 +283,10 @@
     )
 
 
-def _bad_request(error: errors.BadRequestError) -> web.Response:
+def _bad_request(
+    request: web.Request, error: errors.BadRequestError
+) -> web.Response:
+    """Return the refusal of a malformed request."""
     ending = outcomes.Ending(
         outcomes.Outcome.NOT_RUN, outcomes.Reason.BAD_REQUEST, str(error)
     )
@@ -293,6 +296,16 @@
         headers={
             headers.OUTCOME: ending.outcome.value,
             headers.REASON: ending.reason.value,
+            **_request_field(request),
         },
         content_type='application/json',
     )
+
+
+def _request_field(request: web.Request) -> dict[str, str]:
+    """Return the header that names a request, if it has a valid id."""
+    try:
+        named = requests.HeaderReader(request.headers).token(headers.REQUEST)
+    except errors.BadRequestError:
+        return {}
+    return {headers.REQUEST: named} if named else {}
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -38,7 +38,8 @@
 BUILD_HEADER = 'Wrenspoke-Build'
 # Time in ms from a forwarded request's last byte to its response's head.
 HELD_HEADER = 'Wrenspoke-Held-Ms'
-# Asks for the rest of an answer that a host keeps, instead of a hop.
+# Asks for the rest of an answer that a host keeps, instead of a hop. In the
+# response it holds the token of that answer.
 TAKE_UP_HEADER = 'Wrenspoke-Take-Up'
 # Token of the answer that a response continues.
 TAKEN_UP_HEADER = 'Wrenspoke-Taken-Up'
@@ -130,6 +131,8 @@
 
     ``runs`` and ``build`` are reported to the host that forwarded the
     request, and with ``held_ms`` for how long it was held here.
+    ``request_field`` is the header that names the request; a response that
+    has none gets it.
     """
 
     def __init__(self, request: web_request.BaseRequest, close: bool):
@@ -138,6 +141,7 @@
         self.response: web_response.StreamResponse | None = None
         self.status = 0
         self._resets_on_close = False
+        self.request_field: tuple[str, str] | None = None
         self.runs: int | None = None
         self.build: ids.BuildId | None = None
         self.held_ms: collections.abc.Callable[[], int] | None = None
@@ -215,6 +219,8 @@
             response.force_close()
         for name, value in self.host_fields():
             response.headers[name] = value
+        if self.request_field is not None:
+            response.headers.setdefault(*self.request_field)
         self.response = response
         self.status = status
         try:
@@ -416,6 +422,7 @@
     async def _answer(
         self, request: web_request.BaseRequest, reply: Reply, forwarded: bool
     ) -> web_response.StreamResponse:
+        reply.request_field = self._reader.request_field(request.headers)
         try:
             if forwarded and TAKE_UP_HEADER in request.headers:
                 return await self._handle_take_up(request, reply)
@@ -436,6 +443,7 @@
         except errors.BadRequestError as error:
             logger.info('request_malformed', problem=str(error))
             bad = Reply(request, close=True)
+            bad.request_field = reply.request_field
             await bad.refuse(error.status, str(error))
             return bad.response
         except errors.NoRoomError as error:
@@ -523,6 +531,7 @@
             take_up = msgspec.json.decode(text, type=kept_answers.TakeUp)
         except msgspec.DecodeError as error:
             raise errors.BadRequestError(TAKE_UP_HEADER, str(error)) from error
+        reply.request_field = (TAKE_UP_HEADER, take_up.token)
         answer = None
         if self._answers is not None:
             answer = self._answers.find(take_up.token)
