Use a new connection for each request to endpoints without ids

Callers saw: a caller could get the answer to another caller's request, if the request's endpoint is configured not to echo ids and sent a response late.

Cause: any response on a kept connection counted as that to the request, and without an id nothing tells it from one that is left over.

Evidence: tests/test_unechoed_requests.py, an endpoint that repeats each response as the next request arrives on its connection. Failed before: 7 of 7 rows, each request got the answer to the one before, also polls and orders.

Change: Dispatcher sends every request to such an endpoint on a connection of its own, as it does once-only requests. The cost is a connection per request, for these endpoints only.

Why it works: nothing earlier can be left over on a new connection, and nothing follows on it.

Changed test: test_chat_that_waits_for_a_connection_is_held_back uses such an endpoint, and delays the connections of the pool that its request takes now.

Result: test_unechoed_requests 7, test_dispatch, test_switches and the changed test pass; the rest of test_quarantine was not run.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -60,6 +60,13 @@
         'False',
         f'{SURPLUS} -k refusal',
     ),
+    Switch(
+        'endpoints that echo no id keep connections',
+        DECISIONS + 'serving/dispatch.py',
+        'return once or not endpoint.echoes_request_id',
+        'return once',
+        'tests/test_unechoed_requests.py',
+    ),
     Switch(
         'instance of a 421 is not looked at',
         DECISIONS + 'serving/sending.py',
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -604,14 +604,14 @@
     dispatcher = dispatch.Dispatcher(
         'h', 'north', known, client, clock, guard=guard
     )
-    connect = client._pooled.connector._create_connection
+    connect = client._unpooled.connector._create_connection
 
     async def connect_late(*arguments):
         made = await connect(*arguments)
         held.append(True)
         return made
 
-    client._pooled.connector._create_connection = connect_late
+    client._unpooled.connector._create_connection = connect_late
     head = test_dispatch.HEAD
     head = msgspec.structs.replace(head, deadline_ms=clock.now_ms + 500)
     slot = test_dispatch.slot(known.current.endpoints['e'])
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -316,7 +316,6 @@
         send_permit = await self._acquire_permit(send)
         endpoint = self._run_checks(send, send_permit)
         self.sent += send.purpose in WORK
-        once = send.head is not None and send.head.once
         try:
             async with (
                 self._tracked_run(send, endpoint) as run,
@@ -325,7 +324,7 @@
                     endpoint.url + send.path,
                     self._headers(send),
                     send.body,
-                    new_connection=once,
+                    new_connection=_needs_new_connection(send, endpoint),
                     may_send=lambda: self._may_send(send, send_permit),
                     is_own=lambda response: _is_own(send, endpoint, response),
                 ) as response,
@@ -487,6 +486,18 @@
         raise errors.OverloadedError(response.status, backs_off)
 
 
+def _needs_new_connection(
+    send: Send, endpoint: configuration.Endpoint
+) -> bool:
+    """Return whether a request is the only one of its connection.
+
+    On a kept connection a response without an id can't be told from one that
+    is left over from an earlier request.
+    """
+    once = send.head is not None and send.head.once
+    return once or not endpoint.echoes_request_id
+
+
 def _is_own(
     send: Send,
     endpoint: configuration.Endpoint,
