Keep the bytes of a head in one buffer

Change: a bytearray takes the place of the list.

Why it works: appending to it copies no more than what arrived.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -199,16 +199,16 @@
         async with asyncio.timeout(0.3):
             await read(client, endpoint.address)
     await nodes.until(lambda: endpoint.open_count == 0)
-    assert not any(kept_pieces())
+    assert not any(kept_heads())
     assert asyncio.all_tasks() == tasks
     await client.close()
     await endpoint.close()
 
 
-def kept_pieces():
+def kept_heads():
     """Return what parsers still keep of heads."""
     return [
-        found._head_pieces
+        found._head
         for found in gc.get_objects()
         if isinstance(found, response_parser.PrefixParser)
     ]
--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -1,6 +1,7 @@
 """Malformed bytes behind a response don't affect it."""
 
 import asyncio
+import tracemalloc
 
 import aiohttp
 from aiohttp import base_protocol
@@ -166,3 +167,17 @@
         for at in range(0, len(data), size):
             parser.feed_data(data[at : at + size])
     assert sum(fed) <= 2 * len(data)
+
+
+async def test_head_in_tiny_pieces_keeps_little_more_than_its_bytes():
+    """Guards against memory that grows with packets, not with bytes."""
+    parser = response_parser.PrefixParser(
+        new_parser(), new_parser, HEAD_LIMIT_BYTES
+    )
+    tracemalloc.start()
+    try:
+        for _piece in range(HEAD_LIMIT_BYTES // 4):
+            parser.feed_data(b''.join([b'\r\n', b'\r\n']))
+        assert tracemalloc.get_traced_memory()[0] < 2 * HEAD_LIMIT_BYTES
+    finally:
+        tracemalloc.stop()
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -48,8 +48,7 @@
         self._new_parser = new_parser
         self._head_limit_bytes = head_limit_bytes
         # What arrived before the head of the final response was complete.
-        self._head_pieces: list[bytes] = []
-        self._head_bytes = 0
+        self._head = bytearray()
         self._interim_count = 0
         self._payload: aiohttp.StreamReader | None = None
         self._framing: framing_budget.FramingBudget | None = None
@@ -76,13 +75,12 @@
         return [*messages, *found], is_upgraded, rest
 
     def _feed_head(self, data: bytes) -> Parsed:
-        self._head_pieces.append(data)
-        self._head_bytes += len(data)
+        self._head += data
         try:
             parsed = self._parser.feed_data(data)
         except Exception:
             self._is_followed_by_garbage = True
-            parsed = self._parse_prefix()
+            parsed = self._parse_prefix(data)
             payload = _final_payload(parsed[0])
             if payload is None or not _is_complete(payload):
                 raise
@@ -91,7 +89,7 @@
             self._interim_count += len(parsed[0])
             self._check_head()
         else:
-            self._head_pieces.clear()
+            self._head.clear()
             self._framing = framing_budget.FramingBudget(self._payload)
         return parsed
 
@@ -104,17 +102,15 @@
             raise http_exceptions.BadHttpMessage(
                 f'more than {INTERIM_LIMIT} interim responses'
             )
-        if self._head_bytes > self._head_limit_bytes:
+        if len(self._head) > self._head_limit_bytes:
             raise http_exceptions.BadHttpMessage(
                 f'response head exceeds {self._head_limit_bytes} bytes'
             )
 
-    def _parse_prefix(self) -> Parsed:
+    def _parse_prefix(self, last: bytes) -> Parsed:
         """Parse the bytes of the last piece before the first malformed one."""
-        *earlier, last = self._head_pieces
         self._parser = self._new_parser()
-        for piece in earlier:
-            self._parser.feed_data(piece)
+        self._parser.feed_data(bytes(self._head[: -len(last)]))
         messages: list = []
         for start in range(len(last)):
             try:
@@ -150,7 +146,7 @@
     def feed_eof(self) -> object:
         """End the input; return a true value if another message has begun."""
         # An error that was raised here may keep this parser.
-        self._head_pieces.clear()
+        self._head.clear()
         if self._is_followed_by_garbage:
             return True
         return self._parser.feed_eof()
