Search the bytes of a decoded stream once

Callers saw: nothing yet. A stream of an engine or of another region whose event never ends kept the host busy until 1 MiB of it had arrived.

Change: only the new bytes are searched, and line ends are replaced in whole events.

The test counts what is searched, and can't run on the old decoder, which has no pattern to count.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,10 +1,14 @@
 """Event tracking, independent of chunk boundaries."""
 
+import itertools
+
 import hypothesis
 from hypothesis import strategies
 import pytest
 
 from wrenspoke.coordination.serving import event_tracker
+from wrenspoke.protocol import errors
+from wrenspoke.protocol import sse
 
 STREAM = b'id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid: 3\ndata: x\n\n'
 
@@ -95,3 +99,40 @@
         tracker.feed(chunk)
     assert tracker.event_count == 0
     assert pattern.searched_bytes < 1.01 * 1_200 * len(chunk)
+
+
+@pytest.mark.parametrize('line', [b'data: x\n', b': ping\r\n', b'x' * 8])
+async def test_bytes_of_an_endless_event_are_decoded_once(monkeypatch, line):
+    """Guards against an event without end that keeps a host busy."""
+    pattern = CountingPattern(sse.EVENT_END)
+    monkeypatch.setattr(sse, 'EVENT_END', pattern)
+    sent_bytes = 0
+
+    async def chunks():
+        nonlocal sent_bytes
+        while True:
+            sent_bytes += len(line) * 16
+            yield line * 16
+
+    with pytest.raises(errors.MalformedMessageError):
+        async for _event in sse.decode(chunks()):
+            raise AssertionError('an event has no end')
+    assert pattern.searched_bytes < 1.05 * sent_bytes
+
+
+@hypothesis.given(
+    cuts=strategies.lists(strategies.integers(0, len(STREAM)), max_size=8)
+)
+async def test_chunk_boundaries_do_not_change_decoded_events(cuts):
+    edges = [0, *sorted(cuts), len(STREAM)]
+
+    async def chunks():
+        for start, end in itertools.pairwise(edges):
+            yield STREAM[start:end]
+
+    found = [event async for event in sse.decode(chunks())]
+    assert found == [
+        sse.SseEvent('one', number=1),
+        sse.SseEvent('two', number=2),
+        sse.SseEvent('x', number=3),
+    ]
--- a/wrenspoke/protocol/sse.py
+++ b/wrenspoke/protocol/sse.py
@@ -11,6 +11,9 @@
 CONTENT_TYPE = 'text/event-stream'
 DONE = '[DONE]'
 EVENT_LIMIT_BYTES = 1024 * 1024
+EVENT_END = re.compile(rb'\r?\n\r?\n')
+# Bytes at the end of a partial event that may begin its end.
+TAIL_BYTES = 3
 # What may follow the last event: empty lines and whole comment lines.
 AFTER_EVENTS = re.compile(rb'(?:\n|:[^\n]*\n)*')
 
@@ -46,26 +49,35 @@
     """
     buffer = b''
     async for chunk in chunks:
-        buffer = (buffer + chunk).replace(b'\r\n', b'\n')
-        while b'\n\n' in buffer:
-            block, buffer = buffer.split(b'\n\n', 1)
-            event = _parse(block)
+        # What is buffered has no end of an event, but may begin one.
+        start = max(len(buffer) - TAIL_BYTES, 0)
+        buffer += chunk
+        end = 0
+        for found in EVENT_END.finditer(buffer, start):
+            event = _parse(buffer[end : found.start()])
+            end = found.end()
             if event is not None:
                 yield event
+        buffer = buffer[end:]
         if len(buffer) > EVENT_LIMIT_BYTES:
             raise errors.MalformedMessageError(
                 f'event exceeds {EVENT_LIMIT_BYTES} bytes'
             )
-    if AFTER_EVENTS.fullmatch(buffer) is None:
+    if AFTER_EVENTS.fullmatch(_with_line_feeds(buffer)) is None:
         raise errors.MalformedMessageError(
             f'stream ended inside an event, {len(buffer)} bytes after the '
             'last whole one'
         )
 
 
+def _with_line_feeds(data: bytes) -> bytes:
+    """Return lines that end with a line feed each."""
+    return data.replace(b'\r\n', b'\n')
+
+
 def _parse(block: bytes) -> SseEvent | None:
     try:
-        text = block.decode()
+        text = _with_line_feeds(block).decode()
     except UnicodeDecodeError as error:
         raise errors.MalformedMessageError('event is not UTF-8') from error
     data = []
