Bound the text that is kept of a stream

Callers saw: nothing yet. A host kept the whole text of a chat's stream, to continue it elsewhere, for as long as events came: without a bound on bytes up to the deadline, of at most 600 s by default.

Change: a stream whose text exceeds answer_limit_bytes, the limit of other answers, ends with stream_broken, and is cancelled at its engine. That holds for streams of engines and of other regions. It isn't continued elsewhere, as the text so far would be sent along.

Failed before, as a trial on the parent without the third argument of Transcript: the stream was read to the 32 MiB that the endpoint writes, and ended as it then fell silent.

test_truncated: a stream in one test states the limit; what it checks is the same.

--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -356,7 +356,7 @@
 @pytest.mark.parametrize('response', STREAMS)
 async def test_relayed_stream_without_end_stalls(response, pace):
     """Guards against bytes that are no event, and keep a stream alive."""
-    transcript = streams.Transcript(b'{}', 0)
+    transcript = streams.Transcript(b'{}', 0, MIB)
     reply = truncated.FakeReply()
     async with endless(STREAMS[response], pace) as endpoint:
         async with truncated.dispatching(
@@ -374,3 +374,29 @@
                     )
             await nodes.until(lambda: not endpoint.open_count)
     assert reply.sent == []
+
+
+TEXT = b'data: {"choices":[{"delta":{"content":"%s"}}]}\n\n' % (b'x' * 1_000)
+
+
+async def test_text_of_a_relayed_stream_is_bounded():
+    """Guards against streams whose whole text is kept up to a deadline."""
+    transcript = streams.Transcript(b'{}', 0, MIB)
+    reply = truncated.FakeReply()
+    async with endless((body_of(STREAM), TEXT), 'fast') as endpoint:
+        async with truncated.dispatching(
+            f'http://{endpoint.address}'
+        ) as dispatcher:
+            with pytest.raises(errors.RequestEndedError) as ended:
+                async with dispatcher.send(truncated.chat()) as answer:
+                    await streams.relay_events(
+                        answer.chunks(),
+                        transcript,
+                        reply,
+                        TIMEOUT_MS,
+                        TIMEOUT_MS,
+                        lambda: None,
+                    )
+            await nodes.until(lambda: not endpoint.open_count)
+    assert ended.value.ending.outcome is outcomes.Outcome.UNKNOWN
+    assert len(reply.sent) == MIB // 1_000
--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -287,7 +287,7 @@
 async def test_stream_without_length_is_whole_if_it_has_its_end_mark(
     pieces, count, is_whole
 ):
-    transcript = streams.Transcript(b'{}', 0)
+    transcript = streams.Transcript(b'{}', 0, 1_000)
     reply = FakeReply()
     try:
         async with sent_to(
--- a/wrenspoke/coordination/serving/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -99,7 +99,9 @@
 
         :raises RequestEndedError: no host of the region responded
         """
-        transcript = streams.Transcript(body, head.last_event or 0)
+        transcript = streams.Transcript(
+            body, head.last_event or 0, self._settings.answer_limit_bytes
+        )
         forward_state = _ForwardState(head, body, region, reply, transcript)
         hosts = await self._reach.reachable(
             self._members.entry_hosts_in(region)[:MAX_HOSTS_TRIED]
--- a/wrenspoke/coordination/serving/streams.py
+++ b/wrenspoke/coordination/serving/streams.py
@@ -36,21 +36,41 @@
 
 
 class Transcript:
-    """Text and last event number of a stream as sent to the caller."""
+    """Text and last event number of a stream as sent to the caller.
 
-    def __init__(self, body: bytes, last_event: int):
+    A stream whose text exceeds ``limit_bytes`` is ended.
+    """
+
+    def __init__(self, body: bytes, last_event: int, limit_bytes: int):
         self._body = body
+        self._limit_bytes = limit_bytes
         self._parts: list[str] = []
+        self._text_bytes = 0
         self.last_event = last_event
         self.finished = False
 
     def add_event(self, event: sse.SseEvent) -> sse.SseEvent:
-        """Record an event and return it renumbered for the caller."""
+        """Record an event and return it renumbered for the caller.
+
+        :raises RequestEndedError: the text is too long
+        """
         if event.data == sse.DONE:
             self.finished = True
             return sse.SseEvent(data=event.data)
         self.last_event += 1
-        self._parts.append(_delta_text(event.data))
+        text = _delta_text(event.data)
+        if text:
+            self._parts.append(text)
+            self._text_bytes += len(text.encode())
+        if self._text_bytes > self._limit_bytes:
+            raise errors.RequestEndedError(
+                outcomes.Ending(
+                    outcomes.Outcome.UNKNOWN,
+                    outcomes.Reason.STREAM_BROKEN,
+                    f'text of the stream exceeds {self._limit_bytes} bytes',
+                    retry_owned=True,
+                )
+            )
         return sse.SseEvent(data=event.data, number=self.last_event)
 
     def continuation_body(self) -> bytes:
@@ -103,6 +123,7 @@
 
     :raises MaybeSentError: the stream ended early or timed out
     :raises OutcomeEventError: the other host sent an outcome event
+    :raises RequestEndedError: the text of the stream is too long
     """
     events = sse.decode(chunks)
     event_timeout_ms = first_ms
@@ -148,7 +169,11 @@
         :raises RequestEndedError: the stream could not be finished
         """
         retry_state = self._server.new_retry_state(head)
-        transcript = Transcript(body, head.last_event or 0)
+        transcript = Transcript(
+            body,
+            head.last_event or 0,
+            self._server.settings.answer_limit_bytes,
+        )
         if head.last_event is not None:
             return await self._resume_for_caller(
                 head, transcript, reply, retry_state
@@ -285,6 +310,7 @@
         except (
             asyncio.CancelledError,
             protocol_errors.CallerDisconnectedError,
+            errors.RequestEndedError,
         ):
             self._start_cancel(send)
             raise
