Follow the parser in a row of the switches

Cause: changed the argument of _parse_prefix, whose call the row 'malformed bytes lose the response before them' replaces.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -92,7 +92,7 @@
     Switch(
         'malformed bytes lose the response before them',
         TRANSPORT + 'response_parser.py',
-        '            parsed = self._parse_prefix(received)\n',
+        '            parsed = self._parse_prefix(data)\n',
         '            raise\n',
         'tests/test_response_parser.py',
     ),
