--- a/benches/surplus_streams.py
+++ b/benches/surplus_streams.py
@@ -28,7 +28,7 @@
 import sys
 import tempfile
 
-REGIONS = {'taichung-hall': 'taichung', 'hualien-hall': 'hualien'}
+REGIONS = {'north-hall': 'north', 'south-hall': 'south'}
 HOSTS_PER_REGION = 2
 ENDPOINTS_PER_REGION = 3
 SLOTS = 3
