Believe refusals of load reports only on new connections

Callers saw: calls refused with a 503 and a Retry-After of over a minute, although the engine asked for no backoff: a refusal that was left over on the kept connection of its load reports counted as that of the next report.

Cause: responses to polls carry no request id, and EngineLoads acted upon any.

Evidence: test_late_refusal_of_a_report_starts_no_backoff, an engine that sends a late refusal on each connection that is used again.

Change: a refusal of a report counts only on a connection that carried no other poll, which is closed afterwards; later it ends the connection and is no report. Reports stay on kept connections: one that is left over is an interval old, and the response that follows it ends the connection. A connection for each poll would cost engines a new connection each interval; now only refused polls do.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -103,6 +103,13 @@
         '            self._client,\n',
         'tests/test_probe_connections.py',
     ),
+    Switch(
+        'late refusals of reports are believed',
+        DECISIONS + 'membership/engine_loads.py',
+        'return response.status == OK or exchanges.accept_unnamed(response)',
+        'return True',
+        'tests/test_probe_connections.py -k late',
+    ),
     Switch(
         'warm-up probes use kept connections',
         DECISIONS + 'serving/warmup_probe.py',
--- a/tests/test_probe_connections.py
+++ b/tests/test_probe_connections.py
@@ -101,3 +101,49 @@
         assert len(probes) == 2
         assert all(lines == ['GET /health'] for lines in probes)
         await endpoint.close()
+
+
+class LateRefusals(endpoints.ScriptedEndpoint):
+    """Reports its load; a refusal is late on each connection used again."""
+
+    REPORT = b'0 1 9 9000000'
+    REFUSAL = BUSY.replace(b'Content', b'Retry-After: 60\r\nContent')
+
+    def __init__(self):
+        super().__init__(None)
+        self.late_count = 0
+
+    async def _serve(self, reader, writer):
+        polls = 0
+        try:
+            while True:
+                sent = await endpoints.read_request(reader)
+                is_poll = sent.startswith(b'GET /load ')
+                polls += is_poll
+                if is_poll and polls > 1:
+                    self.late_count += 1
+                    writer.write(self.REFUSAL)
+                body = self.REPORT if is_poll else b'whole'
+                writer.write(passing.answer(sent, body))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+async def test_late_refusal_of_a_report_starts_no_backoff(tmp_path):
+    """Guards against calls refused for a backoff that nobody asked for."""
+    async with nodes.running(tmp_path, reports=nodes.Reports()) as system:
+        await system.put(
+            passing.route(routes.RouteKind.ONCE),
+            batch=routes.Batch(8, 9_000_000),
+        )
+        engine = await LateRefusals().start()
+        await system.register('e', engine)
+        loads = system.entries[0]._engine_loads
+        await nodes.until(lambda: loads.load('e'))
+        for number in range(3):
+            await nodes.until(lambda seen=number: engine.late_count > seen)
+            got = await ask(system, number)
+            assert got.endswith(b'whole'), got
+        await engine.close()
--- a/wrenspoke/coordination/membership/engine_loads.py
+++ b/wrenspoke/coordination/membership/engine_loads.py
@@ -11,6 +11,7 @@
 import collections.abc
 import typing
 
+import aiohttp
 import msgspec
 import structlog
 
@@ -33,12 +34,14 @@
 from wrenspoke.state import loads
 from wrenspoke.state import registry
 from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import exchange as exchanges
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
 
 # Reports are a few hundred bytes.
 REPORT_LIMIT_BYTES = 64 * 1024
+OK = 200
 # Has to allow for a busy engine, and end before a report is stale.
 REPORT_TIMEOUT_MS = 400
 # Intervals without a report of an engine until the next host in order polls
@@ -228,7 +231,12 @@
             poll_permit = self._gate.acquire_poll(life)
             async with clocks.timeout_ms(REPORT_TIMEOUT_MS):
                 async with self._client.send_verbatim(
-                    'GET', said.address, self._reader.path, [], None
+                    'GET',
+                    said.address,
+                    self._reader.path,
+                    [],
+                    None,
+                    is_own=_is_own,
                 ) as response:
                     poll_permit.on_response(
                         advertised.read_headers(
@@ -279,3 +287,12 @@
             for endpoint in list(known):
                 if endpoint not in self._discovery.registry.entries:
                     del known[endpoint]
+
+
+def _is_own(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response, which carries no id, is taken for a poll's.
+
+    A report that is left over from an earlier poll is one interval old. A
+    refusal could start a backoff that the engine did not ask for.
+    """
+    return response.status == OK or exchanges.accept_unnamed(response)
