Compare the request id of responses in the callers' library

Callers saw: another request's answer, or its "not run", from a host or a load balancer in front of it that sent the wrong response. After such a refusal the next attempt was not marked as a resend, so that the request could run twice.

Cause: Caller read the outcome of any response. Each attempt has a connection of its own, but what stands between it and the host may keep others.

Evidence: tests/test_caller_responses.py. Failed before: 4 of 6 rows.

Change: a response that names another request is lost: the next host gets a resend. One without an id counts, as it is the first of its connection. exchange.responds_to holds the rule for Caller and Forwarder.

Why it works: the id is that of the request on every connection, and a lost response leaves the outcome open.

--- a/wrenspoke/caller.py
+++ b/wrenspoke/caller.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 
 import aiohttp
 import msgspec
@@ -16,6 +17,7 @@
 from wrenspoke.protocol import requests
 from wrenspoke.protocol import sse
 from wrenspoke.transport import errors as transport_errors
+from wrenspoke.transport import exchange as exchanges
 from wrenspoke.transport import web
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
@@ -187,7 +189,16 @@
     ) -> None:
         started_ms = self._clock.mono_ms()
         async with self.client.send(
-            method, url, sent, body, new_connection=True
+            method,
+            url,
+            sent,
+            body,
+            new_connection=True,
+            is_own=functools.partial(
+                exchanges.responds_to,
+                header=headers.REQUEST,
+                request_id=sent[headers.REQUEST],
+            ),
         ) as found:
             total.status = found.status
             total.headers = dict(found.headers)
--- a/wrenspoke/coordination/serving/forwarding.py
+++ b/wrenspoke/coordination/serving/forwarding.py
@@ -289,10 +289,7 @@
 
     Older releases don't name a request that they reject as malformed.
     """
-    named = response.headers.get(headers.REQUEST)
-    if not named:
-        return exchanges.accept_unnamed(response)
-    return named == head.request
+    return exchanges.responds_to(response, headers.REQUEST, head.request)
 
 
 def _path(head: requests.RequestHead) -> str:
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -206,6 +206,19 @@
     return True
 
 
+def responds_to(
+    response: aiohttp.ClientResponse, header: str, request_id: str
+) -> bool:
+    """Return whether a response names a request in a header.
+
+    One that names none is told by ``accept_unnamed``.
+    """
+    named = response.headers.get(header)
+    if not named:
+        return accept_unnamed(response)
+    return named == request_id
+
+
 def _close_after(response: aiohttp.ClientResponse) -> None:
     """Close the connection of a response at the end of its body."""
     if response.connection is None:
