Send late refusals without an id in the soak

They now also send a refusal that nothing led to in front of the next response: a 503, a 429 or one of two 421s.

The test asserts that both kinds of late responses came.

--- a/tests/test_surplus_soak.py
+++ b/tests/test_surplus_soak.py
@@ -22,6 +22,15 @@
 CALLS = 25
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 NOT_RUN = b'Wrenspoke-Not-Run: 1\r\n'
+UNNAMED = [
+    f'HTTP/1.1 {status}\r\nContent-Length: 0\r\n'.encode() + extra + b'\r\n'
+    for status, extra in (
+        ('503 Full', NOT_RUN),
+        ('429 Busy', NOT_RUN),
+        ('421 Other', NOT_RUN),
+        ('421 Other', b''),
+    )
+]
 
 
 event_loop_policy = loops.event_loop_policy
@@ -30,7 +39,8 @@
 class FaultyEndpoint(endpoints.ScriptedEndpoint):
     """Runs or refuses requests, and sends some responses twice.
 
-    Without ``names_refusals`` its refusals carry no request id.
+    Without ``names_refusals`` its refusals carry no request id, and one that
+    nothing led to may come late.
     """
 
     def __init__(self, chance, runs, names_refusals):
@@ -81,12 +91,16 @@
 
     async def _write(self, writer, own):
         """Write a response; return what is sent as the next one is due."""
-        fault = self._chance.choice(
-            ['once'] * 4 + ['late', 'idle', 'joined', 'half', 'spoilt']
-        )
+        faults = ['once'] * 4 + ['late', 'idle', 'joined', 'half', 'spoilt']
+        if not self._names_refusals:
+            faults.append('refusal')
+        fault = self._chance.choice(faults)
         if fault in ('once', 'late'):
             writer.write(own)
             return own if fault == 'late' else b''
+        if fault == 'refusal':
+            writer.write(own)
+            return self._chance.choice(UNNAMED)
         if fault == 'idle':
             writer.write(own)
             await asyncio.sleep(self._chance.random() / 50)
@@ -162,7 +176,7 @@
     )
     assert len(answers) == CALLERS * CALLS
     assert statuses[200] > CALLERS
-    assert late_count
+    assert late_count > late_unnamed_count > 0
     assert {one: count for one, count in runs.items() if count > 1} == {}
     for request, (status, body) in answers.items():
         if status in NOT_RUN_STATUSES:
