--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -7,6 +7,7 @@
 TRANSPORT = 'wrenspoke/transport/'
 SURPLUS = 'tests/test_surplus_responses.py'
 EXCHANGE = 'tests/test_exchange.py'
+ENDLESS = 'tests/test_endless_responses.py'
 Switch = switches.Switch
 
 SWITCHES = [
@@ -69,10 +70,73 @@
     Switch(
         'malformed bytes lose the response before them',
         TRANSPORT + 'response_parser.py',
-        '            parsed = self._parse_prefix(received)\n',
+        '            parsed = self._parse_prefix(data)\n',
         '            raise\n',
         'tests/test_response_parser.py',
     ),
+    Switch(
+        'heads without end are read',
+        TRANSPORT + 'response_parser.py',
+        '            self._check_head()\n',
+        '            pass\n',
+        f'{ENDLESS} -k head_without_end',
+    ),
+    Switch(
+        'framing without end is read',
+        TRANSPORT + 'response_parser.py',
+        '            self._framing.spend(len(data), self._is_paused())\n',
+        '',
+        f'{ENDLESS} -k framing',
+    ),
+    Switch(
+        'framing is judged while the parser is paused',
+        TRANSPORT + 'framing_budget.py',
+        'if is_paused or self._payload.is_eof():',
+        'if self._payload.is_eof():',
+        f'{ENDLESS} -k long_chunked',
+    ),
+    Switch(
+        'malformed bodies leave their readers waiting',
+        TRANSPORT + 'response_parser.py',
+        '                self._fail_body(error)\n',
+        '',
+        f'{EXCHANGE} -k malformed',
+    ),
+    Switch(
+        'requests are written after their calls ended',
+        TRANSPORT + 'exchange.py',
+        '            self.abort()\n            return\n',
+        '            pass\n',
+        f'{EXCHANGE} -k written',
+    ),
+    Switch(
+        'malformed heads are kept after their connections',
+        TRANSPORT + 'response_parser.py',
+        '        self._head.clear()\n        if',
+        '        if',
+        f'{ENDLESS} -k drip',
+    ),
+    Switch(
+        'failures quote requests and received bytes',
+        TRANSPORT + 'web.py',
+        '    cause = failure_text.describe(error)\n',
+        '    cause = repr(error)\n',
+        f'{ENDLESS} -k text',
+    ),
+    Switch(
+        'values of log lines are not bounded',
+        'wrenspoke/logs.py',
+        'if len(text) <= VALUE_LIMIT_CHARACTERS and text.isprintable():',
+        'if text.isprintable():',
+        'tests/test_logs.py -k long_value',
+    ),
+    Switch(
+        'values of log lines are not escaped',
+        'wrenspoke/logs.py',
+        '    if character.isprintable():\n',
+        '    if True:\n',
+        'tests/test_logs.py -k break_no_line',
+    ),
     Switch(
         'reports share the connections of calls',
         'wrenspoke/entry_node.py',
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -96,6 +96,10 @@
 class HttpClient:
     """Sends HTTP requests without redirects or implicit retries.
 
+    Only connecting has a time limit here. A head or a body is waited for, also
+    if it comes slowly without end, until the caller leaves the block of a
+    request, which closes its connection at once.
+
     aiohttp (3.14.5) retries an idempotent request when its connection
     drops, even a new one. The middleware ``_disable_retries`` converts the
     failure into an error that aiohttp does not retry.
