Name the token of a kept answer in refusals only

Callers saw: the header Wrenspoke-Take-Up with the token of a kept answer, in a response that was taken up over another path before its head had arrived.

Cause: named the token in each response to a take-up, and the host that asks passes the head on.

Change: only refusals of a take-up name the token. An answer that is taken up has Wrenspoke-Taken-Up, which receivers leave out already.

Why it works: a refusal never goes on to a caller.

--- a/tests/test_request_path_answers.py
+++ b/tests/test_request_path_answers.py
@@ -224,6 +224,23 @@
         assert [line['offset'] for line in taken] == [0]
 
 
+async def test_token_of_a_kept_answer_is_not_sent_to_the_caller(
+    tmp_path, monkeypatch
+):
+    """Guards against headers between hosts in a caller's response."""
+    async with deployed(tmp_path, monkeypatch) as made:
+        made.engine.is_stream = False
+        reader, writer = await made.open()
+        await made.engine.arrived.wait()
+        made.cut()
+        made.engine.goes_on.set()
+        async with asyncio.timeout(nodes.WAIT_S):
+            got = await reader.read()
+        writer.close()
+    assert got.startswith(b'HTTP/1.1 200 ') and got.endswith(b'whole')
+    assert passthrough_api.TAKE_UP_HEADER.encode() not in got, got
+
+
 async def test_stream_that_is_cut_goes_on_from_its_last_byte(
     tmp_path, monkeypatch
 ):
--- a/wrenspoke/protocol/passthrough_api.py
+++ b/wrenspoke/protocol/passthrough_api.py
@@ -38,8 +38,8 @@
 BUILD_HEADER = 'Wrenspoke-Build'
 # Time in ms from a forwarded request's last byte to its response's head.
 HELD_HEADER = 'Wrenspoke-Held-Ms'
-# Asks for the rest of an answer that a host keeps, instead of a hop. In the
-# response it holds the token of that answer.
+# Asks for the rest of an answer that a host keeps, instead of a hop. In a
+# refusal it holds the token of that answer.
 TAKE_UP_HEADER = 'Wrenspoke-Take-Up'
 # Token of the answer that a response continues.
 TAKEN_UP_HEADER = 'Wrenspoke-Taken-Up'
@@ -531,7 +531,6 @@
             take_up = msgspec.json.decode(text, type=kept_answers.TakeUp)
         except msgspec.DecodeError as error:
             raise errors.BadRequestError(TAKE_UP_HEADER, str(error)) from error
-        reply.request_field = (TAKE_UP_HEADER, take_up.token)
         answer = None
         if self._answers is not None:
             answer = self._answers.find(take_up.token)
@@ -553,10 +552,10 @@
             )
         elif self._forwarder is None or take_up.passed_on:
             self._recall(take_up, reply)
-            await reply.refuse(GONE, Refusal.UNKNOWN_ANSWER)
+            await _refuse_take_up(take_up, reply)
         elif not await self._forwarder.forward(take_up, reply):
             if not reply.started:
-                await reply.refuse(GONE, Refusal.UNKNOWN_ANSWER)
+                await _refuse_take_up(take_up, reply)
             else:
                 transport.abort(request)
         return reply.response or web_response.Response(
@@ -653,6 +652,12 @@
         return b''.join(chunks)
 
 
+async def _refuse_take_up(take_up: kept_answers.TakeUp, reply: Reply) -> None:
+    """Refuse a request for an answer by the token of that answer."""
+    reply.request_field = (TAKE_UP_HEADER, take_up.token)
+    await reply.refuse(GONE, Refusal.UNKNOWN_ANSWER)
+
+
 async def _send_kept(
     answer: kept_answers.KeptAnswer, reply: Reply, reader: object
 ) -> None:
