Keep requests off connections that refused their id

Callers saw: a caller that was refused and sent its request again under the same id could get the earlier refusal a second time, although the request had run: a 503 that says "not run", or a second run.

Cause: a response that names the request counts as its own, and an endpoint may repeat its refusal late, on the same kept connection.

Change: a connection remembers the ids that were refused on it, 1,000 of them before it is replaced. A request takes no idle connection that has refused its id.

Why it works: a copy of a refusal arrives on the connection of the first one.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -90,6 +90,13 @@
         '    return True\n',
         f'{UNNAMED} -k repeated',
     ),
+    Switch(
+        'requests follow a refusal of their id',
+        TRANSPORT + 'connector.py',
+        'not protocol.is_connected() or request_id in protocol.refused_ids',
+        'not protocol.is_connected()',
+        'tests/test_repeated_ids.py',
+    ),
     Switch(
         'malformed bytes lose the response before them',
         TRANSPORT + 'response_parser.py',
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -164,6 +164,11 @@
                 item for item in self.fields if item[0] not in HOST_HEADERS
             ]
 
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether the receiver refused the call."""
+        return self.verdict is not Verdict.ANSWERED or self.refused is not None
+
 
 def _parse_retry_after_ms(fields: collections.abc.Mapping[str, str]) -> float:
     """Return the Retry-After of a host in ms, 0 if missing or malformed."""
@@ -295,6 +300,7 @@
                 body,
                 may_send,
                 functools.partial(self._is_own, call, destination),
+                request_id=call.request,
             )
             exchange = None
             if token is not None:
@@ -308,6 +314,8 @@
                 self._record_advertised(call, destination, response)
                 verdict = self._classify_response(destination, response)
                 answer = UpstreamResponse(response, verdict, destination)
+                if answer.is_refusal:
+                    exchanges.record_refusal(response, call.request)
                 answer.exchange = exchange
                 if exchange is not None and exchange.was_taken_up:
                     answer.held_ms = None
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -102,7 +102,7 @@
         oldest_s = time.monotonic() - self._keepalive_timeout
         while idle:
             protocol, used_s = idle[0]
-            if used_s >= oldest_s and _is_usable(protocol):
+            if used_s >= oldest_s and _is_usable(protocol, _REQUEST_ID.get()):
                 return
             idle.popleft()
             protocol.close()
@@ -177,6 +177,10 @@
 _MAY_SEND: contextvars.ContextVar[
     collections.abc.Callable[[], bool] | None
 ] = contextvars.ContextVar('may_leave', default=None)
+# The id of the request that a connection is taken for, if it has one.
+_REQUEST_ID: contextvars.ContextVar[str | None] = contextvars.ContextVar(
+    'request_id', default=None
+)
 # Sockets opened by the current connect task.
 _OPENED_SOCKETS: contextvars.ContextVar[list[socket.socket]] = (
     contextvars.ContextVar('opened')
@@ -186,18 +190,26 @@
 @contextlib.contextmanager
 def guard_sends(
     may_send: collections.abc.Callable[[], bool] | None,
+    request_id: str | None = None,
 ) -> collections.abc.Iterator[None]:
-    """Send requests within the block only while ``may_send`` returns true."""
-    token = _MAY_SEND.set(may_send)
+    """Send requests within the block only while ``may_send`` returns true.
+
+    No connection is used that has refused a request with ``request_id``.
+    """
+    send_token = _MAY_SEND.set(may_send)
+    id_token = _REQUEST_ID.set(request_id)
     try:
         yield
     finally:
-        _MAY_SEND.reset(token)
+        _REQUEST_ID.reset(id_token)
+        _MAY_SEND.reset(send_token)
 
 
-def _is_usable(protocol: client_proto.ResponseHandler) -> bool:
+def _is_usable(
+    protocol: exchange.ExchangeHandler, request_id: str | None
+) -> bool:
     """Return whether a request may be sent on an idle connection."""
-    if not protocol.is_connected():
+    if not protocol.is_connected() or request_id in protocol.refused_ids:
         return False
     sock = protocol.transport.get_extra_info('socket')
     return not _is_silent(sock) and not _has_unread_bytes(sock)
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -27,6 +27,10 @@
 )
 
 
+# Refused requests that a connection remembers until it is replaced.
+REFUSED_IDS_LIMIT = 1_000
+
+
 class ExchangeHandler(client_proto.ResponseHandler):
     """Connection that carries one request and its response at a time.
 
@@ -46,6 +50,8 @@
         self._is_parsing = False
         # Requests that were written to this connection.
         self.request_count = 0
+        # Ids of the requests that were refused on it.
+        self.refused_ids: set[str] = set()
 
     def set_response_params(self, **named: typing.Any) -> None:
         """Prepare to parse the response to the next request."""
@@ -220,6 +226,17 @@
     return True
 
 
+def record_refusal(response: aiohttp.ClientResponse, request_id: str) -> None:
+    """Keep later requests with the id of a refused one off its connection.
+
+    A copy of the refusal could arrive in the place of their response.
+    """
+    refused_ids = response._protocol.refused_ids
+    refused_ids.add(request_id)
+    if len(refused_ids) >= REFUSED_IDS_LIMIT:
+        _close_after(response)
+
+
 def responds_to(
     response: aiohttp.ClientResponse, header: str, request_id: str
 ) -> bool:
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -208,12 +208,14 @@
         may_send: collections.abc.Callable[[], bool] | None = None,
         is_own: IsOwn | None = None,
         new_connection: bool = False,
+        request_id: str | None = None,
     ) -> collections.abc.AsyncIterator[aiohttp.ClientResponse]:
         """Send a request without normalising its target; see ``send``.
 
         ``target`` is the path and query of the request line, ``fields``
         all headers but the hop-by-hop ones. ``may_send`` is checked again
-        immediately before the first byte of a body.
+        immediately before the first byte of a body. No connection is used
+        that has refused a request with the same ``request_id``.
 
         :raises SendAbortedError: ``may_send`` returned false
         """
@@ -236,6 +238,7 @@
                 skip_auto_headers=AUTO_HEADERS,
                 data=body,
                 read_bufsize=self._read_buffer_bytes,
+                request_id=request_id,
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if guarded is not None and guarded.aborted:
@@ -291,6 +294,7 @@
     is_own: IsOwn | None,
     method: str,
     url: str | yarl.URL,
+    request_id: str | None = None,
     **named: typing.Any,
 ) -> aiohttp.ClientResponse:
     """Send a request on the first connection without unsolicited bytes.
@@ -298,7 +302,7 @@
     :raises UnsolicitedBytesError: there was none, and nothing was sent
     :raises ForeignResponseError: the response is another request's
     """
-    with connector.guard_sends(may_send):
+    with connector.guard_sends(may_send, request_id):
         for attempt in itertools.count(1):
             try:
                 response = await session.request(
