Count no held bytes of a body as its framing

Callers saw: a whole answer in small chunks ended with 'malformed body' after a pause of its reader, as for a caller that reads slowly.

Cause: bounds the bytes of framing, and leaves out those that the parser holds in a pause. aiohttp's parser (3.14.5) that was told to pause behind the last chunk of a piece pauses at the next one, when the reader has gone on already; the rest of that piece, up to 256 KiB, counted as framing.

Evidence: tests/test_response_parser.py fills the reader's buffer with chunks, empties it and feeds 256 KiB.

Change: the parser is asked to go on with what it holds before its bytes count as too many. It stops again once the reader's buffer is full.

Why it works: what is held is then parsed, or its reader has paused it. Framing without end is still ended: going on yields no byte of a body.

--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -181,3 +181,49 @@
         assert tracemalloc.get_traced_memory()[0] < 2 * HEAD_LIMIT_BYTES
     finally:
         tracemalloc.stop()
+
+
+class PausingProtocol(base_protocol.BaseProtocol):
+    """Gives bytes to a parser, also those that it held during a pause."""
+
+    def data_received(self, data):
+        self._parser.feed_data(data)
+
+
+@pytest.mark.parametrize('chunk', [b'a', b'id: 1\ndata: whole\n\n'])
+async def test_body_behind_an_ended_pause_is_no_framing(chunk):
+    """Guards against the loss of an answer whose reader paused.
+
+    aiohttp's parser pauses with the first chunk after a reader took those
+    that filled its buffer, and holds the rest of the piece.
+    """
+    limit_bytes = 1 << 10
+    loop = asyncio.get_running_loop()
+    protocol = PausingProtocol(loop)
+
+    def new_parser():
+        return http_parser.HttpResponseParser(
+            protocol,
+            loop,
+            limit_bytes,
+            payload_exception=aiohttp.ClientPayloadError,
+        )
+
+    parser = response_parser.PrefixParser(
+        new_parser(), new_parser, HEAD_LIMIT_BYTES
+    )
+    protocol._parser = parser
+    framed = b'%x\r\n%s\r\n' % (len(chunk), chunk)
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    ((_message, payload),), _upgraded, _tail = parser.feed_data(head)
+    first = 0
+    while not protocol._reading_paused:
+        parser.feed_data(framed)
+        first += 1
+    got = payload.read_nowait()
+    count = (1 << 18) // len(framed)
+    parser.feed_data(framed * count + b'0\r\n\r\n')
+    while not payload.is_eof() or payload._buffer:
+        assert payload.exception() is None
+        got += payload.read_nowait()
+    assert got == chunk * (first + count)
--- a/wrenspoke/transport/framing_budget.py
+++ b/wrenspoke/transport/framing_budget.py
@@ -1,7 +1,6 @@
 """A bound on the framing of a response body."""
 
 import aiohttp
-from aiohttp import http_exceptions
 
 # Bytes of framing that may arrive without a byte of the body: a chunk's size
 # and extensions, or trailers.
@@ -14,6 +13,8 @@
 class FramingBudget:
     """Bounds the bytes that arrive for a body without being part of it.
 
+    ``bytes`` is how many have arrived and aren't outweighed by the body.
+
     aiohttp's parser (3.14.5) neither bounds the line of a chunk's size nor
     tells how much of it was read.
     """
@@ -21,23 +22,17 @@
     def __init__(self, payload: aiohttp.StreamReader):
         self._payload = payload
         self._body_bytes = payload.total_bytes
-        self._framing_bytes = 0
+        self.bytes = 0
 
-    def spend(self, received_bytes: int, is_paused: bool) -> None:
+    def spend(self, received_bytes: int) -> bool:
         """Count received bytes, those of the body included.
 
-        A paused parser still holds some of them.
-
-        :raises TransferEncodingError: too many are not of the body
+        Return whether too many are not of the body, unless a parser still
+        holds some.
         """
         body_bytes = self._payload.total_bytes - self._body_bytes
         self._body_bytes += body_bytes
-        self._framing_bytes += received_bytes
-        self._framing_bytes -= body_bytes * (1 + FRAMING_BYTES_PER_BODY_BYTE)
-        self._framing_bytes = max(0, self._framing_bytes)
-        if is_paused or self._payload.is_eof():
-            return
-        if self._framing_bytes > FRAMING_LIMIT_BYTES:
-            raise http_exceptions.TransferEncodingError(
-                f'{self._framing_bytes} bytes of framing without a body byte'
-            )
+        self.bytes += received_bytes
+        self.bytes -= body_bytes * (1 + FRAMING_BYTES_PER_BODY_BYTE)
+        self.bytes = max(0, self.bytes)
+        return self.bytes > FRAMING_LIMIT_BYTES and not self._payload.is_eof()
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -122,9 +122,18 @@
 
     def _feed_body(self, data: bytes) -> Parsed:
         try:
-            parsed = self._parser.feed_data(data)
-            self._framing.spend(len(data), self._is_paused())
-            return parsed
+            messages, is_upgraded, rest = self._parser.feed_data(data)
+            if self._framing.spend(len(data)) and not self._is_paused():
+                # After a pause aiohttp's parser (3.14.5) may stop once more
+                # at the next chunk, and hold what is behind it.
+                held, is_upgraded, rest = self._parser.feed_data(b'')
+                messages = [*messages, *held]
+                if self._framing.spend(0) and not self._is_paused():
+                    raise http_exceptions.TransferEncodingError(
+                        f'{self._framing.bytes} bytes of framing without a '
+                        'body byte'
+                    )
+            return messages, is_upgraded, rest
         except Exception as error:
             self._is_followed_by_garbage = True
             if not _is_complete(self._payload):
