Admit a thousand interim responses before a final one

Callers saw: an endpoint that announces a long answer with an interim response now and then was answered with a 502 after 100 of them; a 102 every 5 s exceeds that within a deadline of 600 s.

Cause: bounds interim responses by 100. Their bytes are bounded beside it, so that the number only has to bound the messages.

Failed before: 2 of 3 rows of test_interim_responses. They pass now, as do test_response_parser and test_endless_responses (209 in all).

--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -11,7 +11,7 @@
 
 FIRST_FINAL_STATUS = 200
 # Interim responses that may precede a final one.
-INTERIM_LIMIT = 100
+INTERIM_LIMIT = 1_000
 # Bytes before the end of the final head beyond those that the limits of
 # aiohttp's parser admit: line ends, blank lines and interim responses.
 HEAD_OVERHEAD_BYTES = 64 * 1024
