Split the parsing of bounded bodies off

Cause: nested the check of a paused parser three levels deep, and two rows of the switches no longer found their texts.

Change: PrefixParser._feed_bounded; the rows name the new texts; a comment on the connections of polls and two docstrings say what holds now. Behaviour is the same.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -113,16 +113,16 @@
     ),
     Switch(
         'framing without end is read',
-        TRANSPORT + 'response_parser.py',
-        '            self._framing.spend(len(data), self._is_paused())\n',
-        '',
+        TRANSPORT + 'framing_budget.py',
+        'return self.framing_bytes > FRAMING_LIMIT_BYTES',
+        'return False',
         f'{ENDLESS} -k framing',
     ),
     Switch(
         'framing is judged while the parser is paused',
-        TRANSPORT + 'framing_budget.py',
-        'if is_paused or self._payload.is_eof():',
-        'if self._payload.is_eof():',
+        TRANSPORT + 'response_parser.py',
+        'return self._parser.protocol._reading_paused',
+        'return False',
         f'{ENDLESS} -k long_chunked',
     ),
     Switch(
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -114,8 +114,8 @@
             read_buffer_bytes,
             self._socket_buffer_bytes,
         )
-        # A pool of its own: refusals of polls carry no request id, and a
-        # refusal without one is attributed to the call on its connection.
+        # A pool of its own: responses to polls carry no request id, so that
+        # none may arrive in the place of a call's.
         self._reports_client = web.HttpClient(
             node.entry.connect_timeout_ms, node.entry.endpoint_idle_ms
         )
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -48,7 +48,7 @@
         super().__init__(loop=loop)
         self._is_outstanding = False
         self._is_parsing = False
-        # Requests that were written to this connection.
+        # Requests whose first byte was about to be written.
         self.request_count = 0
         # Ids of the requests that were refused on it.
         self.refused_ids: set[str] = set()
@@ -217,8 +217,8 @@
     """Return whether a response without an id can only be its request's.
 
     Only that to the first request of a connection can't be left over from an
-    earlier one. No later request uses the connection, as a copy of the
-    response could arrive in the place of its own.
+    earlier one. If it is accepted, its connection is closed at the end of its
+    body, as a copy could arrive in the place of a later response.
     """
     if request_count(response) != 1:
         return False
--- a/wrenspoke/transport/framing_budget.py
+++ b/wrenspoke/transport/framing_budget.py
@@ -13,7 +13,7 @@
 class FramingBudget:
     """Bounds the bytes that arrive for a body without being part of it.
 
-    ``bytes`` is how many have arrived and aren't outweighed by the body.
+    ``framing_bytes`` is how many of them the body does not outweigh.
 
     aiohttp's parser (3.14.5) neither bounds the line of a chunk's size nor
     tells how much of it was read.
@@ -22,17 +22,19 @@
     def __init__(self, payload: aiohttp.StreamReader):
         self._payload = payload
         self._body_bytes = payload.total_bytes
-        self.bytes = 0
+        self.framing_bytes = 0
 
     def spend(self, received_bytes: int) -> bool:
         """Count received bytes, those of the body included.
 
-        Return whether too many are not of the body, unless a parser still
-        holds some.
+        Return whether too many are not of the body; a parser may still hold
+        some of it.
         """
         body_bytes = self._payload.total_bytes - self._body_bytes
         self._body_bytes += body_bytes
-        self.bytes += received_bytes
-        self.bytes -= body_bytes * (1 + FRAMING_BYTES_PER_BODY_BYTE)
-        self.bytes = max(0, self.bytes)
-        return self.bytes > FRAMING_LIMIT_BYTES and not self._payload.is_eof()
+        self.framing_bytes += received_bytes
+        self.framing_bytes -= body_bytes * (1 + FRAMING_BYTES_PER_BODY_BYTE)
+        self.framing_bytes = max(0, self.framing_bytes)
+        if self._payload.is_eof():
+            return False
+        return self.framing_bytes > FRAMING_LIMIT_BYTES
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -122,18 +122,7 @@
 
     def _feed_body(self, data: bytes) -> Parsed:
         try:
-            messages, is_upgraded, rest = self._parser.feed_data(data)
-            if self._framing.spend(len(data)) and not self._is_paused():
-                # After a pause aiohttp's parser (3.14.5) may stop once more
-                # at the next chunk, and hold what is behind it.
-                held, is_upgraded, rest = self._parser.feed_data(b'')
-                messages = [*messages, *held]
-                if self._framing.spend(0) and not self._is_paused():
-                    raise http_exceptions.TransferEncodingError(
-                        f'{self._framing.bytes} bytes of framing without a '
-                        'body byte'
-                    )
-            return messages, is_upgraded, rest
+            return self._feed_bounded(data)
         except Exception as error:
             self._is_followed_by_garbage = True
             if not _is_complete(self._payload):
@@ -141,6 +130,24 @@
                 raise
             return (), False, b''
 
+    def _feed_bounded(self, data: bytes) -> Parsed:
+        """Parse bytes of a body.
+
+        :raises TransferEncodingError: too many of them are framing
+        """
+        messages, is_upgraded, rest = self._parser.feed_data(data)
+        if not self._framing.spend(len(data)) or self._is_paused():
+            return messages, is_upgraded, rest
+        # After a pause aiohttp's parser (3.14.5) may stop once more at the
+        # next chunk, and hold what is behind it.
+        held, is_upgraded, rest = self._parser.feed_data(b'')
+        if self._framing.spend(0) and not self._is_paused():
+            raise http_exceptions.TransferEncodingError(
+                f'{self._framing.framing_bytes} bytes of framing without a '
+                'body byte'
+            )
+        return [*messages, *held], is_upgraded, rest
+
     def _is_paused(self) -> bool:
         """Return whether the parser holds bytes that its reader waits for."""
         return self._parser.protocol._reading_paused
