Open exchanges for the rest of an answer in one place

Cause: on reading the change again, TakeUpForwarder and HopExchange opened the same timed request, line by line; Sender._may_be_unnamed reads as a question, and closes the connection of what it accepts.

Change: take_up._open_rest; the method is _accept_unnamed; two docstrings and a blank line.

--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -57,7 +57,7 @@
     Switch(
         'refusals without an id are foreign',
         DECISIONS + 'serving/sending.py',
-        'not echoed and self._may_be_unnamed(destination, response)',
+        'not echoed and self._accept_unnamed(destination, response)',
         'False',
         f'{SURPLUS} -k refusal',
     ),
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -485,7 +485,7 @@
         echoed = response.headers.get(self._dialect.request)
         if echoed == call.request:
             return True
-        accepted = not echoed and self._may_be_unnamed(destination, response)
+        accepted = not echoed and self._accept_unnamed(destination, response)
         logger.warning(
             'unnamed_refusal' if accepted else 'response_id_mismatch',
             request=call.request,
@@ -498,10 +498,13 @@
         )
         return accepted
 
-    def _may_be_unnamed(
+    def _accept_unnamed(
         self, destination: Destination, response: aiohttp.ClientResponse
     ) -> bool:
-        """Return whether a response without a request id is a refusal."""
+        """Return whether a response without an id refuses the call.
+
+        The connection of one that does isn't used again.
+        """
         if destination.host is not None:
             # Refusals of older releases don't name the request.
             if passthrough_api.REFUSED_HEADER not in response.headers:
--- a/wrenspoke/coordination/serving/take_up.py
+++ b/wrenspoke/coordination/serving/take_up.py
@@ -286,17 +286,9 @@
         )
         stack = contextlib.AsyncExitStack()
         try:
-            async with clocks.timeout_ms(PATH_LIMIT_MS):
-                response = await stack.enter_async_context(
-                    self._client.send_verbatim(
-                        'GET',
-                        record.passing_address,
-                        '/',
-                        take_up_fields(request),
-                        None,
-                        is_own=functools.partial(is_own, token=self._token),
-                    )
-                )
+            response = await _open_rest(
+                stack, self._client, record.passing_address, request
+            )
         except (TimeoutError, transport_errors.TransportError) as error:
             logger.info(
                 'take_up_failed', peer=record.host, problem=repr(error)
@@ -310,6 +302,32 @@
         return Continuation(response, offset, record.host)
 
 
+async def _open_rest(
+    stack: contextlib.AsyncExitStack,
+    client: web.HttpClient,
+    address: str,
+    request: kept_answers.TakeUp,
+) -> aiohttp.ClientResponse:
+    """Ask a host for the rest of an answer; return the head of its response.
+
+    ``stack`` ends the exchange.
+
+    :raises TimeoutError: there was none within ``PATH_LIMIT_MS``
+    :raises TransportError: the request or its response failed
+    """
+    async with clocks.timeout_ms(PATH_LIMIT_MS):
+        return await stack.enter_async_context(
+            client.send_verbatim(
+                'GET',
+                address,
+                '/',
+                take_up_fields(request),
+                None,
+                is_own=functools.partial(is_own, token=request.token),
+            )
+        )
+
+
 def take_up_fields(request: kept_answers.TakeUp) -> dialects.Fields:
     """Return the headers of a request for the rest of an answer."""
     text = msgspec.json.encode(request).decode()
@@ -367,20 +385,9 @@
         request = msgspec.structs.replace(take_up, passed_on=True)
         try:
             async with contextlib.AsyncExitStack() as stack:
-                # The host that asks waits no longer.
-                async with clocks.timeout_ms(PATH_LIMIT_MS):
-                    response = await stack.enter_async_context(
-                        self._client.send_verbatim(
-                            'GET',
-                            address,
-                            '/',
-                            take_up_fields(request),
-                            None,
-                            is_own=functools.partial(
-                                is_own, token=take_up.token
-                            ),
-                        )
-                    )
+                response = await _open_rest(
+                    stack, self._client, address, request
+                )
                 return await _pass_on(response, take_up.token, reply)
         except (TimeoutError, transport_errors.TransportError) as error:
             logger.info(
--- a/wrenspoke/transport/exchange.py
+++ b/wrenspoke/transport/exchange.py
@@ -25,8 +25,6 @@
     'max_field_size',
     'max_headers',
 )
-
-
 # Refused requests that a connection remembers until it is replaced.
 REFUSED_IDS_LIMIT = 1_000
 
@@ -240,9 +238,10 @@
 def responds_to(
     response: aiohttp.ClientResponse, header: str, request_id: str
 ) -> bool:
-    """Return whether a response names a request in a header.
+    """Return whether a response belongs to a request.
 
-    One that names none is told by ``accept_unnamed``.
+    ``header`` names the request; ``accept_unnamed`` checks a response that
+    lacks it.
     """
     named = response.headers.get(header)
     if not named:
