Bound the waits for a call to reach its engine

Two tests repeated the same steps, and so did two modules that make a forwarder.

Change: nodes.until in place of the waits, which now fail after its limit; ask_behind_a_cut and test_truncated.new_forwarder are shared. What the tests check is the same.

--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -7,7 +7,6 @@
 import contextlib
 import types
 
-import msgspec
 import pytest
 
 from tests import endpoints
@@ -21,7 +20,6 @@
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import host_list_poller
 from wrenspoke.coordination.membership import load_poller
-from wrenspoke.coordination.serving import forwarding
 from wrenspoke.coordination.serving import streams
 from wrenspoke.coordination.serving import take_up
 from wrenspoke.coordination.serving import warmup_probe
@@ -29,13 +27,11 @@
 from wrenspoke import operator as operators
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import headers
-from wrenspoke.protocol import hops
 from wrenspoke.protocol import kept_answers
 from wrenspoke.protocol import outcomes
 from wrenspoke.protocol import passthrough_api
 from wrenspoke.protocol import requests
 from wrenspoke.protocol import sse
-from wrenspoke import settings
 from wrenspoke.state import registry
 from wrenspoke.state import routes
 from wrenspoke.transport import web
@@ -236,16 +232,7 @@
     region = truncated.OneRegion(['south-1'])
     client = web.HttpClient(1_000)
     clock = clocks.Clock()
-    forwarder = forwarding.Forwarder(
-        'north-1',
-        settings.parse(msgspec.json.encode(made)),
-        region,
-        region,
-        client,
-        hops.HopSigner('test', b'k' * 32),
-        types.SimpleNamespace(record=lambda *_values, **_fields: None),
-        clock,
-    )
+    forwarder = truncated.new_forwarder(made, region, client, clock)
     head = requests.RequestHead(
         'r1',
         requests.RequestKind.PLAIN,
--- a/tests/test_request_path_answers.py
+++ b/tests/test_request_path_answers.py
@@ -203,20 +203,26 @@
         rest = rest[length + 2 :]
 
 
+async def ask_behind_a_cut(made):
+    """Return the response to a call that is cut off before its answer."""
+    made.engine.is_stream = False
+    reader, writer = await made.open()
+    await nodes.until(made.engine.arrived.is_set)
+    made.cut()
+    made.engine.goes_on.set()
+    async with asyncio.timeout(nodes.WAIT_S):
+        got = await reader.read()
+    writer.close()
+    return got
+
+
 async def test_answer_made_behind_a_cut_arrives_through_a_third_region(
     tmp_path, monkeypatch
 ):
     """A once-only call could not be run again: its caller would get a 502."""
     async with deployed(tmp_path, monkeypatch) as made:
-        made.engine.is_stream = False
         with structlog.testing.capture_logs() as lines:
-            reader, writer = await made.open()
-            await made.engine.arrived.wait()
-            made.cut()
-            made.engine.goes_on.set()
-            async with asyncio.timeout(nodes.WAIT_S):
-                got = await reader.read()
-            writer.close()
+            got = await ask_behind_a_cut(made)
         assert got.startswith(b'HTTP/1.1 200 ') and got.endswith(b'whole')
         assert made.engine.requests == 1
         assert passthrough_api.TAKEN_UP_HEADER.encode() not in got
@@ -229,14 +235,7 @@
 ):
     """Guards against headers between hosts in a caller's response."""
     async with deployed(tmp_path, monkeypatch) as made:
-        made.engine.is_stream = False
-        reader, writer = await made.open()
-        await made.engine.arrived.wait()
-        made.cut()
-        made.engine.goes_on.set()
-        async with asyncio.timeout(nodes.WAIT_S):
-            got = await reader.read()
-        writer.close()
+        got = await ask_behind_a_cut(made)
     assert got.startswith(b'HTTP/1.1 200 ') and got.endswith(b'whole')
     assert passthrough_api.TAKE_UP_HEADER.encode() not in got, got
 
@@ -321,7 +320,7 @@
         made.engine.is_stream = False
         with structlog.testing.capture_logs() as lines:
             reader, writer = await made.open()
-            await made.engine.arrived.wait()
+            await nodes.until(made.engine.arrived.is_set)
             made.cut()
             await nodes.until(
                 lambda: any(x['event'] == 'answer_taken_up' for x in lines)
@@ -341,7 +340,7 @@
         made.engine.is_stream = False
         with structlog.testing.capture_logs() as lines:
             reader, writer = await made.open()
-            await made.engine.arrived.wait()
+            await nodes.until(made.engine.arrived.is_set)
             made.south._kept_answers._answers.clear()
             made.cut()
             await nodes.until(
@@ -435,7 +434,7 @@
             lambda sent, _number: [test_passing.answer(sent, b'second')]
         ).start()
         reader, writer = await made.open('GET /a/x HTTP/1.1')
-        await made.engine.arrived.wait()
+        await nodes.until(made.engine.arrived.is_set)
         await made.system.register('e2', second, data_centre='west-hall')
         made.cut()
         async with asyncio.timeout(nodes.WAIT_S):
@@ -666,7 +665,7 @@
     async with deployed(tmp_path, monkeypatch) as made:
         made.engine.is_stream = False
         reader, writer = await made.open()
-        await made.engine.arrived.wait()
+        await nodes.until(made.engine.arrived.is_set)
         draining = asyncio.ensure_future(made.south.drain())
         made.engine.goes_on.set()
         async with asyncio.timeout(nodes.WAIT_S):
--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -450,6 +450,20 @@
         self.failed.append(host)
 
 
+def new_forwarder(deployment, region, client, clock):
+    """Return a host's forwarder to the one region of a deployment."""
+    return forwarding.Forwarder(
+        'north-1',
+        settings.parse(msgspec.json.encode(deployment)),
+        region,
+        region,
+        client,
+        hops.HopSigner('test', b'k' * 32),
+        types.SimpleNamespace(record=lambda *_values, **_fields: None),
+        clock,
+    )
+
+
 class WholeReply:
     """Records a response that is sent to the caller."""
 
@@ -477,16 +491,7 @@
         region = OneRegion(['south-1', 'south-2'])
         client = web.HttpClient(1_000)
         clock = clocks.Clock()
-        forwarder = forwarding.Forwarder(
-            'north-1',
-            settings.parse(msgspec.json.encode(made)),
-            region,
-            region,
-            client,
-            hops.HopSigner('test', b'k' * 32),
-            types.SimpleNamespace(record=lambda *_values, **_fields: None),
-            clock,
-        )
+        forwarder = new_forwarder(made, region, client, clock)
         head = requests.RequestHead(
             'r1', PLAIN, 'GET', '/map', 'records', clock.mono_ms() + 5_000
         )
