Wait for the offers of the other region in tests of a hop

Cause: two tests sent a call over a hop as soon as its endpoint was listed. The north's host may still have the offers of before, and refuses with a true 503.

Change: test_far.wait_for_pongs, as other tests do. What they check is the same.

--- a/tests/test_request_path_hops.py
+++ b/tests/test_request_path_hops.py
@@ -9,6 +9,7 @@
 from tests import endpoints
 from tests import loops
 from tests import nodes
+from tests import test_far
 from tests import test_passing
 from wrenspoke.coordination.membership import region_views
 from wrenspoke.coordination.membership import warm_connections
@@ -339,6 +340,7 @@
         await system.start_entry('south-hall')
         await system.put(test_passing.route())
         await system.register('e', endpoint, data_centre='south-hall')
+        await test_far.wait_for_pongs(system)
         yield Link(system, south_relay, endpoint)
     finally:
         await system.close()
--- a/tests/test_request_path_stages.py
+++ b/tests/test_request_path_stages.py
@@ -5,6 +5,7 @@
 
 from tests import endpoints
 from tests import nodes
+from tests import test_far
 from tests import test_passing
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.serving import stage_histograms
@@ -85,6 +86,7 @@
         await system.start_entry('south-hall')
         await system.put(test_passing.route())
         await system.register('e', endpoint, data_centre='south-hall')
+        await test_far.wait_for_pongs(system)
         with structlog.testing.capture_logs() as lines:
             got = await endpoints.send_raw(
                 north.node.callers_address, test_passing.request()
