Log how long each step of a stop took

A stop of a host is a chain of awaited steps, and the log showed only its first and last ones: which step used up a stop that ended with SIGKILL could not be told. Each step now logs `stop_step` with its time and the time since the stop began, and `stopped` names the components that took time to close. All four daemons close their components through one function.

--- a/benches/switches_hosts.py
+++ b/benches/switches_hosts.py
@@ -105,7 +105,7 @@
     Switch(
         'stop cuts off',
         'wrenspoke/entryd.py',
-        ('    await daemon.drain()\n'),
+        ('    await daemon.drain(stop)\n'),
         (''),
         (
             'tests/test_leaving.py::test_planned_stop_of_a_host_cuts'
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -23,6 +23,7 @@
 from wrenspoke import node as nodes
 from wrenspoke import node_peers
 from wrenspoke import runtime
+from wrenspoke import shutdown
 from wrenspoke.state import disk
 from wrenspoke.state import locations
 from wrenspoke.state import storage
@@ -119,14 +120,22 @@
         self.group.reseed(node.seed_hosts)
         logger.info('reloaded', seeds=node.seeds)
 
-    async def close(self) -> None:
+    def begin_stop(self) -> shutdown.Shutdown:
+        """Return the stop that begins now."""
+        return shutdown.Shutdown(self.clock)
+
+    async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        await self._tasks.close()
-        await self._allocator.close()
-        await self._crash_aggregator.close()
-        await self.registrar.close()
-        await self._registry_snapshot.close()
-        await self.voter.close()
-        await self.peers.links.close()
+        stop = stop or self.begin_stop()
         self._traffic.log('control')
-        logger.info('stopped')
+        await stop.close_all(
+            {
+                'tasks': self._tasks,
+                'allocator': self._allocator,
+                'crash_aggregator': self._crash_aggregator,
+                'registrar': self.registrar,
+                'registry_snapshot': self._registry_snapshot,
+                'voter': self.voter,
+                'links': self.peers.links,
+            }
+        )
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -22,6 +22,7 @@
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
 from wrenspoke import settings
+from wrenspoke import shutdown
 from wrenspoke.state import disk
 from wrenspoke.state import entries
 from wrenspoke.state import locations
@@ -43,7 +44,7 @@
         self._deployment = deployment
         self._host_settings = deployment.host(name)
         host = ids.HostId(name)
-        clock = clocks.Clock()
+        self._clock = clock = clocks.Clock()
         self.peers = peer_calls.Peers(
             keys.read_identity(
                 folder / deployment.keys_folder,
@@ -137,16 +138,24 @@
             'started', ip=ip, operator_port=self._host_settings.operator_port
         )
 
-    async def close(self) -> None:
+    def begin_stop(self) -> shutdown.Shutdown:
+        """Return the stop that begins now."""
+        return shutdown.Shutdown(self._clock)
+
+    async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        await self._web.close()
-        await self._crash_aggregator.close()
-        await self.control.close()
-        await self._executor.close()
-        await self.voter.close()
-        await self._client.close()
-        await self.peers.links.close()
-        logger.info('stopped')
+        stop = stop or self.begin_stop()
+        await stop.close_all(
+            {
+                'server': self._web,
+                'crash_aggregator': self._crash_aggregator,
+                'control': self.control,
+                'executor': self._executor,
+                'voter': self.voter,
+                'client': self._client,
+                'links': self.peers.links,
+            }
+        )
 
 
 def bootstrap_group(path: pathlib.Path, name: str) -> None:
@@ -167,7 +176,7 @@
     daemon = ControlDaemon(deployment, name, path.parent)
     await daemon.start()
     await runtime.wait_for_stop()
-    await daemon.close()
+    await daemon.close(daemon.begin_stop())
 
 
 def main() -> None:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -61,6 +61,7 @@
 from wrenspoke.protocol import messages
 from wrenspoke.protocol import passthrough_api
 from wrenspoke import runtime
+from wrenspoke import shutdown
 from wrenspoke.state import registry
 from wrenspoke.transport import connector
 from wrenspoke.transport import web
@@ -631,16 +632,27 @@
             await self.replica.changed.wait()
             self._available.update_evacuations()
 
-    async def drain(self) -> None:
+    def begin_stop(self) -> shutdown.Shutdown:
+        """Return the stop that begins now."""
+        return shutdown.Shutdown(self.clock)
+
+    async def drain(self, stop: shutdown.Shutdown | None = None) -> None:
         """Announce the shutdown, then wait for the requests in flight."""
+        stop = stop or self.begin_stop()
         self.discovery.draining = True
         self.passthrough.leaving = True
         logger.info('draining', in_flight=self.passthrough.in_flight)
-        await self.discovery.push_status()
-        await self.clock.sleep_ms(self.node.entry.leave_delay_ms)
+        async with stop.step('announce'):
+            await self.discovery.push_status()
+        async with stop.step('leave_delay'):
+            await self.clock.sleep_ms(self.node.entry.leave_delay_ms)
         end_ms = self.clock.mono_ms() + self.node.entry.stop_timeout_ms
-        drained = await self.passthrough.drain(self.node.entry.stop_timeout_ms)
-        await self._finish_sending(end_ms)
+        async with stop.step('drain'):
+            drained = await self.passthrough.drain(
+                self.node.entry.stop_timeout_ms
+            )
+        async with stop.step('finish_sending'):
+            await self._finish_sending(end_ms)
         logger.info('drained', whole=drained)
 
     async def _finish_sending(self, end_ms: int) -> None:
@@ -652,35 +664,35 @@
         ):
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
 
-    async def close(self) -> None:
+    async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        await asyncio.gather(
-            self._caller_server.close(), self._host_server.close()
-        )
-        if self._kept_answers is not None:
-            await self._kept_answers.close()
-        await self._tasks.close()
-        await self._team_buckets.close()
-        await self._gate.close()
-        await self._stream_build_store.close()
-        await self._guard.close()
-        if self._buffers is not None:
-            await self._buffers.close()
-        if self._sent_calls is not None:
-            await self._sent_calls.close()
-        if self._outcomes is not None:
-            await self._outcomes.close()
-        await self._engine_loads.close()
-        if self._warm_connections is not None:
-            await self._warm_connections.close()
-        await self._remote_hosts.close()
-        await self._warmup_probe.close()
-        await self._cold_broadcaster.close()
-        await self._pinger.close()
-        await self.discovery.close()
-        await self._client.close()
-        await self._reports_client.close()
-        await self._hosts_client.close()
-        await self.peers.links.close()
+        stop = stop or self.begin_stop()
         self._traffic.log('entry')
-        logger.info('stopped')
+        async with stop.step('close_servers'):
+            await asyncio.gather(
+                self._caller_server.close(), self._host_server.close()
+            )
+        await stop.close_all(
+            {
+                'kept_answers': self._kept_answers,
+                'tasks': self._tasks,
+                'team_buckets': self._team_buckets,
+                'endpoint_gate': self._gate,
+                'stream_builds': self._stream_build_store,
+                'guard': self._guard,
+                'buffers': self._buffers,
+                'sent_calls': self._sent_calls,
+                'outcomes': self._outcomes,
+                'engine_loads': self._engine_loads,
+                'warm_connections': self._warm_connections,
+                'remote_hosts': self._remote_hosts,
+                'warmup_probe': self._warmup_probe,
+                'cold_broadcaster': self._cold_broadcaster,
+                'pinger': self._pinger,
+                'discovery': self.discovery,
+                'client': self._client,
+                'reports_client': self._reports_client,
+                'hosts_client': self._hosts_client,
+                'links': self.peers.links,
+            }
+        )
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -39,6 +39,7 @@
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
 from wrenspoke import settings
+from wrenspoke import shutdown
 from wrenspoke.transport import web
 
 MS_PER_S = 1_000
@@ -366,37 +367,49 @@
                 endpoint=endpoint,
             )
 
-    async def drain(self) -> bool:
+    def begin_stop(self) -> shutdown.Shutdown:
+        """Return the stop that begins now."""
+        return shutdown.Shutdown(self._clock)
+
+    async def drain(self, stop: shutdown.Shutdown | None = None) -> bool:
         """Drain this host; return whether all requests in flight ended.
 
         Directories omit this host at once. It keeps serving for
         ``leave_delay_ms``, as callers may still use a cached directory;
         after that it refuses new requests without running them.
         """
+        stop = stop or self.begin_stop()
         self.members.draining = True
-        await self.members.broadcast_beat()
+        async with stop.step('announce'):
+            await self.members.broadcast_beat()
         logger.info('draining', in_flight=self.gateway.in_flight)
-        await self._clock.sleep_ms(self._settings.leave_delay_ms)
-        drained = await self.gateway.drain(self._settings.stop_timeout_ms)
+        async with stop.step('leave_delay'):
+            await self._clock.sleep_ms(self._settings.leave_delay_ms)
+        async with stop.step('drain'):
+            drained = await self.gateway.drain(self._settings.stop_timeout_ms)
         logger.info('drained', whole=drained)
         return drained
 
-    async def close(self) -> None:
+    async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        await self._web.close()
-        await self._team_rate_limiter.close()
-        await self._gate.close()
-        await self._pinger.close()
-        await self._host_list_poller.close()
-        await self._poller.close()
-        await self._puller.close()
-        await self._guard.close()
-        await self.ledger.close()
-        await self.members.close()
-        await self._streams.close()
-        await self._client.close()
-        await self.peers.links.close()
-        logger.info('stopped')
+        stop = stop or self.begin_stop()
+        await stop.close_all(
+            {
+                'server': self._web,
+                'team_rate_limiter': self._team_rate_limiter,
+                'endpoint_gate': self._gate,
+                'pinger': self._pinger,
+                'host_list_poller': self._host_list_poller,
+                'load_poller': self._poller,
+                'configuration_puller': self._puller,
+                'guard': self._guard,
+                'ledger': self.ledger,
+                'members': self.members,
+                'streams': self._streams,
+                'client': self._client,
+                'links': self.peers.links,
+            }
+        )
 
 
 async def serve(path: pathlib.Path, name: str) -> None:
@@ -406,8 +419,9 @@
     daemon = EntryDaemon(deployment, name, folder)
     await daemon.start()
     await runtime.wait_for_stop()
-    await daemon.drain()
-    await daemon.close()
+    stop = daemon.begin_stop()
+    await daemon.drain(stop)
+    await daemon.close(stop)
 
 
 def main() -> None:
