Let the steps of a stop share one deadline, and wait for no other host

Cause: `EntryNode.drain` awaited the replies of both sessions' control hosts before the leave delay began. A control host that has ended never replies, so this took the whole call timeout. `stop_timeout_ms` was computed from the grace and the leave delay alone, so the stop took up to 8.8 s of 8, and calls were taken for up to 4 s after the signal instead of 2.5.

A `Shutdown` is made as the signal arrives. Its steps get what is left of the grace, less a reserve for closing; a step that isn't done by then is left and logged with `completed=false`. The announcement runs beside the leave delay, which counts from the signal. Control hosts and both daemons of a deployment's file close their components under the same bound: one that hangs kept the process until SIGKILL.

Before: test_stop_refuses_calls_though_control_hosts_are_silent failed for one and two silent control hosts (waited 8 s in vain), passed for none.

--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -122,11 +122,11 @@
 
     def begin_stop(self) -> shutdown.Shutdown:
         """Return the stop that begins now."""
-        return shutdown.Shutdown(self.clock)
+        return shutdown.Shutdown(self.clock, self.node.entry.grace_ms)
 
     async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        stop = stop or self.begin_stop()
+        stop = stop or shutdown.Shutdown(self.clock)
         self._traffic.log('control')
         await stop.close_all(
             {
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -31,6 +31,8 @@
 
 logger = structlog.get_logger(__name__)
 
+STOP_GRACE_MS = 8_000
+
 
 class ControlDaemon:
     """Builds, starts and stops the components of a control host."""
@@ -140,11 +142,11 @@
 
     def begin_stop(self) -> shutdown.Shutdown:
         """Return the stop that begins now."""
-        return shutdown.Shutdown(self._clock)
+        return shutdown.Shutdown(self._clock, STOP_GRACE_MS)
 
     async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        stop = stop or self.begin_stop()
+        stop = stop or shutdown.Shutdown(self._clock)
         await stop.close_all(
             {
                 'server': self._web,
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -634,7 +634,7 @@
 
     def begin_stop(self) -> shutdown.Shutdown:
         """Return the stop that begins now."""
-        return shutdown.Shutdown(self.clock)
+        return shutdown.Shutdown(self.clock, self.node.entry.grace_ms)
 
     async def drain(self, stop: shutdown.Shutdown | None = None) -> None:
         """Announce the shutdown, then wait for the requests in flight."""
@@ -642,31 +642,38 @@
         self.discovery.draining = True
         self.passthrough.leaving = True
         logger.info('draining', in_flight=self.passthrough.in_flight)
-        async with stop.step('announce'):
-            await self.discovery.push_status()
-        async with stop.step('leave_delay'):
-            await self.clock.sleep_ms(self.node.entry.leave_delay_ms)
-        end_ms = self.clock.mono_ms() + self.node.entry.stop_timeout_ms
+        # Control hosts may be stopping as well, and new calls have to be
+        # refused in time whether they answer or not.
+        self._tasks.start(self._announce(stop), fatal=False)
+        reserve_ms = shutdown.CLOSE_MARGIN_MS
+        async with stop.step('leave_delay', reserve_ms):
+            await self.clock.sleep_ms(
+                self.node.entry.leave_delay_ms - stop.elapsed_ms
+            )
+        drained = False
         async with stop.step('drain'):
             drained = await self.passthrough.drain(
-                self.node.entry.stop_timeout_ms
+                stop.remaining_ms(reserve_ms)
             )
-        async with stop.step('finish_sending'):
-            await self._finish_sending(end_ms)
+        async with stop.step('finish_sending', reserve_ms):
+            await self._finish_sending()
         logger.info('drained', whole=drained)
 
-    async def _finish_sending(self, end_ms: int) -> None:
+    async def _announce(self, stop: shutdown.Shutdown) -> None:
+        """Tell control hosts that this host accepts no more calls."""
+        async with stop.step('announce'):
+            await self.discovery.push_status()
+
+    async def _finish_sending(self) -> None:
         """Wait until answers that are complete have been sent."""
         if self._kept_answers is None:
             return
-        while (
-            self._kept_answers.has_unsent() and self.clock.mono_ms() < end_ms
-        ):
+        while self._kept_answers.has_unsent():
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
 
     async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        stop = stop or self.begin_stop()
+        stop = stop or shutdown.Shutdown(self.clock)
         self._traffic.log('entry')
         async with stop.step('close_servers'):
             await asyncio.gather(
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -369,7 +369,12 @@
 
     def begin_stop(self) -> shutdown.Shutdown:
         """Return the stop that begins now."""
-        return shutdown.Shutdown(self._clock)
+        return shutdown.Shutdown(
+            self._clock,
+            self._settings.leave_delay_ms
+            + self._settings.stop_timeout_ms
+            + shutdown.CLOSE_MARGIN_MS,
+        )
 
     async def drain(self, stop: shutdown.Shutdown | None = None) -> bool:
         """Drain this host; return whether all requests in flight ended.
@@ -384,15 +389,20 @@
             await self.members.broadcast_beat()
         logger.info('draining', in_flight=self.gateway.in_flight)
         async with stop.step('leave_delay'):
-            await self._clock.sleep_ms(self._settings.leave_delay_ms)
+            await self._clock.sleep_ms(
+                self._settings.leave_delay_ms - stop.elapsed_ms
+            )
+        drained = False
         async with stop.step('drain'):
-            drained = await self.gateway.drain(self._settings.stop_timeout_ms)
+            drained = await self.gateway.drain(
+                stop.remaining_ms(shutdown.CLOSE_MARGIN_MS)
+            )
         logger.info('drained', whole=drained)
         return drained
 
     async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        stop = stop or self.begin_stop()
+        stop = stop or shutdown.Shutdown(self._clock)
         await stop.close_all(
             {
                 'server': self._web,
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -22,9 +22,6 @@
     str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$')
 ]
 
-
-# Time that remains for closing connections after the drain.
-STOP_MARGIN_MS = 700
 Losses = typing.Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -90,12 +87,6 @@
     leave_delay_ms: Positive = 2_500
     grace_ms: Positive = 8_000
 
-    @property
-    def stop_timeout_ms(self) -> int:
-        """Return the time to drain in, so that a stop ends in ``grace_ms``."""
-        left_ms = self.grace_ms - self.leave_delay_ms - STOP_MARGIN_MS
-        return max(left_ms, 0)
-
 
 class RetryBudgetSettings(_Section):
     """Bounds the retries of a service, over all hosts.
--- a/wrenspoke/shutdown.py
+++ b/wrenspoke/shutdown.py
@@ -1,4 +1,4 @@
-"""Steps of a planned stop."""
+"""Steps of a planned stop, which share one deadline."""
 
 import collections.abc
 import contextlib
@@ -10,6 +10,11 @@
 
 logger = structlog.get_logger(__name__)
 
+# Time that remains for closing connections and components after a drain.
+CLOSE_MARGIN_MS = 700
+# Time that remains for the process to exit.
+EXIT_MARGIN_MS = 200
+
 
 class Closeable(typing.Protocol):
     """A component that a stop closes."""
@@ -19,42 +24,68 @@
 
 
 class Shutdown:
-    """Times the steps of one stop, which begins as this is created."""
+    """A stop that begins as this is created, and ends within ``grace_ms``.
+
+    Each step gets what earlier ones have left, less a reserve for later ones.
+    Without ``grace_ms`` steps take as long as they need.
+    """
 
-    def __init__(self, clock: clocks.Clock):
+    def __init__(self, clock: clocks.Clock, grace_ms: int | None = None):
         self._clock = clock
         self._begun_ms = clock.mono_ms()
+        self._grace_ms = grace_ms
 
     @property
     def elapsed_ms(self) -> int:
         """Return the time since the stop began."""
         return self._clock.mono_ms() - self._begun_ms
 
+    def remaining_ms(self, reserve_ms: int = EXIT_MARGIN_MS) -> int | None:
+        """Return the time left but for a reserve, None if it is unbounded."""
+        if self._grace_ms is None:
+            return None
+        return max(self._grace_ms - reserve_ms - self.elapsed_ms, 0)
+
     @contextlib.asynccontextmanager
-    async def step(self, name: str) -> collections.abc.AsyncIterator[None]:
-        """Run a step in the block, and log how long it took."""
+    async def step(
+        self, name: str, reserve_ms: int = EXIT_MARGIN_MS
+    ) -> collections.abc.AsyncIterator[None]:
+        """Run a step in the block, and log how long it took.
+
+        The block is cancelled, and left, as the time for it has passed.
+        """
         started_ms = self._clock.mono_ms()
+        bound = clocks.timeout_ms(self.remaining_ms(reserve_ms))
         try:
-            yield
+            async with bound:
+                yield
+        except TimeoutError:
+            if not bound.expired():
+                raise
         finally:
-            logger.info(
+            log = logger.warning if bound.expired() else logger.info
+            log(
                 'stop_step',
                 step=name,
                 took_ms=self._clock.mono_ms() - started_ms,
                 elapsed_ms=self.elapsed_ms,
+                completed=not bound.expired(),
             )
 
     async def close_all(
         self, components: collections.abc.Mapping[str, Closeable | None]
     ) -> None:
         """Close components one after the other; None stands for disabled."""
+        left = [name for name, one in components.items() if one is not None]
         took_ms = {}
         async with self.step('close'):
-            for name, component in components.items():
-                if component is None:
-                    continue
+            while left:
                 started_ms = self._clock.mono_ms()
-                await component.close()
-                took_ms[name] = self._clock.mono_ms() - started_ms
-        parts_ms = ','.join(f'{n}:{ms}' for n, ms in took_ms.items() if ms)
-        logger.info('stopped', took_ms=self.elapsed_ms, parts_ms=parts_ms)
+                await components[left[0]].close()
+                took_ms[left.pop(0)] = self._clock.mono_ms() - started_ms
+        logger.info(
+            'stopped',
+            took_ms=self.elapsed_ms,
+            parts_ms=','.join(f'{n}:{ms}' for n, ms in took_ms.items() if ms),
+            not_closed=','.join(left),
+        )
