Reply to open polls as a control host stops

A stopping control host now replies to all polls before it closes, with `leaving` set; entry hosts then turn to another control host. Its last replies get 100 ms to leave the socket. Entry hosts of before ignore the field.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -97,6 +97,38 @@
         await draining
 
 
+@pytest.mark.parametrize('controls', [1, 2, 3])
+async def test_stopping_control_host_replies_to_polls(tmp_path, controls):
+    """Guards against polls that only end with their timeout."""
+    async with nodes.running(tmp_path, controls=controls) as system:
+        await system.put(test_passing.route())
+        [entry] = system.entries
+        wanted = min(controls, 2)
+        await nodes.until(lambda: len(_session_hosts(entry)) == wanted)
+        host = _session_hosts(entry)[0]
+        [control] = [c for c in system.controls if c.node.host == host]
+        system.controls.remove(control)
+        with structlog.testing.capture_logs() as logs:
+            stop = control.begin_stop()
+            await control.drain(stop)
+            await control.close(stop)
+            await nodes.until(lambda: _session_ends(logs, host))
+        assert _session_ends(logs, host)[0] == 'control_host_leaving'
+        if controls > 2:
+            await nodes.until(lambda: len(_session_hosts(entry)) == wanted)
+            assert host not in _session_hosts(entry)
+
+
+def _session_ends(logs, host):
+    """Return the events that end sessions with a control host."""
+    events = ('control_host_leaving', 'control_host_lost')
+    return [
+        log['event']
+        for log in logs
+        if log['event'] in events and log['peer'] == host
+    ]
+
+
 def _session_hosts(entry):
     return [
         session.host
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -124,6 +124,12 @@
         """Return the stop that begins now."""
         return shutdown.Shutdown(self.clock, self.node.entry.grace_ms)
 
+    async def drain(self, stop: shutdown.Shutdown | None = None) -> None:
+        """Let entry hosts turn to other control hosts."""
+        stop = stop or self.begin_stop()
+        async with stop.step('release_polls', shutdown.CLOSE_MARGIN_MS):
+            await self.registrar.release_polls()
+
     async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
         stop = stop or shutdown.Shutdown(self.clock)
--- a/wrenspoke/coordination/membership/discovery_client.py
+++ b/wrenspoke/coordination/membership/discovery_client.py
@@ -78,6 +78,8 @@
     # Entry hosts in the roster of this control host.
     hosts: set[ids.HostId] = dataclasses.field(default_factory=set)
     leader_seen_ms: int = 0
+    # The control host is stopping.
+    host_leaving: bool = False
 
     def reset(self, host: ids.HostId | None, now_ms: int) -> None:
         """Start over with a control host, or with none."""
@@ -85,6 +87,7 @@
         self.instance_id = ''
         self.hosts = set()
         self.leader_seen_ms = now_ms
+        self.host_leaving = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -256,6 +259,8 @@
             wait_ms = ATTEND_WAIT_MS if self.lease.held else UNLEASED_WAIT_MS
             if not await self._send_attend(session, session.host, wait_ms):
                 logger.warning('control_host_lost', peer=session.host)
+            elif session.host_leaving:
+                logger.info('control_host_leaving', peer=session.host)
             elif self._is_leaderless(session):
                 logger.info('control_host_leaderless', peer=session.host)
             elif self._has_nearer_host(session.host):
@@ -371,6 +376,7 @@
                 self._complete_ms = session.leader_seen_ms
             self._update_leader(session.host, answer)
         session.instance_id = answer.life
+        session.host_leaving = answer.leaving
         self._serve_if_ready(answer)
         session.endpoints_revision = answer.endpoints_revision
         session.hosts_revision = answer.hosts_revision
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -51,6 +51,7 @@
 REPLICATION_TIMEOUT_MS = 2_000
 # Has to exceed the exchange interval plus an inter-region round trip.
 CONTACT_WINDOW_MS = 3_000
+RELEASE_CHECK_MS = 10
 # Disks that hold an acknowledged leave, if the tolerated losses are unknown.
 DEFAULT_LEAVE_COPIES = 2
 
@@ -79,6 +80,8 @@
         self._instance_id = ids.new_random_id()
         self._created_ms = clock.mono_ms()
         self._update_event = asyncio.Event()
+        self._open_polls = 0
+        self._leaving = False
         # When each entry host was last answered.
         self._answered_ms: dict[ids.HostId, int] = {}
         # Packed deltas by start index, valid up to ``_packed_index``.
@@ -127,6 +130,16 @@
         self._tasks.start(self._watch_configuration())
         self._control_sync.start()
 
+    async def release_polls(self) -> None:
+        """Reply to all polls, whose hosts then turn to other control hosts.
+
+        A poll without a reply would only end with its timeout.
+        """
+        self._leaving = True
+        self._notify_waiters()
+        while self._open_polls:
+            await self._clock.sleep_ms(RELEASE_CHECK_MS)
+
     async def close(self) -> None:
         """Cancel all tasks."""
         await self._control_sync.close()
@@ -215,19 +228,29 @@
     ) -> discovery_messages.AttendReply:
         if self.roster.merge_record(message.record):
             self._control_sync.request_sync()
-        wait_ms = min(message.wait_ms, MAX_WAIT_MS)
         asked_ms = self._clock.mono_ms()
+        self._open_polls += 1
+        try:
+            await self._wait_for_update(sender, message)
+        finally:
+            self._open_polls -= 1
+        now_ms = self._clock.mono_ms()
+        self._answered_ms[sender] = now_ms
+        return self._build_answer(message, now_ms - asked_ms)
+
+    async def _wait_for_update(
+        self, sender: ids.HostId, message: discovery_messages.Attend
+    ) -> None:
+        """Wait for what a host doesn't have yet, and for changes beside it."""
+        wait_ms = min(message.wait_ms, MAX_WAIT_MS)
         try:
             async with clocks.timeout_ms(wait_ms):
                 while not self._has_update_for(message):
                     await self._update_event.wait()
-                if message.life == self._instance_id:
+                if message.life == self._instance_id and not self._leaving:
                     await self._clock.sleep_ms(self._batch_delay_ms(sender))
         except TimeoutError:
             pass
-        now_ms = self._clock.mono_ms()
-        self._answered_ms[sender] = now_ms
-        return self._build_answer(message, now_ms - asked_ms)
 
     def _batch_delay_ms(self, host: ids.HostId) -> int:
         """Return how long changes for a host are batched."""
@@ -241,7 +264,7 @@
         Roster changes don't count: a running host has the roster already,
         and a draining host rejects calls that are forwarded to it.
         """
-        if message.life != self._instance_id:
+        if message.life != self._instance_id or self._leaving:
             return True
         return (
             self.registry.revision > message.endpoints_revision
@@ -275,6 +298,7 @@
             self._voter.leader,
             self._voter.term,
             self._is_complete,
+            self._leaving,
         )
 
     def _packed_delta_since(self, index: int) -> bytes:
--- a/wrenspoke/protocol/discovery_messages.py
+++ b/wrenspoke/protocol/discovery_messages.py
@@ -94,7 +94,8 @@
     delayed the reply. ``leader`` is the last known leader, in ``term``.
     ``hosts`` is None if no host changed. ``near`` lists the control hosts in
     the region of the entry host. ``complete`` is set if the registry has had
-    the time to receive a registration of every endpoint.
+    the time to receive a registration of every endpoint. ``leaving`` is set by
+    a control host that is stopping.
     """
 
     confirmed: bool
@@ -113,6 +114,7 @@
     leader: ids.HostId | None = None
     term: int = 0
     complete: bool = False
+    leaving: bool = False
 
 
 def pack_delta(delta: messages.ConfigurationDelta) -> bytes:
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -43,6 +43,8 @@
 # costs about ten connection attempts per second.
 RECONNECT_MS = 30
 MAX_RECONNECT_MS = 100
+# For replies that are queued as a host stops.
+REPLY_LINGER_MS = 100
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 # Shorter messages are sent uncompressed.
 MIN_COMPRESS_BYTES = 2_048
@@ -369,12 +371,12 @@
             logger.info('reply_dropped', peer=sender)
 
     async def close(self) -> None:
-        """Close all sockets, and drop messages that are still queued."""
+        """Close all sockets, and drop requests that are still queued."""
         await self._tasks.close()
         for dealer in self._dealers.values():
             dealer.close()
         if self._router is not None:
-            self._router.close()
+            self._router.close(REPLY_LINGER_MS)
         if self._authenticator is not None:
             self._authenticator.stop()
         self._context.destroy(linger=0)
--- a/wrenspoke/transport/sockets.py
+++ b/wrenspoke/transport/sockets.py
@@ -76,12 +76,16 @@
             abandoned.remove_done_callback(wake)
             self._waiters.discard(waiter)
 
-    def close(self) -> None:
-        """Close the socket; who waits to send gets the error of a send."""
+    def close(self, linger_ms: int = 0) -> None:
+        """Close the socket; who waits to send gets the error of a send.
+
+        Queued messages are still sent for at most ``linger_ms``, until which
+        the context can't be closed.
+        """
         if self._sock.closed:
             return
         self._loop.remove_reader(self._descriptor)
-        self._sock.close(linger=0)
+        self._sock.close(linger=linger_ms)
         self._wake_waiters()
 
     def _schedule(self) -> None:
