Wait for callers to take complete answers before a stopping host ends

Cause: a call counts as in flight until its last byte is with the connection, which holds up to 16 KiB beyond the socket, 64 KiB without buffering. With no call in flight the stop closed the servers and ended the loop.

The step `finish_sending` now also waits until no connection of a server holds unsent bytes, within what the stop has left, on both ways in. It looks at the connections and not at replies, so that refusals, hops and bodies of any framing are covered. What is cut at the end is logged as `response_cut`, and reset if the connection delimits the body.

--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -666,11 +666,16 @@
 
     async def _finish_sending(self) -> None:
         """Wait until answers that are complete have been sent."""
-        if self._kept_answers is None:
-            return
-        while self._kept_answers.has_unsent():
+        while self._has_unsent():
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
 
+    def _has_unsent(self) -> bool:
+        """Return whether complete answers are still held by this process."""
+        if self._kept_answers is not None and self._kept_answers.has_unsent():
+            return True
+        servers = (self._caller_server, self._host_server)
+        return any(server.unsent_bytes() for server in servers)
+
     async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
         stop = stop or shutdown.Shutdown(self.clock)
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -49,6 +49,8 @@
 
 logger = structlog.get_logger(__name__)
 
+DRAIN_CHECK_MS = 50
+
 
 class EntryDaemon:
     """Builds, starts and stops the components of an entry host."""
@@ -64,7 +66,7 @@
         self._host_settings = deployment.host(name)
         self._host = ids.HostId(name)
         self._region = ids.RegionId(self._host_settings.region)
-        self._clock = clocks.Clock()
+        self.clock = clocks.Clock()
         self._signer = hops.HopSigner(
             deployment.cluster, keys.read_cluster_key(keys_folder)
         )
@@ -72,12 +74,12 @@
         self.peers = peer_calls.Peers(
             keys.read_identity(keys_folder, deployment, self._host_settings),
             keys.link_peers(deployment),
-            self._clock,
+            self.clock,
         )
         self.replica = replica.Replica()
-        self.decisions = decisions.DecisionLog(self._clock)
-        self.loads = loads.LoadTable(self._clock)
-        self._limits = concurrency_limits.ConcurrencyLimits(self._clock)
+        self.decisions = decisions.DecisionLog(self.clock)
+        self.loads = loads.LoadTable(self.clock)
+        self._limits = concurrency_limits.ConcurrencyLimits(self.clock)
         self._build_membership()
         self._build_limits()
         self._build_guard()
@@ -95,7 +97,7 @@
             self.replica,
             self.loads,
             self._limits,
-            self._clock,
+            self.clock,
         )
         self._puller = configuration_puller.ConfigurationPuller(
             self._host,
@@ -103,7 +105,7 @@
             self.peers,
             self.members,
             self.replica,
-            self._clock,
+            self.clock,
         )
         self._host_list_poller = host_list_poller.HostListPoller(
             self._settings.platform_url,
@@ -111,12 +113,12 @@
             self._client,
             self.members,
             self.replica,
-            self._clock,
+            self.clock,
         )
         self._pinger = host_pinger.HostPinger(
             self._settings,
             self.peers,
-            self._clock,
+            self.clock,
             lambda _ping: messages.Pong(self.members.draining),
         )
         self._team_rate_limiter = team_rate_limits.TeamRateLimiter(
@@ -125,7 +127,7 @@
             self.peers,
             self.members,
             self.replica,
-            self._clock,
+            self.clock,
         )
 
     def _build_limits(self) -> None:
@@ -142,7 +144,7 @@
             lambda life: life.endpoint in self.replica.current.endpoints,
             self._pollers.broadcast,
             self.peers,
-            self._clock,
+            self.clock,
             LEAVING_TTL_MS,
         )
         self._pollers.add_listener(self._gate.merge)
@@ -162,11 +164,11 @@
         self._guard = guard.Guard(
             self.replica,
             crash_reporter.CrashReporter(
-                lambda: report_host_ids, self.peers, self._clock
+                lambda: report_host_ids, self.peers, self.clock
             ),
             self.peers,
             self._is_endpoint_leaving,
-            self._clock,
+            self.clock,
             has_control_hosts=bool(deployment.with_role('control')),
         )
 
@@ -182,7 +184,7 @@
             self._region,
             self.replica,
             self._client,
-            self._clock,
+            self.clock,
             lambda: self.members.recently_ran,
             self._guard,
             self._gate,
@@ -196,7 +198,7 @@
             self.replica,
             self.loads,
             self._limits,
-            self._clock,
+            self.clock,
         )
         self._scheduler = placement.EndpointScheduler(
             self._region,
@@ -206,7 +208,7 @@
             self._limits,
             self._gate,
             self.decisions,
-            self._clock,
+            self.clock,
         )
         self._server = local_server.LocalServer(
             self._settings,
@@ -214,7 +216,7 @@
             self._scheduler,
             self.loads,
             self.decisions,
-            self._clock,
+            self.clock,
         )
         self._streams = streams.StreamServer(self._server)
 
@@ -230,7 +232,7 @@
             hosts,
             self._deployment.ledger,
             self.peers,
-            self._clock,
+            self.clock,
         )
         self._once = once.OnceServer(
             self._host,
@@ -239,7 +241,7 @@
             self._server,
             self.members,
             self.decisions,
-            self._clock,
+            self.clock,
         )
 
     def _build_gateway(self) -> None:
@@ -252,7 +254,7 @@
             self._client,
             self._signer,
             self.decisions,
-            self._clock,
+            self.clock,
         )
         self.gateway = gateway.Gateway(
             self._deployment,
@@ -268,7 +270,7 @@
             self.ledger,
             self.decisions,
             self._guard,
-            self._clock,
+            self.clock,
         )
 
     def _build_surface(self) -> None:
@@ -278,7 +280,7 @@
             self._host,
             self._settings,
             self._signer,
-            self._clock,
+            self.clock,
             self._deployment.ledger.clock_skew_ms,
         )
         self._metrics = metrics.Metrics(self._host)
@@ -370,7 +372,7 @@
     def begin_stop(self) -> shutdown.Shutdown:
         """Return the stop that begins now."""
         return shutdown.Shutdown(
-            self._clock,
+            self.clock,
             self._settings.leave_delay_ms
             + self._settings.stop_timeout_ms
             + shutdown.CLOSE_MARGIN_MS,
@@ -389,7 +391,7 @@
             await self.members.broadcast_beat()
         logger.info('draining', in_flight=self.gateway.in_flight)
         async with stop.step('leave_delay'):
-            await self._clock.sleep_ms(
+            await self.clock.sleep_ms(
                 self._settings.leave_delay_ms - stop.elapsed_ms
             )
         drained = False
@@ -397,12 +399,15 @@
             drained = await self.gateway.drain(
                 stop.remaining_ms(shutdown.CLOSE_MARGIN_MS)
             )
+        async with stop.step('finish_sending', shutdown.CLOSE_MARGIN_MS):
+            while self._web.unsent_bytes():
+                await self.clock.sleep_ms(DRAIN_CHECK_MS)
         logger.info('drained', whole=drained)
         return drained
 
     async def close(self, stop: shutdown.Shutdown | None = None) -> None:
         """Cancel every task and close every socket."""
-        stop = stop or shutdown.Shutdown(self._clock)
+        stop = stop or shutdown.Shutdown(self.clock)
         await stop.close_all(
             {
                 'server': self._web,
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -14,12 +14,14 @@
 import struct
 import tempfile
 import typing
+import weakref
 
 import aiohttp
 from aiohttp import web_request
 from aiohttp import web_response
 from aiohttp import web_server
 import multidict
+import structlog
 import yarl
 
 from wrenspoke.transport import connector
@@ -27,6 +29,8 @@
 from wrenspoke.transport import exchange
 from wrenspoke.transport import failure_text
 
+logger = structlog.get_logger(__name__)
+
 MAX_CONNECTIONS_PER_HOST = 256
 # Maximum number of connections to try if peers send unsolicited bytes.
 CONNECTIONS_LIMIT = 3
@@ -48,6 +52,8 @@
 # SO_LINGER values with which a closed socket ends in order, or is reset.
 ORDERLY_CLOSE = struct.pack('ii', 0, 0)
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+# Connections whose responses end with them.
+_DELIMITING_TRANSPORTS: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
 _ALLOCATED_PORTS: set[int] = set()
 # Descriptors of lock files, kept open until the process exits.
 _PORT_LOCKS: list[int] = []
@@ -472,8 +478,13 @@
         await self._runner.setup()
         await self._site(self._runner, ip, port).start()
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes that no socket of a caller has taken yet."""
+        return sum(_unsent_by_connection(self._runner.server).values())
+
     async def close(self) -> None:
         """Stop listening and close the remaining connections."""
+        _cut_unsent(self._runner.server)
         await self._runner.cleanup()
 
     async def abort(self) -> None:
@@ -530,10 +541,15 @@
             self._server, sock=listening, backlog=BACKLOG
         )
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes that no socket of a caller has taken yet."""
+        return sum(_unsent_by_connection(self._server).values())
+
     async def close(self) -> None:
         """Stop listening and close the remaining connections."""
         if self._server is None:
             return
+        _cut_unsent(self._server)
         if self._listener is not None:
             self._listener.close()
         # Lets connections that were accepted begin their requests.
@@ -543,15 +559,51 @@
         self._server = None
 
 
+def _unsent_by_connection(
+    server: web_server.Server | None,
+) -> dict[asyncio.Transport, int]:
+    """Return the unsent bytes of the connections of a server that has any."""
+    transports = []
+    if server is not None:
+        transports = [one.transport for one in server.connections]
+    return {
+        transport: size_bytes
+        for transport in transports
+        if transport is not None
+        and (size_bytes := transport.get_write_buffer_size())
+    }
+
+
+def _cut_unsent(server: web_server.Server | None) -> None:
+    """Log responses that callers don't get whole as their server closes.
+
+    A body that its connection delimits would look whole if that were closed in
+    order.
+    """
+    for transport, size_bytes in _unsent_by_connection(server).items():
+        logger.warning(
+            'response_cut',
+            peer=transport.get_extra_info('peername'),
+            unsent_bytes=size_bytes,
+        )
+        if transport in _DELIMITING_TRANSPORTS:
+            transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+
+
 def set_close_mode(request: web_request.BaseRequest, linger: bytes) -> None:
     """Set how a caller's socket is closed, also if this process is killed.
 
     ``linger`` is ``ORDERLY_CLOSE`` or ``RESET_ON_CLOSE``.
     """
-    if request.transport is not None:
-        request.transport.get_extra_info('socket').setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, linger
-        )
+    if request.transport is None:
+        return
+    request.transport.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    if linger == RESET_ON_CLOSE:
+        _DELIMITING_TRANSPORTS.add(request.transport)
 
 
 def abort(request: web_request.BaseRequest) -> None:
