--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -1,7 +1,6 @@
 """A stop waits until the sockets of callers have taken complete responses."""
 
 import asyncio
-import socket
 
 import aiohttp.web
 import pytest
@@ -9,6 +8,7 @@
 
 from tests import nodes
 from tests import test_planned_stop
+from tests import test_stop_soak
 from wrenspoke import shutdown
 from wrenspoke.transport import web
 
@@ -17,16 +17,6 @@
 PIECE_BYTES = 4_096
 
 
-async def connect(address):
-    """Return a socket that takes few bytes ahead of its reader."""
-    ip, _, port = address.rpartition(':')
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_BYTES)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (ip, int(port)))
-    return sock
-
-
 async def read_while(sock, condition):
     """Read from a socket while a condition holds, or until it ends."""
     loop = asyncio.get_running_loop()
@@ -99,7 +89,7 @@
     else:
         server = web.LowLevelServer(handle, 60_000)
         await server.start(f'127.0.0.1:{port}')
-    sock = await connect(f'127.0.0.1:{port}')
+    sock = await test_stop_soak.connect(f'127.0.0.1:{port}')
     loop = asyncio.get_running_loop()
     await loop.sock_sendall(sock, b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
     await nodes.until(server.unsent_bytes)
