Name what is done with unsent bytes as a server closes

A reader takes _cut_unsent for the code that cuts a response: it logs what the close cuts, and has some connections reset.

--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -51,6 +51,7 @@
 REPLICATION_TIMEOUT_MS = 2_000
 # Has to exceed the exchange interval plus an inter-region round trip.
 CONTACT_WINDOW_MS = 3_000
+# Interval at which a stopping host looks whether all polls have replies.
 RELEASE_CHECK_MS = 10
 # Disks that hold an acknowledged leave, if the tolerated losses are unknown.
 DEFAULT_LEAVE_COPIES = 2
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -484,7 +484,7 @@
 
     async def close(self) -> None:
         """Stop listening and close the remaining connections."""
-        _cut_unsent(self._runner.server)
+        _report_unsent(self._runner.server)
         await self._runner.cleanup()
 
     async def abort(self) -> None:
@@ -549,7 +549,7 @@
         """Stop listening and close the remaining connections."""
         if self._server is None:
             return
-        _cut_unsent(self._server)
+        _report_unsent(self._server)
         if self._listener is not None:
             self._listener.close()
         # Lets connections that were accepted begin their requests.
@@ -562,7 +562,7 @@
 def _unsent_by_connection(
     server: web_server.Server | None,
 ) -> dict[asyncio.Transport, int]:
-    """Return the unsent bytes of the connections of a server that has any."""
+    """Return the unsent bytes of each connection that holds some."""
     transports = []
     if server is not None:
         transports = [one.transport for one in server.connections]
@@ -574,11 +574,11 @@
     }
 
 
-def _cut_unsent(server: web_server.Server | None) -> None:
-    """Log responses that callers don't get whole as their server closes.
+def _report_unsent(server: web_server.Server | None) -> None:
+    """Log the connections that hold unsent bytes as their server closes.
 
-    A body that its connection delimits would look whole if that were closed in
-    order.
+    Those that delimit a body are reset, as it would look whole if they were
+    closed in order.
     """
     for transport, size_bytes in _unsent_by_connection(server).items():
         logger.warning(
