Test with processes that a stop waits for a slow reader

Change: a caller reads a burst of a stream slowly while the process of its entry host is stopped, and has to get all of it. The soak's large answers are such streams. One copy of what tests and soak share (a slow connection, a running deployment, the regions); fields that nothing read are gone.

--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -11,6 +11,7 @@
 
 # SO_LINGER value with which close() sends a reset.
 LINGER_0 = struct.pack('ii', 1, 0)
+SLOW_BUFFER_BYTES = 8_192
 
 
 class ScriptedEndpoint:
@@ -255,3 +256,17 @@
     finally:
         writer.close()
     return answer
+
+
+async def connect_slow(address):
+    """Return a socket that takes few bytes ahead of its reader."""
+    ip, _, port = address.rpartition(':')
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
+    sock.setblocking(False)
+    try:
+        await asyncio.get_running_loop().sock_connect(sock, (ip, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -16,7 +16,6 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 ENTRY, CONTROL = 'entry', 'control'
-ZONES = {'north-hall': 'north', 'south-hall': 'south', 'west-hall': 'west'}
 
 
 class HostProcess:
@@ -40,7 +39,7 @@
         settings = {
             **self._system.common,
             'ip': self.ip,
-            'region': ZONES[self.zone],
+            'region': nodes.REGIONS[self.zone],
             'data_centre': self.zone,
             'seeds': [one.address('control') for one in self._system.controls],
             'first_start': first,
@@ -77,7 +76,7 @@
         await nodes.until(lambda: self.process.poll() is not None)
         return self.process.returncode
 
-    async def wait_ready(self, session):
+    async def wait_ready(self):
         """Wait until the host serves."""
         name, path = 'readiness', '/readyz'
         if self.role == CONTROL:
@@ -86,7 +85,7 @@
         async with asyncio.timeout(nodes.WAIT_S):
             while True:
                 try:
-                    async with session.get(url) as response:
+                    async with self._system.session.get(url) as response:
                         if response.status < 500:
                             return
                 except aiohttp.ClientError:
@@ -105,16 +104,20 @@
         )
         self.common = {
             'cluster': 'test',
-            'regions': ZONES,
+            'regions': nodes.REGIONS,
             'link_port': self.ports['link'],
             'passing_port': self.ports['passing'],
             'control': {'tolerated_losses': 1},
             **common,
         }
-        self.controls = [HostProcess(self, CONTROL, zone) for zone in ZONES]
+        self.controls = [
+            HostProcess(self, CONTROL, zone) for zone in nodes.REGIONS
+        ]
         self.entries = [
             HostProcess(self, ENTRY, zone)
-            for zone, _number in itertools.product(ZONES, range(entries))
+            for zone, _number in itertools.product(
+                nodes.REGIONS, range(entries)
+            )
         ]
         self.session = None
 
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -9,11 +9,11 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import os
 import random
 import signal
-import socket
 import uuid
 
 import pytest
@@ -38,8 +38,11 @@
 PATHS = {
     '/plain/': 'non_idempotent',
     '/stream/': 'streaming',
-    '/large/': 'non_idempotent',
+    '/large/': 'streaming',
 }
+STREAM_FIELDS = (
+    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -53,7 +56,6 @@
         self.address = f'{nodes.new_ip()}:{system.ports["engine"]}'
         self._open = set()
         self.runs = collections.Counter()
-        self.ended = set()
 
     async def start(self):
         ip, _, port = self.address.rpartition(':')
@@ -100,20 +102,18 @@
             return
         self.runs[request] += 1
         head = f'HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\n'.encode()
-        if target.startswith('/stream/'):
-            head += b'Content-Type: text/event-stream\r\n'
-            writer.write(head + b'Transfer-Encoding: chunked\r\n\r\n')
+        if target.startswith('/plain/'):
+            writer.write(head + b'Content-Length: 5\r\n\r\nwhole')
+        else:
+            writer.write(head + STREAM_FIELDS)
+            is_large = target.startswith('/large/')
+            data = b'x' * (LARGE_BYTES // EVENTS if is_large else 100)
             for number in range(EVENTS):
-                await asyncio.sleep(EVENT_S)
-                event = f'id: {number}\ndata: {request}\n\n'.encode()
+                await asyncio.sleep(0 if is_large else EVENT_S)
+                event = b'id: %d\ndata: %s\n\n' % (number, data)
                 writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             writer.write(b'0\r\n\r\n')
-        else:
-            size = LARGE_BYTES if target.startswith('/large/') else 100
-            head += f'Content-Length: {size}\r\n\r\n'.encode()
-            writer.write(head + b'x' * size)
         await writer.drain()
-        self.ended.add(request)
 
     async def close(self):
         self._beats.cancel()
@@ -147,7 +147,7 @@
             host = self._chance.choice(self._system.entries)
             try:
                 reader, writer = await asyncio.open_connection(
-                    sock=await connect(host.address('callers')),
+                    sock=await endpoints.connect_slow(host.address('callers')),
                     limit=PIECE_BYTES,
                 )
             except OSError:
@@ -196,20 +196,6 @@
             await asyncio.sleep(len(piece) / rate_per_s)
 
 
-async def connect(address):
-    """Return a socket that takes few bytes ahead of its reader."""
-    ip, _, port = address.rpartition(':')
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_BYTES)
-    sock.setblocking(False)
-    try:
-        await asyncio.get_running_loop().sock_connect(sock, (ip, int(port)))
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
 def table(version):
     """Return the configuration of a version."""
     return {
@@ -257,7 +243,7 @@
     host.send(signal.SIGTERM)
     codes.append((host.ip, await host.wait()))
     host.start()
-    await host.wait_ready(system.session)
+    await host.wait_ready()
 
 
 async def reload_running(host, after_s):
@@ -284,38 +270,45 @@
         await asyncio.gather(*work)
 
 
-@pytest.mark.parametrize('buffers', [False, True])
-@pytest.mark.parametrize('seed', SEEDS)
-async def test_planned_stops_cut_no_answer(tmp_path, seed, buffers):
-    """Guards against stops that cut, or refuse, what an engine has run."""
-    chance = random.Random(seed)
+@contextlib.asynccontextmanager
+async def running(folder, buffers):
+    """Run hosts and engines; yield them once they serve."""
     system = node_processes.NodeProcesses(
-        tmp_path,
+        folder,
         ENTRIES,
         entry={'grace_ms': GRACE_MS, 'leave_delay_ms': LEAVE_DELAY_MS},
         buffering={'enabled': buffers},
     )
-    results, codes, engines = [], [], []
-    callers = [
-        Caller(system, random.Random(f'{seed} {number}'), results)
-        for number in range(CALLERS)
-    ]
+    engines = []
     try:
         await system.start()
-        for zone in node_processes.ZONES:
+        for zone in nodes.REGIONS:
             engines.append(await Engine(system, zone).start())
         await system.order('/config/replace', table(1))
         for host in [*system.controls, *system.entries]:
-            await host.wait_ready(system.session)
-        running = [asyncio.create_task(one.run()) for one in callers]
-        await play(system, chance, codes)
-        for one in callers:
-            one.stopping = True
-        await asyncio.gather(*running)
+            await host.wait_ready()
+        yield system, engines
     finally:
         for engine in engines:
             await engine.close()
         await system.close()
+
+
+@pytest.mark.parametrize('buffers', [False, True])
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_planned_stops_cut_no_answer(tmp_path, seed, buffers):
+    """Guards against stops that cut, or refuse, what an engine has run."""
+    results, codes = [], []
+    async with running(tmp_path, buffers) as (system, engines):
+        callers = [
+            Caller(system, random.Random(f'{seed} {number}'), results)
+            for number in range(CALLERS)
+        ]
+        tasks = [asyncio.create_task(one.run()) for one in callers]
+        await play(system, random.Random(seed), codes)
+        for one in callers:
+            one.stopping = True
+        await asyncio.gather(*tasks)
     runs = sum((engine.runs for engine in engines), collections.Counter())
     cut = [r for r in results if runs[r.request] and not r.whole]
     untrue = [
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -1,11 +1,13 @@
 """A stop waits until the sockets of callers have taken complete responses."""
 
 import asyncio
+import signal
 
 import aiohttp.web
 import pytest
 import structlog
 
+from tests import endpoints
 from tests import nodes
 from tests import test_planned_stop
 from tests import test_stop_soak
@@ -14,21 +16,41 @@
 
 # More than the buffers of sockets and connections hold together.
 BODY = b'data: %s\n\n' % (b'x' * 992) * 8_000
-PIECE_BYTES = 4_096
+PIECE_BYTES = 16_384
+# Of a reader that takes longer than the leave delay, and less than the grace.
+PAUSE_S = 0.15
 
 
-async def read_while(sock, condition):
-    """Read from a socket while a condition holds, or until it ends."""
+async def read_all(sock, pause_s=0):
+    """Read from a socket until it ends, with a pause after each piece."""
     loop = asyncio.get_running_loop()
     got = bytearray()
-    while condition():
-        piece = await loop.sock_recv(sock, PIECE_BYTES * 16)
-        if not piece:
-            break
+    while piece := await loop.sock_recv(sock, PIECE_BYTES):
         got += piece
+        await asyncio.sleep(pause_s)
     return got
 
 
+async def test_slow_reader_gets_the_whole_answer_of_a_stopped_host(tmp_path):
+    """Guards against the last bytes of an answer ending with the process."""
+    async with test_stop_soak.running(tmp_path, buffers=True) as (system, _):
+        host = system.entries[0]
+        sock = await endpoints.connect_slow(host.address('callers'))
+        await asyncio.get_running_loop().sock_sendall(
+            sock,
+            b'GET /large/x HTTP/1.1\r\nHost: h.example\r\n'
+            b'Request-Id: q1\r\nDeadline-Ms: 30000\r\n\r\n',
+        )
+        got = await asyncio.get_running_loop().sock_recv(sock, PIECE_BYTES)
+        host.send(signal.SIGTERM)
+        got += await read_all(sock, PAUSE_S)
+        sock.close()
+        assert got.startswith(b'HTTP/1.1 200 ')
+        assert got.count(b'\ndata: ') == test_stop_soak.EVENTS
+        assert got.endswith(b'\r\n0\r\n\r\n')
+        assert await host.wait() == 0
+
+
 @pytest.mark.parametrize(
     'kind, attribute',
     [
@@ -89,7 +111,7 @@
     else:
         server = web.LowLevelServer(handle, 60_000)
         await server.start(f'127.0.0.1:{port}')
-    sock = await test_stop_soak.connect(f'127.0.0.1:{port}')
+    sock = await endpoints.connect_slow(f'127.0.0.1:{port}')
     loop = asyncio.get_running_loop()
     await loop.sock_sendall(sock, b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
     await nodes.until(server.unsent_bytes)
@@ -99,8 +121,8 @@
     assert cut['unsent_bytes'] > 0
     if delimits:
         with pytest.raises(ConnectionResetError):
-            await read_while(sock, lambda: True)
+            await read_all(sock)
     else:
         # This process goes on, and with it what the connection holds.
-        assert len(await read_while(sock, lambda: True)) > len(BODY)
+        assert len(await read_all(sock)) > len(BODY)
     sock.close()
