Close components in one loop, and say what the parts of a stop do

Cause: read again, Shutdown.close_all kept a list of what is left beside the times of what is closed, and popped from its front; the former follows from the latter. Docstrings of the stop used words that the field doesn't.

Change: one loop over the enabled components; docstrings and comments alone elsewhere. No behaviour changes.

Result: 55 tests of stops, leaves, layers and the list of known failures pass; the failures between polls are the listed ones.

--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -121,11 +121,11 @@
         logger.info('reloaded', seeds=node.seeds)
 
     def begin_stop(self) -> shutdown.Shutdown:
-        """Return the stop that begins now."""
+        """Return a new shutdown, whose grace starts now."""
         return shutdown.Shutdown(self.clock, self.node.entry.grace_ms)
 
     async def drain(self, stop: shutdown.Shutdown | None = None) -> None:
-        """Let entry hosts turn to other control hosts."""
+        """Release the sessions of entry hosts, which then reconnect."""
         stop = stop or self.begin_stop()
         async with stop.step('release_polls', shutdown.CLOSE_MARGIN_MS):
             await self.registrar.release_polls()
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -141,7 +141,7 @@
         )
 
     def begin_stop(self) -> shutdown.Shutdown:
-        """Return the stop that begins now."""
+        """Return a new shutdown, whose grace starts now."""
         return shutdown.Shutdown(self._clock, STOP_GRACE_MS)
 
     async def close(self, stop: shutdown.Shutdown | None = None) -> None:
--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -51,7 +51,7 @@
 REPLICATION_TIMEOUT_MS = 2_000
 # Has to exceed the exchange interval plus an inter-region round trip.
 CONTACT_WINDOW_MS = 3_000
-# Interval at which a stopping host looks whether all polls have replies.
+# Interval of the check for open polls during a stop.
 RELEASE_CHECK_MS = 10
 # Disks that hold an acknowledged leave, if the tolerated losses are unknown.
 DEFAULT_LEAVE_COPIES = 2
@@ -132,9 +132,9 @@
         self._control_sync.start()
 
     async def release_polls(self) -> None:
-        """Reply to all polls, whose hosts then turn to other control hosts.
+        """Reply to all open polls, so that their senders reconnect elsewhere.
 
-        A poll without a reply would only end with its timeout.
+        Without a reply they would wait for the timeout of their call.
         """
         self._leaving = True
         self._notify_waiters()
@@ -242,7 +242,7 @@
     async def _wait_for_update(
         self, sender: ids.HostId, message: discovery_messages.Attend
     ) -> None:
-        """Wait for what a host doesn't have yet, and for changes beside it."""
+        """Wait for an update, and batch the changes that follow it."""
         wait_ms = min(message.wait_ms, MAX_WAIT_MS)
         try:
             async with clocks.timeout_ms(wait_ms):
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -633,7 +633,7 @@
             self._available.update_evacuations()
 
     def begin_stop(self) -> shutdown.Shutdown:
-        """Return the stop that begins now."""
+        """Return a new shutdown, whose grace starts now."""
         return shutdown.Shutdown(self.clock, self.node.entry.grace_ms)
 
     async def drain(self, stop: shutdown.Shutdown | None = None) -> None:
@@ -642,8 +642,7 @@
         self.discovery.draining = True
         self.passthrough.leaving = True
         logger.info('draining', in_flight=self.passthrough.in_flight)
-        # Control hosts may be stopping as well, and new calls have to be
-        # refused in time whether they answer or not.
+        # Not awaited: a control host that is stopping as well may not reply.
         self._tasks.start(self._announce(stop), fatal=False)
         reserve_ms = shutdown.CLOSE_MARGIN_MS
         async with stop.step('leave_delay', reserve_ms):
@@ -660,7 +659,7 @@
         logger.info('drained', whole=drained)
 
     async def _announce(self, stop: shutdown.Shutdown) -> None:
-        """Tell control hosts that this host accepts no more calls."""
+        """Report the status of this host to the control hosts."""
         async with stop.step('announce'):
             await self.discovery.push_status()
 
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -370,7 +370,7 @@
             )
 
     def begin_stop(self) -> shutdown.Shutdown:
-        """Return the stop that begins now."""
+        """Return a new shutdown, whose grace starts now."""
         return shutdown.Shutdown(
             self.clock,
             self._settings.leave_delay_ms
--- a/wrenspoke/shutdown.py
+++ b/wrenspoke/shutdown.py
@@ -24,10 +24,11 @@
 
 
 class Shutdown:
-    """A stop that begins as this is created, and ends within ``grace_ms``.
+    """The steps of one stop, which share a deadline.
 
-    Each step gets what earlier ones have left, less a reserve for later ones.
-    Without ``grace_ms`` steps take as long as they need.
+    It expires ``grace_ms`` after this is created. Each step may use what
+    remains, less a reserve for later ones. Without ``grace_ms`` no step is
+    bounded.
     """
 
     def __init__(self, clock: clocks.Clock, grace_ms: int | None = None):
@@ -41,7 +42,7 @@
         return self._clock.mono_ms() - self._begun_ms
 
     def remaining_ms(self, reserve_ms: int = EXIT_MARGIN_MS) -> int | None:
-        """Return the time left but for a reserve, None if it is unbounded."""
+        """Return the remaining time less a reserve, None without a bound."""
         if self._grace_ms is None:
             return None
         return max(self._grace_ms - reserve_ms - self.elapsed_ms, 0)
@@ -50,9 +51,10 @@
     async def step(
         self, name: str, reserve_ms: int = EXIT_MARGIN_MS
     ) -> collections.abc.AsyncIterator[None]:
-        """Run a step in the block, and log how long it took.
+        """Run the block as a step, and log its duration.
 
-        The block is cancelled, and left, as the time for it has passed.
+        The block is cancelled once the remaining time has passed; execution
+        then continues behind it.
         """
         started_ms = self._clock.mono_ms()
         bound = clocks.timeout_ms(self.remaining_ms(reserve_ms))
@@ -75,17 +77,21 @@
     async def close_all(
         self, components: collections.abc.Mapping[str, Closeable | None]
     ) -> None:
-        """Close components one after the other; None stands for disabled."""
-        left = [name for name, one in components.items() if one is not None]
+        """Close components in order, skipping disabled ones (None)."""
+        enabled = {
+            name: component
+            for name, component in components.items()
+            if component is not None
+        }
         took_ms = {}
         async with self.step('close'):
-            while left:
+            for name, component in enabled.items():
                 started_ms = self._clock.mono_ms()
-                await components[left[0]].close()
-                took_ms[left.pop(0)] = self._clock.mono_ms() - started_ms
+                await component.close()
+                took_ms[name] = self._clock.mono_ms() - started_ms
         logger.info(
             'stopped',
             took_ms=self.elapsed_ms,
             parts_ms=','.join(f'{n}:{ms}' for n, ms in took_ms.items() if ms),
-            not_closed=','.join(left),
+            not_closed=','.join(n for n in enabled if n not in took_ms),
         )
--- a/wrenspoke/transport/sockets.py
+++ b/wrenspoke/transport/sockets.py
@@ -79,8 +79,8 @@
     def close(self, linger_ms: int = 0) -> None:
         """Close the socket; who waits to send gets the error of a send.
 
-        Queued messages are still sent for at most ``linger_ms``, until which
-        the context can't be closed.
+        Queued messages are sent for up to ``linger_ms``, during which closing
+        the context blocks.
         """
         if self._sock.closed:
             return
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -52,7 +52,7 @@
 # SO_LINGER values with which a closed socket ends in order, or is reset.
 ORDERLY_CLOSE = struct.pack('ii', 0, 0)
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-# Connections whose responses end with them.
+# Connections whose close marks the end of a response body.
 _DELIMITING_TRANSPORTS: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
 _ALLOCATED_PORTS: set[int] = set()
 # Descriptors of lock files, kept open until the process exits.
@@ -479,7 +479,7 @@
         await self._site(self._runner, ip, port).start()
 
     def unsent_bytes(self) -> int:
-        """Return the bytes that no socket of a caller has taken yet."""
+        """Return the number of bytes not yet written to sockets."""
         return sum(_unsent_by_connection(self._runner.server).values())
 
     async def close(self) -> None:
@@ -542,7 +542,7 @@
         )
 
     def unsent_bytes(self) -> int:
-        """Return the bytes that no socket of a caller has taken yet."""
+        """Return the number of bytes not yet written to sockets."""
         return sum(_unsent_by_connection(self._server).values())
 
     async def close(self) -> None:
@@ -562,7 +562,7 @@
 def _unsent_by_connection(
     server: web_server.Server | None,
 ) -> dict[asyncio.Transport, int]:
-    """Return the unsent bytes of each connection that holds some."""
+    """Return the unsent bytes per connection, omitting flushed ones."""
     transports = []
     if server is not None:
         transports = [one.transport for one in server.connections]
@@ -577,8 +577,8 @@
 def _report_unsent(server: web_server.Server | None) -> None:
     """Log the connections that hold unsent bytes as their server closes.
 
-    Those that delimit a body are reset, as it would look whole if they were
-    closed in order.
+    Connections whose close marks the end of a body are reset, as the
+    truncated body would otherwise look complete.
     """
     for transport, size_bytes in _unsent_by_connection(server).items():
         logger.warning(
