Reject responses whose status is invalid or 101

Callers got responses with the status line `HTTP/1.1 0 `, `99` or `600`, with the fields and the body of the endpoint, framed as complete; without a length the body was lost and `Content-Length: 0` sent. A 101 was passed on as well, although no request asks for an upgrade. A refusal, recall or take-up with such a status was acted upon.

Cause: nothing compared a status with the range of HTTP. aiohttp's parsers, the one in C and the one in Python, accept any three digits, and every reader took what they returned. `PrefixParser` itself counted a status below 200 as an interim one while aiohttp ended the exchange with it, so that the body was bounded as a head instead of as a body.

Evidence: scripted endpoints got 000, 099, 600 and 101 delivered, and other than three digits refused. A probe of both parsers with the same bytes shows the status accepted by each; `ClientResponse.start` ends with any outside 100 to 199, and with 101.

Fix: `HeadCheck` reads the status lines of final and interim responses as they arrive, in the parser that every connection of `HttpClient` has, before aiohttp's parser sees them. What it rejects is an error of the parser, as other malformed heads are: the connection is closed, nothing of the response counts, the outcome is unknown and the endpoint's failure is recorded. As no status outside 100 to 599 is left, both places agree on what is an interim response. If the parser and the check disagree on where the head ends, the response fails.

--- /dev/null
+++ b/tests/test_malformed_heads.py
@@ -0,0 +1,653 @@
+"""Every reader takes a response with a malformed head for none at all."""
+
+import asyncio
+import types
+
+import pytest
+import structlog
+
+from tests import endpoints
+from tests import fleet
+from tests import nodes
+from tests import response_heads
+from tests import test_endless_readers as readers
+from tests import test_endpoints
+from tests import test_engine_loads
+from tests import test_far as far
+from tests import test_framing as framing
+from tests import test_late_reports
+from tests import test_passing as passing
+from tests import test_truncated as truncated
+from wrenspoke import caller as callers
+from wrenspoke import clock as clocks
+from wrenspoke.coordination.agreement import execution
+from wrenspoke.coordination import errors
+from wrenspoke.coordination.membership import host_list_poller
+from wrenspoke.coordination.membership import load_poller
+from wrenspoke.coordination.serving import outlier_detection
+from wrenspoke.coordination.serving import take_up
+from wrenspoke.coordination.serving import warmup_probe
+from wrenspoke import load
+from wrenspoke import operator as operators
+from wrenspoke.protocol import dialect as dialects
+from wrenspoke.protocol import headers
+from wrenspoke.protocol import kept_answers
+from wrenspoke.protocol import outcomes
+from wrenspoke.protocol import passthrough_api
+from wrenspoke.protocol import requests
+from wrenspoke.standin import engine
+from wrenspoke.state import registry
+from wrenspoke.state import routes
+from wrenspoke.transport import web
+
+ID = passing.ID
+TIMEOUT_MS = 5_000
+# Longer than any read here takes.
+TRY_MS = 60_000
+MIB = 1 << 20
+JSON = 'Content-Type: application/json'
+EVENTS = 'Content-Type: text/event-stream'
+# The bound of a failure's text, its quotation marks and escapes included.
+TEXT_LIMIT_CHARACTERS = 1_000
+
+event_loop_policy = passing.event_loop_policy
+system = passing.system
+far_system = far.system
+regions = framing.regions
+
+sampled = pytest.mark.parametrize('name', response_heads.SAMPLES)
+
+
+def response(sent, body, *lines, status='200 OK'):
+    """Return a well-formed response with a length, for any reader."""
+    echoed = endpoints.header(sent, headers.ECHOED_REQUEST_ID) or ''
+    head = [
+        f'HTTP/1.1 {status}',
+        f'Content-Length: {len(body)}',
+        f'{headers.ECHOED_REQUEST_ID}: {echoed}',
+        f'{headers.OUTCOME}: whole',
+        *lines,
+    ]
+    return '\r\n'.join(head).encode() + b'\r\n\r\n' + body
+
+
+async def read_directory(url):
+    caller = callers.Caller([url])
+    try:
+        return await caller.refresh() == ['h2']
+    except callers.CallerError:
+        return False
+    finally:
+        await caller.close()
+
+
+async def read_answer(url):
+    caller = callers.Caller([url])
+    result = await caller.call('GET', 's', '/')
+    await caller.close()
+    assert result.outcome == 'whole' or (result.status, result.body) == (
+        0,
+        b'',
+    )
+    return result.outcome == 'whole'
+
+
+async def read_refusal(url):
+    """A refused request is not marked as a resend."""
+    caller = callers.Caller([url, url])
+    result = await caller.call('GET', 's', '/')
+    await caller.close()
+    return result.outcome == 'not_run'
+
+
+async def read_stream(url):
+    caller = callers.Caller([url])
+    result = await caller.chat({'messages': []})
+    await caller.close()
+    return result.outcome == 'whole'
+
+
+async def read_operator_answer(url):
+    client = operators.OperatorClient([url], 'token', 400)
+    try:
+        return (await client.show('/status')).body == {'leader': 'c1'}
+    except operators.OperatorError:
+        return False
+    finally:
+        await client.close()
+
+
+async def read_runs(url):
+    endpoint = types.SimpleNamespace(endpoint='e', url=url)
+    deployment = types.SimpleNamespace(endpoints=[endpoint])
+    return bool(await load.collect_runs(deployment))
+
+
+async def read_host_list(url):
+    client = web.HttpClient(TIMEOUT_MS)
+    poller = host_list_poller.HostListPoller(
+        url, 'h', client, None, None, clocks.Clock()
+    )
+    hosts = await poller._fetch_hosts()
+    await client.close()
+    return bool(hosts)
+
+
+async def read_load(url):
+    reports = []
+    limits = types.SimpleNamespace(load_poll_interval_ms=TIMEOUT_MS)
+    table = types.SimpleNamespace(add_report=reports.append)
+    async with truncated.dispatching(url) as dispatcher:
+        poller = load_poller.LoadPoller(
+            limits,
+            'north',
+            'hall',
+            dispatcher,
+            None,
+            None,
+            table,
+            None,
+            clocks.Clock(),
+        )
+        await poller._poll_load('e')
+    return bool(reports)
+
+
+async def read_report(url):
+    hosts = [test_engine_loads.record(1)]
+    polling = test_engine_loads.engine_loads_of('h1', hosts, [])
+    polling._client = web.HttpClient(TIMEOUT_MS)
+    polling._reader = test_late_reports.TextReader()
+    registration = types.SimpleNamespace(
+        endpoint='e1', address=url.removeprefix('http://'), born_ms=0
+    )
+    found = await polling._poll_engine(
+        types.SimpleNamespace(registration=registration)
+    )
+    await polling._client.close()
+    return found == b'1 2 3'
+
+
+async def read_state(url):
+    control = types.SimpleNamespace(order_timeout_ms=TIMEOUT_MS)
+    deployment = types.SimpleNamespace(control=control, with_role=lambda _: ())
+    async with truncated.dispatching(url) as dispatcher:
+        executor = execution.Executor(
+            'h', deployment, None, dispatcher, clocks.Clock()
+        )
+        try:
+            await executor._read_engine_state('e')
+        except execution.OrderFailedError:
+            return False
+        return True
+
+
+async def probe_health(url):
+    table = types.SimpleNamespace(
+        service=lambda _name: routes.RoutedService('s', '/health', 10)
+    )
+    client = web.HttpClient(TIMEOUT_MS)
+    probe = warmup_probe.WarmupProbe(
+        types.SimpleNamespace(add_listener=lambda _listener: None),
+        types.SimpleNamespace(current=types.SimpleNamespace(routes=table)),
+        dialects.Dialect(),
+        client,
+        readers.OpenGate(),
+        clocks.Clock(),
+    )
+    registered = registry.Registration(
+        'e',
+        's',
+        url.removeprefix('http://'),
+        'hall',
+        4,
+        registry.RegistrationState.READY,
+        1,
+    )
+    status = await probe._probe_endpoint(registered)
+    await client.close()
+    return status is not None
+
+
+class KeptReply(truncated.WholeReply):
+    """Records the response that a host forwards."""
+
+    def __init__(self):
+        self.body = None
+
+    async def send_response(self, _status, _fields, body, _outcome):
+        self.body = body
+
+
+async def forward(url):
+    made = fleet.deployment(regions=('south',), entries=1)
+    made['hosts'][0]['http_port'] = int(url.rpartition(':')[2])
+    client = web.HttpClient(TIMEOUT_MS)
+    clock = clocks.Clock()
+    forwarder = truncated.new_forwarder(
+        made, truncated.OneRegion(['south-1']), client, clock
+    )
+    head = requests.RequestHead(
+        'r1',
+        requests.RequestKind.PLAIN,
+        'GET',
+        '/map',
+        'records',
+        clock.mono_ms() + TRY_MS,
+    )
+    reply = KeptReply()
+    try:
+        await forwarder.forward(head, b'', 'south', reply)
+    except errors.RequestEndedError as error:
+        assert error.ending.outcome is outcomes.Outcome.UNKNOWN
+    await client.close()
+    return reply.body == b'whole'
+
+
+async def read_call_answer(url):
+    async with truncated.dispatching(url) as dispatcher:
+        try:
+            async with dispatcher.send(truncated.chat()) as answer:
+                return await answer.read_all(MIB) == truncated.WHOLE
+        except errors.MaybeSentError:
+            return False
+
+
+async def read_overload(url):
+    """A refusal frees a call to be sent elsewhere without a retry."""
+    async with truncated.dispatching(url) as dispatcher:
+        try:
+            async with dispatcher.send(truncated.chat()):
+                raise AssertionError('a refusal was taken for an answer')
+        except errors.OverloadedError:
+            return True
+        except errors.MaybeSentError:
+            return False
+
+
+async def ask_for_rest(url):
+    client = web.HttpClient(TIMEOUT_MS)
+    exchange = take_up.HopExchange(
+        client, None, 'h1', 't1', list, bool, clocks.Clock()
+    )
+    record = types.SimpleNamespace(
+        host='h2', passing_address=url.removeprefix('http://')
+    )
+    found = await exchange._ask(record)
+    await exchange._stack.aclose()
+    await client.close()
+    return found is not None or exchange._is_recalled
+
+
+class RestReply:
+    """Records the rest of an answer that a host passes on."""
+
+    def __init__(self):
+        self.recalled = None
+        self.body = b''
+
+    async def send_head(self, _status, _fields):
+        pass
+
+    async def write(self, data):
+        self.body += data
+
+    async def end(self):
+        pass
+
+
+async def pass_rest_on(url):
+    client = web.HttpClient(TIMEOUT_MS)
+    address = url.removeprefix('http://')
+    forwarder = take_up.TakeUpForwarder(client, lambda _host: address)
+    reply = RestReply()
+    found = await forwarder.forward(kept_answers.TakeUp('h1', 't1', 0), reply)
+    await client.close()
+    assert bool(reply.body) is found
+    return found or reply.recalled is not None
+
+
+TAKEN_UP = f'{passthrough_api.TAKEN_UP_HEADER}: t1'
+RECALLED = f'{passthrough_api.RECALLED_HEADER}: t1'
+DIRECTORY = b'{"hosts": [{"url": "h2"}]}'
+LISTED = b'{"hosts": [{"address": "a", "state": "leaving"}]}'
+LOAD = b'{"running": 1, "waiting": 2}'
+STATE = b'{"models": [], "adapters": [], "role": "both"}'
+# What reads a response, and the response that it accepts.
+READERS = {
+    'directory': (read_directory, DIRECTORY, JSON),
+    'answer to a caller': (read_answer, b'whole'),
+    'stream to a caller': (
+        read_stream,
+        truncated.EVENT + truncated.DONE,
+        EVENTS,
+    ),
+    'answer to an operator': (
+        read_operator_answer,
+        b'{"leader": "c1"}',
+        JSON,
+    ),
+    'runs': (read_runs, b'{"runs": {"r1": 1}}', JSON),
+    'host list': (read_host_list, LISTED, JSON),
+    'load': (read_load, LOAD, JSON),
+    'engine report': (read_report, b'1 2 3'),
+    'engine state': (read_state, STATE, JSON),
+    'health': (probe_health, b'', 'Wrenspoke-Instance: e'),
+    'answer of another region': (forward, b'whole'),
+    'answer to a chat': (read_call_answer, truncated.WHOLE, JSON),
+    'rest of a kept answer': (ask_for_rest, b'rest', TAKEN_UP),
+    'rest passed on': (pass_rest_on, b'rest', TAKEN_UP),
+}
+REFUSED = f'{passthrough_api.REFUSED_HEADER}: unknown_answer'
+# What acts on a refusal, its status and what else it has.
+REFUSALS = {
+    'refusal of a request': (
+        read_refusal,
+        '503 Full',
+        f'{headers.OUTCOME}: not_run',
+    ),
+    'refusal of a chat': (read_overload, '503 Full'),
+    'recall': (ask_for_rest, '410 Gone', REFUSED, RECALLED),
+    'recall passed on': (pass_rest_on, '410 Gone', REFUSED, RECALLED),
+}
+
+
+async def is_accepted(read, make):
+    """Return whether a reader accepts a response; its connections end."""
+    endpoint = await endpoints.ScriptedEndpoint(
+        lambda sent, _number: [make(sent), endpoints.ScriptedEndpoint.STALL]
+    ).start()
+    try:
+        async with asyncio.timeout(nodes.WAIT_S):
+            accepted = await read(f'http://{endpoint.address}')
+        assert endpoint.requests
+        await nodes.until(endpoint.peer_closed.is_set)
+        return accepted
+    finally:
+        await endpoint.close()
+
+
+@pytest.mark.parametrize('name', [None, *response_heads.SAMPLES])
+@pytest.mark.parametrize('reader', READERS)
+async def test_reader_accepts_no_malformed_head(reader, name):
+    """Guards against readers that act on a malformed response."""
+    read, body, *lines = READERS[reader]
+
+    def make(sent):
+        data = response(sent, body, *lines)
+        return response_heads.MALFORMED[name](data) if name else data
+
+    assert await is_accepted(read, make) is (name is None)
+
+
+@pytest.mark.parametrize('name', [None, *response_heads.SAMPLES])
+@pytest.mark.parametrize('reader', REFUSALS)
+async def test_refusal_with_a_malformed_head_proves_nothing(reader, name):
+    """Guards against a second run of a request that was not refused."""
+    read, status, *lines = REFUSALS[reader]
+
+    def make(sent):
+        data = response(sent, b'', *lines, status=status)
+        data = data.replace(b'Outcome: whole\r\n', b'Absent: whole\r\n')
+        return response_heads.MALFORMED[name](data) if name else data
+
+    assert await is_accepted(read, make) is (name is None)
+
+
+# Calls that pass through.
+KINDS = {
+    'once': passing.route(passing.ONCE, attempts_limit=2),
+    'repeatable': passing.route(passing.REPEATABLE, attempts_limit=2),
+    'stream': passing.route(passing.STREAM, attempts_limit=2),
+    'resumable stream': passing.route(
+        passing.STREAM, attempts_limit=2, resumable=True
+    ),
+}
+REPEATED = ['repeatable', 'resumable stream']
+
+
+def event_stream(sent, name):
+    """Return the pieces of a whole stream in one of the framings."""
+    return framing.framed(sent, name, framing.FIRST_EVENT, 'text/event-stream')
+
+
+def malform(name, pieces):
+    """Return pieces whose first one, the head, is malformed."""
+    head, *rest = pieces
+    return [response_heads.MALFORMED[name](head), *rest]
+
+
+def assert_is_own_502(got, request_id='q1'):
+    """Assert that a response is the gateway's, and has nothing else."""
+    status, body, is_whole = framing.conclude(got)
+    assert (status, is_whole) == (502, True), got
+    assert got.startswith(b'HTTP/1.1 502 Bad Gateway\r\n'), got
+    assert b'"reason"' in body and b'data:' not in got, got
+    assert b'Retry-After' not in got, got
+    assert f'{ID}: {request_id}\r\n'.encode() in got, got
+
+
+def is_from_interim(pieces):
+    """Return pieces with an interim response in front of them."""
+    return [b'HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n', *pieces]
+
+
+def in_bytes(pieces):
+    """Return pieces with the head in packets of one byte."""
+    head, *rest = pieces
+    return [*(head[at : at + 1] for at in range(len(head))), *rest]
+
+
+ARRIVALS = {
+    'whole': list,
+    'in bytes': in_bytes,
+    'behind an interim response': is_from_interim,
+}
+
+
+@pytest.mark.parametrize('body', ['length', 'chunks', 'connection'])
+@sampled
+@pytest.mark.parametrize('kind', KINDS)
+async def test_caller_gets_no_malformed_response(system, kind, name, body):
+    """Guards against malformed responses that reach callers."""
+    await system.put(KINDS[kind])
+    endpoint = await system.add(
+        'e',
+        lambda sent, _number: [
+            *malform(name, event_stream(sent, body)),
+            passing.STALL,
+        ],
+    )
+    with structlog.testing.capture_logs() as lines:
+        assert_is_own_502(await system.ask(passing.request()))
+    assert len(endpoint.requests) == 1
+    await nodes.until(endpoint.peer_closed.is_set)
+    (failed,) = [line for line in lines if line['event'] == 'try_failed']
+    assert (failed['request'], failed['place']) == ('q1', 'e')
+    assert failed['cause'].isprintable()
+    assert len(failed['cause']) < TEXT_LIMIT_CHARACTERS
+
+
+@pytest.mark.parametrize('arrival', ARRIVALS)
+@sampled
+async def test_malformed_response_on_a_used_connection_reaches_no_caller(
+    system, name, arrival
+):
+    """Guards against a check of the first response of a connection only."""
+    await system.put(KINDS['once'])
+
+    def script(sent, number):
+        own = passing.answer(sent)
+        if number != 2:
+            return [own]
+        return ARRIVALS[arrival](malform(name, [own]))
+
+    endpoint = await system.add('e', script)
+    for number in range(1, 5):
+        got = await system.ask(passing.request(request_id=f'q{number}'))
+        if number == 2:
+            assert_is_own_502(got, 'q2')
+            await nodes.until(endpoint.peer_closed.is_set)
+        else:
+            assert got.endswith(b'whole'), got
+    assert len(endpoint.requests) == 4
+
+
+@sampled
+@pytest.mark.parametrize('kind', KINDS)
+async def test_call_is_sent_again_only_if_it_may_be_repeated(
+    system, kind, name
+):
+    """Guards against second runs, and against calls that give up early."""
+    await system.put(KINDS[kind])
+    runs = []
+
+    def script(sent, _number):
+        runs.append(endpoints.header(sent, ID))
+        pieces = event_stream(sent, 'length')
+        return malform(name, pieces) if len(runs) == 1 else pieces
+
+    for endpoint in ('e1', 'e2'):
+        await system.add(endpoint, script)
+    got = await system.ask(passing.request())
+    if kind in REPEATED:
+        assert framing.conclude(got) == (200, framing.FIRST_EVENT, True)
+        assert runs == ['q1', 'q1']
+    else:
+        assert_is_own_502(got)
+        assert runs == ['q1']
+
+
+@sampled
+async def test_malformed_responses_count_as_failures_of_their_endpoint(
+    system, name
+):
+    """Guards against an endpoint that goes on to get its share of calls."""
+    await system.put(KINDS['once'])
+    endpoint = await system.add(
+        'e', lambda sent, _number: malform(name, [passing.answer(sent)])
+    )
+    detector = system.entries[0]._outlier_detector
+    for number in range(outlier_detection.CONSECUTIVE_FAILURES_LIMIT):
+        assert not detector.ejected_until_ms(endpoint.address)
+        got = await system.ask(passing.request(request_id=f'q{number}'))
+        assert_is_own_502(got, f'q{number}')
+    assert detector.ejected_until_ms(endpoint.address)
+
+
+async def test_unusual_responses_reach_callers(system):
+    """Guards against responses that are taken for malformed ones."""
+    await system.put(KINDS['once'])
+    statuses = [200, 226, 299, 399, 418, 499, 555, 599]
+
+    def script(sent, number):
+        status = str(statuses[number - 1])
+        interim = b'HTTP/1.1 102\r\n\r\nHTTP/1.1 103 Early\r\n\r\n'
+        return [interim + passing.answer(sent, status=status)]
+
+    await system.add('e', script)
+    for number, status in enumerate(statuses):
+        got = await system.ask(passing.request(request_id=f'q{number}'))
+        assert got.startswith(f'HTTP/1.1 {status} '.encode()), got
+        assert got.endswith(b'whole'), got
+
+
+@sampled
+@pytest.mark.parametrize('kind', ['once', 'stream'])
+async def test_malformed_response_behind_a_hop_reaches_no_caller(
+    regions, kind, name
+):
+    await regions.put(KINDS[kind])
+    endpoint = await regions.add(
+        'e',
+        lambda sent, _number: malform(name, event_stream(sent, 'length')),
+    )
+    await far.wait_for_pongs(regions)
+    assert_is_own_502(
+        await endpoints.send_raw(regions.north, passing.request())
+    )
+    assert len(endpoint.requests) == 1
+
+
+@sampled
+@pytest.mark.parametrize(
+    'status, lines',
+    [
+        ('200 OK', []),
+        ('503 Full', [f'{passthrough_api.REFUSED_HEADER}: unsent']),
+    ],
+    ids=['answer', 'refusal'],
+)
+async def test_malformed_response_of_a_host_reaches_no_caller(
+    far_system, monkeypatch, status, lines, name
+):
+    """Guards against hosts that believe what another host did not send."""
+    await far_system.put(KINDS['once'])
+    await far_system.add('e', 'south-hall')
+    await far.wait_for_pongs(far_system)
+
+    def script(sent, _number):
+        extra = ''.join(f'{line}\r\n' for line in lines).encode()
+        return malform(
+            name, [passing.answer(sent, status=status, extra=extra)]
+        )
+
+    host = await endpoints.ScriptedEndpoint(script).start()
+    client = far_system.entries[0]._hosts_client
+    send = client.send_verbatim
+
+    def send_to_host(method, _address, *arguments, **named):
+        return send(method, host.address, *arguments, **named)
+
+    monkeypatch.setattr(client, 'send_verbatim', send_to_host)
+    assert_is_own_502(
+        await endpoints.send_raw(far_system.north, passing.request())
+    )
+    assert len(host.requests) == 1
+    await host.close()
+
+
+@sampled
+@pytest.mark.parametrize('is_stream', [True, False])
+async def test_chat_is_sent_again_after_a_malformed_response(
+    tmp_path, is_stream, name
+):
+    """The whole way: caller, entry host, engine."""
+    made = fleet.deployment(regions=('north',), engines=2, plains=0)
+    started = fleet.Fleet(tmp_path, made)
+    words = ''.join(engine.answer_words(test_endpoints.MESSAGES, 16))
+    answered = []
+
+    def script(sent, _number):
+        if sent.startswith(b'GET /load '):
+            return [response(sent, LOAD, JSON)]
+        if not sent.startswith(b'POST '):
+            return [response(sent, b'', status='404 Not Found')]
+        answered.append(sent)
+        text = '{"choices":[{"%s":{"content":"%s"}}]}'
+        delta = 'delta' if is_stream else 'message'
+        body = (text % (delta, words)).encode()
+        if is_stream:
+            body = b'data: ' + body + b'\n\ndata: [DONE]\n\n'
+        data = response(sent, body, EVENTS if is_stream else JSON)
+        if len(answered) == 1:
+            data = response_heads.MALFORMED[name](data)
+        return [data]
+
+    engines = []
+    try:
+        for found in made['endpoints']:
+            scripted = endpoints.ScriptedEndpoint(script)
+            scripted.address = found['url'].removeprefix('http://')
+            await scripted.listen_at_same_address()
+            engines.append(scripted)
+        started.start_entry('north-1')
+        await started.wait_serving()
+        chat = test_endpoints.chat_body(is_stream)
+        result = await started.caller('north-1').chat(chat)
+        assert (result.outcome, result.text) == ('whole', words)
+        assert len(answered) == 2
+    finally:
+        await started.close()
+        for scripted in engines:
+            await scripted.close()
--- /dev/null
+++ b/tests/test_response_heads.py
@@ -0,0 +1,141 @@
+"""Responses with a malformed head are no responses, whichever parser runs."""
+
+import asyncio
+import os
+
+import aiohttp
+from aiohttp import base_protocol
+from aiohttp import http_exceptions
+from aiohttp import http_parser
+import pytest
+
+from tests import response_heads
+from wrenspoke.transport import response_parser
+
+LENGTH = b'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nwhole'
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'5\r\nwhole\r\n0\r\n\r\n'
+)
+CONNECTION = b'HTTP/1.1 200 OK\r\nA: b\r\n\r\nwhole'
+NO_BODY = b'HTTP/1.1 204 No\r\nA: b\r\n\r\n'
+FRAMINGS = {
+    'length': LENGTH,
+    'chunked': CHUNKED,
+    'connection': CONNECTION,
+    'no body': NO_BODY,
+}
+INTERIM = b'HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n'
+HEAD_LIMIT_BYTES = 1 << 20
+# The same class twice where aiohttp has no C extension.
+PARSERS = {
+    'default': http_parser.HttpResponseParser,
+    'python': http_parser.HttpResponseParserPy,
+}
+SIZES = [1, 7, 1 << 16]
+
+
+@pytest.fixture(params=PARSERS)
+def feed(request):
+    """Return a function that parses pieces and returns the messages."""
+
+    def new_parser():
+        loop = asyncio.get_running_loop()
+        return PARSERS[request.param](
+            base_protocol.BaseProtocol(loop),
+            loop,
+            1 << 16,
+            payload_exception=aiohttp.ClientPayloadError,
+            read_until_eof=True,
+        )
+
+    def parse(pieces):
+        parser = response_parser.PrefixParser(
+            new_parser(), new_parser, HEAD_LIMIT_BYTES
+        )
+        found = []
+        for piece in pieces:
+            found += parser.feed_data(piece)[0]
+        return found
+
+    return parse
+
+
+def split(data, size):
+    return [data[at : at + size] for at in range(0, len(data), size)]
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('name', response_heads.MALFORMED)
+async def test_response_with_a_malformed_head_fails(feed, name, framing):
+    """Guards against malformed responses that are passed to callers."""
+    data = response_heads.MALFORMED[name](FRAMINGS[framing])
+    with pytest.raises(http_exceptions.BadHttpMessage):
+        feed([data])
+
+
+@pytest.mark.parametrize('name', response_heads.MALFORMED)
+async def test_response_fails_at_any_split_of_its_malformed_head(feed, name):
+    """Guards against lines that are accepted in two packets, or in many."""
+    data = response_heads.MALFORMED[name](LENGTH)
+    ends = range(1, data.index(b'\r\n\r\n') + 4)
+    for pieces in (
+        split(data, 1),
+        *([data[:at], data[at:]] for at in ends),
+    ):
+        with pytest.raises(http_exceptions.BadHttpMessage):
+            feed(pieces)
+
+
+@pytest.mark.parametrize('name', response_heads.MALFORMED)
+async def test_malformed_line_fails_before_the_head_is_complete(feed, name):
+    """Guards against calls that wait for the rest until their deadline."""
+    lines = response_heads.MALFORMED[name](LENGTH).split(b'\r\n')
+    count = 1 + len(os.path.commonprefix([lines, LENGTH.split(b'\r\n')]))
+    begun = b''.join(line + b'\r\n' for line in lines[:count])
+    for size in SIZES:
+        with pytest.raises(http_exceptions.BadHttpMessage):
+            feed(split(begun, size))
+
+
+@pytest.mark.parametrize('name', response_heads.MALFORMED)
+async def test_malformed_head_behind_an_interim_response_fails(feed, name):
+    data = INTERIM + response_heads.MALFORMED[name](LENGTH)
+    for size in SIZES:
+        with pytest.raises(http_exceptions.BadHttpMessage):
+            feed(split(data, size))
+
+
+WELL_FORMED = {
+    **{
+        f'{status} {reason!r}': (
+            b'HTTP/1.1 %d%s\r\nContent-Length: 5\r\n\r\nwhole'
+            % (status, reason),
+            status,
+            {},
+        )
+        for status in (200, 201, 226, 299, 300, 418, 499, 500, 511, 599)
+        for reason in (b'', b' ', b' OK', b'  two  words', b' \xc3\xa4')
+    },
+    '1.0': (CONNECTION.replace(b'1.1', b'1.0'), 200, {'A': 'b'}),
+    'line feeds': (LENGTH.replace(b'\r\n', b'\n'), 200, {'A': 'b'}),
+    'interim responses': (
+        b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102\r\n\r\n'
+        b'HTTP/1.1 103 Early\r\nLink: a\r\n b\r\n\r\n'
+        b'HTTP/1.1 199 \r\n\r\n' + LENGTH,
+        200,
+        {'A': 'b'},
+    ),
+}
+
+
+@pytest.mark.parametrize('name', WELL_FORMED)
+async def test_response_with_a_well_formed_head_is_complete(feed, name):
+    """Guards against responses that are rejected for an unusual head."""
+    data, status, fields = WELL_FORMED[name]
+    for size in SIZES:
+        *interim, (message, payload) = feed(split(data, size))
+        assert all(found.code < 200 for found, _body in interim)
+        assert message.code == status
+        assert fields.items() <= dict(message.headers).items()
+        assert payload.read_nowait() == b'whole'
--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -227,3 +227,38 @@
         assert payload.exception() is None
         got += payload.read_nowait()
     assert got == chunk * (first + count)
+
+
+class DisagreeingParser:
+    """Parser that returns a final message where it is told to."""
+
+    def __init__(self, end):
+        self._end = end
+        self._parser = new_parser()
+        self._fed = b''
+
+    def feed_data(self, data):
+        self._fed += data
+        if not self._fed.endswith(self._end):
+            return (), False, b''
+        return self._parser.feed_data(LENGTH)
+
+
+@pytest.mark.parametrize('size', [1, 1 << 16])
+@pytest.mark.parametrize(
+    'data, end',
+    [
+        (LENGTH.removesuffix(b'\r\n\r\nwhole'), b'5'),
+        (LENGTH, b'never'),
+        (INTERIM + LENGTH, INTERIM),
+    ],
+    ids=['before the end of the head', 'never', 'interim response'],
+)
+async def test_head_whose_end_is_ambiguous_is_malformed(data, end, size):
+    """Guards against a message whose head was not checked."""
+    parser = response_parser.PrefixParser(
+        DisagreeingParser(end), new_parser, HEAD_LIMIT_BYTES
+    )
+    with pytest.raises(http_exceptions.BadHttpMessage, match='ambiguous'):
+        for at in range(0, len(data), size):
+            parser.feed_data(data[at : at + size])
--- /dev/null
+++ b/wrenspoke/transport/head_check.py
@@ -0,0 +1,63 @@
+"""A check of response heads that does not depend on aiohttp's parsers."""
+
+import re
+
+from aiohttp import http_exceptions
+
+# Statuses are 100 to 599 (RFC 9110, 15).
+STATUS_LINE = re.compile(rb'HTTP/[0-9]\.[0-9] ([1-5][0-9]{2})(?: [^\r]*)?')
+# Answers an Upgrade header (RFC 9110, 7.8), which no request has here.
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
+# Bytes of a malformed line that its error quotes.
+QUOTE_LIMIT_BYTES = 80
+
+
+class HeadCheck:
+    """Checks the status of a response, and of interim ones before it.
+
+    aiohttp's parsers (3.14.5) accept any three digits as a status.
+    """
+
+    def __init__(self):
+        # Status of the head whose fields are next, None before its first line.
+        self._status: int | None = None
+        self._line_start = 0
+        self._searched_bytes = 0
+        # Whether the head of a final response is complete.
+        self.is_complete = False
+
+    def update(self, head: bytearray) -> None:
+        """Check the lines that are complete since the last call.
+
+        ``head`` is all that has arrived; what follows a final head is left
+        out.
+
+        :raises BadHttpMessage: a line is malformed
+        """
+        while not self.is_complete:
+            line_end = head.find(b'\n', self._searched_bytes)
+            if line_end < 0:
+                self._searched_bytes = len(head)
+                return
+            line = bytes(head[self._line_start : line_end])
+            self._line_start = self._searched_bytes = line_end + 1
+            self._check_line(line.removesuffix(b'\r'))
+
+    def _check_line(self, line: bytes) -> None:
+        if self._status is None:
+            self._check_status_line(line.lstrip(b'\r'))
+        elif not line:
+            self.is_complete = self._status >= FIRST_FINAL_STATUS
+            self._status = None
+
+    def _check_status_line(self, line: bytes) -> None:
+        if not line:
+            # Blank lines may precede a response.
+            return
+        found = STATUS_LINE.fullmatch(line)
+        if found is None or int(found[1]) == SWITCHING_PROTOCOLS:
+            raise http_exceptions.BadStatusLine(
+                error=f'invalid status line {line[:QUOTE_LIMIT_BYTES]!r}'
+            )
+        self._status = int(found[1])
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -8,8 +8,8 @@
 from aiohttp import http_parser
 
 from wrenspoke.transport import framing_budget
+from wrenspoke.transport import head_check
 
-FIRST_FINAL_STATUS = 200
 # Interim responses that may precede a final one.
 INTERIM_LIMIT = 1_000
 # Bytes before the end of the final head beyond those that the limits of
@@ -34,6 +34,8 @@
     The bytes before the end of the final head are bounded by
     ``head_limit_bytes``: aiohttp's parser bounds each line and the number of
     headers, but neither blank lines, interim responses nor spaces.
+
+    No message is returned unless its head passes ``HeadCheck``.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         self._head_limit_bytes = head_limit_bytes
         # What arrived before the head of the final response was complete.
         self._head = bytearray()
+        self._head_check = head_check.HeadCheck()
         self._interim_count = 0
         self._payload: aiohttp.StreamReader | None = None
         self._framing: framing_budget.FramingBudget | None = None
@@ -76,6 +79,7 @@
 
     def _feed_head(self, data: bytes) -> Parsed:
         self._head += data
+        self._head_check.update(self._head)
         try:
             parsed = self._parser.feed_data(data)
         except Exception:
@@ -85,6 +89,10 @@
             if payload is None or not _is_complete(payload):
                 raise
         self._payload = _final_payload(parsed[0])
+        if self._head_check.is_complete is (self._payload is None):
+            raise http_exceptions.BadHttpMessage(
+                'the end of the response head is ambiguous'
+            )
         if self._payload is None:
             self._interim_count += len(parsed[0])
             self._check_head()
@@ -174,7 +182,7 @@
 def _final_payload(messages: Messages) -> aiohttp.StreamReader | None:
     """Return the body of the response after interim ones, None before it."""
     for message, payload in messages:
-        if message.code >= FIRST_FINAL_STATUS:
+        if message.code >= head_check.FIRST_FINAL_STATUS:
             return payload
     return None
 
