Reject responses with a malformed field line in their head

Callers got a line directly behind the status line that begins with a blank (` X-Extra: b`) as a field of its own. A line of one blank there ended the head early, so that the endpoint's fields arrived as the body. A 503 with such a line was taken for a refusal, and a Retry-After, limit or leave in it for the endpoint's.

Cause: aiohttp's parser for responses is lenient, and its C parser skips one blank between the status line and the first field. The blank is gone from what it returns, so that no reader could tell. Its Python parser refuses the line, and everything else that stands in a name, as does the C parser.

Trailers with such lines never reached a caller.

Fix: `HeadCheck` now reads the field lines of final and interim responses as well: a name is a token of RFC 9110, 5.6.2, directly followed by a colon, and only a line behind a field may continue a value. It sees the bytes themselves, so the rule is the same whichever parser is installed. A folded value of a field passes as before: it can't be confused with a name, and both parsers join it with the line before.

--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -47,6 +47,7 @@
 MIB = 1 << 20
 JSON = 'Content-Type: application/json'
 EVENTS = 'Content-Type: text/event-stream'
+NOT_RUN = 'Wrenspoke-Not-Run: 1'
 # The bound of a failure's text, its quotation marks and escapes included.
 TEXT_LIMIT_CHARACTERS = 1_000
 
@@ -423,7 +424,7 @@
     assert (status, is_whole) == (502, True), got
     assert got.startswith(b'HTTP/1.1 502 Bad Gateway\r\n'), got
     assert b'"reason"' in body and b'data:' not in got, got
-    assert b'Retry-After' not in got, got
+    assert b'X-Extra' not in got and b'Retry-After' not in got, got
     assert f'{ID}: {request_id}\r\n'.encode() in got, got
 
 
@@ -518,6 +519,73 @@
         assert runs == ['q1']
 
 
+REFUSING = {
+    '503': ('503 Full', NOT_RUN),
+    '429': ('429 Busy', NOT_RUN),
+    '421': ('421 Other',),
+    '408': ('408 Late', NOT_RUN),
+    '503 of a host': (
+        '503 Full',
+        f'{passthrough_api.REFUSED_HEADER}: unsent',
+    ),
+}
+
+
+@pytest.mark.parametrize('status', REFUSING)
+@pytest.mark.parametrize(
+    'name', [name for name in response_heads.SAMPLES if 'line' in name]
+)
+@pytest.mark.parametrize('kind', KINDS)
+async def test_nothing_of_a_malformed_refusal_counts(
+    system, kind, name, status
+):
+    """Guards against untrue refusals, and endpoints that are left unused.
+
+    Neither its status nor its fields count: no Retry-After, limit or leave.
+    """
+    await system.put(KINDS[kind])
+    refusal, *lines = REFUSING[status]
+    lines += [
+        'Retry-After: 600',
+        f'{headers.LIMIT}: 1',
+        f'{headers.LEAVING}: 1',
+    ]
+
+    def script(sent, number):
+        extra = ''.join(f'{line}\r\n' for line in lines).encode()
+        data = passing.answer(sent, status=refusal, extra=extra)
+        if number == 1:
+            return [response_heads.MALFORMED[name](data)]
+        return event_stream(sent, 'length')
+
+    endpoint = await system.add('e', script)
+    assert_is_own_502(await system.ask(passing.request()))
+    for number in range(2, 6):
+        got = await system.ask(passing.request(request_id=f'q{number}'))
+        assert framing.conclude(got) == (200, framing.FIRST_EVENT, True)
+    assert len(endpoint.requests) == 5
+    held = system.controls[0].registrar.registry.entries
+    assert held['e'].takes_work
+
+
+@pytest.mark.parametrize('line', response_heads.LINES[::3], ids=repr)
+@pytest.mark.parametrize('kind', ['once', 'stream'])
+async def test_malformed_trailer_reaches_no_caller(system, kind, line):
+    """Guards against trailers that are taken for fields of the response."""
+    await system.put(KINDS[kind])
+
+    def script(sent, _number):
+        head, event, end = event_stream(sent, 'chunks')
+        trailers = end.removesuffix(b'\r\n') + line + b'\r\n\r\n'
+        return [head, event, trailers]
+
+    await system.add('e', script)
+    got = await system.ask(passing.request())
+    assert b'Extra' not in got, got
+    if not got.startswith(b'HTTP/1.1 200 '):
+        assert_is_own_502(got)
+
+
 @sampled
 async def test_malformed_responses_count_as_failures_of_their_endpoint(
     system, name
@@ -538,17 +606,21 @@
 async def test_unusual_responses_reach_callers(system):
     """Guards against responses that are taken for malformed ones."""
     await system.put(KINDS['once'])
+    token = "!#$%&'*+-.^_`|~09AZaz"
+    extra = f'{token}: b\r\nX-Folded: b\r\n c\r\n'.encode()
     statuses = [200, 226, 299, 399, 418, 499, 555, 599]
 
     def script(sent, number):
         status = str(statuses[number - 1])
         interim = b'HTTP/1.1 102\r\n\r\nHTTP/1.1 103 Early\r\n\r\n'
-        return [interim + passing.answer(sent, status=status)]
+        return [interim + passing.answer(sent, status=status, extra=extra)]
 
     await system.add('e', script)
     for number, status in enumerate(statuses):
         got = await system.ask(passing.request(request_id=f'q{number}'))
         assert got.startswith(f'HTTP/1.1 {status} '.encode()), got
+        assert f'\r\n{token}: b\r\n'.encode() in got, got
+        assert b'\r\nX-Folded: b c\r\n' in got, got
         assert got.endswith(b'whole'), got
 
 
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import os
+import random
+import re
 
 import aiohttp
 from aiohttp import base_protocol
@@ -27,12 +29,21 @@
 }
 INTERIM = b'HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n'
 HEAD_LIMIT_BYTES = 1 << 20
+TOKEN = b"!#$%&'*+-.^_`|~09AZaz"
 # The same class twice where aiohttp has no C extension.
 PARSERS = {
     'default': http_parser.HttpResponseParser,
     'python': http_parser.HttpResponseParserPy,
 }
 SIZES = [1, 7, 1 << 16]
+FUZZ_SEED = 74
+FUZZ_COUNT = 4_000
+# Bytes that parsers treat in different ways.
+FUZZ_UNITS = [
+    *(b' ', b'\t', b'\r', b'\n', b'\r\n', b'\r\n\r\n', b':', b',', b'0'),
+    *(b'\0', b'\x01', b'\x0b', b'\x7f', b'\x85', b'\xff', b'101', b'HTTP/'),
+    *(b'HTTP/1.1 103 Early\r\n', b'HTTP/1.1 ', b' A: b\r\n', b'chunked'),
+]
 
 
 @pytest.fixture(params=PARSERS)
@@ -106,6 +117,14 @@
             feed(split(data, size))
 
 
+@pytest.mark.parametrize('line', response_heads.LINES, ids=repr)
+async def test_response_behind_a_malformed_interim_one_fails(feed, line):
+    data = response_heads.with_line(line, INTERIM) + LENGTH
+    for size in SIZES:
+        with pytest.raises(http_exceptions.BadHttpMessage):
+            feed(split(data, size))
+
+
 WELL_FORMED = {
     **{
         f'{status} {reason!r}': (
@@ -118,6 +137,31 @@
         for reason in (b'', b' ', b' OK', b'  two  words', b' \xc3\xa4')
     },
     '1.0': (CONNECTION.replace(b'1.1', b'1.0'), 200, {'A': 'b'}),
+    'every character of a name': (
+        response_heads.with_line(TOKEN + b': b', LENGTH),
+        200,
+        {TOKEN.decode(): 'b', 'A': 'b'},
+    ),
+    'separators in a value': (
+        response_heads.with_line(b'X:: b: "(,;) \xe4\t=', LENGTH),
+        200,
+        {'A': 'b'},
+    ),
+    'no value': (
+        response_heads.with_line(b'X:', LENGTH),
+        200,
+        {'X': '', 'A': 'b'},
+    ),
+    'folded value': (
+        response_heads.with_line(b'X: b\r\n c: d\r\n\te', LENGTH),
+        200,
+        {'X': 'b c: d\te', 'A': 'b'},
+    ),
+    'folded value, first line empty': (
+        response_heads.with_line(b'X:\r\n b', LENGTH),
+        200,
+        {'X': 'b'},
+    ),
     'line feeds': (LENGTH.replace(b'\r\n', b'\n'), 200, {'A': 'b'}),
     'interim responses': (
         b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102\r\n\r\n'
@@ -139,3 +183,55 @@
         assert message.code == status
         assert fields.items() <= dict(message.headers).items()
         assert payload.read_nowait() == b'whole'
+
+
+# What the lines of any accepted head look like.
+STATUS_LINE = re.compile(rb'HTTP/\d\.\d (\d\d\d)( .*)?', re.DOTALL)
+NAME = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
+
+
+def assert_well_formed(data, statuses):
+    """Assert that the heads of the messages with ``statuses`` are valid."""
+    lines = iter(data.split(b'\n'))
+    for status in statuses:
+        line = next(found for found in lines if found.strip(b'\r'))
+        named = STATUS_LINE.fullmatch(line.strip(b'\r'))
+        assert named and int(named.group(1)) == status
+        assert 100 <= status <= 599 and status != 101
+        is_first = True
+        while line := next(lines).removesuffix(b'\r'):
+            if is_first or line[:1] not in b' \t':
+                name, colon, _value = line.partition(b':')
+                assert colon and NAME.fullmatch(name), line
+            is_first = False
+
+
+def mutate(random_source, data):
+    """Return bytes with a few units inserted, replaced or removed."""
+    for _change in range(random_source.randint(1, 4)):
+        at = random_source.randrange(len(data))
+        until = at + random_source.choice([0, 0, 1, 2, 5])
+        unit = random_source.choice([*FUZZ_UNITS, b''])
+        data = data[:at] + unit + data[until:]
+    return data
+
+
+async def test_fuzzed_head_is_accepted_only_if_it_is_well_formed(feed):
+    """Guards against parsers that disagree with the check of a head."""
+    random_source = random.Random(FUZZ_SEED)
+    seeds = [found for found, _status, _fields in WELL_FORMED.values()]
+    accepted = 0
+    for _case in range(FUZZ_COUNT):
+        data = mutate(random_source, random_source.choice(seeds))
+        size = random_source.choice(SIZES)
+        try:
+            found = feed(split(data, size))
+        except Exception:
+            continue
+        statuses = [message.code for message, _body in found]
+        if not statuses or statuses[-1] < 200:
+            continue
+        final = next(n for n, status in enumerate(statuses) if status >= 200)
+        assert_well_formed(data, statuses[: final + 1])
+        accepted += 1
+    assert accepted > FUZZ_COUNT // 10
--- a/wrenspoke/transport/head_check.py
+++ b/wrenspoke/transport/head_check.py
@@ -9,19 +9,24 @@
 # Answers an Upgrade header (RFC 9110, 7.8), which no request has here.
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
+FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r]*")
+CONTINUATION_LINE = re.compile(rb'[ \t][^\r]*')
 # Bytes of a malformed line that its error quotes.
 QUOTE_LIMIT_BYTES = 80
 
 
 class HeadCheck:
-    """Checks the status of a response, and of interim ones before it.
+    """Checks the lines of a response's head, and of interim ones before it.
 
-    aiohttp's parsers (3.14.5) accept any three digits as a status.
+    aiohttp's parsers (3.14.5) accept any three digits as a status. The one in
+    C also accepts a blank in front of the first field, and takes a line of one
+    blank there for the end of the head.
     """
 
     def __init__(self):
         # Status of the head whose fields are next, None before its first line.
         self._status: int | None = None
+        self._has_fields = False
         self._line_start = 0
         self._searched_bytes = 0
         # Whether the head of a final response is complete.
@@ -47,9 +52,12 @@
     def _check_line(self, line: bytes) -> None:
         if self._status is None:
             self._check_status_line(line.lstrip(b'\r'))
-        elif not line:
+        elif line:
+            self._check_field_line(line)
+        else:
             self.is_complete = self._status >= FIRST_FINAL_STATUS
             self._status = None
+            self._has_fields = False
 
     def _check_status_line(self, line: bytes) -> None:
         if not line:
@@ -61,3 +69,12 @@
                 error=f'invalid status line {line[:QUOTE_LIMIT_BYTES]!r}'
             )
         self._status = int(found[1])
+
+    def _check_field_line(self, line: bytes) -> None:
+        if self._has_fields and CONTINUATION_LINE.fullmatch(line):
+            return
+        if not FIELD_LINE.fullmatch(line):
+            raise http_exceptions.BadHttpMessage(
+                f'invalid field line {line[:QUOTE_LIMIT_BYTES]!r}'
+            )
+        self._has_fields = True
