--- a/benches/switches_attribution.py
+++ b/benches/switches_attribution.py
@@ -9,6 +9,8 @@
 UNNAMED = 'tests/test_unnamed_refusals.py'
 EXCHANGE = 'tests/test_exchange.py'
 ENDLESS = 'tests/test_endless_responses.py'
+HEADS = 'tests/test_response_heads.py'
+HEAD_CHECKER = TRANSPORT + 'head_checker.py'
 Switch = switches.Switch
 
 SWITCHES = [
@@ -104,6 +106,48 @@
         '            raise\n',
         'tests/test_response_parser.py',
     ),
+    Switch(
+        'any status is accepted',
+        HEAD_CHECKER,
+        '([1-5][0-9]{2})',
+        '([0-9]{3})',
+        HEADS,
+    ),
+    Switch(
+        '101 is accepted',
+        HEAD_CHECKER,
+        ' or int(found[1]) == SWITCHING_PROTOCOLS',
+        '',
+        HEADS,
+    ),
+    Switch(
+        'any line may continue a value',
+        HEAD_CHECKER,
+        'if self._has_fields and CONTINUATION_LINE',
+        'if CONTINUATION_LINE',
+        HEADS,
+    ),
+    Switch(
+        'fields of an interim response count as those of the next one',
+        HEAD_CHECKER,
+        '            self._has_fields = False\n\n',
+        '\n',
+        HEADS,
+    ),
+    Switch(
+        'folded values are malformed',
+        HEAD_CHECKER,
+        'if self._has_fields and CONTINUATION_LINE.fullmatch(line):',
+        'if False:',
+        HEADS,
+    ),
+    Switch(
+        'ambiguous ends of heads are accepted',
+        TRANSPORT + 'response_parser.py',
+        'if self._head_checker.is_complete is (self._payload is None):',
+        'if False:',
+        'tests/test_response_parser.py',
+    ),
     Switch(
         'heads without end are read',
         TRANSPORT + 'response_parser.py',
--- a/wrenspoke/transport/head_check.py
+++ b/wrenspoke/transport/head_checker.py
@@ -15,7 +15,7 @@
 QUOTE_LIMIT_BYTES = 80
 
 
-class HeadCheck:
+class HeadChecker:
     """Checks the lines of a response's head, and of interim ones before it.
 
     aiohttp's parsers (3.14.5) accept any three digits as a status. The one in
@@ -32,11 +32,11 @@
         # Whether the head of a final response is complete.
         self.is_complete = False
 
-    def update(self, head: bytearray) -> None:
+    def check(self, head: bytearray) -> None:
         """Check the lines that are complete since the last call.
 
-        ``head`` is all that has arrived; what follows a final head is left
-        out.
+        ``head`` holds all bytes received so far. Those behind the head of the
+        final response are ignored.
 
         :raises BadHttpMessage: a line is malformed
         """
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -8,7 +8,7 @@
 from aiohttp import http_parser
 
 from wrenspoke.transport import framing_budget
-from wrenspoke.transport import head_check
+from wrenspoke.transport import head_checker
 
 # Interim responses that may precede a final one.
 INTERIM_LIMIT = 1_000
@@ -35,7 +35,7 @@
     ``head_limit_bytes``: aiohttp's parser bounds each line and the number of
     headers, but neither blank lines, interim responses nor spaces.
 
-    No message is returned unless its head passes ``HeadCheck``.
+    No message is returned unless its head passes ``HeadChecker``.
     """
 
     def __init__(
@@ -51,7 +51,7 @@
         self._head_limit_bytes = head_limit_bytes
         # What arrived before the head of the final response was complete.
         self._head = bytearray()
-        self._head_check = head_check.HeadCheck()
+        self._head_checker = head_checker.HeadChecker()
         self._interim_count = 0
         self._payload: aiohttp.StreamReader | None = None
         self._framing: framing_budget.FramingBudget | None = None
@@ -79,7 +79,7 @@
 
     def _feed_head(self, data: bytes) -> Parsed:
         self._head += data
-        self._head_check.update(self._head)
+        self._head_checker.check(self._head)
         try:
             parsed = self._parser.feed_data(data)
         except Exception:
@@ -89,7 +89,7 @@
             if payload is None or not _is_complete(payload):
                 raise
         self._payload = _final_payload(parsed[0])
-        if self._head_check.is_complete is (self._payload is None):
+        if self._head_checker.is_complete is (self._payload is None):
             raise http_exceptions.BadHttpMessage(
                 'the end of the response head is ambiguous'
             )
@@ -182,7 +182,7 @@
 def _final_payload(messages: Messages) -> aiohttp.StreamReader | None:
     """Return the body of the response after interim ones, None before it."""
     for message, payload in messages:
-        if message.code >= head_check.FIRST_FINAL_STATUS:
+        if message.code >= head_checker.FIRST_FINAL_STATUS:
             return payload
     return None
 
