Share the readers that tests of responses set up

Change: tests/response_readers.py sets them up for both, `scripted_engines` runs the engines, `new_parser` takes the class of the parser. The assertions are the same. The fuzzed heads may fail with errors of parsing only.

--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -10,9 +10,9 @@
 import pytest
 
 from tests import endpoints
-from tests import fleet
 from tests import loops
 from tests import nodes
+from tests import response_readers
 from tests import test_truncated as truncated
 from wrenspoke import caller as callers
 from wrenspoke import clock as clocks
@@ -23,17 +23,12 @@
 from wrenspoke.coordination.serving import streams
 from wrenspoke.coordination.serving import take_up
 from wrenspoke.coordination.serving import warmup_probe
-from wrenspoke import load
 from wrenspoke import operator as operators
-from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import kept_answers
 from wrenspoke.protocol import outcomes
 from wrenspoke.protocol import passthrough_api
-from wrenspoke.protocol import requests
 from wrenspoke.protocol import sse
-from wrenspoke.state import registry
-from wrenspoke.state import routes
 from wrenspoke.transport import web
 
 MIB = 1 << 20
@@ -145,106 +140,33 @@
 
 async def read_runs(url, monkeypatch):
     monkeypatch.setattr(callers, 'GET_TIMEOUT_MS', TIMEOUT_MS)
-    endpoint = types.SimpleNamespace(endpoint='e', url=url)
-    deployment = types.SimpleNamespace(endpoints=[endpoint])
-    assert await load.collect_runs(deployment) == {}
+    assert await response_readers.collect_runs(url) == {}
 
 
 async def read_host_list(url, monkeypatch):
     monkeypatch.setattr(host_list_poller, 'LIST_INTERVAL_MS', TIMEOUT_MS)
-    client = web.HttpClient(TIMEOUT_MS)
-    poller = host_list_poller.HostListPoller(
-        url, 'h', client, None, None, clocks.Clock()
-    )
-    assert await poller._fetch_hosts() == []
-    await client.close()
+    assert await response_readers.fetch_hosts(url) == []
 
 
 async def read_load(url, monkeypatch):
-    reports = []
-    limits = types.SimpleNamespace(load_poll_interval_ms=TIMEOUT_MS)
-    table = types.SimpleNamespace(add_report=reports.append)
-    async with truncated.dispatching(url) as dispatcher:
-        poller = load_poller.LoadPoller(
-            limits,
-            'north',
-            'hall',
-            dispatcher,
-            None,
-            None,
-            table,
-            None,
-            clocks.Clock(),
-        )
-        await poller._poll_load('e')
-    assert reports == []
+    assert await response_readers.poll_load(url, TIMEOUT_MS) == []
 
 
 async def read_state(url, monkeypatch):
-    control = types.SimpleNamespace(order_timeout_ms=TIMEOUT_MS)
-    deployment = types.SimpleNamespace(control=control, with_role=lambda _: ())
-    async with truncated.dispatching(url) as dispatcher:
-        executor = execution.Executor(
-            'h', deployment, None, dispatcher, clocks.Clock()
-        )
-        with pytest.raises(execution.OrderFailedError):
-            await executor._read_engine_state('e')
-
-
-class OpenGate:
-    """Permits every send."""
-
-    async def acquire(self, _life, _rank):
-        return types.SimpleNamespace(
-            is_valid=lambda: True, on_response=lambda _found: None
-        )
+    with pytest.raises(execution.OrderFailedError):
+        await response_readers.read_engine_state(url, TIMEOUT_MS)
 
 
 async def probe_health(url, monkeypatch):
-    table = types.SimpleNamespace(
-        service=lambda _name: routes.RoutedService('s', '/health', 10)
-    )
-    client = web.HttpClient(TIMEOUT_MS)
-    probe = warmup_probe.WarmupProbe(
-        types.SimpleNamespace(add_listener=lambda _listener: None),
-        types.SimpleNamespace(current=types.SimpleNamespace(routes=table)),
-        dialects.Dialect(),
-        client,
-        OpenGate(),
-        clocks.Clock(),
-    )
-    registered = registry.Registration(
-        'e',
-        's',
-        url.removeprefix('http://'),
-        'hall',
-        4,
-        registry.RegistrationState.READY,
-        1,
-    )
-    assert await probe._probe_endpoint(registered) is None
-    await client.close()
+    assert await response_readers.probe_endpoint(url) is None
 
 
 async def forward(url, monkeypatch):
-    made = fleet.deployment(regions=('south',), entries=1)
-    made['hosts'][0]['http_port'] = int(url.rpartition(':')[2])
-    region = truncated.OneRegion(['south-1'])
-    client = web.HttpClient(1_000)
-    clock = clocks.Clock()
-    forwarder = truncated.new_forwarder(made, region, client, clock)
-    head = requests.RequestHead(
-        'r1',
-        requests.RequestKind.PLAIN,
-        'GET',
-        '/map',
-        'records',
-        clock.mono_ms() + TIMEOUT_MS,
-    )
     with pytest.raises(errors.RequestEndedError) as ended:
-        await forwarder.forward(head, b'', 'south', truncated.WholeReply())
+        await response_readers.forward_call(
+            url, TIMEOUT_MS, truncated.WholeReply()
+        )
     assert ended.value.ending.outcome is outcomes.Outcome.UNKNOWN
-    await client.close()
 
 
 async def read_call_answer(url, monkeypatch):
@@ -301,21 +223,15 @@
 async def ask_for_rest(url, monkeypatch):
     monkeypatch.setattr(take_up, 'PATH_LIMIT_MS', TIMEOUT_MS)
     client = web.HttpClient(1_000)
-    exchange = take_up.HopExchange(
-        client, None, 'h1', 't1', list, bool, clocks.Clock()
-    )
-    record = types.SimpleNamespace(
-        host='h2', passing_address=url.removeprefix('http://')
-    )
-    assert await exchange._ask(record) is None
+    exchange = response_readers.new_exchange(client)
+    assert await exchange._ask(response_readers.host_record(url)) is None
     await client.close()
 
 
 async def pass_rest_on(url, monkeypatch):
     monkeypatch.setattr(take_up, 'PATH_LIMIT_MS', TIMEOUT_MS)
     client = web.HttpClient(1_000)
-    address = url.removeprefix('http://')
-    forwarder = take_up.TakeUpForwarder(client, lambda _host: address)
+    forwarder = response_readers.new_take_up_forwarder(client, url)
     reply = types.SimpleNamespace(recalled=None)
     found = await forwarder.forward(kept_answers.TakeUp('h1', 't1', 0), reply)
     assert (found, reply.recalled) == (False, None)
--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -7,10 +7,9 @@
 import structlog
 
 from tests import endpoints
-from tests import fleet
 from tests import nodes
 from tests import response_heads
-from tests import test_endless_readers as readers
+from tests import response_readers
 from tests import test_endpoints
 from tests import test_engine_loads
 from tests import test_far as far
@@ -19,26 +18,18 @@
 from tests import test_passing as passing
 from tests import test_truncated as truncated
 from wrenspoke import caller as callers
-from wrenspoke import clock as clocks
 from wrenspoke.coordination.agreement import execution
 from wrenspoke.coordination import errors
 from wrenspoke.coordination.membership import engine_loads
 from wrenspoke.coordination.membership import host_list_poller
-from wrenspoke.coordination.membership import load_poller
 from wrenspoke.coordination.serving import outlier_detection
-from wrenspoke.coordination.serving import take_up
 from wrenspoke.coordination.serving import warmup_probe
-from wrenspoke import load
 from wrenspoke import operator as operators
-from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import headers
 from wrenspoke.protocol import kept_answers
 from wrenspoke.protocol import outcomes
 from wrenspoke.protocol import passthrough_api
-from wrenspoke.protocol import requests
 from wrenspoke.standin import engine
-from wrenspoke.state import registry
-from wrenspoke.state import routes
 from wrenspoke.transport import errors as transport_errors
 from wrenspoke.transport import web
 
@@ -130,39 +121,15 @@
 
 
 async def read_runs(url):
-    endpoint = types.SimpleNamespace(endpoint='e', url=url)
-    deployment = types.SimpleNamespace(endpoints=[endpoint])
-    return bool(await load.collect_runs(deployment))
+    return bool(await response_readers.collect_runs(url))
 
 
 async def read_host_list(url):
-    client = web.HttpClient(TIMEOUT_MS)
-    poller = host_list_poller.HostListPoller(
-        url, 'h', client, None, None, clocks.Clock()
-    )
-    hosts = await poller._fetch_hosts()
-    await client.close()
-    return bool(hosts)
+    return bool(await response_readers.fetch_hosts(url))
 
 
 async def read_load(url):
-    reports = []
-    limits = types.SimpleNamespace(load_poll_interval_ms=TIMEOUT_MS)
-    table = types.SimpleNamespace(add_report=reports.append)
-    async with truncated.dispatching(url) as dispatcher:
-        poller = load_poller.LoadPoller(
-            limits,
-            'north',
-            'hall',
-            dispatcher,
-            None,
-            None,
-            table,
-            None,
-            clocks.Clock(),
-        )
-        await poller._poll_load('e')
-    return bool(reports)
+    return bool(await response_readers.poll_load(url, TIMEOUT_MS))
 
 
 async def read_report(url):
@@ -181,44 +148,15 @@
 
 
 async def read_state(url):
-    control = types.SimpleNamespace(order_timeout_ms=TIMEOUT_MS)
-    deployment = types.SimpleNamespace(control=control, with_role=lambda _: ())
-    async with truncated.dispatching(url) as dispatcher:
-        executor = execution.Executor(
-            'h', deployment, None, dispatcher, clocks.Clock()
-        )
-        try:
-            await executor._read_engine_state('e')
-        except execution.OrderFailedError:
-            return False
-        return True
+    try:
+        await response_readers.read_engine_state(url, TIMEOUT_MS)
+    except execution.OrderFailedError:
+        return False
+    return True
 
 
 async def probe_health(url):
-    table = types.SimpleNamespace(
-        service=lambda _name: routes.RoutedService('s', '/health', 10)
-    )
-    client = web.HttpClient(TIMEOUT_MS)
-    probe = warmup_probe.WarmupProbe(
-        types.SimpleNamespace(add_listener=lambda _listener: None),
-        types.SimpleNamespace(current=types.SimpleNamespace(routes=table)),
-        dialects.Dialect(),
-        client,
-        readers.OpenGate(),
-        clocks.Clock(),
-    )
-    registered = registry.Registration(
-        'e',
-        's',
-        url.removeprefix('http://'),
-        'hall',
-        4,
-        registry.RegistrationState.READY,
-        1,
-    )
-    status = await probe._probe_endpoint(registered)
-    await client.close()
-    return status is not None
+    return await response_readers.probe_endpoint(url) is not None
 
 
 class KeptReply(truncated.WholeReply):
@@ -232,27 +170,11 @@
 
 
 async def forward(url):
-    made = fleet.deployment(regions=('south',), entries=1)
-    made['hosts'][0]['http_port'] = int(url.rpartition(':')[2])
-    client = web.HttpClient(TIMEOUT_MS)
-    clock = clocks.Clock()
-    forwarder = truncated.new_forwarder(
-        made, truncated.OneRegion(['south-1']), client, clock
-    )
-    head = requests.RequestHead(
-        'r1',
-        requests.RequestKind.PLAIN,
-        'GET',
-        '/map',
-        'records',
-        clock.mono_ms() + TRY_MS,
-    )
     reply = KeptReply()
     try:
-        await forwarder.forward(head, b'', 'south', reply)
+        await response_readers.forward_call(url, TRY_MS, reply)
     except errors.RequestEndedError as error:
         assert error.ending.outcome is outcomes.Outcome.UNKNOWN
-    await client.close()
     return reply.body == b'whole'
 
 
@@ -279,13 +201,8 @@
 
 async def ask_for_rest(url):
     client = web.HttpClient(TIMEOUT_MS)
-    exchange = take_up.HopExchange(
-        client, None, 'h1', 't1', list, bool, clocks.Clock()
-    )
-    record = types.SimpleNamespace(
-        host='h2', passing_address=url.removeprefix('http://')
-    )
-    found = await exchange._ask(record)
+    exchange = response_readers.new_exchange(client)
+    found = await exchange._ask(response_readers.host_record(url))
     await exchange._stack.aclose()
     await client.close()
     return found is not None or exchange._is_recalled
@@ -310,8 +227,7 @@
 
 async def pass_rest_on(url):
     client = web.HttpClient(TIMEOUT_MS)
-    address = url.removeprefix('http://')
-    forwarder = take_up.TakeUpForwarder(client, lambda _host: address)
+    forwarder = response_readers.new_take_up_forwarder(client, url)
     reply = RestReply()
     found = await forwarder.forward(kept_answers.TakeUp('h1', 't1', 0), reply)
     await client.close()
@@ -696,8 +612,6 @@
     tmp_path, is_stream, name
 ):
     """The whole way: caller, entry host, engine."""
-    made = fleet.deployment(regions=('north',), engines=2, plains=0)
-    started = fleet.Fleet(tmp_path, made)
     words = ''.join(engine.answer_words(test_endpoints.MESSAGES, 16))
     answered = []
 
@@ -717,20 +631,7 @@
             data = response_heads.MALFORMED[name](data)
         return [data]
 
-    engines = []
-    try:
-        for found in made['endpoints']:
-            scripted = endpoints.ScriptedEndpoint(script)
-            scripted.address = found['url'].removeprefix('http://')
-            await scripted.listen_at_same_address()
-            engines.append(scripted)
-        started.start_entry('north-1')
-        await started.wait_serving()
-        chat = test_endpoints.chat_body(is_stream)
-        result = await started.caller('north-1').chat(chat)
-        assert (result.outcome, result.text) == ('whole', words)
-        assert len(answered) == 2
-    finally:
-        await started.close()
-        for scripted in engines:
-            await scripted.close()
+    async with truncated.scripted_engines(tmp_path, script) as caller:
+        result = await caller.chat(test_endpoints.chat_body(is_stream))
+    assert (result.outcome, result.text) == ('whole', words)
+    assert len(answered) == 2
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -1,17 +1,16 @@
 """Responses with a malformed head are no responses, whichever parser runs."""
 
-import asyncio
+import functools
 import os
 import random
 import re
 
-import aiohttp
-from aiohttp import base_protocol
 from aiohttp import http_exceptions
 from aiohttp import http_parser
 import pytest
 
 from tests import response_heads
+from tests import test_response_parser
 from wrenspoke.transport import response_parser
 
 LENGTH = b'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nwhole'
@@ -49,16 +48,9 @@
 @pytest.fixture(params=PARSERS)
 def feed(request):
     """Return a function that parses pieces and returns the messages."""
-
-    def new_parser():
-        loop = asyncio.get_running_loop()
-        return PARSERS[request.param](
-            base_protocol.BaseProtocol(loop),
-            loop,
-            1 << 16,
-            payload_exception=aiohttp.ClientPayloadError,
-            read_until_eof=True,
-        )
+    new_parser = functools.partial(
+        test_response_parser.new_parser, PARSERS[request.param]
+    )
 
     def parse(pieces):
         parser = response_parser.PrefixParser(
@@ -226,7 +218,7 @@
         size = random_source.choice(SIZES)
         try:
             found = feed(split(data, size))
-        except Exception:
+        except (http_exceptions.HttpProcessingError, ValueError):
             continue
         statuses = [message.code for message, _body in found]
         if not statuses or statuses[-1] < 200:
--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -24,9 +24,9 @@
 GARBAGE = b'\0\xff what is this\r\n\r\n'
 
 
-def new_parser():
+def new_parser(parser_class=http_parser.HttpResponseParser):
     loop = asyncio.get_running_loop()
-    return http_parser.HttpResponseParser(
+    return parser_class(
         base_protocol.BaseProtocol(loop),
         loop,
         1 << 16,
--- a/tests/test_truncated.py
+++ b/tests/test_truncated.py
@@ -306,13 +306,32 @@
     assert (ended, transcript.finished) == (is_whole, is_whole)
 
 
+@contextlib.asynccontextmanager
+async def scripted_engines(tmp_path, script):
+    """Run an entry host before two engines, and yield a caller of it."""
+    made = fleet.deployment(regions=('north',), engines=2, plains=0)
+    started = fleet.Fleet(tmp_path, made)
+    engines = []
+    try:
+        for found in made['endpoints']:
+            scripted = endpoints.ScriptedEndpoint(script)
+            scripted.address = found['url'].removeprefix('http://')
+            await scripted.listen_at_same_address()
+            engines.append(scripted)
+        started.start_entry('north-1')
+        await started.wait_serving()
+        yield started.caller('north-1')
+    finally:
+        await started.close()
+        for scripted in engines:
+            await scripted.close()
+
+
 @pytest.mark.parametrize('is_stream', [True, False])
 async def test_engine_that_frames_by_its_connection_serves_chats(
     tmp_path, is_stream
 ):
     """The whole way: caller, entry host, engine; the first answer is cut."""
-    made = fleet.deployment(regions=('north',), engines=2, plains=0)
-    started = fleet.Fleet(tmp_path, made)
     words = ''.join(engine.answer_words(test_endpoints.MESSAGES, 16))
     answered = []
 
@@ -332,25 +351,13 @@
         cut = body[:-2] if len(answered) == 1 else body
         return [*unframed(sent, kind, cut[:20], cut[20:]), CLOSE]
 
-    engines = []
-    try:
-        for found in made['endpoints']:
-            scripted = endpoints.ScriptedEndpoint(script)
-            scripted.address = found['url'].removeprefix('http://')
-            await scripted.listen_at_same_address()
-            engines.append(scripted)
-        started.start_entry('north-1')
-        await started.wait_serving()
+    async with scripted_engines(tmp_path, script) as caller:
         chat = test_endpoints.chat_body(is_stream)
-        first = await started.caller('north-1').chat(chat)
-        second = await started.caller('north-1').chat(chat)
-        assert first.outcome == second.outcome == 'whole', (first, second)
-        assert first.text == second.text == words
-        assert len(answered) == 3
-    finally:
-        await started.close()
-        for scripted in engines:
-            await scripted.close()
+        first = await caller.chat(chat)
+        second = await caller.chat(chat)
+    assert first.outcome == second.outcome == 'whole', (first, second)
+    assert first.text == second.text == words
+    assert len(answered) == 3
 
 
 def declared(sent, body, *lines):
