--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -392,6 +392,8 @@
     await nodes.until(endpoint.peer_closed.is_set)
     (failed,) = [line for line in lines if line['event'] == 'try_failed']
     assert (failed['request'], failed['place']) == ('q1', 'e')
+    kind_of_line = 'status' if name.startswith('status') else 'field'
+    assert f'invalid {kind_of_line} line' in failed['cause']
     assert failed['cause'].isprintable()
     assert len(failed['cause']) < TEXT_LIMIT_CHARACTERS
 
--- a/wrenspoke/transport/response_parser.py
+++ b/wrenspoke/transport/response_parser.py
@@ -35,7 +35,7 @@
     ``head_limit_bytes``: aiohttp's parser bounds each line and the number of
     headers, but neither blank lines, interim responses nor spaces.
 
-    No message is returned unless its head passes ``HeadChecker``.
+    ``HeadChecker`` checks the head of the response, and of interim ones.
     """
 
     def __init__(
