Skip blank lines in front of a response together

In test_healthy_calls_are_answered_beside_endless_ones the connection of the first healthy call was not up within 400 ms, while the call to the endpoint with blank lines was still read after 1.1 s.

Change: what precedes a status line is skipped by one search.

--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -9,6 +9,7 @@
 from aiohttp import http_parser
 import pytest
 
+from wrenspoke.transport import head_checker
 from wrenspoke.transport import response_parser
 
 LENGTH = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole'
@@ -229,6 +230,32 @@
     assert got == chunk * (first + count)
 
 
+class CountingChecker(head_checker.HeadChecker):
+    """Checker that counts the lines it looks at one by one."""
+
+    def __init__(self):
+        super().__init__()
+        self.line_count = 0
+
+    def _check_line(self, line):
+        self.line_count += 1
+        super()._check_line(line)
+
+
+@pytest.mark.parametrize('size', [1, 1_000, 1 << 16])
+@pytest.mark.parametrize('line', [b'\r\n', b'\n', b'\r\r\n'], ids=repr)
+def test_blank_lines_are_skipped_together(line, size):
+    """Guards against an event loop that blank lines keep busy."""
+    checker = CountingChecker()
+    head = bytearray()
+    data = line * 1_000 + LENGTH
+    for at in range(0, len(data), size):
+        head += data[at : at + size]
+        checker.check(head)
+    assert checker.is_complete
+    assert checker.line_count == LENGTH.count(b'\r\n')
+
+
 class DisagreeingParser:
     """Parser that returns a final message where it is told to."""
 
--- a/wrenspoke/transport/head_checker.py
+++ b/wrenspoke/transport/head_checker.py
@@ -4,6 +4,7 @@
 
 from aiohttp import http_exceptions
 
+BLANK_LINES = re.compile(rb'[\r\n]*')
 # Statuses are 100 to 599 (RFC 9110, 15).
 STATUS_LINE = re.compile(rb'HTTP/[0-9]\.[0-9] ([1-5][0-9]{2})(?: [^\r]*)?')
 # Answers an Upgrade header (RFC 9110, 7.8), which no request has here.
@@ -41,6 +42,8 @@
         :raises BadHttpMessage: a line is malformed
         """
         while not self.is_complete:
+            if self._status is None:
+                self._skip_blank_lines(head)
             line_end = head.find(b'\n', self._searched_bytes)
             if line_end < 0:
                 self._searched_bytes = len(head)
@@ -49,9 +52,14 @@
             self._line_start = self._searched_bytes = line_end + 1
             self._check_line(line.removesuffix(b'\r'))
 
+    def _skip_blank_lines(self, head: bytearray) -> None:
+        """Skip blank lines in front of a response, of which many may come."""
+        self._line_start = BLANK_LINES.match(head, self._line_start).end()
+        self._searched_bytes = max(self._searched_bytes, self._line_start)
+
     def _check_line(self, line: bytes) -> None:
         if self._status is None:
-            self._check_status_line(line.lstrip(b'\r'))
+            self._check_status_line(line)
         elif line:
             self._check_field_line(line)
         else:
@@ -60,9 +68,6 @@
             self._has_fields = False
 
     def _check_status_line(self, line: bytes) -> None:
-        if not line:
-            # Blank lines may precede a response.
-            return
         found = STATUS_LINE.fullmatch(line)
         if found is None or int(found[1]) == SWITCHING_PROTOCOLS:
             raise http_exceptions.BadStatusLine(
