Log where the processor time goes, and what uses descriptors

Reported: an entry host that "did not wait for anything". Nothing that a process logs told a loop in the event loop, a thread of a library that doesn't wait, a lack of descriptors and a process that isn't run apart.

A loop that stands still for 5 s has its stacks written, by a handler in C. Links count the connections that they accept, and say if they can't.

tests/test_process_load.py: 13 passed; 251 passed with those of passing, stops, links, start and layers.

--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -4,6 +4,7 @@
 whose protocols depend on the platform.
 """
 
+import collections.abc
 import pathlib
 
 import structlog
@@ -22,6 +23,7 @@
 from wrenspoke import ids
 from wrenspoke import node as nodes
 from wrenspoke import node_peers
+from wrenspoke import process_load
 from wrenspoke import runtime
 from wrenspoke import shutdown
 from wrenspoke.state import disk
@@ -89,6 +91,11 @@
             self.voter, self.replica, self._entry_hosts, self.peers, self.clock
         )
         self._tasks = runtime.Tasks()
+        # Connections to the servers, which belong to the starting process.
+        self.server_connections: collections.abc.Callable[[], int] = int
+        self._process_load = process_load.ProcessLoad(
+            self._descriptor_counts, self.clock
+        )
         self.decisions = direct_decisions.DirectDecisions(
             self.voter, self.clock
         )
@@ -101,6 +108,13 @@
             if everywhere or record.region == self.node.region
         ]
 
+    def _descriptor_counts(self) -> dict[str, int]:
+        """Return the open connections by what they are for."""
+        return {
+            'servers': self.server_connections(),
+            'links': self.peers.links.descriptor_count,
+        }
+
     async def start(self) -> None:
         """Start the link listener and the background tasks."""
         await self.peers.links.start(self.node.ip, self.node.link_port)
@@ -113,6 +127,7 @@
         self.registrar.start()
         self._crash_aggregator.start()
         self._tasks.start(self._traffic.log_periodically('control'))
+        self._process_load.start()
         logger.info('started', host=self.node.host, seeds=self.node.seeds)
 
     def reload(self, node: nodes.NodeSettings) -> None:
@@ -136,6 +151,7 @@
         self._traffic.log('control')
         await stop.close_all(
             {
+                'process_load': self._process_load,
                 'tasks': self._tasks,
                 'allocator': self._allocator,
                 'crash_aggregator': self._crash_aggregator,
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -18,6 +18,7 @@
 from wrenspoke import ids
 from wrenspoke import keys
 from wrenspoke import metrics
+from wrenspoke import process_load
 from wrenspoke.protocol import operator_api
 from wrenspoke.protocol import peers as peer_calls
 from wrenspoke import runtime
@@ -102,6 +103,17 @@
         application = surface.application()
         application.router.add_get('/metrics', self._handle_metrics)
         self._web = web.HttpServer(application)
+        self._process_load = process_load.ProcessLoad(
+            self._descriptor_counts, clock
+        )
+
+    def _descriptor_counts(self) -> dict[str, int]:
+        """Return the open connections by what they are for."""
+        return {
+            'servers': self._web.connection_count,
+            'endpoints': self._client.connection_count,
+            'links': self.peers.links.descriptor_count,
+        }
 
     def _entry_hosts(self, everywhere: bool) -> list[ids.HostId]:
         """Return the entry hosts of this region, or of all regions."""
@@ -125,6 +137,7 @@
             local_voter.state.configuration.index,
         )
         self._metrics.set_link_metrics(self.peers.links)
+        self._metrics.set_process_load(self._process_load)
         return self._metrics.response(request)
 
     async def start(self) -> None:
@@ -135,6 +148,7 @@
         self._executor.start()
         self.control.start()
         self._crash_aggregator.start()
+        self._process_load.start()
         await self._web.start(ip, self._host_settings.operator_port)
         logger.info(
             'started', ip=ip, operator_port=self._host_settings.operator_port
@@ -150,6 +164,7 @@
         await stop.close_all(
             {
                 'server': self._web,
+                'process_load': self._process_load,
                 'crash_aggregator': self._crash_aggregator,
                 'control': self.control,
                 'executor': self._executor,
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -54,6 +54,7 @@
 from wrenspoke import ids
 from wrenspoke import node as nodes
 from wrenspoke import node_peers
+from wrenspoke import process_load
 from wrenspoke.protocol import dialect as dialects
 from wrenspoke.protocol import discovery_messages
 from wrenspoke.protocol import kept_answers
@@ -551,6 +552,20 @@
             surface.handle_caller, self._socket_buffer_bytes, user_timeout_ms
         )
         self._host_server = self._server(surface.handle_host)
+        self._process_load = process_load.ProcessLoad(
+            self._descriptor_counts, self.clock
+        )
+
+    def _descriptor_counts(self) -> dict[str, int]:
+        """Return the open connections by what they are for."""
+        return {
+            'callers': self._caller_server.connection_count,
+            'passing': self._host_server.connection_count,
+            'endpoints': self._client.connection_count,
+            'reports': self._reports_client.connection_count,
+            'hosts': self._hosts_client.connection_count,
+            'links': self.peers.links.descriptor_count,
+        }
 
     def _host_address(self, host: ids.HostId) -> str | None:
         """Return the address that a host takes forwarded calls at."""
@@ -589,6 +604,7 @@
         self._remote_hosts.start()
         if self._warm_connections is not None:
             self._warm_connections.start()
+        self._process_load.start()
         self._tasks.start(self._run_housekeeping())
         self._tasks.start(self._watch_evacuations())
         self._tasks.start(self._traffic.log_periodically('entry'))
@@ -686,6 +702,7 @@
         await stop.close_all(
             {
                 'kept_answers': self._kept_answers,
+                'process_load': self._process_load,
                 'tasks': self._tasks,
                 'team_buckets': self._team_buckets,
                 'endpoint_gate': self._gate,
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -33,6 +33,7 @@
 from wrenspoke import ids
 from wrenspoke import keys
 from wrenspoke import metrics
+from wrenspoke import process_load
 from wrenspoke.protocol import entry_api
 from wrenspoke.protocol import hops
 from wrenspoke.protocol import messages
@@ -290,6 +291,17 @@
         application = entry_surface.application()
         application.router.add_get('/metrics', self._handle_metrics)
         self._web = web.HttpServer(application)
+        self._process_load = process_load.ProcessLoad(
+            self._descriptor_counts, self.clock
+        )
+
+    def _descriptor_counts(self) -> dict[str, int]:
+        """Return the open connections by what they are for."""
+        return {
+            'callers': self._web.connection_count,
+            'endpoints': self._client.connection_count,
+            'links': self.peers.links.descriptor_count,
+        }
 
     async def start(self) -> None:
         """Start the listeners and the background tasks."""
@@ -302,6 +314,7 @@
         self._host_list_poller.start()
         self._team_rate_limiter.start()
         self._gate.start()
+        self._process_load.start()
         await self._web.start(ip, self._host_settings.http_port)
         logger.info('started', ip=ip, http_port=self._host_settings.http_port)
 
@@ -349,6 +362,7 @@
         put('wrenspoke_ledger_keys', status['ledger_keys'])
         put('wrenspoke_peers_usable', sum(status['peers'].values()))
         self._metrics.set_link_metrics(self.peers.links)
+        self._metrics.set_process_load(self._process_load)
 
     def _set_endpoint_gauges(self) -> None:
         """Set the backoff and leaving gauges, to 0 once they have ended."""
@@ -411,6 +425,7 @@
         await stop.close_all(
             {
                 'server': self._web,
+                'process_load': self._process_load,
                 'team_rate_limiter': self._team_rate_limiter,
                 'endpoint_gate': self._gate,
                 'pinger': self._pinger,
--- a/wrenspoke/metrics.py
+++ b/wrenspoke/metrics.py
@@ -4,6 +4,7 @@
 import aioprometheus
 from aioprometheus import renderer
 
+from wrenspoke import process_load
 from wrenspoke.transport import links
 
 NAMES = {
@@ -38,6 +39,15 @@
     'wrenspoke_peers_usable': 'usable peers of the data centre',
     'wrenspoke_link_sent_bytes_total': 'bytes sent on links',
     'wrenspoke_link_received_bytes_total': 'bytes received on links',
+    'wrenspoke_links_not_accepted_total': (
+        'connections of other hosts that were not accepted'
+    ),
+    'wrenspoke_processor_ms_total': 'processor time by group of threads',
+    'wrenspoke_processor_waits_total': (
+        'times a thread gave up the processor to wait'
+    ),
+    'wrenspoke_descriptors': 'open connections by what they are for',
+    'wrenspoke_descriptor_limit': 'descriptors the process may have open',
     'wrenspoke_first_ms': 'ms to the first token or whole answer',
     'wrenspoke_term': 'term of the control group',
     'wrenspoke_leading': '1 while this control host leads',
@@ -80,6 +90,19 @@
         """Copy the byte counters of the links into the metrics."""
         self.set('wrenspoke_link_sent_bytes_total', used.sent_bytes)
         self.set('wrenspoke_link_received_bytes_total', used.received_bytes)
+        self.set('wrenspoke_links_not_accepted_total', used.failed_accepts)
+
+    def set_process_load(self, load: process_load.ProcessLoad) -> None:
+        """Copy the use of processor and descriptors into the metrics."""
+        used = process_load.read_processor_use()
+        for group, time_ms in used.time_ms.items():
+            self.set(
+                'wrenspoke_processor_ms_total', time_ms, threads=group.value
+            )
+        self.set('wrenspoke_processor_waits_total', used.waits)
+        for use, count in load.descriptor_counts().items():
+            self.set('wrenspoke_descriptors', count, use=use)
+        self.set('wrenspoke_descriptor_limit', process_load.descriptor_limit())
 
     def response(self, request: web.Request) -> web.Response:
         """Return the metrics in a format that the scraper accepts."""
--- a/wrenspoke/runtime.py
+++ b/wrenspoke/runtime.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import collections.abc
+import contextlib
+import faulthandler
 import gc
 import os
 import signal
+import sys
 
 import structlog
 
@@ -15,6 +18,9 @@
 # New objects until the next garbage collection; most end before, by their
 # reference counts.
 GARBAGE_THRESHOLD = 5_000
+# A callback of the event loop that takes longer has its stack written.
+STALL_S = 5.0
+STALL_CHECK_S = 1.0
 
 
 def run(main: collections.abc.Coroutine) -> None:
@@ -26,7 +32,37 @@
     os.environ[URING_VARIABLE] = '0'
     import uvloop
 
-    uvloop.run(main)
+    uvloop.run(_run_watched(main))
+
+
+async def _run_watched(main: collections.abc.Coroutine) -> None:
+    with watched_loop():
+        await main
+
+
+@contextlib.contextmanager
+def watched_loop() -> collections.abc.Iterator[None]:
+    """Write the stacks of all threads if the event loop stands still.
+
+    A timer of the kernel is set again by the loop. The stacks are written to
+    standard error by a signal handler in C, as the loop can't log then.
+    """
+    loop = asyncio.get_running_loop()
+    faulthandler.register(signal.SIGALRM, file=sys.stderr, chain=False)
+    check = None
+
+    def rearm() -> None:
+        nonlocal check
+        signal.setitimer(signal.ITIMER_REAL, STALL_S)
+        check = loop.call_later(STALL_CHECK_S, rearm)
+
+    rearm()
+    try:
+        yield
+    finally:
+        check.cancel()
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        faulthandler.unregister(signal.SIGALRM)
 
 
 def collect_garbage() -> None:
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -108,6 +108,11 @@
             protocol.close()
         del self._conns[key]
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections, idle ones included."""
+        return len(self._acquired) + sum(map(len, self._conns.values()))
+
     def count_idle(self, address: str, max_idle_ms: float) -> int:
         """Return how many connections are idle for no longer than a time."""
         key = self._target(address).connection_key
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -15,6 +15,8 @@
 import collections.abc
 import dataclasses
 import functools
+import os
+import struct
 import zlib
 
 import msgspec
@@ -54,6 +56,14 @@
 MAX_COMPRESSION_RATIO = 0.9
 PLAIN, COMPRESSED = b'\0', b'\1'
 MAX_TRACKED_EPOCHS = 4_096
+LISTENER_EVENTS = (
+    zmq.EVENT_ACCEPTED | zmq.EVENT_ACCEPT_FAILED | zmq.EVENT_DISCONNECTED
+)
+# The first frame of an event: its number, and a descriptor or errno. pyzmq's
+# parser would import zmq.asyncio.
+LISTENER_EVENT = struct.Struct('=Hi')
+# The event descriptor and the connection of a socket to one host.
+DESCRIPTORS_PER_DEALER = 2
 
 
 class Envelope(msgspec.Struct, array_like=True):
@@ -136,6 +146,10 @@
         self._envelope_encoder = msgspec.msgpack.Encoder()
         self._authenticator = None
         self._router: sockets.LoopSocket | None = None
+        self._monitor: sockets.LoopSocket | None = None
+        # Descriptors of the connections that the listener accepted.
+        self._accepted: set[int] = set()
+        self.failed_accepts = 0
         self._dealers: dict[ids.HostId, sockets.LoopSocket] = {}
         self._pending: dict[int, asyncio.Future] = {}
         self._number = 0
@@ -152,6 +166,7 @@
             self._start_authenticator()
             router.curve_server = True
             self._set_curve_keys(router)
+        self._monitor_listener(router)
         router.bind(f'tcp://{ip}:{port}')
         self._router = sockets.LoopSocket(
             router,
@@ -164,6 +179,40 @@
             self._on_request,
         )
 
+    def _monitor_listener(self, router: zmq.Socket) -> None:
+        sock = router.get_monitor_socket(LISTENER_EVENTS)
+        self._monitor = sockets.LoopSocket(
+            sock,
+            functools.partial(sock.recv_multipart, zmq.NOBLOCK),
+            self._on_listener_event,
+        )
+
+    def _on_listener_event(self, frames: list[bytes]) -> None:
+        event, value = LISTENER_EVENT.unpack(frames[0])
+        if event == zmq.EVENT_ACCEPTED:
+            self._accepted.add(value)
+        elif event == zmq.EVENT_DISCONNECTED:
+            self._accepted.discard(value)
+        else:
+            self._on_accept_failed(value)
+
+    def _on_accept_failed(self, number: int) -> None:
+        """Log that a connection could not be accepted, by its errno."""
+        self.failed_accepts += 1
+        if self.failed_accepts == 1:
+            logger.error(
+                'link_not_accepted',
+                reason=os.strerror(number),
+                accepted=len(self._accepted),
+                connected=len(self._dealers),
+            )
+
+    @property
+    def descriptor_count(self) -> int:
+        """Return how many descriptors the links to other hosts use."""
+        dealers = DESCRIPTORS_PER_DEALER * len(self._dealers)
+        return len(self._accepted) + dealers
+
     def _start_authenticator(self) -> None:
         from zmq.auth import asyncio as auth
 
@@ -376,6 +425,7 @@
         for dealer in self._dealers.values():
             dealer.close()
         if self._router is not None:
+            self._monitor.close()
             self._router.close(REPLY_LINGER_MS)
         if self._authenticator is not None:
             self._authenticator.stop()
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -288,6 +288,15 @@
         """Close the idle connections to an address."""
         self._pool.close_idle(address)
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections, idle ones included."""
+        return sum(
+            session.connector.connection_count
+            for session in (self._pooled, self._unpooled)
+            if session.connector is not None
+        )
+
     async def close(self) -> None:
         """Close all connections."""
         await self._pooled.close()
@@ -478,6 +487,12 @@
         await self._runner.setup()
         await self._site(self._runner, ip, port).start()
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        server = self._runner.server
+        return 0 if server is None else len(server.connections)
+
     def unsent_bytes(self) -> int:
         """Return the number of bytes not yet written to sockets."""
         return sum(_unsent_by_connection(self._runner.server).values())
@@ -541,6 +556,11 @@
             self._server, sock=listening, backlog=BACKLOG
         )
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return 0 if self._server is None else len(self._server.connections)
+
     def unsent_bytes(self) -> int:
         """Return the number of bytes not yet written to sockets."""
         return sum(_unsent_by_connection(self._server).values())
