Wait for the next poll of hosts that were just answered as a control host stops

A stop that began between two polls of an entry host closed the control host before the next one, which then ended with its timeout. The stop now also waits for hosts that were answered within the last 500 ms and don't know of it yet.

--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -53,6 +53,9 @@
 CONTACT_WINDOW_MS = 3_000
 # Interval of the check for open polls during a stop.
 RELEASE_CHECK_MS = 10
+# An entry host polls again within an inter-region round trip of its last
+# answer; a busy one takes longer.
+NEXT_POLL_MS = 500
 # Disks that hold an acknowledged leave, if the tolerated losses are unknown.
 DEFAULT_LEAVE_COPIES = 2
 
@@ -83,6 +86,8 @@
         self._update_event = asyncio.Event()
         self._open_polls = 0
         self._leaving = False
+        # Hosts that know that this one leaves.
+        self._released: set[ids.HostId] = set()
         # When each entry host was last answered.
         self._answered_ms: dict[ids.HostId, int] = {}
         # Packed deltas by start index, valid up to ``_packed_index``.
@@ -132,15 +137,24 @@
         self._control_sync.start()
 
     async def release_polls(self) -> None:
-        """Reply to all open polls, so that their senders reconnect elsewhere.
+        """Reply to all polls, so that their senders reconnect elsewhere.
 
         Without a reply they would wait for the timeout of their call.
         """
         self._leaving = True
         self._notify_waiters()
-        while self._open_polls:
+        while self._open_polls or self._has_hosts_between_polls():
             await self._clock.sleep_ms(RELEASE_CHECK_MS)
 
+    def _has_hosts_between_polls(self) -> bool:
+        """Return whether hosts are about to poll that weren't told to leave."""
+        since_ms = self._clock.mono_ms() - NEXT_POLL_MS
+        return any(
+            answered_ms > since_ms
+            for host, answered_ms in self._answered_ms.items()
+            if host not in self._released
+        )
+
     async def close(self) -> None:
         """Cancel all tasks."""
         await self._control_sync.close()
@@ -237,6 +251,8 @@
             self._open_polls -= 1
         now_ms = self._clock.mono_ms()
         self._answered_ms[sender] = now_ms
+        if self._leaving:
+            self._released.add(sender)
         return self._build_answer(message, now_ms - asked_ms)
 
     async def _wait_for_update(
