Pause the listener of links while connections can't be accepted

Other hosts saw a host that used up a processor: without a free descriptor the I/O thread of libzmq is told again and again of the same connection.

After 100 in a row the listener is closed for a second and opened again, as event loops do with theirs. Closing it also closes the links that it accepted; that frees descriptors, and their hosts connect again.

--- a/wrenspoke/coordination/membership/registrar.py
+++ b/wrenspoke/coordination/membership/registrar.py
@@ -147,7 +147,7 @@
             await self._clock.sleep_ms(RELEASE_CHECK_MS)
 
     def _has_hosts_between_polls(self) -> bool:
-        """Return whether hosts are about to poll that weren't told to leave."""
+        """Return whether hosts that know of no stop are about to poll."""
         since_ms = self._clock.mono_ms() - NEXT_POLL_MS
         return any(
             answered_ms > since_ms
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -62,6 +62,10 @@
 # The first frame of an event: its number, and a descriptor or errno. pyzmq's
 # parser would import zmq.asyncio.
 LISTENER_EVENT = struct.Struct('=Hi')
+# Connections that could not be accepted in a row until the listener pauses;
+# some fail as their peers reset them.
+FAILED_ACCEPTS_LIMIT = 100
+LISTENER_PAUSE_MS = 1_000
 # The event descriptor and the connection of a socket to one host.
 DESCRIPTORS_PER_DEALER = 2
 
@@ -150,6 +154,10 @@
         # Descriptors of the connections that the listener accepted.
         self._accepted: set[int] = set()
         self.failed_accepts = 0
+        self._failed_in_a_row = 0
+        self.listener_pauses = 0
+        self._resume_timer: asyncio.TimerHandle | None = None
+        self._address = ''
         self._dealers: dict[ids.HostId, sockets.LoopSocket] = {}
         self._pending: dict[int, asyncio.Future] = {}
         self._number = 0
@@ -167,7 +175,8 @@
             router.curve_server = True
             self._set_curve_keys(router)
         self._monitor_listener(router)
-        router.bind(f'tcp://{ip}:{port}')
+        self._address = f'tcp://{ip}:{port}'
+        router.bind(self._address)
         self._router = sockets.LoopSocket(
             router,
             functools.partial(
@@ -191,21 +200,51 @@
         event, value = LISTENER_EVENT.unpack(frames[0])
         if event == zmq.EVENT_ACCEPTED:
             self._accepted.add(value)
+            self._failed_in_a_row = 0
         elif event == zmq.EVENT_DISCONNECTED:
             self._accepted.discard(value)
         else:
             self._on_accept_failed(value)
 
     def _on_accept_failed(self, number: int) -> None:
-        """Log that a connection could not be accepted, by its errno."""
+        """Pause the listener if connections can't be accepted.
+
+        Without a descriptor for it, libzmq's I/O thread is told again and
+        again of the same connection, and never waits.
+        """
         self.failed_accepts += 1
-        if self.failed_accepts == 1:
-            logger.error(
-                'link_not_accepted',
-                reason=os.strerror(number),
-                accepted=len(self._accepted),
-                connected=len(self._dealers),
-            )
+        self._failed_in_a_row += 1
+        if (
+            self._resume_timer is not None
+            or self._failed_in_a_row < FAILED_ACCEPTS_LIMIT
+        ):
+            return
+        logger.error(
+            'link_listener_paused',
+            reason=os.strerror(number),
+            accepted=len(self._accepted),
+            connected=len(self._dealers),
+            pause_ms=LISTENER_PAUSE_MS,
+        )
+        self.listener_pauses += 1
+        # This also closes the connections that the listener has accepted.
+        self._router.unbind(self._address)
+        self._accepted.clear()
+        self._schedule_resume()
+
+    def _schedule_resume(self) -> None:
+        self._resume_timer = asyncio.get_running_loop().call_later(
+            LISTENER_PAUSE_MS / 1000, self._resume_listener
+        )
+
+    def _resume_listener(self) -> None:
+        self._resume_timer = None
+        self._failed_in_a_row = 0
+        try:
+            self._router.bind(self._address)
+        except zmq.ZMQError as error:
+            logger.error('link_listener_not_resumed', reason=str(error))
+            self._schedule_resume()
 
     @property
     def descriptor_count(self) -> int:
@@ -424,6 +463,8 @@
         await self._tasks.close()
         for dealer in self._dealers.values():
             dealer.close()
+        if self._resume_timer is not None:
+            self._resume_timer.cancel()
         if self._router is not None:
             self._monitor.close()
             self._router.close(REPLY_LINGER_MS)
--- a/wrenspoke/transport/sockets.py
+++ b/wrenspoke/transport/sockets.py
@@ -58,6 +58,19 @@
         self._sock.send_multipart(frames, NOBLOCK)
         self._read_events()
 
+    def bind(self, address: str) -> None:
+        """Listen for connections at an address.
+
+        :raises zmq.ZMQError: the address is in use, or no descriptor is free
+        """
+        self._sock.bind(address)
+        self._read_events()
+
+    def unbind(self, address: str) -> None:
+        """Stop listening, and close the connections that were accepted."""
+        self._sock.unbind(address)
+        self._read_events()
+
     async def wait_writable(self, abandoned: asyncio.Future) -> None:
         """Wait until a send may succeed, or until ``abandoned`` is done."""
         if self._read_events() & POLLOUT:
