Report a call without a free descriptor as not sent

Links.call raised ZMQError out of the creation of a socket, although its page says NotSentError.

Creating and connecting a socket is now one step that raises NotSentError, and closes the socket if it fails half-way.

--- a/tests/test_descriptor_shortage.py
+++ b/tests/test_descriptor_shortage.py
@@ -6,7 +6,7 @@
 import sys
 
 from wrenspoke import clock as clocks
-
+from wrenspoke.transport import errors
 from wrenspoke.transport import links
 from wrenspoke.transport import web
 
@@ -100,3 +100,15 @@
         assert watched == 'waits'
         assert answers == [b'x'] * PEERS
         assert await exhausted.ask('call') == 'x'
+
+
+async def test_call_without_descriptors_is_not_sent():
+    """Guards against a shortage that ends the tasks that call hosts."""
+    host, other = names(2)
+    async with peers([other]), exhausted_links(host, other) as exhausted:
+        await exhausted.ask('take')
+        for _number in range(3):
+            found = await exhausted.ask('call')
+            assert found == errors.NotSentError.__name__
+        await exhausted.ask('free')
+        assert await exhausted.ask('call') == 'x'
--- a/wrenspoke/transport/links.py
+++ b/wrenspoke/transport/links.py
@@ -328,13 +328,12 @@
         if dealer is not None:
             return dealer
         peer = self._find_peer(host)
-        sock = self._context.socket(zmq.DEALER)
-        _set_options(sock, self._heartbeat_options)
-        sock.setsockopt(zmq.IMMEDIATE, 1)
-        if self._identity.has_keys:
-            sock.curve_serverkey = peer.public_key.encode()
-            self._set_curve_keys(sock)
-        sock.connect(f'tcp://{peer.ip}:{peer.port}')
+        try:
+            sock = self._connect(peer)
+        except zmq.ZMQError as error:
+            raise errors.NotSentError(
+                f'no socket for host {host}: {error}'
+            ) from error
         dealer = self._dealers[host] = sockets.LoopSocket(
             sock,
             functools.partial(sock.recv, zmq.NOBLOCK),
@@ -342,6 +341,24 @@
         )
         return dealer
 
+    def _connect(self, peer: Peer) -> zmq.Socket:
+        """Return a socket that connects to a peer.
+
+        :raises zmq.ZMQError: no descriptor is free
+        """
+        sock = self._context.socket(zmq.DEALER)
+        try:
+            _set_options(sock, self._heartbeat_options)
+            sock.setsockopt(zmq.IMMEDIATE, 1)
+            if self._identity.has_keys:
+                sock.curve_serverkey = peer.public_key.encode()
+                self._set_curve_keys(sock)
+            sock.connect(f'tcp://{peer.ip}:{peer.port}')
+        except zmq.ZMQError:
+            sock.close()
+            raise
+        return sock
+
     def _find_peer(self, host: ids.HostId) -> Peer:
         """Return the peer of a host id; without keys the id is its address."""
         peer = self._peers.get(host)
