End a ledger recovery whose pages make no progress

A host that recovers its ledger asked for page after page as long as the answer says that more follows: with an empty page its task ended with an IndexError, which stops the daemon; with the same page again it never ended, at the pace of the answers. Each page now has to go beyond the one before; otherwise the recovery is tried again after its interval.

The event loop in virtual time of the tests now fails a test in which it turns 2,000 times without waiting, and names what turns.

--- a/tests/group.py
+++ b/tests/group.py
@@ -38,6 +38,9 @@
 EXCHANGE_INTERVAL_MS = 1_000
 # Far longer than partitions, restarts and elections delay a change.
 WAIT_TIMEOUT_MS = 60_000
+# Turns of the event loop at one moment. What follows from one event takes far
+# fewer; a task that never waits takes any number.
+TURNS_LIMIT = 2_000
 
 
 class _VirtualTimeSelector(selectors.DefaultSelector):
@@ -46,11 +49,15 @@
     def __init__(self):
         super().__init__()
         self.now_s = 0.0
+        self.turns = 0
 
     def select(self, timeout=None):
         if timeout is None:
             raise AssertionError('no event is scheduled; the test hangs')
-        self.now_s += max(timeout, 0)
+        if timeout > 0:
+            self.now_s += timeout
+            self.turns = 0
+        self.turns += 1
         return super().select(0)
 
 
@@ -68,12 +75,20 @@
     def time(self):
         return self._virtual_selector.now_s
 
+    def _run_once(self):
+        if self._virtual_selector.turns > TURNS_LIMIT:
+            self._virtual_selector.turns = 0
+            turning = [str(handle) for handle in self._ready]
+            raise AssertionError(f'the event loop does not wait: {turning}')
+        super()._run_once()
+
 
 def run(coroutine: collections.abc.Coroutine) -> None:
     """Run a coroutine in virtual time; fail if any task has failed."""
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         runner.run(coroutine)
-        assert runner.get_loop().errors == []
+        errors = runner.get_loop().errors
+        assert not errors, errors
 
 
 class LoopClock(clocks.Clock):
--- a/wrenspoke/coordination/serving/ledger.py
+++ b/wrenspoke/coordination/serving/ledger.py
@@ -283,6 +283,9 @@
                 snapshot.registers += page.registers
             if not page.more:
                 return snapshot
+            if not page.registers or page.registers[-1][:2] <= after:
+                logger.warning('ledger_page_without_progress', peer=host)
+                return None
             after = page.registers[-1][:2]
 
     async def _fetch_snapshot_page(
