Bound how often an entry host polls a control host that replies at once

A session polls its control host again as soon as it has a reply. A control host that replies at once, as it restarts, or with changes that can't be applied, left the loop without a wait of its own: it turned at the pace of the network, and each turn may transfer the whole state.

A Pacer makes each turn begin at least 20 ms after the one before. Changes that come meanwhile are in the next reply.

--- a/wrenspoke/clock.py
+++ b/wrenspoke/clock.py
@@ -27,6 +27,24 @@
         await asyncio.sleep(max(delay_ms, 0) / 1000)
 
 
+class Pacer:
+    """Bounds how often a loop turns whose work may take no time.
+
+    A peer that answers at once, or a failure, leaves a loop without a wait of
+    its own.
+    """
+
+    def __init__(self, interval_ms: int, clock: Clock):
+        self._interval_ms = interval_ms
+        self._clock = clock
+        self._next_ms = clock.mono_ms()
+
+    async def wait(self) -> None:
+        """Wait until an interval has passed since the last turn began."""
+        await self._clock.sleep_ms(self._next_ms - self._clock.mono_ms())
+        self._next_ms = self._clock.mono_ms() + self._interval_ms
+
+
 def timeout_ms(delay_ms: float | None) -> asyncio.Timeout:
     """Return an ``asyncio.timeout``; None means no timeout."""
     return asyncio.timeout(None if delay_ms is None else delay_ms / 1000)
--- a/wrenspoke/coordination/membership/discovery_client.py
+++ b/wrenspoke/coordination/membership/discovery_client.py
@@ -40,6 +40,8 @@
 # The wait, an inter-region round trip and a busy host's delay.
 CALL_TIMEOUT_MS = 1_500
 RETRY_DELAY_MS = 100
+# Control hosts reply to a poll at once if they have something new.
+MIN_POLL_INTERVAL_MS = 20
 # A failed control host is tried last for this long, about the duration of
 # a restart.
 FAILED_HOST_TTL_MS = 10_000
@@ -250,7 +252,9 @@
             )
 
     async def _run_session(self, session: _Session) -> None:
+        pacer = clocks.Pacer(MIN_POLL_INTERVAL_MS, self._clock)
         while True:
+            await pacer.wait()
             if session.host is None:
                 session.reset(self._choose_host(), self._clock.mono_ms())
             if session.host is None:
