Let the leader wait for a beat if a follower rejects its first entry

The leader sent the next message at once as long as a follower lacks entries. A follower that rejects the first entry too, as its disk is damaged or its software differs, left the loop without a wait: the leader turned at the pace of its replies. The next message is now sent at once only if the reply changed where the log is continued.

tests/test_turns.py, row "control_host-unmatched entries", failed before; 48 rows and the 216 tests of groups and lost power pass.

--- a/tests/instant_peers.py
+++ b/tests/instant_peers.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from wrenspoke.coordination.agreement import bootstrap
 from wrenspoke.protocol import discovery_messages
 from wrenspoke.protocol import errors
 from wrenspoke.protocol import limiting
@@ -45,7 +46,7 @@
 
 
 class Replies:
-    """Builds replies; ``draw`` returns the value of each true or false."""
+    """Builds replies; ``draw`` returns whether a named field is true."""
 
     def __init__(self, draw):
         self._draw = draw
@@ -55,22 +56,22 @@
         hints = typing.get_type_hints(kind, include_extras=True)
         return kind(
             **{
-                field.name: self._value(hints[field.name])
+                field.name: self._value(field.name, hints[field.name])
                 for field in msgspec.structs.fields(kind)
                 if field.required or hints[field.name] is bool
             }
         )
 
-    def _value(self, kind):
+    def _value(self, name, kind):
         origin = typing.get_origin(kind)
         if origin is typing.Annotated:
-            return self._value(typing.get_args(kind)[0])
+            return self._value(name, typing.get_args(kind)[0])
         if origin is not None and type(None) in typing.get_args(kind):
             return None
         kind = getattr(kind, '__supertype__', kind)
         kind = origin or kind
         if kind in (bool, int, float):
-            return kind(self._draw())
+            return kind(self._draw(name))
         if issubclass(kind, msgspec.Struct):
             return self.build(kind)
         if issubclass(kind, enum.Enum):
@@ -115,7 +116,7 @@
 def restarting():
     """Return calls that are answered by another process each time."""
     numbers = itertools.count()
-    answer = answering(bool)
+    answer = answering(lambda _name: False)
 
     async def call(host, message, timeout_ms):
         reply = await answer(host, message, timeout_ms)
@@ -130,4 +131,24 @@
 def drawn(seed):
     """Return calls that are answered at once with drawn values."""
     source = random.Random(seed)
-    return answering(lambda: source.random() < 0.5)
+    return answering(lambda _name: source.random() < 0.5)
+
+
+def following(matches):
+    """Return calls of control hosts that vote for this one at once.
+
+    ``matches`` returns for each message whether they have its entries.
+    """
+    refuse = answering(lambda _name: False)
+
+    async def call(host, message, timeout_ms):
+        disk = bootstrap._bootstrap_incarnation(host)
+        if isinstance(message, messages.RequestVote):
+            return messages.VoteReply(message.term, True, disk)
+        if isinstance(message, messages.AppendEntries):
+            await asyncio.sleep(0)
+            last = message.previous_index + len(message.added)
+            return messages.AppendReply(message.term, matches(), last, disk)
+        return await refuse(host, message, timeout_ms)
+
+    return call
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import itertools
 import json
 
 import pytest
@@ -74,8 +75,13 @@
     'absent': lambda: instant_peers.absent,
     'silent': lambda: instant_peers.silent,
     'refusing': lambda: instant_peers.refusing,
-    'empty replies': lambda: instant_peers.answering(bool),
-    'true replies': lambda: instant_peers.answering(lambda: True),
+    'empty replies': lambda: instant_peers.answering(lambda _name: False),
+    'true replies': lambda: instant_peers.answering(lambda _name: True),
+    'followers': lambda: instant_peers.following(lambda: True),
+    'unmatched entries': lambda: instant_peers.following(lambda: False),
+    'entries lost at times': lambda: instant_peers.following(
+        itertools.cycle([True, False]).__next__
+    ),
     'restarting': instant_peers.restarting,
     **{
         f'drawn replies {seed}': functools.partial(instant_peers.drawn, seed)
--- a/wrenspoke/coordination/agreement/leadership.py
+++ b/wrenspoke/coordination/agreement/leadership.py
@@ -170,9 +170,15 @@
             answer = await self._node.call(host, self._next_message(follower))
             if self.ended:
                 return
+            next_index = follower.next_index
             if isinstance(answer, messages.AppendReply):
                 self._handle_reply(host, follower, answer, sent_ms)
-                if follower.next_index <= self._node.storage.last_index:
+                # A follower that rejects the first entry too gets the next
+                # message with the next beat.
+                made_progress = follower.next_index != next_index
+                if made_progress and (
+                    follower.next_index <= self._node.storage.last_index
+                ):
                     continue
             await self._wait_for_new_entries(follower, sent_ms)
 
