Delay each batch of crash reports, not only the first

A control host whose replies come from a new process each time made an entry host send all older reports again, at once and without end, at the pace of the replies. Each batch now waits for the 4 ms in which reports are collected.

test_reports_to_a_host_that_restarts_wait failed before; 139 tests of reports and quarantine pass.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -14,6 +14,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke import control_node
 from wrenspoke import controld
+from wrenspoke.coordination.quarantine import crash_reporter
 from wrenspoke import entry_node
 from wrenspoke import entryd
 from wrenspoke import keys
@@ -109,3 +110,21 @@
             await daemon.close()
 
     group.run(run())
+
+
+def test_reports_to_a_host_that_restarts_wait():
+    """Guards against reports that are sent again without a wait."""
+
+    class RestartingHost:
+        call = staticmethod(instant_peers.restarting())
+
+    async def run():
+        reporter = crash_reporter.CrashReporter(
+            lambda: ['a'], RestartingHost(), group.LoopClock()
+        )
+        for digest in ('first', 'second'):
+            reporter.report_crash((digest,), 'endpoint')
+            await asyncio.sleep(LASTS_S / 2)
+        await reporter.close()
+
+    group.run(run())
--- a/wrenspoke/coordination/quarantine/crash_reporter.py
+++ b/wrenspoke/coordination/quarantine/crash_reporter.py
@@ -148,8 +148,8 @@
         return list(self._queues.values())
 
     async def _send_queue(self, host: ids.HostId, queue: _ReportQueue) -> None:
-        await self._clock.sleep_ms(BATCH_DELAY_MS)
         while not queue.is_empty and self._queues.get(host) is queue:
+            await self._clock.sleep_ms(BATCH_DELAY_MS)
             if not await self._send_batch(host, queue):
                 await self._clock.sleep_ms(RETRY_INTERVAL_MS)
 
