Round waits up to whole milliseconds

uvloop counts in whole milliseconds and takes a wait of less than half of one for none. A loop that waits for the rest of a time, e.g. until a call's turn at the admission is over, turned up to a hundred times without waiting.

--- a/wrenspoke/clock.py
+++ b/wrenspoke/clock.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import time
 
 NS_PER_MS = 1_000_000
@@ -24,7 +25,7 @@
 
     async def sleep_ms(self, delay_ms: float) -> None:
         """Sleep for ``delay_ms``; a negative delay counts as 0."""
-        await asyncio.sleep(max(delay_ms, 0) / 1000)
+        await asyncio.sleep(_whole_ms(delay_ms) / 1000)
 
 
 class Pacer:
@@ -47,4 +48,14 @@
 
 def timeout_ms(delay_ms: float | None) -> asyncio.Timeout:
     """Return an ``asyncio.timeout``; None means no timeout."""
-    return asyncio.timeout(None if delay_ms is None else delay_ms / 1000)
+    return asyncio.timeout(
+        None if delay_ms is None else _whole_ms(delay_ms) / 1000
+    )
+
+
+def _whole_ms(delay_ms: float) -> int:
+    """Return a delay rounded up, as event loops count in whole ms.
+
+    uvloop rounds a delay below half a millisecond down to none.
+    """
+    return max(math.ceil(delay_ms), 0)
