End the wait of a call for room where the wait itself ends

A call that waits for an engine was told to wait as long as the controller says so, and let wait as long as the gate's clock says so. If the two ever differ about the end, the call was told to wait and returned at once, for ever, in a loop that doesn't give way to others. The ticket now keeps that its wait has ended, and such a call is admitted or refused.

The new test failed before for both reasons to wait (told to wait 3 of 3 times) and passes; 87 tests of admission pass.

--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -1,6 +1,7 @@
 """Calls at the gate of a host: admitted, waiting, refused."""
 
 import asyncio
+import itertools
 import types
 
 import pytest
@@ -8,6 +9,7 @@
 from wrenspoke import clock as clocks
 from wrenspoke.coordination.admission import controller as controllers
 from wrenspoke.coordination.admission import places
+from wrenspoke.coordination.admission import wait_queue
 from wrenspoke.coordination.serving import admission_gate
 from wrenspoke.protocol import capacity
 from wrenspoke.protocol import dialect as dialects
@@ -157,6 +159,33 @@
     assert not gate._wakers
 
 
+@pytest.mark.parametrize('place', [HARMS, FITS])
+async def test_end_of_a_wait_does_not_depend_on_two_clocks(place):
+    """Guards against a call that is told to wait and not let wait for ever.
+
+    The controller is told a time before the end of the wait, and the wait
+    itself sees a later one.
+    """
+    gate = gate_with(max_wait_ms=30)
+    if place is FITS:
+        # Another call goes first.
+        ahead = gate.controller.ticket('ahead', -1, None, 2_000, 0, 0)
+        ahead.passes = wait_queue.PASSES_LIMIT
+        gate.controller.queue.add(ahead)
+    times_ms = itertools.chain([0], itertools.cycle([0, 60_000]))
+    gate._clock = types.SimpleNamespace(mono_ms=times_ms.__next__)
+    context = context_of(gate)
+    rulings = []
+    for _number in range(3):
+        try:
+            gate.rule(context, chosen_at(place))
+        except admission_gate.NoRoomError as error:
+            rulings.append(error.decision.ruling)
+            if error.decision.ruling is controllers.Ruling.WAIT:
+                await gate.wait(context, error)
+    assert rulings.count(controllers.Ruling.WAIT) == 1
+
+
 def sent_call(**fields):
     """Return a call that another host sent."""
     return discovery_messages.SentCall(1, 'e', 1_000, 20, [], 10, **fields)
--- a/wrenspoke/coordination/admission/controller.py
+++ b/wrenspoke/coordination/admission/controller.py
@@ -126,13 +126,14 @@
         """Return what happens to a call, given the best place for it."""
         ticket.feasible = place.end_ms <= deadline_left_ms
         harms = place.harmed > self._allowed_harm(ticket)
+        may_wait = not ticket.has_waited and now_ms < ticket.until_ms
         if place.has_ample_room and not self.queue.has_others(ticket):
             return Decision(Ruling.ADMIT)
         if self._is_late_beyond_share(ticket, place, now_ms):
             return Decision(Ruling.REFUSE, Reason.SHARE)
         if ticket.feasible and not harms:
             ahead = self.queue.first_ahead(ticket)
-            if ahead is None or now_ms >= ticket.until_ms:
+            if ahead is None or not may_wait:
                 return Decision(Ruling.ADMIT)
             return Decision(Ruling.WAIT, Reason.PASSED, ahead)
         if place.end_ms > FAILURE_MARGIN * deadline_left_ms:
@@ -141,7 +142,7 @@
         reason = Reason.HARMS if harms else Reason.FAILS
         if ticket.early:
             return Decision(Ruling.REFUSE, Reason.EARLY)
-        if now_ms < ticket.until_ms and not self.queue.is_full:
+        if may_wait and not self.queue.is_full:
             return Decision(Ruling.WAIT, reason)
         if harms:
             return Decision(Ruling.REFUSE, reason)
--- a/wrenspoke/coordination/admission/wait_queue.py
+++ b/wrenspoke/coordination/admission/wait_queue.py
@@ -30,6 +30,8 @@
     refusals: int = 0
     feasible: bool = True
     passes: int = 0
+    # Its wait has ended; it isn't ruled to wait again.
+    has_waited: bool = False
     # What kept it from going when it was assessed last.
     blocked_by: str = ''
 
--- a/wrenspoke/coordination/serving/admission_gate.py
+++ b/wrenspoke/coordination/serving/admission_gate.py
@@ -270,6 +270,7 @@
         while True:
             left_ms = ticket.until_ms - self._clock.mono_ms()
             if left_ms <= 0:
+                ticket.has_waited = True
                 return
             try:
                 async with clocks.timeout_ms(min(left_ms, RECHECK_MS)):
