Wait before a message is sent again to a socket that took none

A link whose socket says that it is writable, and refuses the message all the same, was written to again with the next turn of the loop. It now waits 1 ms.

test_send_to_a_socket_that_stays_full_waits failed before (2,000 turns at one moment) and passes, with the nine others of sockets.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import functools
+import socket
 import time
 
 import pytest
 import zmq
 
+from tests import group
 from tests import nodes
 from wrenspoke import clock as clocks
 from wrenspoke.transport import errors
@@ -177,3 +179,37 @@
         dealer.close()
         peer.close(linger=0)
         context.term()
+
+
+def test_send_to_a_socket_that_stays_full_waits():
+    """Guards against a send that is tried again without a wait."""
+
+    class FullSocket:
+        """Says that it is writable, and takes no message."""
+
+        closed = False
+
+        def __init__(self):
+            self.ends = socket.socketpair()
+            self.sends = 0
+
+        def get(self, option):
+            if option == zmq.FD:
+                return self.ends[0].fileno()
+            return sockets.POLLOUT
+
+        def send(self, _message, _flags):
+            self.sends += 1
+            raise zmq.Again
+
+    async def run():
+        full = FullSocket()
+        dealer = sockets.LoopSocket(full, None, None)
+        loop = asyncio.get_running_loop()
+        answer = loop.create_future()
+        loop.call_later(TIMEOUT_MS / 1000, links._expire, answer)
+        with pytest.raises(TimeoutError):
+            await links._send_when_connected(dealer, b'x', answer)
+        assert 1 < full.sends <= 2 * TIMEOUT_MS
+
+    group.run(run())
--- a/wrenspoke/transport/sockets.py
+++ b/wrenspoke/transport/sockets.py
@@ -16,6 +16,9 @@
 POLLIN = int(zmq.POLLIN)
 POLLOUT = int(zmq.POLLOUT)
 NOBLOCK = int(zmq.NOBLOCK)
+# Until a socket that is said to be writable is written to again, as libzmq may
+# refuse a message all the same.
+RESEND_DELAY_S = 0.001
 # Messages handled before other callbacks of the loop have their turn.
 MAX_BATCH = 32
 
@@ -74,7 +77,7 @@
     async def wait_writable(self, abandoned: asyncio.Future) -> None:
         """Wait until a send may succeed, or until ``abandoned`` is done."""
         if self._read_events() & POLLOUT:
-            await asyncio.sleep(0)
+            await asyncio.sleep(RESEND_DELAY_S)
             return
         waiter = self._loop.create_future()
 
