Write no empty text to the log, and end a flush that writes nothing

A flush of the log wrote the buffer until it was empty. An empty text, or a descriptor that takes nothing without blocking, kept it there for ever, in the event loop. structlog ends each line with a line break, so that no daemon of today does it.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -77,6 +77,39 @@
     assert all(line.startswith('level=') for line in lines)
 
 
+@pytest.mark.parametrize('texts', [[''], ['', ''], ['a', '', 'b'], ['a', '']])
+def test_empty_text_is_not_written(pipe, monkeypatch, texts):
+    """Guards against a flush that writes nothing, again and again."""
+    reader, writer = pipe
+    stream = logstream.BoundedStream(writer, logs.is_urgent)
+    monkeypatch.setattr(os, 'write', limited_writes(os.write))
+    for text in texts:
+        stream.write(text)
+    stream.flush()
+    assert drain(reader).decode() == ''.join(texts)
+
+
+def test_flush_ends_where_nothing_is_written(pipe, monkeypatch):
+    """Guards against a descriptor that takes nothing and blocks nobody."""
+    _reader, writer = pipe
+    stream = logstream.BoundedStream(writer, logs.is_urgent)
+    monkeypatch.setattr(os, 'write', limited_writes(lambda _to, _data: 0))
+    stream.write(WARNING)
+    stream.flush()
+
+
+def limited_writes(write):
+    """Return a write that fails a test after several calls."""
+    numbers = iter(range(100))
+
+    def limited(descriptor, data):
+        if next(numbers, None) is None:
+            pytest.fail('written to without end')
+        return write(descriptor, data)
+
+    return limited
+
+
 def test_closed_reader_does_not_raise(pipe):
     reader, writer = pipe
     stream = logstream.BoundedStream(writer, logs.is_urgent)
--- a/wrenspoke/logstream.py
+++ b/wrenspoke/logstream.py
@@ -53,6 +53,8 @@
         return len(text)
 
     def _enqueue(self, data: bytes) -> None:
+        if not data:
+            return
         self._buffer.append(data)
         self._size_bytes += len(data)
 
@@ -69,6 +71,8 @@
                 self._buffer.clear()
                 self._size_bytes = 0
                 return
+            if not written:
+                return
             self._drop_written(written)
         if self._unreported_drops:
             count, self._unreported_drops = self._unreported_drops, 0
