Leave a part of the descriptors to links between hosts

Nothing bounded the connections of callers, to endpoints, to other hosts and the spare ones together. Once they use up the descriptors, the host can neither accept nor open links, on which everything else depends.

A DescriptorBudget counts connections by use. The platform's limit, less what it keeps for files, is a setting (resources.descriptors).

Without the bound an idle caller keeps its connection, and a request is tried until the kernel refuses.

--- a/tests/test_process_load.py
+++ b/tests/test_process_load.py
@@ -36,8 +36,20 @@
 """
 
 
-def load(counts=dict):
-    return process_load.ProcessLoad(counts, clocks.Clock())
+class Budget:
+    """Stands in for the connections of a process."""
+
+    limit = 100
+
+    def __init__(self, **counts):
+        self.used = counts
+
+    def counts(self):
+        return self.used
+
+
+def load(budget=Budget()):
+    return process_load.ProcessLoad(budget, clocks.Clock())
 
 
 def use(loop_ms, libraries_ms):
@@ -85,7 +97,7 @@
 async def test_load_is_logged_with_every_use_of_descriptors(monkeypatch):
     monkeypatch.setattr(process_load, 'CHECK_INTERVAL_MS', 1)
     monkeypatch.setattr(process_load, 'LOG_INTERVAL_MS', 1)
-    checked = load(lambda: {'callers': 3, 'links': 2})
+    checked = load(Budget(callers=3, links=2))
     with structlog.testing.capture_logs() as logs:
         checked.start()
         await nodes.until(lambda: logs)
@@ -96,15 +108,14 @@
     assert {'event_loop_ms', 'libraries_ms', 'waits'} <= first.keys()
 
 
-async def test_many_descriptors_are_reported_once(monkeypatch):
-    monkeypatch.setattr(process_load, 'descriptor_limit', lambda: 100)
-    counts = {}
-    checked = load(lambda: counts)
+async def test_many_descriptors_are_reported_once():
+    budget = Budget()
+    checked = load(budget)
     with structlog.testing.capture_logs() as logs:
-        for callers in (79, 80, 90, 10, 85):
-            counts['callers'] = callers
+        for callers in (74, 75, 90, 10, 85):
+            budget.used = {'callers': callers}
             checked.check_descriptors()
-    assert [log['callers'] for log in logs] == [80, 85]
+    assert [log['callers'] for log in logs] == [75, 85]
 
 
 def test_stalled_event_loop_writes_its_stacks(tmp_path):
--- a/wrenspoke/control_node.py
+++ b/wrenspoke/control_node.py
@@ -4,7 +4,6 @@
 whose protocols depend on the platform.
 """
 
-import collections.abc
 import pathlib
 
 import structlog
@@ -29,6 +28,7 @@
 from wrenspoke.state import disk
 from wrenspoke.state import locations
 from wrenspoke.state import storage
+from wrenspoke.transport import descriptors
 
 logger = structlog.get_logger(__name__)
 
@@ -91,11 +91,10 @@
             self.voter, self.replica, self._entry_hosts, self.peers, self.clock
         )
         self._tasks = runtime.Tasks()
-        # Connections to the servers, which belong to the starting process.
-        self.server_connections: collections.abc.Callable[[], int] = int
-        self._process_load = process_load.ProcessLoad(
-            self._descriptor_counts, self.clock
-        )
+        # The starting process adds the connections of its servers.
+        self.budget = descriptors.DescriptorBudget(node.resources.descriptors)
+        self.budget.set_links(lambda: self.peers.links.descriptor_count)
+        self._process_load = process_load.ProcessLoad(self.budget, self.clock)
         self.decisions = direct_decisions.DirectDecisions(
             self.voter, self.clock
         )
@@ -108,13 +107,6 @@
             if everywhere or record.region == self.node.region
         ]
 
-    def _descriptor_counts(self) -> dict[str, int]:
-        """Return the open connections by what they are for."""
-        return {
-            'servers': self.server_connections(),
-            'links': self.peers.links.descriptor_count,
-        }
-
     async def start(self) -> None:
         """Start the link listener and the background tasks."""
         await self.peers.links.start(self.node.ip, self.node.link_port)
--- a/wrenspoke/controld.py
+++ b/wrenspoke/controld.py
@@ -28,6 +28,7 @@
 from wrenspoke.state import entries
 from wrenspoke.state import locations
 from wrenspoke.state import storage
+from wrenspoke.transport import descriptors
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -58,7 +59,10 @@
             clock,
         )
         self.replica = replica.Replica()
-        self._client = web.HttpClient(deployment.entry.connect_timeout_ms)
+        self._budget = descriptors.DescriptorBudget()
+        self._client = web.HttpClient(
+            deployment.entry.connect_timeout_ms, budget=self._budget
+        )
         log_storage = storage.Storage(
             disk.Disk(folder / self._host_settings.data_folder)
         )
@@ -102,18 +106,11 @@
         self._metrics = metrics.Metrics(name)
         application = surface.application()
         application.router.add_get('/metrics', self._handle_metrics)
-        self._web = web.HttpServer(application)
-        self._process_load = process_load.ProcessLoad(
-            self._descriptor_counts, clock
-        )
-
-    def _descriptor_counts(self) -> dict[str, int]:
-        """Return the open connections by what they are for."""
-        return {
-            'servers': self._web.connection_count,
-            'endpoints': self._client.connection_count,
-            'links': self.peers.links.descriptor_count,
-        }
+        self._web = web.HttpServer(application, self._budget)
+        self._process_load = process_load.ProcessLoad(self._budget, clock)
+        self._budget.set_links(lambda: self.peers.links.descriptor_count)
+        self._budget.add_accepted('operators', self._web.count_connections)
+        self._budget.add_opened('endpoints', self._client.count_connections)
 
     def _entry_hosts(self, everywhere: bool) -> list[ids.HostId]:
         """Return the entry hosts of this region, or of all regions."""
@@ -137,7 +134,7 @@
             local_voter.state.configuration.index,
         )
         self._metrics.set_link_metrics(self.peers.links)
-        self._metrics.set_process_load(self._process_load)
+        self._metrics.set_process_load(self._budget)
         return self._metrics.response(request)
 
     async def start(self) -> None:
--- a/wrenspoke/entry_node.py
+++ b/wrenspoke/entry_node.py
@@ -65,6 +65,7 @@
 from wrenspoke import shutdown
 from wrenspoke.state import registry
 from wrenspoke.transport import connector
+from wrenspoke.transport import descriptors
 from wrenspoke.transport import web
 
 logger = structlog.get_logger(__name__)
@@ -104,6 +105,7 @@
             self.lease,
         )
         self._traffic.set_location_lookup(self.discovery.host_location)
+        self._budget = descriptors.DescriptorBudget(node.resources.descriptors)
         read_buffer_bytes = web.READ_BUFFER_BYTES
         # Bounds near sockets alone, as far ones need larger windows.
         self._socket_buffer_bytes = None
@@ -115,16 +117,20 @@
             node.entry.endpoint_idle_ms,
             read_buffer_bytes,
             self._socket_buffer_bytes,
+            self._budget,
         )
         # A pool of its own: responses to polls carry no request id, so that
         # none may arrive in the place of a call's.
         self._reports_client = web.HttpClient(
-            node.entry.connect_timeout_ms, node.entry.endpoint_idle_ms
+            node.entry.connect_timeout_ms,
+            node.entry.endpoint_idle_ms,
+            budget=self._budget,
         )
         self._hosts_client = web.HttpClient(
             node.entry.far_connect_timeout_ms,
             node.entry.host_idle_ms,
             read_buffer_bytes,
+            budget=self._budget,
         )
         self.retry_budget = shared_retry_budget.SharedRetryBudget(
             node.host,
@@ -552,20 +558,24 @@
             surface.handle_caller, self._socket_buffer_bytes, user_timeout_ms
         )
         self._host_server = self._server(surface.handle_host)
-        self._process_load = process_load.ProcessLoad(
-            self._descriptor_counts, self.clock
-        )
-
-    def _descriptor_counts(self) -> dict[str, int]:
-        """Return the open connections by what they are for."""
-        return {
-            'callers': self._caller_server.connection_count,
-            'passing': self._host_server.connection_count,
-            'endpoints': self._client.connection_count,
-            'reports': self._reports_client.connection_count,
-            'hosts': self._hosts_client.connection_count,
-            'links': self.peers.links.descriptor_count,
-        }
+        self._process_load = process_load.ProcessLoad(self._budget, self.clock)
+        self._fill_budget()
+
+    def _fill_budget(self) -> None:
+        """Name what connections are for."""
+        budget = self._budget
+        budget.set_links(lambda: self.peers.links.descriptor_count)
+        for use, server in (
+            ('callers', self._caller_server),
+            ('passing', self._host_server),
+        ):
+            budget.add_accepted(use, server.count_connections)
+        for use, client in (
+            ('endpoints', self._client),
+            ('reports', self._reports_client),
+            ('hosts', self._hosts_client),
+        ):
+            budget.add_opened(use, client.count_connections)
 
     def _host_address(self, host: ids.HostId) -> str | None:
         """Return the address that a host takes forwarded calls at."""
@@ -585,6 +595,7 @@
             entry.header_limit_bytes,
             socket_buffer_bytes,
             user_timeout_ms,
+            self._budget,
         )
 
     async def start(self) -> None:
--- a/wrenspoke/entryd.py
+++ b/wrenspoke/entryd.py
@@ -41,6 +41,7 @@
 from wrenspoke import runtime
 from wrenspoke import settings
 from wrenspoke import shutdown
+from wrenspoke.transport import descriptors
 from wrenspoke.transport import web
 
 MS_PER_S = 1_000
@@ -71,7 +72,10 @@
         self._signer = hops.HopSigner(
             deployment.cluster, keys.read_cluster_key(keys_folder)
         )
-        self._client = web.HttpClient(self._settings.connect_timeout_ms)
+        self._budget = descriptors.DescriptorBudget()
+        self._client = web.HttpClient(
+            self._settings.connect_timeout_ms, budget=self._budget
+        )
         self.peers = peer_calls.Peers(
             keys.read_identity(keys_folder, deployment, self._host_settings),
             keys.link_peers(deployment),
@@ -290,18 +294,11 @@
         self.loads.on_first_token = self._metrics.observe_first_ms
         application = entry_surface.application()
         application.router.add_get('/metrics', self._handle_metrics)
-        self._web = web.HttpServer(application)
-        self._process_load = process_load.ProcessLoad(
-            self._descriptor_counts, self.clock
-        )
-
-    def _descriptor_counts(self) -> dict[str, int]:
-        """Return the open connections by what they are for."""
-        return {
-            'callers': self._web.connection_count,
-            'endpoints': self._client.connection_count,
-            'links': self.peers.links.descriptor_count,
-        }
+        self._web = web.HttpServer(application, self._budget)
+        self._process_load = process_load.ProcessLoad(self._budget, self.clock)
+        self._budget.set_links(lambda: self.peers.links.descriptor_count)
+        self._budget.add_accepted('callers', self._web.count_connections)
+        self._budget.add_opened('endpoints', self._client.count_connections)
 
     async def start(self) -> None:
         """Start the listeners and the background tasks."""
@@ -362,7 +359,7 @@
         put('wrenspoke_ledger_keys', status['ledger_keys'])
         put('wrenspoke_peers_usable', sum(status['peers'].values()))
         self._metrics.set_link_metrics(self.peers.links)
-        self._metrics.set_process_load(self._process_load)
+        self._metrics.set_process_load(self._budget)
 
     def _set_endpoint_gauges(self) -> None:
         """Set the backoff and leaving gauges, to 0 once they have ended."""
--- a/wrenspoke/metrics.py
+++ b/wrenspoke/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import renderer
 
 from wrenspoke import process_load
+from wrenspoke.transport import descriptors
 from wrenspoke.transport import links
 
 NAMES = {
@@ -92,7 +93,7 @@
         self.set('wrenspoke_link_received_bytes_total', used.received_bytes)
         self.set('wrenspoke_links_not_accepted_total', used.failed_accepts)
 
-    def set_process_load(self, load: process_load.ProcessLoad) -> None:
+    def set_process_load(self, budget: descriptors.DescriptorBudget) -> None:
         """Copy the use of processor and descriptors into the metrics."""
         used = process_load.read_processor_use()
         for group, time_ms in used.time_ms.items():
@@ -100,9 +101,9 @@
                 'wrenspoke_processor_ms_total', time_ms, threads=group.value
             )
         self.set('wrenspoke_processor_waits_total', used.waits)
-        for use, count in load.descriptor_counts().items():
+        for use, count in budget.counts().items():
             self.set('wrenspoke_descriptors', count, use=use)
-        self.set('wrenspoke_descriptor_limit', process_load.descriptor_limit())
+        self.set('wrenspoke_descriptor_limit', budget.limit)
 
     def response(self, request: web.Request) -> web.Response:
         """Return the metrics in a format that the scraper accepts."""
--- a/wrenspoke/node.py
+++ b/wrenspoke/node.py
@@ -161,12 +161,14 @@
     """Resources that the host has, null where unknown.
 
     ``link_bits_per_s`` is the rate of its network link each way, and
-    ``cores`` the processor time that it gets a second, in seconds.
+    ``cores`` the processor time that it gets a second, in seconds. A process
+    may use ``descriptors``, or what the kernel allows it if that is less.
     """
 
     memory_bytes: Positive | None = None
     link_bits_per_s: Positive | None = None
     cores: Amount | None = None
+    descriptors: Positive | None = None
 
 
 class NodeSettings(_Section):
--- a/wrenspoke/process_load.py
+++ b/wrenspoke/process_load.py
@@ -5,7 +5,6 @@
 belong to libraries, are measured apart.
 """
 
-import collections.abc
 import dataclasses
 import enum
 import resource
@@ -14,6 +13,7 @@
 
 from wrenspoke import clock as clocks
 from wrenspoke import runtime
+from wrenspoke.transport import descriptors
 
 logger = structlog.get_logger(__name__)
 
@@ -26,7 +26,7 @@
 PROFILE_MS = 100
 PROFILE_INTERVAL_MS = 60_000
 PROFILED_FUNCTIONS = 5
-MANY_DESCRIPTORS_SHARE = 0.8
+MANY_DESCRIPTORS_SHARE = 0.75
 MS_PER_S = 1_000
 
 
@@ -77,24 +77,15 @@
     )
 
 
-def descriptor_limit() -> int:
-    """Return how many descriptors the process may have open."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-
-
 class ProcessLoad:
-    """Logs the load of a process, and what uses up a processor.
-
-    ``descriptor_counts`` returns the open descriptors by what they are for;
-    files and what libraries need for themselves are left out.
-    """
+    """Logs the load of a process, and what uses up a processor."""
 
     def __init__(
         self,
-        descriptor_counts: collections.abc.Callable[[], dict[str, int]],
+        budget: descriptors.DescriptorBudget,
         clock: clocks.Clock,
     ):
-        self.descriptor_counts = descriptor_counts
+        self._budget = budget
         self._clock = clock
         self._tasks = runtime.Tasks()
         self._busy_checks = dict.fromkeys(ThreadGroup, 0)
@@ -129,21 +120,21 @@
             lasted_ms=lasted_ms,
             waits=used.waits,
             preemptions=used.preemptions,
-            descriptor_limit=descriptor_limit(),
+            descriptor_limit=self._budget.limit,
             **{
                 f'{group.value}_ms': round(time_ms)
                 for group, time_ms in used.time_ms.items()
             },
             **{
                 f'{use}_descriptors': count
-                for use, count in self.descriptor_counts().items()
+                for use, count in self._budget.counts().items()
             },
         )
 
     def check_descriptors(self) -> None:
         """Warn as most of the descriptors have come into use."""
-        limit = descriptor_limit()
-        counts = self.descriptor_counts()
+        limit = self._budget.limit
+        counts = self._budget.counts()
         has_many = sum(counts.values()) >= MANY_DESCRIPTORS_SHARE * limit
         if has_many and not self._has_many_descriptors:
             logger.warning('many_descriptors', limit=limit, **counts)
--- a/wrenspoke/transport/connector.py
+++ b/wrenspoke/transport/connector.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import contextvars
+import errno
 import fcntl
 import socket
 import struct
@@ -17,6 +18,7 @@
 from aiohttp import connector as connectors
 import yarl
 
+from wrenspoke.transport import descriptors
 from wrenspoke.transport import errors
 from wrenspoke.transport import exchange
 
@@ -33,6 +35,7 @@
 # An idle connection whose peer has acknowledged nothing for this long is dead:
 # a probe was sent after ``KEEPALIVE_IDLE_S``, and a round trip has passed.
 SILENCE_LIMIT_MS = KEEPALIVE_IDLE_S * 1000 + 500
+DESCRIPTOR_ERRORS = frozenset([errno.EMFILE, errno.ENFILE])
 # The field tcpi_last_ack_recv of struct tcp_info, in ms.
 _LAST_ACK = struct.Struct('56xI')
 # The int that FIONREAD fills, if there is nothing to read.
@@ -56,8 +59,13 @@
     has sent bytes meanwhile, which belong to no request.
     """
 
-    def __init__(self, **named: typing.Any):
+    def __init__(
+        self,
+        budget: descriptors.DescriptorBudget | None = None,
+        **named: typing.Any,
+    ):
         super().__init__(**named)
+        self._budget = budget
         # Called with each address that a connection is taken for, and
         # whether an idle one was found.
         self.on_take: collections.abc.Callable[[str, bool], None] | None = None
@@ -151,6 +159,24 @@
             )
         return target
 
+    async def _create_connection(
+        self, *arguments: typing.Any, **named: typing.Any
+    ) -> client_proto.ResponseHandler:
+        """Return a new connection.
+
+        :raises NoDescriptorError: this process has no descriptor for it
+        """
+        if self._budget is not None and not self._budget.may_open():
+            raise errors.NoDescriptorError(
+                f'no connection is left of {self._budget.counts()}'
+            )
+        try:
+            return await super()._create_connection(*arguments, **named)
+        except OSError as error:
+            if error.errno not in DESCRIPTOR_ERRORS:
+                raise
+            raise errors.NoDescriptorError(str(error)) from error
+
     async def _wrap_create_connection(
         self,
         *arguments: typing.Any,
--- a/wrenspoke/transport/errors.py
+++ b/wrenspoke/transport/errors.py
@@ -11,6 +11,10 @@
     """No byte of the message was sent."""
 
 
+class NoDescriptorError(NotSentError):
+    """This process has no descriptor for a connection; nothing was sent."""
+
+
 class SendAbortedError(NotSentError):
     """The message was no longer permitted to be sent, and was not sent."""
 
--- a/wrenspoke/transport/web.py
+++ b/wrenspoke/transport/web.py
@@ -17,6 +17,7 @@
 import weakref
 
 import aiohttp
+from aiohttp import web_protocol
 from aiohttp import web_request
 from aiohttp import web_response
 from aiohttp import web_server
@@ -25,6 +26,7 @@
 import yarl
 
 from wrenspoke.transport import connector
+from wrenspoke.transport import descriptors
 from wrenspoke.transport import errors
 from wrenspoke.transport import exchange
 from wrenspoke.transport import failure_text
@@ -41,6 +43,8 @@
 IDLE_TIMEOUT_MS = 15_000
 # aiohttp reads twice as much of a response before it is taken.
 READ_BUFFER_BYTES = 64 * 1024
+# Resets of accepted connections until the next line of the log.
+RESETS_PER_LINE = 1_000
 # Bodies of requests are written in pieces of this size.
 BODY_PIECE_BYTES = 64 * 1024
 # Headers that aiohttp adds by default.
@@ -117,7 +121,9 @@
         idle_timeout_ms: int = IDLE_TIMEOUT_MS,
         read_buffer_bytes: int = READ_BUFFER_BYTES,
         socket_buffer_bytes: int | None = None,
+        budget: descriptors.DescriptorBudget | None = None,
     ):
+        self._budget = budget
         self._read_buffer_bytes = read_buffer_bytes
         self._socket_buffer_bytes = socket_buffer_bytes
         self._idle_timeout_s = idle_timeout_ms / 1000
@@ -135,6 +141,7 @@
         if not force_close:
             idle['keepalive_timeout'] = self._idle_timeout_s
         tcp_connector = connector.CancellationSafeConnector(
+            self._budget,
             limit=0,
             limit_per_host=0 if force_close else MAX_CONNECTIONS_PER_HOST,
             force_close=force_close,
@@ -288,8 +295,7 @@
         """Close the idle connections to an address."""
         self._pool.close_idle(address)
 
-    @property
-    def connection_count(self) -> int:
+    def count_connections(self) -> int:
         """Return the number of open connections, idle ones included."""
         return sum(
             session.connector.connection_count
@@ -467,7 +473,12 @@
 class HttpServer:
     """Serves an aiohttp application at one IP address and port."""
 
-    def __init__(self, application: 'aiohttp.web.Application'):
+    def __init__(
+        self,
+        application: 'aiohttp.web.Application',
+        budget: descriptors.DescriptorBudget | None = None,
+    ):
+        self._budget = budget
         # Imported here, as entry hosts have no applications.
         from aiohttp import web
 
@@ -485,10 +496,11 @@
     async def start(self, ip: str, port: int) -> None:
         """Start listening; the port must be free."""
         await self._runner.setup()
+        if self._budget is not None:
+            _bound_connections(self._runner.server, self._budget)
         await self._site(self._runner, ip, port).start()
 
-    @property
-    def connection_count(self) -> int:
+    def count_connections(self) -> int:
         """Return the number of open connections."""
         server = self._runner.server
         return 0 if server is None else len(server.connections)
@@ -512,6 +524,53 @@
         await self.close()
 
 
+def _bound_connections(
+    server: web_server.Server, budget: descriptors.DescriptorBudget
+) -> None:
+    """Close connections if a server has accepted more than a budget allows.
+
+    The one that has been idle for longest is closed. If all have requests, the
+    new one is reset, so that its caller can turn to another host at once.
+    """
+    add_connection = server.connection_made
+    reset_numbers = itertools.count()
+
+    def connection_made(
+        handler: web_protocol.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        add_connection(handler, transport)
+        if not budget.has_accepted_too_many():
+            return
+        idle = min(
+            (other for other in server.connections if _is_idle(other)),
+            key=_idle_until_s,
+            default=None,
+        )
+        if idle is not None:
+            idle.force_close()
+            return
+        number = next(reset_numbers)
+        if number % RESETS_PER_LINE == 0:
+            logger.warning(
+                'connection_reset',
+                reason='too many connections',
+                earlier_resets=number,
+                **budget.counts(),
+            )
+        transport.abort()
+
+    server.connection_made = connection_made
+
+
+def _is_idle(handler: web_protocol.RequestHandler) -> bool:
+    """Return whether a connection waits for its next request."""
+    return handler._waiter is not None and not handler._waiter.done()
+
+
+def _idle_until_s(handler: web_protocol.RequestHandler) -> float:
+    return handler._next_keepalive_close_time
+
+
 class LowLevelServer:
     """Serves a handler at one IP address and port, without routing.
 
@@ -525,7 +584,9 @@
         header_limit_bytes: int = MAX_LINE_BYTES,
         socket_buffer_bytes: int | None = None,
         user_timeout_ms: int = connector.USER_TIMEOUT_MS,
+        budget: descriptors.DescriptorBudget | None = None,
     ):
+        self._budget = budget
         self._socket_buffer_bytes = socket_buffer_bytes
         self._user_timeout_ms = user_timeout_ms
         self.sockets: list[socket.socket] = []
@@ -548,6 +609,8 @@
             max_line_size=self._header_limit_bytes,
             max_field_size=self._header_limit_bytes,
         )
+        if self._budget is not None:
+            _bound_connections(self._server, self._budget)
         listening = _listening_socket(
             ip, int(port), self._socket_buffer_bytes, self._user_timeout_ms
         )
@@ -556,8 +619,7 @@
             self._server, sock=listening, backlog=BACKLOG
         )
 
-    @property
-    def connection_count(self) -> int:
+    def count_connections(self) -> int:
         """Return the number of open connections."""
         return 0 if self._server is None else len(self._server.connections)
 
