Blame no endpoint for a lack of descriptors of this host

A call for which no connection could be opened for lack of a descriptor counted as a failure of its endpoint: the endpoint was ejected, the call was tried at others, which were ejected too, and the next calls found none.

Such a call is now refused at once with 503 and a Retry-After, since it was not sent, and nothing is recorded about the endpoint, on both ways in.

--- a/tests/test_descriptor_budget.py
+++ b/tests/test_descriptor_budget.py
@@ -6,13 +6,19 @@
 
 from aiohttp import web as aiohttp_web
 import pytest
+import structlog
 
+from tests import loops
 from tests import nodes
+from tests import test_passing
+from wrenspoke.state import routes
 from wrenspoke.transport import connector
 from wrenspoke.transport import descriptors
 from wrenspoke.transport import errors
 from wrenspoke.transport import web
 
+event_loop_policy = loops.event_loop_policy
+system = test_passing.system
 REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 LIMIT = 100
 
@@ -163,3 +169,27 @@
         client = web.HttpClient(1_000)
         assert await fetch(client, running.port) == b'answer'
         await client.close()
+
+
+@pytest.mark.parametrize('kind', list(routes.RouteKind))
+@pytest.mark.parametrize('take', [use_up, exhaust])
+async def test_call_without_a_descriptor_ejects_no_endpoint(
+    system, monkeypatch, take, kind
+):
+    """Guards against a host that takes its own shortage for failures."""
+    await system.put(test_passing.route(kind))
+    endpoint = await system.add(
+        'e', lambda sent, _number: [test_passing.answer(sent)]
+    )
+    with monkeypatch.context() as patch:
+        take(patch)
+        with structlog.testing.capture_logs() as logs:
+            refused = await system.ask(test_passing.request())
+    assert refused.startswith(b'HTTP/1.1 503 ')
+    assert b'\r\nRetry-After: ' in refused
+    # The call is rejected at once, not tried again without a descriptor.
+    events = [log['event'] for log in logs]
+    assert events.count('no_descriptor') == 1
+    assert not endpoint.requests
+    served = await system.ask(test_passing.request(request_id='q2'))
+    assert served.startswith(b'HTTP/1.1 200 ')
--- a/wrenspoke/coordination/errors.py
+++ b/wrenspoke/coordination/errors.py
@@ -76,6 +76,13 @@
     """No part of the request was sent."""
 
 
+class NoDescriptorError(NotSentError):
+    """This host has no descriptor for a connection.
+
+    The endpoint or host that it is for has not failed.
+    """
+
+
 class SendAbortedError(CoordinationError):
     """A send was no longer permitted when it was due; nothing was sent."""
 
--- a/wrenspoke/coordination/serving/attempts.py
+++ b/wrenspoke/coordination/serving/attempts.py
@@ -121,6 +121,10 @@
             context.send_count -= 1
             context.mark_not_run()
             self._on_send_aborted(context, destination)
+        except errors.NoDescriptorError as error:
+            context.send_count -= 1
+            context.mark_not_run()
+            self._on_shortage(context, destination, error)
         except errors.NotSentError as error:
             context.send_count -= 1
             context.mark_not_run()
@@ -301,6 +305,22 @@
             left_ms=self._left_ms(context),
         )
 
+    def _on_shortage(
+        self,
+        context: call_context.CallContext,
+        destination: sending.Destination,
+        error: errors.NoDescriptorError,
+    ) -> None:
+        """Record that this host can't open a connection to any endpoint."""
+        context.host_is_short = True
+        context.cause = f'not sent: {error}'
+        logger.warning(
+            'no_descriptor',
+            request=context.call.request,
+            place=destination.name,
+            cause=str(error),
+        )
+
     def _on_send_aborted(
         self,
         context: call_context.CallContext,
--- a/wrenspoke/coordination/serving/call_context.py
+++ b/wrenspoke/coordination/serving/call_context.py
@@ -58,6 +58,8 @@
     build: ids.BuildId | None = None
     # Its turn among the calls that need room, until it is sent or refused.
     ticket: wait_queue.Ticket | None = None
+    # Whether this host has no descriptor for another connection.
+    host_is_short: bool = False
     # Whether the request is kept no longer, so that it can't be sent again.
     body_dropped: bool = False
 
--- a/wrenspoke/coordination/serving/dispatch.py
+++ b/wrenspoke/coordination/serving/dispatch.py
@@ -345,6 +345,8 @@
             if send_permit is not None and not send_permit.is_valid():
                 # The permit expired; the endpoint itself did not fail.
                 raise errors.EndpointBackoffError(send.endpoint, 0) from error
+            if isinstance(error, transport_errors.NoDescriptorError):
+                raise errors.NoDescriptorError(str(error)) from error
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
             raise errors.MaybeSentError(str(error)) from error
--- a/wrenspoke/coordination/serving/local_server.py
+++ b/wrenspoke/coordination/serving/local_server.py
@@ -335,6 +335,8 @@
         except errors.OverloadedError:
             overloaded = True
             raise
+        except errors.NoDescriptorError:
+            raise
         except errors.NotSentError:
             self.loads.record_connect_failure(send.endpoint)
             raise
--- a/wrenspoke/coordination/serving/passthrough.py
+++ b/wrenspoke/coordination/serving/passthrough.py
@@ -547,7 +547,7 @@
             return await self._attempts.run_attempt(context, destination)
 
     def _may_retry(self, context: call_context.CallContext) -> bool:
-        if context.body_dropped:
+        if context.body_dropped or context.host_is_short:
             return False
         if context.unexecuted_sends >= UNEXECUTED_SENDS_LIMIT:
             return False
--- a/wrenspoke/coordination/serving/sending.py
+++ b/wrenspoke/coordination/serving/sending.py
@@ -331,6 +331,8 @@
                 self._guard.finish_run(run, answer.status, answer.framing)
         except transport_errors.SendAbortedError as error:
             raise errors.SendAbortedError(str(error)) from error
+        except transport_errors.NoDescriptorError as error:
+            raise errors.NoDescriptorError(str(error)) from error
         except transport_errors.NotSentError as error:
             raise errors.NotSentError(str(error)) from error
         except transport_errors.MaybeSentError as error:
--- a/wrenspoke/coordination/serving/streams.py
+++ b/wrenspoke/coordination/serving/streams.py
@@ -304,6 +304,8 @@
         except errors.OverloadedError:
             send.slot.release(overloaded=True)
             raise
+        except errors.NoDescriptorError:
+            raise
         except errors.NotSentError:
             self._server.loads.record_connect_failure(send.endpoint)
             raise
