Wait before a stream asks again for a permit that has expired

A stream that goes on at one engine waits as long as the engine's backoff says. A permit that expires between its grant and the send names no time, and the stream asked again with the next turn of the loop, until its deadline.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -4,6 +4,7 @@
 import functools
 import itertools
 import json
+import types
 
 import pytest
 
@@ -14,7 +15,9 @@
 from wrenspoke import clock as clocks
 from wrenspoke import control_node
 from wrenspoke import controld
+from wrenspoke.coordination import errors
 from wrenspoke.coordination.quarantine import crash_reporter
+from wrenspoke.coordination.serving import streams
 from wrenspoke import entry_node
 from wrenspoke import entryd
 from wrenspoke import keys
@@ -112,6 +115,27 @@
     group.run(run())
 
 
+def test_stream_waits_for_an_endpoint_that_is_busy_for_no_time():
+    """Guards against a stream that asks again for a permit at once."""
+
+    class Streams:
+        _server = types.SimpleNamespace(clock=group.LoopClock())
+
+        async def _resume(self, *_arguments):
+            await asyncio.sleep(0)
+            raise errors.EndpointBackoffError('e', 0)
+
+    async def run():
+        head = types.SimpleNamespace(deadline_ms=LASTS_S * 1000)
+        state = types.SimpleNamespace(check_deadline=lambda: None)
+        with pytest.raises(errors.EndpointBackoffError):
+            await streams.StreamServer._resume_when_admitted(
+                Streams(), head, None, None, None, state
+            )
+
+    group.run(run())
+
+
 def test_reports_to_a_host_that_restarts_wait():
     """Guards against reports that are sent again without a wait."""
 
--- a/wrenspoke/coordination/serving/streams.py
+++ b/wrenspoke/coordination/serving/streams.py
@@ -33,6 +33,8 @@
 OK = 200
 STREAM_PATH = '/v1/streams/'
 CANCEL_TIMEOUT_MS = 2_000
+# Until a permit is asked for again that expired before the send.
+MIN_PERMIT_WAIT_MS = 10
 
 
 class Transcript:
@@ -404,9 +406,10 @@
                 return
             except errors.EndpointBusyError as error:
                 now_ms = self._server.clock.mono_ms()
-                if now_ms + error.wait_ms >= head.deadline_ms:
+                wait_ms = max(error.wait_ms, MIN_PERMIT_WAIT_MS)
+                if now_ms + wait_ms >= head.deadline_ms:
                     raise
-                await self._server.clock.sleep_ms(error.wait_ms)
+                await self._server.clock.sleep_ms(wait_ms)
 
     def _start_cancel(self, send: dispatch.Send) -> None:
         """Cancel the stream at its engine in the background."""
