--- a/tests/test_process_load.py
+++ b/tests/test_process_load.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 import structlog
@@ -108,6 +109,22 @@
     assert {'event_loop_ms', 'libraries_ms', 'waits'} <= first.keys()
 
 
+async def test_delay_of_the_event_loop_is_logged(monkeypatch):
+    """Guards against a callback that holds the loop and goes unnoticed."""
+    monkeypatch.setattr(process_load, 'CHECK_INTERVAL_MS', 20)
+    monkeypatch.setattr(process_load, 'LOG_INTERVAL_MS', 20)
+    checked = load()
+    with structlog.testing.capture_logs() as logs:
+        checked.start()
+        await asyncio.sleep(0)
+        end_s = time.monotonic() + 0.1
+        while time.monotonic() < end_s:
+            pass
+        await nodes.until(lambda: logs)
+        await checked.close()
+    assert logs[0]['max_delay_ms'] >= 50
+
+
 async def test_many_descriptors_are_reported_once():
     budget = Budget()
     checked = load(budget)
--- a/wrenspoke/process_load.py
+++ b/wrenspoke/process_load.py
@@ -90,6 +90,8 @@
         self._tasks = runtime.Tasks()
         self._busy_checks = dict.fromkeys(ThreadGroup, 0)
         self._profiled_ms: int | None = None
+        # How late the event loop ran a check, at most, since the last line.
+        self._max_delay_ms = 0
         self._has_many_descriptors = False
 
     def start(self) -> None:
@@ -104,9 +106,11 @@
         logged = checked = read_processor_use()
         logged_ms = checked_ms = self._clock.mono_ms()
         while True:
+            due_ms = self._clock.mono_ms() + CHECK_INTERVAL_MS
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
             now = read_processor_use()
             now_ms = self._clock.mono_ms()
+            self._max_delay_ms = max(self._max_delay_ms, now_ms - due_ms)
             self.check_descriptors()
             await self.check_processor(now.since(checked), now_ms - checked_ms)
             if now_ms - logged_ms >= LOG_INTERVAL_MS:
@@ -120,6 +124,7 @@
             lasted_ms=lasted_ms,
             waits=used.waits,
             preemptions=used.preemptions,
+            max_delay_ms=self._max_delay_ms,
             descriptor_limit=self._budget.limit,
             **{
                 f'{group.value}_ms': round(time_ms)
@@ -130,6 +135,7 @@
                 for use, count in self._budget.counts().items()
             },
         )
+        self._max_delay_ms = 0
 
     def check_descriptors(self) -> None:
         """Warn as most of the descriptors have come into use."""
